Lay out the workspace and the core's types

Cause: nothing stands yet; every later piece needs the same identifiers, units, error kinds and outside calls.

--- /dev/null
+++ b/crates/laburnumstall-core/src/lib.rs
@@ -0,0 +1,29 @@
+//! The decisions of laburnumstall: which entry owns a request, where it runs, who may run it.
+//!
+//! Everything here is deterministic. A component is given the time and an event, and
+//! returns actions and decision records; it reads no clock, opens no socket, starts no
+//! thread and uses no global random source. The daemon feeds it and carries out the
+//! actions; tests feed it in virtual time; a recorded session replays to the same lines.
+
+pub mod adoption;
+pub mod budget;
+pub mod claims;
+pub mod cloud;
+pub mod decision;
+pub mod entry;
+pub mod error;
+pub mod hash;
+pub mod ids;
+pub mod limits;
+pub mod macros;
+pub mod membership;
+pub mod message;
+pub mod placement;
+pub mod prelude;
+pub mod quarantine;
+pub mod request;
+pub mod routing;
+pub mod store;
+pub mod units;
+pub mod watch;
+pub mod world;
--- /dev/null
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the module.
--- /dev/null
+++ b/crates/laburnumstall/src/main.rs
@@ -0,0 +1,3 @@
+//! Binary.
+
+fn main() {}
