core: membership of entry daemons, first working version

Cause: the daemons need one view of who is there, combined from sources that differ in lag and trust. Change: evidence by source, verdicts with separate thresholds for a gone and a silent process, a ring of heartbeat targets, rendezvous ranking, and digests. Conclusion: the interface stands for the request lifecycle to build on.

--- a/crates/laburnumstall-core/src/membership.rs
+++ b/crates/laburnumstall-core/src/membership.rs
@@ -1,1 +1,364 @@
-//! Placeholder of the module.
+//! Which entry daemons there are, and which of them can be used.
+//!
+//! Sources differ in lag and trust: the registry (a key under a lease for each daemon),
+//! the VM list, reclaim notices, heartbeats, refused connections and the words of peers.
+//! Each arrives as [`Evidence`]; [`Membership::tick`] weighs it and gives out what
+//! changed. A view is monotonic by incarnation: once a later process is seen on a VM, an
+//! earlier one never counts again.
+
+mod digest;
+mod evidence;
+mod member;
+mod ring;
+mod standing;
+mod view;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub use digest::{MAX_RUMOURS, MemberDigest, RUMOUR_LIFE, Rumour, Word};
+pub use evidence::{Evidence, GoneReason, MemberEvent, MemberState};
+pub use member::{CertificateFingerprint, Member};
+pub use ring::MAX_TARGETS;
+use standing::Standing;
+pub use standing::{EXPIRED_AFTER, PROBE_AFTER, REFUSALS_TO_GONE, SILENT_AFTER, SUSPICION_LIFE};
+
+use crate::cloud::ReclaimNotice;
+use crate::decision::{Decision, DecisionKind, Journal};
+use crate::ids::{DaemonId, Incarnation, VmId};
+use crate::units::Timestamp;
+use crate::world::{Vm, VmState};
+
+/// Time between two heartbeats to one member.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time that a gone member is remembered, so that late words about it are understood.
+pub const GONE_KEPT: Duration = Duration::from_secs(600);
+
+/// One daemon's view of all entry daemons.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    own: Member,
+    others: BTreeMap<DaemonId, Standing>,
+    /// Highest incarnation seen on each VM.
+    latest: BTreeMap<VmId, Incarnation>,
+    /// Whether the last successful listing still held at least half of the members.
+    listing_is_sound: bool,
+    events: Vec<MemberEvent>,
+    /// Latest time given to any call.
+    now: Timestamp,
+    /// Hash of this daemon for rendezvous hashing.
+    own_seed: u64,
+}
+
+impl Membership {
+    /// Starts a view that holds this daemon alone.
+    pub fn new(own: Member) -> Self {
+        let latest = BTreeMap::from([(own.id.vm.clone(), own.id.incarnation)]);
+        Self {
+            own_seed: own.weight_seed(),
+            own,
+            others: BTreeMap::new(),
+            latest,
+            listing_is_sound: false,
+            events: Vec::new(),
+            now: Timestamp::ZERO,
+        }
+    }
+
+    /// Returns this daemon.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Marks this daemon as leaving: it is out of the ranking and the directory.
+    pub fn set_leaving(&mut self) {
+        if !self.own.leaving {
+            self.own.leaving = true;
+            self.events.push(MemberEvent::Leaving(self.own.id.clone()));
+        }
+    }
+
+    /// Takes in a whole, successful listing of the registry.
+    ///
+    /// Absence is evidence, and never enough against a member that is heard.
+    pub fn on_registry(&mut self, now: Timestamp, members: &[Member], journal: &mut Journal) {
+        self.now = self.now.max(now);
+        for member in members {
+            self.see(now, member, journal);
+            if let Some(standing) = self.others.get_mut(&member.id) {
+                standing.registered = true;
+                standing.registry_absent = None;
+            }
+        }
+        let absent: Vec<DaemonId> = self
+            .others
+            .values()
+            .filter(|standing| standing.state != MemberState::Gone && standing.registered)
+            .map(|standing| standing.member.id.clone())
+            .filter(|id| !members.iter().any(|member| member.id == *id))
+            .collect();
+        let known = self
+            .others
+            .values()
+            .filter(|s| s.state != MemberState::Gone && s.registered);
+        self.listing_is_sound = absent.len() * 2 <= known.count();
+        for id in absent {
+            self.on_evidence(now, &id, Evidence::RegistryAbsent, journal);
+        }
+    }
+
+    /// Keeps the view while the registry cannot be read: nobody's absence counts.
+    pub fn on_registry_unreadable(&mut self, now: Timestamp) {
+        self.now = self.now.max(now);
+        self.listing_is_sound = false;
+        for standing in self.others.values_mut() {
+            standing.registry_absent = None;
+        }
+    }
+
+    /// Makes a member known that introduced itself, before the registry is read.
+    ///
+    /// The caller has checked the member's certificate.
+    pub fn on_introduction(&mut self, now: Timestamp, member: &Member, journal: &mut Journal) {
+        self.now = self.now.max(now);
+        self.see(now, member, journal);
+    }
+
+    /// Takes in what one source says about one member.
+    pub fn on_evidence(
+        &mut self,
+        now: Timestamp,
+        daemon: &DaemonId,
+        evidence: Evidence,
+        journal: &mut Journal,
+    ) {
+        self.now = self.now.max(now);
+        if let Evidence::Replaced(incarnation) = evidence {
+            self.raise_latest(now, &daemon.vm, incarnation, journal);
+            return;
+        }
+        if *daemon == self.own.id {
+            self.on_own_evidence(evidence);
+            return;
+        }
+        let Some(standing) = self.others.get_mut(daemon) else {
+            return;
+        };
+        match evidence {
+            Evidence::Heartbeat => standing.hear(now),
+            Evidence::HeartbeatLeaving => standing.hear(now),
+            Evidence::Refused => standing.refusals += 1,
+            Evidence::Silent => standing.probe_failed = Some(now),
+            Evidence::Notice { deadline } => {
+                let earliest = standing
+                    .deadline
+                    .map_or(deadline, |known| known.min(deadline));
+                standing.deadline = Some(earliest);
+            }
+            Evidence::VmAbsent => standing.vm_absent = true,
+            Evidence::RegistryAbsent => {
+                standing.registry_absent.get_or_insert(now);
+            }
+            Evidence::Goodbye | Evidence::Replaced(_) => {}
+        }
+        match evidence {
+            Evidence::Heartbeat => self.return_if_gone(now, daemon, journal),
+            Evidence::HeartbeatLeaving => {
+                self.return_if_gone(now, daemon, journal);
+                self.mark_leaving(now, daemon, "said-so", journal);
+            }
+            Evidence::Notice { .. } => self.mark_leaving(now, daemon, "notice", journal),
+            Evidence::Goodbye => self.mark_gone(now, daemon, GoneReason::Stopped, journal),
+            _ => {}
+        }
+    }
+
+    /// Takes in the VM list, which lags: absence counts only for a VM that was listed before.
+    pub fn on_vms(&mut self, now: Timestamp, vms: &[Vm], journal: &mut Journal) {
+        let own_vm = vms.iter().find(|vm| vm.id == self.own.id.vm);
+        if own_vm.is_some_and(|vm| vm.state != VmState::Live) {
+            self.set_leaving();
+        }
+        let ids: Vec<DaemonId> = self.others.keys().cloned().collect();
+        for id in ids {
+            let vm = vms.iter().find(|vm| vm.id == id.vm);
+            let Some(standing) = self.others.get_mut(&id) else {
+                continue;
+            };
+            match vm.map(|vm| vm.state) {
+                Some(state) => {
+                    standing.vm_listed = true;
+                    standing.vm_absent = false;
+                    if let VmState::Leaving { deadline } = state {
+                        self.on_evidence(now, &id, Evidence::Notice { deadline }, journal);
+                    }
+                }
+                None if standing.vm_listed => {
+                    self.on_evidence(now, &id, Evidence::VmAbsent, journal);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Takes in a reclaim notice: the member on that VM is leaving at once.
+    pub fn on_notice(&mut self, now: Timestamp, notice: &ReclaimNotice, journal: &mut Journal) {
+        let Some(incarnation) = self.latest.get(&notice.vm) else {
+            return;
+        };
+        let id = DaemonId {
+            vm: notice.vm.clone(),
+            incarnation: *incarnation,
+        };
+        let evidence = Evidence::Notice {
+            deadline: notice.deadline,
+        };
+        self.on_evidence(now, &id, evidence, journal);
+    }
+
+    /// Weighs the evidence, and gives out what changed since the last call, in order.
+    pub fn tick(&mut self, now: Timestamp, journal: &mut Journal) -> Vec<MemberEvent> {
+        self.now = self.now.max(now);
+        let sound = self.listing_is_sound;
+        let gone: Vec<(DaemonId, GoneReason)> = self
+            .others
+            .values()
+            .filter(|standing| standing.state != MemberState::Gone)
+            .filter_map(|standing| {
+                Some((standing.member.id.clone(), standing.verdict(now, sound)?))
+            })
+            .collect();
+        for (id, reason) in gone {
+            self.mark_gone(now, &id, reason, journal);
+        }
+        self.others.retain(|_, standing| {
+            standing.state != MemberState::Gone || now.since(standing.changed) < GONE_KEPT
+        });
+        std::mem::take(&mut self.events)
+    }
+
+    fn on_own_evidence(&mut self, evidence: Evidence) {
+        if let Evidence::Notice { .. } = evidence {
+            self.set_leaving();
+        }
+    }
+
+    /// Makes a member known, unless a later process was seen on its VM.
+    fn see(&mut self, now: Timestamp, member: &Member, journal: &mut Journal) {
+        let id = &member.id;
+        self.raise_latest(now, &id.vm, id.incarnation, journal);
+        let is_latest = self.latest.get(&id.vm) == Some(&id.incarnation);
+        if !is_latest || *id == self.own.id {
+            return;
+        }
+        if !self.others.contains_key(id) {
+            let standing = Standing::new(now, member.clone());
+            self.others.insert(id.clone(), standing);
+            self.events.push(MemberEvent::Joined(member.clone()));
+            let decision = Decision::new(now, DecisionKind::Membership, "joined", "registered");
+            journal.record(decision.with("daemon", id).with("zone", &member.zone));
+        }
+        if member.leaving {
+            self.mark_leaving(now, id, "registered", journal);
+        }
+    }
+
+    /// Notes the highest incarnation on a VM; every earlier process there is gone.
+    fn raise_latest(
+        &mut self,
+        now: Timestamp,
+        vm: &VmId,
+        incarnation: Incarnation,
+        journal: &mut Journal,
+    ) {
+        let latest = self.latest.entry(vm.clone()).or_insert(incarnation);
+        *latest = incarnation.max(*latest);
+        let latest = *latest;
+        let earlier: Vec<DaemonId> = self
+            .others
+            .keys()
+            .filter(|id| id.vm == *vm && id.incarnation < latest)
+            .cloned()
+            .collect();
+        for id in earlier {
+            self.mark_gone(now, &id, GoneReason::Replaced, journal);
+        }
+    }
+
+    fn mark_leaving(
+        &mut self,
+        now: Timestamp,
+        id: &DaemonId,
+        reason: &'static str,
+        journal: &mut Journal,
+    ) {
+        let Some(standing) = self.others.get_mut(id) else {
+            return;
+        };
+        if standing.state != MemberState::Live {
+            return;
+        }
+        standing.state = MemberState::Leaving;
+        standing.member.leaving = true;
+        standing.changed = now;
+        self.events.push(MemberEvent::Leaving(id.clone()));
+        let decision = Decision::new(now, DecisionKind::Membership, "leaving", reason);
+        journal.record(decision.with("daemon", id));
+    }
+
+    fn mark_gone(
+        &mut self,
+        now: Timestamp,
+        id: &DaemonId,
+        reason: GoneReason,
+        journal: &mut Journal,
+    ) {
+        let Some(standing) = self.others.get_mut(id) else {
+            return;
+        };
+        if standing.state == MemberState::Gone {
+            if reason.is_final() {
+                standing.reason = Some(reason);
+            }
+            return;
+        }
+        standing.state = MemberState::Gone;
+        standing.reason = Some(reason);
+        standing.changed = now;
+        self.events.push(MemberEvent::Gone(id.clone(), reason));
+        let decision = Decision::new(now, DecisionKind::Membership, "gone", reason.name())
+            .with("daemon", id)
+            .with("unheard_ms", now.since(standing.heard).as_millis())
+            .with(
+                "unheard_anywhere_ms",
+                now.since(standing.heard_anywhere).as_millis(),
+            )
+            .with("refusals", standing.refusals)
+            .with("probe_failed", standing.probe_failed.is_some())
+            .with("suspected_by", standing.suspected_by.len())
+            .with("registry_absent", standing.registry_absent.is_some())
+            .with("vm_absent", standing.vm_absent);
+        journal.record(decision);
+    }
+
+    /// Takes a member back that counted as gone and is heard again.
+    fn return_if_gone(&mut self, now: Timestamp, id: &DaemonId, journal: &mut Journal) {
+        let Some(standing) = self.others.get_mut(id) else {
+            return;
+        };
+        let is_final = standing.reason.is_some_and(GoneReason::is_final);
+        if standing.state != MemberState::Gone || is_final {
+            return;
+        }
+        standing.state = match standing.member.leaving {
+            true => MemberState::Leaving,
+            false => MemberState::Live,
+        };
+        standing.reason = None;
+        standing.changed = now;
+        self.events.push(MemberEvent::Returned(id.clone()));
+        let decision = Decision::new(now, DecisionKind::Membership, "returned", "heard");
+        journal.record(decision.with("daemon", id));
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/membership/standing.rs
@@ -0,0 +1,134 @@
+//! The evidence held about one member, and the verdict over it.
+//!
+//! The idea of separate thresholds for a process that is gone and a machine that is
+//! silent, the latter confirmed by another source and contradicted by none, follows
+//! "No Sentinels Required: How Dragonfly Cloud Cuts Failover to One Second".
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::DaemonId;
+use crate::membership::evidence::{GoneReason, MemberState};
+use crate::membership::{HEARTBEAT_PERIOD, Member};
+use crate::units::Timestamp;
+
+/// Refusals in a row after which a process counts as gone.
+pub const REFUSALS_TO_GONE: u32 = 2;
+
+/// Silence after which a member is probed on a new connection: two heartbeats missed.
+pub const PROBE_AFTER: Duration = HEARTBEAT_PERIOD.saturating_mul(2);
+
+/// Silence after which a member can count as gone: five heartbeats missed.
+pub const SILENT_AFTER: Duration = HEARTBEAT_PERIOD.saturating_mul(5);
+
+/// Time for which a peer's suspicion counts.
+pub const SUSPICION_LIFE: Duration = HEARTBEAT_PERIOD.saturating_mul(4);
+
+/// Time that a registration must be absent before that alone counts, if nobody hears the member.
+pub const EXPIRED_AFTER: Duration = Duration::from_secs(5);
+
+/// Evidence about one member.
+#[derive(Debug, Clone)]
+pub(super) struct Standing {
+    pub(super) member: Member,
+    /// Hash of the member for rendezvous hashing.
+    pub(super) seed: u64,
+    pub(super) state: MemberState,
+    pub(super) reason: Option<GoneReason>,
+    /// When this daemon heard the member itself, or began to know it.
+    pub(super) heard: Timestamp,
+    /// When any daemon heard the member, as far as known here.
+    pub(super) heard_anywhere: Timestamp,
+    pub(super) refusals: u32,
+    /// When a probe last failed, if nothing was heard since.
+    pub(super) probe_failed: Option<Timestamp>,
+    /// Peers that find the member silent, with the time of their last word.
+    pub(super) suspected_by: BTreeMap<DaemonId, Timestamp>,
+    pub(super) registered: bool,
+    pub(super) registry_absent: Option<Timestamp>,
+    pub(super) vm_listed: bool,
+    pub(super) vm_absent: bool,
+    pub(super) deadline: Option<Timestamp>,
+    /// When the state last changed.
+    pub(super) changed: Timestamp,
+}
+
+impl Standing {
+    pub(super) fn new(now: Timestamp, member: Member) -> Self {
+        let state = match member.leaving {
+            true => MemberState::Leaving,
+            false => MemberState::Live,
+        };
+        Self {
+            seed: member.weight_seed(),
+            member,
+            state,
+            reason: None,
+            heard: now,
+            heard_anywhere: now,
+            refusals: 0,
+            probe_failed: None,
+            suspected_by: BTreeMap::new(),
+            registered: false,
+            registry_absent: None,
+            vm_listed: false,
+            vm_absent: false,
+            deadline: None,
+            changed: now,
+        }
+    }
+
+    /// Clears what speaks against the member, because this daemon heard it.
+    pub(super) fn hear(&mut self, now: Timestamp) {
+        self.heard = now;
+        self.heard_anywhere = self.heard_anywhere.max(now);
+        self.refusals = 0;
+        self.probe_failed = None;
+        self.suspected_by.clear();
+    }
+
+    /// Tells whether this daemon itself finds the member silent.
+    pub(super) fn is_suspected_here(&self, now: Timestamp) -> bool {
+        self.probe_failed.is_some() && now.since(self.heard) >= SILENT_AFTER
+    }
+
+    /// Returns why the member counts as gone by now, if it does.
+    pub(super) fn verdict(&self, now: Timestamp, listing_is_sound: bool) -> Option<GoneReason> {
+        if self.refusals >= REFUSALS_TO_GONE {
+            return Some(GoneReason::Refused);
+        }
+        let silence = now.since(self.heard_anywhere);
+        if self
+            .deadline
+            .is_some_and(|deadline| self.is_past(now, deadline))
+        {
+            return Some(GoneReason::Reclaimed);
+        }
+        if silence < SILENT_AFTER {
+            return None;
+        }
+        if self.is_suspected_here(now) && self.is_confirmed(now) {
+            return Some(GoneReason::Silent);
+        }
+        let expired = self
+            .registry_absent
+            .is_some_and(|since| now.since(since) >= EXPIRED_AFTER);
+        if expired && (listing_is_sound || self.vm_absent) {
+            return Some(GoneReason::Expired);
+        }
+        None
+    }
+
+    /// Tells whether the VM stopped as announced and nothing was heard since.
+    fn is_past(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        now >= deadline.after(PROBE_AFTER) && now.since(self.heard_anywhere) >= PROBE_AFTER
+    }
+
+    fn is_confirmed(&self, now: Timestamp) -> bool {
+        let by_peer = self
+            .suspected_by
+            .values()
+            .any(|at| now.since(*at) <= SUSPICION_LIFE);
+        by_peer || self.registry_absent.is_some() || self.vm_absent
+    }
+}
