--- a/crates/laburnumstall-core/src/limits.rs
+++ b/crates/laburnumstall-core/src/limits.rs
@@ -1,1 +1,208 @@
-//! Placeholder of the module.
+//! Limits: customers' contracts, fair queues and retry budgets.
+//!
+//! [`Limits`] decides at an entry whether a request is accepted. A contract holds over all
+//! entries; each entry has an even part of it and lends what it does not need, see
+//! [`LimitShare`]. [`FairQueue`] orders accepted requests that wait for an endpoint.
+//! [`RetryBudget`] keeps retries and hedges to a fraction of the requests.
+
+mod account;
+mod bucket;
+mod fair_queue;
+mod retry_budget;
+mod share;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::prelude::*;
+use account::Account;
+pub use fair_queue::FairQueue;
+pub use retry_budget::RetryBudget;
+pub use share::{Demand, LimitShare, Loan};
+
+/// Time between two share messages, and the time that a bucket's burst covers.
+pub const SHARE_PERIOD: Duration = Duration::from_secs(2);
+
+/// What an admitted request has taken from its customer's contract.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    /// Customer whose contract is used.
+    pub customer: CustomerId,
+    /// Tokens taken: the prompt and the longest answer.
+    pub tokens: Tokens,
+}
+
+/// The parts of all contracts that one entry holds.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    own: DaemonId,
+    entries: u32,
+    accounts: BTreeMap<CustomerId, Account>,
+    contracts: BTreeMap<CustomerId, Contract>,
+}
+
+impl Limits {
+    /// Creates the limits of a daemon that knows no customer and no other entry.
+    pub fn new(own: &DaemonId) -> Self {
+        Self {
+            own: own.clone(),
+            entries: 1,
+            accounts: BTreeMap::new(),
+            contracts: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over the contracts of a configuration.
+    pub fn set_system(&mut self, system: &System) {
+        self.contracts = system
+            .customers
+            .iter()
+            .map(|customer| (customer.name.clone(), customer.contract.clone()))
+            .collect();
+        let contracts = &self.contracts;
+        self.accounts.retain(|name, _| contracts.contains_key(name));
+        for (name, contract) in contracts {
+            self.accounts
+                .entry(name.clone())
+                .or_insert_with(|| Account::new(self.entries))
+                .set_contract(contract);
+        }
+    }
+
+    /// Takes over the number of live entries among which contracts are split.
+    ///
+    /// A smaller part holds at once; a larger part holds after [`SHARE_PERIOD`], when the
+    /// other entries have learnt of the change as well.
+    pub fn set_entries(&mut self, now: Timestamp, live_entries: u32) {
+        self.entries = live_entries.max(1);
+        for account in self.accounts.values_mut() {
+            account.set_entries(now, self.entries);
+        }
+    }
+
+    /// Decides whether a request is accepted, and reserves its part of the contract.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Forbidden`] if the contract does not cover the service,
+    /// [`ErrorKind::Overloaded`] if the first token would come after the deadline, and
+    /// [`ErrorKind::LimitReached`] if the contract is used up; the last two say when to
+    /// come back.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        request: &Request,
+        expected_first_token: Option<Duration>,
+        journal: &mut Journal,
+    ) -> Result<Reservation, Refusal> {
+        let outcome = self.try_admit(now, request, expected_first_token);
+        journal.record(admission(now, request, expected_first_token, &outcome));
+        outcome
+    }
+
+    /// Ends a reservation: takes what was used and gives back the rest.
+    pub fn settle(&mut self, now: Timestamp, reservation: Reservation, used: Tokens) {
+        if let Some(account) = self.accounts.get_mut(&reservation.customer) {
+            account.settle(now, reservation.tokens, used);
+        }
+    }
+
+    /// Returns the message to all other entries; due every [`SHARE_PERIOD`].
+    pub fn share(&mut self, now: Timestamp) -> LimitShare {
+        let mut share = LimitShare {
+            until: now.after(share::LOAN_TIME),
+            demands: Vec::new(),
+            loans: Vec::new(),
+        };
+        for (customer, account) in &mut self.accounts {
+            account.add_to_share(now, customer, &mut share);
+        }
+        share
+    }
+
+    /// Takes in the share message of another entry.
+    pub fn on_share(&mut self, now: Timestamp, from: &DaemonId, share: &LimitShare) {
+        if *from == self.own {
+            return;
+        }
+        for demand in &share.demands {
+            if let Some(account) = self.accounts.get_mut(&demand.customer) {
+                account.on_demand(now, from, demand);
+            }
+        }
+        for loan in share.loans.iter().filter(|loan| loan.to == self.own) {
+            if let Some(account) = self.accounts.get_mut(&loan.customer) {
+                account.on_loan(now, from, loan, share.until);
+            }
+        }
+    }
+
+    fn try_admit(
+        &mut self,
+        now: Timestamp,
+        request: &Request,
+        expected_first_token: Option<Duration>,
+    ) -> Result<Reservation, Refusal> {
+        let contract = self
+            .contracts
+            .get(&request.customer)
+            .ok_or_else(|| Refusal::new(ErrorKind::Forbidden, "no contract"))?;
+        let covers = contract.services.is_empty() || contract.services.contains(&request.service);
+        if !covers {
+            return Err(Refusal::new(ErrorKind::Forbidden, "service not covered"));
+        }
+        check_deadline(now, request, expected_first_token)?;
+        let tokens = request.prompt.plus(request.answer);
+        let account = self
+            .accounts
+            .get_mut(&request.customer)
+            .ok_or_else(|| Refusal::new(ErrorKind::Forbidden, "no contract"))?;
+        account.take(now, tokens)?;
+        Ok(Reservation {
+            customer: request.customer.clone(),
+            tokens,
+        })
+    }
+}
+
+fn check_deadline(
+    now: Timestamp,
+    request: &Request,
+    expected_first_token: Option<Duration>,
+) -> Result<(), Refusal> {
+    let left = request.deadline.since(now);
+    let expected = expected_first_token.unwrap_or(Duration::ZERO);
+    if expected <= left && !left.is_zero() {
+        return Ok(());
+    }
+    let refusal = Refusal::new(ErrorKind::Overloaded, "first token after the deadline");
+    Err(refusal.with_retry_after(expected.saturating_sub(left)))
+}
+
+fn admission(
+    now: Timestamp,
+    request: &Request,
+    expected_first_token: Option<Duration>,
+    outcome: &Result<Reservation, Refusal>,
+) -> Decision {
+    let (choice, reason) = match outcome {
+        Ok(_) => ("accept", "within-limits"),
+        Err(refusal) => ("refuse", refusal.kind.name()),
+    };
+    let mut decision = Decision::new(now, DecisionKind::Admit, choice, reason)
+        .with("customer", &request.customer)
+        .with("service", &request.service)
+        .with("tokens", request.prompt.plus(request.answer))
+        .with("deadline", request.deadline);
+    if let Some(expected) = expected_first_token {
+        decision = decision.with("first_token_us", expected.as_micros());
+    }
+    if let Some(wait) = outcome
+        .as_ref()
+        .err()
+        .and_then(|refusal| refusal.retry_after)
+    {
+        decision = decision.with("retry_after_us", wait.as_micros());
+    }
+    decision
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/limits/fair_queue.rs
@@ -0,0 +1,169 @@
+//! Weighted fair queueing between customers.
+//!
+//! Self-clocked fair queueing (Golestani, 1994): each customer's next item has a virtual
+//! finish time, the start plus its cost over the customer's weight; the least goes first,
+//! and the virtual time of the service is the finish time of the item last taken. Within
+//! one customer the higher priority goes first, then the earlier deadline, then arrival.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use crate::ids::{CustomerId, ServiceName};
+use crate::units::{Priority, Timestamp};
+
+/// Steps of virtual time in one unit of cost at weight one.
+const VIRTUAL_SCALE: u128 = 1 << 20;
+
+type ItemOrder = (Reverse<Priority>, Timestamp, u64);
+
+#[derive(Debug, Clone)]
+struct Waiting<T> {
+    cost: u64,
+    item: T,
+}
+
+#[derive(Debug, Clone)]
+struct Flow<T> {
+    weight: u32,
+    start: u128,
+    waiting: BTreeMap<ItemOrder, Waiting<T>>,
+}
+
+#[derive(Debug, Clone)]
+struct Lane<T> {
+    virtual_time: u128,
+    flows: BTreeMap<CustomerId, Flow<T>>,
+}
+
+/// Queues of items, one for each service, shared fairly by the customers.
+#[derive(Debug, Clone)]
+pub struct FairQueue<T> {
+    lanes: BTreeMap<ServiceName, Lane<T>>,
+    arrivals: u64,
+    len: usize,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue.
+    pub fn new() -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            arrivals: 0,
+            len: 0,
+        }
+    }
+
+    /// Returns the number of items that wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Adds an item of `cost` for a customer of `weight`.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each is a separate property of one item, and callers have them separately"
+    )]
+    pub fn push(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        customer: &CustomerId,
+        weight: u32,
+        cost: u64,
+        deadline: Timestamp,
+        item: T,
+    ) {
+        let _ = now;
+        self.arrivals += 1;
+        self.len += 1;
+        let lane = self.lanes.entry(service.clone()).or_insert_with(|| Lane {
+            virtual_time: 0,
+            flows: BTreeMap::new(),
+        });
+        let virtual_time = lane.virtual_time;
+        let flow = lane.flows.entry(customer.clone()).or_insert_with(|| Flow {
+            weight,
+            start: virtual_time,
+            waiting: BTreeMap::new(),
+        });
+        flow.weight = weight.max(1);
+        if flow.waiting.is_empty() {
+            flow.start = flow.start.max(virtual_time);
+        }
+        let order = (Reverse(Priority(0)), deadline, self.arrivals);
+        flow.waiting.insert(order, Waiting { cost, item });
+    }
+
+    /// Takes the next item of a service whose deadline has not passed.
+    pub fn pop(&mut self, now: Timestamp, service: &ServiceName) -> Option<T> {
+        let lane = self.lanes.get_mut(service)?;
+        let (customer, finish) = lane
+            .flows
+            .iter()
+            .filter_map(|(customer, flow)| Some((customer.clone(), flow.finish(now)?)))
+            .min_by_key(|(_, finish)| *finish)?;
+        let flow = lane.flows.get_mut(&customer)?;
+        let order = flow.next(now)?;
+        let waiting = flow.waiting.remove(&order)?;
+        flow.start = finish;
+        lane.virtual_time = finish;
+        self.len -= 1;
+        Some(waiting.item)
+    }
+
+    /// Takes out all items whose deadline has passed.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<T> {
+        self.drain_where(|(_, deadline, _), _| *deadline <= now)
+    }
+
+    /// Takes out the first item for which `is_wanted` holds.
+    pub fn remove(&mut self, is_wanted: impl Fn(&T) -> bool) -> Option<T> {
+        let mut is_found = false;
+        let mut taken = self.drain_where(|_, item| {
+            let take = !is_found && is_wanted(item);
+            is_found |= take;
+            take
+        });
+        taken.pop()
+    }
+
+    fn drain_where(&mut self, mut is_taken: impl FnMut(&ItemOrder, &T) -> bool) -> Vec<T> {
+        let mut taken = Vec::new();
+        for lane in self.lanes.values_mut() {
+            for flow in lane.flows.values_mut() {
+                let out = flow
+                    .waiting
+                    .extract_if(.., |order, waiting| is_taken(order, &waiting.item));
+                taken.extend(out.map(|(_, waiting)| waiting.item));
+            }
+        }
+        self.len -= taken.len();
+        taken
+    }
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<T> Flow<T> {
+    fn next(&self, now: Timestamp) -> Option<ItemOrder> {
+        self.waiting
+            .keys()
+            .find(|(_, deadline, _)| *deadline > now)
+            .copied()
+    }
+
+    fn finish(&self, now: Timestamp) -> Option<u128> {
+        let waiting = self.waiting.get(&self.next(now)?)?;
+        let cost = u128::from(waiting.cost.max(1)) * VIRTUAL_SCALE;
+        Some(self.start + cost / u128::from(self.weight))
+    }
+}
--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -1,1 +1,404 @@
-//! Placeholder of the module.
+//! Routing: which endpoint runs an attempt.
+//!
+//! A daemon has one [`Router`]. It is told the endpoints, their late load and cache
+//! reports, and the attempts that this daemon starts and ends. For each attempt it picks
+//! a few candidates (see `candidates`), scores them by the time to the first token that
+//! it expects (see `score`), and records the choice with its alternatives.
+
+mod cache;
+mod candidates;
+mod health;
+mod pool;
+mod query;
+mod score;
+mod slot;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::hash;
+use crate::prelude::*;
+pub use cache::CacheReport;
+use health::Health;
+use pool::Pool;
+pub use pool::SUBSET_SIZE;
+pub use query::{Route, RouteQuery};
+use score::{Alternatives, Candidate, Score};
+use slot::{InFlight, Slot};
+
+/// Time after which a caller can come back when no endpoint can be used.
+const NO_ENDPOINT_WAIT: Duration = Duration::from_secs(2);
+
+/// One daemon's view of the endpoints.
+#[derive(Debug, Clone)]
+pub struct Router {
+    hash: u64,
+    zone: AvailabilityZone,
+    rng: Rng,
+    system: System,
+    subset_size: usize,
+    /// Sorted by the endpoints' names.
+    slots: Vec<Slot>,
+    pools: BTreeMap<ServiceName, Pool>,
+    attempts: BTreeMap<AttemptId, EndpointId>,
+}
+
+impl Router {
+    /// Creates the router of a daemon in a zone; it knows no endpoint yet.
+    pub fn new(own: &DaemonId, zone: AvailabilityZone) -> Self {
+        let hash = hash::digest64(&[own.to_string().as_bytes()]);
+        Self {
+            hash,
+            zone,
+            rng: Rng::with_seed(hash),
+            system: System::default(),
+            subset_size: SUBSET_SIZE,
+            slots: Vec::new(),
+            pools: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+        }
+    }
+
+    /// Changes the number of endpoints of one service that the daemon uses.
+    pub fn with_subset_size(mut self, size: usize) -> Self {
+        self.subset_size = size.max(1);
+        self
+    }
+
+    /// Takes over the latencies between zones and the kinds of the services.
+    pub fn set_system(&mut self, system: &System) {
+        self.system = system.clone();
+        self.refresh();
+    }
+
+    /// Takes over the whole list of known endpoints; those that stay keep their state.
+    ///
+    /// An endpoint whose address changed is a new process and starts afresh.
+    pub fn set_endpoints(&mut self, _now: Timestamp, endpoints: Vec<Endpoint>) {
+        let mut known: BTreeMap<EndpointId, Slot> = std::mem::take(&mut self.slots)
+            .into_iter()
+            .map(|slot| (slot.endpoint.id.clone(), slot))
+            .collect();
+        let mut slots = BTreeMap::new();
+        for endpoint in endpoints {
+            let slot = match known.remove(&endpoint.id) {
+                Some(slot) => slot.listed_again(endpoint),
+                None => Slot::new(endpoint),
+            };
+            slots.insert(slot.endpoint.id.clone(), slot);
+        }
+        for (id, mut slot) in known {
+            if !slot.in_flight.is_empty() {
+                slot.health = Health::Gone;
+                slots.insert(id, slot);
+            }
+        }
+        self.slots = slots.into_values().collect();
+        self.refresh();
+    }
+
+    /// Returns an endpoint of the list.
+    pub fn endpoint(&self, id: &EndpointId) -> Option<&Endpoint> {
+        self.slot(id).map(|slot| &slot.endpoint)
+    }
+
+    /// Gives an endpoint no new work until it is gone from the list.
+    pub fn mark_leaving(
+        &mut self,
+        now: Timestamp,
+        id: &EndpointId,
+        deadline: Option<Timestamp>,
+        journal: &mut Journal,
+    ) {
+        let Some(slot) = self.slot_mut(id) else {
+            return;
+        };
+        if matches!(slot.health, Health::Leaving | Health::Gone) {
+            return;
+        }
+        slot.health = Health::Leaving;
+        let decision = Decision::new(now, DecisionKind::Membership, "no-new-work", "leaving")
+            .with("endpoint", id)
+            .with("in_flight", slot.in_flight.len())
+            .with("deadline", deadline.unwrap_or(Timestamp::NEVER));
+        journal.record(decision);
+    }
+
+    /// Gives an endpoint no work until it reports again or a trial request succeeds.
+    pub fn mark_failed(&mut self, now: Timestamp, id: &EndpointId, journal: &mut Journal) {
+        let Some(slot) = self.slot_mut(id) else {
+            return;
+        };
+        let health = slot.health.failed(now);
+        if health == slot.health {
+            return;
+        }
+        slot.health = health;
+        let mut decision = Decision::new(now, DecisionKind::Membership, "no-work", "failed")
+            .with("endpoint", id)
+            .with("in_flight", slot.in_flight.len());
+        if let Some(probe_at) = slot.health.probe_at() {
+            decision = decision.with("probe_at", probe_at);
+        }
+        journal.record(decision);
+    }
+
+    /// Takes in a load report; late and repeated ones have no effect.
+    pub fn on_load(&mut self, now: Timestamp, report: &LoadReport) {
+        let Some(slot) = self.slot_mut(&report.endpoint) else {
+            return;
+        };
+        if slot.on_load(now, report) && slot.endpoint.services != report.services {
+            slot.endpoint.services.clone_from(&report.services);
+            self.refresh();
+        }
+    }
+
+    /// Takes in a cache report; late and repeated ones have no effect.
+    pub fn on_cache(&mut self, now: Timestamp, report: &CacheReport) {
+        if let Some(slot) = self.slot_mut(&report.endpoint) {
+            slot.cache.on_report(now, report);
+        }
+    }
+
+    /// Chooses the endpoint for an attempt.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NoEndpoint`] if every endpoint of the service is full, leaving,
+    /// failed or excluded, with the time after which one is expected.
+    pub fn choose(
+        &mut self,
+        now: Timestamp,
+        query: &RouteQuery<'_>,
+        journal: &mut Journal,
+    ) -> Result<Route, Refusal> {
+        let usable = self.usable(now, query);
+        let scores = self.scores(now, query, &usable);
+        let best = scores.iter().min_by_key(|score| score.cost).copied();
+        let Some(best) = best else {
+            let refusal = self.no_endpoint(now, query);
+            journal.record(refused(now, query, &refusal));
+            return Err(refusal);
+        };
+        journal.record(self.chosen(now, query, &best, &scores, usable.len()));
+        self.hold_place(now, query, &best);
+        let slot = &self.slots[best.candidate.slot];
+        Ok(Route {
+            endpoint: slot.endpoint.id.clone(),
+            address: slot.endpoint.address,
+            expected_first_token: best.first_token,
+            expected_cached: best.cached,
+        })
+    }
+
+    /// Takes in that an attempt was sent to the endpoint of its route.
+    pub fn started(
+        &mut self,
+        now: Timestamp,
+        attempt: &AttemptId,
+        route: &Route,
+        request: &Request,
+    ) {
+        let Some(slot) = self.slot_mut(&route.endpoint) else {
+            return;
+        };
+        let is_suspect = slot.in_flight.get(attempt).is_some_and(|a| a.is_suspect);
+        let in_flight = InFlight {
+            started_at: now,
+            uncached: request.prompt.minus(route.expected_cached),
+            has_first_token: false,
+            is_suspect,
+        };
+        slot.in_flight.insert(attempt.clone(), in_flight);
+        slot.cache.on_sent(now, &request.prefix);
+        self.attempts
+            .insert(attempt.clone(), route.endpoint.clone());
+    }
+
+    /// Takes in that an attempt's first token has come.
+    pub fn first_token(&mut self, _now: Timestamp, attempt: &AttemptId) {
+        let Some(id) = self.attempts.get(attempt).cloned() else {
+            return;
+        };
+        if let Some(slot) = self.slot_mut(&id) {
+            slot.on_first_token(attempt);
+        }
+    }
+
+    /// Takes in that an attempt has ended in any way; a repetition has no effect.
+    pub fn finished(&mut self, now: Timestamp, attempt: &AttemptId) {
+        let Some(id) = self.attempts.remove(attempt) else {
+            return;
+        };
+        if let Some(slot) = self.slot_mut(&id) {
+            slot.on_finished(now, attempt);
+        }
+    }
+
+    /// Returns this daemon's attempts on an endpoint.
+    pub fn in_flight(&self, endpoint: &EndpointId) -> impl Iterator<Item = &AttemptId> {
+        self.slot(endpoint)
+            .into_iter()
+            .flat_map(|slot| slot.in_flight.keys())
+    }
+
+    /// Returns the time in which the first token of a request can be expected.
+    ///
+    /// Returns `None` if the service has no endpoint that may get work.
+    pub fn expected_first_token(&self, now: Timestamp, request: &Request) -> Option<Duration> {
+        let pool = self.pools.get(&request.service)?;
+        let is_plain = self.is_plain(&request.service);
+        pool.subset
+            .iter()
+            .map(|index| &self.slots[*index])
+            .filter(|slot| slot.health == Health::Usable)
+            .map(|slot| slot.expected_first_token(now, request, is_plain))
+            .min()
+    }
+
+    fn usable(&self, now: Timestamp, query: &RouteQuery<'_>) -> Vec<usize> {
+        let Some(pool) = self.pools.get(&query.request.service) else {
+            return Vec::new();
+        };
+        let among = |indices: &[usize]| -> Vec<usize> {
+            let is_usable = |index: &usize| self.is_usable(now, query, &self.slots[*index]);
+            indices.iter().copied().filter(is_usable).collect()
+        };
+        let usable = among(&pool.subset);
+        if usable.is_empty() && pool.all.len() > pool.subset.len() {
+            return among(&pool.all);
+        }
+        usable
+    }
+
+    fn is_usable(&self, now: Timestamp, query: &RouteQuery<'_>, slot: &Slot) -> bool {
+        let is_probe = || query.request.idempotent && slot.health.is_probe_due(now);
+        let is_healthy = slot.health == Health::Usable || is_probe();
+        is_healthy
+            && slot.occupancy() < slot.batch()
+            && !(query.isolated && slot.has_suspect())
+            && !query.excluded.contains(&slot.endpoint.id)
+    }
+
+    fn scores(&mut self, now: Timestamp, query: &RouteQuery<'_>, usable: &[usize]) -> Vec<Score> {
+        if self.is_plain(&query.request.service) {
+            let score = |slot: &usize| {
+                let candidate = Candidate {
+                    slot: *slot,
+                    hashed_blocks: 0,
+                };
+                score::plain(candidate, &self.slots[*slot])
+            };
+            return usable.iter().map(score).collect();
+        }
+        candidates::pick(&query.request.prefix, usable, &self.slots, &mut self.rng)
+            .into_iter()
+            .map(|candidate| score::model(now, query, candidate, &self.slots[candidate.slot]))
+            .collect()
+    }
+
+    /// Counts an isolated attempt on its endpoint at once, before it is reported started.
+    fn hold_place(&mut self, now: Timestamp, query: &RouteQuery<'_>, best: &Score) {
+        let slot = &mut self.slots[best.candidate.slot];
+        if let Health::Failed { probe, .. } = &mut slot.health {
+            *probe = Some(query.attempt.clone());
+        }
+        if !query.isolated {
+            return;
+        }
+        let in_flight = InFlight {
+            started_at: now,
+            uncached: query.request.prompt.minus(best.cached),
+            has_first_token: false,
+            is_suspect: true,
+        };
+        slot.in_flight.insert(query.attempt.clone(), in_flight);
+        let endpoint = slot.endpoint.id.clone();
+        self.attempts.insert(query.attempt.clone(), endpoint);
+    }
+
+    fn no_endpoint(&self, now: Timestamp, query: &RouteQuery<'_>) -> Refusal {
+        let pool = self.pools.get(&query.request.service);
+        let indices = pool.map_or(&[][..], |pool| &pool.subset);
+        let wait = indices
+            .iter()
+            .filter_map(|index| self.slots[*index].usable_in(now))
+            .min()
+            .unwrap_or(NO_ENDPOINT_WAIT);
+        Refusal::new(ErrorKind::NoEndpoint, "no endpoint takes new work").with_retry_after(wait)
+    }
+
+    fn chosen(
+        &self,
+        now: Timestamp,
+        query: &RouteQuery<'_>,
+        best: &Score,
+        scores: &[Score],
+        usable: usize,
+    ) -> Decision {
+        let slot = &self.slots[best.candidate.slot];
+        let reason = match (best.cached.get(), best.candidate.hashed_blocks) {
+            _ if query.isolated => "isolated",
+            (1.., _) => "cached-prefix",
+            (0, 1..) => "prefix-hash",
+            _ => "least-cost",
+        };
+        Decision::new(now, DecisionKind::Route, slot.endpoint.id.as_str(), reason)
+            .with("attempt", query.attempt)
+            .with("service", &query.request.service)
+            .with("prompt", query.request.prompt)
+            .with("generated", query.generated)
+            .with("usable", usable)
+            .with("occupancy", slot.occupancy())
+            .with("batch", slot.batch())
+            .with("cached", best.cached)
+            .with("first_token_us", best.first_token.as_micros())
+            .with(
+                "alternatives",
+                Alternatives {
+                    scores,
+                    slots: &self.slots,
+                },
+            )
+    }
+
+    fn is_plain(&self, service: &ServiceName) -> bool {
+        self.system
+            .service(service)
+            .is_some_and(|service| service.kind == ServiceKind::Plain)
+    }
+
+    fn refresh(&mut self) {
+        for slot in &mut self.slots {
+            slot.round_trip = self.system.latency(&self.zone, &slot.endpoint.zone) * 2;
+        }
+        self.pools = pool::build(self.hash, self.subset_size, &self.slots);
+    }
+
+    fn index(&self, id: &EndpointId) -> Option<usize> {
+        self.slots
+            .binary_search_by(|slot| slot.endpoint.id.cmp(id))
+            .ok()
+    }
+
+    fn slot(&self, id: &EndpointId) -> Option<&Slot> {
+        self.index(id).map(|index| &self.slots[index])
+    }
+
+    fn slot_mut(&mut self, id: &EndpointId) -> Option<&mut Slot> {
+        self.index(id).map(|index| &mut self.slots[index])
+    }
+}
+
+fn refused(now: Timestamp, query: &RouteQuery<'_>, refusal: &Refusal) -> Decision {
+    let wait = refusal.retry_after.unwrap_or(NO_ENDPOINT_WAIT);
+    Decision::new(now, DecisionKind::Route, "refuse", refusal.kind.name())
+        .with("attempt", query.attempt)
+        .with("service", &query.request.service)
+        .with("excluded", query.excluded.len())
+        .with("isolated", query.isolated)
+        .with("retry_after_us", wait.as_micros())
+}
