--- a/crates/laburnumstall-config/src/parse.rs
+++ b/crates/laburnumstall-config/src/parse.rs
@@ -48,24 +48,32 @@
     Ok(system)
 }
 
+/// Parses the text as TOML, with the place of each key and value.
 fn read_toml(text: &str) -> Result<Spanned<DeTable<'_>>, Faults> {
     let mut reader = Reader::new(text);
     if text.len() > MAX_TEXT_BYTES {
         let message = format!("the text has {} bytes", text.len());
-        reader.bad_value(&(0..0), message, &format!("at most {MAX_TEXT_BYTES} bytes"));
-        reader.close()?;
-        return Ok(Spanned::new(0..0, DeTable::new()));
+        let expected = format!("at most {MAX_TEXT_BYTES} bytes");
+        reader.bad_value(&(0..0), message, &expected);
+        return Err(reader.into_faults());
     }
     let (document, errors) = DeTable::parse_recoverable(text);
     for error in &errors {
-        let span = error.span().unwrap_or(0..0);
-        let hint = Some("the text is TOML, version 1.1".to_owned());
-        reader.fault(FaultKind::Syntax, &span, error.message(), "TOML", hint);
+        syntax_fault(&mut reader, error);
     }
     reader.close()?;
     Ok(document)
 }
 
+fn syntax_fault(reader: &mut Reader<'_>, error: &toml::de::Error) {
+    let span = error.span().unwrap_or(0..0);
+    let message = error.message();
+    let (message, expected) = message
+        .split_once(", expected ")
+        .unwrap_or((message, "TOML"));
+    reader.fault(FaultKind::Syntax, &span, message, expected, None);
+}
+
 fn read_system<'t>(cx: &mut ParseContext<'t>, root: &TableView<'t>) -> System {
     cx.reader.check_keys(root, &TOP_KEYS);
     let zones = cx.reader.tables(root, "zone", "zone");
--- a/crates/laburnumstall-config/src/parse/names.rs
+++ b/crates/laburnumstall-config/src/parse/names.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::fault::FaultKind;
-use crate::reader::{Located, Reader, nearest};
+use crate::reader::{Located, Reader, list, nearest};
 
 /// What a name stands for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -184,7 +184,8 @@
                 continue;
             }
             let Dependency { from, to, span } = dependency;
-            let message = format!("service `{from}` depends on `{to}`, which depends on `{from}`");
+            let message =
+                format!("service `{from}` depends on `{to}`, which leads back to `{from}`");
             let hint = Some("remove one dependency of the circle".to_owned());
             let expected = "dependencies without a circle";
             reader.fault(FaultKind::Cycle, span, message, expected, hint);
@@ -219,10 +220,7 @@
                 continue;
             }
             let span = &self.declared[&(NameKind::Zone, (*from).to_owned())];
-            let message = format!(
-                "zone `{from}` has no link to {}",
-                crate::reader::list(&missing)
-            );
+            let message = format!("zone `{from}` has no link to {}", list(&missing));
             let expected = "a `[[link]]` between each two zones";
             let hint = format!(
                 "add `[[link]]` with `from = \"{from}\"`, `to = \"{}\"` and `latency`",
--- a/crates/laburnumstall-config/src/reader.rs
+++ b/crates/laburnumstall-config/src/reader.rs
@@ -80,16 +80,21 @@
 
     /// Ends reading: `Ok` if no fault was found.
     pub(crate) fn close(self) -> Result<(), Faults> {
-        if self.faults.is_empty() {
-            return Ok(());
+        match self.faults.is_empty() {
+            true => Ok(()),
+            false => Err(self.into_faults()),
         }
+    }
+
+    /// Ends reading and returns the faults in the order of their places.
+    pub(crate) fn into_faults(self) -> Faults {
         let mut faults = self.faults;
         faults.sort_by_key(|(span, _)| span.start);
         faults.truncate(MAX_FAULTS);
-        Err(Faults {
+        Faults {
             file: "configuration".into(),
             faults: faults.into_iter().map(|(_, fault)| fault).collect(),
-        })
+        }
     }
 
     /// Records a fault.
@@ -359,7 +364,7 @@
         .and_then(|(_, value)| value.get_ref().as_str());
     match name {
         Some(name) => format!("{label} `{}`", shorten(name)),
-        None => label.into(),
+        None => format!("this {label}"),
     }
 }
 
