--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/accept.rs
@@ -0,0 +1,392 @@
+//! From a caller's request to an accepted one.
+//!
+//! A request is checked, joined to a running one with the same key, measured against its
+//! customer's limits, and copied to a standby in another zone. It is accepted when the
+//! standby acknowledges the copy; until then a refusal is free.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::claims::{KeyTime, KeyTimeError};
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::owned::{Owned, Phase, Standby, Subscriber};
+use crate::entry::state::KeyName;
+use crate::error::{ErrorKind, Refusal};
+use crate::hash::{digest64, home_of_key};
+use crate::ids::{CallerId, DaemonId, Epoch, HomeHash, RequestId};
+use crate::limits::Reservation;
+use crate::message::{CallerRef, Message, Position, RequestRecord};
+use crate::quarantine::Verdict;
+use crate::request::Request;
+use crate::units::{Timestamp, Tokens};
+
+/// Time that a standby has to acknowledge a copy before another is tried.
+const COPY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Standbys that are tried before a request is refused.
+const MAX_STANDBYS_TRIED: usize = 3;
+
+impl Entry {
+    pub(super) fn on_arrived(&mut self, now: Timestamp, caller: CallerId, request: Arc<Request>) {
+        self.add_local_caller(caller, request.customer.clone());
+        if let Some(peer) = self.forward_target(&request) {
+            self.forward(now, caller, request, &peer);
+            return;
+        }
+        let from = self.local_ref(caller);
+        self.receive(now, from, request);
+    }
+
+    /// Takes in a request of a caller connected here or at a leaving daemon.
+    pub(super) fn receive(&mut self, now: Timestamp, from: CallerRef, request: Arc<Request>) {
+        if let Err(refusal) = self.check_and_join(now, &from, &request) {
+            self.refuse(now, &from, &request, refusal);
+        }
+    }
+
+    fn check_and_join(
+        &mut self,
+        now: Timestamp,
+        from: &CallerRef,
+        request: &Arc<Request>,
+    ) -> Result<(), Refusal> {
+        self.check_known(request)?;
+        self.check_key(now, request)?;
+        if self.join_known(now, from, request)? {
+            return Ok(());
+        }
+        self.check_quarantine(now, request)?;
+        if request.idempotent && request.key.is_some() {
+            self.locate_key(now, from.clone(), request.clone());
+            return Ok(());
+        }
+        self.admit(now, from.clone(), request.clone())
+    }
+
+    fn check_known(&self, request: &Request) -> Result<(), Refusal> {
+        if self.adoption.current().is_none() {
+            return Err(Refusal::new(ErrorKind::NotReady, "no configuration yet"));
+        }
+        if self.system.service(&request.service).is_none() {
+            let detail = format!("service `{}`", request.service);
+            return Err(Refusal::new(ErrorKind::UnknownService, detail));
+        }
+        if self.system.customer(&request.customer).is_none() {
+            let detail = "the customer is no longer in the configuration";
+            return Err(Refusal::new(ErrorKind::Unauthenticated, detail));
+        }
+        Ok(())
+    }
+
+    fn check_key(&self, now: Timestamp, request: &Request) -> Result<(), Refusal> {
+        if request.idempotent {
+            return Ok(());
+        }
+        let Some(key) = &request.key else {
+            let detail = "send a UUID of version 7 as Idempotency-Key";
+            return Err(Refusal::new(ErrorKind::KeyMissing, detail));
+        };
+        let window = self.key_window(request);
+        match KeyTime::check(now, key, window) {
+            Ok(_) => Ok(()),
+            Err(KeyTimeError::Expired) => {
+                let detail = format!("keys of this service are valid for {} s", window.as_secs());
+                Err(Refusal::new(ErrorKind::KeyExpired, detail))
+            }
+            Err(KeyTimeError::InFuture) => {
+                let detail = "the key's time is in the future";
+                Err(Refusal::new(ErrorKind::Malformed, detail))
+            }
+            Err(KeyTimeError::NoTime) => {
+                let detail =
+                    "the Idempotency-Key of a non-idempotent call must be a UUID of version 7";
+                Err(Refusal::new(ErrorKind::Malformed, detail))
+            }
+        }
+    }
+
+    pub(super) fn key_window(&self, request: &Request) -> Duration {
+        let service = self.system.service(&request.service);
+        service.map_or(Duration::ZERO, |service| service.key_window)
+    }
+
+    /// Joins the caller to a request that is known here under the same key.
+    fn join_known(
+        &mut self,
+        now: Timestamp,
+        from: &CallerRef,
+        request: &Request,
+    ) -> Result<bool, Refusal> {
+        let Some(key) = &request.key else {
+            return Ok(false);
+        };
+        let name = KeyName {
+            customer: request.customer.clone(),
+            service: request.service.clone(),
+            key: key.clone(),
+        };
+        let Some(id) = self.keys.get(&name).cloned() else {
+            return Ok(false);
+        };
+        let Some(record) = self.known_record(&id) else {
+            self.keys.remove(&name);
+            return Ok(false);
+        };
+        if record.request.fingerprint() != request.fingerprint() {
+            return Err(Refusal::new(
+                ErrorKind::KeyConflict,
+                format!("used for {id}"),
+            ));
+        }
+        let decision = self
+            .decision(now, DecisionKind::Admit, "joined", "same-key")
+            .with("request", &id);
+        self.journal.record(decision);
+        self.attach_from(now, from.clone(), id, request.customer.clone(), None);
+        Ok(true)
+    }
+
+    fn known_record(&self, id: &RequestId) -> Option<&RequestRecord> {
+        let owned = self.owned.get(id).map(|owned| &owned.record);
+        owned.or_else(|| self.copies.get(id).map(|copy| &copy.record))
+    }
+
+    fn check_quarantine(&self, now: Timestamp, request: &Request) -> Result<(), Refusal> {
+        let fingerprint = request.fingerprint();
+        match self.quarantine.verdict(now, fingerprint) {
+            Verdict::Quarantined => {
+                let detail = format!("fingerprint {fingerprint}");
+                Err(Refusal::new(ErrorKind::Quarantined, detail))
+            }
+            Verdict::Clear | Verdict::Suspect => Ok(()),
+        }
+    }
+
+    /// Checks the request against its customer's limits and sends the copy out.
+    pub(super) fn admit(
+        &mut self,
+        now: Timestamp,
+        from: CallerRef,
+        request: Arc<Request>,
+    ) -> Result<(), Refusal> {
+        let expected = self.router.expected_first_token(now, &request);
+        if expected.is_none() {
+            let detail = format!("service `{}`", request.service);
+            return Err(Refusal::new(ErrorKind::NoEndpoint, detail));
+        }
+        let reservation = self
+            .limits
+            .admit(now, &request, expected, &mut self.journal)?;
+        self.retry_budget.deposit();
+        self.next_sequence += 1;
+        let home = self.home_of(&request);
+        let id = RequestId {
+            owner: self.own.clone(),
+            sequence: self.next_sequence,
+            home,
+        };
+        let zone = self.settings.member.zone.clone();
+        let Some(standby) = self.membership.standby(home, &zone, &[]) else {
+            self.limits.settle(now, reservation, Tokens(0));
+            let detail = "no live entry in another availability zone";
+            return Err(Refusal::new(ErrorKind::NoStandby, detail));
+        };
+        let standby = standby.id.clone();
+        let owned = self.new_owned(now, id.clone(), from, request, reservation);
+        if let Some(name) = KeyName::of(&owned.record) {
+            self.keys.insert(name, id.clone());
+        }
+        self.owned.insert(id.clone(), owned);
+        self.copy_to(now, &id, standby);
+        Ok(())
+    }
+
+    fn home_of(&self, request: &Request) -> HomeHash {
+        match &request.key {
+            Some(key) => home_of_key(&request.customer, &request.service, key),
+            None => {
+                let own = self.own.to_string();
+                let sequence = self.next_sequence.to_le_bytes();
+                HomeHash(digest64(&[own.as_bytes(), &sequence]) as u32)
+            }
+        }
+    }
+
+    fn new_owned(
+        &self,
+        now: Timestamp,
+        id: RequestId,
+        from: CallerRef,
+        request: Arc<Request>,
+        reservation: Reservation,
+    ) -> Owned {
+        let record = RequestRecord {
+            id,
+            epoch: Epoch(1),
+            owner: self.own.clone(),
+            request,
+            accepted_at: now,
+            attempts: 0,
+            place: None,
+            events: Vec::new(),
+        };
+        let subscriber = Subscriber {
+            caller: from,
+            position: Position::START,
+            is_told: false,
+        };
+        Owned {
+            record,
+            phase: Phase::Accepting {
+                until: now.after(COPY_TIMEOUT),
+                tried: Vec::new(),
+            },
+            standby: None,
+            subscribers: vec![subscriber],
+            reservation: Some(reservation),
+            excluded: Vec::new(),
+            may_have_run: false,
+            has_claim: false,
+            is_handed_over: false,
+        }
+    }
+
+    /// Sends the whole record to a new standby.
+    pub(super) fn copy_to(&mut self, now: Timestamp, id: &RequestId, standby: DaemonId) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        owned.standby = Some(Standby {
+            daemon: standby.clone(),
+            sent: owned.record.events.len(),
+            acked: None,
+            waiting_since: now,
+        });
+        let record = Box::new(owned.record.clone());
+        let decision = self
+            .decision(now, DecisionKind::Standby, "copy", "rendezvous-other-zone")
+            .with("request", id)
+            .with("standby", &standby)
+            .with("events", record.events.len());
+        self.journal.record(decision);
+        self.send(&standby, Message::Copy(record));
+    }
+
+    /// Goes on when the first copy was not acknowledged in time.
+    pub(super) fn accept_timeout(&mut self, now: Timestamp, id: &RequestId) {
+        let zone = self.settings.member.zone.clone();
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        let Phase::Accepting { until, tried } = &mut owned.phase else {
+            return;
+        };
+        if let Some(standby) = owned.standby.take() {
+            tried.push(standby.daemon);
+        }
+        *until = now.after(COPY_TIMEOUT);
+        let tried = tried.clone();
+        let next = self.membership.standby(id.home, &zone, &tried);
+        match next.map(|member| member.id.clone()) {
+            Some(next) if tried.len() < MAX_STANDBYS_TRIED => {
+                for daemon in &tried {
+                    let epoch = Epoch(1);
+                    self.send(
+                        daemon,
+                        Message::Drop {
+                            id: id.clone(),
+                            epoch,
+                        },
+                    );
+                }
+                self.copy_to(now, id, next);
+            }
+            _ => {
+                let detail = "no entry in another availability zone took a copy in time";
+                self.abandon(now, id, &Refusal::new(ErrorKind::NoStandby, detail));
+            }
+        }
+    }
+
+    /// Refuses a request that was never accepted and forgets it.
+    pub(super) fn abandon(&mut self, now: Timestamp, id: &RequestId, refusal: &Refusal) {
+        let Some(owned) = self.forget_owned(id) else {
+            return;
+        };
+        if let Some(reservation) = owned.reservation {
+            self.limits.settle(now, reservation, Tokens(0));
+        }
+        for subscriber in owned.subscribers {
+            self.refuse(
+                now,
+                &subscriber.caller,
+                &owned.record.request,
+                refusal.clone(),
+            );
+        }
+        let epoch = owned.record.epoch;
+        for daemon in owned.standby.into_iter().map(|standby| standby.daemon) {
+            self.send(
+                &daemon,
+                Message::Drop {
+                    id: id.clone(),
+                    epoch,
+                },
+            );
+        }
+    }
+
+    /// The first copy is acknowledged: the request is accepted.
+    pub(super) fn accepted(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let request = &owned.record.request;
+        let standby = owned
+            .standby
+            .as_ref()
+            .map(|standby| standby.daemon.to_string());
+        let decision = self
+            .decision(now, DecisionKind::Admit, "accepted", "copy-acknowledged")
+            .with("request", id)
+            .with("customer", &request.customer)
+            .with("service", &request.service)
+            .with("idempotent", request.idempotent)
+            .with("prompt", request.prompt)
+            .with("standby", standby.unwrap_or_default());
+        self.journal.record(decision);
+        self.go_on(now, id);
+    }
+
+    /// Begins or resumes an accepted request.
+    pub(super) fn go_on(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        if owned.record.request.idempotent || owned.has_claim {
+            self.resume_or_dispatch(now, id);
+        } else {
+            self.claim(now, id);
+        }
+    }
+
+    /// Tells a caller that its request is not accepted.
+    pub(super) fn refuse(
+        &mut self,
+        now: Timestamp,
+        to: &CallerRef,
+        request: &Request,
+        refusal: Refusal,
+    ) {
+        let decision = self
+            .decision(now, DecisionKind::Admit, "refused", refusal.kind.name())
+            .with("customer", &request.customer)
+            .with("service", &request.service)
+            .with("caller", to.caller)
+            .with("execution", refusal.kind.answer().execution)
+            .with("detail", &refusal.detail);
+        self.journal.record(decision);
+        self.refuse_caller(to, refusal);
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/attach.rs
@@ -0,0 +1,382 @@
+//! Callers that come back, and callers of requests that other daemons own.
+
+use std::sync::Arc;
+
+use crate::entry::Entry;
+use crate::entry::owned::Subscriber;
+use crate::error::{ErrorKind, Refusal};
+use crate::ids::{CallerId, CustomerId, DaemonId, RequestId};
+use crate::message::{CallerRef, Delivery, LocateTarget, Message, Position, RequestRecord};
+use crate::request::{AnswerEvent, Request};
+use crate::units::Timestamp;
+
+/// A caller that is connected here.
+#[derive(Debug, Clone)]
+pub(super) struct LocalCaller {
+    pub(super) customer: CustomerId,
+    /// The daemon that owns the caller's request, if it is not this one.
+    pub(super) remote: Option<RemoteOwner>,
+}
+
+/// What is known of a caller's request at another daemon.
+#[derive(Debug, Clone)]
+pub(super) struct RemoteOwner {
+    pub(super) owner: DaemonId,
+    pub(super) request: Option<RequestId>,
+    /// What the caller was given so far.
+    pub(super) position: Position,
+    /// The request, until its new owner has accepted it.
+    pub(super) forwarded: Option<Arc<Request>>,
+}
+
+impl Entry {
+    pub(super) fn add_local_caller(&mut self, caller: CallerId, customer: CustomerId) {
+        let local = LocalCaller {
+            customer,
+            remote: None,
+        };
+        self.callers.insert(caller, local);
+    }
+
+    pub(super) fn on_attach(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        id: RequestId,
+        customer: CustomerId,
+        position: Option<Position>,
+    ) {
+        self.add_local_caller(caller, customer.clone());
+        let from = self.local_ref(caller);
+        self.attach_from(now, from, id, customer, position);
+    }
+
+    /// Attaches a caller to a request, wherever it is owned.
+    pub(super) fn attach_from(
+        &mut self,
+        now: Timestamp,
+        from: CallerRef,
+        id: RequestId,
+        customer: CustomerId,
+        position: Option<Position>,
+    ) {
+        if self.owned.contains_key(&id) {
+            if let Err(refusal) = self.subscribe(&from, &id, &customer, position) {
+                self.refuse_caller(&from, refusal);
+                return;
+            }
+            self.deliver(&id);
+            return;
+        }
+        let Some(copy) = self.copies.get(&id) else {
+            self.attach_unknown(now, &from, id, customer, position);
+            return;
+        };
+        if copy.record.is_done() {
+            self.give_from_copy(&from, &id, &customer, position);
+            return;
+        }
+        let owner = copy.record.owner.clone();
+        if from.daemon != self.own {
+            self.give(&from, Delivery::Moved { owner });
+            return;
+        }
+        self.attach_at(now, from.caller, id, &owner, customer, position);
+    }
+
+    fn attach_unknown(
+        &mut self,
+        now: Timestamp,
+        from: &CallerRef,
+        id: RequestId,
+        customer: CustomerId,
+        position: Option<Position>,
+    ) {
+        if from.daemon == self.own {
+            let target = LocateTarget::Request(id);
+            let missing = ErrorKind::UnknownRequest;
+            self.locate_for_caller(now, from.caller, target, customer, position, missing);
+            return;
+        }
+        let refusal = Refusal::new(ErrorKind::UnknownRequest, id.to_string());
+        self.refuse_caller(from, refusal);
+    }
+
+    fn subscribe(
+        &mut self,
+        from: &CallerRef,
+        id: &RequestId,
+        customer: &CustomerId,
+        position: Option<Position>,
+    ) -> Result<(), Refusal> {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return Ok(());
+        };
+        let position = check_attachment(&owned.record, customer, position)?;
+        owned
+            .subscribers
+            .retain(|subscriber| subscriber.caller != *from);
+        owned.subscribers.push(Subscriber {
+            caller: from.clone(),
+            position,
+            is_told: false,
+        });
+        Ok(())
+    }
+
+    /// Gives a whole answer from a copy whose owner need not be asked.
+    fn give_from_copy(
+        &mut self,
+        from: &CallerRef,
+        id: &RequestId,
+        customer: &CustomerId,
+        position: Option<Position>,
+    ) {
+        let Some(copy) = self.copies.get(id) else {
+            return;
+        };
+        let position = match check_attachment(&copy.record, customer, position) {
+            Ok(position) => position,
+            Err(refusal) => {
+                self.refuse_caller(from, refusal);
+                return;
+            }
+        };
+        let events = copy.record.events[position.index.0 as usize..].to_vec();
+        let request = id.clone();
+        self.give(from, Delivery::Accepted { request });
+        let from_position = position;
+        let delivery = Delivery::Events {
+            from: from_position,
+            events,
+        };
+        self.give(from, delivery);
+    }
+
+    /// Attaches a caller connected here to a request that another daemon owns.
+    pub(super) fn attach_at(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        id: RequestId,
+        owner: &DaemonId,
+        customer: CustomerId,
+        position: Option<Position>,
+    ) {
+        if *owner == self.own {
+            let from = self.local_ref(caller);
+            self.attach_from(now, from, id, customer, position);
+            return;
+        }
+        let Some(local) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        local.remote = Some(RemoteOwner {
+            owner: owner.clone(),
+            request: Some(id.clone()),
+            position: position.unwrap_or(Position::START),
+            forwarded: None,
+        });
+        let message = Message::Attach {
+            caller,
+            id,
+            customer,
+            position,
+        };
+        self.send(owner, message);
+    }
+
+    /// Lets a caller go on at the daemon that took its request over and knows of the caller.
+    pub(super) fn follow_owner(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        id: &RequestId,
+        owner: &DaemonId,
+        customer: CustomerId,
+        position: Position,
+    ) {
+        let position = Some(position);
+        self.attach_at(now, caller, id.clone(), owner, customer, position);
+    }
+
+    /// Something for a caller connected here, from the daemon that owns its request.
+    pub(super) fn on_deliver(
+        &mut self,
+        now: Timestamp,
+        from: &DaemonId,
+        caller: CallerId,
+        delivery: Delivery,
+    ) {
+        let Some(local) = self.callers.get_mut(&caller) else {
+            self.send(from, Message::Detach { caller, id: None });
+            return;
+        };
+        let Some(remote) = &mut local.remote else {
+            return;
+        };
+        if remote.owner != *from {
+            return;
+        }
+        match delivery {
+            Delivery::Accepted { request } => {
+                remote.request = Some(request.clone());
+                remote.forwarded = None;
+                self.give_local(caller, Delivery::Accepted { request });
+            }
+            Delivery::Events {
+                from: position,
+                events,
+            } => self.relay_events(now, caller, position, events),
+            Delivery::Moved { owner } => self.on_moved(now, caller, &owner),
+            Delivery::Refused(refusal) => {
+                let to = self.local_ref(caller);
+                self.refuse_caller(&to, refusal);
+            }
+        }
+    }
+
+    /// Relays the events that the caller does not have yet, and only if they follow on.
+    fn relay_events(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        position: Position,
+        mut events: Vec<AnswerEvent>,
+    ) {
+        let Some(local) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        let customer = local.customer.clone();
+        let Some(remote) = &mut local.remote else {
+            return;
+        };
+        let have = remote.position;
+        if position.index > have.index {
+            let id = remote.request.clone();
+            let owner = remote.owner.clone();
+            if let Some(id) = id {
+                self.attach_at(now, caller, id, &owner, customer, Some(have));
+            }
+            return;
+        }
+        let known = ((have.index.0 - position.index.0) as usize).min(events.len());
+        let reached = position.after(&events[..known]);
+        events.drain(..known);
+        if reached != have {
+            if reached.index == have.index {
+                let refusal = Refusal::new(ErrorKind::StreamDiverged, "at the new owner");
+                let to = self.local_ref(caller);
+                self.refuse_caller(&to, refusal);
+            }
+            return;
+        }
+        if events.is_empty() {
+            return;
+        }
+        remote.position = have.after(&events);
+        self.give_local(caller, Delivery::Events { from: have, events });
+    }
+
+    fn on_moved(&mut self, now: Timestamp, caller: CallerId, owner: &DaemonId) {
+        let Some(local) = self.callers.get(&caller) else {
+            return;
+        };
+        let customer = local.customer.clone();
+        let Some(remote) = local.remote.clone() else {
+            return;
+        };
+        if let Some(id) = remote.request {
+            let position = Some(remote.position);
+            self.attach_at(now, caller, id, owner, customer, position);
+        }
+    }
+
+    pub(super) fn on_caller_gone(&mut self, caller: CallerId) {
+        self.questions
+            .retain(|_, question| !question.is_for(&self.own, caller));
+        let Some(local) = self.callers.remove(&caller) else {
+            return;
+        };
+        if let Some(remote) = local.remote {
+            let id = remote.request;
+            self.send(&remote.owner, Message::Detach { caller, id });
+        }
+        let from = self.local_ref(caller);
+        self.unsubscribe(&from);
+    }
+
+    pub(super) fn unsubscribe(&mut self, from: &CallerRef) {
+        for owned in self.owned.values_mut() {
+            owned
+                .subscribers
+                .retain(|subscriber| subscriber.caller != *from);
+        }
+    }
+
+    /// The daemon that owned requests of callers connected here is gone.
+    pub(super) fn relocate_callers(&mut self, now: Timestamp, gone: &DaemonId) {
+        let lost: Vec<(CallerId, LocalCaller)> = self
+            .callers
+            .iter()
+            .filter(|(_, local)| {
+                let remote = local.remote.as_ref();
+                remote.is_some_and(|remote| remote.owner == *gone)
+            })
+            .map(|(caller, local)| (*caller, local.clone()))
+            .collect();
+        for (caller, local) in lost {
+            let Some(remote) = local.remote else {
+                continue;
+            };
+            match (remote.request, remote.forwarded) {
+                (Some(id), _) => {
+                    let target = LocateTarget::Request(id);
+                    let position = Some(remote.position);
+                    let missing = ErrorKind::OwnerLost;
+                    self.locate_for_caller(now, caller, target, local.customer, position, missing);
+                }
+                (None, Some(request)) => self.on_arrived(now, caller, request),
+                (None, None) => {}
+            }
+        }
+    }
+
+    /// Callers that look for a request find it here after a take-over.
+    pub(super) fn adopt_waiting_callers(&mut self, now: Timestamp, id: &RequestId) {
+        let waiting: Vec<u64> = self
+            .questions
+            .iter()
+            .filter(|(_, question)| question.looks_for(id))
+            .map(|(token, _)| *token)
+            .collect();
+        for token in waiting {
+            if let Some(question) = self.questions.remove(&token) {
+                self.resolve_here(now, question, id);
+            }
+        }
+    }
+}
+
+/// Checks that the customer may attach and that its position lies on the answer.
+fn check_attachment(
+    record: &RequestRecord,
+    customer: &CustomerId,
+    position: Option<Position>,
+) -> Result<Position, Refusal> {
+    if record.request.customer != *customer {
+        let detail = record.id.to_string();
+        return Err(Refusal::new(ErrorKind::UnknownRequest, detail));
+    }
+    let Some(position) = position else {
+        return Ok(Position::START);
+    };
+    let index = position.index.0 as usize;
+    match record.position(index) {
+        Some(own) if own == position => Ok(position),
+        _ => {
+            let detail = format!("event {}", position.index);
+            Err(Refusal::new(ErrorKind::StreamDiverged, detail))
+        }
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/claiming.rs
@@ -0,0 +1,200 @@
+//! Claims of non-idempotent requests: from the wish to the permission to dispatch.
+
+use crate::claims::{Claim, ClaimEvent, ClaimKey, ClaimOutcome, ClaimWish, KeyTime, Wanted};
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::owned::Phase;
+use crate::entry::state::CallPurpose;
+use crate::error::{ErrorKind, Refusal};
+use crate::ids::{DaemonId, RequestId};
+use crate::membership::MemberState;
+use crate::message::{LocateTarget, RequestRecord};
+use crate::units::{Timestamp, Tokens};
+
+impl Entry {
+    /// Asks for the claim of a request.
+    pub(super) fn claim(&mut self, now: Timestamp, id: &RequestId) {
+        self.wish(now, id, Wanted::Hold);
+        if let Some(owned) = self.owned.get_mut(id) {
+            owned.phase = Phase::Claiming;
+        }
+    }
+
+    /// Lets others have the claim of a request that was not dispatched.
+    pub(super) fn release_claim(&mut self, now: Timestamp, id: &RequestId) {
+        self.wish(now, id, Wanted::Release);
+        if let Some(owned) = self.owned.get_mut(id) {
+            owned.has_claim = false;
+        }
+    }
+
+    fn wish(&mut self, now: Timestamp, id: &RequestId, wanted: Wanted) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let wish = self.wish_of(now, &owned.record, wanted);
+        self.claim_keys.insert(id.clone(), wish.key);
+        self.claims.wish(wish);
+    }
+
+    fn wish_of(&self, now: Timestamp, record: &RequestRecord, wanted: Wanted) -> ClaimWish {
+        let request = &record.request;
+        let window = self.key_window(request);
+        let deadline = request.deadline.since(record.accepted_at);
+        let expiry_without_key = now.after(window).after(deadline);
+        let (key, expires) = match &request.key {
+            Some(key) => {
+                let name = ClaimKey::of_key(&request.customer, &request.service, key);
+                // The key was checked before acceptance; its window may have ended since.
+                let expires = KeyTime::check(record.accepted_at, key, window)
+                    .map_or(expiry_without_key, |time| {
+                        time.claim_expiry(window, deadline)
+                    });
+                (name, expires)
+            }
+            None => (ClaimKey::of_request(&record.id), expiry_without_key),
+        };
+        ClaimWish {
+            key,
+            request: record.id.clone(),
+            fingerprint: request.fingerprint(),
+            expires,
+            deadline: request.deadline,
+            wanted,
+        }
+    }
+
+    /// Makes the calls that claims need and carries out their outcomes.
+    pub(super) fn settle_claims(&mut self, now: Timestamp) {
+        for request in self.claims.step(now, &mut self.journal) {
+            self.call_store(CallPurpose::Claims(request.shard), request.call);
+        }
+        for event in self.claims.take_events() {
+            self.on_claim(now, event);
+        }
+    }
+
+    fn on_claim(&mut self, now: Timestamp, event: ClaimEvent) {
+        let id = event.request;
+        let is_claiming = self
+            .owned
+            .get(&id)
+            .is_some_and(|owned| owned.phase == Phase::Claiming);
+        match event.outcome {
+            ClaimOutcome::Released => self.on_released(now, &id),
+            _ if !is_claiming => {}
+            ClaimOutcome::Granted => self.on_granted(now, &id),
+            ClaimOutcome::Taken(claim) => self.on_taken(now, &id, &claim),
+            ClaimOutcome::OtherBody => {
+                let refusal = Refusal::new(ErrorKind::KeyConflict, "claimed with another body");
+                self.fail(now, &id, refusal);
+            }
+            ClaimOutcome::LogFull => {
+                let refusal = Refusal::new(ErrorKind::ClaimUnavailable, "the claim log is full");
+                self.fail(now, &id, refusal);
+            }
+            ClaimOutcome::TimedOut => {
+                let detail = "the key-value service did not answer before the deadline";
+                let refusal = Refusal::new(ErrorKind::ClaimUnavailable, detail);
+                self.fail(now, &id, refusal);
+            }
+        }
+    }
+
+    fn on_granted(&mut self, now: Timestamp, id: &RequestId) {
+        if let Some(owned) = self.owned.get_mut(id) {
+            owned.has_claim = true;
+        }
+        self.deliver(id);
+        if self.stopping.is_some() && self.hand_over_unclaimed(now, id) {
+            return;
+        }
+        self.resume_or_dispatch(now, id);
+    }
+
+    fn on_taken(&mut self, now: Timestamp, id: &RequestId, claim: &Claim) {
+        if claim.request != *id {
+            self.join_claimed(now, id, claim);
+            return;
+        }
+        if self.is_usable(&claim.holder) {
+            // The former owner still lives and may dispatch: it goes on with the request.
+            self.wait_for_holder(now, id);
+            return;
+        }
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let service = self.system.service(&owned.record.request.service);
+        if service.is_some_and(|service| service.checks_keys) {
+            self.wish(now, id, Wanted::Seize(claim.holder.clone()));
+            return;
+        }
+        let detail = format!("{} held the claim and is gone", claim.holder);
+        self.fail(now, id, Refusal::new(ErrorKind::OwnerLost, detail));
+    }
+
+    /// Attaches the callers of a repeated request to the request that holds the claim.
+    fn join_claimed(&mut self, now: Timestamp, id: &RequestId, claim: &Claim) {
+        let Some(owned) = self.forget_owned(id) else {
+            return;
+        };
+        let decision = self
+            .decision(now, DecisionKind::Claim, "joined", "same-key")
+            .with("request", id)
+            .with("joined", &claim.request)
+            .with("holder", &claim.holder);
+        self.journal.record(decision);
+        if let Some(reservation) = owned.reservation {
+            self.limits.settle(now, reservation, Tokens(0));
+        }
+        let epoch = owned.record.epoch;
+        if let Some(standby) = owned.standby {
+            let id = id.clone();
+            self.send(&standby.daemon, crate::message::Message::Drop { id, epoch });
+        }
+        let customer = owned.record.request.customer.clone();
+        for subscriber in owned.subscribers {
+            self.attach_claimed(now, subscriber.caller, claim, customer.clone());
+        }
+    }
+
+    fn attach_claimed(
+        &mut self,
+        now: Timestamp,
+        caller: crate::message::CallerRef,
+        claim: &Claim,
+        customer: crate::ids::CustomerId,
+    ) {
+        let id = claim.request.clone();
+        let is_here = self.owned.contains_key(&id) || self.copies.contains_key(&id);
+        if is_here || caller.daemon != self.own {
+            self.attach_from(now, caller, id, customer, None);
+            return;
+        }
+        let target = LocateTarget::Request(id);
+        self.locate_for_caller(
+            now,
+            caller.caller,
+            target,
+            customer,
+            None,
+            ErrorKind::OwnerLost,
+        );
+    }
+
+    pub(super) fn is_usable(&self, daemon: &DaemonId) -> bool {
+        *daemon != self.own
+            && matches!(
+                self.membership.state(daemon),
+                Some(MemberState::Live | MemberState::Leaving)
+            )
+    }
+
+    fn wait_for_holder(&mut self, now: Timestamp, id: &RequestId) {
+        if let Some(owned) = self.owned.get_mut(id) {
+            let retry_at = now.after(crate::entry::dispatch::RETRY_PERIOD);
+            owned.phase = Phase::Waiting { retry_at };
+        }
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/copies.rs
@@ -0,0 +1,165 @@
+//! The standby's side of replication: copies of requests that other daemons own.
+
+use std::time::Duration;
+
+use crate::entry::Entry;
+use crate::entry::finish::RETENTION;
+use crate::entry::state::KeyName;
+use crate::ids::{DaemonId, Epoch, EventIndex, RequestId};
+use crate::membership::MemberState;
+use crate::message::{CopyRefusal, Message, Place, RequestRecord};
+use crate::request::AnswerEvent;
+use crate::units::Timestamp;
+
+/// Time after which a copy whose owner was never seen counts as orphaned.
+const UNKNOWN_OWNER_GRACE: Duration = Duration::from_secs(5);
+
+/// Time that a finished copy outlives its owner's retention.
+const COPY_GRACE: Duration = Duration::from_secs(30);
+
+/// A copy of a request that another daemon owns.
+#[derive(Debug, Clone)]
+pub(super) struct HeldCopy {
+    pub(super) record: RequestRecord,
+    pub(super) updated_at: Timestamp,
+}
+
+/// Events that an owner appends to a copy.
+pub(super) struct Appended {
+    pub(super) id: RequestId,
+    pub(super) epoch: Epoch,
+    pub(super) from: EventIndex,
+    pub(super) events: Vec<AnswerEvent>,
+    pub(super) attempts: u32,
+    pub(super) place: Option<Place>,
+}
+
+impl Entry {
+    pub(super) fn on_copy(&mut self, now: Timestamp, from: &DaemonId, record: RequestRecord) {
+        let id = record.id.clone();
+        let epoch = record.epoch;
+        if let Err(refusal) = self.check_copy(&record) {
+            self.send(from, Message::CopyRefused { id, epoch, refusal });
+            return;
+        }
+        if self.owned.contains_key(&id) {
+            self.give_way(now, &id, from, epoch);
+        }
+        let through = EventIndex(record.events.len() as u64);
+        if let Some(name) = KeyName::of(&record) {
+            self.keys.insert(name, id.clone());
+        }
+        let updated_at = now;
+        self.copies
+            .insert(id.clone(), HeldCopy { record, updated_at });
+        self.send(from, Message::CopyAck { id, epoch, through });
+    }
+
+    fn check_copy(&self, record: &RequestRecord) -> Result<(), CopyRefusal> {
+        if self.stopping.is_some() {
+            return Err(CopyRefusal::Leaving);
+        }
+        if let Some(owned) = self.owned.get(&record.id)
+            && owned.record.epoch >= record.epoch
+        {
+            return Err(CopyRefusal::Superseded {
+                owner: self.own.clone(),
+                epoch: owned.record.epoch,
+            });
+        }
+        match self.copies.get(&record.id) {
+            Some(copy) if copy.record.epoch > record.epoch => Err(CopyRefusal::Superseded {
+                owner: copy.record.owner.clone(),
+                epoch: copy.record.epoch,
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    pub(super) fn on_append(&mut self, now: Timestamp, from: &DaemonId, appended: Appended) {
+        let id = appended.id.clone();
+        let epoch = appended.epoch;
+        match self.append(now, appended) {
+            Ok(through) => self.send(from, Message::CopyAck { id, epoch, through }),
+            Err(refusal) => self.send(from, Message::CopyRefused { id, epoch, refusal }),
+        }
+    }
+
+    fn append(&mut self, now: Timestamp, appended: Appended) -> Result<EventIndex, CopyRefusal> {
+        if let Some(owned) = self.owned.get(&appended.id) {
+            return Err(CopyRefusal::Superseded {
+                owner: self.own.clone(),
+                epoch: owned.record.epoch,
+            });
+        }
+        let Some(copy) = self.copies.get_mut(&appended.id) else {
+            return Err(CopyRefusal::Incomplete);
+        };
+        let record = &mut copy.record;
+        if record.epoch > appended.epoch {
+            return Err(CopyRefusal::Superseded {
+                owner: record.owner.clone(),
+                epoch: record.epoch,
+            });
+        }
+        let have = record.events.len() as u64;
+        if record.epoch < appended.epoch || appended.from.0 > have {
+            return Err(CopyRefusal::Incomplete);
+        }
+        let known = (have - appended.from.0) as usize;
+        record
+            .events
+            .extend(appended.events.into_iter().skip(known));
+        record.attempts = record.attempts.max(appended.attempts);
+        if appended.place.is_some() {
+            record.place = appended.place;
+        }
+        copy.updated_at = now;
+        Ok(EventIndex(record.events.len() as u64))
+    }
+
+    pub(super) fn on_drop(&mut self, id: &RequestId, epoch: Epoch) {
+        let is_covered = self
+            .copies
+            .get(id)
+            .is_some_and(|copy| copy.record.epoch <= epoch);
+        if is_covered {
+            self.forget_copy(id);
+        }
+    }
+
+    pub(super) fn forget_copy(&mut self, id: &RequestId) -> Option<HeldCopy> {
+        let copy = self.copies.remove(id)?;
+        self.forget_key(id, KeyName::of(&copy.record));
+        Some(copy)
+    }
+
+    /// Takes over copies whose owner is gone and forgets old ones.
+    pub(super) fn tick_copies(&mut self, now: Timestamp) {
+        let mut orphaned = Vec::new();
+        let mut expired = Vec::new();
+        for (id, copy) in &self.copies {
+            let age = now.since(copy.updated_at);
+            let is_done = copy.record.is_done();
+            if is_done && age >= RETENTION + COPY_GRACE {
+                expired.push(id.clone());
+            } else if !is_done && self.is_orphaned(copy, age) {
+                orphaned.push(id.clone());
+            }
+        }
+        for id in expired {
+            self.forget_copy(&id);
+        }
+        for id in orphaned {
+            self.take_over(now, &id, Vec::new(), "owner-gone");
+        }
+    }
+
+    fn is_orphaned(&self, copy: &HeldCopy, age: Duration) -> bool {
+        match self.membership.state(&copy.record.owner) {
+            Some(MemberState::Gone) => true,
+            Some(MemberState::Live | MemberState::Leaving) => false,
+            None => age >= UNKNOWN_OWNER_GRACE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/deliver.rs
@@ -0,0 +1,79 @@
+//! What callers are given, here or through another daemon.
+
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::owned::Subscriber;
+use crate::error::Refusal;
+use crate::ids::{CallerId, RequestId};
+use crate::message::{CallerRef, Delivery, Message};
+
+impl Entry {
+    pub(super) fn local_ref(&self, caller: CallerId) -> CallerRef {
+        CallerRef {
+            daemon: self.own.clone(),
+            caller,
+        }
+    }
+
+    /// Gives every attached caller the committed events that it does not have yet.
+    pub(super) fn deliver(&mut self, id: &RequestId) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        if !owned.is_accepted() {
+            return;
+        }
+        let committed = owned.committed();
+        let is_settled = owned.record.request.idempotent || owned.has_claim || committed > 0;
+        let mut out = Vec::new();
+        for subscriber in &mut owned.subscribers {
+            if !subscriber.is_told && is_settled {
+                subscriber.is_told = true;
+                let request = id.clone();
+                out.push((subscriber.caller.clone(), Delivery::Accepted { request }));
+            }
+            let events = &owned.record.events[..committed];
+            out.extend(next_events(subscriber, events));
+        }
+        for (to, delivery) in out {
+            self.give(&to, delivery);
+        }
+    }
+
+    /// Gives one caller something, here or through its daemon.
+    pub(super) fn give(&mut self, to: &CallerRef, delivery: Delivery) {
+        if to.daemon != self.own {
+            let caller = to.caller;
+            self.send(&to.daemon.clone(), Message::Deliver { caller, delivery });
+            return;
+        }
+        self.give_local(to.caller, delivery);
+    }
+
+    pub(super) fn give_local(&mut self, caller: CallerId, delivery: Delivery) {
+        if self.callers.contains_key(&caller) {
+            self.actions.push(Action::Deliver { caller, delivery });
+        }
+    }
+
+    pub(super) fn refuse_caller(&mut self, to: &CallerRef, refusal: Refusal) {
+        self.give(to, Delivery::Refused(refusal));
+        if to.daemon == self.own {
+            self.callers.remove(&to.caller);
+        }
+    }
+}
+
+fn next_events(
+    subscriber: &mut Subscriber,
+    events: &[crate::request::AnswerEvent],
+) -> Option<(CallerRef, Delivery)> {
+    let from = subscriber.position;
+    let next = events.get(from.index.0 as usize..)?;
+    if next.is_empty() {
+        return None;
+    }
+    subscriber.position = from.after(next);
+    let events = next.to_vec();
+    Some((subscriber.caller.clone(), Delivery::Events { from, events }))
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/dispatch.rs
@@ -0,0 +1,178 @@
+//! From an accepted request to an attempt on an endpoint.
+
+use std::time::Duration;
+
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::action::{Action, DispatchOrder};
+use crate::entry::owned::{Phase, Running};
+use crate::error::ErrorKind;
+use crate::ids::{AttemptId, EventIndex, RequestId};
+use crate::message::Place;
+use crate::quarantine::Verdict;
+use crate::routing::{Route, RouteQuery};
+use crate::units::Timestamp;
+
+/// Time between two looks for an endpoint.
+pub(super) const RETRY_PERIOD: Duration = Duration::from_millis(50);
+
+impl Entry {
+    /// Goes on with the endpoint's own stream where there is one, or begins an attempt.
+    pub(super) fn resume_or_dispatch(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let place = owned.record.place.clone();
+        match place {
+            Some(place) if owned.is_resumable() && self.can_resume_on(&place) => {
+                self.resume_stream(now, id, place, 0);
+            }
+            _ => self.dispatch(now, id),
+        }
+    }
+
+    fn can_resume_on(&self, place: &Place) -> bool {
+        let endpoint = self.router.endpoint(&place.endpoint);
+        endpoint.is_some_and(|endpoint| endpoint.address == place.address)
+            && !self.router.is_failed(&place.endpoint)
+    }
+
+    /// Attaches to the attempt's stream at its endpoint, behind the events that are there.
+    pub(super) fn resume_stream(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        place: Place,
+        resumes: u32,
+    ) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let have = owned.record.events.len() as u64;
+        let resume_after = EventIndex(have.saturating_sub(place.first_event.0));
+        let decision = self
+            .decision(
+                now,
+                DecisionKind::Route,
+                place.endpoint.as_str(),
+                "resume-stream",
+            )
+            .with("request", id)
+            .with("attempt", place.attempt)
+            .with("after", resume_after);
+        self.journal.record(decision);
+        self.start(now, id, place, Some(resume_after), RETRY_PERIOD, resumes);
+    }
+
+    /// Begins a new attempt, or waits if no endpoint can take it.
+    pub(super) fn dispatch(&mut self, now: Timestamp, id: &RequestId) {
+        if self.stopping.is_some() && self.hand_over_unclaimed(now, id) {
+            return;
+        }
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let request = owned.record.request.clone();
+        let generated = owned.record.generated();
+        let excluded = owned.excluded.clone();
+        let number = owned.record.attempts + 1;
+        let attempt = AttemptId {
+            request: id.clone(),
+            number,
+        };
+        let verdict = self.quarantine.verdict(now, request.fingerprint());
+        if verdict == Verdict::Quarantined {
+            self.fail_quarantined(now, id);
+            return;
+        }
+        let query = RouteQuery {
+            attempt: &attempt,
+            request: &request,
+            generated,
+            excluded: &excluded,
+            isolated: verdict == Verdict::Suspect,
+        };
+        match self.router.choose(now, &query, &mut self.journal) {
+            Ok(route) => self.begin(now, id, number, &route),
+            Err(refusal) => self.wait_for_endpoint(now, id, refusal.kind),
+        }
+    }
+
+    fn begin(&mut self, now: Timestamp, id: &RequestId, number: u32, route: &Route) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        owned.record.attempts = number;
+        let place = Place {
+            attempt: number,
+            endpoint: route.endpoint.clone(),
+            address: route.address,
+            first_event: EventIndex(owned.record.events.len() as u64),
+        };
+        let request = owned.record.request.clone();
+        let attempt = owned.attempt_id();
+        self.router.started(now, &attempt, route, &request);
+        self.start(now, id, place, None, route.expected_first_token, 0);
+    }
+
+    fn start(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        place: Place,
+        resume_after: Option<EventIndex>,
+        expected_first_token: Duration,
+        resumes: u32,
+    ) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        let record = &mut owned.record;
+        let first = place.first_event.0 as usize;
+        let before = record.events[..first.min(record.events.len())].to_vec();
+        let order = DispatchOrder {
+            attempt: AttemptId {
+                request: id.clone(),
+                number: place.attempt,
+            },
+            endpoint: place.endpoint.clone(),
+            address: place.address,
+            request: record.request.clone(),
+            generated: before.iter().map(|event| event.text()).collect(),
+            generated_tokens: crate::units::Tokens(
+                before.iter().map(|event| u64::from(event.tokens())).sum(),
+            ),
+            resume_after,
+            remaining: record.request.deadline.since(now),
+        };
+        record.place = Some(place.clone());
+        owned.phase = Phase::Running(Running {
+            place,
+            is_sent: resume_after.is_some(),
+            started_at: now,
+            progress_at: now,
+            expected_first_token,
+            held: Vec::new(),
+            is_probing: false,
+            resumes,
+        });
+        self.actions.push(Action::Dispatch(order));
+        self.replicate(now, id);
+    }
+
+    fn wait_for_endpoint(&mut self, now: Timestamp, id: &RequestId, kind: ErrorKind) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        owned.excluded.clear();
+        let is_new_wait = !matches!(owned.phase, Phase::Waiting { .. });
+        let retry_at = now.after(RETRY_PERIOD);
+        owned.phase = Phase::Waiting { retry_at };
+        if is_new_wait {
+            let decision = self
+                .decision(now, DecisionKind::Route, "wait", kind.name())
+                .with("request", id);
+            self.journal.record(decision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -0,0 +1,343 @@
+//! What follows a failed attempt.
+//!
+//! An idempotent request goes on elsewhere; the text that callers have seen is kept. A
+//! non-idempotent request goes on only if nothing was sent, or if the endpoint runs a
+//! repeated key once. A broken connection leads to a probe on a new connection: if the
+//! port refuses, the process has crashed and everything that ran there is suspected.
+
+use std::time::Duration;
+
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::event::{AttemptFailure, PROBE_TIMEOUT, ProbeOutcome};
+use crate::entry::owned::{Owned, Phase, Running};
+use crate::error::{ErrorKind, Refusal};
+use crate::ids::{EndpointId, Fingerprint, RequestId};
+use crate::message::{Message, Place};
+use crate::quarantine::Verdict;
+use crate::units::Timestamp;
+
+/// Wait when the retry budget is used up.
+const BUDGET_WAIT: Duration = Duration::from_millis(500);
+
+/// HTTP statuses by which an engine says that it did not begin.
+const NOT_BEGUN: [u16; 2] = [429, 503];
+
+/// What to do about a failed attempt.
+#[derive(Debug, PartialEq, Eq)]
+enum Recovery {
+    /// Try another endpoint; nothing ran.
+    Elsewhere,
+    /// Find out whether the endpoint crashed, then go on.
+    Probe,
+    /// Begin a new attempt behind the events that are there.
+    Anew,
+    /// Give the request up.
+    GiveUp(ErrorKind),
+}
+
+impl Entry {
+    pub(super) fn recover(&mut self, now: Timestamp, id: &RequestId, failure: AttemptFailure) {
+        let Some((place, recovery)) = self.take_failure(id, &failure) else {
+            return;
+        };
+        let attempt = crate::ids::AttemptId {
+            request: id.clone(),
+            number: place.attempt,
+        };
+        self.describe_failure(now, id, &place, &failure, &recovery);
+        if recovery != Recovery::Probe {
+            self.router.finished(now, &attempt);
+        }
+        if failure == AttemptFailure::NotSent {
+            self.router
+                .mark_failed(now, &place.endpoint, &mut self.journal);
+        }
+        if failure == AttemptFailure::UnknownStream {
+            self.on_lost_stream(now, id, &place);
+        }
+        match recovery {
+            Recovery::Elsewhere => self.try_elsewhere(now, id, &place.endpoint),
+            Recovery::Anew => self.dispatch(now, id),
+            Recovery::Probe => self.probe_after_reset(now, id, &place),
+            Recovery::GiveUp(kind) => {
+                let detail = format!("endpoint {}: {}", place.endpoint, text_of(&failure));
+                self.fail(now, id, Refusal::new(kind, detail));
+            }
+        }
+    }
+
+    fn take_failure(&self, id: &RequestId, failure: &AttemptFailure) -> Option<(Place, Recovery)> {
+        let owned = self.owned.get(id)?;
+        let running = owned.running()?;
+        let recovery = self.recovery_of(owned, running, failure);
+        Some((running.place.clone(), recovery))
+    }
+
+    fn recovery_of(&self, owned: &Owned, running: &Running, failure: &AttemptFailure) -> Recovery {
+        let request = &owned.record.request;
+        let service = self.system.service(&request.service);
+        let checks_keys = service.is_some_and(|service| service.checks_keys);
+        let is_repeatable = request.idempotent || checks_keys;
+        match failure {
+            AttemptFailure::NotSent if running.resumes == 0 => Recovery::Elsewhere,
+            AttemptFailure::NotSent if is_repeatable => Recovery::Elsewhere,
+            AttemptFailure::Status { status, .. } if NOT_BEGUN.contains(status) => {
+                Recovery::Elsewhere
+            }
+            AttemptFailure::Status { status, .. } if *status >= 500 && is_repeatable => {
+                Recovery::Elsewhere
+            }
+            AttemptFailure::Status { .. } => Recovery::GiveUp(ErrorKind::EndpointFailed),
+            AttemptFailure::UnknownStream if is_repeatable => Recovery::Anew,
+            _ if is_repeatable => Recovery::Probe,
+            _ => Recovery::GiveUp(ErrorKind::ConnectionLost),
+        }
+    }
+
+    fn describe_failure(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        place: &Place,
+        failure: &AttemptFailure,
+        recovery: &Recovery,
+    ) {
+        let choice = match recovery {
+            Recovery::Elsewhere => "elsewhere",
+            Recovery::Probe => "probe",
+            Recovery::Anew => "anew",
+            Recovery::GiveUp(_) => "give-up",
+        };
+        let events = self
+            .owned
+            .get(id)
+            .map_or(0, |owned| owned.record.events.len());
+        let decision = self
+            .decision(now, DecisionKind::Retry, choice, kind_of(failure))
+            .with("request", id)
+            .with("attempt", place.attempt)
+            .with("endpoint", &place.endpoint)
+            .with("events", events);
+        self.journal.record(decision);
+    }
+
+    fn try_elsewhere(&mut self, now: Timestamp, id: &RequestId, endpoint: &EndpointId) {
+        let has_budget = self.retry_budget.try_withdraw(now);
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        owned.excluded.push(endpoint.clone());
+        if has_budget {
+            self.dispatch(now, id);
+            return;
+        }
+        let retry_at = now.after(BUDGET_WAIT);
+        owned.phase = Phase::Waiting { retry_at };
+        let decision = self
+            .decision(now, DecisionKind::Retry, "wait", "retry-budget")
+            .with("request", id);
+        self.journal.record(decision);
+    }
+
+    fn probe_after_reset(&mut self, now: Timestamp, id: &RequestId, place: &Place) {
+        let is_probed = self.owned.values().any(|owned| {
+            matches!(&owned.phase, Phase::Probing { endpoint, .. } if *endpoint == place.endpoint)
+        });
+        if let Some(owned) = self.owned.get_mut(id) {
+            owned.phase = Phase::Probing {
+                endpoint: place.endpoint.clone(),
+                until: now.after(PROBE_TIMEOUT * 2),
+            };
+        }
+        if !is_probed {
+            self.actions.push(Action::Probe {
+                endpoint: place.endpoint.clone(),
+                address: place.address,
+            });
+        }
+    }
+
+    /// Takes in the outcome of a probe, for broken and for silent attempts.
+    pub(super) fn on_probed(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        outcome: ProbeOutcome,
+    ) {
+        let broken = self.broken_on(endpoint);
+        let decision = self
+            .decision(
+                now,
+                DecisionKind::Connection,
+                outcome_name(outcome),
+                "probe",
+            )
+            .with("endpoint", endpoint)
+            .with("broken", broken.len());
+        self.journal.record(decision);
+        match outcome {
+            ProbeOutcome::Alive => self.on_endpoint_alive(now, endpoint, broken),
+            ProbeOutcome::Refused => self.on_endpoint_gone(now, endpoint, true),
+            ProbeOutcome::Silent => self.on_endpoint_gone(now, endpoint, false),
+        }
+    }
+
+    fn broken_on(&self, endpoint: &EndpointId) -> Vec<RequestId> {
+        let is_broken = |owned: &Owned| matches!(&owned.phase, Phase::Probing { endpoint: probed, .. } if probed == endpoint);
+        self.owned
+            .iter()
+            .filter(|(_, owned)| is_broken(owned))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    fn on_endpoint_alive(&mut self, now: Timestamp, endpoint: &EndpointId, broken: Vec<RequestId>) {
+        for id in broken {
+            self.finish_attempt(now, &id);
+            self.go_on(now, &id);
+        }
+        self.replace_silent(now, endpoint);
+    }
+
+    /// The endpoint's process or VM is gone: everything that ran there goes on elsewhere.
+    pub(super) fn on_endpoint_gone(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        is_process_exit: bool,
+    ) {
+        let lost = self.lost_on(endpoint);
+        if is_process_exit && !self.router.is_leaving(endpoint) {
+            let fingerprints = self.fingerprints(&lost);
+            self.report_crash(now, endpoint, &fingerprints);
+        }
+        self.router.mark_failed(now, endpoint, &mut self.journal);
+        for id in lost {
+            self.finish_attempt(now, &id);
+            self.go_on_elsewhere(now, &id);
+        }
+    }
+
+    fn lost_on(&self, endpoint: &EndpointId) -> Vec<RequestId> {
+        let is_lost = |owned: &Owned| match &owned.phase {
+            Phase::Probing {
+                endpoint: probed, ..
+            } => probed == endpoint,
+            Phase::Running(running) => running.place.endpoint == *endpoint,
+            _ => false,
+        };
+        self.owned
+            .iter()
+            .filter(|(_, owned)| is_lost(owned))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    fn fingerprints(&self, ids: &[RequestId]) -> Vec<Fingerprint> {
+        let owned = ids.iter().filter_map(|id| self.owned.get(id));
+        owned
+            .map(|owned| owned.record.request.fingerprint())
+            .collect()
+    }
+
+    fn go_on_elsewhere(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let request = &owned.record.request;
+        let service = self.system.service(&request.service);
+        let checks_keys = service.is_some_and(|service| service.checks_keys);
+        if request.idempotent || checks_keys || !owned.may_have_run {
+            self.dispatch(now, id);
+            return;
+        }
+        let detail = "the endpoint is gone";
+        self.fail(now, id, Refusal::new(ErrorKind::ConnectionLost, detail));
+    }
+
+    /// An endpoint that does not know a stream that it gave has been restarted.
+    fn on_lost_stream(&mut self, now: Timestamp, id: &RequestId, place: &Place) {
+        let fingerprints = self.fingerprints(std::slice::from_ref(id));
+        if !self.router.is_leaving(&place.endpoint) {
+            self.report_crash(now, &place.endpoint, &fingerprints);
+        }
+    }
+
+    /// Suspects what ran on a crashed endpoint, and tells the peers before any retry.
+    fn report_crash(&mut self, now: Timestamp, endpoint: &EndpointId, suspects: &[Fingerprint]) {
+        let suspicion = self
+            .quarantine
+            .on_crash(now, endpoint, suspects, &mut self.journal);
+        if let Some(suspicion) = suspicion {
+            self.send_to_all(&Message::Suspect(suspicion));
+        }
+        self.fail_all_quarantined(now);
+    }
+
+    /// Fails every request here whose fingerprint is quarantined by now.
+    pub(super) fn fail_all_quarantined(&mut self, now: Timestamp) {
+        let quarantined: Vec<RequestId> = self
+            .owned
+            .iter()
+            .filter(|(_, owned)| !owned.is_done() && owned.is_accepted())
+            .filter(|(_, owned)| {
+                let fingerprint = owned.record.request.fingerprint();
+                self.quarantine.verdict(now, fingerprint) == Verdict::Quarantined
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in quarantined {
+            self.fail_quarantined(now, &id);
+        }
+    }
+
+    pub(super) fn fail_quarantined(&mut self, now: Timestamp, id: &RequestId) {
+        let has_run = self.owned.get(id).is_some_and(|owned| owned.may_have_run);
+        let kind = if has_run {
+            ErrorKind::EndpointCrashed
+        } else {
+            ErrorKind::Quarantined
+        };
+        self.cancel_attempt(id);
+        self.fail(
+            now,
+            id,
+            Refusal::new(kind, "its fingerprint is quarantined"),
+        );
+    }
+
+    fn finish_attempt(&mut self, now: Timestamp, id: &RequestId) {
+        if let Some(owned) = self.owned.get(id) {
+            let attempt = owned.attempt_id();
+            self.router.finished(now, &attempt);
+        }
+    }
+}
+
+fn kind_of(failure: &AttemptFailure) -> &'static str {
+    match failure {
+        AttemptFailure::NotSent => "not-sent",
+        AttemptFailure::Reset => "reset",
+        AttemptFailure::Status { .. } => "status",
+        AttemptFailure::Protocol { .. } => "protocol",
+        AttemptFailure::UnknownStream => "unknown-stream",
+    }
+}
+
+fn text_of(failure: &AttemptFailure) -> String {
+    match failure {
+        AttemptFailure::Status { status, message } => format!("status {status}: {message}"),
+        AttemptFailure::Protocol { message } => message.to_string(),
+        other => kind_of(other).to_owned(),
+    }
+}
+
+fn outcome_name(outcome: ProbeOutcome) -> &'static str {
+    match outcome {
+        ProbeOutcome::Alive => "alive",
+        ProbeOutcome::Refused => "refused",
+        ProbeOutcome::Silent => "silent",
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/finish.rs
@@ -0,0 +1,164 @@
+//! The end of a request, and how long its answer is kept.
+
+use std::time::Duration;
+
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::owned::{Owned, Phase};
+use crate::entry::state::KeyName;
+use crate::error::{ErrorKind, Execution, Refusal};
+use crate::ids::RequestId;
+use crate::message::Message;
+use crate::request::AnswerEvent;
+use crate::units::Timestamp;
+
+/// Time that an answer is kept for callers that come back.
+pub(super) const RETENTION: Duration = Duration::from_secs(120);
+
+impl Entry {
+    /// Ends a request without a whole answer.
+    pub(super) fn fail(&mut self, now: Timestamp, id: &RequestId, refusal: Refusal) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        if owned.is_done() {
+            return;
+        }
+        let refusal = truthful(owned, refusal);
+        owned.record.events.push(AnswerEvent::Failed(refusal));
+        self.finish(now, id);
+    }
+
+    /// The answer is complete or has failed.
+    pub(super) fn finish(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        owned.phase = Phase::Done { at: now };
+        let attempt = owned.attempt_id();
+        let fingerprint = owned.record.request.fingerprint();
+        let reservation = owned.reservation.take();
+        let has_unused_claim = owned.has_claim && !owned.may_have_run;
+        let used = owned.record.request.prompt.plus(owned.record.generated());
+        let has_answer = matches!(owned.record.events.last(), Some(AnswerEvent::End { .. }));
+        self.router.finished(now, &attempt);
+        if let Some(reservation) = reservation {
+            self.limits.settle(now, reservation, used);
+        }
+        if has_answer {
+            self.quarantine.on_survived(now, fingerprint);
+        }
+        if has_unused_claim {
+            self.release_claim(now, id);
+        }
+        self.describe_finish(now, id);
+        self.replicate(now, id);
+        self.deliver(id);
+    }
+
+    fn describe_finish(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let record = &owned.record;
+        let (choice, reason) = match record.events.last() {
+            Some(AnswerEvent::Failed(refusal)) => ("failed", refusal.kind.name()),
+            _ => ("answered", "whole"),
+        };
+        let decision = self
+            .decision(now, DecisionKind::Finish, choice, reason)
+            .with("request", id)
+            .with("epoch", record.epoch)
+            .with("attempts", record.attempts)
+            .with("events", record.events.len())
+            .with("generated", record.generated())
+            .with("elapsed_us", now.since(record.accepted_at).as_micros());
+        self.journal.record(decision);
+    }
+
+    /// Ends the attempt under way at its endpoint.
+    pub(super) fn cancel_attempt(&mut self, id: &RequestId) {
+        let Some(running) = self.owned.get(id).and_then(Owned::running) else {
+            return;
+        };
+        let attempt = crate::ids::AttemptId {
+            request: id.clone(),
+            number: running.place.attempt,
+        };
+        let address = running.place.address;
+        self.actions.push(Action::Cancel { attempt, address });
+    }
+
+    /// Removes a request with everything that points to it.
+    pub(super) fn forget_owned(&mut self, id: &RequestId) -> Option<Owned> {
+        let owned = self.owned.remove(id)?;
+        self.forget_key(id, KeyName::of(&owned.record));
+        self.claim_keys.remove(id);
+        Some(owned)
+    }
+
+    pub(super) fn forget_key(&mut self, id: &RequestId, name: Option<KeyName>) {
+        if let Some(name) = name
+            && self.keys.get(&name) == Some(id)
+        {
+            self.keys.remove(&name);
+        }
+    }
+
+    /// Forgets a finished request when its answer has been kept long enough.
+    pub(super) fn expire_done(&mut self, now: Timestamp, id: &RequestId) {
+        let is_over = self.owned.get(id).is_some_and(|owned| match owned.phase {
+            Phase::Done { at } => now.since(at) >= RETENTION,
+            _ => false,
+        });
+        if !is_over {
+            return;
+        }
+        let Some(owned) = self.forget_owned(id) else {
+            return;
+        };
+        if let Some(standby) = owned.standby {
+            let epoch = owned.record.epoch;
+            self.send(
+                &standby.daemon,
+                Message::Drop {
+                    id: id.clone(),
+                    epoch,
+                },
+            );
+        }
+    }
+
+    /// Gives up a request whose deadline has passed.
+    pub(super) fn check_deadline(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        if owned.is_done() || owned.record.request.deadline > now {
+            return;
+        }
+        let kind = match owned.phase {
+            Phase::Claiming => ErrorKind::ClaimUnavailable,
+            Phase::Waiting { .. } if !owned.may_have_run => ErrorKind::NoEndpoint,
+            _ => ErrorKind::DeadlineExceeded,
+        };
+        let is_accepted = owned.is_accepted();
+        self.cancel_attempt(id);
+        let detail = "the deadline passed";
+        if is_accepted {
+            self.fail(now, id, Refusal::new(kind, detail));
+        } else {
+            self.abandon(now, id, &Refusal::new(ErrorKind::NoStandby, detail));
+        }
+    }
+}
+
+/// Replaces a kind that says "not run" when the request may have run.
+fn truthful(owned: &Owned, refusal: Refusal) -> Refusal {
+    let says_not_run = refusal.kind.answer().execution == Execution::NotRun;
+    if says_not_run && owned.may_have_run {
+        return Refusal::new(ErrorKind::DeadlineExceeded, refusal.detail);
+    }
+    refusal
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/fleet.rs
@@ -0,0 +1,120 @@
+//! The endpoints that there are: named in the text, or on VMs that placement bought.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{EndpointId, ServiceName};
+use crate::units::Timestamp;
+use crate::world::{Endpoint, ServiceKind, System, Vm, VmRole, VmState};
+
+/// What is known of the endpoints besides their load.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Fleet {
+    vms: Vec<Vm>,
+    loaded: BTreeMap<EndpointId, Vec<ServiceName>>,
+    pub(super) poll_at: Timestamp,
+}
+
+impl Fleet {
+    /// Takes in the VM list.
+    pub(super) fn set_vms(&mut self, vms: &[Vm]) {
+        let is_endpoint = |vm: &&Vm| vm.role == VmRole::Endpoint;
+        self.vms = vms.iter().filter(is_endpoint).cloned().collect();
+    }
+
+    /// Takes in what an endpoint has loaded; returns whether that is new.
+    pub(super) fn set_loaded(&mut self, id: &EndpointId, services: &[ServiceName]) -> bool {
+        let old = self.loaded.insert(id.clone(), services.to_vec());
+        old.as_deref() != Some(services)
+    }
+
+    /// Returns the endpoints on VMs that the platform says are leaving.
+    pub(super) fn leaving(&self) -> Vec<LeavingEndpoint> {
+        let leaving = self.vms.iter().filter_map(|vm| match vm.state {
+            VmState::Live => None,
+            VmState::Leaving { deadline } => Some(LeavingEndpoint {
+                endpoint: endpoint_id(vm),
+                deadline,
+            }),
+        });
+        leaving.collect()
+    }
+
+    /// Returns the endpoint on a VM.
+    pub(super) fn endpoint_on(&self, vm: &crate::ids::VmId) -> Option<EndpointId> {
+        self.vms
+            .iter()
+            .find(|known| known.id == *vm)
+            .map(endpoint_id)
+    }
+
+    /// Returns every endpoint with the services that it has loaded.
+    pub(super) fn endpoints(&self, system: &System) -> Vec<Endpoint> {
+        let on_vms = self.vms.iter().map(|vm| {
+            let id = endpoint_id(vm);
+            let services = self.loaded.get(&id).cloned().unwrap_or_default();
+            Endpoint {
+                vm: vm.id.clone(),
+                zone: vm.zone.clone(),
+                address: vm.address,
+                services,
+                id,
+            }
+        });
+        let mut endpoints: Vec<Endpoint> = on_vms.collect();
+        for service in &system.services {
+            for named in &service.endpoints {
+                add_named(&mut endpoints, service, named);
+            }
+        }
+        endpoints
+    }
+
+    /// Returns the endpoints whose load can be asked for: model engines.
+    pub(super) fn pollable(&self, system: &System) -> Vec<Endpoint> {
+        let is_plain = |endpoint: &Endpoint| {
+            let kinds = endpoint
+                .services
+                .iter()
+                .filter_map(|name| system.service(name))
+                .map(|service| service.kind);
+            let mut kinds = kinds.peekable();
+            kinds.peek().is_some() && kinds.all(|kind| kind == ServiceKind::Plain)
+        };
+        let mut endpoints = self.endpoints(system);
+        endpoints.retain(|endpoint| !is_plain(endpoint));
+        endpoints
+    }
+}
+
+/// An endpoint whose VM is about to be taken.
+pub(super) struct LeavingEndpoint {
+    pub(super) endpoint: EndpointId,
+    pub(super) deadline: Timestamp,
+}
+
+fn endpoint_id(vm: &Vm) -> EndpointId {
+    let id = vm.id.as_str().parse();
+    id.expect("a VM's name is a valid endpoint name")
+}
+
+fn add_named(
+    endpoints: &mut Vec<Endpoint>,
+    service: &crate::world::Service,
+    named: &crate::world::NamedEndpoint,
+) {
+    let known = endpoints.iter_mut().find(|known| known.id == named.id);
+    if let Some(known) = known {
+        if !known.services.contains(&service.name) {
+            known.services.push(service.name.clone());
+        }
+        return;
+    }
+    let vm = named.id.as_str().parse();
+    endpoints.push(Endpoint {
+        id: named.id.clone(),
+        vm: vm.expect("an endpoint's name is a valid VM name"),
+        zone: named.zone.clone(),
+        address: named.address,
+        services: vec![service.name.clone()],
+    });
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/peers.rs
@@ -0,0 +1,258 @@
+//! Messages from other daemons, and changes of the view of them.
+
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::copies::Appended;
+use crate::entry::event::LinkEvent;
+use crate::ids::{DaemonId, RequestId, Revision};
+use crate::membership::{Evidence, Member, MemberDigest, MemberEvent, MemberState};
+use crate::message::{CallerRef, Message};
+use crate::quarantine::Suspicion;
+use crate::units::Timestamp;
+use crate::world::LoadReport;
+
+impl Entry {
+    pub(super) fn heartbeat(&self) -> Message {
+        Message::Heartbeat {
+            member: self.membership.own().clone(),
+            revision: self.adoption.revision(),
+            digest: self.membership.digest(),
+        }
+    }
+
+    pub(super) fn on_message(&mut self, now: Timestamp, from: DaemonId, message: Message) {
+        match message {
+            Message::Heartbeat {
+                member,
+                revision,
+                digest,
+            } => self.on_heartbeat(now, &from, &member, revision, &digest),
+            Message::Goodbye => self.on_evidence(now, &from, Evidence::Goodbye),
+            Message::Copy(record) => self.on_copy(now, &from, *record),
+            Message::Append {
+                id,
+                epoch,
+                from: index,
+                events,
+                attempts,
+                place,
+            } => {
+                let appended = Appended {
+                    id,
+                    epoch,
+                    from: index,
+                    events,
+                    attempts,
+                    place,
+                };
+                self.on_append(now, &from, appended);
+            }
+            Message::CopyAck { id, epoch, through } => {
+                self.on_copy_ack(now, &from, &id, epoch, through);
+            }
+            Message::CopyRefused { id, epoch, refusal } => {
+                self.on_copy_refused(now, &from, &id, epoch, refusal);
+            }
+            Message::Drop { id, epoch } => self.on_drop(&id, epoch),
+            Message::HandOver { id, epoch, callers } => {
+                self.on_hand_over(now, &from, &id, epoch, callers);
+            }
+            Message::TakenOver { id, epoch } => self.on_taken_over(now, &from, &id, epoch),
+            Message::Locate { token, target } => self.on_locate(&from, token, &target),
+            Message::LocateAnswer { token, found } => {
+                self.on_locate_answer(now, &from, token, found);
+            }
+            other => self.on_other_message(now, from, other),
+        }
+    }
+
+    fn on_other_message(&mut self, now: Timestamp, from: DaemonId, message: Message) {
+        match message {
+            Message::Attach {
+                caller,
+                id,
+                customer,
+                position,
+            } => {
+                let caller = CallerRef {
+                    daemon: from,
+                    caller,
+                };
+                self.attach_from(now, caller, id, customer, position);
+            }
+            Message::Detach { caller, .. } => {
+                let caller = CallerRef {
+                    daemon: from,
+                    caller,
+                };
+                self.unsubscribe(&caller);
+            }
+            Message::Forward { caller, request } => {
+                let caller = CallerRef {
+                    daemon: from,
+                    caller,
+                };
+                self.receive(now, caller, request);
+            }
+            Message::Deliver { caller, delivery } => {
+                self.on_deliver(now, &from, caller, delivery);
+            }
+            Message::Suspect(suspicion) => self.on_suspect(now, &suspicion),
+            Message::Limits(share) => self.limits.on_share(now, &from, &share),
+            Message::Loads(reports) => self.on_loads(now, &reports),
+            Message::EndpointLeaving { endpoint, deadline } => {
+                self.on_endpoint_leaving(now, &endpoint, deadline);
+            }
+            Message::PullConfiguration => self.push_configuration(&from),
+            Message::PushConfiguration(record) => self.adopt(now, *record, from.vm.as_str()),
+            _ => {}
+        }
+    }
+
+    fn on_heartbeat(
+        &mut self,
+        now: Timestamp,
+        from: &DaemonId,
+        member: &Member,
+        revision: Revision,
+        digest: &MemberDigest,
+    ) {
+        if member.id != *from {
+            return;
+        }
+        if self.membership.member(from).is_none() {
+            self.membership
+                .on_introduction(now, member, &mut self.journal);
+        }
+        let evidence = match member.leaving {
+            true => Evidence::HeartbeatLeaving,
+            false => Evidence::Heartbeat,
+        };
+        self.on_evidence(now, from, evidence);
+        self.membership
+            .on_digest(now, from, digest, &mut self.journal);
+        self.source.heard(from, revision);
+        if revision > self.adoption.revision() {
+            self.send(from, Message::PullConfiguration);
+        }
+    }
+
+    fn on_suspect(&mut self, now: Timestamp, suspicion: &Suspicion) {
+        if self.quarantine.merge(now, suspicion, &mut self.journal) {
+            self.fail_all_quarantined(now);
+        }
+    }
+
+    fn on_loads(&mut self, now: Timestamp, reports: &[LoadReport]) {
+        for report in reports {
+            self.take_report(now, report);
+        }
+    }
+
+    pub(super) fn on_evidence(&mut self, now: Timestamp, daemon: &DaemonId, evidence: Evidence) {
+        self.membership
+            .on_evidence(now, daemon, evidence, &mut self.journal);
+    }
+
+    pub(super) fn on_link(&mut self, now: Timestamp, daemon: &DaemonId, event: &LinkEvent) {
+        match event {
+            LinkEvent::Refused => {
+                self.on_evidence(now, daemon, Evidence::Refused);
+                self.probe_peer(daemon);
+            }
+            LinkEvent::Silent => self.probe_peer(daemon),
+            LinkEvent::ProbeAnswered => {
+                self.on_evidence(now, daemon, Evidence::Heartbeat);
+                self.actions.push(Action::ReplaceLink {
+                    daemon: daemon.clone(),
+                });
+                self.resend_to(now, daemon);
+            }
+            LinkEvent::ProbeSilent => self.on_evidence(now, daemon, Evidence::Silent),
+        }
+    }
+
+    /// Asks a peer for a sign of life on a new connection.
+    pub(super) fn probe_peer(&mut self, daemon: &DaemonId) {
+        let is_gone = self.membership.state(daemon) == Some(MemberState::Gone);
+        let Some(member) = self.membership.member(daemon) else {
+            return;
+        };
+        if is_gone {
+            return;
+        }
+        self.actions.push(Action::ProbePeer {
+            daemon: daemon.clone(),
+            address: member.peer_address,
+        });
+    }
+
+    /// Sends whole records again to a standby whose link was replaced: parts may be lost.
+    fn resend_to(&mut self, now: Timestamp, standby: &DaemonId) {
+        let on_it: Vec<RequestId> = self
+            .owned
+            .iter()
+            .filter(|(_, owned)| {
+                let daemon = owned.standby.as_ref();
+                daemon.is_some_and(|kept| {
+                    kept.daemon == *standby && kept.acked != Some(owned.record.events.len())
+                })
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in on_it {
+            self.copy_to(now, &id, standby.clone());
+        }
+    }
+
+    /// Carries out what changes of the view ask for.
+    pub(super) fn follow_members(&mut self, now: Timestamp) {
+        for event in self.membership.tick(now, &mut self.journal) {
+            match event {
+                MemberEvent::Joined(member) => self.on_joined(&member),
+                MemberEvent::Leaving(daemon) => self.leave_standby(now, &daemon, "leaving"),
+                MemberEvent::Gone(daemon, _) => self.on_gone(now, &daemon),
+                MemberEvent::Returned(_) => {}
+            }
+        }
+    }
+
+    fn on_joined(&mut self, member: &Member) {
+        if member.id != self.own {
+            let heartbeat = self.heartbeat();
+            self.send(&member.id, heartbeat);
+        }
+    }
+
+    fn on_gone(&mut self, now: Timestamp, daemon: &DaemonId) {
+        self.source.forget(daemon);
+        // Requests without any copy come first: another loss may follow at once.
+        self.leave_standby(now, daemon, "gone");
+        self.tick_copies(now);
+        self.drop_subscribers_at(daemon);
+        self.relocate_callers(now, daemon);
+    }
+
+    fn leave_standby(&mut self, now: Timestamp, daemon: &DaemonId, reason: &str) {
+        let on_it: Vec<RequestId> = self
+            .owned
+            .iter()
+            .filter(|(_, owned)| {
+                let standby = owned.standby.as_ref();
+                standby.is_some_and(|standby| standby.daemon == *daemon)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in on_it {
+            self.replace_standby(now, &id, reason);
+        }
+    }
+
+    fn drop_subscribers_at(&mut self, daemon: &DaemonId) {
+        for owned in self.owned.values_mut() {
+            owned
+                .subscribers
+                .retain(|subscriber| subscriber.caller.daemon != *daemon);
+        }
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/platform.rs
@@ -0,0 +1,172 @@
+//! What the platform and the endpoints report: VMs, reclaim notices and load.
+
+use std::time::Duration;
+
+use crate::cloud::ReclaimNotice;
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::event::PollOutcome;
+use crate::entry::owned::{Owned, Phase};
+use crate::entry::state::CallPurpose;
+use crate::ids::{CallId, EndpointId, RequestId};
+use crate::message::Message;
+use crate::store::StoreOutcome;
+use crate::units::Timestamp;
+use crate::world::{LoadReport, Vm};
+
+/// Time between two polls of an endpoint's load.
+const POLL_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time before the end of an endpoint's VM at which its streams move.
+const MOVE_MARGIN: Duration = Duration::from_millis(1_500);
+
+impl Entry {
+    pub(super) fn on_store(&mut self, now: Timestamp, call: CallId, outcome: StoreOutcome) {
+        let Some(purpose) = self.calls.remove(&call) else {
+            return;
+        };
+        match purpose {
+            CallPurpose::Claims(shard) => self.claims.on_store(now, shard, outcome),
+            CallPurpose::Registry => self.on_registered(now, &outcome),
+            CallPurpose::Members => self.on_members(now, outcome),
+            CallPurpose::ConfigurationRead => self.on_configuration_read(now, outcome),
+            CallPurpose::ConfigurationWatch => self.on_configuration_changes(now, outcome),
+            CallPurpose::ConfigurationWrite => self.on_configuration_written(now, outcome),
+            CallPurpose::ConfigurationHistory => {}
+        }
+    }
+
+    pub(super) fn on_vms(&mut self, now: Timestamp, vms: &[Vm]) {
+        self.membership.on_vms(now, vms, &mut self.journal);
+        self.fleet.set_vms(vms);
+        self.refresh_endpoints(now);
+        for leaving in self.fleet.leaving() {
+            self.on_endpoint_leaving(now, &leaving.endpoint, Some(leaving.deadline));
+        }
+    }
+
+    pub(super) fn refresh_endpoints(&mut self, now: Timestamp) {
+        let endpoints = self.fleet.endpoints(&self.system);
+        self.router.set_endpoints(now, endpoints);
+    }
+
+    pub(super) fn on_notice(&mut self, now: Timestamp, notice: &ReclaimNotice) {
+        if notice.vm == self.own.vm {
+            self.on_stop(now, Some(notice.deadline));
+            return;
+        }
+        self.membership.on_notice(now, notice, &mut self.journal);
+        if let Some(endpoint) = self.fleet.endpoint_on(&notice.vm) {
+            let deadline = Some(notice.deadline);
+            let is_new = !self.router.is_leaving(&endpoint);
+            self.on_endpoint_leaving(now, &endpoint, deadline);
+            if is_new {
+                self.send_to_all(&Message::EndpointLeaving { endpoint, deadline });
+            }
+        }
+    }
+
+    /// An endpoint gets no new work; its streams finish or move before the deadline.
+    pub(super) fn on_endpoint_leaving(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        deadline: Option<Timestamp>,
+    ) {
+        self.router
+            .mark_leaving(now, endpoint, deadline, &mut self.journal);
+        if let Some(deadline) = deadline {
+            self.leaving_endpoints.insert(endpoint.clone(), deadline);
+        }
+    }
+
+    pub(super) fn tick_platform(&mut self, now: Timestamp) {
+        self.tick_registry(now);
+        self.tick_configuration(now);
+        self.move_streams(now);
+        if self.fleet.poll_at > now {
+            return;
+        }
+        self.fleet.poll_at = now.after(POLL_PERIOD);
+        for endpoint in self.fleet.pollable(&self.system) {
+            self.actions.push(Action::Poll {
+                endpoint: endpoint.id,
+                address: endpoint.address,
+            });
+        }
+    }
+
+    pub(super) fn on_polled(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        outcome: PollOutcome,
+    ) {
+        match outcome {
+            PollOutcome::Report(report) => {
+                self.take_report(now, &report);
+            }
+            PollOutcome::Refused => self.on_endpoint_gone(now, endpoint, true),
+            PollOutcome::Silent => {}
+        }
+    }
+
+    pub(super) fn take_report(&mut self, now: Timestamp, report: &LoadReport) {
+        if self.fleet.set_loaded(&report.endpoint, &report.services) {
+            self.refresh_endpoints(now);
+        }
+        self.router.on_load(now, report);
+    }
+
+    /// Moves the streams of endpoints whose VMs are about to be taken.
+    ///
+    /// A stream stays as long as it can: what it generates meanwhile costs nothing extra,
+    /// and it may end before the deadline.
+    fn move_streams(&mut self, now: Timestamp) {
+        let is_due = |deadline: &Timestamp| now.after(MOVE_MARGIN) >= *deadline;
+        let due: Vec<EndpointId> = self
+            .leaving_endpoints
+            .iter()
+            .filter(|(_, deadline)| is_due(deadline))
+            .map(|(endpoint, _)| endpoint.clone())
+            .collect();
+        for endpoint in due {
+            self.leaving_endpoints.remove(&endpoint);
+            for id in self.movable_on(&endpoint) {
+                self.move_stream(now, &id);
+            }
+        }
+    }
+
+    fn movable_on(&self, endpoint: &EndpointId) -> Vec<RequestId> {
+        let is_movable = |owned: &Owned| match &owned.phase {
+            Phase::Running(running) => {
+                running.place.endpoint == *endpoint && owned.record.request.idempotent
+            }
+            _ => false,
+        };
+        self.owned
+            .iter()
+            .filter(|(_, owned)| is_movable(owned))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    fn move_stream(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let recomputed = owned.record.request.prompt.plus(owned.record.generated());
+        let attempt = owned.attempt_id();
+        let decision = self
+            .decision(now, DecisionKind::Retry, "move", "endpoint-leaving")
+            .with("request", id)
+            .with("attempt", attempt.number)
+            .with("recomputed", recomputed);
+        self.journal.record(decision);
+        self.cancel_attempt(id);
+        self.router.finished(now, &attempt);
+        self.dispatch(now, id);
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/progress.rs
@@ -0,0 +1,148 @@
+//! Events of an attempt: only those of the attempt under way count, each once, in order.
+
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::event::{AttemptEvent, AttemptFailure};
+use crate::entry::owned::{Owned, Phase, Running};
+use crate::ids::{AttemptId, EventIndex, RequestId};
+use crate::request::{AnswerEvent, Dialect};
+use crate::units::Timestamp;
+
+/// What the events of an attempt amount to.
+enum Intake {
+    /// They are in the record.
+    Taken,
+    /// They are kept until the answer is whole.
+    Held,
+    /// All were there already.
+    Nothing,
+    /// Events before them are missing.
+    Gap,
+}
+
+impl Entry {
+    pub(super) fn on_attempt(&mut self, now: Timestamp, attempt: &AttemptId, event: AttemptEvent) {
+        let id = attempt.request.clone();
+        let is_current = self.owned.get(&id).is_some_and(|owned| {
+            let running = owned.running();
+            running.is_some_and(|running| running.place.attempt == attempt.number)
+        });
+        if !is_current {
+            self.ignore_late(now, attempt, &event);
+            return;
+        }
+        match event {
+            AttemptEvent::Sent => self.on_sent(now, &id),
+            AttemptEvent::Answer { from, events } => self.on_answer(now, &id, from, events),
+            AttemptEvent::Failed(failure) => self.recover(now, &id, failure),
+        }
+    }
+
+    fn ignore_late(&mut self, now: Timestamp, attempt: &AttemptId, event: &AttemptEvent) {
+        if matches!(event, AttemptEvent::Failed(_)) {
+            self.router.finished(now, attempt);
+        }
+        if matches!(event, AttemptEvent::Sent) {
+            return;
+        }
+        let decision = self
+            .decision(now, DecisionKind::Finish, "ignored", "attempt-not-current")
+            .with("request", &attempt.request)
+            .with("attempt", attempt.number);
+        self.journal.record(decision);
+    }
+
+    fn on_sent(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        owned.may_have_run = true;
+        if let Phase::Running(running) = &mut owned.phase {
+            running.is_sent = true;
+            running.progress_at = now;
+        }
+    }
+
+    fn on_answer(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        from: EventIndex,
+        events: Vec<AnswerEvent>,
+    ) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        let is_first = owned.record.events.is_empty();
+        match take_in(now, owned, from, events) {
+            Intake::Taken => {
+                if is_first {
+                    let attempt = owned.attempt_id();
+                    self.router.first_token(now, &attempt);
+                }
+                self.after_events(now, id);
+            }
+            Intake::Held | Intake::Nothing => {}
+            Intake::Gap => {
+                let message = "events of the answer are missing".into();
+                self.recover(now, id, AttemptFailure::Protocol { message });
+            }
+        }
+    }
+
+    fn after_events(&mut self, now: Timestamp, id: &RequestId) {
+        let is_done = self
+            .owned
+            .get(id)
+            .is_some_and(|owned| owned.record.is_done());
+        if is_done {
+            self.finish(now, id);
+            return;
+        }
+        self.replicate(now, id);
+        self.deliver(id);
+    }
+}
+
+fn take_in(
+    now: Timestamp,
+    owned: &mut Owned,
+    from: EventIndex,
+    mut events: Vec<AnswerEvent>,
+) -> Intake {
+    let Phase::Running(running) = &mut owned.phase else {
+        return Intake::Nothing;
+    };
+    let record = &mut owned.record;
+    let in_record = record.events.len() as u64 - running.place.first_event.0;
+    let expected = in_record + running.held.len() as u64;
+    if from.0 > expected {
+        return Intake::Gap;
+    }
+    let known = ((expected - from.0) as usize).min(events.len());
+    events.drain(..known);
+    if events.is_empty() {
+        return Intake::Nothing;
+    }
+    running.progress_at = now;
+    running.is_sent = true;
+    running.is_probing = false;
+    owned.may_have_run = true;
+    if let Some(end) = events.iter().position(AnswerEvent::is_last) {
+        events.truncate(end + 1);
+    }
+    if record.request.dialect != Dialect::Plain {
+        record.events.append(&mut events);
+        return Intake::Taken;
+    }
+    hold(running, &mut events);
+    if running.held.last().is_some_and(AnswerEvent::is_last) {
+        record.events.append(&mut running.held);
+        return Intake::Taken;
+    }
+    Intake::Held
+}
+
+fn hold(running: &mut Running, events: &mut Vec<AnswerEvent>) {
+    running.held.append(events);
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -0,0 +1,221 @@
+//! The parts of an entry's state and the entrance for events.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::adoption::Adoption;
+use crate::claims::{ClaimKey, Claims, ShardId};
+use crate::decision::{Decision, DecisionKind, Journal};
+use crate::entry::action::{Action, Output};
+use crate::entry::attach::LocalCaller;
+use crate::entry::configuration::ConfigurationSource;
+use crate::entry::copies::HeldCopy;
+use crate::entry::event::Event;
+use crate::entry::fleet::Fleet;
+use crate::entry::locate::Question;
+use crate::entry::owned::Owned;
+use crate::entry::registry::Registry;
+use crate::entry::stop::Stopping;
+use crate::ids::{
+    CallId, CallerId, CustomerId, DaemonId, EndpointId, IdempotencyKey, RequestId, ServiceName,
+};
+use crate::limits::{Limits, RetryBudget};
+use crate::membership::{Member, Membership};
+use crate::message::{Message, RequestRecord};
+use crate::quarantine::Quarantine;
+use crate::routing::Router;
+use crate::store::StoreCall;
+use crate::units::Timestamp;
+use crate::world::System;
+
+/// Settings of an entry that do not change while it runs.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// This daemon, as it registers itself.
+    pub member: Member,
+    /// Time that callers keep the directory's answer.
+    pub directory_max_age: Duration,
+}
+
+/// Name of a keyed request.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct KeyName {
+    pub(super) customer: CustomerId,
+    pub(super) service: ServiceName,
+    pub(super) key: IdempotencyKey,
+}
+
+impl KeyName {
+    pub(super) fn of(record: &RequestRecord) -> Option<Self> {
+        let request = &record.request;
+        Some(Self {
+            customer: request.customer.clone(),
+            service: request.service.clone(),
+            key: request.key.clone()?,
+        })
+    }
+}
+
+/// Which part a call to the key-value service was made for.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum CallPurpose {
+    Claims(ShardId),
+    Registry,
+    Members,
+    ConfigurationRead,
+    ConfigurationWatch,
+    ConfigurationWrite,
+    ConfigurationHistory,
+}
+
+/// The control state of one entry daemon.
+#[derive(Debug)]
+pub struct Entry {
+    pub(super) settings: EntrySettings,
+    pub(super) own: DaemonId,
+    pub(super) system: Arc<System>,
+    pub(super) adoption: Adoption,
+    pub(super) membership: Membership,
+    pub(super) router: Router,
+    pub(super) limits: Limits,
+    pub(super) retry_budget: RetryBudget,
+    pub(super) quarantine: Quarantine,
+    pub(super) claims: Claims,
+    pub(super) claim_keys: BTreeMap<RequestId, ClaimKey>,
+    pub(super) owned: BTreeMap<RequestId, Owned>,
+    pub(super) copies: BTreeMap<RequestId, HeldCopy>,
+    pub(super) keys: BTreeMap<KeyName, RequestId>,
+    pub(super) callers: BTreeMap<CallerId, LocalCaller>,
+    pub(super) questions: BTreeMap<u64, Question>,
+    pub(super) fleet: Fleet,
+    pub(super) leaving_endpoints: BTreeMap<EndpointId, Timestamp>,
+    pub(super) registry: Registry,
+    pub(super) source: ConfigurationSource,
+    pub(super) stopping: Option<Stopping>,
+    pub(super) calls: BTreeMap<CallId, CallPurpose>,
+    pub(super) next_call: u64,
+    pub(super) next_sequence: u64,
+    pub(super) next_token: u64,
+    pub(super) heartbeat_at: Timestamp,
+    pub(super) share_at: Timestamp,
+    pub(super) actions: Vec<Action>,
+    pub(super) journal: Journal,
+}
+
+impl Entry {
+    /// Starts without a configuration and without any other daemon.
+    pub fn new(settings: EntrySettings) -> Self {
+        let own = settings.member.id.clone();
+        let zone = settings.member.zone.clone();
+        Self {
+            system: Arc::new(System::default()),
+            adoption: Adoption::default(),
+            membership: Membership::new(settings.member.clone()),
+            router: Router::new(&own, zone),
+            limits: Limits::new(&own),
+            retry_budget: RetryBudget::default(),
+            quarantine: Quarantine::new(&own),
+            claims: Claims::new(own.clone()),
+            claim_keys: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            copies: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            questions: BTreeMap::new(),
+            fleet: Fleet::default(),
+            leaving_endpoints: BTreeMap::new(),
+            registry: Registry::default(),
+            source: ConfigurationSource::default(),
+            stopping: None,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            next_sequence: 0,
+            next_token: 0,
+            heartbeat_at: Timestamp::ZERO,
+            share_at: Timestamp::ZERO,
+            actions: Vec::new(),
+            journal: Journal::default(),
+            own,
+            settings,
+        }
+    }
+
+    /// Takes in an event and returns what has to be done and what was decided.
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Output {
+        self.take_in(now, event);
+        self.settle_claims(now);
+        self.follow_members(now);
+        Output {
+            actions: std::mem::take(&mut self.actions),
+            decisions: self.journal.take(),
+        }
+    }
+
+    fn take_in(&mut self, now: Timestamp, event: Event) {
+        match event {
+            Event::Tick => self.on_tick(now),
+            Event::Arrived { caller, request } => self.on_arrived(now, caller, request),
+            Event::Attach {
+                caller,
+                id,
+                customer,
+                position,
+            } => self.on_attach(now, caller, id, customer, position),
+            Event::CallerGone { caller } => self.on_caller_gone(caller),
+            Event::Peer { from, message } => self.on_message(now, from, *message),
+            Event::Link { daemon, event } => self.on_link(now, &daemon, &event),
+            Event::Store { call, outcome } => self.on_store(now, call, outcome),
+            Event::Attempt { attempt, event } => self.on_attempt(now, &attempt, event),
+            Event::Probed { endpoint, outcome } => self.on_probed(now, &endpoint, outcome),
+            Event::Polled { endpoint, outcome } => self.on_polled(now, &endpoint, outcome),
+            Event::Cache(report) => self.router.on_cache(now, &report),
+            Event::Notice(notice) => self.on_notice(now, &notice),
+            Event::Vms(vms) => self.on_vms(now, &vms),
+            Event::Apply(apply) => self.on_apply(now, apply),
+            Event::Stop { deadline } => self.on_stop(now, deadline),
+        }
+    }
+
+    pub(super) fn send(&mut self, to: &DaemonId, message: Message) {
+        let Some(member) = self.membership.member(to) else {
+            return;
+        };
+        let action = Action::Send {
+            to: to.clone(),
+            address: member.peer_address,
+            message: Box::new(message),
+        };
+        self.actions.push(action);
+    }
+
+    pub(super) fn send_to_all(&mut self, message: &Message) {
+        let others: Vec<DaemonId> = self
+            .membership
+            .reachable()
+            .map(|member| member.id.clone())
+            .collect();
+        for to in others {
+            self.send(&to, message.clone());
+        }
+    }
+
+    pub(super) fn call_store(&mut self, purpose: CallPurpose, call: StoreCall) -> CallId {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.calls.insert(id, purpose);
+        self.actions.push(Action::Store { id, call });
+        id
+    }
+
+    /// Starts a decision record that names the configuration in force.
+    pub(super) fn decision(
+        &self,
+        now: Timestamp,
+        kind: DecisionKind,
+        choice: &str,
+        reason: &str,
+    ) -> Decision {
+        Decision::new(now, kind, choice, reason).with("revision", self.adoption.revision())
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/stop.rs
@@ -0,0 +1,257 @@
+//! Stopping: a planned stop finishes what it has, a reclaim hands it over.
+//!
+//! In both cases the daemon leaves the directory at once and passes new requests on. A
+//! planned stop ends when every request is finished and callers have had time to forget
+//! the address. A reclaim asks each standby to take over, and ends within the notice.
+
+use std::time::Duration;
+
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::owned::{Owned, Phase};
+use crate::ids::RequestId;
+use crate::message::{HandedCaller, Message};
+use crate::units::Timestamp;
+
+/// Time before the end of the notice at which unfinished non-idempotent requests go over.
+const LAST_HAND_OVER: Duration = Duration::from_millis(700);
+
+/// Time before the end of the notice at which the process exits.
+const EXIT_MARGIN: Duration = Duration::from_millis(200);
+
+/// Time that a daemon that has finished still answers its peers.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// State of a daemon that stops.
+#[derive(Debug, Clone)]
+pub(super) struct Stopping {
+    since: Timestamp,
+    deadline: Option<Timestamp>,
+    goodbye_at: Option<Timestamp>,
+    is_over: bool,
+}
+
+impl Entry {
+    pub(super) fn on_stop(&mut self, now: Timestamp, deadline: Option<Timestamp>) {
+        let is_reclaim = deadline.is_some();
+        match &mut self.stopping {
+            Some(stopping) if stopping.deadline.is_some() || !is_reclaim => return,
+            Some(stopping) => stopping.deadline = deadline,
+            None => {
+                self.stopping = Some(Stopping {
+                    since: now,
+                    deadline,
+                    goodbye_at: None,
+                    is_over: false,
+                });
+            }
+        }
+        let reason = if is_reclaim { "reclaim" } else { "planned" };
+        let decision = self
+            .decision(now, DecisionKind::Stop, "leave", reason)
+            .with("owned", self.owned.len())
+            .with("copies", self.copies.len())
+            .with("deadline", deadline.unwrap_or(Timestamp::NEVER));
+        self.journal.record(decision);
+        self.membership.set_leaving();
+        self.register_soon();
+        let heartbeat = self.heartbeat();
+        self.send_to_all(&heartbeat);
+        if is_reclaim {
+            self.hand_over_all(now);
+        }
+    }
+
+    /// Begins the hand-over of everything, in the order of what a sudden end would cost.
+    fn hand_over_all(&mut self, now: Timestamp) {
+        let mut ids: Vec<RequestId> = self.owned.keys().cloned().collect();
+        ids.sort_by_key(|id| self.owned.get(id).map(cost_of_loss));
+        ids.reverse();
+        for id in ids {
+            let is_accepted = self.owned.get(&id).is_some_and(Owned::is_accepted);
+            if !is_accepted {
+                self.pass_on(now, &id);
+                continue;
+            }
+            self.hand_over_if_stopping(now, &id);
+        }
+    }
+
+    /// Forwards a request that is not accepted yet.
+    fn pass_on(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let request = owned.record.request.clone();
+        let Some(peer) = self.forward_target(&request) else {
+            return;
+        };
+        let Some(owned) = self.forget_owned(id) else {
+            return;
+        };
+        if let Some(reservation) = owned.reservation {
+            let nothing = crate::units::Tokens(0);
+            self.limits.settle(now, reservation, nothing);
+        }
+        for subscriber in owned.subscribers {
+            if subscriber.caller.daemon == self.own {
+                self.forward(now, subscriber.caller.caller, request.clone(), &peer);
+            }
+        }
+    }
+
+    /// Asks the standby to take over, if this daemon is being reclaimed and the standby
+    /// holds everything.
+    pub(super) fn hand_over_if_stopping(&mut self, now: Timestamp, id: &RequestId) {
+        if !self.is_reclaimed() || self.hand_over_unclaimed(now, id) {
+            return;
+        }
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let request = &owned.record.request;
+        let service = self.system.service(&request.service);
+        let checks_keys = service.is_some_and(|service| service.checks_keys);
+        let must_stay = !request.idempotent && !checks_keys && !owned.is_done();
+        if must_stay && !self.is_last_moment(now) {
+            return;
+        }
+        self.hand_over(now, id);
+    }
+
+    /// Hands a request over that was not dispatched, after releasing its claim. Returns
+    /// whether the request is on its way.
+    pub(super) fn hand_over_unclaimed(&mut self, now: Timestamp, id: &RequestId) -> bool {
+        if !self.is_reclaimed() {
+            return false;
+        }
+        let Some(owned) = self.owned.get(id) else {
+            return false;
+        };
+        if owned.is_handed_over {
+            return true;
+        }
+        if owned.may_have_run || owned.is_done() || owned.running().is_some() {
+            return false;
+        }
+        if owned.record.request.idempotent {
+            self.hand_over(now, id);
+        } else if owned.has_claim || owned.phase == Phase::Claiming {
+            self.release_claim(now, id);
+        }
+        true
+    }
+
+    /// The claim no longer bars others.
+    pub(super) fn on_released(&mut self, now: Timestamp, id: &RequestId) {
+        let is_waiting = self
+            .owned
+            .get(id)
+            .is_some_and(|owned| !owned.is_done() && !owned.may_have_run);
+        if is_waiting && self.is_reclaimed() {
+            self.hand_over(now, id);
+        }
+    }
+
+    fn hand_over(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        let Some(standby) = &owned.standby else {
+            return;
+        };
+        if owned.is_handed_over || standby.acked.is_none() {
+            return;
+        }
+        owned.is_handed_over = true;
+        let to = standby.daemon.clone();
+        let epoch = owned.record.epoch;
+        let events = owned.record.events.len();
+        let callers = owned.subscribers.iter().map(|subscriber| HandedCaller {
+            caller: subscriber.caller.clone(),
+            position: subscriber.position,
+        });
+        let callers = callers.collect();
+        let decision = self
+            .decision(now, DecisionKind::TakeOver, "hand-over", "reclaim")
+            .with("request", id)
+            .with("to", &to)
+            .with("events", events);
+        self.journal.record(decision);
+        let id = id.clone();
+        self.send(&to, Message::HandOver { id, epoch, callers });
+    }
+
+    fn is_reclaimed(&self) -> bool {
+        let stopping = self.stopping.as_ref();
+        stopping.is_some_and(|stopping| stopping.deadline.is_some())
+    }
+
+    fn is_last_moment(&self, now: Timestamp) -> bool {
+        let deadline = self.stopping.as_ref().and_then(|s| s.deadline);
+        deadline.is_some_and(|deadline| now.after(LAST_HAND_OVER) >= deadline)
+    }
+
+    pub(super) fn tick_stop(&mut self, now: Timestamp) {
+        let Some(stopping) = self.stopping.clone() else {
+            return;
+        };
+        if stopping.is_over {
+            return;
+        }
+        if stopping.deadline.is_some() {
+            let ids: Vec<RequestId> = self.owned.keys().cloned().collect();
+            for id in ids {
+                self.hand_over_if_stopping(now, &id);
+            }
+        }
+        match stopping.goodbye_at {
+            None if self.is_finished(now, &stopping) => self.say_goodbye(now),
+            Some(at) if now.since(at) >= LINGER => self.exit(now),
+            _ => {}
+        }
+    }
+
+    fn is_finished(&self, now: Timestamp, stopping: &Stopping) -> bool {
+        let is_settled = |owned: &Owned| owned.is_done() && owned.is_delivered();
+        let is_empty = self.owned.values().all(is_settled) && self.callers.is_empty();
+        match stopping.deadline {
+            Some(deadline) => is_empty || now.after(EXIT_MARGIN + LINGER) >= deadline,
+            None => is_empty && now.since(stopping.since) >= self.settings.directory_max_age,
+        }
+    }
+
+    fn say_goodbye(&mut self, now: Timestamp) {
+        let unfinished = self.owned.values().filter(|owned| !owned.is_done());
+        let decision = self
+            .decision(now, DecisionKind::Stop, "goodbye", "finished")
+            .with("unfinished", unfinished.count())
+            .with("callers", self.callers.len());
+        self.journal.record(decision);
+        self.send_to_all(&Message::Goodbye);
+        if let Some(lease) = self.registry.lease() {
+            let call = crate::store::StoreCall::Revoke { lease };
+            self.call_store(crate::entry::state::CallPurpose::ConfigurationHistory, call);
+        }
+        if let Some(stopping) = &mut self.stopping {
+            stopping.goodbye_at = Some(now);
+        }
+    }
+
+    fn exit(&mut self, now: Timestamp) {
+        let decision = self.decision(now, DecisionKind::Stop, "exit", "finished");
+        self.journal.record(decision);
+        self.actions.push(Action::Exit);
+        if let Some(stopping) = &mut self.stopping {
+            stopping.is_over = true;
+        }
+    }
+}
+
+/// What a sudden end would cost: undispatched claims first, then invested tokens.
+fn cost_of_loss(owned: &Owned) -> u64 {
+    let invested = owned.record.generated().plus(owned.record.request.prompt);
+    let holds_claim = owned.has_claim && !owned.may_have_run;
+    if holds_claim { u64::MAX } else { invested.0 }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -0,0 +1,205 @@
+//! A standby becomes the owner, and an owner that was replaced gives way.
+//!
+//! Each take-over adds one to the request's epoch. A former owner that still lives learns
+//! of it when a standby refuses its next events, and passes its callers on.
+
+use std::time::Duration;
+
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::owned::{Owned, Phase, Subscriber};
+use crate::entry::state::KeyName;
+use crate::ids::{AttemptId, DaemonId, Epoch, RequestId};
+use crate::message::{CopyRefusal, HandedCaller, Message, RequestRecord};
+use crate::units::Timestamp;
+
+/// Time that a new standby has before the request runs on without a copy.
+const RECOPY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Attempt numbers that are set apart for each epoch, so that two owners never use the same.
+const ATTEMPTS_PER_EPOCH: u32 = 1_000;
+
+impl Entry {
+    /// Makes this daemon the owner of a request that it holds a copy of.
+    pub(super) fn take_over(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        callers: Vec<HandedCaller>,
+        reason: &str,
+    ) {
+        let Some(copy) = self.copies.remove(id) else {
+            return;
+        };
+        let former = copy.record.owner.clone();
+        let owned = self.owned_from_copy(now, copy.record, callers);
+        let decision = self
+            .decision(now, DecisionKind::TakeOver, "take-over", reason)
+            .with("request", id)
+            .with("former", former)
+            .with("epoch", owned.record.epoch)
+            .with("events", owned.record.events.len());
+        self.journal.record(decision);
+        if let Some(name) = KeyName::of(&owned.record) {
+            self.keys.insert(name, id.clone());
+        }
+        self.owned.insert(id.clone(), owned);
+        self.protect(now, id);
+        self.adopt_waiting_callers(now, id);
+    }
+
+    fn owned_from_copy(
+        &self,
+        now: Timestamp,
+        mut record: RequestRecord,
+        callers: Vec<HandedCaller>,
+    ) -> Owned {
+        record.epoch = Epoch(record.epoch.0 + 1);
+        record.owner = self.own.clone();
+        let floor = record.epoch.0 as u32 * ATTEMPTS_PER_EPOCH;
+        record.attempts = record.attempts.max(floor);
+        let subscribers = callers.into_iter().map(|handed| Subscriber {
+            caller: handed.caller,
+            position: handed.position,
+            is_told: true,
+        });
+        let may_have_run = record.place.is_some();
+        let phase = if record.is_done() {
+            Phase::Done { at: now }
+        } else {
+            let until = now.after(RECOPY_TIMEOUT);
+            Phase::Recopying { until }
+        };
+        Owned {
+            record,
+            phase,
+            standby: None,
+            subscribers: subscribers.collect(),
+            reservation: None,
+            excluded: Vec::new(),
+            may_have_run,
+            has_claim: false,
+            is_handed_over: false,
+        }
+    }
+
+    /// Gives a request that was taken over a standby before it runs on.
+    fn protect(&mut self, now: Timestamp, id: &RequestId) {
+        let zone = self.settings.member.zone.clone();
+        let next = self.membership.standby(id.home, &zone, &[]);
+        match next.map(|member| member.id.clone()) {
+            Some(next) => self.copy_to(now, id, next),
+            None => {
+                let is_done = self.owned.get(id).is_some_and(Owned::is_done);
+                if !is_done {
+                    self.go_on(now, id);
+                }
+                self.deliver(id);
+            }
+        }
+    }
+
+    /// The leaving owner asks this standby to take over.
+    pub(super) fn on_hand_over(
+        &mut self,
+        now: Timestamp,
+        from: &DaemonId,
+        id: &RequestId,
+        epoch: Epoch,
+        callers: Vec<HandedCaller>,
+    ) {
+        if let Some(owned) = self.owned.get(id) {
+            let epoch = owned.record.epoch;
+            let id = id.clone();
+            self.send(from, Message::TakenOver { id, epoch });
+            return;
+        }
+        let is_held = self
+            .copies
+            .get(id)
+            .is_some_and(|copy| copy.record.epoch == epoch);
+        if !is_held || self.stopping.is_some() {
+            let refusal = if is_held {
+                CopyRefusal::Leaving
+            } else {
+                CopyRefusal::Incomplete
+            };
+            let id = id.clone();
+            self.send(from, Message::CopyRefused { id, epoch, refusal });
+            return;
+        }
+        self.take_over(now, id, callers, "handed-over");
+        let epoch = Epoch(epoch.0 + 1);
+        self.send(
+            from,
+            Message::TakenOver {
+                id: id.clone(),
+                epoch,
+            },
+        );
+    }
+
+    /// The standby has taken the request over.
+    pub(super) fn on_taken_over(
+        &mut self,
+        now: Timestamp,
+        from: &DaemonId,
+        id: &RequestId,
+        epoch: Epoch,
+    ) {
+        let is_newer = self
+            .owned
+            .get(id)
+            .is_some_and(|owned| owned.record.epoch < epoch);
+        if is_newer {
+            self.give_way(now, id, from, epoch);
+        }
+    }
+
+    /// Another daemon owns the request now: callers here go on through it.
+    pub(super) fn give_way(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        owner: &DaemonId,
+        epoch: Epoch,
+    ) {
+        self.abandon_attempt(now, id);
+        let Some(owned) = self.forget_owned(id) else {
+            return;
+        };
+        let decision = self
+            .decision(now, DecisionKind::TakeOver, "give-way", "superseded")
+            .with("request", id)
+            .with("owner", owner)
+            .with("epoch", epoch);
+        self.journal.record(decision);
+        if let Some(reservation) = owned.reservation {
+            let used = owned.record.request.prompt.plus(owned.record.generated());
+            self.limits.settle(now, reservation, used);
+        }
+        let customer = owned.record.request.customer.clone();
+        for subscriber in owned.subscribers {
+            if subscriber.caller.daemon != self.own {
+                continue;
+            }
+            let caller = subscriber.caller.caller;
+            let position = subscriber.position;
+            self.follow_owner(now, caller, id, owner, customer.clone(), position);
+        }
+    }
+
+    /// Lets go of an attempt without ending it: its stream goes on for the new owner.
+    fn abandon_attempt(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(running) = self.owned.get(id).and_then(Owned::running) else {
+            return;
+        };
+        let attempt = AttemptId {
+            request: id.clone(),
+            number: running.place.attempt,
+        };
+        self.router.finished(now, &attempt);
+        self.actions.push(Action::Abandon { attempt });
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/timers.rs
@@ -0,0 +1,68 @@
+//! What happens with the passing of time.
+
+use std::time::Duration;
+
+use crate::entry::Entry;
+use crate::entry::owned::Phase;
+use crate::ids::RequestId;
+use crate::message::Message;
+use crate::units::Timestamp;
+
+/// Time between two ticks.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// Time between two heartbeats to a peer.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time between two messages about the use of limits.
+const SHARE_PERIOD: Duration = Duration::from_millis(1_000);
+
+impl Entry {
+    pub(super) fn on_tick(&mut self, now: Timestamp) {
+        self.tick_peers(now);
+        self.tick_platform(now);
+        self.quarantine.tick(now);
+        let ids: Vec<RequestId> = self.owned.keys().cloned().collect();
+        for id in ids {
+            self.tick_request(now, &id);
+        }
+        self.tick_copies(now);
+        self.tick_questions(now);
+        self.tick_stop(now);
+    }
+
+    fn tick_request(&mut self, now: Timestamp, id: &RequestId) {
+        self.check_deadline(now, id);
+        self.expire_done(now, id);
+        self.check_standby(now, id);
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        match &owned.phase {
+            Phase::Accepting { until, .. } if *until <= now => self.accept_timeout(now, id),
+            Phase::Recopying { until } if *until <= now => self.go_on(now, id),
+            Phase::Waiting { retry_at } if *retry_at <= now => self.go_on(now, id),
+            Phase::Probing { until, .. } if *until <= now => self.go_on(now, id),
+            Phase::Running(_) => self.check_progress(now, id),
+            _ => {}
+        }
+    }
+
+    fn tick_peers(&mut self, now: Timestamp) {
+        if self.heartbeat_at <= now {
+            self.heartbeat_at = now.after(HEARTBEAT_PERIOD);
+            let message = self.heartbeat();
+            for to in self.membership.heartbeat_targets() {
+                self.send(&to, message.clone());
+            }
+            self.find_standbys(now);
+        }
+        if self.share_at <= now {
+            self.share_at = now.after(SHARE_PERIOD);
+            let live = self.membership.live().count() as u32;
+            self.limits.set_entries(now, live.max(1));
+            let share = self.limits.share(now);
+            self.send_to_all(&Message::Limits(share));
+        }
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/watchdog.rs
@@ -0,0 +1,109 @@
+//! Silent connections: attempts without progress are checked on a new connection.
+//!
+//! A connection can go silent while the endpoint is well, because something between the
+//! two ends forgot it. A probe on a new connection tells the two apart. If the endpoint
+//! answers, the old connection is dead: pooled connections are dropped and the stream is
+//! resumed on a new one. A plain call gives no progress before its end, so that only its
+//! deadline ends it, and a non-idempotent one is never sent again.
+
+use std::time::Duration;
+
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::owned::{Owned, Running};
+use crate::ids::{EndpointId, RequestId};
+use crate::request::Dialect;
+use crate::units::Timestamp;
+
+/// Time without an event after which a stream is checked.
+const STALL: Duration = Duration::from_millis(1_500);
+
+/// Allowance over the expected time to the first token, as a factor.
+const FIRST_TOKEN_FACTOR: u32 = 2;
+
+/// Times that one attempt's stream is resumed before the endpoint counts as stuck.
+const MAX_RESUMES: u32 = 2;
+
+impl Entry {
+    /// Asks for a probe if the attempt has made no progress for too long.
+    pub(super) fn check_progress(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        let is_plain = owned.record.request.dialect == Dialect::Plain;
+        let crate::entry::owned::Phase::Running(running) = &mut owned.phase else {
+            return;
+        };
+        if is_plain || running.is_probing || now.since(running.progress_at) < patience(running) {
+            return;
+        }
+        running.is_probing = true;
+        let endpoint = running.place.endpoint.clone();
+        let address = running.place.address;
+        let silent_for = now.since(running.progress_at);
+        let decision = self
+            .decision(now, DecisionKind::Connection, "probe", "no-progress")
+            .with("request", id)
+            .with("endpoint", &endpoint)
+            .with("silent_us", silent_for.as_micros());
+        self.journal.record(decision);
+        self.actions.push(Action::Probe { endpoint, address });
+    }
+
+    /// The endpoint answered on a new connection: the silent ones are dead.
+    pub(super) fn replace_silent(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        let silent = self.silent_on(endpoint);
+        let address = self.router.endpoint(endpoint).map(|known| known.address);
+        if let Some(address) = address
+            && !silent.is_empty()
+        {
+            self.actions.push(Action::DropConnections { address });
+        }
+        for id in silent {
+            self.replace_connection(now, &id);
+        }
+    }
+
+    fn silent_on(&self, endpoint: &EndpointId) -> Vec<RequestId> {
+        let is_silent = |owned: &Owned| {
+            let running = owned.running();
+            running.is_some_and(|running| running.is_probing && running.place.endpoint == *endpoint)
+        };
+        self.owned
+            .iter()
+            .filter(|(_, owned)| is_silent(owned))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    fn replace_connection(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(running) = self.owned.get(id).and_then(Owned::running) else {
+            return;
+        };
+        let place = running.place.clone();
+        let resumes = running.resumes + 1;
+        if resumes <= MAX_RESUMES {
+            self.resume_stream(now, id, place, resumes);
+            return;
+        }
+        self.cancel_attempt(id);
+        self.router
+            .mark_failed(now, &place.endpoint, &mut self.journal);
+        let attempt = crate::ids::AttemptId {
+            request: id.clone(),
+            number: place.attempt,
+        };
+        self.router.finished(now, &attempt);
+        self.dispatch(now, id);
+    }
+}
+
+fn patience(running: &Running) -> Duration {
+    let has_begun = running.progress_at > running.started_at;
+    if has_begun {
+        STALL
+    } else {
+        STALL + running.expected_first_token * FIRST_TOKEN_FACTOR
+    }
+}
--- a/crates/laburnumstall-core/src/error.rs
+++ b/crates/laburnumstall-core/src/error.rs
@@ -66,6 +66,8 @@
         DeadlineExceeded,
         /// The endpoint answered with an error.
         EndpointFailed,
+        /// The request was running on endpoints that crashed and is not run again.
+        EndpointCrashed,
         /// The answer cannot be continued from the event that the caller names.
         StreamDiverged,
     }
@@ -112,7 +114,7 @@
 
 /// The answer of every error kind.
 #[rustfmt::skip]
-pub const ERROR_TABLE: [ErrorAnswer; 21] = {
+pub const ERROR_TABLE: [ErrorAnswer; 22] = {
     use ErrorKind::*;
     use Execution::*;
     [
@@ -121,7 +123,7 @@
         row(Unauthenticated, 401, NotRun, 0, "the bearer key names no customer", "check the Authorization header"),
         row(Forbidden, 403, NotRun, 0, "the contract does not cover this service", "ask the operators"),
         row(UnknownService, 404, NotRun, 0, "there is no such service", "check the model or service name"),
-        row(UnknownRequest, 404, NotRun, 0, "there is no such request", "check the request id"),
+        row(UnknownRequest, 404, OutcomeUnknown, 0, "there is no such request", "check the request id"),
         row(KeyConflict, 409, NotRun, 0, "the idempotency key was used with another body", "use a new key for a new request"),
         row(KeyExpired, 410, NotRun, 0, "the idempotency key is older than the service's window", "use a new key"),
         row(KeyMissing, 400, NotRun, 0, "a non-idempotent call needs an idempotency key", "send an Idempotency-Key header"),
@@ -136,6 +138,7 @@
         row(ConnectionLost, 502, OutcomeUnknown, 0, "the connection failed after the request was sent", "find out whether it ran before sending it with a new key"),
         row(DeadlineExceeded, 504, OutcomeUnknown, 0, "the deadline passed after the request was dispatched", "find out whether it ran before sending it with a new key"),
         row(EndpointFailed, 502, RanFailed, 0, "the endpoint answered with an error", "see the endpoint's message"),
+        row(EndpointCrashed, 502, RanFailed, 0, "the request was running on endpoints that crashed", "change the request or ask the operators"),
         row(StreamDiverged, 409, RanFailed, 0, "the answer cannot be continued from that event", "attach without Last-Event-ID for the whole answer"),
     ]
 };
@@ -170,6 +173,7 @@
             ConnectionLost => "connection-lost",
             DeadlineExceeded => "deadline-exceeded",
             EndpointFailed => "endpoint-failed",
+            EndpointCrashed => "endpoint-crashed",
             StreamDiverged => "stream-diverged",
         }
     }
--- a/crates/laburnumstall-core/src/hash.rs
+++ b/crates/laburnumstall-core/src/hash.rs
@@ -3,9 +3,8 @@
 //! Rendezvous hashing (Thaler and Ravishankar, 1998) lets every daemon with the same
 //! view pick the same members for a key, and moves few keys when the view changes.
 
-use std::hash::Hasher;
-
 use crate::ids::{CustomerId, Fingerprint, HomeHash, IdempotencyKey, ServiceName};
+use crate::request::AnswerEvent;
 
 /// Returns the first eight bytes of the BLAKE3 digest of `parts`, each with its length.
 pub fn digest64(parts: &[&[u8]]) -> u64 {
@@ -59,10 +58,33 @@
 pub struct StreamChecksum(crc32fast::Hasher);
 
 impl StreamChecksum {
+    /// Goes on from the checksum of the events before.
+    pub fn resume(value: u32) -> Self {
+        Self(crc32fast::Hasher::new_with_initial(value))
+    }
+
     /// Adds one event.
-    pub fn add(&mut self, event: &[u8]) {
-        self.0.write_u32(event.len() as u32);
-        self.0.update(event);
+    pub fn add(&mut self, event: &AnswerEvent) {
+        match event {
+            AnswerEvent::Head {
+                status,
+                content_type,
+            } => {
+                self.0.update(&status.to_le_bytes());
+                self.add_text(content_type);
+            }
+            AnswerEvent::Chunk { text, tokens } => {
+                self.0.update(&tokens.to_le_bytes());
+                self.add_text(text);
+            }
+            AnswerEvent::End { finish } => self.add_text(finish),
+            AnswerEvent::Failed(refusal) => self.add_text(refusal.kind.name()),
+        }
+    }
+
+    fn add_text(&mut self, text: &str) {
+        self.0.update(&(text.len() as u32).to_le_bytes());
+        self.0.update(text.as_bytes());
     }
 
     /// Returns the checksum of all events so far.
--- a/crates/laburnumstall-core/src/ids.rs
+++ b/crates/laburnumstall-core/src/ids.rs
@@ -102,6 +102,8 @@
     CallId, "";
     /// Number that one daemon gives to a caller's connection.
     CallerId, "";
+    /// Number of the ownership of a request; each take-over adds one.
+    Epoch, "";
     /// Index of an event in a stream, counted from zero.
     EventIndex, "";
 }
--- a/crates/laburnumstall-core/src/membership/view.rs
+++ b/crates/laburnumstall-core/src/membership/view.rs
@@ -48,6 +48,11 @@
         own.into_iter().chain(others)
     }
 
+    /// Returns the other members that do not count as gone.
+    pub fn reachable(&self) -> impl Iterator<Item = &Member> {
+        self.present().map(|standing| &standing.member)
+    }
+
     /// Returns the members that this daemon sends heartbeats to, at most four.
     pub fn heartbeat_targets(&self) -> Vec<DaemonId> {
         let mut members: Vec<&Member> = vec![&self.own];
--- a/crates/laburnumstall-core/src/request.rs
+++ b/crates/laburnumstall-core/src/request.rs
@@ -115,6 +115,14 @@
         matches!(self, Self::End { .. } | Self::Failed(_))
     }
 
+    /// Returns the text that the event adds to the answer.
+    pub fn text(&self) -> &str {
+        match self {
+            Self::Chunk { text, .. } => text,
+            _ => "",
+        }
+    }
+
     /// Returns the tokens that the event holds.
     pub fn tokens(&self) -> u32 {
         match self {
--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -104,6 +104,18 @@
         self.slot(id).map(|slot| &slot.endpoint)
     }
 
+    /// Tells whether an endpoint is leaving or no longer listed.
+    pub fn is_leaving(&self, id: &EndpointId) -> bool {
+        let slot = self.slot(id);
+        slot.is_none_or(|slot| matches!(slot.health, Health::Leaving | Health::Gone))
+    }
+
+    /// Tells whether an endpoint failed and has not shown life since.
+    pub fn is_failed(&self, id: &EndpointId) -> bool {
+        let slot = self.slot(id);
+        slot.is_some_and(|slot| matches!(slot.health, Health::Failed { .. }))
+    }
+
     /// Gives an endpoint no new work until it is gone from the list.
     pub fn mark_leaving(
         &mut self,
