Link the daemons over QUIC with pinned certificates

Cause: daemons need ordered typed messages between each other before a request can be copied to a standby.

--- /dev/null
+++ b/crates/laburnumstall-peer/src/timeouts.rs
@@ -0,0 +1,75 @@
+//! Timeouts of links, and the transport settings made from them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::{TransportConfig, VarInt};
+use snafu::ResultExt;
+
+use crate::PeerError;
+use crate::error::IdleTimeoutSnafu;
+
+/// Most bytes of one stream that the receiver takes before its reader has read them.
+const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+
+/// Most unacknowledged bytes of one connection; above the windows of all lanes together,
+/// so that the bulk lane cannot block the control lane.
+const SEND_WINDOW_BYTES: u64 = 4 * STREAM_WINDOW_BYTES as u64;
+
+/// Most streams that a peer may have open on one connection: one for each lane.
+const MAX_STREAMS: u32 = 2;
+
+/// Timeouts of the links of one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerTimeouts {
+    /// Longest wait for a connection to be accepted.
+    pub connect: Duration,
+    /// Longest silence of a connection before it counts as lost.
+    pub idle: Duration,
+    /// Silence after which the connecting side asks for a sign of life.
+    pub keep_alive: Duration,
+    /// Time without a message after which the sender closes a link, without an event.
+    pub unused: Duration,
+    /// Longest wait for queued messages to arrive when the endpoint closes.
+    pub close: Duration,
+}
+
+impl Default for PeerTimeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(1_500),
+            idle: Duration::from_millis(1_500),
+            keep_alive: Duration::from_millis(500),
+            unused: Duration::from_secs(30),
+            close: Duration::from_secs(2),
+        }
+    }
+}
+
+impl PeerTimeouts {
+    /// Settings of the accepting side.
+    pub(crate) fn accepting(&self) -> Result<Arc<TransportConfig>, PeerError> {
+        let mut cfg = self.common()?;
+        cfg.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+        Ok(Arc::new(cfg))
+    }
+
+    /// Settings of the connecting side, which alone sends keep-alives.
+    pub(crate) fn connecting(&self) -> Result<Arc<TransportConfig>, PeerError> {
+        let mut cfg = self.common()?;
+        cfg.max_concurrent_bidi_streams(VarInt::from_u32(0));
+        cfg.keep_alive_interval(Some(self.keep_alive));
+        Ok(Arc::new(cfg))
+    }
+
+    fn common(&self) -> Result<TransportConfig, PeerError> {
+        let idle = self.idle.try_into().context(IdleTimeoutSnafu)?;
+        let mut cfg = TransportConfig::default();
+        cfg.max_idle_timeout(Some(idle));
+        cfg.max_concurrent_uni_streams(VarInt::from_u32(0));
+        cfg.datagram_receive_buffer_size(None);
+        cfg.stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES));
+        cfg.send_window(SEND_WINDOW_BYTES);
+        Ok(cfg)
+    }
+}
