--- a/crates/laburnumstall-peer/src/endpoint.rs
+++ b/crates/laburnumstall-peer/src/endpoint.rs
@@ -18,9 +18,10 @@
 use crate::link::Link;
 use crate::session::CLOSE_DONE;
 use crate::tls::TlsContext;
+use crate::traffic::Meter;
 use crate::{
     CertificateDigest, Identity, Lane, PeerError, PeerEvent, PeerTimeouts, Pins, SendError,
-    SendFault, inbound, link, probe,
+    SendFault, Traffic, inbound, link, probe,
 };
 
 /// What an endpoint shares with its tasks.
@@ -32,6 +33,7 @@
     dialer: Mutex<quinn::Endpoint>,
     links: Mutex<BTreeMap<DaemonId, Arc<Link>>>,
     incumbents: Mutex<BTreeMap<DaemonId, Incumbent>>,
+    meter: Meter,
     retired: Notify,
     is_closing: AtomicBool,
     tx: mpsc::Sender<PeerEvent<M>>,
@@ -54,6 +56,11 @@
         self.local
     }
 
+    /// Counts the traffic of connections.
+    pub(crate) fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
     /// Returns the endpoint from which new connections are made.
     pub(crate) fn dialer(&self) -> quinn::Endpoint {
         lock(&self.dialer).clone()
@@ -144,6 +151,7 @@
             dialer: Mutex::new(server.clone()),
             links: Mutex::default(),
             incumbents: Mutex::default(),
+            meter: Meter::default(),
             retired: Notify::new(),
             is_closing: AtomicBool::new(false),
             tx,
@@ -166,6 +174,11 @@
         self.shared.tls.identity().fingerprint()
     }
 
+    /// Returns what the links have sent and received since the endpoint was bound.
+    pub fn traffic(&self) -> Traffic {
+        self.shared.meter.total()
+    }
+
     /// Queues a message on the control lane; see [`PeerEndpoint::send_on`].
     ///
     /// # Errors
--- a/crates/laburnumstall-peer/src/frame.rs
+++ b/crates/laburnumstall-peer/src/frame.rs
@@ -13,6 +13,9 @@
 
 const LENGTH_BYTES: usize = size_of::<u32>();
 
+/// Largest buffer, in bytes, that an idle decoder keeps.
+const IDLE_BUFFER_BYTES: usize = 64 << 10;
+
 /// A frame that cannot be written or read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum FrameError {
@@ -102,6 +105,9 @@
         }
         self.buf.advance(LENGTH_BYTES);
         let body = self.buf.split_to(bytes);
+        if self.buf.is_empty() && bytes > IDLE_BUFFER_BYTES {
+            self.buf = BytesMut::new();
+        }
         decode(&body).map(Some)
     }
 
--- a/crates/laburnumstall-peer/src/inbound.rs
+++ b/crates/laburnumstall-peer/src/inbound.rs
@@ -103,6 +103,7 @@
     if started.await.is_err() {
         return;
     }
+    let _counted = shared.meter().count(&conn);
     let mut readers = JoinSet::new();
     let mut next = Some(first);
     while let Some((tx, rx)) = next {
--- a/crates/laburnumstall-peer/src/lib.rs
+++ b/crates/laburnumstall-peer/src/lib.rs
@@ -19,6 +19,7 @@
 mod session;
 mod timeouts;
 mod tls;
+mod traffic;
 
 pub use endpoint::PeerEndpoint;
 pub use error::PeerError;
@@ -27,6 +28,7 @@
 pub use lane::Lane;
 pub use pins::Pins;
 pub use timeouts::PeerTimeouts;
+pub use traffic::Traffic;
 
 /// Name of the protocol that both sides must offer in the TLS handshake.
 pub const PROTOCOL: &[u8] = b"laburnumstall/1";
--- a/crates/laburnumstall-peer/src/session.rs
+++ b/crates/laburnumstall-peer/src/session.rs
@@ -59,6 +59,7 @@
     let endpoint = shared.dialer();
     let address = link.address();
     let conn = dial(shared, &endpoint, to, address).await?;
+    let _counted = shared.meter().count(&conn);
     let greeting = timeout(shared.timeouts().connect, open(&conn, Lane::Control));
     let control = greeting.await.map_err(|_| LostReason::TimedOut)??;
     shared.report(PeerEvent::Connected { to: to.clone() }).await;
--- a/crates/laburnumstall-peer/tests/links/process_gone.rs
+++ b/crates/laburnumstall-peer/tests/links/process_gone.rs
@@ -3,6 +3,8 @@
 use std::net::UdpSocket;
 
 use laburnumstall_peer::{LostReason, PeerEvent};
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
 
 use crate::node::{Message, Node};
 
@@ -50,3 +52,34 @@
         assert_eq!(a.event().await, expected);
     }
 }
+
+/// A killed process closes nothing: its runtime is dropped with all its tasks, and only
+/// then its socket. Fails without `session::refused_later`.
+#[tokio::test]
+async fn a_killed_process_refuses() {
+    let mut a = Node::start("a", 1);
+    let a_pin = a.pin();
+    let (started_tx, started_rx) = oneshot::channel();
+    let process = std::thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("a runtime");
+        let mut b = runtime.block_on(async { Node::start("b", 1) });
+        b.pins.set([a_pin]);
+        started_tx.send((b.pin(), b.address())).expect("a listener");
+        assert_eq!(runtime.block_on(b.message()), Message::Number(1));
+        drop(runtime);
+    });
+    let (b_pin, address) = started_rx.await.expect("a started daemon");
+    let to = b_pin.1.clone();
+    a.pins.set([b_pin]);
+    a.endpoint
+        .send(&to, address, Message::Number(1))
+        .expect("room in the queue");
+    let ended = tokio::task::spawn_blocking(|| process.join()).await;
+    ended.expect("a join").expect("a message received");
+
+    a.endpoint
+        .send(&to, address, Message::Number(2))
+        .expect("room in the queue");
+    assert_eq!(a.lost().await.0, LostReason::Refused);
+}
