Add stand-ins for the key-value service, cloud, engine and plain service

Cause: adapters need something to speak to, with faults on demand. Found on the way: awc ends a body without an error when the connection closes within it, and reports a connection closed before the head as a connect error. So an event stream without its end mark is a lost connection, a plain body is counted against its content-length and one without a length is not accepted.

--- a/crates/laburnumstall-platform/src/endpoint.rs
+++ b/crates/laburnumstall-platform/src/endpoint.rs
@@ -16,7 +16,7 @@
 pub mod sse;
 
 pub use body::{engine_body, engine_path};
-pub use chunk::{ChunkDecoder, EngineChunk};
+pub use chunk::{ChunkDecoder, EngineChoice, EngineChunk, EngineDelta, EngineError, EngineUsage};
 pub use control::{CacheChange, CacheEvent, CachePage, KvExport, KvImport, KvImported};
 pub use failure::AttemptFailure;
 pub use http::HttpEndpointClient;
--- a/crates/laburnumstall-platform/src/endpoint/http.rs
+++ b/crates/laburnumstall-platform/src/endpoint/http.rs
@@ -112,6 +112,7 @@
         let request = &call.request;
         let method =
             Method::from_bytes(request.method.as_bytes()).map_err(AttemptFailure::not_sent)?;
+        let is_head = method == Method::HEAD;
         let path = request.path.trim_start_matches('/');
         let url = format!("http://{}/{path}", call.address);
         let http = self
@@ -127,7 +128,7 @@
         }
         let body = Bytes::copy_from_slice(&request.body);
         let response = send(http, body, reporter).await?;
-        relay_plain(response, reporter).await
+        relay_plain(response, is_head, reporter).await
     }
 
     async fn run_attach(&self, stream: &StreamAttach, reporter: &mut Reporter) -> Result<(), Stop> {
--- a/crates/laburnumstall-platform/src/endpoint/relay.rs
+++ b/crates/laburnumstall-platform/src/endpoint/relay.rs
@@ -11,7 +11,8 @@
 use awc::ClientResponse;
 use awc::body::{BodySize, MessageBody};
 use awc::error::SendRequestError;
-use awc::http::header::CONTENT_TYPE;
+use awc::http::StatusCode;
+use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::StreamExt;
@@ -161,6 +162,9 @@
 }
 
 /// Relays an engine's event stream to its end mark.
+///
+/// `awc` ends a body without an error when the connection closes within it, so a stream
+/// without its end mark counts as a lost connection.
 pub(super) async fn relay_stream(
     mut response: ClientResponse,
     tokens_before: u64,
@@ -185,14 +189,19 @@
         }
         parsed.map_err(AttemptFailure::protocol)?;
     }
-    Err(AttemptFailure::protocol("the stream ended without its end mark").into())
+    Err(AttemptFailure::reset("the stream ended without its end mark").into())
 }
 
 /// Relays a plain answer: head, body in pieces, end.
+///
+/// `awc` ends a body without an error when the connection closes within it, so the body
+/// is counted against its declared length, and one without a length is not accepted.
 pub(super) async fn relay_plain(
     mut response: ClientResponse,
+    is_head: bool,
     reporter: &mut Reporter,
 ) -> Result<(), Stop> {
+    let mut missing = body_length(&response, is_head)?;
     let head = AnswerEvent::Head {
         status: response.status().as_u16(),
         content_type: content_type(&response),
@@ -200,7 +209,9 @@
     reporter.answer(None, head).await?;
     let mut pending = Vec::new();
     while let Some(piece) = response.next().await {
-        pending.extend_from_slice(&piece.map_err(AttemptFailure::reset)?);
+        let piece = piece.map_err(AttemptFailure::reset)?;
+        missing = missing.saturating_sub(piece.len() as u64);
+        pending.extend_from_slice(&piece);
         let text = take_text(&mut pending)?;
         if !text.is_empty() {
             reporter
@@ -208,6 +219,9 @@
                 .await?;
         }
     }
+    if missing > 0 {
+        return Err(AttemptFailure::reset("the body is shorter than its length").into());
+    }
     if !pending.is_empty() {
         return Err(AttemptFailure::protocol("the body is not UTF-8").into());
     }
@@ -215,6 +229,18 @@
     reporter.answer(None, AnswerEvent::End { finish }).await
 }
 
+/// Returns the length that the body must have.
+fn body_length(response: &ClientResponse, is_head: bool) -> Result<u64, AttemptFailure> {
+    let status = response.status();
+    if is_head || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return Ok(0);
+    }
+    let header = response.headers().get(CONTENT_LENGTH);
+    header
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .ok_or_else(|| AttemptFailure::protocol("the answer has no content-length"))
+}
+
 /// Takes the whole characters from the front of `pending`.
 fn take_text(pending: &mut Vec<u8>) -> Result<CompactString, AttemptFailure> {
     let valid = match std::str::from_utf8(pending) {
--- /dev/null
+++ b/crates/laburnumstall-standins/src/engine/batch.rs
@@ -0,0 +1,323 @@
+//! The batch of an engine: which streams wait, run and are done.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use laburnumstall_core::cloud::{EndpointOrder, OrderReply};
+use laburnumstall_core::domain_value;
+use laburnumstall_core::ids::{FencingToken, ServiceName};
+use laburnumstall_core::request::{BlockHash, Dialect, PREFIX_BLOCK_BYTES, prefix_blocks};
+use laburnumstall_core::units::{Bytes, Priority, TokenRate, Tokens};
+use laburnumstall_core::world::LoadReport;
+use laburnumstall_platform::endpoint::{CachePage, KvExport};
+
+use super::EngineSpec;
+use super::cache::PrefixCache;
+use super::text::Conversation;
+use crate::server::unix_now;
+
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Bytes of KV cache for one token.
+const KV_BYTES_PER_TOKEN: u64 = 4_096;
+
+/// Ended streams that are kept for readers.
+const MAX_ENDED: usize = 1_024;
+
+/// Load reports that are kept for their lag.
+const MAX_REPORTS: usize = 4_096;
+
+domain_value! {
+    /// What an engine has done since its start, over all crashes.
+    #[derive(Default)]
+    pub struct EngineCounts {
+        /// Streams begun.
+        pub streams: u64,
+        /// Prompt tokens processed, because they were not cached.
+        pub prefilled: Tokens,
+        /// Prompt tokens that the cache spared.
+        pub spared: Tokens,
+        /// Tokens generated.
+        pub generated: Tokens,
+        /// Streams that continued a generated part.
+        pub continued: u64,
+        /// Streams read again by their name.
+        pub attached: u64,
+        /// Streams cancelled.
+        pub cancelled: u64,
+        /// KV caches fetched from another engine.
+        pub imported: u64,
+        /// Crashes by a marked body.
+        pub crashes: u64,
+    }
+}
+
+/// A stream that an engine is asked for.
+#[derive(Debug, Clone)]
+pub struct StreamSpec {
+    /// Name, as the request-id header gives it.
+    pub name: String,
+    /// Interface of the body.
+    pub dialect: Dialect,
+    /// Priority; a higher number goes first.
+    pub priority: Priority,
+}
+
+pub(super) struct Stream {
+    conversation: Conversation,
+    blocks: Vec<BlockHash>,
+    priority: Priority,
+    order: u64,
+    /// When the prompt is processed; `None` while waiting.
+    ready_at: Option<Instant>,
+    pub(super) dialect: Dialect,
+    pub(super) generated: usize,
+}
+
+impl Stream {
+    pub(super) fn token(&self, index: usize) -> String {
+        self.conversation.token(index)
+    }
+
+    pub(super) fn limit(&self) -> usize {
+        self.conversation.limit
+    }
+
+    fn is_done(&self) -> bool {
+        self.generated >= self.limit()
+    }
+
+    fn is_running(&self) -> bool {
+        self.ready_at.is_some() && !self.is_done()
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.ready_at.is_none()
+    }
+
+    fn prompt_tokens(&self) -> usize {
+        self.conversation.prompt.len() / BYTES_PER_TOKEN
+    }
+}
+
+pub(super) struct Batch {
+    spec: EngineSpec,
+    streams: BTreeMap<String, Stream>,
+    ended: VecDeque<String>,
+    next_order: u64,
+    prefill_free_at: Option<Instant>,
+    cache: PrefixCache,
+    counts: EngineCounts,
+    reports: VecDeque<(Instant, LoadReport)>,
+    highest_fencing: FencingToken,
+    orders: Vec<EndpointOrder>,
+    loading: Option<(Instant, Vec<ServiceName>)>,
+    services: Vec<ServiceName>,
+}
+
+impl Batch {
+    pub(super) fn new(spec: &EngineSpec) -> Self {
+        Self {
+            streams: BTreeMap::new(),
+            ended: VecDeque::new(),
+            next_order: 0,
+            prefill_free_at: None,
+            cache: PrefixCache::new(spec.cache_blocks, spec.cache_lag, spec.lost_cache_event),
+            counts: EngineCounts::default(),
+            reports: VecDeque::new(),
+            highest_fencing: FencingToken::default(),
+            orders: Vec::new(),
+            loading: None,
+            services: spec.services.clone(),
+            spec: spec.clone(),
+        }
+    }
+
+    /// Forgets all but the counters and the orders.
+    pub(super) fn restart(&mut self) {
+        let mut fresh = Self::new(&self.spec);
+        fresh.counts = self.counts;
+        fresh.orders = std::mem::take(&mut self.orders);
+        *self = fresh;
+    }
+
+    pub(super) fn counts(&self) -> EngineCounts {
+        self.counts
+    }
+
+    pub(super) fn orders(&self) -> &[EndpointOrder] {
+        &self.orders
+    }
+
+    pub(super) fn cache_page(&self, after: u64, now: Instant) -> CachePage {
+        self.cache.page(after, now)
+    }
+
+    pub(super) fn stream(&self, name: &str) -> Option<&Stream> {
+        self.streams.get(name)
+    }
+
+    /// Puts a stream into the queue, unless it is there already.
+    pub(super) fn begin(&mut self, spec: StreamSpec, conversation: Conversation) {
+        if self.streams.contains_key(&spec.name) {
+            return;
+        }
+        self.counts.streams += 1;
+        self.counts.continued += u64::from(conversation.generated > 0);
+        self.next_order += 1;
+        let stream = Stream {
+            blocks: prefix_blocks(&conversation.model, conversation.prompt.as_bytes()),
+            conversation,
+            priority: spec.priority,
+            order: self.next_order,
+            ready_at: None,
+            dialect: spec.dialect,
+            generated: 0,
+        };
+        self.streams.insert(spec.name, stream);
+    }
+
+    pub(super) fn note_attached(&mut self) {
+        self.counts.attached += 1;
+    }
+
+    pub(super) fn cancel(&mut self, name: &str) {
+        if let Some(stream) = self.streams.remove(name) {
+            self.counts.cancelled += u64::from(!stream.is_done());
+        }
+    }
+
+    /// Generates one token a running stream. True if a body with `marker` began to run.
+    pub(super) fn step(&mut self, now: Instant, marker: Option<&str>) -> bool {
+        if self.admit(now, marker) {
+            self.counts.crashes += 1;
+            return true;
+        }
+        let mut ended = Vec::new();
+        for (name, stream) in &mut self.streams {
+            let is_ready = stream.ready_at.is_some_and(|at| at <= now);
+            if !is_ready || stream.is_done() {
+                continue;
+            }
+            stream.generated += 1;
+            self.counts.generated = self.counts.generated.plus(Tokens(1));
+            if stream.is_done() {
+                ended.push(name.clone());
+            }
+        }
+        self.ended.extend(ended);
+        while self.ended.len() > MAX_ENDED {
+            self.ended
+                .pop_front()
+                .map(|name| self.streams.remove(&name));
+        }
+        self.finish_loading(now);
+        self.report(now);
+        false
+    }
+
+    fn admit(&mut self, now: Instant, marker: Option<&str>) -> bool {
+        while self.running() < self.spec.batch as usize {
+            let waiting = self.streams.iter_mut().filter(|(_, s)| s.is_waiting());
+            let next = waiting.max_by_key(|(_, s)| (s.priority, std::cmp::Reverse(s.order)));
+            let Some((_, stream)) = next else {
+                return false;
+            };
+            if marker.is_some_and(|marker| stream.conversation.prompt.contains(marker)) {
+                return true;
+            }
+            let prompt = stream.prompt_tokens();
+            let cached = self.cache.cached(&stream.blocks) * PREFIX_BLOCK_BYTES / BYTES_PER_TOKEN;
+            let prefill = prompt.saturating_sub(cached) as u64;
+            let starts = self.prefill_free_at.map_or(now, |at| at.max(now));
+            let ready = starts + prefill_time(prefill, self.spec.prefill);
+            stream.ready_at = Some(ready);
+            self.prefill_free_at = Some(ready);
+            self.cache.store(&stream.blocks, now);
+            self.counts.prefilled = self.counts.prefilled.plus(Tokens(prefill));
+            self.counts.spared = self.counts.spared.plus(Tokens(prompt as u64 - prefill));
+        }
+        false
+    }
+
+    fn running(&self) -> usize {
+        self.streams.values().filter(|s| s.is_running()).count()
+    }
+
+    /// Carries out an order.
+    pub(super) fn order(&mut self, order: EndpointOrder, now: Instant) -> OrderReply {
+        if self.spec.checks_fencing && order.fencing < self.highest_fencing {
+            return OrderReply::Fenced;
+        }
+        self.highest_fencing = self.highest_fencing.max(order.fencing);
+        if self.orders.iter().any(|known| known.id == order.id) {
+            return OrderReply::Accepted;
+        }
+        let services = order.loads.iter().map(|load| load.service.clone());
+        self.loading = Some((now + self.spec.load_time, services.collect()));
+        self.orders.push(order);
+        OrderReply::Accepted
+    }
+
+    fn finish_loading(&mut self, now: Instant) {
+        if let Some((_, services)) = self.loading.take_if(|(at, _)| *at <= now) {
+            self.services = services;
+        }
+    }
+
+    fn report(&mut self, now: Instant) {
+        let report = self.load();
+        self.reports.push_back((now, report));
+        if self.reports.len() > MAX_REPORTS {
+            self.reports.pop_front();
+        }
+    }
+
+    /// Returns the newest report that is as old as the lag, or else the first one.
+    pub(super) fn lagging_load(&self, now: Instant) -> LoadReport {
+        let is_shown = |at: &Instant| now.duration_since(*at) >= self.spec.load_lag;
+        let newest = self.reports.iter().rev().find(|(at, _)| is_shown(at));
+        let shown = newest.or(self.reports.front());
+        shown.map_or_else(|| self.load(), |(_, report)| report.clone())
+    }
+
+    fn load(&self) -> LoadReport {
+        let waiting = self.streams.values().filter(|s| s.is_waiting());
+        let backlog = waiting.clone().map(Stream::prompt_tokens).sum::<usize>();
+        let period = self.spec.token_period.as_secs_f64();
+        LoadReport {
+            endpoint: self.spec.id.clone(),
+            sequence: self.reports.back().map_or(1, |(_, last)| last.sequence + 1),
+            taken_at: unix_now(),
+            running: self.running() as u32,
+            waiting: waiting.count() as u32,
+            batch: self.spec.batch,
+            prefill_backlog: Tokens(backlog as u64),
+            prefill: self.spec.prefill,
+            decode_per_request: TokenRate((1.0 / period) as u64),
+            services: self.services.clone(),
+        }
+    }
+
+    /// Offers the KV cache of a stream.
+    pub(super) fn export(&self, attempt: laburnumstall_core::ids::AttemptId) -> Option<KvExport> {
+        let stream = self.streams.get(&attempt.to_string())?;
+        let tokens = (stream.prompt_tokens() + stream.generated) as u64;
+        Some(KvExport {
+            attempt,
+            size: Bytes(tokens * KV_BYTES_PER_TOKEN),
+            blocks: stream.blocks.clone(),
+        })
+    }
+
+    /// Takes a KV cache over.
+    pub(super) fn import(&mut self, export: &KvExport, now: Instant) {
+        self.counts.imported += 1;
+        self.cache.store(&export.blocks, now);
+    }
+}
+
+fn prefill_time(tokens: u64, rate: TokenRate) -> Duration {
+    Duration::from_micros(tokens.saturating_mul(1_000_000) / rate.get().max(1))
+}
