List a configuration's sections in a manifest

Cause: putting sections together could not tell that one which nothing refers to is missing, so a customer could vanish from a daemon that pulls by section. Change: Manifest names every section and the whole; assemble through it refuses both.

--- a/crates/laburnumstall-config/src/lib.rs
+++ b/crates/laburnumstall-config/src/lib.rs
@@ -12,6 +12,7 @@
 mod canonical;
 mod diff;
 mod fault;
+mod manifest;
 mod parse;
 mod reader;
 mod scalar;
@@ -21,6 +22,7 @@
 pub use canonical::{canonical, digest, normalize};
 pub use diff::{Change, ItemChange, ItemKind, KeyChange, diff};
 pub use fault::{Fault, FaultKind, Faults};
+pub use manifest::{Manifest, SectionId};
 pub use parse::parse;
 pub use section::{
     AssembleError, Section, assemble, customer_section, platform_section, sections, service_section,
--- a/crates/laburnumstall-config/src/section.rs
+++ b/crates/laburnumstall-config/src/section.rs
@@ -27,6 +27,7 @@
 
 /// Why sections could not be put together.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 #[non_exhaustive]
 pub enum AssembleError {
     /// A body is not the one that its digest names.
@@ -35,6 +36,15 @@
         /// Section that is damaged.
         name: SectionName,
     },
+    /// A section of the manifest is not there.
+    #[snafu(display("put sections together: `{name}` is missing"))]
+    Missing {
+        /// Section that is missing.
+        name: SectionName,
+    },
+    /// The whole is not the text that the manifest names.
+    #[snafu(display("put sections together: the whole differs from the manifest's digest"))]
+    Different,
     /// The sections together are not a valid text.
     #[snafu(display("put sections together: they are not a valid text"))]
     Invalid {
@@ -62,6 +72,9 @@
 
 /// Puts a system together from all of its sections, in any order.
 ///
+/// Nothing tells here whether a section is missing that no other refers to; see
+/// [`Manifest::assemble`](crate::Manifest::assemble).
+///
 /// # Errors
 ///
 /// Returns [`AssembleError`] if a body is damaged or the whole is not valid, as it is when a
--- a/crates/laburnumstall-config/tests/canonical_form.rs
+++ b/crates/laburnumstall-config/tests/canonical_form.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use laburnumstall_config::{
-    AssembleError, assemble, canonical, diff, digest, normalize, parse, sections,
+    AssembleError, Manifest, assemble, canonical, diff, digest, normalize, parse, sections,
 };
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::units::HourlyPrice;
@@ -213,6 +213,23 @@
     check(property, 13);
 }
 
+/// Removing either `ensure!` of `Manifest::assemble` makes this fail.
+#[test]
+fn manifest_wants_all_sections() {
+    let system = parse(CARONI).expect("the example is valid");
+    let manifest = Manifest::of(&system);
+    let mut held = sections(&system);
+    assert_eq!(manifest.assemble(&held).expect("whole"), system);
+    let last = held.pop().expect("a customer");
+    assert_eq!(manifest.missing(&held)[0].name, last.name);
+    let error = manifest.assemble(&held).expect_err("a section is missing");
+    assert!(matches!(error, AssembleError::Missing { .. }), "{error}");
+    let mut shorter = manifest.clone();
+    shorter.sections.pop();
+    let error = shorter.assemble(&held).expect_err("the whole differs");
+    assert!(matches!(error, AssembleError::Different), "{error}");
+}
+
 #[test]
 fn examples_read_back() {
     for text in [CARONI, KUUSIVIULU] {
