--- a/crates/laburnumstall-core/src/membership.rs
+++ b/crates/laburnumstall-core/src/membership.rs
@@ -13,7 +13,7 @@
 mod standing;
 mod view;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 pub use digest::{MAX_RUMOURS, MemberDigest, RUMOUR_LIFE, Rumour, Word};
@@ -91,18 +91,19 @@
                 standing.registry_absent = None;
             }
         }
-        let absent: Vec<DaemonId> = self
+        let listed: BTreeSet<&DaemonId> = members.iter().map(|member| &member.id).collect();
+        let registered: Vec<DaemonId> = self
             .others
             .values()
             .filter(|standing| standing.state != MemberState::Gone && standing.registered)
             .map(|standing| standing.member.id.clone())
-            .filter(|id| !members.iter().any(|member| member.id == *id))
             .collect();
-        let known = self
-            .others
-            .values()
-            .filter(|s| s.state != MemberState::Gone && s.registered);
-        self.listing_is_sound = absent.len() * 2 <= known.count();
+        let known = registered.len();
+        let absent: Vec<DaemonId> = registered
+            .into_iter()
+            .filter(|id| !listed.contains(id))
+            .collect();
+        self.listing_is_sound = absent.len() * 2 <= known;
         for id in absent {
             self.on_evidence(now, &id, Evidence::RegistryAbsent, journal);
         }
@@ -275,11 +276,14 @@
         let latest = self.latest.entry(vm.clone()).or_insert(incarnation);
         *latest = incarnation.max(*latest);
         let latest = *latest;
+        let bound = |incarnation| DaemonId {
+            vm: vm.clone(),
+            incarnation,
+        };
         let earlier: Vec<DaemonId> = self
             .others
-            .keys()
-            .filter(|id| id.vm == *vm && id.incarnation < latest)
-            .cloned()
+            .range(bound(Incarnation(0))..bound(latest))
+            .map(|(id, _)| id.clone())
             .collect();
         for id in earlier {
             self.mark_gone(now, &id, GoneReason::Replaced, journal);
--- a/crates/laburnumstall-core/src/membership/ring.rs
+++ b/crates/laburnumstall-core/src/membership/ring.rs
@@ -4,7 +4,7 @@
 //! allow. Each daemon watches the next few: so each is watched by as many, mostly in
 //! other zones, and a change of the view moves few pairs.
 
-use crate::ids::{AvailabilityZone, DaemonId};
+use crate::ids::DaemonId;
 use crate::membership::Member;
 
 /// Most members that one daemon sends heartbeats to.
@@ -12,10 +12,9 @@
 
 /// A member's place: a fraction of its zone's share of the ring, then its hash.
 struct Place<'a> {
-    member: &'a Member,
+    seat: Seat<'a>,
     rank: u64,
     size: u64,
-    seed: u64,
 }
 
 impl Place<'_> {
@@ -25,9 +24,16 @@
     }
 }
 
+/// A member with its hash for rendezvous hashing.
+#[derive(Clone, Copy)]
+pub(super) struct Seat<'a> {
+    pub(super) member: &'a Member,
+    pub(super) seed: u64,
+}
+
 /// Returns the members after `own` on the ring, at most [`MAX_TARGETS`].
-pub(super) fn targets(own: &DaemonId, members: &[&Member]) -> Vec<DaemonId> {
-    let ring = ring(members);
+pub(super) fn targets(own: &DaemonId, seats: &[Seat<'_>]) -> Vec<DaemonId> {
+    let ring = ring(seats);
     let Some(start) = ring.iter().position(|member| member.id == *own) else {
         return Vec::new();
     };
@@ -37,23 +43,19 @@
         .collect()
 }
 
-fn ring<'a>(members: &[&'a Member]) -> Vec<&'a Member> {
-    let mut sorted: Vec<(&AvailabilityZone, u64, &Member)> = members
-        .iter()
-        .map(|member| (&member.zone, member.weight_seed(), *member))
-        .collect();
-    sorted.sort_by_key(|(zone, seed, _)| (*zone, *seed));
+fn ring<'a>(seats: &[Seat<'a>]) -> Vec<&'a Member> {
+    let mut sorted = seats.to_vec();
+    sorted.sort_by_key(|seat| (&seat.member.zone, seat.seed));
     let mut places = Vec::with_capacity(sorted.len());
-    for zone in sorted.chunk_by(|a, b| a.0 == b.0) {
-        for (rank, (_, seed, member)) in zone.iter().enumerate() {
+    for zone in sorted.chunk_by(|a, b| a.member.zone == b.member.zone) {
+        for (rank, seat) in zone.iter().enumerate() {
             places.push(Place {
-                member,
+                seat: *seat,
                 rank: rank as u64,
                 size: zone.len() as u64,
-                seed: *seed,
             });
         }
     }
-    places.sort_by_key(|place| (place.fraction(), place.seed));
-    places.into_iter().map(|place| place.member).collect()
+    places.sort_by_key(|place| (place.fraction(), place.seat.seed));
+    places.into_iter().map(|place| place.seat.member).collect()
 }
--- a/crates/laburnumstall-core/src/membership/view.rs
+++ b/crates/laburnumstall-core/src/membership/view.rs
@@ -6,8 +6,9 @@
 use crate::ids::{AvailabilityZone, DaemonId, HomeHash};
 use crate::membership::digest::{MAX_RUMOURS, MemberDigest, RUMOUR_LIFE, Rumour, Word};
 use crate::membership::evidence::MemberState;
+use crate::membership::ring::{self, Seat};
 use crate::membership::standing::{PROBE_AFTER, SILENT_AFTER, Standing};
-use crate::membership::{Member, Membership, ring};
+use crate::membership::{Member, Membership};
 use crate::units::Timestamp;
 
 /// A member's place in a ranking; the name breaks ties.
@@ -50,9 +51,15 @@
 
     /// Returns the members that this daemon sends heartbeats to, at most four.
     pub fn heartbeat_targets(&self) -> Vec<DaemonId> {
-        let mut members: Vec<&Member> = vec![&self.own];
-        members.extend(self.present().map(|standing| &standing.member));
-        ring::targets(&self.own.id, &members)
+        let mut seats = vec![Seat {
+            member: &self.own,
+            seed: self.own_seed,
+        }];
+        seats.extend(self.present().map(|standing| Seat {
+            member: &standing.member,
+            seed: standing.seed,
+        }));
+        ring::targets(&self.own.id, &seats)
     }
 
     /// Returns the members to probe on a new connection: heartbeat targets not heard lately.
--- /dev/null
+++ b/crates/laburnumstall-core/tests/member_view.rs
@@ -0,0 +1,258 @@
+//! The view of entry daemons: evidence, verdicts, ranking and the ring of heartbeats.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use laburnumstall_core::cloud::ReclaimNotice;
+use laburnumstall_core::membership::{
+    CertificateFingerprint, Evidence, GoneReason, HEARTBEAT_PERIOD, Member, MemberDigest,
+    MemberEvent, MemberState, Membership, Rumour, SILENT_AFTER, Word,
+};
+use laburnumstall_core::prelude::*;
+use quickcheck::{Gen, QuickCheck};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn member(number: u16, zone: &str, incarnation: u64) -> Member {
+    Member {
+        id: format!("vm-{number}@{incarnation}").parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        peer_address: ([10, 0, 0, 1], 10_000 + number).into(),
+        caller_address: ([10, 0, 0, 1], 20_000 + number).into(),
+        certificate: CertificateFingerprint([number as u8; 32]),
+        leaving: false,
+    }
+}
+
+/// Four daemons in three zones; the first is `own`.
+fn four() -> (Membership, Vec<Member>, Journal) {
+    let members: Vec<Member> = [(0, "a"), (1, "b"), (2, "c"), (3, "a")]
+        .map(|(number, zone)| member(number, zone, 1))
+        .into();
+    let mut view = Membership::new(members[0].clone());
+    let mut journal = Journal::default();
+    view.on_registry(Timestamp::ZERO, &members, &mut journal);
+    assert_eq!(view.tick(Timestamp::ZERO, &mut journal).len(), 3);
+    (view, members, journal)
+}
+
+fn suspicion(of: &Member) -> MemberDigest {
+    let rumour = Rumour {
+        about: of.id.clone(),
+        word: Word::Suspected,
+    };
+    MemberDigest {
+        rumours: vec![rumour],
+    }
+}
+
+/// Fails without the count of refusals in `Standing::verdict`.
+#[test]
+fn two_refusals_mean_gone_and_one_does_not() {
+    let (mut view, members, mut journal) = four();
+    let id = &members[1].id;
+    let now = Timestamp::from_millis(10);
+    view.on_evidence(now, id, Evidence::Refused, &mut journal);
+    assert!(view.tick(now, &mut journal).is_empty());
+    view.on_evidence(now, id, Evidence::Heartbeat, &mut journal);
+    view.on_evidence(now, id, Evidence::Refused, &mut journal);
+    assert!(view.tick(now, &mut journal).is_empty());
+    view.on_evidence(now, id, Evidence::Refused, &mut journal);
+    let gone = MemberEvent::Gone(id.clone(), GoneReason::Refused);
+    assert_eq!(view.tick(now, &mut journal), [gone]);
+    view.on_evidence(now, id, Evidence::Heartbeat, &mut journal);
+    assert_eq!(
+        view.tick(now, &mut journal),
+        [MemberEvent::Returned(id.clone())]
+    );
+}
+
+/// Fails without `is_confirmed` in `Standing::verdict`.
+#[test]
+fn silence_needs_a_probe_and_a_second_source() {
+    let (mut view, members, mut journal) = four();
+    let id = &members[1].id;
+    let now = Timestamp::ZERO.after(SILENT_AFTER);
+    assert!(view.probes_due(now).contains(id));
+    view.on_digest(now, &members[2].id, &suspicion(&members[1]), &mut journal);
+    assert!(
+        view.tick(now, &mut journal).is_empty(),
+        "no probe of its own"
+    );
+    view.on_evidence(now, id, Evidence::Silent, &mut journal);
+    let gone = MemberEvent::Gone(id.clone(), GoneReason::Silent);
+    assert_eq!(view.tick(now, &mut journal), [gone]);
+
+    let (mut view, _, mut journal) = four();
+    view.on_evidence(now, id, Evidence::Silent, &mut journal);
+    let later = now.after(60 * SECOND);
+    assert!(
+        view.tick(later, &mut journal).is_empty(),
+        "no second source"
+    );
+}
+
+/// Fails without the check of `heard_anywhere` in `Standing::verdict`.
+#[test]
+fn a_peer_that_hears_it_contradicts() {
+    let (mut view, members, mut journal) = four();
+    let id = &members[1].id;
+    let now = Timestamp::ZERO.after(SILENT_AFTER);
+    view.on_evidence(now, id, Evidence::Silent, &mut journal);
+    view.on_digest(now, &members[2].id, &suspicion(&members[1]), &mut journal);
+    let heard = Rumour {
+        about: id.clone(),
+        word: Word::Heard { age_millis: 400 },
+    };
+    let digest = MemberDigest {
+        rumours: vec![heard],
+    };
+    view.on_digest(now, &members[3].id, &digest, &mut journal);
+    assert!(view.tick(now, &mut journal).is_empty());
+}
+
+/// Fails without the call of `raise_latest` in `Membership::see`.
+#[test]
+fn a_later_process_replaces_the_earlier_at_once() {
+    let (mut view, members, mut journal) = four();
+    let now = Timestamp::from_millis(100);
+    let successor = member(1, "b", 2);
+    view.on_introduction(now, &successor, &mut journal);
+    let old = &members[1].id;
+    let gone = MemberEvent::Gone(old.clone(), GoneReason::Replaced);
+    let expected = [gone, MemberEvent::Joined(successor.clone())];
+    assert_eq!(view.tick(now, &mut journal), expected);
+    // Late words of the earlier process, and a stale listing, change nothing.
+    view.on_evidence(now, old, Evidence::Heartbeat, &mut journal);
+    view.on_registry(now, &members, &mut journal);
+    assert!(view.tick(now, &mut journal).is_empty());
+    assert_eq!(view.state(old), Some(MemberState::Gone));
+    assert_eq!(view.state(&successor.id), Some(MemberState::Live));
+}
+
+/// Fails without the reset of absences in `Membership::on_registry_unreadable`.
+#[test]
+fn an_outage_or_an_empty_registry_kills_nobody_that_is_heard() {
+    let (mut view, members, mut journal) = four();
+    for step in 1..240 {
+        let now = Timestamp::from_millis(500 * step);
+        for other in &members[1..] {
+            view.on_evidence(now, &other.id, Evidence::Heartbeat, &mut journal);
+        }
+        match step {
+            0..100 => view.on_registry(now, &[], &mut journal),
+            _ => view.on_registry_unreadable(now),
+        }
+        assert!(view.tick(now, &mut journal).is_empty());
+    }
+    // One listing held nobody, then the store went down: silence alone is not death.
+    let silent = Timestamp::from_millis(200_000);
+    view.on_registry_unreadable(silent);
+    assert!(view.tick(silent, &mut journal).is_empty());
+    assert_eq!(view.live().count(), 4);
+}
+
+/// Fails without `mark_leaving` in the `Notice` arm of `Membership::on_evidence`.
+#[test]
+fn a_notice_takes_effect_at_once_and_ends_at_its_deadline() {
+    let (mut view, members, mut journal) = four();
+    let notice = ReclaimNotice {
+        vm: members[2].id.vm.clone(),
+        deadline: Timestamp::from_millis(5_000),
+    };
+    let now = Timestamp::from_millis(10);
+    view.on_notice(now, &notice, &mut journal);
+    let leaving = MemberEvent::Leaving(members[2].id.clone());
+    assert_eq!(view.tick(now, &mut journal), [leaving]);
+    assert!(
+        view.directory()
+            .iter()
+            .all(|member| member.id != members[2].id)
+    );
+    let before = Timestamp::from_millis(4_900);
+    assert!(view.tick(before, &mut journal).is_empty());
+    let gone = MemberEvent::Gone(members[2].id.clone(), GoneReason::Reclaimed);
+    let after = Timestamp::from_millis(6_100);
+    assert_eq!(view.tick(after, &mut journal), [gone]);
+}
+
+/// Fails without `listing_is_sound` in `Standing::verdict`.
+#[test]
+fn expiry_needs_most_registrations_to_stand() {
+    let (mut view, members, mut journal) = four();
+    view.on_registry(Timestamp::ZERO, &members[..1], &mut journal);
+    let later = Timestamp::from_millis(30_000);
+    view.on_registry(later, &members[..1], &mut journal);
+    assert!(view.tick(later, &mut journal).is_empty());
+    let (mut view, members, mut journal) = four();
+    view.on_registry(Timestamp::ZERO, &members[..3], &mut journal);
+    view.on_registry(later, &members[..3], &mut journal);
+    let gone = MemberEvent::Gone(members[3].id.clone(), GoneReason::Expired);
+    assert_eq!(view.tick(later, &mut journal), [gone]);
+}
+
+fn fleet(count: u16, zones: u16) -> Vec<Member> {
+    (0..count)
+        .map(|number| member(number, &format!("zone-{}", number % zones), 1))
+        .collect()
+}
+
+fn view_of(own: &Member, members: &[Member]) -> Membership {
+    let mut view = Membership::new(own.clone());
+    view.on_registry(Timestamp::ZERO, members, &mut Journal::default());
+    view
+}
+
+/// Fails without the zone condition in `Membership::standby`.
+#[test]
+fn a_standby_can_be_located_whichever_zone_owns() {
+    fn property(home: u32, count: u16, zones: u16) -> bool {
+        let members = fleet(2 + count % 12, 1 + zones % 4);
+        let view = view_of(&members[0], &members);
+        let home = HomeHash(home);
+        let located = view.locate(home);
+        let same_everywhere = members
+            .iter()
+            .all(|own| view_of(own, &members).locate(home) == located);
+        let is_located = members.iter().all(|owner| {
+            view.standby(home, &owner.zone, &[])
+                .is_none_or(|standby| located.contains(&standby.id) && standby.zone != owner.zone)
+        });
+        let first = view.rank(home)[0].id.clone();
+        same_everywhere && is_located && located[0] == first
+    }
+    let rng = Gen::from_size_and_seed(64, 7);
+    let property = property as fn(u32, u16, u16) -> bool;
+    QuickCheck::new().rng(rng).tests(1_000).quickcheck(property);
+}
+
+/// Fails without the alternation of zones in `ring`.
+#[test]
+fn each_daemon_is_watched_by_four_with_several_in_other_zones() {
+    for (count, zones) in [(4, 3), (12, 3), (220, 11)] {
+        let members = fleet(count, zones);
+        let mut watchers: BTreeMap<DaemonId, Vec<AvailabilityZone>> = BTreeMap::new();
+        for own in &members {
+            for target in view_of(own, &members).heartbeat_targets() {
+                watchers.entry(target).or_default().push(own.zone.clone());
+            }
+        }
+        for watched in &members {
+            let zones = &watchers[&watched.id];
+            let others = zones.iter().filter(|zone| **zone != watched.zone).count();
+            assert_eq!(zones.len(), (usize::from(count) - 1).min(4));
+            assert!(others >= 2, "{watched:?} is watched from {zones:?}");
+        }
+    }
+}
+
+#[test]
+fn certificates_and_members_survive_their_text_form() {
+    let original = member(7, "a", 3);
+    let text = serde_json::to_string(&original).unwrap();
+    assert_eq!(serde_json::from_str::<Member>(&text).unwrap(), original);
+    let shown = original.certificate.to_string();
+    assert_eq!(shown.parse(), Ok(original.certificate));
+    assert!("é".repeat(32).parse::<CertificateFingerprint>().is_err());
+    assert!(HEARTBEAT_PERIOD < SILENT_AFTER);
+}
