core: sharper tests of outage and ring

Cause: two tests still passed without the line that they name. Change: the outage test adds failed probes, the ring test a fleet of two zones. Checked: both fail now without that line and pass with it.

--- a/crates/laburnumstall-core/tests/member_view.rs
+++ b/crates/laburnumstall-core/tests/member_view.rs
@@ -147,6 +147,9 @@
     }
     // One listing held nobody, then the store went down: silence alone is not death.
     let silent = Timestamp::from_millis(200_000);
+    for other in &members[1..] {
+        view.on_evidence(silent, &other.id, Evidence::Silent, &mut journal);
+    }
     view.on_registry_unreadable(silent);
     assert!(view.tick(silent, &mut journal).is_empty());
     assert_eq!(view.live().count(), 4);
@@ -229,7 +232,7 @@
 /// Fails without the alternation of zones in `ring`.
 #[test]
 fn each_daemon_is_watched_by_four_with_several_in_other_zones() {
-    for (count, zones) in [(4, 3), (12, 3), (220, 11)] {
+    for (count, zones) in [(4, 3), (12, 3), (24, 2), (220, 11)] {
         let members = fleet(count, zones);
         let mut watchers: BTreeMap<DaemonId, Vec<AvailabilityZone>> = BTreeMap::new();
         for own in &members {
