Bound the oversized-event test

Cause: without the parser's length check the test ran on for good instead of failing. Change: it pushes a fixed number of pieces. After: it fails at once without the check.

--- a/crates/laburnumstall-platform/tests/sse_parsing.rs
+++ b/crates/laburnumstall-platform/tests/sse_parsing.rs
@@ -100,14 +100,10 @@
     let piece = [b'x'; 4_096];
     let mut parser = SseParser::default();
     let mut events = Vec::new();
-    let mut pushed = 0;
-    let error = loop {
-        match parser.push(&piece, &mut events) {
-            Ok(()) => pushed += piece.len(),
-            Err(error) => break error,
-        }
-    };
-    assert_eq!((error, pushed), (SseError::TooLong, MAX_EVENT_BYTES));
+    for _ in 0..MAX_EVENT_BYTES / piece.len() {
+        assert_eq!(parser.push(&piece, &mut events), Ok(()));
+    }
+    assert_eq!(parser.push(&piece, &mut events), Err(SseError::TooLong));
     let lines = b"data: 0123456789\n".repeat(MAX_EVENT_BYTES / 10);
     assert_eq!(parse(&[&lines]), Err(SseError::TooLong));
 }
