core: watchers of endpoints and digests of their load

Cause: 10,000 load reports a second do not fit in 4 KB/s for each daemon. Change: two watchers by rendezvous hashing in different zones; quantised loads go to subscribers alone, on change, under a byte rate; reading slows down with the number watched. Conclusion: the rate holds in the worst case, where every load changes each second.

--- a/crates/laburnumstall-core/src/watch.rs
+++ b/crates/laburnumstall-core/src/watch.rs
@@ -1,1 +1,22 @@
-//! Placeholder of the module.
+//! Who watches which endpoint, and how the other daemons learn its load.
+//!
+//! Each endpoint has two watchers, picked by rendezvous hashing over the live daemons of
+//! its region, in different zones. A watcher reads the endpoint's load reports, quantises
+//! them, and tells a change to the daemons that subscribed: those whose subset of
+//! endpoints holds it. Both the reading and the telling keep to a byte rate.
+
+mod assignment;
+mod load;
+mod reader;
+mod sender;
+
+pub use assignment::{
+    Assignment, MAX_READ_PERIOD, MIN_READ_PERIOD, READ_BYTES_PER_SECOND, REPORT_BYTES,
+    Subscription, WATCHERS, Watch, WatchRing, own_watches, read_period, subscriptions, watchers_of,
+};
+pub use load::{EndpointTag, LoadDigest, LoadWord, QuantisedLoad, WaitClass};
+pub use reader::{HeardLoad, LOAD_LIFE, LoadView};
+pub use sender::{
+    DIGEST_BYTES_PER_SECOND, DigestSender, LoadMessage, MIN_SEND_PERIOD, REFRESH_PERIOD,
+    SUBSCRIPTION_LIFE,
+};
--- /dev/null
+++ b/crates/laburnumstall-core/src/watch/assignment.rs
@@ -0,0 +1,162 @@
+//! Which daemons watch an endpoint, and how often they read it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::domain;
+use crate::domain_value;
+use crate::hash::{digest64, rendezvous_weight};
+use crate::ids::{AvailabilityZone, DaemonId, EndpointId};
+use crate::membership::Member;
+
+/// Watchers of one endpoint.
+pub const WATCHERS: usize = 2;
+
+/// Bytes on the wire to read one load report over an open connection, headers included.
+pub const REPORT_BYTES: u64 = 512;
+
+/// Bytes a second that a daemon spends on reading load reports.
+pub const READ_BYTES_PER_SECOND: u64 = 1_024;
+
+/// Shortest time between two readings of one endpoint.
+pub const MIN_READ_PERIOD: Duration = Duration::from_millis(500);
+
+/// Longest time between two readings of one endpoint.
+pub const MAX_READ_PERIOD: Duration = Duration::from_secs(30);
+
+domain_value! {
+    /// Which of an endpoint's watchers a daemon is.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Watch {
+        /// Reads its load and tells the subscribers.
+        First,
+        /// Reads it too, and tells the subscribers once the first is not live.
+        Second,
+    }
+}
+
+domain! {
+    /// An endpoint that a daemon watches.
+    pub struct Assignment {
+        /// Endpoint to watch.
+        pub endpoint: EndpointId,
+        /// Which of its watchers the daemon is.
+        pub watch: Watch,
+    }
+
+    /// The endpoints of which a daemon wants to hear from one watcher.
+    pub struct Subscription {
+        /// Daemon that watches them.
+        pub watcher: DaemonId,
+        /// Endpoints in the subscriber's subset.
+        pub endpoints: Vec<EndpointId>,
+    }
+}
+
+struct Seat {
+    id: DaemonId,
+    zone: AvailabilityZone,
+    seed: u64,
+}
+
+/// The live daemons of one region with their hashes, ready to pick watchers.
+pub struct WatchRing {
+    seats: Vec<Seat>,
+}
+
+impl WatchRing {
+    /// Prepares the picking over `members`: the live daemons of the endpoints' region.
+    pub fn new(members: &[&Member]) -> Self {
+        let seat = |member: &&Member| Seat {
+            id: member.id.clone(),
+            zone: member.zone.clone(),
+            seed: member.weight_seed(),
+        };
+        Self {
+            seats: members.iter().map(seat).collect(),
+        }
+    }
+
+    /// Returns the watchers of an endpoint, the first one first.
+    ///
+    /// The second stands in another zone than the first if there is one.
+    pub fn watchers(&self, endpoint: &EndpointId) -> Vec<&DaemonId> {
+        let key = digest64(&[endpoint.as_str().as_bytes()]);
+        let Some(first) = self.heaviest(key, |_| true) else {
+            return Vec::new();
+        };
+        let second = self
+            .heaviest(key, |seat| seat.zone != first.zone)
+            .or_else(|| self.heaviest(key, |seat| seat.id != first.id));
+        std::iter::once(first)
+            .chain(second)
+            .map(|seat| &seat.id)
+            .collect()
+    }
+
+    /// Returns what `own` watches among `endpoints`.
+    pub fn assignments<'a>(
+        &self,
+        own: &DaemonId,
+        endpoints: impl IntoIterator<Item = &'a EndpointId>,
+    ) -> Vec<Assignment> {
+        endpoints
+            .into_iter()
+            .filter_map(|endpoint| {
+                let place = self.watchers(endpoint).iter().position(|id| *id == own)?;
+                Some(Assignment {
+                    endpoint: endpoint.clone(),
+                    watch: match place {
+                        0 => Watch::First,
+                        _ => Watch::Second,
+                    },
+                })
+            })
+            .collect()
+    }
+
+    fn heaviest(&self, key: u64, is_suitable: impl Fn(&Seat) -> bool) -> Option<&Seat> {
+        self.seats
+            .iter()
+            .filter(|seat| is_suitable(seat))
+            .max_by_key(|seat| (rendezvous_weight(key, seat.seed), &seat.id))
+    }
+}
+
+/// Returns the watchers of an endpoint among `members`, the first one first.
+pub fn watchers_of(endpoint: &EndpointId, members: &[&Member]) -> Vec<DaemonId> {
+    let ring = WatchRing::new(members);
+    ring.watchers(endpoint).into_iter().cloned().collect()
+}
+
+/// Returns what `own` watches among `endpoints`.
+pub fn own_watches<'a>(
+    own: &DaemonId,
+    endpoints: impl IntoIterator<Item = &'a EndpointId>,
+    members: &[&Member],
+) -> Vec<Assignment> {
+    WatchRing::new(members).assignments(own, endpoints)
+}
+
+/// Returns whom a daemon asks for news of the endpoints in its subset.
+pub fn subscriptions(subset: &[EndpointId], members: &[&Member]) -> Vec<Subscription> {
+    let ring = WatchRing::new(members);
+    let mut by_watcher: BTreeMap<DaemonId, Vec<EndpointId>> = BTreeMap::new();
+    for endpoint in subset {
+        for watcher in ring.watchers(endpoint) {
+            let endpoints = by_watcher.entry(watcher.clone()).or_default();
+            endpoints.push(endpoint.clone());
+        }
+    }
+    by_watcher
+        .into_iter()
+        .map(|(watcher, endpoints)| Subscription { watcher, endpoints })
+        .collect()
+}
+
+/// Returns the time between two readings of one endpoint, for a daemon that watches so many.
+pub fn read_period(watched: usize) -> Duration {
+    let bytes = (watched as u64).saturating_mul(REPORT_BYTES);
+    let period = Duration::from_millis(bytes.saturating_mul(1_000) / READ_BYTES_PER_SECOND);
+    period.clamp(MIN_READ_PERIOD, MAX_READ_PERIOD)
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/watch/load.rs
@@ -0,0 +1,126 @@
+//! Load in a few bytes: what routing needs of a report, and no more.
+
+use std::time::Duration;
+
+use crate::hash::digest64;
+use crate::ids::EndpointId;
+use crate::world::LoadReport;
+use crate::{domain, domain_value};
+
+/// Shortest wait that has a class of its own.
+const FIRST_CLASS: Duration = Duration::from_millis(10);
+
+/// Highest wait class: about 40 s and more.
+const LAST_CLASS: u8 = 24;
+
+/// Steps of the batch that are told apart.
+const OCCUPANCY_STEPS: u64 = 8;
+
+domain_value! {
+    /// Short hash that stands for an endpoint's name.
+    pub struct EndpointTag(pub u32);
+
+    /// Predicted wait on a logarithmic scale: two classes for each doubling; 0 is none.
+    pub struct WaitClass(pub u8);
+
+    /// A load report, quantised.
+    pub struct QuantisedLoad {
+        /// Wait that a new request can expect.
+        pub wait: WaitClass,
+        /// Requests in the batch, in eighths of what it holds.
+        pub occupancy: u8,
+    }
+}
+
+domain! {
+    /// The load of one endpoint.
+    pub struct LoadWord {
+        /// Endpoint that it is about.
+        pub endpoint: EndpointTag,
+        /// Low byte of the report's number, so that a late word is told from a new one.
+        pub sequence: u8,
+        /// The load.
+        pub load: QuantisedLoad,
+    }
+
+    /// The loads that one daemon tells another at a time.
+    pub struct LoadDigest {
+        /// The loads.
+        pub words: Vec<LoadWord>,
+    }
+}
+
+impl EndpointTag {
+    /// Returns the tag of an endpoint.
+    pub fn of(endpoint: &EndpointId) -> Self {
+        Self(digest64(&[endpoint.as_str().as_bytes()]) as u32)
+    }
+}
+
+impl WaitClass {
+    /// Returns the class of a wait.
+    pub fn of(wait: Duration) -> Self {
+        let is_below = |class: &u8| Self(*class).wait() < wait;
+        Self(
+            (0..LAST_CLASS)
+                .find(|class| !is_below(class))
+                .unwrap_or(LAST_CLASS),
+        )
+    }
+
+    /// Returns the longest wait of the class.
+    pub fn wait(self) -> Duration {
+        let Some(step) = self.0.min(LAST_CLASS).checked_sub(1) else {
+            return Duration::ZERO;
+        };
+        let doubled = FIRST_CLASS * (1 << (step / 2));
+        match step % 2 {
+            0 => doubled,
+            _ => doubled * 3 / 2,
+        }
+    }
+}
+
+impl QuantisedLoad {
+    /// Quantises a report.
+    ///
+    /// The wait is the prompt backlog at the reported rate, plus a batch's worth of
+    /// waiting for each full batch in the queue.
+    pub fn of(report: &LoadReport) -> Self {
+        let batch = u64::from(report.batch.max(1));
+        let occupied = u64::from(report.running).min(batch);
+        Self {
+            wait: WaitClass::of(expected_wait(report)),
+            occupancy: (occupied * OCCUPANCY_STEPS / batch) as u8,
+        }
+    }
+
+    /// Returns the share of the batch that is free, from 0 to 1,000.
+    pub fn free_permille(self) -> u64 {
+        let occupied = u64::from(self.occupancy).min(OCCUPANCY_STEPS);
+        (OCCUPANCY_STEPS - occupied) * 1_000 / OCCUPANCY_STEPS
+    }
+}
+
+impl LoadWord {
+    /// Most bytes of a word on the wire.
+    pub const MAX_BYTES: u64 = 8;
+}
+
+impl LoadDigest {
+    /// Bytes of a datagram around the words: IP, UDP and QUIC headers, authentication tag,
+    /// message kind and length.
+    pub const FRAME_BYTES: u64 = 64;
+
+    /// Returns the most bytes that the digest takes on the wire.
+    pub fn max_bytes(&self) -> u64 {
+        Self::FRAME_BYTES + self.words.len() as u64 * LoadWord::MAX_BYTES
+    }
+}
+
+fn expected_wait(report: &LoadReport) -> Duration {
+    let backlog = report.prefill_backlog.get().saturating_mul(1_000);
+    let prefill = Duration::from_millis(backlog / report.prefill.get().max(1));
+    let queued = u64::from(report.waiting) * 1_000 / u64::from(report.batch.max(1));
+    prefill + Duration::from_millis(queued)
+}
--- /dev/null
+++ b/crates/laburnumstall-core/tests/watch_digest.rs
@@ -0,0 +1,197 @@
+//! Watchers of endpoints, and the digests by which loads spread.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use laburnumstall_core::membership::{CertificateFingerprint, Member};
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::watch::{
+    DIGEST_BYTES_PER_SECOND, DigestSender, LoadDigest, LoadView, LoadWord, MAX_READ_PERIOD,
+    READ_BYTES_PER_SECOND, REPORT_BYTES, WaitClass, WatchRing, own_watches, read_period,
+    subscriptions, watchers_of,
+};
+use quickcheck::{Gen, QuickCheck};
+
+fn fleet(count: u16, zones: u16) -> Vec<Member> {
+    let member = |number: u16| Member {
+        id: format!("vm-{number}@1").parse().unwrap(),
+        zone: format!("zone-{}", number % zones).parse().unwrap(),
+        peer_address: ([10, 0, 0, 1], 10_000 + number).into(),
+        caller_address: ([10, 0, 0, 1], 20_000 + number).into(),
+        certificate: CertificateFingerprint([0; 32]),
+        leaving: false,
+    };
+    (0..count).map(member).collect()
+}
+
+fn endpoints(count: usize) -> Vec<EndpointId> {
+    (0..count)
+        .map(|n| format!("endpoint-{n}").parse().unwrap())
+        .collect()
+}
+
+fn report(endpoint: &EndpointId, sequence: u64, running: u32, backlog: u64) -> LoadReport {
+    LoadReport {
+        endpoint: endpoint.clone(),
+        sequence,
+        taken_at: Timestamp::ZERO,
+        running,
+        waiting: 0,
+        batch: 64,
+        prefill_backlog: Tokens(backlog),
+        prefill: TokenRate(20_000),
+        decode_per_request: TokenRate(25),
+        services: Vec::new(),
+    }
+}
+
+/// Fails without the zone condition in `WatchRing::watchers`.
+#[test]
+fn two_watchers_in_different_zones_whatever_the_order() {
+    fn property(count: u16, zones: u16, endpoint: u32, lost: usize) -> bool {
+        let members = fleet(3 + count % 20, 2 + zones % 3);
+        let endpoint: EndpointId = format!("endpoint-{endpoint}").parse().unwrap();
+        let forward: Vec<&Member> = members.iter().collect();
+        let backward: Vec<&Member> = members.iter().rev().collect();
+        let watchers = watchers_of(&endpoint, &forward);
+        let zone = |id: &DaemonId| members.iter().find(|m| m.id == *id).unwrap().zone.clone();
+        let lost = lost % members.len();
+        let left: Vec<&Member> = members
+            .iter()
+            .filter(|m| m.id != members[lost].id)
+            .collect();
+        let after = watchers_of(&endpoint, &left);
+        let is_stable = watchers.contains(&members[lost].id) || after == watchers;
+        watchers.len() == 2
+            && zone(&watchers[0]) != zone(&watchers[1])
+            && watchers == watchers_of(&endpoint, &backward)
+            && is_stable
+    }
+    let rng = Gen::from_size_and_seed(64, 7);
+    let property = property as fn(u16, u16, u32, usize) -> bool;
+    QuickCheck::new().rng(rng).tests(1_000).quickcheck(property);
+}
+
+#[test]
+fn every_endpoint_is_watched_twice_and_reading_keeps_its_rate() {
+    let members = fleet(220, 3);
+    let members: Vec<&Member> = members.iter().collect();
+    let endpoints = endpoints(2_500);
+    let ring = WatchRing::new(&members);
+    let mut watched: BTreeMap<&DaemonId, usize> = BTreeMap::new();
+    for endpoint in &endpoints {
+        for watcher in ring.watchers(endpoint) {
+            *watched.entry(watcher).or_default() += 1;
+        }
+    }
+    assert_eq!(watched.values().sum::<usize>(), 2 * endpoints.len());
+    let own = &members[0].id;
+    assert_eq!(own_watches(own, &endpoints, &members).len(), watched[own]);
+    for watched in watched.into_values() {
+        let period = read_period(watched);
+        let bytes = watched as u64 * REPORT_BYTES * 1_000 / period.as_millis() as u64;
+        assert!(bytes <= READ_BYTES_PER_SECOND && period < MAX_READ_PERIOD);
+    }
+}
+
+/// Fails without the comparison of `told.load` in `DigestSender::digest_for`.
+#[test]
+fn only_changes_are_told_and_late_words_change_nothing() {
+    let endpoint = &endpoints(1)[0];
+    let reader: DaemonId = "vm-1@1".parse().unwrap();
+    let mut sender = DigestSender::default();
+    let at = |secs: u64| Timestamp::from_millis(1_000 * secs);
+    sender.on_subscription(at(1), &reader, std::slice::from_ref(endpoint));
+    sender.on_report(&report(endpoint, 1, 8, 0));
+    let first = sender.due(at(1));
+    assert_eq!(first.len(), 1);
+    sender.on_report(&report(endpoint, 2, 9, 0));
+    assert!(sender.due(at(3)).is_empty(), "the same step of the batch");
+    sender.on_report(&report(endpoint, 3, 64, 40_000));
+    let second = sender.due(at(5));
+    sender.on_report(&report(endpoint, 2, 0, 0));
+    assert!(sender.due(at(7)).is_empty(), "a late report");
+    let mut view = LoadView::default();
+    view.on_digest(at(5), &second[0].digest);
+    assert!(view.load(at(5), endpoint).is_none(), "outside the subset");
+    view.set_subset(std::slice::from_ref(endpoint));
+    view.on_digest(at(5), &second[0].digest);
+    view.on_digest(at(6), &first[0].digest);
+    let heard = view.load(at(6), endpoint).unwrap().load;
+    assert_eq!(heard.free_permille(), 0);
+    assert!(heard.wait.wait() >= Duration::from_secs(2));
+    assert!(view.load(at(600), endpoint).is_none(), "not told for long");
+}
+
+/// Fails without the check of the allowance in `DigestSender::due`.
+#[test]
+fn digests_keep_the_byte_rate_and_reach_everybody() {
+    let members = fleet(40, 3);
+    let members: Vec<&Member> = members.iter().collect();
+    let endpoints = endpoints(400);
+    let ring = WatchRing::new(&members);
+    let mut senders: BTreeMap<DaemonId, DigestSender> = BTreeMap::new();
+    let subset = |n: usize| -> Vec<EndpointId> {
+        endpoints.iter().skip(n % 4).step_by(4).cloned().collect()
+    };
+    for (n, reader) in members.iter().enumerate() {
+        for wanted in subscriptions(&subset(n), &members) {
+            let sender = senders.entry(wanted.watcher).or_default();
+            sender.on_subscription(Timestamp::ZERO, &reader.id, &wanted.endpoints);
+        }
+    }
+    let mut views: BTreeMap<DaemonId, LoadView> = BTreeMap::new();
+    for (n, reader) in members.iter().enumerate() {
+        views
+            .entry(reader.id.clone())
+            .or_default()
+            .set_subset(&subset(n));
+    }
+    // Every load changes every second: the worst case.
+    const SECONDS: u64 = 30;
+    for second in 1..=SECONDS {
+        let now = Timestamp::from_millis(1_000 * second);
+        for endpoint in &endpoints {
+            let first = ring.watchers(endpoint)[0].clone();
+            let load = report(endpoint, second, (second as u32 * 13) % 65, 900 * second);
+            senders.get_mut(&first).unwrap().on_report(&load);
+        }
+        for sender in senders.values_mut() {
+            for message in sender.due(now) {
+                views
+                    .get_mut(&message.to)
+                    .unwrap()
+                    .on_digest(now, &message.digest);
+            }
+        }
+    }
+    let end = Timestamp::from_millis(1_000 * SECONDS);
+    for sender in senders.values() {
+        assert!(sender.bytes_sent() <= SECONDS * DIGEST_BYTES_PER_SECOND);
+    }
+    for (n, reader) in members.iter().enumerate() {
+        for endpoint in subset(n) {
+            assert!(views[&reader.id].load(end, &endpoint).is_some());
+        }
+    }
+}
+
+#[test]
+fn words_fit_their_stated_size() {
+    let endpoint = &endpoints(1)[0];
+    let reader: DaemonId = "vm-1@1".parse().unwrap();
+    let mut sender = DigestSender::default();
+    let now = Timestamp::from_millis(5_000);
+    sender.on_subscription(now, &reader, std::slice::from_ref(endpoint));
+    sender.on_report(&report(endpoint, 255, 64, u64::MAX / 2_000));
+    let digest: LoadDigest = sender.due(now).remove(0).digest;
+    let word: &LoadWord = &digest.words[0];
+    let encoded = postcard::to_allocvec(word).unwrap();
+    assert!(encoded.len() as u64 <= LoadWord::MAX_BYTES);
+    let mut last = Duration::ZERO;
+    for class in 1..=24 {
+        let wait = WaitClass(class).wait();
+        assert!(wait > last && WaitClass::of(wait) == WaitClass(class));
+        last = wait;
+    }
+}
