--- a/crates/laburnumstall-core/src/membership.rs
+++ b/crates/laburnumstall-core/src/membership.rs
@@ -21,7 +21,9 @@
 pub use member::{CertificateFingerprint, Member};
 pub use ring::MAX_TARGETS;
 use standing::Standing;
-pub use standing::{EXPIRED_AFTER, PROBE_AFTER, REFUSALS_TO_GONE, SILENT_AFTER, SUSPICION_LIFE};
+pub use standing::{
+    EXPIRED_AFTER, PROBE_AFTER, PROBE_TIMEOUT, REFUSALS_TO_GONE, SILENT_AFTER, SUSPICION_LIFE,
+};
 
 use crate::cloud::ReclaimNotice;
 use crate::decision::{Decision, DecisionKind, Journal};
--- a/crates/laburnumstall-core/src/membership/standing.rs
+++ b/crates/laburnumstall-core/src/membership/standing.rs
@@ -18,6 +18,9 @@
 /// Silence after which a member is probed on a new connection: two heartbeats missed.
 pub const PROBE_AFTER: Duration = HEARTBEAT_PERIOD.saturating_mul(2);
 
+/// Time that a probe on a new connection waits for an answer.
+pub const PROBE_TIMEOUT: Duration = HEARTBEAT_PERIOD;
+
 /// Silence after which a member can count as gone: five heartbeats missed.
 pub const SILENT_AFTER: Duration = HEARTBEAT_PERIOD.saturating_mul(5);
 
