Convict a request only as the sole suspect of a second crash

Cause: two daemons may retry copies of one suspect at once, and a reclaim of many endpoints looks like crashes.

--- a/crates/laburnumstall-core/src/quarantine.rs
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -2,41 +2,42 @@
 //!
 //! Each crash of an endpoint raises suspicion on every request that was in flight there.
 //! The entry tells its peers by a [`Suspicion`] before it retries a suspect, and retries
-//! suspects apart from each other. A crash with exactly one suspect in flight convicts
-//! that suspect. The state is a set of crash reports that only grows until it expires, so
-//! merging is commutative and idempotent; verdicts are computed from the set.
+//! suspects one at a time and apart from each other, see [`Quarantine::begin_trial`]. A
+//! crash with exactly one suspect in flight convicts that suspect and clears the others.
+//! The state is a set of records that only grows until it expires, so merging is
+//! commutative and idempotent; verdicts are computed from the set, see `crash`.
 //!
 //! Crashes of several endpoints at nearly the same time are taken for a reclaim and are
 //! no evidence against requests that were not in flight on all of them.
 
 mod crash;
+mod retention;
 mod suspicion;
+mod trial;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::prelude::*;
-use crash::Crash;
-pub use suspicion::{Clearance, Conviction, CrashReport, Suspicion};
+use crash::{Dated, Reports, Standing};
+use retention::{MAX_REPORTS, REPORT_TTL};
+pub use suspicion::{Clearance, Conviction, CrashReport, Reclaim, Suspicion, TrialClaim};
+use trial::{Trials, Turn};
 
 /// Time between two reports of one crash by different daemons.
 const SAME_CRASH: Duration = Duration::from_secs(5);
 /// Time within which a crash that one daemon notices twice is one crash.
 const SAME_NOTICE: Duration = Duration::from_secs(1);
+/// Time after a crash in which the other daemons tell what they had in flight there.
+const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Time within which crashes of different endpoints are taken for one reclaim.
 const WAVE_WINDOW: Duration = Duration::from_secs(2);
 /// Crashes of other endpoints, without the request, that make a reclaim.
 const WAVE_OTHERS: usize = 2;
-/// Time that a crash report counts.
-const REPORT_TTL: Duration = Duration::from_secs(600);
-/// Time that a request stays quarantined.
-const CONVICTION_TTL: Duration = Duration::from_secs(7 * 24 * 3600);
-/// Most crash reports kept.
-const MAX_REPORTS: usize = 1024;
+/// Time between a crash and the notice that the endpoint was reclaimed.
+const RECLAIM_WINDOW: Duration = Duration::from_secs(120);
 /// Most requests of one report.
 const MAX_IN_FLIGHT: usize = 1024;
-/// Most convictions and most clearances kept.
-const MAX_RECORDS: usize = 16_384;
 
 /// What is known of a request's effect on endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,20 +50,28 @@
     Quarantined,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Standing {
-    Suspect,
-    /// Evidence to convict, from the time given on.
-    Convicted(Timestamp),
+/// Whether a suspect may be retried by this daemon now.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Trial {
+    /// It may, apart from other suspects.
+    Run,
+    /// The message goes to all peers first; ask again when they have it.
+    Tell(Suspicion),
+    /// Ask again at the time given, or when a peer has told something.
+    Wait(Timestamp),
 }
 
 /// The crash reports known to one daemon and the verdicts that follow from them.
 #[derive(Debug, Clone)]
 pub struct Quarantine {
     own: DaemonId,
-    reports: BTreeMap<(EndpointId, Timestamp, DaemonId), BTreeSet<Fingerprint>>,
-    cleared: BTreeMap<Fingerprint, Timestamp>,
-    convicted: BTreeMap<Fingerprint, Timestamp>,
+    reports: Reports,
+    reclaims: BTreeMap<EndpointId, Timestamp>,
+    cleared: Dated,
+    /// Convictions whose reports have expired.
+    convicted: Dated,
+    trials: Trials,
+    news: Suspicion,
     standings: BTreeMap<Fingerprint, Standing>,
 }
 
@@ -71,33 +80,93 @@
     pub fn new(own: &DaemonId) -> Self {
         Self {
             own: own.clone(),
-            reports: BTreeMap::new(),
-            cleared: BTreeMap::new(),
-            convicted: BTreeMap::new(),
+            reports: Reports::new(),
+            reclaims: BTreeMap::new(),
+            cleared: Dated::new(),
+            convicted: Dated::new(),
+            trials: Trials::default(),
+            news: Suspicion::default(),
             standings: BTreeMap::new(),
         }
     }
 
     /// Tells how a request is to be treated.
     pub fn verdict(&self, now: Timestamp, fingerprint: Fingerprint) -> Verdict {
-        if self.is_convicted_for_long(fingerprint) {
-            return Verdict::Quarantined;
-        }
         match self.standings.get(&fingerprint) {
-            None => Verdict::Clear,
-            Some(Standing::Convicted(from)) if *from <= now => Verdict::Quarantined,
+            Some(Standing::Convicted { from }) if *from <= now => Verdict::Quarantined,
+            Some(Standing::Suspect { until, .. }) if *until <= now => Verdict::Clear,
             Some(_) => Verdict::Suspect,
+            None => Verdict::Clear,
         }
     }
 
-    /// Returns when the evidence against a suspect is complete, if that is later than `now`.
+    /// Asks whether this daemon may retry a suspect now.
     ///
-    /// Until then the request is neither retried nor refused: the crash may prove to be
-    /// part of a reclaim.
-    pub fn held_until(&self, now: Timestamp, fingerprint: Fingerprint) -> Option<Timestamp> {
+    /// One daemon retries a suspect at a time, so that copies sent through several entries
+    /// cost no further endpoint. A suspect whose conviction may still prove to be an error,
+    /// because its crash was part of a reclaim, waits until that is known.
+    pub fn begin_trial(&mut self, now: Timestamp, fingerprint: Fingerprint) -> Trial {
         match self.standings.get(&fingerprint) {
-            Some(Standing::Convicted(from)) if *from > now => Some(*from),
-            _ => None,
+            Some(Standing::Convicted { from }) if *from > now => return Trial::Wait(*from),
+            Some(Standing::Suspect { since, until }) if *until > now => {
+                let settled = since.after(SETTLE_TIME);
+                if settled > now {
+                    return Trial::Wait(settled);
+                }
+            }
+            _ => return Trial::Run,
+        }
+        match self.trials.turn(now, fingerprint, &self.own) {
+            Turn::Own => Trial::Run,
+            Turn::Unclaimed => {
+                let claim = self.trials.claim(now, fingerprint, &self.own);
+                Trial::Tell(Suspicion {
+                    trials: vec![claim],
+                    ..Suspicion::default()
+                })
+            }
+            Turn::Later(at) => Trial::Wait(at),
+        }
+    }
+
+    /// Takes in that a request was sent to an endpoint, whatever its verdict.
+    ///
+    /// Its end is told by [`on_crash`](Self::on_crash) or [`on_ended`](Self::on_ended).
+    pub fn on_dispatched(&mut self, fingerprint: Fingerprint, endpoint: &EndpointId) {
+        self.trials.start(fingerprint, endpoint);
+    }
+
+    /// Takes in that a request's copy on an endpoint has ended without a crash.
+    pub fn on_ended(&mut self, fingerprint: Fingerprint, endpoint: &EndpointId) {
+        if self.trials.stop(fingerprint, endpoint) {
+            let ended = self.trials.end(fingerprint, &self.own);
+            self.news.trials.extend(ended);
+        }
+    }
+
+    /// Returns the endpoints that run a suspect, as far as this daemon knows.
+    ///
+    /// A suspect is not retried there: a crash would not tell which of the two caused it.
+    pub fn occupied(&self, now: Timestamp) -> Vec<EndpointId> {
+        let is_suspect = |f| self.verdict(now, f) != Verdict::Clear;
+        self.trials.occupied(now, is_suspect).into_iter().collect()
+    }
+
+    /// Returns what a peer is to know before it retries a suspect: suspects that run here
+    /// already, and this daemon's claims on the suspects of the peer's message.
+    ///
+    /// The answer belongs to the acknowledgement of the message, after it was merged.
+    pub fn reply(&self, told: &Suspicion) -> Suspicion {
+        let reported = told.reports.iter().flat_map(|report| &report.in_flight);
+        let claimed = told.trials.iter().map(|claim| &claim.fingerprint);
+        let suspects: BTreeSet<Fingerprint> = reported.chain(claimed).copied().collect();
+        let is_wanted = |claim: &TrialClaim| {
+            claim.by == self.own
+                && (claim.endpoint.is_some() || suspects.contains(&claim.fingerprint))
+        };
+        Suspicion {
+            trials: self.trials.claims().filter(is_wanted).collect(),
+            ..Suspicion::default()
         }
     }
 
@@ -105,7 +174,8 @@
     /// were in flight there.
     ///
     /// Returns the message that peers get before any of the requests is retried, or `None`
-    /// if nothing was in flight or the crash is known. A reclaim is not a crash.
+    /// if the crash is known. A reclaim is not a crash. A crash with nothing in flight is
+    /// told as well: it shows that a request is not the cause.
     pub fn on_crash(
         &mut self,
         now: Timestamp,
@@ -113,28 +183,53 @@
         in_flight: &[Fingerprint],
         journal: &mut Journal,
     ) -> Option<Suspicion> {
-        if in_flight.is_empty() {
-            return None;
-        }
         let report = CrashReport {
             endpoint: endpoint.clone(),
             at: self.notice_time(now, endpoint),
             from: self.own.clone(),
             in_flight: in_flight.iter().copied().take(MAX_IN_FLIGHT).collect(),
         };
-        let suspicion = Suspicion {
+        let mut suspicion = Suspicion {
             reports: vec![report],
-            cleared: Vec::new(),
-            convicted: Vec::new(),
+            ..Suspicion::default()
         };
-        self.merge(now, &suspicion, journal).then_some(suspicion)
+        if !self.merge(now, &suspicion, journal) {
+            return None;
+        }
+        let unique: BTreeSet<Fingerprint> = in_flight.iter().copied().collect();
+        for f in in_flight {
+            self.trials.stop(*f, endpoint);
+        }
+        suspicion.trials = unique
+            .into_iter()
+            .filter_map(|f| self.trials.claim_after_crash(now, f, &self.own))
+            .collect();
+        Some(suspicion)
+    }
+
+    /// Takes in that an endpoint's VM was reclaimed: its end counts against no request.
+    pub fn on_reclaim(&mut self, now: Timestamp, endpoint: &EndpointId, journal: &mut Journal) {
+        let reclaim = Reclaim {
+            endpoint: endpoint.clone(),
+            at: now,
+        };
+        let suspicion = Suspicion {
+            reclaims: vec![reclaim.clone()],
+            ..Suspicion::default()
+        };
+        if self.merge(now, &suspicion, journal) {
+            self.news.reclaims.push(reclaim);
+        }
     }
 
     /// Takes in what a peer tells; returns whether anything was new.
     pub fn merge(&mut self, now: Timestamp, suspicion: &Suspicion, journal: &mut Journal) -> bool {
         let mut is_new = false;
         for report in &suspicion.reports {
-            is_new |= self.add_report(now, report);
+            is_new |= self.add_report(now, report, journal);
+        }
+        for reclaim in &suspicion.reclaims {
+            is_new |= keep_latest(&mut self.reclaims, reclaim.endpoint.clone(), reclaim.at);
         }
         for clearance in &suspicion.cleared {
             is_new |= keep_latest(&mut self.cleared, clearance.fingerprint, clearance.at);
@@ -142,153 +237,139 @@
         for conviction in &suspicion.convicted {
             is_new |= keep_latest(&mut self.convicted, conviction.fingerprint, conviction.at);
         }
+        for claim in &suspicion.trials {
+            is_new |= self.trials.merge(claim);
+        }
         if is_new {
             self.refresh(now, journal);
         }
         is_new
     }
 
-    /// Clears a suspect that finished whole.
+    /// Takes in that a request finished whole, which clears a suspect.
     pub fn on_survived(&mut self, now: Timestamp, fingerprint: Fingerprint) {
-        if self.verdict(now, fingerprint) == Verdict::Clear {
-            return;
-        }
-        keep_latest(&mut self.cleared, fingerprint, now);
-        self.refresh(now, &mut Journal::default());
+        let ended = self.trials.end(fingerprint, &self.own);
+        self.news.trials.extend(ended);
+        self.release(now, fingerprint);
     }
 
-    /// Drops what has expired and keeps the state within its bounds.
-    pub fn tick(&mut self, now: Timestamp) {
-        self.refresh(now, &mut Journal::default());
-        let standings = std::mem::take(&mut self.standings);
-        for (fingerprint, standing) in standings {
-            if let Standing::Convicted(from) = standing
-                && from <= now
-            {
-                keep_latest(&mut self.convicted, fingerprint, from);
-            }
-        }
-        self.reports
-            .retain(|(_, at, _), _| now.since(*at) < REPORT_TTL);
-        while self.reports.len() > MAX_REPORTS {
-            let oldest = self.reports.keys().min_by_key(|(_, at, _)| *at).cloned();
-            oldest.map(|key| self.reports.remove(&key));
+    /// Clears a request that is suspect or quarantined, as an operator asks.
+    pub fn release(&mut self, now: Timestamp, fingerprint: Fingerprint) {
+        if !self.standings.contains_key(&fingerprint) {
+            return;
         }
-        expire(&mut self.cleared, now, REPORT_TTL);
-        expire(&mut self.convicted, now, CONVICTION_TTL);
+        let clearance = Clearance {
+            fingerprint,
+            at: now,
+        };
+        keep_latest(&mut self.cleared, fingerprint, now);
+        self.news.cleared.push(clearance);
         self.refresh(now, &mut Journal::default());
     }
 
-    /// Returns everything known, for a peer that has just started.
-    pub fn snapshot(&self) -> Suspicion {
-        Suspicion {
-            reports: self
-                .reports
-                .iter()
-                .map(|((endpoint, at, from), in_flight)| CrashReport {
-                    endpoint: endpoint.clone(),
-                    at: *at,
-                    from: from.clone(),
-                    in_flight: in_flight.iter().copied().collect(),
-                })
-                .collect(),
-            cleared: self
-                .cleared
-                .iter()
-                .map(|(&fingerprint, &at)| Clearance { fingerprint, at })
-                .collect(),
-            convicted: self
-                .convicted
-                .iter()
-                .map(|(&fingerprint, &at)| Conviction { fingerprint, at })
-                .collect(),
-        }
+    /// Takes the clearances, reclaims and ended retries that peers have not been told.
+    pub fn take_news(&mut self) -> Option<Suspicion> {
+        let news = std::mem::take(&mut self.news);
+        (!news.is_empty()).then_some(news)
     }
 
-    fn is_convicted_for_long(&self, fingerprint: Fingerprint) -> bool {
-        let cleared = self.cleared.get(&fingerprint);
-        self.convicted
-            .get(&fingerprint)
-            .is_some_and(|at| cleared.is_none_or(|cleared| cleared < at))
+    /// Drops the claims of a daemon that is gone, so that others may retry its suspects.
+    pub fn forget_peer(&mut self, daemon: &DaemonId) {
+        self.trials.forget(daemon);
     }
 
-    /// Returns the time of this daemon's earlier notice of the same crash, or `now`.
+    /// Returns this daemon's earlier notice of the same crash, or `now`.
     fn notice_time(&self, now: Timestamp, endpoint: &EndpointId) -> Timestamp {
+        let is_same = |(of, at, from): &&(EndpointId, Timestamp, DaemonId)| {
+            of == endpoint && *from == self.own && now.since(*at) < SAME_NOTICE
+        };
         self.reports
             .keys()
-            .filter(|(of, at, from)| {
-                of == endpoint && *from == self.own && now.since(*at) < SAME_NOTICE
-            })
+            .filter(is_same)
             .map(|(_, at, _)| *at)
             .max()
             .unwrap_or(now)
     }
 
-    fn add_report(&mut self, now: Timestamp, report: &CrashReport) -> bool {
+    fn add_report(&mut self, now: Timestamp, report: &CrashReport, journal: &mut Journal) -> bool {
         if now.since(report.at) >= REPORT_TTL {
             return false;
         }
         let key = (report.endpoint.clone(), report.at, report.from.clone());
+        let is_new = !self.reports.contains_key(&key);
         let known = self.reports.entry(key).or_default();
         let before = known.len();
         known.extend(report.in_flight.iter().take(MAX_IN_FLIGHT));
-        known.len() > before
+        let has_grown = known.len() > before;
+        if is_new {
+            journal.record(crash_decision(now, report));
+        }
+        if report.from != self.own {
+            self.claim_running(report);
+        }
+        if self.reports.len() > MAX_REPORTS {
+            self.refresh(now, journal);
+            self.drop_reports(now);
+        }
+        is_new || has_grown
+    }
+
+    /// Claims the suspects of a peer's report that run here already.
+    fn claim_running(&mut self, report: &CrashReport) {
+        for f in &report.in_flight {
+            let claim = self.trials.claim_running(*f, &self.own, report.at);
+            self.news.trials.extend(claim);
+        }
+    }
+
+    /// Returns the recorded convictions that no clearance has ended.
+    fn standing_convictions(&self) -> Dated {
+        let stands = |(f, at): &(&Fingerprint, &Timestamp)| {
+            self.cleared.get(*f).is_none_or(|cleared| cleared < *at)
+        };
+        self.convicted
+            .iter()
+            .filter(stands)
+            .map(|(f, at)| (*f, *at))
+            .collect()
     }
 
     fn refresh(&mut self, now: Timestamp, journal: &mut Journal) {
-        let crashes = crash::group(&self.reports, &self.cleared);
-        let standings = crash::standings(&crashes);
-        for (fingerprint, standing) in &standings {
-            if self.standings.get(fingerprint) != Some(standing) {
-                record(now, *fingerprint, *standing, &crashes, journal);
+        let mut crashes = crash::group(&self.reports, &self.cleared, &self.reclaims);
+        let standings = crash::standings(&mut crashes, &self.standing_convictions());
+        let before = std::mem::replace(&mut self.standings, standings);
+        for (f, standing) in &self.standings {
+            if is_convicted(standing) && !before.get(f).is_some_and(is_convicted) {
+                journal.record(decision(now, "quarantine", "only-suspect-at-crash", *f));
+            }
+        }
+        for (f, _) in before.iter().filter(|(_, standing)| is_convicted(standing)) {
+            if !self.standings.get(f).is_some_and(is_convicted) {
+                journal.record(decision(now, "withdraw", "evidence-withdrawn", *f));
             }
         }
-        self.standings = standings;
     }
 }
 
-fn record(
-    now: Timestamp,
-    fingerprint: Fingerprint,
-    standing: Standing,
-    crashes: &[Crash],
-    journal: &mut Journal,
-) {
-    let (choice, reason) = match standing {
-        Standing::Suspect => ("suspect", "in-flight-at-crash"),
-        Standing::Convicted(_) => ("quarantine", "only-suspect-at-crash"),
-    };
-    let places: Vec<&str> = crashes
-        .iter()
-        .filter(|crash| crash.in_flight.contains(&fingerprint))
-        .map(|crash| crash.endpoint.as_str())
-        .collect();
-    let decision = Decision::new(now, DecisionKind::Quarantine, choice, reason)
-        .with("fingerprint", fingerprint)
-        .with("endpoints", places.join(","));
-    journal.record(decision);
+fn is_convicted(standing: &Standing) -> bool {
+    matches!(standing, Standing::Convicted { .. })
+}
+
+fn decision(now: Timestamp, choice: &str, reason: &str, f: Fingerprint) -> Decision {
+    Decision::new(now, DecisionKind::Quarantine, choice, reason).with("fingerprint", f)
+}
+
+fn crash_decision(now: Timestamp, report: &CrashReport) -> Decision {
+    Decision::new(now, DecisionKind::Quarantine, "suspect", "endpoint-crash")
+        .with("endpoint", &report.endpoint)
+        .with("from", &report.from)
+        .with("in_flight", report.in_flight.len())
 }
 
-fn keep_latest(
-    records: &mut BTreeMap<Fingerprint, Timestamp>,
-    key: Fingerprint,
-    at: Timestamp,
-) -> bool {
-    let known = records.get(&key).copied();
-    if known.is_some_and(|known| known >= at) {
+fn keep_latest<K: Ord>(records: &mut BTreeMap<K, Timestamp>, key: K, at: Timestamp) -> bool {
+    if records.get(&key).is_some_and(|known| *known >= at) {
         return false;
     }
     records.insert(key, at);
     true
 }
-
-fn expire(records: &mut BTreeMap<Fingerprint, Timestamp>, now: Timestamp, ttl: Duration) {
-    records.retain(|_, at| now.since(*at) < ttl);
-    while records.len() > MAX_RECORDS {
-        let oldest = records
-            .iter()
-            .min_by_key(|(_, at)| **at)
-            .map(|(key, _)| *key);
-        oldest.map(|key| records.remove(&key));
-    }
-}
--- a/crates/laburnumstall-core/src/quarantine/crash.rs
+++ b/crates/laburnumstall-core/src/quarantine/crash.rs
@@ -1,86 +1,199 @@
 //! Groups crash reports into crashes, and derives from them who is suspect or convicted.
+//!
+//! Everything here is a function of the set of reports, whatever the order in which they
+//! came, so that all daemons with the same reports reach the same verdicts.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{SAME_CRASH, Standing, WAVE_OTHERS, WAVE_WINDOW};
+use super::{RECLAIM_WINDOW, SAME_CRASH, WAVE_OTHERS, WAVE_WINDOW};
 use crate::ids::{DaemonId, EndpointId, Fingerprint};
 use crate::units::Timestamp;
 
+/// Reports by endpoint, time and daemon, with the requests in flight.
+pub(super) type Reports = BTreeMap<(EndpointId, Timestamp, DaemonId), BTreeSet<Fingerprint>>;
+/// Requests with the time of a verdict.
+pub(super) type Dated = BTreeMap<Fingerprint, Timestamp>;
+
+/// What the crashes say of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// Suspect since its latest crash, until another is convicted of its crashes.
+    Suspect { since: Timestamp, until: Timestamp },
+    /// Convicted from the time given on.
+    Convicted { from: Timestamp },
+}
+
 /// One crash of one endpoint, as all daemons together saw it.
 pub(super) struct Crash {
-    pub(super) endpoint: EndpointId,
+    endpoint: EndpointId,
     /// Earliest notice.
-    pub(super) at: Timestamp,
+    at: Timestamp,
     from: BTreeSet<DaemonId>,
-    pub(super) in_flight: BTreeSet<Fingerprint>,
+    in_flight: BTreeSet<Fingerprint>,
+    /// Requests against which the crash counts.
+    counted: BTreeSet<Fingerprint>,
+    /// When a request was convicted of the crash, which clears the others.
+    explained_at: Option<Timestamp>,
 }
 
-type Reports = BTreeMap<(EndpointId, Timestamp, DaemonId), BTreeSet<Fingerprint>>;
-
-/// Groups reports of one endpoint that are close in time and from different daemons.
-pub(super) fn group(reports: &Reports, cleared: &BTreeMap<Fingerprint, Timestamp>) -> Vec<Crash> {
+/// Groups reports of one endpoint that are close in time and from different daemons;
+/// returns the crashes in the order of time.
+pub(super) fn group(
+    reports: &Reports,
+    cleared: &Dated,
+    reclaims: &BTreeMap<EndpointId, Timestamp>,
+) -> Vec<Crash> {
     let mut crashes: Vec<Crash> = Vec::new();
     for ((endpoint, at, from), in_flight) in reports {
         let is_current = |f: &&Fingerprint| cleared.get(*f).is_none_or(|until| until < at);
-        let in_flight = in_flight.iter().filter(is_current).copied();
+        let current = in_flight.iter().filter(is_current).copied();
         match crashes.last_mut() {
             Some(crash) if crash.includes(endpoint, *at, from) => {
                 crash.from.insert(from.clone());
                 crash.in_flight.extend(in_flight);
+                crash.counted.extend(current);
             }
             _ => crashes.push(Crash {
                 endpoint: endpoint.clone(),
                 at: *at,
                 from: BTreeSet::from([from.clone()]),
-                in_flight: in_flight.collect(),
+                in_flight: in_flight.clone(),
+                counted: current.collect(),
+                explained_at: None,
             }),
         }
     }
+    crashes.sort_by(|a, b| (a.at, &a.endpoint).cmp(&(b.at, &b.endpoint)));
+    drop_reclaims(&mut crashes, reclaims);
     crashes
 }
 
-/// Derives the standing of every request that was in flight at a crash that counts.
-pub(super) fn standings(crashes: &[Crash]) -> BTreeMap<Fingerprint, Standing> {
-    let counted: Vec<BTreeSet<Fingerprint>> = crashes
-        .iter()
-        .map(|crash| counted_requests(crash, crashes))
-        .collect();
-    let mut crash_counts: BTreeMap<Fingerprint, usize> = BTreeMap::new();
-    for fingerprint in counted.iter().flatten() {
-        *crash_counts.entry(*fingerprint).or_default() += 1;
+/// Takes out of each crash the requests against which it does not count, because the
+/// endpoint or several others at that time were reclaimed.
+fn drop_reclaims(crashes: &mut [Crash], reclaims: &BTreeMap<EndpointId, Timestamp>) {
+    for index in 0..crashes.len() {
+        let crash = &crashes[index];
+        let is_reclaim = reclaims
+            .get(&crash.endpoint)
+            .is_some_and(|at| apart(*at, crash.at) < RECLAIM_WINDOW);
+        let near = near(crashes, index);
+        let mut counted = crash.counted.clone();
+        counted.retain(|f| {
+            let others = near.iter().filter(|other| !other.in_flight.contains(f));
+            !is_reclaim && others.count() < WAVE_OTHERS
+        });
+        crashes[index].counted = counted;
     }
-    let mut standings: BTreeMap<Fingerprint, Standing> = crash_counts
-        .keys()
-        .map(|fingerprint| (*fingerprint, Standing::Suspect))
-        .collect();
-    for (crash, requests) in crashes.iter().zip(&counted) {
-        let mut repeated = requests.iter().filter(|f| crash_counts[*f] > 1);
-        if let (Some(only), None) = (repeated.next(), repeated.next()) {
-            convict(&mut standings, *only, crash.at.after(WAVE_WINDOW));
+}
+
+/// Returns the crashes of other endpoints at nearly the same time.
+fn near(crashes: &[Crash], index: usize) -> Vec<&Crash> {
+    let crash = &crashes[index];
+    let is_close = |other: &&Crash| apart(crash.at, other.at) < WAVE_WINDOW;
+    let before = crashes[..index].iter().rev().take_while(is_close);
+    let after = crashes[index + 1..].iter().take_while(is_close);
+    before
+        .chain(after)
+        .filter(|other| other.endpoint != crash.endpoint)
+        .collect()
+}
+
+/// Derives the standing of every request that was in flight at a crash that counts.
+///
+/// A crash convicts a request if it is the only one there with an earlier crash that no
+/// other request has been convicted of.
+pub(super) fn standings(
+    crashes: &mut [Crash],
+    convicted_before: &Dated,
+) -> BTreeMap<Fingerprint, Standing> {
+    let mut convicted = convicted_before.clone();
+    let mut history: BTreeMap<Fingerprint, Vec<usize>> = BTreeMap::new();
+    for index in 0..crashes.len() {
+        if let Some(from) = crashes[index].convict_of(&convicted) {
+            crashes[index].explained_at = Some(from);
+            continue;
+        }
+        let culprit = only_repeated(crashes, index, &history);
+        for f in &crashes[index].counted {
+            history.entry(*f).or_default().push(index);
+        }
+        if let Some(culprit) = culprit {
+            let from = crashes[index].at.after(WAVE_WINDOW);
+            convicted.insert(culprit, from);
+            for explained in &history[&culprit] {
+                crashes[*explained].explained_at.get_or_insert(from);
+            }
         }
     }
-    standings
+    collect(crashes, &convicted)
 }
 
-fn convict(standings: &mut BTreeMap<Fingerprint, Standing>, f: Fingerprint, from: Timestamp) {
-    let earliest = match standings.get(&f) {
-        Some(Standing::Convicted(known)) => (*known).min(from),
-        _ => from,
+/// Returns the request of a crash that alone has an earlier unexplained crash.
+fn only_repeated(
+    crashes: &[Crash],
+    index: usize,
+    history: &BTreeMap<Fingerprint, Vec<usize>>,
+) -> Option<Fingerprint> {
+    let is_unexplained = |earlier: &usize| crashes[*earlier].explained_at.is_none();
+    let is_repeated = |f: &&Fingerprint| {
+        history
+            .get(*f)
+            .is_some_and(|earlier| earlier.iter().any(is_unexplained))
     };
-    standings.insert(f, Standing::Convicted(earliest));
+    let mut repeated = crashes[index].counted.iter().filter(is_repeated);
+    let only = repeated.next()?;
+    repeated.next().is_none().then_some(*only)
+}
+
+fn collect(crashes: &[Crash], convicted: &Dated) -> BTreeMap<Fingerprint, Standing> {
+    let mut standings = BTreeMap::new();
+    for crash in crashes {
+        let until = crash.explained_at.unwrap_or(Timestamp::NEVER);
+        for f in &crash.counted {
+            let first = Standing::Suspect {
+                since: crash.at,
+                until,
+            };
+            let standing = standings.entry(*f).or_insert(first);
+            if let Standing::Suspect {
+                since,
+                until: known,
+            } = standing
+            {
+                *since = crash.at.max(*since);
+                *known = until.max(*known);
+            }
+        }
+    }
+    for (f, from) in convicted {
+        standings.insert(*f, Standing::Convicted { from: *from });
+    }
+    standings
 }
 
-/// Returns the requests against which the crash counts: those that a reclaim does not explain.
-fn counted_requests(crash: &Crash, crashes: &[Crash]) -> BTreeSet<Fingerprint> {
-    let near: Vec<&Crash> = crashes
+/// Returns the reports whose crash says nothing against any request.
+pub(super) fn without_evidence(crashes: &[Crash], before: Timestamp) -> Vec<EndpointCrash> {
+    crashes
         .iter()
-        .filter(|other| other.endpoint != crash.endpoint && crash.is_near(other))
-        .collect();
-    let is_counted = |f: &&Fingerprint| {
-        let others = near.iter().filter(|other| !other.in_flight.contains(*f));
-        others.count() < WAVE_OTHERS
-    };
-    crash.in_flight.iter().filter(is_counted).copied().collect()
+        .filter(|crash| crash.is_idle(before))
+        .map(|crash| EndpointCrash {
+            endpoint: crash.endpoint.clone(),
+            at: crash.at,
+        })
+        .collect()
+}
+
+/// Names a crash: an endpoint and the earliest notice.
+pub(super) struct EndpointCrash {
+    pub(super) endpoint: EndpointId,
+    pub(super) at: Timestamp,
+}
+
+impl EndpointCrash {
+    /// Tells whether a report belongs to the crash.
+    pub(super) fn includes(&self, endpoint: &EndpointId, at: Timestamp) -> bool {
+        self.endpoint == *endpoint && apart(self.at, at) < SAME_CRASH
+    }
 }
 
 impl Crash {
@@ -89,8 +202,22 @@
         is_same && !self.from.contains(from)
     }
 
-    fn is_near(&self, other: &Self) -> bool {
-        let apart = self.at.since(other.at).max(other.at.since(self.at));
-        apart < WAVE_WINDOW
+    fn is_idle(&self, before: Timestamp) -> bool {
+        match self.explained_at {
+            Some(from) => from < before,
+            None => self.counted.is_empty() && self.at < before,
+        }
     }
+
+    /// Returns when a request of the crash was convicted before.
+    fn convict_of(&self, convicted: &Dated) -> Option<Timestamp> {
+        self.counted
+            .iter()
+            .filter_map(|f| convicted.get(f).copied())
+            .min()
+    }
+}
+
+fn apart(a: Timestamp, b: Timestamp) -> std::time::Duration {
+    a.since(b).max(b.since(a))
 }
--- a/crates/laburnumstall-core/src/quarantine/suspicion.rs
+++ b/crates/laburnumstall-core/src/quarantine/suspicion.rs
@@ -1,4 +1,4 @@
-//! The message by which daemons tell each other of crashes and suspects.
+//! The message by which daemons tell each other of crashes, suspects and trials.
 
 use crate::domain;
 use crate::ids::{DaemonId, EndpointId, Fingerprint};
@@ -17,11 +17,19 @@
         pub in_flight: Vec<Fingerprint>,
     }
 
+    /// The platform took an endpoint's VM back: its end was no crash.
+    pub struct Reclaim {
+        /// Endpoint that was taken.
+        pub endpoint: EndpointId,
+        /// When a daemon learnt of it.
+        pub at: Timestamp,
+    }
+
     /// A suspect that finished whole, or was released by an operator.
     pub struct Clearance {
         /// The request.
         pub fingerprint: Fingerprint,
-        /// Crashes up to this time no longer count against it.
+        /// Crashes and convictions up to this time no longer count against it.
         pub at: Timestamp,
     }
 
@@ -33,13 +41,39 @@
         pub at: Timestamp,
     }
 
-    /// What peers are told before a suspect is retried.
+    /// A daemon's wish to retry a suspect; the earliest that has not ended holds.
+    pub struct TrialClaim {
+        /// The suspect.
+        pub fingerprint: Fingerprint,
+        /// Daemon that wants to retry it.
+        pub by: DaemonId,
+        /// When it was claimed; later than every claim that the daemon knew.
+        pub at: Timestamp,
+        /// Endpoint that it runs on, if it ran before it was suspected.
+        pub endpoint: Option<EndpointId>,
+        /// Whether the daemon no longer wants it.
+        pub is_ended: bool,
+    }
+
+    /// What peers are told before a suspect is retried, and what became of suspects.
+    #[derive(Default)]
     pub struct Suspicion {
         /// Crashes.
         pub reports: Vec<CrashReport>,
-        /// Suspects cleared since.
+        /// Endpoints whose end was a reclaim.
+        pub reclaims: Vec<Reclaim>,
+        /// Suspects cleared.
         pub cleared: Vec<Clearance>,
         /// Requests convicted.
         pub convicted: Vec<Conviction>,
+        /// Retries of suspects that are wanted or have ended.
+        pub trials: Vec<TrialClaim>,
+    }
+}
+
+impl Suspicion {
+    /// Tells whether the message says nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
     }
 }
--- /dev/null
+++ b/crates/laburnumstall-core/tests/quarantine_cases.rs
@@ -0,0 +1,237 @@
+//! Named cases of quarantine: what convicts a request and what must not.
+
+use std::time::Duration;
+
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::quarantine::{Quarantine, Suspicion, Trial, Verdict};
+
+const POISON: Fingerprint = Fingerprint(666);
+
+fn daemon(number: u64) -> DaemonId {
+    DaemonId {
+        vm: format!("vm-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn endpoint(number: u64) -> EndpointId {
+    format!("ep-{number}").parse().unwrap()
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn innocents(first: u64) -> Vec<Fingerprint> {
+    (first..first + 30).map(Fingerprint).collect()
+}
+
+fn with_poison(mut requests: Vec<Fingerprint>) -> Vec<Fingerprint> {
+    requests.push(POISON);
+    requests
+}
+
+fn crash(
+    quarantine: &mut Quarantine,
+    now: Timestamp,
+    of: u64,
+    in_flight: &[Fingerprint],
+) -> Option<Suspicion> {
+    quarantine.on_crash(now, &endpoint(of), in_flight, &mut Journal::default())
+}
+
+fn verdicts(quarantine: &Quarantine, now: Timestamp, of: &[Fingerprint], wanted: Verdict) {
+    for f in of {
+        assert_eq!(quarantine.verdict(now, *f), wanted, "{f}");
+    }
+}
+
+/// Fails without the line that inserts into `convicted` in `crash::standings`.
+#[test]
+fn second_crash_convicts() {
+    let mut quarantine = Quarantine::new(&daemon(1));
+    crash(&mut quarantine, at(0), 1, &with_poison(innocents(0)));
+    assert_eq!(quarantine.verdict(at(0), POISON), Verdict::Suspect);
+    crash(&mut quarantine, at(5_000), 2, &with_poison(innocents(100)));
+    assert_eq!(
+        quarantine.begin_trial(at(5_000), POISON),
+        Trial::Wait(at(7_000))
+    );
+    assert_eq!(quarantine.verdict(at(7_000), POISON), Verdict::Quarantined);
+    verdicts(&quarantine, at(7_000), &innocents(0), Verdict::Clear);
+    verdicts(&quarantine, at(7_000), &innocents(100), Verdict::Clear);
+}
+
+/// Fails if `only_repeated` drops its check that no second request is repeated.
+#[test]
+fn shared_crashes_convict_nobody() {
+    let mut quarantine = Quarantine::new(&daemon(1));
+    let all = with_poison(innocents(0));
+    crash(&mut quarantine, at(0), 1, &all);
+    crash(&mut quarantine, at(5_000), 2, &all);
+    verdicts(&quarantine, at(60_000), &all, Verdict::Suspect);
+    crash(&mut quarantine, at(70_000), 3, &with_poison(innocents(100)));
+    assert_eq!(quarantine.verdict(at(72_000), POISON), Verdict::Quarantined);
+    verdicts(&quarantine, at(72_000), &innocents(0), Verdict::Clear);
+}
+
+/// Fails without the `others.count() < WAVE_OTHERS` condition in `crash::drop_reclaims`.
+#[test]
+fn reclaim_wave_is_no_crash() {
+    let mut quarantine = Quarantine::new(&daemon(1));
+    for wave in 0..2 {
+        let start = wave * 60_000;
+        for zone_endpoint in 0..4 {
+            let now = at(start + zone_endpoint * 300);
+            let in_flight = innocents(zone_endpoint * 1_000);
+            crash(&mut quarantine, now, wave * 10 + zone_endpoint, &in_flight);
+        }
+        let after = at(start + 3_000);
+        verdicts(&quarantine, after, &innocents(0), Verdict::Clear);
+        verdicts(&quarantine, after, &innocents(3_000), Verdict::Clear);
+    }
+}
+
+/// Fails without the `reclaims` lookup in `crash::drop_reclaims`.
+#[test]
+fn late_reclaim_notice_withdraws() {
+    let mut quarantine = Quarantine::new(&daemon(1));
+    let innocent = Fingerprint(1);
+    crash(&mut quarantine, at(0), 1, &[innocent]);
+    crash(&mut quarantine, at(9_000), 2, &[innocent]);
+    assert_eq!(
+        quarantine.verdict(at(11_000), innocent),
+        Verdict::Quarantined
+    );
+    quarantine.tick(at(12_000));
+    let mut journal = Journal::default();
+    quarantine.on_reclaim(at(30_000), &endpoint(2), &mut journal);
+    assert_eq!(quarantine.verdict(at(30_000), innocent), Verdict::Suspect);
+    assert_eq!(journal.decisions()[0].choice, "withdraw");
+    assert!(
+        quarantine
+            .take_news()
+            .is_some_and(|news| !news.reclaims.is_empty())
+    );
+}
+
+/// Fails if `Crash::includes` always returns false: one crash would count twice.
+#[test]
+fn one_crash_seen_twice_counts_once() {
+    let mut first = Quarantine::new(&daemon(1));
+    let mut second = Quarantine::new(&daemon(2));
+    let mut journal = Journal::default();
+    let told = crash(&mut first, at(0), 1, &[POISON, Fingerprint(1)]).unwrap();
+    let own = crash(&mut second, at(80), 1, &[POISON, Fingerprint(2)]).unwrap();
+    assert!(first.merge(at(100), &own, &mut journal));
+    assert!(second.merge(at(100), &told, &mut journal));
+    assert!(!second.merge(at(101), &told, &mut journal));
+    for quarantine in [&first, &second] {
+        assert_eq!(quarantine.verdict(at(60_000), POISON), Verdict::Suspect);
+    }
+    assert_eq!(crash(&mut first, at(200), 1, &[POISON]), None);
+    assert_eq!(first.verdict(at(60_000), POISON), Verdict::Suspect);
+}
+
+/// Fails without the `has_own` and holder comparison in `Trials::turn`.
+#[test]
+fn copies_are_retried_in_turn() {
+    let mut first = Quarantine::new(&daemon(1));
+    let mut second = Quarantine::new(&daemon(2));
+    let mut journal = Journal::default();
+    let told = crash(&mut first, at(0), 1, &[POISON]).unwrap();
+    second.merge(at(1), &told, &mut journal);
+    assert_eq!(first.begin_trial(at(102), POISON), Trial::Run);
+    first.on_dispatched(POISON, &endpoint(9));
+    let Trial::Tell(claim) = second.begin_trial(at(103), POISON) else {
+        panic!("a copy at another entry must be told first");
+    };
+    first.merge(at(104), &claim, &mut journal);
+    assert!(matches!(
+        second.begin_trial(at(105), POISON),
+        Trial::Wait(_)
+    ));
+    assert!(matches!(first.begin_trial(at(105), POISON), Trial::Wait(_)));
+    first.on_survived(at(106), POISON);
+    let news = first.take_news().unwrap();
+    second.merge(at(107), &news, &mut journal);
+    assert_eq!(second.verdict(at(107), POISON), Verdict::Clear);
+    assert_eq!(second.begin_trial(at(107), POISON), Trial::Run);
+}
+
+/// Fails without `claim_running`: the first daemon would retry while the copy still runs.
+#[test]
+fn running_copy_goes_first() {
+    let mut first = Quarantine::new(&daemon(1));
+    let mut second = Quarantine::new(&daemon(2));
+    let mut journal = Journal::default();
+    first.on_dispatched(POISON, &endpoint(9));
+    second.on_dispatched(POISON, &endpoint(9));
+    let told = crash(&mut first, at(0), 1, &[POISON, Fingerprint(1)]).unwrap();
+    second.merge(at(1), &told, &mut journal);
+    let reply = second.reply(&told);
+    first.merge(at(2), &reply, &mut journal);
+    assert!(matches!(first.begin_trial(at(103), POISON), Trial::Wait(_)));
+    let told = crash(&mut second, at(150), 2, &[POISON, Fingerprint(2)]).unwrap();
+    first.merge(at(151), &told, &mut journal);
+    for quarantine in [&first, &second] {
+        assert_eq!(quarantine.verdict(at(2_150), POISON), Verdict::Quarantined);
+        assert_eq!(
+            quarantine.verdict(at(2_150), Fingerprint(1)),
+            Verdict::Clear
+        );
+    }
+}
+
+/// Fails without `forget_peer`'s removal: the claim of a dead daemon would hold.
+#[test]
+fn dead_holder_gives_way() {
+    let mut first = Quarantine::new(&daemon(1));
+    let mut second = Quarantine::new(&daemon(2));
+    let told = crash(&mut first, at(0), 1, &[Fingerprint(1)]).unwrap();
+    second.merge(at(1), &told, &mut Journal::default());
+    assert!(matches!(
+        second.begin_trial(at(102), Fingerprint(1)),
+        Trial::Tell(_)
+    ));
+    assert!(matches!(
+        second.begin_trial(at(102), Fingerprint(1)),
+        Trial::Wait(_)
+    ));
+    second.forget_peer(&daemon(1));
+    assert_eq!(second.begin_trial(at(103), Fingerprint(1)), Trial::Run);
+}
+
+/// Fails without the `convicted` records that `drop_reports` writes before it drops.
+#[test]
+fn conviction_outlives_its_reports() {
+    let mut quarantine = Quarantine::new(&daemon(1));
+    crash(&mut quarantine, at(0), 1, &[POISON]);
+    crash(&mut quarantine, at(5_000), 2, &[POISON]);
+    let hours = |h: u64| Timestamp::ZERO.after(Duration::from_secs(h * 3600));
+    for hour in 1..100 {
+        quarantine.tick(hours(hour));
+    }
+    assert_eq!(quarantine.verdict(hours(100), POISON), Verdict::Quarantined);
+    assert!(quarantine.snapshot().reports.is_empty());
+    let mut newcomer = Quarantine::new(&daemon(2));
+    newcomer.merge(hours(100), &quarantine.snapshot(), &mut Journal::default());
+    assert_eq!(newcomer.verdict(hours(100), POISON), Verdict::Quarantined);
+    newcomer.release(hours(101), POISON);
+    assert_eq!(newcomer.verdict(hours(101), POISON), Verdict::Clear);
+}
+
+/// Fails without the `MAX_REPORTS` bound in `drop_reports`.
+#[test]
+fn memory_is_bounded() {
+    let mut quarantine = Quarantine::new(&daemon(1));
+    for number in 0..2_000 {
+        crash(
+            &mut quarantine,
+            at(number * 10_000),
+            number,
+            &[Fingerprint(number)],
+        );
+        assert!(quarantine.snapshot().reports.len() <= 256);
+    }
+}
