--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -39,8 +39,8 @@
 mod timers;
 mod watchdog;
 
-pub use action::{Action, DispatchOrder, Output};
-pub use configuration::ApplyOutcome;
+pub use action::{Action, DispatchOrder, Output, StreamResume};
+pub use configuration::{ApplyOutcome, configuration_head_key, configuration_history_key};
 pub use event::{
     ApplyRequest, AttemptEvent, AttemptFailure, Event, LinkEvent, PROBE_TIMEOUT, PollOutcome,
     ProbeOutcome,
--- a/crates/laburnumstall-core/src/entry/action.rs
+++ b/crates/laburnumstall-core/src/entry/action.rs
@@ -16,6 +16,16 @@
 use crate::units::Tokens;
 
 domain! {
+    /// Where an attempt's stream is gone on with.
+    pub struct StreamResume {
+        /// The endpoint's own index of the last event that is there; `None` means all.
+        pub after: Option<EventIndex>,
+        /// Events of the attempt that are there.
+        pub events: EventIndex,
+        /// Tokens in those events.
+        pub tokens: Tokens,
+    }
+
     /// An attempt to begin or to go on with.
     pub struct DispatchOrder {
         /// The attempt.
@@ -30,9 +40,8 @@
         pub generated: CompactString,
         /// Tokens in that text.
         pub generated_tokens: Tokens,
-        /// Chunks of this very attempt that are already there; the endpoint's stream is
-        /// resumed behind them. `None` begins the attempt.
-        pub resume_after: Option<EventIndex>,
+        /// Where the endpoint's stream is gone on with; `None` begins the attempt.
+        pub resume: Option<StreamResume>,
         /// Time left until the request's deadline.
         pub remaining: Duration,
     }
--- a/crates/laburnumstall-core/src/entry/attach.rs
+++ b/crates/laburnumstall-core/src/entry/attach.rs
@@ -143,8 +143,8 @@
             }
         };
         let events = copy.record.events[position.index.0 as usize..].to_vec();
-        let request = id.clone();
-        self.give(from, Delivery::Accepted { request });
+        let acceptance = copy.record.acceptance();
+        self.give(from, acceptance);
         let from_position = position;
         let delivery = Delivery::Events {
             from: from_position,
@@ -219,10 +219,10 @@
             return;
         }
         match delivery {
-            Delivery::Accepted { request } => {
+            Delivery::Accepted { ref request, .. } => {
                 remote.request = Some(request.clone());
                 remote.forwarded = None;
-                self.give_local(caller, Delivery::Accepted { request });
+                self.give_local(caller, delivery);
             }
             Delivery::Events {
                 from: position,
--- a/crates/laburnumstall-core/src/entry/configuration.rs
+++ b/crates/laburnumstall-core/src/entry/configuration.rs
@@ -107,13 +107,13 @@
     pub(super) fn tick_configuration(&mut self, now: Timestamp) {
         if !self.source.is_reading && self.source.read_at <= now {
             self.source.is_reading = true;
-            let key = head_key();
+            let key = configuration_head_key();
             self.call_store(CallPurpose::ConfigurationRead, StoreCall::Get { key });
         }
         if !self.source.is_watching && self.source.watch_at <= now {
             self.source.is_watching = true;
             let call = StoreCall::Watch {
-                prefix: head_key(),
+                prefix: configuration_head_key(),
                 after: self.source.watch_after,
                 wait: WATCH_WAIT,
             };
@@ -251,7 +251,7 @@
         let value = serde_json::to_vec(&*pending.record);
         let value = value.expect("a configuration has no unencodable part");
         let call = StoreCall::Swap {
-            key: head_key(),
+            key: configuration_head_key(),
             expected: self.source.head,
             value: Some(value),
             lease: None,
@@ -294,7 +294,7 @@
         self.adopt(now, ConfigurationRecord::clone(&record), "apply");
         let value = serde_json::to_vec(&*record);
         let call = StoreCall::Swap {
-            key: history_key(record.configuration.revision),
+            key: configuration_history_key(record.configuration.revision),
             expected: None,
             value: value.ok(),
             lease: None,
@@ -363,13 +363,15 @@
     }
 }
 
-fn head_key() -> StoreKey {
+/// Returns the key of the configuration in force.
+pub fn configuration_head_key() -> StoreKey {
     "configuration/head"
         .parse()
         .expect("the head's key is a valid store key")
 }
 
-fn history_key(revision: Revision) -> StoreKey {
+/// Returns the key of a revision in the history.
+pub fn configuration_history_key(revision: Revision) -> StoreKey {
     let text = format!("configuration/history/{:010}", revision.0);
     text.parse().expect("a history key is a valid store key")
 }
--- a/crates/laburnumstall-core/src/entry/deliver.rs
+++ b/crates/laburnumstall-core/src/entry/deliver.rs
@@ -29,8 +29,7 @@
         for subscriber in &mut owned.subscribers {
             if !subscriber.is_told && is_settled {
                 subscriber.is_told = true;
-                let request = id.clone();
-                out.push((subscriber.caller.clone(), Delivery::Accepted { request }));
+                out.push((subscriber.caller.clone(), owned.record.acceptance()));
             }
             let events = &owned.record.events[..committed];
             out.extend(next_events(subscriber, events));
--- a/crates/laburnumstall-core/src/entry/dispatch.rs
+++ b/crates/laburnumstall-core/src/entry/dispatch.rs
@@ -4,14 +4,15 @@
 
 use crate::decision::DecisionKind;
 use crate::entry::Entry;
-use crate::entry::action::{Action, DispatchOrder};
+use crate::entry::action::{Action, DispatchOrder, StreamResume};
 use crate::entry::owned::{Phase, Running};
 use crate::error::ErrorKind;
 use crate::ids::{AttemptId, EventIndex, RequestId};
 use crate::message::Place;
 use crate::quarantine::Verdict;
+use crate::request::AnswerEvent;
 use crate::routing::{Route, RouteQuery};
-use crate::units::Timestamp;
+use crate::units::{Timestamp, Tokens};
 
 /// Time between two looks for an endpoint.
 pub(super) const RETRY_PERIOD: Duration = Duration::from_millis(50);
@@ -48,8 +49,13 @@
         let Some(owned) = self.owned.get(id) else {
             return;
         };
-        let have = owned.record.events.len() as u64;
-        let resume_after = EventIndex(have.saturating_sub(place.first_event.0));
+        let first = (place.first_event.0 as usize).min(owned.record.events.len());
+        let there = &owned.record.events[first..];
+        let resume = StreamResume {
+            after: place.mark,
+            events: EventIndex(there.len() as u64),
+            tokens: tokens_of(there),
+        };
         let decision = self
             .decision(
                 now,
@@ -59,9 +65,9 @@
             )
             .with("request", id)
             .with("attempt", place.attempt)
-            .with("after", resume_after);
+            .with("events", resume.events);
         self.journal.record(decision);
-        self.start(now, id, place, Some(resume_after), RETRY_PERIOD, resumes);
+        self.start(now, id, place, Some(resume), RETRY_PERIOD, resumes);
     }
 
     /// Begins a new attempt, or waits if no endpoint can take it.
@@ -108,6 +114,7 @@
             endpoint: route.endpoint.clone(),
             address: route.address,
             first_event: EventIndex(owned.record.events.len() as u64),
+            mark: None,
         };
         let request = owned.record.request.clone();
         let attempt = owned.attempt_id();
@@ -120,13 +127,14 @@
         now: Timestamp,
         id: &RequestId,
         place: Place,
-        resume_after: Option<EventIndex>,
+        resume: Option<StreamResume>,
         expected_first_token: Duration,
         resumes: u32,
     ) {
         let Some(owned) = self.owned.get_mut(id) else {
             return;
         };
+        let is_resumed = resume.is_some();
         let record = &mut owned.record;
         let first = place.first_event.0 as usize;
         let before = record.events[..first.min(record.events.len())].to_vec();
@@ -139,16 +147,14 @@
             address: place.address,
             request: record.request.clone(),
             generated: before.iter().map(|event| event.text()).collect(),
-            generated_tokens: crate::units::Tokens(
-                before.iter().map(|event| u64::from(event.tokens())).sum(),
-            ),
-            resume_after,
+            generated_tokens: tokens_of(&before),
+            resume,
             remaining: record.request.deadline.since(now),
         };
         record.place = Some(place.clone());
         owned.phase = Phase::Running(Running {
             place,
-            is_sent: resume_after.is_some(),
+            is_sent: is_resumed,
             started_at: now,
             progress_at: now,
             expected_first_token,
@@ -176,3 +182,8 @@
         }
     }
 }
+
+fn tokens_of(events: &[AnswerEvent]) -> Tokens {
+    let tokens = events.iter().map(|event| u64::from(event.tokens()));
+    Tokens(tokens.sum())
+}
--- a/crates/laburnumstall-core/src/entry/event.rs
+++ b/crates/laburnumstall-core/src/entry/event.rs
@@ -8,6 +8,7 @@
 use crate::cloud::ReclaimNotice;
 use crate::ids::{
     AttemptId, CallId, CallerId, CustomerId, DaemonId, EndpointId, EventIndex, RequestId, Revision,
+    VmId,
 };
 use crate::message::{Message, Position};
 use crate::request::{AnswerEvent, Request};
@@ -36,6 +37,8 @@
             /// What was wrong.
             message: CompactString,
         },
+        /// The request's time was over after something was sent.
+        TimedOut,
         /// The endpoint does not know the stream that was to be resumed.
         UnknownStream,
     }
@@ -50,6 +53,8 @@
             from: EventIndex,
             /// The events.
             events: Vec<AnswerEvent>,
+            /// The endpoint's own index of the last of them, if it gives one.
+            mark: Option<EventIndex>,
         },
         /// The attempt ended without a whole answer.
         Failed(AttemptFailure),
@@ -164,6 +169,11 @@
         Vms(Vec<Vm>),
         /// An operator applies a configuration.
         Apply(ApplyRequest),
+        /// An operator asks for a VM to be emptied.
+        Drain {
+            /// The VM.
+            vm: VmId,
+        },
         /// The process was asked to stop.
         Stop {
             /// When the VM is taken; `None` for a planned stop.
--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -91,6 +91,7 @@
             }
             AttemptFailure::Status { .. } => Recovery::GiveUp(ErrorKind::EndpointFailed),
             AttemptFailure::UnknownStream if is_repeatable => Recovery::Anew,
+            AttemptFailure::TimedOut => Recovery::GiveUp(ErrorKind::DeadlineExceeded),
             _ if is_repeatable => Recovery::Probe,
             _ => Recovery::GiveUp(ErrorKind::ConnectionLost),
         }
@@ -322,6 +323,7 @@
         AttemptFailure::Reset => "reset",
         AttemptFailure::Status { .. } => "status",
         AttemptFailure::Protocol { .. } => "protocol",
+        AttemptFailure::TimedOut => "timed-out",
         AttemptFailure::UnknownStream => "unknown-stream",
     }
 }
--- a/crates/laburnumstall-core/src/entry/peers.rs
+++ b/crates/laburnumstall-core/src/entry/peers.rs
@@ -103,6 +103,7 @@
             Message::EndpointLeaving { endpoint, deadline } => {
                 self.on_endpoint_leaving(now, &endpoint, deadline);
             }
+            Message::Drain => self.on_stop(now, None),
             Message::PullConfiguration => self.push_configuration(&from),
             Message::PushConfiguration(record) => self.adopt(now, *record, from.vm.as_str()),
             _ => {}
--- a/crates/laburnumstall-core/src/entry/platform.rs
+++ b/crates/laburnumstall-core/src/entry/platform.rs
@@ -9,7 +9,7 @@
 use crate::entry::event::PollOutcome;
 use crate::entry::owned::{Owned, Phase};
 use crate::entry::state::CallPurpose;
-use crate::ids::{CallId, EndpointId, RequestId};
+use crate::ids::{CallId, EndpointId, RequestId, VmId};
 use crate::message::Message;
 use crate::store::StoreOutcome;
 use crate::units::Timestamp;
@@ -26,6 +26,7 @@
         let Some(purpose) = self.calls.remove(&call) else {
             return;
         };
+        self.is_store_reachable = outcome.is_ok();
         match purpose {
             CallPurpose::Claims(shard) => self.claims.on_store(now, shard, outcome),
             CallPurpose::Registry => self.on_registered(now, &outcome),
@@ -67,6 +68,27 @@
         }
     }
 
+    /// An operator empties a VM: an entry stops as planned, an endpoint gets no new work.
+    pub(super) fn on_drain(&mut self, now: Timestamp, vm: &VmId) {
+        if *vm == self.own.vm {
+            self.on_stop(now, None);
+            return;
+        }
+        let daemon = self
+            .membership
+            .reachable()
+            .find(|member| member.id.vm == *vm)
+            .map(|member| member.id.clone());
+        if let Some(daemon) = daemon {
+            self.send(&daemon, Message::Drain);
+        }
+        if let Some(endpoint) = self.fleet.endpoint_on(vm) {
+            self.on_endpoint_leaving(now, &endpoint, None);
+            let deadline = None;
+            self.send_to_all(&Message::EndpointLeaving { endpoint, deadline });
+        }
+    }
+
     /// An endpoint gets no new work; its streams finish or move before the deadline.
     pub(super) fn on_endpoint_leaving(
         &mut self,
--- a/crates/laburnumstall-core/src/entry/progress.rs
+++ b/crates/laburnumstall-core/src/entry/progress.rs
@@ -8,6 +8,13 @@
 use crate::request::{AnswerEvent, Dialect};
 use crate::units::Timestamp;
 
+/// Events of an attempt that arrived together.
+struct Batch {
+    from: EventIndex,
+    events: Vec<AnswerEvent>,
+    mark: Option<EventIndex>,
+}
+
 /// What the events of an attempt amount to.
 enum Intake {
     /// They are in the record.
@@ -33,7 +40,10 @@
         }
         match event {
             AttemptEvent::Sent => self.on_sent(now, &id),
-            AttemptEvent::Answer { from, events } => self.on_answer(now, &id, from, events),
+            AttemptEvent::Answer { from, events, mark } => {
+                let batch = Batch { from, events, mark };
+                self.on_answer(now, &id, batch);
+            }
             AttemptEvent::Failed(failure) => self.recover(now, &id, failure),
         }
     }
@@ -63,18 +73,12 @@
         }
     }
 
-    fn on_answer(
-        &mut self,
-        now: Timestamp,
-        id: &RequestId,
-        from: EventIndex,
-        events: Vec<AnswerEvent>,
-    ) {
+    fn on_answer(&mut self, now: Timestamp, id: &RequestId, batch: Batch) {
         let Some(owned) = self.owned.get_mut(id) else {
             return;
         };
         let is_first = owned.record.events.is_empty();
-        match take_in(now, owned, from, events) {
+        match take_in(now, owned, batch) {
             Intake::Taken => {
                 if is_first {
                     let attempt = owned.attempt_id();
@@ -104,12 +108,12 @@
     }
 }
 
-fn take_in(
-    now: Timestamp,
-    owned: &mut Owned,
-    from: EventIndex,
-    mut events: Vec<AnswerEvent>,
-) -> Intake {
+fn take_in(now: Timestamp, owned: &mut Owned, batch: Batch) -> Intake {
+    let Batch {
+        from,
+        mut events,
+        mark,
+    } = batch;
     let Phase::Running(running) = &mut owned.phase else {
         return Intake::Nothing;
     };
@@ -133,6 +137,8 @@
     }
     if record.request.dialect != Dialect::Plain {
         record.events.append(&mut events);
+        running.place.mark = mark.or(running.place.mark);
+        record.place = Some(running.place.clone());
         return Intake::Taken;
     }
     hold(running, &mut events);
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -95,6 +95,7 @@
     pub(super) stopping: Option<Stopping>,
     pub(super) calls: BTreeMap<CallId, CallPurpose>,
     pub(super) next_call: u64,
+    pub(super) is_store_reachable: bool,
     pub(super) next_sequence: u64,
     pub(super) next_token: u64,
     pub(super) heartbeat_at: Timestamp,
@@ -130,6 +131,7 @@
             stopping: None,
             calls: BTreeMap::new(),
             next_call: 0,
+            is_store_reachable: true,
             next_sequence: 0,
             next_token: 0,
             heartbeat_at: Timestamp::ZERO,
@@ -173,6 +175,7 @@
             Event::Notice(notice) => self.on_notice(now, &notice),
             Event::Vms(vms) => self.on_vms(now, &vms),
             Event::Apply(apply) => self.on_apply(now, apply),
+            Event::Drain { vm } => self.on_drain(now, &vm),
             Event::Stop { deadline } => self.on_stop(now, deadline),
         }
     }
--- a/crates/laburnumstall-core/src/entry/status.rs
+++ b/crates/laburnumstall-core/src/entry/status.rs
@@ -54,6 +54,8 @@
         pub callers: u32,
         /// Whether this daemon leaves.
         pub is_leaving: bool,
+        /// Whether the last call to the key-value service was answered.
+        pub is_store_reachable: bool,
     }
 }
 
@@ -63,6 +65,16 @@
         &self.own
     }
 
+    /// Returns the revision in force; zero if there is none.
+    pub fn revision(&self) -> Revision {
+        self.adoption.revision()
+    }
+
+    /// Tells whether this daemon leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.stopping.is_some()
+    }
+
     /// Returns the system in force; empty if there is none.
     pub fn system(&self) -> &Arc<System> {
         &self.system
@@ -96,6 +108,7 @@
             copies: self.copies.len() as u32,
             callers: self.callers.len() as u32,
             is_leaving: self.stopping.is_some(),
+            is_store_reachable: self.is_store_reachable,
         }
     }
 
--- a/crates/laburnumstall-core/src/message.rs
+++ b/crates/laburnumstall-core/src/message.rs
@@ -20,7 +20,7 @@
 use crate::limits::LimitShare;
 use crate::membership::{Member, MemberDigest};
 use crate::quarantine::Suspicion;
-use crate::request::{AnswerEvent, Request};
+use crate::request::{AnswerEvent, Dialect, Request};
 use crate::units::{Timestamp, Tokens};
 use crate::world::{Configuration, LoadReport};
 
@@ -83,6 +83,9 @@
         pub address: SocketAddr,
         /// Index of the first event that the attempt gives.
         pub first_event: EventIndex,
+        /// The endpoint's own index of the last event that is there; its stream is resumed
+        /// behind it.
+        pub mark: Option<EventIndex>,
     }
 
     /// Everything that a daemon needs to go on with a request.
@@ -126,6 +129,10 @@
         Accepted {
             /// Name of the request.
             request: RequestId,
+            /// Service that answers it.
+            service: ServiceName,
+            /// Interface that it came by.
+            dialect: Dialect,
         },
         /// The next events of the answer.
         Events {
@@ -316,6 +323,8 @@
             /// When it stops, if known.
             deadline: Option<Timestamp>,
         },
+        /// An operator asks the receiver to stop as planned.
+        Drain,
         /// Asks for the configuration in force at the receiver.
         PullConfiguration,
         /// The configuration in force at the sender.
@@ -355,13 +364,13 @@
         self.events.last().is_some_and(AnswerEvent::is_last)
     }
 
-    /// Returns the text generated so far.
-    pub fn generated_text(&self) -> CompactString {
-        let mut text = CompactString::default();
-        for event in &self.events {
-            text.push_str(event.text());
+    /// Returns what a caller is told when it is attached.
+    pub fn acceptance(&self) -> Delivery {
+        Delivery::Accepted {
+            request: self.id.clone(),
+            service: self.request.service.clone(),
+            dialect: self.request.dialect,
         }
-        text
     }
 
     /// Returns the number of tokens generated so far.
--- /dev/null
+++ b/crates/laburnumstall-site/src/site.rs
@@ -0,0 +1,330 @@
+//! The parts of a running site, and the faults that can be provoked in it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnumstall_config::admin::{ApplyNonce, ApplyRequest};
+use laburnumstall_core::ids::{AvailabilityZone, EndpointId, Revision, VmId};
+use laburnumstall_core::units::Bytes;
+use laburnumstall_core::world::{Market, Vm, VmRole, VmState};
+use laburnumstall_standins::cloud::{CloudStandIn, NoProcess};
+use laburnumstall_standins::engine::{EngineSpec, EngineStandIn};
+use laburnumstall_standins::key_value::KeyValueStandIn;
+use laburnumstall_standins::plain::PlainStandIn;
+use laburnumstalld::{Daemon, DaemonOptions};
+use serde_json::Value;
+use snafu::ResultExt;
+
+use crate::caller::Caller;
+use crate::error::{AdminSnafu, DaemonSnafu, NotReadySnafu, SiteError, StandInSnafu};
+use crate::lines::LogLines;
+use crate::spec::SiteSpec;
+use crate::text::{self, MODEL_SERVICE, OPERATOR_KEY};
+
+/// Longest wait for the system to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time between two looks at whether it is ready.
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// Largest request body of a site.
+const MAX_BODY: Bytes = Bytes(4 << 20);
+
+/// Class of all VMs of a site.
+const CLASS: &str = "accel-24";
+
+/// An engine of a site.
+pub struct EngineSlot {
+    /// VM and endpoint, which have the same name.
+    pub vm: VmId,
+    /// Zone of the VM.
+    pub zone: AvailabilityZone,
+    /// The engine.
+    pub engine: EngineStandIn,
+}
+
+/// An entry of a site.
+pub struct EntrySlot {
+    /// VM.
+    pub vm: VmId,
+    /// Zone of the VM.
+    pub zone: AvailabilityZone,
+    /// The daemon, while it runs.
+    pub daemon: Option<Daemon>,
+}
+
+/// A whole system on loopback.
+pub struct Site {
+    spec: SiteSpec,
+    /// The key-value service.
+    pub store: KeyValueStandIn,
+    /// The cloud API and the VM list.
+    pub cloud: CloudStandIn<NoProcess>,
+    /// The model engines.
+    pub engines: Vec<EngineSlot>,
+    /// The service whose POST calls are not idempotent.
+    pub orders: PlainStandIn,
+    /// The service whose calls are idempotent.
+    pub stock: PlainStandIn,
+    /// The entries.
+    pub entries: Vec<EntrySlot>,
+    /// Decision lines of all daemons.
+    pub lines: LogLines,
+    started_entries: usize,
+}
+
+impl Site {
+    /// Starts everything, applies the text and waits until each entry is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError`] if a part does not start or the system is not ready in time.
+    pub async fn start(spec: SiteSpec) -> Result<Self, SiteError> {
+        let mut site = Self::start_outside(spec)?;
+        for _ in 0..site.spec.entries {
+            site.add_entry().await?;
+        }
+        site.apply_first().await?;
+        site.wait_ready().await?;
+        Ok(site)
+    }
+
+    fn start_outside(spec: SiteSpec) -> Result<Self, SiteError> {
+        let store = KeyValueStandIn::start().context(StandInSnafu { what: "the store" })?;
+        let cloud = CloudStandIn::start(NoProcess).context(StandInSnafu { what: "the cloud" })?;
+        let orders = PlainStandIn::start(false).context(StandInSnafu { what: "orders" })?;
+        let stock = PlainStandIn::start(false).context(StandInSnafu { what: "stock" })?;
+        let mut site = Self {
+            spec,
+            store,
+            cloud,
+            engines: Vec::new(),
+            orders,
+            stock,
+            entries: Vec::new(),
+            lines: LogLines::default(),
+            started_entries: 0,
+        };
+        for number in 0..site.spec.engines {
+            site.add_engine(number)?;
+        }
+        Ok(site)
+    }
+
+    fn add_engine(&mut self, number: usize) -> Result<(), SiteError> {
+        let vm: VmId = named(&format!("engine-{number}"));
+        let id: EndpointId = named(vm.as_str());
+        let mut spec = EngineSpec::new(id);
+        spec.services = vec![named(MODEL_SERVICE)];
+        spec.token_period = self.spec.token_period;
+        let engine = EngineStandIn::start(spec).context(StandInSnafu { what: "an engine" })?;
+        let zone = self.spec.zone_of(number);
+        self.list_vm(&vm, &zone, VmRole::Endpoint, engine.address());
+        self.engines.push(EngineSlot { vm, zone, engine });
+        Ok(())
+    }
+
+    fn list_vm(&self, vm: &VmId, zone: &AvailabilityZone, role: VmRole, address: SocketAddr) {
+        self.cloud.add(Vm {
+            id: vm.clone(),
+            zone: zone.clone(),
+            class: named(CLASS),
+            market: Market::Reclaimable,
+            role,
+            address,
+            state: VmState::Live,
+        });
+    }
+
+    /// Starts one more entry, in the next zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError::Daemon`] if the daemon does not start.
+    pub async fn add_entry(&mut self) -> Result<usize, SiteError> {
+        let number = self.started_entries;
+        self.started_entries += 1;
+        let vm: VmId = named(&format!("entry-{number}"));
+        let zone = self.spec.zone_of(number);
+        let options = self.options_of(&vm, &zone);
+        let sink = self.lines.sink(&vm);
+        let daemon = Daemon::start(options, sink).await;
+        let daemon = daemon.context(DaemonSnafu { vm: vm.to_string() })?;
+        self.list_vm(&vm, &zone, VmRole::Entry, daemon.callers());
+        let daemon = Some(daemon);
+        self.entries.push(EntrySlot { vm, zone, daemon });
+        Ok(self.entries.len() - 1)
+    }
+
+    fn options_of(&self, vm: &VmId, zone: &AvailabilityZone) -> DaemonOptions {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        DaemonOptions {
+            vm: vm.clone(),
+            zone: zone.clone(),
+            listen: any_port,
+            advertise: None,
+            peer_listen: any_port,
+            peer_advertise: None,
+            admin_listen: any_port,
+            store: self.store.address(),
+            cloud: self.cloud.address(),
+            vm_list: self.cloud.address(),
+            operator_key_digests: vec![text::digest_of(OPERATOR_KEY).into()],
+            workers: self.spec.workers,
+            max_body: MAX_BODY,
+            directory_max_age: self.spec.directory_max_age,
+        }
+    }
+
+    /// Returns the operators' text of the site.
+    pub fn text(&self) -> String {
+        text::write(&self.spec, self.orders.address(), self.stock.address())
+    }
+
+    async fn apply_first(&self) -> Result<(), SiteError> {
+        let request = ApplyRequest {
+            base: Revision(0),
+            text: self.text(),
+            reason: "first system".into(),
+            operator: named("demo"),
+            nonce: new_nonce(),
+        };
+        let body = serde_json::to_value(&request).unwrap_or(Value::Null);
+        let operators = self.operators();
+        let caller = Caller::new(OPERATOR_KEY);
+        let path = laburnumstall_config::admin::CONFIGURATION_PATH;
+        let answer = caller.post(operators[0], path, None, &body).await;
+        let answer = answer.context(AdminSnafu)?;
+        if answer.status != 200 {
+            return NotReadySnafu {
+                seconds: 0_u64,
+                what: "the first configuration was not accepted",
+            }
+            .fail();
+        }
+        Ok(())
+    }
+
+    async fn wait_ready(&self) -> Result<(), SiteError> {
+        let mut waited = Duration::ZERO;
+        while waited < READY_TIMEOUT {
+            if self.is_ready().await {
+                return Ok(());
+            }
+            actix_rt::time::sleep(READY_POLL).await;
+            waited += READY_POLL;
+        }
+        NotReadySnafu {
+            seconds: READY_TIMEOUT.as_secs(),
+            what: "an entry does not know all others and an engine",
+        }
+        .fail()
+    }
+
+    /// Tells whether each entry has the configuration, all members and all engines.
+    pub async fn is_ready(&self) -> bool {
+        let caller = Caller::new(OPERATOR_KEY);
+        let live = self.operators();
+        for address in &live {
+            let path = laburnumstall_config::admin::STATUS_PATH;
+            let Ok(answer) = caller.get(*address, path).await else {
+                return false;
+            };
+            if !knows_all(&answer.body, live.len(), self.engines.len()) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns the callers' addresses of the entries that run.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let daemons = self.entries.iter().filter_map(|slot| slot.daemon.as_ref());
+        daemons.map(Daemon::callers).collect()
+    }
+
+    /// Returns the operators' addresses of the entries that run.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        let daemons = self.entries.iter().filter_map(|slot| slot.daemon.as_ref());
+        daemons.map(Daemon::operators).collect()
+    }
+
+    /// Ends an entry at once, as a crash would.
+    pub async fn kill_entry(&mut self, index: usize) {
+        if let Some(daemon) = self.entries[index].daemon.take() {
+            daemon.halt();
+            daemon.close().await;
+        }
+    }
+
+    /// Announces that a VM is taken after `notice`.
+    pub fn announce(&self, vms: &[VmId], notice: Duration) {
+        self.cloud.announce(vms, notice);
+    }
+
+    /// Ends the entries and engines on VMs whose time is over.
+    pub async fn take_vms(&mut self, vms: &[VmId]) {
+        self.cloud.take(vms);
+        for slot in &self.engines {
+            if vms.contains(&slot.vm) {
+                slot.engine.crash();
+            }
+        }
+        for index in 0..self.entries.len() {
+            if vms.contains(&self.entries[index].vm) {
+                self.kill_entry(index).await;
+            }
+        }
+    }
+
+    /// Returns the VMs of a zone.
+    pub fn vms_in(&self, zone: &AvailabilityZone) -> Vec<VmId> {
+        let entries = self.entries.iter().filter(|slot| slot.zone == *zone);
+        let engines = self.engines.iter().filter(|slot| slot.zone == *zone);
+        let entries = entries.map(|slot| slot.vm.clone());
+        entries.chain(engines.map(|slot| slot.vm.clone())).collect()
+    }
+
+    /// Ends everything at once.
+    pub async fn close(mut self) {
+        for index in 0..self.entries.len() {
+            self.kill_entry(index).await;
+        }
+        for slot in self.engines {
+            slot.engine.close();
+        }
+        self.orders.close();
+        self.stock.close();
+        self.cloud.close();
+        self.store.close();
+    }
+}
+
+/// Returns a nonce that no other apply has.
+pub(crate) fn new_nonce() -> ApplyNonce {
+    named(&format!(
+        "{:016x}{:016x}",
+        fastrand::u64(..),
+        fastrand::u64(..)
+    ))
+}
+
+fn named<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a site's names are valid")
+}
+
+fn knows_all(status: &str, entries: usize, engines: usize) -> bool {
+    let status: Value = serde_json::from_str(status).unwrap_or_default();
+    let has_revision = status["revision"].as_u64().is_some();
+    let members = status["members"].as_array().map_or(0, Vec::len);
+    let is_engine = |endpoint: &&Value| {
+        let id = endpoint["id"].as_str().unwrap_or_default();
+        id.starts_with("engine-") && endpoint["state"] == "live"
+    };
+    let endpoints = status["endpoints"].as_array();
+    let live = endpoints.map_or(0, |all| all.iter().filter(is_engine).count());
+    has_revision && members >= entries && live >= engines
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/control.rs
@@ -0,0 +1,242 @@
+//! The control thread: the only writer of control state.
+//!
+//! It empties the inbox, lets the core take in each event, writes the decisions to the
+//! log and carries out the actions by passing them to the traffic threads.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use actix::Addr;
+use laburnumstall_core::decision::Decision;
+use laburnumstall_core::entry::{Action, ApplyOutcome, Entry, Event, Output, TICK};
+use laburnumstall_core::ids::CallerId;
+use laburnumstall_core::message::Delivery;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clock::Clock;
+use crate::inbox::{Inbox, Input};
+use crate::links::Links;
+use crate::platform::{CallStore, Platform};
+use crate::snapshot::{DirectoryEntry, Published, Snapshot};
+use crate::traffic::{Abandon, Cancel, DropConnections, Poll, Probe, Run, TrafficPool};
+
+/// Where the control thread writes its decisions.
+pub trait DecisionSink {
+    /// Writes one decision.
+    fn write(&mut self, decision: &Decision);
+}
+
+/// Why the control thread ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Everything was finished or handed over.
+    Finished,
+    /// It was told to end at once.
+    Halted,
+}
+
+/// The control thread's state.
+pub struct Control<S> {
+    entry: Entry,
+    clock: Clock,
+    inbox: Inbox,
+    published: Published,
+    max_age: Duration,
+    links: Links,
+    traffic: TrafficPool,
+    platform: Addr<Platform>,
+    sink: S,
+    callers: BTreeMap<CallerId, mpsc::UnboundedSender<Delivery>>,
+    applies: BTreeMap<u64, oneshot::Sender<ApplyOutcome>>,
+}
+
+/// What the control thread works with.
+pub struct ControlParts<S> {
+    /// The core.
+    pub entry: Entry,
+    /// The clock.
+    pub clock: Clock,
+    /// Where events come from.
+    pub inbox: Inbox,
+    /// Where the snapshot goes.
+    pub published: Published,
+    /// Time that callers keep the directory.
+    pub max_age: Duration,
+    /// Links to the other daemons.
+    pub links: Links,
+    /// Threads for endpoints.
+    pub traffic: TrafficPool,
+    /// Thread for the platform.
+    pub platform: Addr<Platform>,
+    /// Where decisions go.
+    pub sink: S,
+}
+
+impl<S: DecisionSink> Control<S> {
+    /// Takes over the parts.
+    pub fn new(parts: ControlParts<S>) -> Self {
+        Self {
+            entry: parts.entry,
+            clock: parts.clock,
+            inbox: parts.inbox,
+            published: parts.published,
+            max_age: parts.max_age,
+            links: parts.links,
+            traffic: parts.traffic,
+            platform: parts.platform,
+            sink: parts.sink,
+            callers: BTreeMap::new(),
+            applies: BTreeMap::new(),
+        }
+    }
+
+    /// Runs until the core has finished or a halt is asked for; gives the links back.
+    pub async fn run(mut self) -> (End, Links) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let inbox = self.inbox.clone();
+        loop {
+            let end = tokio::select! {
+                _ = tick.tick() => self.on_tick(),
+                inputs = inbox.take() => self.on_inputs(inputs),
+            };
+            if let Some(end) = end {
+                return (end, self.links);
+            }
+        }
+    }
+
+    fn on_tick(&mut self) -> Option<End> {
+        let end = self.on_event(Event::Tick);
+        self.publish();
+        end
+    }
+
+    fn on_inputs(&mut self, inputs: Vec<Input>) -> Option<End> {
+        for input in inputs {
+            let end = match input {
+                Input::Event(event) => self.on_event(event),
+                Input::Open { caller, tx } => {
+                    self.callers.insert(caller, tx);
+                    None
+                }
+                Input::Status(tx) => {
+                    // The asker may have gone away.
+                    let _ = tx.send(self.entry.status());
+                    None
+                }
+                Input::Apply { event, token, tx } => {
+                    self.applies.insert(token, tx);
+                    self.on_event(event)
+                }
+                Input::Halt => Some(End::Halted),
+            };
+            if end.is_some() {
+                return end;
+            }
+        }
+        None
+    }
+
+    fn on_event(&mut self, event: Event) -> Option<End> {
+        if let Event::CallerGone { caller } = &event {
+            self.callers.remove(caller);
+        }
+        let changes_view = matches!(event, Event::Store { .. } | Event::Stop { .. });
+        let Output { actions, decisions } = self.entry.handle(self.clock.now(), event);
+        for decision in &decisions {
+            self.sink.write(decision);
+        }
+        let mut end = None;
+        for action in actions {
+            end = self.carry_out(action).or(end);
+        }
+        if changes_view {
+            self.publish();
+        }
+        end
+    }
+
+    fn carry_out(&mut self, action: Action) -> Option<End> {
+        match action {
+            Action::Send {
+                to,
+                address,
+                message,
+            } => {
+                // A full queue is a silent link to the core: it repeats what matters.
+                let _ = self.links.send(&to, address, *message);
+            }
+            Action::Store { id, call } => self.platform.do_send(CallStore { id, call }),
+            Action::Deliver { caller, delivery } => self.deliver(caller, delivery),
+            Action::Applied { token, outcome } => {
+                if let Some(tx) = self.applies.remove(&token) {
+                    // The operator may have gone away.
+                    let _ = tx.send(outcome);
+                }
+            }
+            Action::ProbePeer { daemon, address } => self.links.probe(&daemon, address),
+            Action::ReplaceLink { daemon } => self.links.replace(&daemon),
+            Action::Exit => return Some(End::Finished),
+            other => self.carry_out_at_endpoint(other),
+        }
+        None
+    }
+
+    fn carry_out_at_endpoint(&self, action: Action) {
+        match action {
+            Action::Dispatch(order) => {
+                let worker = self.traffic.worker_of(&order.attempt.request);
+                worker.do_send(Run(order));
+            }
+            Action::Cancel { attempt, address } => {
+                let worker = self.traffic.worker_of(&attempt.request);
+                worker.do_send(Cancel { attempt, address });
+            }
+            Action::Abandon { attempt } => {
+                let worker = self.traffic.worker_of(&attempt.request);
+                worker.do_send(Abandon(attempt));
+            }
+            Action::Probe { endpoint, address } => {
+                self.traffic.any().do_send(Probe { endpoint, address });
+            }
+            Action::Poll { endpoint, address } => {
+                self.traffic.any().do_send(Poll { endpoint, address });
+            }
+            Action::DropConnections { address } => {
+                for worker in self.traffic.all() {
+                    worker.do_send(DropConnections(address));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn deliver(&mut self, caller: CallerId, delivery: Delivery) {
+        if let Some(tx) = self.callers.get(&caller) {
+            // A caller that went away is reported by its own connection.
+            let _ = tx.send(delivery);
+        }
+    }
+
+    fn publish(&self) {
+        let directory = self
+            .entry
+            .directory()
+            .into_iter()
+            .map(|member| DirectoryEntry {
+                address: member.caller_address,
+                zone: member.zone.clone(),
+            });
+        let status_is_leaving = self.entry.is_leaving();
+        self.published.publish(Snapshot {
+            revision: self.entry.revision(),
+            system: self.entry.system().clone(),
+            directory: directory.collect(),
+            max_age: self.max_age,
+            is_leaving: status_is_leaving,
+            daemon: self.entry.own().to_string().into(),
+        });
+        self.links.pin(self.entry.peers().into_iter());
+    }
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/daemon.rs
@@ -0,0 +1,339 @@
+//! Starting and stopping a daemon.
+//!
+//! A daemon is a set of threads: one for control state, one for links to other daemons,
+//! one for the platform, and the traffic threads for callers and endpoints. All are told
+//! to end when the control thread has ended.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use actix::{Actor, Arbiter};
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpServer, web};
+use laburnumstall_core::entry::{Entry, EntrySettings, Event};
+use laburnumstall_core::ids::{DaemonId, Incarnation};
+use laburnumstall_core::membership::{CertificateFingerprint, Member};
+use laburnumstall_core::units::Timestamp;
+use laburnumstall_peer::{Identity, PeerEndpoint, PeerError, PeerTimeouts, Pins};
+use snafu::{ResultExt, Snafu};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::admin::{self, Admin};
+use crate::clock::Clock;
+use crate::control::{Control, ControlParts, DecisionSink, End};
+use crate::front::{self, Front};
+use crate::inbox::{Inbox, Input};
+use crate::links::{self, Links};
+use crate::options::DaemonOptions;
+use crate::platform::Platform;
+use crate::snapshot::Published;
+use crate::traffic::TrafficPool;
+
+/// Seconds that a server waits for its connections when it stops.
+const SERVER_STOP_SECS: u64 = 2;
+
+/// Why a daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address could not be listened on.
+    #[snafu(display("cannot listen on {address} for {purpose}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Who should connect there.
+        purpose: &'static str,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The links to other daemons could not be set up.
+    #[snafu(display("cannot set up the links to other daemons"))]
+    Peer {
+        /// Cause.
+        source: PeerError,
+    },
+    /// The thread of the links ended before they were set up.
+    #[snafu(display("the thread of the links ended early"))]
+    LinkThread,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    id: DaemonId,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    inbox: Inbox,
+    clock: Clock,
+    ended: oneshot::Receiver<End>,
+}
+
+/// Sockets that a daemon listens on.
+struct Listeners {
+    callers: std::net::TcpListener,
+    operators: std::net::TcpListener,
+}
+
+impl Daemon {
+    /// Starts a daemon whose decisions go to `sink`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] if an address cannot be listened on or TLS cannot be set up.
+    pub async fn start<S>(options: DaemonOptions, sink: S) -> Result<Self, StartError>
+    where
+        S: DecisionSink + Send + 'static,
+    {
+        let clock = Clock::start();
+        let id = DaemonId {
+            vm: options.vm.clone(),
+            incarnation: Incarnation(clock.now().0),
+        };
+        let listeners = listen(&options)?;
+        let callers = local(&listeners.callers, "callers")?;
+        let operators = local(&listeners.operators, "operators")?;
+        let inbox = Inbox::default();
+        let link_arbiter = Arbiter::new();
+        let (links, member) = start_links(&options, &id, callers, &link_arbiter, &inbox).await?;
+        let published = Published::default();
+        let platform_arbiter = Arbiter::new();
+        let platform = {
+            let options = options.clone();
+            let inbox = inbox.clone();
+            Platform::start_in_arbiter(&platform_arbiter.handle(), move |_| {
+                Platform::new(&options, inbox)
+            })
+        };
+        let endpoint_arbiters: Vec<Arbiter> = (0..options.workers.max(1))
+            .map(|_| Arbiter::new())
+            .collect();
+        let traffic = TrafficPool::start(&endpoint_arbiters, &inbox);
+        let front = Front {
+            inbox: inbox.clone(),
+            published: published.clone(),
+            clock,
+            max_body: options.max_body.get() as usize,
+            next_caller: Arc::new(AtomicU64::new(1)),
+        };
+        let admin = Admin {
+            inbox: inbox.clone(),
+            platform: platform.clone(),
+            key_digests: Arc::new(options.operator_key_digests.clone()),
+            next_token: Arc::new(AtomicU64::new(1)),
+        };
+        let servers = serve(&options, listeners, front, admin)?;
+        let settings = EntrySettings {
+            member,
+            directory_max_age: options.directory_max_age,
+        };
+        let parts = ControlParts {
+            entry: Entry::new(settings),
+            clock,
+            inbox: inbox.clone(),
+            published,
+            max_age: options.directory_max_age,
+            links,
+            traffic,
+            platform,
+            sink,
+        };
+        let (tx, ended) = oneshot::channel();
+        let threads = Threads {
+            links: link_arbiter,
+            platform: platform_arbiter,
+            endpoints: endpoint_arbiters,
+            servers,
+        };
+        run_control(parts, threads, tx);
+        Ok(Self {
+            id,
+            callers,
+            operators,
+            inbox,
+            clock,
+            ended,
+        })
+    }
+
+    /// Returns the daemon's identity.
+    pub fn id(&self) -> &DaemonId {
+        &self.id
+    }
+
+    /// Returns the address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Returns the daemon's time.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Starts a planned stop, or a hand-over that ends by the deadline.
+    pub fn stop(&self, deadline: Option<Timestamp>) {
+        self.inbox.event(Event::Stop { deadline });
+    }
+
+    /// Ends the daemon at once, as a crash would.
+    pub fn halt(&self) {
+        self.inbox.push(Input::Halt);
+    }
+
+    /// Waits until the daemon has ended.
+    pub async fn wait(&mut self) -> End {
+        let ended = &mut self.ended;
+        ended.await.unwrap_or(End::Halted)
+    }
+
+    /// Waits until the daemon has ended and forgets it.
+    pub async fn close(mut self) -> End {
+        self.wait().await
+    }
+}
+
+/// The threads that end after the control thread.
+struct Threads {
+    links: Arbiter,
+    platform: Arbiter,
+    endpoints: Vec<Arbiter>,
+    servers: Vec<ServerHandle>,
+}
+
+impl Threads {
+    async fn close(self, end: End) {
+        let is_graceful = end == End::Finished;
+        for server in self.servers {
+            server.stop(is_graceful).await;
+        }
+        self.platform.stop();
+        self.links.stop();
+        for arbiter in self.endpoints {
+            arbiter.stop();
+        }
+    }
+}
+
+fn run_control<S>(parts: ControlParts<S>, threads: Threads, tx: oneshot::Sender<End>)
+where
+    S: DecisionSink + Send + 'static,
+{
+    let arbiter = Arbiter::new();
+    let handle = arbiter.handle();
+    arbiter.spawn(async move {
+        let control = Control::new(parts);
+        let (end, links) = control.run().await;
+        if end == End::Finished {
+            links.close().await;
+        }
+        threads.close(end).await;
+        // The starter may have gone away.
+        let _ = tx.send(end);
+        handle.stop();
+    });
+}
+
+fn listen(options: &DaemonOptions) -> Result<Listeners, StartError> {
+    let open = |address: SocketAddr, purpose: &'static str| {
+        std::net::TcpListener::bind(address).context(ListenSnafu { address, purpose })
+    };
+    Ok(Listeners {
+        callers: open(options.listen, "callers")?,
+        operators: open(options.admin_listen, "operators")?,
+    })
+}
+
+fn local(
+    listener: &std::net::TcpListener,
+    purpose: &'static str,
+) -> Result<SocketAddr, StartError> {
+    let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+    listener.local_addr().context(ListenSnafu {
+        address: unknown,
+        purpose,
+    })
+}
+
+/// Sets up the links on a thread of their own.
+async fn start_links(
+    options: &DaemonOptions,
+    id: &DaemonId,
+    callers: SocketAddr,
+    arbiter: &Arbiter,
+    inbox: &Inbox,
+) -> Result<(Links, Member), StartError> {
+    let identity = Identity::generate(id).context(PeerSnafu)?;
+    let certificate = CertificateFingerprint(identity.fingerprint().0);
+    let pins = Pins::default();
+    let local = options.peer_listen;
+    let (tx, rx) = oneshot::channel();
+    let inbox = inbox.clone();
+    let link_pins = pins.clone();
+    arbiter.spawn(async move {
+        let (events, queue) = mpsc::channel(links::EVENT_QUEUE);
+        let timeouts = PeerTimeouts::default();
+        let bound = PeerEndpoint::bind(identity, local, link_pins, timeouts, events);
+        // The starter waits for the outcome.
+        let _ = tx.send(bound);
+        links::forward(queue, inbox).await;
+    });
+    let endpoint = match rx.await {
+        Ok(bound) => bound.context(PeerSnafu)?,
+        Err(_) => return LinkThreadSnafu.fail(),
+    };
+    let member = Member {
+        id: id.clone(),
+        zone: options.zone.clone(),
+        peer_address: options.peer_advertise.unwrap_or(endpoint.local_address()),
+        caller_address: options.advertise.unwrap_or(callers),
+        certificate,
+        leaving: false,
+    };
+    Ok((Links::new(endpoint, pins), member))
+}
+
+fn serve(
+    options: &DaemonOptions,
+    listeners: Listeners,
+    front: Front,
+    admin: Admin,
+) -> Result<Vec<ServerHandle>, StartError> {
+    let callers = local(&listeners.callers, "callers")?;
+    let operators = local(&listeners.operators, "operators")?;
+    let front_server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(front.clone()))
+            .configure(front::routes)
+    })
+    .workers(options.workers.max(1))
+    .disable_signals()
+    .shutdown_timeout(SERVER_STOP_SECS)
+    .listen(listeners.callers)
+    .context(ListenSnafu {
+        address: callers,
+        purpose: "callers",
+    })?
+    .run();
+    let admin_server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(admin.clone()))
+            .configure(admin::routes)
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(SERVER_STOP_SECS)
+    .listen(listeners.operators)
+    .context(ListenSnafu {
+        address: operators,
+        purpose: "operators",
+    })?
+    .run();
+    let handles = vec![front_server.handle(), admin_server.handle()];
+    actix::spawn(front_server);
+    actix::spawn(admin_server);
+    Ok(handles)
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/front/caller.rs
@@ -0,0 +1,43 @@
+//! A caller's connection at the control thread.
+
+use std::sync::atomic::Ordering;
+
+use laburnumstall_core::entry::Event;
+use laburnumstall_core::ids::CallerId;
+use laburnumstall_core::message::Delivery;
+use tokio::sync::mpsc;
+
+use crate::front::Front;
+use crate::inbox::{Inbox, Input};
+
+/// A caller's connection; the control thread learns when it is dropped.
+#[derive(Debug)]
+pub(super) struct Caller {
+    id: CallerId,
+    inbox: Inbox,
+    rx: mpsc::UnboundedReceiver<Delivery>,
+}
+
+impl Caller {
+    /// Opens a connection and sends the event that `begin` makes of its number.
+    pub(super) fn open(front: &Front, begin: impl FnOnce(CallerId) -> Event) -> Self {
+        let id = CallerId(front.next_caller.fetch_add(1, Ordering::Relaxed));
+        let (tx, rx) = mpsc::unbounded_channel();
+        let inbox = front.inbox.clone();
+        inbox.push(Input::Open { caller: id, tx });
+        inbox.event(begin(id));
+        Self { id, inbox, rx }
+    }
+
+    /// Returns the next delivery; `None` when the daemon ends.
+    pub(super) async fn next(&mut self) -> Option<Delivery> {
+        self.rx.recv().await
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        let caller = self.id;
+        self.inbox.event(Event::CallerGone { caller });
+    }
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/front/event_stream.rs
@@ -0,0 +1,158 @@
+//! Server-sent events for a caller.
+//!
+//! Each event has an id `N-CHECKSUM`: the number of events up to it and their checksum.
+//! A caller that comes back sends the last id as `Last-Event-ID`. Comments keep the
+//! connection busy, so that a caller can tell a dead one.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::web::Bytes;
+use futures_util::stream;
+use laburnumstall_core::error::{ErrorBody, Refusal};
+use laburnumstall_core::ids::{EventIndex, RequestId};
+use laburnumstall_core::message::{Delivery, Position};
+use laburnumstall_core::request::AnswerEvent;
+
+use crate::front::body::BodyStyle;
+use crate::front::caller::Caller;
+use crate::front::refusal;
+
+/// Time between two comments.
+const HEARTBEAT_PERIOD: Duration = Duration::from_secs(2);
+
+/// Header that names the request.
+pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Answers with a stream as soon as the request is accepted, or with its refusal.
+pub(super) async fn respond(mut caller: Caller, style: BodyStyle) -> HttpResponse {
+    let id = match caller.next().await {
+        Some(Delivery::Accepted { request, .. }) => request,
+        Some(Delivery::Refused(refused)) => return refusal::respond(&refused),
+        _ => return daemon_ended(),
+    };
+    go_on(caller, style, id)
+}
+
+/// Answers with a stream of an accepted request.
+pub(super) fn go_on(caller: Caller, style: BodyStyle, id: RequestId) -> HttpResponse {
+    let mut response = HttpResponse::Ok();
+    response.content_type("text/event-stream");
+    response.insert_header((REQUEST_ID_HEADER, id.to_string()));
+    response.insert_header(("cache-control", "no-store"));
+    let state = StreamState {
+        caller,
+        id,
+        style,
+        ready: VecDeque::new(),
+        is_over: false,
+    };
+    response.streaming(stream::unfold(state, next_piece))
+}
+
+/// Answers when the daemon ended before it answered.
+pub(super) fn daemon_ended() -> HttpResponse {
+    let kind = laburnumstall_core::error::ErrorKind::OwnerLost;
+    refusal::respond(&Refusal::new(kind, "the entry ended"))
+}
+
+struct StreamState {
+    caller: Caller,
+    id: RequestId,
+    style: BodyStyle,
+    ready: VecDeque<String>,
+    is_over: bool,
+}
+
+async fn next_piece(
+    mut state: StreamState,
+) -> Option<(Result<Bytes, std::convert::Infallible>, StreamState)> {
+    loop {
+        if !state.ready.is_empty() {
+            let text: String = state.ready.drain(..).collect();
+            return Some((Ok(Bytes::from(text)), state));
+        }
+        if state.is_over {
+            return None;
+        }
+        match tokio::time::timeout(HEARTBEAT_PERIOD, state.caller.next()).await {
+            Err(_) => state.ready.push_back(": heartbeat\n\n".to_owned()),
+            Ok(None) => return None,
+            Ok(Some(delivery)) => state.take_in(delivery),
+        }
+    }
+}
+
+impl StreamState {
+    fn take_in(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Accepted { request, .. } => self.id = request,
+            Delivery::Events { from, events } => self.take_events(from, &events),
+            Delivery::Refused(refusal) => self.take_refusal(&refusal),
+            Delivery::Moved { .. } => {}
+        }
+    }
+
+    fn take_events(&mut self, from: Position, events: &[AnswerEvent]) {
+        let mut position = from;
+        for event in events {
+            position = position.after(std::slice::from_ref(event));
+            self.take_event(position, event);
+        }
+    }
+
+    fn take_event(&mut self, position: Position, event: &AnswerEvent) {
+        let text = match event {
+            AnswerEvent::Head { .. } => return,
+            AnswerEvent::Chunk { text, .. } => {
+                let data = self.style.chunk(&self.id, Some(text), None);
+                frame(position, &data)
+            }
+            AnswerEvent::End { finish } => {
+                self.is_over = true;
+                let data = self.style.chunk(&self.id, None, Some(finish));
+                format!("{}data: [DONE]\n\n", frame(position, &data))
+            }
+            AnswerEvent::Failed(refusal) => {
+                self.take_refusal(refusal);
+                return;
+            }
+        };
+        self.ready.push_back(text);
+    }
+
+    fn take_refusal(&mut self, refusal: &Refusal) {
+        self.is_over = true;
+        let body = ErrorBody::from(refusal);
+        let data = serde_json::to_string(&body).expect("an error body has no unencodable part");
+        self.ready
+            .push_back(format!("event: error\ndata: {data}\n\n"));
+    }
+}
+
+fn frame(position: Position, data: &str) -> String {
+    format!("id: {}\ndata: {data}\n\n", EventId(position))
+}
+
+/// A position as callers read and send it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct EventId(pub(super) Position);
+
+impl std::fmt::Display for EventId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}-{:08x}", self.0.index, self.0.checksum)
+    }
+}
+
+impl std::str::FromStr for EventId {
+    type Err = ();
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let (index, checksum) = s.split_once('-').ok_or(())?;
+        Ok(Self(Position {
+            index: EventIndex(index.parse().map_err(|_| ())?),
+            checksum: u32::from_str_radix(checksum, 16).map_err(|_| ())?,
+        }))
+    }
+}
--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder of the crate.
+//! The entry daemon: sockets around the core's control state.
+//!
+//! One thread, [`control`], owns the core's [`Entry`](laburnumstall_core::entry::Entry)
+//! and is the only writer of control state. Traffic threads turn sockets into events:
+//! [`front`] serves callers, [`traffic`] runs attempts on endpoints, [`links`] carries
+//! messages between daemons, [`platform`] talks to the key-value service and the cloud.
+//! They put events into the [`inbox`], which the control thread empties in batches, and
+//! read the [`snapshot`] that it publishes. [`daemon`] starts and stops it all.
+
+pub mod admin;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod front;
+pub mod inbox;
+pub mod links;
+pub mod options;
+pub mod platform;
+pub mod snapshot;
+pub mod traffic;
+
+pub use daemon::Daemon;
+pub use options::DaemonOptions;
--- /dev/null
+++ b/crates/laburnumstalld/src/platform.rs
@@ -0,0 +1,122 @@
+//! The platform's services, called from a thread of their own.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture, WrapFuture};
+use laburnumstall_core::entry::Event;
+use laburnumstall_core::ids::CallId;
+use laburnumstall_core::store::{StoreCall, StoreOutcome};
+use laburnumstall_platform::cloud::{Cloud, HttpCloud};
+use laburnumstall_platform::http::HttpSettings;
+use laburnumstall_platform::key_value::{HttpKeyValue, KeyValue};
+use laburnumstall_platform::vm_list::{HttpVmList, VmList};
+
+use crate::inbox::Inbox;
+use crate::options::DaemonOptions;
+
+/// Time between two reads of the VM list.
+const VM_LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest time that a call for notices waits.
+const NOTICE_WAIT: Duration = Duration::from_secs(10);
+
+/// Wait after a failed call for notices.
+const NOTICE_RETRY: Duration = Duration::from_millis(500);
+
+/// Makes the calls to the platform and reports on them.
+pub struct Platform {
+    store: Rc<HttpKeyValue>,
+    cloud: Rc<HttpCloud>,
+    vm_list: Rc<HttpVmList>,
+    inbox: Inbox,
+}
+
+impl Platform {
+    /// Prepares the adapters.
+    pub fn new(options: &DaemonOptions, inbox: Inbox) -> Self {
+        Self {
+            store: Rc::new(HttpKeyValue::new(HttpSettings::new(options.store))),
+            cloud: Rc::new(HttpCloud::new(HttpSettings::new(options.cloud))),
+            vm_list: Rc::new(HttpVmList::new(HttpSettings::new(options.vm_list))),
+            inbox,
+        }
+    }
+}
+
+impl Actor for Platform {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        let watch = watch_vms(self.vm_list.clone(), self.inbox.clone());
+        cx.spawn(watch.into_actor(self));
+        let watch = watch_notices(self.cloud.clone(), self.inbox.clone());
+        cx.spawn(watch.into_actor(self));
+    }
+}
+
+/// A call to the key-value service; its outcome goes to the inbox.
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct CallStore {
+    /// Number that the outcome repeats.
+    pub id: CallId,
+    /// The call.
+    pub call: StoreCall,
+}
+
+impl Handler<CallStore> for Platform {
+    type Result = ();
+
+    fn handle(&mut self, msg: CallStore, cx: &mut Self::Context) {
+        let store = self.store.clone();
+        let inbox = self.inbox.clone();
+        let work = async move {
+            let outcome = store.call(msg.call).await;
+            inbox.event(Event::Store {
+                call: msg.id,
+                outcome,
+            });
+        };
+        cx.spawn(work.into_actor(self));
+    }
+}
+
+/// A call to the key-value service whose outcome goes to the asker.
+#[derive(actix::Message)]
+#[rtype(result = "StoreOutcome")]
+pub struct AskStore(pub StoreCall);
+
+impl Handler<AskStore> for Platform {
+    type Result = ResponseFuture<StoreOutcome>;
+
+    fn handle(&mut self, AskStore(call): AskStore, _cx: &mut Self::Context) -> Self::Result {
+        let store = self.store.clone();
+        Box::pin(async move { store.call(call).await })
+    }
+}
+
+async fn watch_vms(vm_list: Rc<HttpVmList>, inbox: Inbox) {
+    loop {
+        // A list that cannot be read says nothing; the next one does.
+        if let Ok(vms) = vm_list.list().await {
+            inbox.event(Event::Vms(vms));
+        }
+        tokio::time::sleep(VM_LIST_PERIOD).await;
+    }
+}
+
+async fn watch_notices(cloud: Rc<HttpCloud>, inbox: Inbox) {
+    let mut after = 0;
+    loop {
+        match cloud.notices(after, NOTICE_WAIT).await {
+            Ok(page) => {
+                after = page.next;
+                for notice in page.notices {
+                    inbox.event(Event::Notice(notice));
+                }
+            }
+            Err(_) => tokio::time::sleep(NOTICE_RETRY).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/traffic.rs
@@ -0,0 +1,238 @@
+//! Attempts on endpoints, run by traffic threads.
+//!
+//! Each thread has an endpoint client of its own. The events of an attempt go to the
+//! inbox in order; the control thread takes whatever has gathered in one batch.
+
+mod attempt;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Actor, Addr, Arbiter, AsyncContext, Context, Handler, SpawnHandle, WrapFuture};
+use laburnumstall_core::cloud::CallFailure;
+use laburnumstall_core::entry::{DispatchOrder, Event, PROBE_TIMEOUT, PollOutcome, ProbeOutcome};
+use laburnumstall_core::hash::digest64;
+use laburnumstall_core::ids::{AttemptId, EndpointId, RequestId};
+use laburnumstall_platform::endpoint::{EndpointClient, HttpEndpointClient};
+
+use crate::inbox::Inbox;
+
+/// Longest time to open a connection to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The traffic threads for endpoints; clones share them.
+#[derive(Clone)]
+pub struct TrafficPool {
+    workers: Vec<Addr<Worker>>,
+}
+
+impl TrafficPool {
+    /// Starts one worker on each thread.
+    pub fn start(arbiters: &[Arbiter], inbox: &Inbox) -> Self {
+        let start = |arbiter: &Arbiter| {
+            let inbox = inbox.clone();
+            Worker::start_in_arbiter(&arbiter.handle(), move |_| Worker::new(inbox))
+        };
+        Self {
+            workers: arbiters.iter().map(start).collect(),
+        }
+    }
+
+    /// Returns the worker that runs the attempts of a request.
+    pub fn worker_of(&self, request: &RequestId) -> &Addr<Worker> {
+        let hash = digest64(&[
+            &request.sequence.to_le_bytes(),
+            &request.home.0.to_le_bytes(),
+        ]);
+        &self.workers[hash as usize % self.workers.len()]
+    }
+
+    /// Returns a worker for calls that belong to no request.
+    pub fn any(&self) -> &Addr<Worker> {
+        &self.workers[0]
+    }
+
+    /// Returns all workers.
+    pub fn all(&self) -> &[Addr<Worker>] {
+        &self.workers
+    }
+}
+
+/// One traffic thread's calls to endpoints.
+pub struct Worker {
+    client: Rc<HttpEndpointClient>,
+    inbox: Inbox,
+    running: BTreeMap<AttemptId, SpawnHandle>,
+}
+
+impl Worker {
+    fn new(inbox: Inbox) -> Self {
+        let client = HttpEndpointClient::new(CONNECT_TIMEOUT, PROBE_TIMEOUT, |_| {});
+        Self {
+            client: Rc::new(client),
+            inbox,
+            running: BTreeMap::new(),
+        }
+    }
+
+    fn stop(&mut self, attempt: &AttemptId, cx: &mut Context<Self>) {
+        if let Some(handle) = self.running.remove(attempt) {
+            cx.cancel_future(handle);
+        }
+    }
+}
+
+impl Actor for Worker {
+    type Context = Context<Self>;
+}
+
+/// Begins an attempt or goes on with one.
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Run(pub DispatchOrder);
+
+/// Ends an attempt at its endpoint.
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Cancel {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+}
+
+/// Lets go of an attempt without ending it.
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Abandon(pub AttemptId);
+
+/// Asks an endpoint for a sign of life on a new connection.
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Probe {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Asks an endpoint for its load.
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Poll {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Drops all pooled connections to an endpoint.
+#[derive(Clone, Copy, actix::Message)]
+#[rtype(result = "()")]
+pub struct DropConnections(pub SocketAddr);
+
+/// An attempt's connection has ended.
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct Ended(AttemptId);
+
+impl Handler<Run> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, Run(order): Run, cx: &mut Self::Context) {
+        let attempt = order.attempt.clone();
+        self.stop(&attempt, cx);
+        let client = self.client.clone();
+        let inbox = self.inbox.clone();
+        let own = cx.address();
+        let ended = Ended(attempt.clone());
+        let work = async move {
+            attempt::run(client.as_ref(), order, &inbox).await;
+            own.do_send(ended);
+        };
+        let handle = cx.spawn(work.into_actor(self));
+        self.running.insert(attempt, handle);
+    }
+}
+
+impl Handler<Ended> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, Ended(attempt): Ended, _cx: &mut Self::Context) {
+        self.running.remove(&attempt);
+    }
+}
+
+impl Handler<Cancel> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, msg: Cancel, cx: &mut Self::Context) {
+        self.stop(&msg.attempt, cx);
+        let client = self.client.clone();
+        let work = async move {
+            // An endpoint that cannot be told ends the stream when its deadline passes.
+            let _ = client.cancel(msg.address, &msg.attempt).await;
+        };
+        cx.spawn(work.into_actor(self));
+    }
+}
+
+impl Handler<Abandon> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, Abandon(attempt): Abandon, cx: &mut Self::Context) {
+        self.stop(&attempt, cx);
+    }
+}
+
+impl Handler<Probe> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, msg: Probe, cx: &mut Self::Context) {
+        let client = self.client.clone();
+        let inbox = self.inbox.clone();
+        let work = async move {
+            let outcome = match client.probe(msg.address).await {
+                Ok(()) => ProbeOutcome::Alive,
+                Err(CallFailure::NotSent) => ProbeOutcome::Refused,
+                Err(CallFailure::Unknown) => ProbeOutcome::Silent,
+            };
+            inbox.event(Event::Probed {
+                endpoint: msg.endpoint,
+                outcome,
+            });
+        };
+        cx.spawn(work.into_actor(self));
+    }
+}
+
+impl Handler<Poll> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, msg: Poll, cx: &mut Self::Context) {
+        let client = self.client.clone();
+        let inbox = self.inbox.clone();
+        let work = async move {
+            let outcome = match client.load(msg.address).await {
+                Ok(report) => PollOutcome::Report(report),
+                Err(CallFailure::NotSent) => PollOutcome::Refused,
+                Err(CallFailure::Unknown) => PollOutcome::Silent,
+            };
+            inbox.event(Event::Polled {
+                endpoint: msg.endpoint,
+                outcome,
+            });
+        };
+        cx.spawn(work.into_actor(self));
+    }
+}
+
+impl Handler<DropConnections> for Worker {
+    type Result = ();
+
+    fn handle(&mut self, DropConnections(address): DropConnections, _cx: &mut Self::Context) {
+        self.client.drop_connections(address);
+    }
+}
