--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder of the crate.
+//! The entry daemon: settings, logs and metrics around the core's decisions.
+
+pub mod settings;
