--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod links;
 pub mod options;
 pub mod platform;
+pub mod settings;
 pub mod snapshot;
 pub mod traffic;
 
--- a/crates/laburnumstalld/src/links.rs
+++ b/crates/laburnumstalld/src/links.rs
@@ -10,7 +10,7 @@
 use laburnumstall_core::ids::DaemonId;
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::message::{Lane, Message};
-use laburnumstall_peer::{CertificateDigest, LostReason, PeerEndpoint, PeerEvent, Pins, SendError};
+use laburnumstall_peer::{CertificateDigest, LostReason, PeerEndpoint, PeerEvent, Pins, SendFault};
 use tokio::sync::mpsc;
 
 use crate::inbox::Inbox;
@@ -38,18 +38,19 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError`] if the message was not queued.
+    /// Returns [`SendFault`] if the message was not queued.
     pub fn send(
         &self,
         to: &DaemonId,
         address: SocketAddr,
         message: Message,
-    ) -> Result<(), SendError<Message>> {
+    ) -> Result<(), SendFault> {
         let lane = match message.lane() {
             Lane::Control => laburnumstall_peer::Lane::Control,
             Lane::Bulk => laburnumstall_peer::Lane::Bulk,
         };
-        self.endpoint.send_on(lane, to, address, message)
+        let sent = self.endpoint.send_on(lane, to, address, message);
+        sent.map_err(|error| error.fault)
     }
 
     /// Asks a daemon for a sign of life on a new connection.
