Make the stand-ins smaller: one handle type, faults counted down in one place

Cause: each stand-in repeated address, gate, crash and close. Change: the handles are one generic Server; an outage is crash and resume.

--- a/crates/laburnumstall-standins/src/cloud.rs
+++ b/crates/laburnumstall-standins/src/cloud.rs
@@ -14,8 +14,7 @@
 use laburnumstall_platform::vm_list::VM_LIST_PATH;
 use serde::Deserialize;
 
-use crate::gate::Gate;
-use crate::server::{Server, StandIn, broken_response, unix_now};
+use crate::server::{Server, StandIn, broken_response, count_down, lock, unix_now};
 
 /// Time between two looks of a waiting call at the notices.
 const NOTICE_POLL: Duration = Duration::from_millis(5);
@@ -78,17 +77,12 @@
     views: VecDeque<(Instant, Vec<Vm>)>,
 }
 
-/// A running cloud API with its VM list.
-pub struct CloudStandIn<H: VmHook> {
-    server: Server<CloudState<H>>,
-}
+/// A running cloud API with its VM list. `crash` and `resume` make an outage; the hook's
+/// processes are the caller's to close.
+pub type CloudStandIn<H> = Server<CloudState<H>>;
 
 impl<H: VmHook> CloudStandIn<H> {
     /// Starts a cloud with no VMs.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
     pub fn start(hook: H) -> io::Result<Self> {
         let inner = Inner {
             hook,
@@ -100,21 +94,8 @@
             list_lag: Duration::ZERO,
             views: VecDeque::new(),
         };
-        let state = CloudState {
-            inner: Mutex::new(inner),
-        };
-        let server = Server::start(Arc::new(state), Arc::default())?;
-        Ok(Self { server })
-    }
-
-    /// Returns the address of both interfaces.
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// Returns the faults of the connections: delay and silence.
-    pub fn gate(&self) -> &Gate {
-        self.server.gate()
+        let inner = Mutex::new(inner);
+        Self::serve(CloudState { inner }, Arc::default())
     }
 
     /// Adds a VM that was there before, such as one that runs an entry.
@@ -168,33 +149,14 @@
         self.inner().list_lag = lag;
     }
 
-    /// Refuses connections until [`Self::up`].
-    pub fn down(&self) {
-        self.server.crash();
-    }
-
-    /// Accepts connections again.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
-    pub fn up(&self) -> io::Result<()> {
-        self.server.resume()
-    }
-
-    /// Stops the stand-in; the hook's processes are the caller's.
-    pub fn close(self) {
-        self.server.close();
-    }
-
     fn inner(&self) -> MutexGuard<'_, Inner<H>> {
-        self.server.state().inner()
+        self.state.inner()
     }
 }
 
 impl<H> CloudState<H> {
     fn inner(&self) -> MutexGuard<'_, Inner<H>> {
-        self.inner.lock().expect("no holder of the lock panics")
+        lock(&self.inner)
     }
 }
 
@@ -269,12 +231,6 @@
             notices: self.notices.iter().skip(skipped).cloned().collect(),
         }
     }
-
-    fn takes_lost_reply(&mut self) -> bool {
-        let is_lost = self.replies_to_lose > 0;
-        self.replies_to_lose = self.replies_to_lose.saturating_sub(1);
-        is_lost
-    }
 }
 
 impl<H: VmHook> StandIn for CloudState<H> {
@@ -310,7 +266,7 @@
 ) -> HttpResponse {
     let mut inner = state.inner();
     let answer = inner.request(request.into_inner());
-    match inner.takes_lost_reply() {
+    match count_down(&mut inner.replies_to_lose) {
         true => broken_response(),
         false => HttpResponse::Ok().json(answer),
     }
@@ -319,7 +275,7 @@
 async fn release<H: VmHook>(state: web::Data<CloudState<H>>, vm: web::Path<VmId>) -> HttpResponse {
     let mut inner = state.inner();
     inner.remove(&vm);
-    match inner.takes_lost_reply() {
+    match count_down(&mut inner.replies_to_lose) {
         true => broken_response(),
         false => HttpResponse::Ok().json(()),
     }
--- a/crates/laburnumstall-standins/src/engine.rs
+++ b/crates/laburnumstall-standins/src/engine.rs
@@ -10,13 +10,12 @@
 mod http;
 mod text;
 
-pub use batch::{EngineCounts, StreamSpec};
+pub use batch::EngineCounts;
 pub use text::{expected_answer, expected_tokens};
 
-pub(crate) use http::healthy;
+pub(crate) use http::{header, healthy};
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -27,7 +26,7 @@
 use tokio::sync::watch;
 
 use crate::gate::Gate;
-use crate::server::{Server, StandIn};
+use crate::server::{Server, StandIn, lock};
 use batch::Batch;
 
 /// Properties of an engine.
@@ -98,17 +97,11 @@
     pub truncate_after: Option<usize>,
 }
 
-/// A running model engine.
-pub struct EngineStandIn {
-    server: Server<Engine>,
-}
+/// A running model engine. `restart` starts it with nothing cached and no streams.
+pub type EngineStandIn = Server<Engine>;
 
 impl EngineStandIn {
     /// Starts an engine.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
     pub fn start(spec: EngineSpec) -> io::Result<Self> {
         let gate = Arc::<Gate>::default();
         let engine = Engine {
@@ -118,37 +111,12 @@
             faults: Mutex::default(),
             stepped: watch::Sender::new(()),
         };
-        let server = Server::start(Arc::new(engine), gate)?;
-        Ok(Self { server })
-    }
-
-    /// Returns the address.
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// Returns the faults of the connections: delay, silence and crash.
-    pub fn gate(&self) -> &Gate {
-        self.server.gate()
+        Self::serve(engine, gate)
     }
 
     /// Sets the faults of the engine.
     pub fn set_faults(&self, faults: EngineFaults) {
-        *self.engine().faults() = faults;
-    }
-
-    /// Breaks all connections and refuses new ones until [`Self::restart`].
-    pub fn crash(&self) {
-        self.server.crash();
-    }
-
-    /// Starts again at the same address, with nothing cached and no streams.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
-    pub fn restart(&self) -> io::Result<()> {
-        self.server.restart()
+        *self.state.faults() = faults;
     }
 
     /// Tells whether the engine has crashed and was not started again.
@@ -158,31 +126,22 @@
 
     /// Returns the counters, which outlive crashes.
     pub fn counts(&self) -> EngineCounts {
-        self.engine().batch().counts()
+        self.state.batch().counts
     }
 
     /// Returns the orders that took effect, in order.
     pub fn orders(&self) -> Vec<EndpointOrder> {
-        self.engine().batch().orders().to_vec()
-    }
-
-    /// Stops the stand-in.
-    pub fn close(self) {
-        self.server.close();
-    }
-
-    fn engine(&self) -> &Engine {
-        self.server.state()
+        self.state.batch().orders.clone()
     }
 }
 
 impl Engine {
     fn batch(&self) -> MutexGuard<'_, Batch> {
-        self.batch.lock().expect("no holder of the lock panics")
+        lock(&self.batch)
     }
 
     fn faults(&self) -> MutexGuard<'_, EngineFaults> {
-        self.faults.lock().expect("no holder of the lock panics")
+        lock(&self.faults)
     }
 
     /// Steps the batch until the server's thread ends.
@@ -213,7 +172,7 @@
         actix_rt::spawn(self.run());
     }
 
-    fn restart(&self) {
-        self.batch().restart();
+    fn forget(&self) {
+        self.batch().forget();
     }
 }
--- a/crates/laburnumstall-standins/src/engine/batch.rs
+++ b/crates/laburnumstall-standins/src/engine/batch.rs
@@ -5,11 +5,11 @@
 
 use laburnumstall_core::cloud::{EndpointOrder, OrderReply};
 use laburnumstall_core::domain_value;
-use laburnumstall_core::ids::{FencingToken, ServiceName};
-use laburnumstall_core::request::{BlockHash, Dialect, PREFIX_BLOCK_BYTES, prefix_blocks};
+use laburnumstall_core::ids::{AttemptId, FencingToken, ServiceName};
+use laburnumstall_core::request::{BlockHash, PREFIX_BLOCK_BYTES, prefix_blocks};
 use laburnumstall_core::units::{Bytes, Priority, TokenRate, Tokens};
 use laburnumstall_core::world::LoadReport;
-use laburnumstall_platform::endpoint::{CachePage, KvExport};
+use laburnumstall_platform::endpoint::KvExport;
 
 use super::EngineSpec;
 use super::cache::PrefixCache;
@@ -53,49 +53,25 @@
     }
 }
 
-/// A stream that an engine is asked for.
-#[derive(Debug, Clone)]
-pub struct StreamSpec {
-    /// Name, as the request-id header gives it.
-    pub name: String,
-    /// Interface of the body.
-    pub dialect: Dialect,
-    /// Priority; a higher number goes first.
-    pub priority: Priority,
-}
-
 pub(super) struct Stream {
-    conversation: Conversation,
+    pub(super) conversation: Conversation,
     blocks: Vec<BlockHash>,
     priority: Priority,
     order: u64,
     /// When the prompt is processed; `None` while waiting.
     ready_at: Option<Instant>,
-    pub(super) dialect: Dialect,
     pub(super) generated: usize,
 }
 
 impl Stream {
-    pub(super) fn token(&self, index: usize) -> String {
-        self.conversation.token(index)
-    }
-
-    pub(super) fn limit(&self) -> usize {
-        self.conversation.limit
-    }
-
     fn is_done(&self) -> bool {
-        self.generated >= self.limit()
+        self.generated >= self.conversation.limit
     }
 
     fn is_running(&self) -> bool {
         self.ready_at.is_some() && !self.is_done()
     }
 
-    fn is_waiting(&self) -> bool {
-        self.ready_at.is_none()
-    }
-
     fn prompt_tokens(&self) -> usize {
         self.conversation.prompt.len() / BYTES_PER_TOKEN
     }
@@ -105,13 +81,12 @@
     spec: EngineSpec,
     streams: BTreeMap<String, Stream>,
     ended: VecDeque<String>,
-    next_order: u64,
     prefill_free_at: Option<Instant>,
-    cache: PrefixCache,
-    counts: EngineCounts,
+    pub(super) cache: PrefixCache,
+    pub(super) counts: EngineCounts,
     reports: VecDeque<(Instant, LoadReport)>,
     highest_fencing: FencingToken,
-    orders: Vec<EndpointOrder>,
+    pub(super) orders: Vec<EndpointOrder>,
     loading: Option<(Instant, Vec<ServiceName>)>,
     services: Vec<ServiceName>,
 }
@@ -121,7 +96,6 @@
         Self {
             streams: BTreeMap::new(),
             ended: VecDeque::new(),
-            next_order: 0,
             prefill_free_at: None,
             cache: PrefixCache::new(spec.cache_blocks, spec.cache_lag, spec.lost_cache_event),
             counts: EngineCounts::default(),
@@ -135,51 +109,33 @@
     }
 
     /// Forgets all but the counters and the orders.
-    pub(super) fn restart(&mut self) {
+    pub(super) fn forget(&mut self) {
         let mut fresh = Self::new(&self.spec);
         fresh.counts = self.counts;
         fresh.orders = std::mem::take(&mut self.orders);
         *self = fresh;
     }
 
-    pub(super) fn counts(&self) -> EngineCounts {
-        self.counts
-    }
-
-    pub(super) fn orders(&self) -> &[EndpointOrder] {
-        &self.orders
-    }
-
-    pub(super) fn cache_page(&self, after: u64, now: Instant) -> CachePage {
-        self.cache.page(after, now)
-    }
-
     pub(super) fn stream(&self, name: &str) -> Option<&Stream> {
         self.streams.get(name)
     }
 
     /// Puts a stream into the queue, unless it is there already.
-    pub(super) fn begin(&mut self, spec: StreamSpec, conversation: Conversation) {
-        if self.streams.contains_key(&spec.name) {
+    pub(super) fn begin(&mut self, name: &str, priority: Priority, conversation: Conversation) {
+        if self.streams.contains_key(name) {
             return;
         }
         self.counts.streams += 1;
         self.counts.continued += u64::from(conversation.generated > 0);
-        self.next_order += 1;
         let stream = Stream {
             blocks: prefix_blocks(&conversation.model, conversation.prompt.as_bytes()),
             conversation,
-            priority: spec.priority,
-            order: self.next_order,
+            priority,
+            order: self.counts.streams,
             ready_at: None,
-            dialect: spec.dialect,
             generated: 0,
         };
-        self.streams.insert(spec.name, stream);
-    }
-
-    pub(super) fn note_attached(&mut self) {
-        self.counts.attached += 1;
+        self.streams.insert(name.to_owned(), stream);
     }
 
     pub(super) fn cancel(&mut self, name: &str) {
@@ -208,9 +164,8 @@
         }
         self.ended.extend(ended);
         while self.ended.len() > MAX_ENDED {
-            self.ended
-                .pop_front()
-                .map(|name| self.streams.remove(&name));
+            let oldest = self.ended.pop_front();
+            oldest.map(|name| self.streams.remove(&name));
         }
         self.finish_loading(now);
         self.report(now);
@@ -219,7 +174,10 @@
 
     fn admit(&mut self, now: Instant, marker: Option<&str>) -> bool {
         while self.running() < self.spec.batch as usize {
-            let waiting = self.streams.iter_mut().filter(|(_, s)| s.is_waiting());
+            let waiting = self
+                .streams
+                .iter_mut()
+                .filter(|(_, s)| s.ready_at.is_none());
             let next = waiting.max_by_key(|(_, s)| (s.priority, std::cmp::Reverse(s.order)));
             let Some((_, stream)) = next else {
                 return false;
@@ -283,7 +241,7 @@
     }
 
     fn load(&self) -> LoadReport {
-        let waiting = self.streams.values().filter(|s| s.is_waiting());
+        let waiting = self.streams.values().filter(|s| s.ready_at.is_none());
         let backlog = waiting.clone().map(Stream::prompt_tokens).sum::<usize>();
         let period = self.spec.token_period.as_secs_f64();
         LoadReport {
@@ -301,7 +259,7 @@
     }
 
     /// Offers the KV cache of a stream.
-    pub(super) fn export(&self, attempt: laburnumstall_core::ids::AttemptId) -> Option<KvExport> {
+    pub(super) fn export(&self, attempt: AttemptId) -> Option<KvExport> {
         let stream = self.streams.get(&attempt.to_string())?;
         let tokens = (stream.prompt_tokens() + stream.generated) as u64;
         Some(KvExport {
--- a/crates/laburnumstall-standins/src/engine/http.rs
+++ b/crates/laburnumstall-standins/src/engine/http.rs
@@ -1,26 +1,23 @@
 //! The HTTP interface of the engine stand-in.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use actix_web::http::header::HeaderMap;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
-use futures_util::{Stream as Events, stream};
+use futures_util::stream;
 use laburnumstall_core::cloud::EndpointOrder;
 use laburnumstall_core::ids::AttemptId;
 use laburnumstall_core::request::Dialect;
-use laburnumstall_core::units::Priority;
 use laburnumstall_platform::endpoint::{
-    EndpointClient, EngineChoice, EngineChunk, EngineDelta, EngineUsage, HttpEndpointClient,
-    KvImport, KvImported, headers, paths,
+    EndpointClient, EngineChoice, EngineChunk, EngineUsage, HttpEndpointClient, KvImport,
+    KvImported, headers, paths,
 };
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::watch;
 
 use super::Engine;
-use super::batch::{Stream, StreamSpec};
 use super::text::Conversation;
 use crate::gate::ConnectionNumber;
 
@@ -28,7 +25,7 @@
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Event that ends a whole answer.
-const END_EVENT: &str = "data: [DONE]\n\n";
+const END_EVENT: &[u8] = b"data: [DONE]\n\n";
 
 /// Finish reason of every answer.
 const FINISH: &str = "length";
@@ -80,12 +77,8 @@
         return HttpResponse::BadRequest().body("no request id");
     };
     let priority = header(req.headers(), headers::PRIORITY).and_then(|text| text.parse().ok());
-    let spec = StreamSpec {
-        name: name.clone(),
-        dialect,
-        priority: priority.unwrap_or(Priority(0)),
-    };
-    engine.batch().begin(spec, conversation);
+    let priority = priority.unwrap_or_default();
+    engine.batch().begin(&name, priority, conversation);
     stream_response(engine, req, name, 0)
 }
 
@@ -104,7 +97,7 @@
     if engine.batch().stream(&name).is_none() {
         return HttpResponse::NotFound().body("no such stream");
     }
-    engine.batch().note_attached();
+    engine.batch().counts.attached += 1;
     let next = query.after.map_or(0, |after| after as usize + 1);
     stream_response(engine, &req, name, next)
 }
@@ -120,7 +113,7 @@
 
 async fn cache_events(engine: web::Data<Engine>, query: web::Query<AfterQuery>) -> HttpResponse {
     let after = query.after.unwrap_or(0);
-    HttpResponse::Ok().json(engine.batch().cache_page(after, Instant::now()))
+    HttpResponse::Ok().json(engine.batch().cache.page(after, Instant::now()))
 }
 
 async fn order(engine: web::Data<Engine>, order: web::Json<EndpointOrder>) -> HttpResponse {
@@ -145,7 +138,8 @@
     HttpResponse::Ok().json(KvImported { blocks })
 }
 
-fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+/// Returns a header's value if it is text.
+pub(crate) fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     let value = headers.get(name)?.to_str().ok()?;
     Some(value.to_owned())
 }
@@ -156,19 +150,21 @@
     name: String,
     next: usize,
 ) -> HttpResponse {
-    let connection = req.conn_data::<ConnectionNumber>().copied();
     let reader = Reader {
         stepped: engine.stepped.subscribe(),
+        connection: req.conn_data().copied().unwrap_or_default(),
         engine,
-        connection: connection.unwrap_or(ConnectionNumber(0)),
         name,
         next,
-        ready: VecDeque::new(),
         is_ended: false,
     };
+    let events = stream::unfold(reader, async |mut reader| {
+        let event = reader.next_event().await?;
+        Some((Ok::<_, std::io::Error>(event), reader))
+    });
     HttpResponse::Ok()
         .content_type("text/event-stream")
-        .streaming(reader.into_events())
+        .streaming(events)
 }
 
 /// A reader of one stream over one connection.
@@ -178,80 +174,63 @@
     connection: ConnectionNumber,
     name: String,
     next: usize,
-    ready: VecDeque<Bytes>,
     is_ended: bool,
 }
 
 impl Reader {
-    fn into_events(self) -> impl Events<Item = Result<Bytes, std::io::Error>> {
-        stream::unfold(self, async |mut reader| {
-            let event = reader.next_event().await?;
-            Some((Ok(event), reader))
-        })
-    }
-
     async fn next_event(&mut self) -> Option<Bytes> {
         loop {
             self.engine.gate.wait_for_turn(self.connection).await;
-            if let Some(event) = self.ready.pop_front() {
-                return Some(event);
-            }
             if self.is_ended {
                 return None;
             }
-            self.collect();
-            if self.ready.is_empty() && !self.is_ended {
+            if let Some(event) = self.ready_event() {
+                return Some(event);
+            }
+            if !self.is_ended {
                 self.stepped.changed().await.ok()?;
             }
         }
     }
 
-    /// Takes the tokens that were generated since the last time.
-    fn collect(&mut self) {
+    /// Takes the next event if it is there, and notes the end of the stream.
+    fn ready_event(&mut self) -> Option<Bytes> {
         let truncate_after = self.engine.faults().truncate_after;
         let batch = self.engine.batch();
-        let Some(stream) = batch.stream(&self.name) else {
+        let stream = batch.stream(&self.name);
+        let is_truncated = truncate_after.is_some_and(|tokens| self.next >= tokens);
+        let Some(stream) = stream.filter(|_| !is_truncated) else {
             self.is_ended = true;
-            return;
+            return None;
         };
-        while self.next < stream.generated {
-            if truncate_after.is_some_and(|tokens| self.next >= tokens) {
-                self.is_ended = true;
-                return;
-            }
-            self.ready.push_back(event(stream, self.next));
+        if self.next < stream.generated {
+            let event = event(&stream.conversation, self.next);
             self.next += 1;
+            return Some(event);
         }
-        if self.next >= stream.limit() {
-            self.ready
-                .push_back(Bytes::from_static(END_EVENT.as_bytes()));
-            self.is_ended = true;
-        }
+        self.is_ended = self.next >= stream.conversation.limit;
+        self.is_ended.then(|| Bytes::from_static(END_EVENT))
     }
 }
 
-fn event(stream: &Stream, index: usize) -> Bytes {
-    let text = stream.token(index).into();
-    let is_last = index + 1 == stream.limit();
+fn event(conversation: &Conversation, index: usize) -> Bytes {
+    let text = Some(conversation.token(index).into());
+    let is_last = index + 1 == conversation.limit;
     let mut choice = EngineChoice {
         finish_reason: is_last.then(|| FINISH.into()),
         ..EngineChoice::default()
     };
-    match stream.dialect {
-        Dialect::Chat => {
-            choice.delta = Some(EngineDelta {
-                content: Some(text),
-                tool_calls: None,
-            });
-        }
-        _ => choice.text = Some(text),
+    match conversation.dialect {
+        Dialect::Chat => choice.delta.get_or_insert_default().content = text,
+        _ => choice.text = text,
     }
+    let usage = EngineUsage {
+        completion_tokens: index as u64 + 1,
+        ..EngineUsage::default()
+    };
     let chunk = EngineChunk {
         choices: vec![choice],
-        usage: Some(EngineUsage {
-            prompt_tokens: 0,
-            completion_tokens: index as u64 + 1,
-        }),
+        usage: Some(usage),
         error: None,
     };
     let data = serde_json::to_string(&chunk).expect("a chunk is valid JSON");
--- a/crates/laburnumstall-standins/src/engine/text.rs
+++ b/crates/laburnumstall-standins/src/engine/text.rs
@@ -28,6 +28,8 @@
     pub(super) prompt: String,
     /// Name of the model.
     pub(super) model: String,
+    /// Interface of the body.
+    pub(super) dialect: Dialect,
 }
 
 impl Conversation {
@@ -50,6 +52,7 @@
             generated,
             limit: usize::try_from(limit).unwrap_or(usize::MAX),
             prompt,
+            dialect,
             model: body["model"].as_str().unwrap_or_default().to_owned(),
         })
     }
--- a/crates/laburnumstall-standins/src/key_value.rs
+++ b/crates/laburnumstall-standins/src/key_value.rs
@@ -5,7 +5,6 @@
 pub use table::{Snapshot, StoreCounts};
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -14,8 +13,7 @@
 use laburnumstall_platform::key_value::wire::{STORE_PATH, WireCall, WireReply};
 use tokio::sync::watch;
 
-use crate::gate::Gate;
-use crate::server::{Server, StandIn, broken_response};
+use crate::server::{Server, StandIn, broken_response, count_down, lock};
 use table::Table;
 
 /// Longest time between two looks of a watch at expired leases.
@@ -27,100 +25,60 @@
     changed: watch::Sender<()>,
 }
 
-/// A running key-value service.
-pub struct KeyValueStandIn {
-    server: Server<Store>,
-}
+/// A running key-value service. `crash` and `resume` make an outage; the values stay.
+pub type KeyValueStandIn = Server<Store>;
 
 impl KeyValueStandIn {
     /// Starts an empty store.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
     pub fn start() -> io::Result<Self> {
         let store = Store {
             table: Mutex::default(),
             changed: watch::Sender::new(()),
         };
-        let server = Server::start(Arc::new(store), Arc::default())?;
-        Ok(Self { server })
-    }
-
-    /// Returns the address.
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// Returns the faults of the connections: delay and silence.
-    pub fn gate(&self) -> &Gate {
-        self.server.gate()
-    }
-
-    /// Refuses connections until [`Self::up`]; the values stay.
-    pub fn down(&self) {
-        self.server.crash();
-    }
-
-    /// Accepts connections again.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
-    pub fn up(&self) -> io::Result<()> {
-        self.server.resume()
+        Self::serve(store, Arc::default())
     }
 
     /// Answers each call with status 503 and no effect while `is_refusing`.
     pub fn set_refusing(&self, is_refusing: bool) {
-        self.table().is_refusing = is_refusing;
+        self.state.table().is_refusing = is_refusing;
     }
 
     /// Loses the replies of the next `writes` writes; they take effect.
     pub fn lose_replies(&self, writes: u32) {
-        self.table().replies_to_lose = writes;
+        self.state.table().replies_to_lose = writes;
     }
 
     /// Makes watches report nothing while `is_silent`.
     pub fn set_watches_silent(&self, is_silent: bool) {
-        self.table().are_watches_silent = is_silent;
+        self.state.table().are_watches_silent = is_silent;
     }
 
     /// Ends a lease now, as if it had not been renewed.
     pub fn expire(&self, lease: LeaseId) {
-        self.table().end_lease(lease);
-        self.server.state().changed.send_replace(());
+        self.state.table().end_lease(lease);
+        self.state.changed.send_replace(());
     }
 
     /// Copies the values, for a later [`Self::restore`].
     pub fn snapshot(&self) -> Snapshot {
-        self.table().snapshot()
+        self.state.table().data.clone()
     }
 
     /// Goes back to older values and versions, as from a backup.
     pub fn restore(&self, snapshot: Snapshot) {
-        self.table().restore(snapshot);
-        self.server.state().changed.send_replace(());
+        self.state.table().data = snapshot;
+        self.state.changed.send_replace(());
     }
 
     /// Returns the calls so far by kind.
     pub fn counts(&self) -> StoreCounts {
-        self.table().counts
-    }
-
-    /// Stops the stand-in.
-    pub fn close(self) {
-        self.server.close();
-    }
-
-    fn table(&self) -> MutexGuard<'_, Table> {
-        self.server.state().table()
+        self.state.table().counts
     }
 }
 
 impl Store {
     fn table(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().expect("no holder of the lock panics")
+        lock(&self.table)
     }
 
     async fn wait_for_changes(&self, call: &WireCall) -> WireReply {
@@ -146,20 +104,18 @@
 }
 
 async fn answer(store: web::Data<Store>, call: web::Json<WireCall>) -> HttpResponse {
-    let call = call.into_inner();
     if store.table().is_refused(&call) {
         return HttpResponse::ServiceUnavailable().finish();
     }
-    if matches!(call, WireCall::Watch { .. }) {
+    if matches!(*call, WireCall::Watch { .. }) {
         return HttpResponse::Ok().json(store.wait_for_changes(&call).await);
     }
     let reply = store.table().apply(&call, Instant::now());
-    if !call.is_write() {
-        return HttpResponse::Ok().json(reply);
-    }
-    store.changed.send_replace(());
-    if store.table().takes_lost_reply() {
-        return broken_response();
+    if call.is_write() {
+        store.changed.send_replace(());
+        if count_down(&mut store.table().replies_to_lose) {
+            return broken_response();
+        }
     }
     HttpResponse::Ok().json(reply)
 }
--- a/crates/laburnumstall-standins/src/key_value/table.rs
+++ b/crates/laburnumstall-standins/src/key_value/table.rs
@@ -43,7 +43,7 @@
 /// Everything that the stand-in holds. A deleted key stays as an entry without a value.
 #[derive(Default)]
 pub(super) struct Table {
-    data: Snapshot,
+    pub(super) data: Snapshot,
     leases: BTreeMap<LeaseId, Lease>,
     last_lease: u64,
     pub(super) is_refusing: bool,
@@ -64,13 +64,6 @@
         self.is_refusing
     }
 
-    /// Tells whether the reply of this write is to be lost.
-    pub(super) fn takes_lost_reply(&mut self) -> bool {
-        let is_lost = self.replies_to_lose > 0;
-        self.replies_to_lose = self.replies_to_lose.saturating_sub(1);
-        is_lost
-    }
-
     /// Carries out a call. A watch is answered as things stand.
     pub(super) fn apply(&mut self, call: &WireCall, now: Instant) -> WireReply {
         self.expire_leases(now);
@@ -104,36 +97,20 @@
         }
     }
 
-    pub(super) fn snapshot(&self) -> Snapshot {
-        self.data.clone()
-    }
-
-    pub(super) fn restore(&mut self, snapshot: Snapshot) {
-        self.data = snapshot;
-    }
-
     /// Ends a lease and deletes its keys.
     pub(super) fn end_lease(&mut self, lease: LeaseId) {
         self.leases.remove(&lease);
+        let entries = self.data.entries.clone();
         let is_bound = |entry: &Entry| entry.lease == Some(lease) && entry.value.is_some();
-        let entries = self.data.entries.iter();
-        let bound: Vec<_> = entries
-            .filter(|(_, entry)| is_bound(entry))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in bound {
-            self.write(&key, None, None);
+        for (key, _) in entries.iter().filter(|(_, entry)| is_bound(entry)) {
+            self.write(key, None, None);
         }
     }
 
     fn expire_leases(&mut self, now: Instant) {
-        let leases = self.leases.iter();
-        let expired: Vec<_> = leases
-            .filter(|(_, lease)| lease.expires <= now)
-            .map(|(name, _)| *name)
-            .collect();
-        for lease in expired {
-            self.end_lease(lease);
+        let leases = self.leases.clone();
+        for (lease, _) in leases.iter().filter(|(_, lease)| lease.expires <= now) {
+            self.end_lease(*lease);
         }
     }
 
--- a/crates/laburnumstall-standins/src/plain.rs
+++ b/crates/laburnumstall-standins/src/plain.rs
@@ -2,8 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
@@ -11,8 +10,8 @@
 use compact_str::CompactString;
 use laburnumstall_platform::endpoint::{headers, paths};
 
-use crate::gate::Gate;
-use crate::server::{Server, StandIn, broken_response};
+use crate::engine::{header, healthy};
+use crate::server::{Server, StandIn, broken_response, count_down, lock};
 
 /// Faults of a plain service.
 #[derive(Debug, Clone, Default)]
@@ -51,64 +50,25 @@
     answers: BTreeMap<CompactString, String>,
 }
 
-/// A running plain service.
-pub struct PlainStandIn {
-    server: Server<Plain>,
-}
+/// A running plain service. `crash` and `resume` make an outage; the counters stay.
+pub type PlainStandIn = Server<Plain>;
 
 impl PlainStandIn {
     /// Starts a service; with `checks_keys` it runs a repeated idempotency key once and
     /// repeats its answer.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
     pub fn start(checks_keys: bool) -> io::Result<Self> {
-        let plain = Plain {
-            checks_keys,
-            inner: Mutex::default(),
-        };
-        let server = Server::start(Arc::new(plain), Arc::default())?;
-        Ok(Self { server })
-    }
-
-    /// Returns the address.
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// Returns the faults of the connections: delay and silence.
-    pub fn gate(&self) -> &Gate {
-        self.server.gate()
+        let inner = Mutex::default();
+        Self::serve(Plain { checks_keys, inner }, Arc::default())
     }
 
     /// Sets the faults.
     pub fn set_faults(&self, faults: PlainFaults) {
-        self.server.state().inner().faults = faults;
+        lock(&self.state.inner).faults = faults;
     }
 
     /// Returns the runs so far.
     pub fn runs(&self) -> PlainRuns {
-        self.server.state().inner().runs.clone()
-    }
-
-    /// Breaks all connections and refuses new ones until [`Self::restart`].
-    pub fn crash(&self) {
-        self.server.crash();
-    }
-
-    /// Starts again at the same address; the counters stay.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
-    pub fn restart(&self) -> io::Result<()> {
-        self.server.resume()
-    }
-
-    /// Stops the stand-in.
-    pub fn close(self) {
-        self.server.close();
+        lock(&self.state.inner).runs.clone()
     }
 }
 
@@ -118,13 +78,9 @@
 }
 
 impl Plain {
-    fn inner(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no holder of the lock panics")
-    }
-
     /// Runs a call, or repeats the answer of its key.
     fn run(&self, key: Option<CompactString>, body: &str, answer: String) -> String {
-        let mut inner = self.inner();
+        let mut inner = lock(&self.inner);
         let known = key.as_ref().and_then(|key| inner.answers.get(key));
         if let (true, Some(known)) = (self.checks_keys, known) {
             return known.clone();
@@ -141,35 +97,22 @@
 
 impl StandIn for Plain {
     fn routes(cfg: &mut web::ServiceConfig) {
-        cfg.route(paths::HEALTH, web::get().to(crate::engine::healthy));
+        cfg.route(paths::HEALTH, web::get().to(healthy));
         cfg.default_service(web::to(answer));
     }
 }
 
-fn takes_one(count: &mut u32) -> bool {
-    let is_taken = *count > 0;
-    *count = count.saturating_sub(1);
-    is_taken
-}
-
 async fn answer(plain: web::Data<Plain>, req: HttpRequest, body: String) -> HttpResponse {
-    if takes_one(&mut plain.inner().faults.resets_before_run) {
+    if count_down(&mut lock(&plain.inner).faults.resets_before_run) {
         return broken_response();
     }
-    let faults = plain.inner().faults.clone();
-    let path = req
-        .uri()
-        .path_and_query()
-        .map_or(req.path(), |path| path.as_str());
-    let answer = expected_plain_answer(req.method().as_str(), path, &body);
-    let key = req
-        .headers()
-        .get(headers::IDEMPOTENCY_KEY)
-        .and_then(|value| value.to_str().ok())
-        .map(CompactString::from);
-    let answer = plain.run(key, &body, answer);
+    let faults = lock(&plain.inner).faults.clone();
+    let path = req.uri().to_string();
+    let answer = expected_plain_answer(req.method().as_str(), &path, &body);
+    let key = header(req.headers(), headers::IDEMPOTENCY_KEY);
+    let answer = plain.run(key.map(CompactString::from), &body, answer);
     tokio::time::sleep(faults.delay).await;
-    if takes_one(&mut plain.inner().faults.resets_after_run) {
+    if count_down(&mut lock(&plain.inner).faults.resets_after_run) {
         return broken_response();
     }
     let status = faults.status.and_then(|s| StatusCode::from_u16(s).ok());
--- a/crates/laburnumstall-standins/src/server.rs
+++ b/crates/laburnumstall-standins/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex, mpsc};
+use std::sync::{Arc, Mutex, MutexGuard, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -18,8 +18,8 @@
 /// Largest body that a stand-in reads, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Longest time that a crash waits for the server's threads.
-const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time that a start waits for the server.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The part of a stand-in that differs from the others.
 pub trait StandIn: Send + Sync + 'static {
@@ -30,28 +30,24 @@
     fn spawn(self: Arc<Self>) {}
 
     /// Forgets what a new process would not know.
-    fn restart(&self) {}
+    fn forget(&self) {}
 }
 
-/// A running stand-in.
+/// A running stand-in. Starting fails only if no port or thread can be had.
 pub struct Server<S> {
     address: SocketAddr,
-    state: Arc<S>,
+    pub(crate) state: Arc<S>,
     gate: Arc<Gate>,
     thread: Mutex<Option<JoinHandle<io::Result<()>>>>,
 }
 
 impl<S: StandIn> Server<S> {
     /// Starts at a port of the system's choice.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
-    pub fn start(state: Arc<S>, gate: Arc<Gate>) -> io::Result<Self> {
+    pub(crate) fn serve(state: S, gate: Arc<Gate>) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let server = Self {
             address: listener.local_addr()?,
-            state,
+            state: Arc::new(state),
             gate,
             thread: Mutex::default(),
         };
@@ -64,55 +60,38 @@
         self.address
     }
 
-    /// Returns the state.
-    pub fn state(&self) -> &Arc<S> {
-        &self.state
-    }
-
-    /// Returns the faults of the connections.
+    /// Returns the faults of the connections: delay, silence and crash.
     pub fn gate(&self) -> &Gate {
         &self.gate
     }
 
-    /// Breaks all connections and refuses new ones until [`Self::restart`].
+    /// Breaks all connections and refuses new ones.
     pub fn crash(&self) {
         self.gate.crash();
-        self.join();
+        let thread = lock(&self.thread).take();
+        if let Some(Err(panic)) = thread.map(JoinHandle::join) {
+            std::panic::resume_unwind(panic);
+        }
     }
 
     /// Starts again at the same address, as a new process.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
     pub fn restart(&self) -> io::Result<()> {
         self.crash();
-        self.state.restart();
-        self.run(TcpListener::bind(self.address)?)
+        self.state.forget();
+        self.resume()
     }
 
     /// Starts again at the same address with all that it knew.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of binding or of starting a thread.
     pub fn resume(&self) -> io::Result<()> {
         self.crash();
         self.run(TcpListener::bind(self.address)?)
     }
 
-    /// Stops the server.
+    /// Stops the stand-in.
     pub fn close(self) {
         self.crash();
     }
 
-    fn join(&self) {
-        let mut thread = self.thread.lock().expect("no holder of the lock panics");
-        if let Some(Err(panic)) = thread.take().map(JoinHandle::join) {
-            std::panic::resume_unwind(panic);
-        }
-    }
-
     fn run(&self, listener: TcpListener) -> io::Result<()> {
         let (tx, rx) = mpsc::channel();
         let state = self.state.clone();
@@ -128,10 +107,9 @@
         let thread = thread::Builder::new()
             .name("stand-in".into())
             .spawn(serve)?;
-        let handle = rx.recv_timeout(STOP_TIMEOUT).map_err(io::Error::other)?;
-        self.gate.set_handle(handle);
-        let mut held = self.thread.lock().expect("no holder of the lock panics");
-        *held = Some(thread);
+        let handle = rx.recv_timeout(START_TIMEOUT).map_err(io::Error::other)?;
+        *lock(&self.gate.handle) = Some(handle);
+        *lock(&self.thread) = Some(thread);
         Ok(())
     }
 }
@@ -147,7 +125,6 @@
         state.clone().spawn();
         App::new()
             .app_data(web::Data::from(state.clone()))
-            .app_data(web::Data::from(gate.clone()))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
             .wrap(from_fn(move |req, next| pass(gate.clone(), req, next)))
@@ -164,6 +141,18 @@
     Ok(server.run())
 }
 
+/// Locks a mutex whose holders never panic.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
+}
+
+/// Counts a fault down; true if it still applies.
+pub(crate) fn count_down(left: &mut u32) -> bool {
+    let applies = *left > 0;
+    *left = left.saturating_sub(1);
+    applies
+}
+
 /// Returns an answer whose connection breaks before the body.
 pub(crate) fn broken_response() -> HttpResponse {
     let error = io::Error::from(io::ErrorKind::ConnectionReset);
--- a/crates/laburnumstall-standins/tests/cloud_calls.rs
+++ b/crates/laburnumstall-standins/tests/cloud_calls.rs
@@ -61,7 +61,7 @@
     let refused = client.call(CloudCall::Request(request("t1", "z2"))).await;
     assert_eq!(refused, Ok(CloudReply::Refused));
     grant(&client, request("t1", "z1")).await;
-    cloud.down();
+    cloud.crash();
     let client = HttpCloud::new(HttpSettings::new(cloud.address()));
     assert_eq!(
         client.call(CloudCall::List).await,
--- a/crates/laburnumstall-standins/tests/plain_calls.rs
+++ b/crates/laburnumstall-standins/tests/plain_calls.rs
@@ -135,7 +135,7 @@
         panic!("{events:?}");
     };
     assert!(failure.is_not_sent(), "{failure}");
-    service.restart().unwrap();
+    service.resume().unwrap();
     assert_eq!(run(call(&service, "a")).await.len(), 4);
     assert_eq!(service.runs().total, 1);
     service.close();
--- a/crates/laburnumstall-standins/tests/store_calls.rs
+++ b/crates/laburnumstall-standins/tests/store_calls.rs
@@ -120,12 +120,12 @@
     assert_eq!(refused, Err(StoreFailure::Unavailable));
     store.set_refusing(false);
     assert_eq!(get(&client, "k").await, Ok(StoreReply::Value(None)));
-    store.down();
+    store.crash();
     // A new client has no open connection, so that the refusal is certain.
     let client = HttpKeyValue::new(HttpSettings::new(store.address()));
     let down = client.call(swap("k", None, b"x")).await;
     assert_eq!(down, Err(StoreFailure::Unavailable));
-    store.up().unwrap();
+    store.resume().unwrap();
     assert_eq!(get(&client, "k").await, Ok(StoreReply::Value(None)));
     store.close();
 }
