core: keep a decision on one line

Change: both go through write_value, as the other values do. Plain words are written as before. Conclusion: the test passes after, failed before.

--- a/crates/laburnumstall-core/src/decision.rs
+++ b/crates/laburnumstall-core/src/decision.rs
@@ -135,11 +135,10 @@
 
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "t={} event={} choice={} reason={}",
-            self.at, self.kind, self.choice, self.reason
-        )?;
+        write!(f, "t={} event={} choice=", self.at, self.kind)?;
+        write_value(f, &self.choice)?;
+        write!(f, " reason=")?;
+        write_value(f, &self.reason)?;
         for field in &self.fields {
             write!(f, " {}=", field.name)?;
             write_value(f, &field.value)?;
