--- a/crates/laburnumstall-config/src/admin.rs
+++ b/crates/laburnumstall-config/src/admin.rs
@@ -3,7 +3,7 @@
 //! | call | request | answers |
 //! |---|---|---|
 //! | `POST /admin/configuration` | [`ApplyRequest`] | 200 [`Applied`], 409 [`ApplyConflict`], 422 [`Faults`](crate::Faults), 503 [`ApplyUnavailable`] |
-//! | `GET /admin/configuration[?revision=N]` | | 200 [`StoredConfiguration`], 404 |
+//! | `GET /admin/configuration[?revision=N]` | | 200 [`StoredConfiguration`], 404 [`AdminError`] if there is none (yet) |
 //! | `GET /admin/history` | | 200 list of [`HistoryEntry`] |
 //! | `GET /admin/status` | | 200 [`Status`] |
 //! | `POST /admin/drain` | [`DrainRequest`] | 202, 404 [`AdminError`] |
@@ -11,6 +11,8 @@
 //! Each call carries `Authorization: Bearer OPERATOR-KEY`; without it the answer is 401
 //! with an [`AdminError`].
 
+use std::fmt;
+
 use compact_str::CompactString;
 use laburnumstall_core::ids::{
     AvailabilityZone, DaemonId, EndpointId, OperatorName, Revision, VmId,
@@ -200,3 +202,23 @@
         pub message: CompactString,
     }
 }
+
+impl fmt::Display for MemberState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Live => "live",
+            Self::Leaving => "leaving",
+            Self::Silent => "silent",
+            Self::Gone => "gone",
+        })
+    }
+}
+
+impl fmt::Display for StoreState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Reachable => "reachable",
+            Self::Unreachable => "unreachable",
+        })
+    }
+}
