--- a/crates/laburnumstall-site/src/caller.rs
+++ b/crates/laburnumstall-site/src/caller.rs
@@ -75,11 +75,11 @@
 
     /// Returns the id of the last event of a stream.
     pub fn last_event(&self) -> Option<String> {
-        let ids = self
+        let mut ids = self
             .body
             .lines()
             .filter_map(|line| line.strip_prefix("id: "));
-        ids.last().map(str::to_owned)
+        ids.next_back().map(str::to_owned)
     }
 }
 
--- a/crates/laburnumstall-site/src/site.rs
+++ b/crates/laburnumstall-site/src/site.rs
@@ -11,9 +11,11 @@
 use laburnumstall_standins::engine::{EngineSpec, EngineStandIn};
 use laburnumstall_standins::key_value::KeyValueStandIn;
 use laburnumstall_standins::plain::PlainStandIn;
-use laburnumstalld::{Daemon, DaemonOptions};
+use laburnumstalld::settings::KeyDigest;
+use laburnumstalld::{Daemon, Settings};
 use serde_json::Value;
 use snafu::ResultExt;
+use spdlog::Level;
 
 use crate::caller::Caller;
 use crate::error::{AdminSnafu, DaemonSnafu, NotReadySnafu, SiteError, StandInSnafu};
@@ -30,6 +32,12 @@
 /// Largest request body of a site.
 const MAX_BODY: Bytes = Bytes(4 << 20);
 
+/// Notice that a daemon assumes when it is asked to stop.
+const NOTICE: Duration = Duration::from_secs(30);
+
+/// Most calls a second of one daemon to the key-value service.
+const STORE_CALLS_PER_SECOND: u32 = 100;
+
 /// Class of all VMs of a site.
 const CLASS: &str = "accel-24";
 
@@ -146,9 +154,9 @@
         self.started_entries += 1;
         let vm: VmId = named(&format!("entry-{number}"));
         let zone = self.spec.zone_of(number);
-        let options = self.options_of(&vm, &zone);
+        let settings = self.settings_of(&vm, &zone);
         let sink = self.lines.sink(&vm);
-        let daemon = Daemon::start(options, sink).await;
+        let daemon = Daemon::start(settings, sink).await;
         let daemon = daemon.context(DaemonSnafu { vm: vm.to_string() })?;
         self.list_vm(&vm, &zone, VmRole::Entry, daemon.callers());
         let daemon = Some(daemon);
@@ -156,23 +164,27 @@
         Ok(self.entries.len() - 1)
     }
 
-    fn options_of(&self, vm: &VmId, zone: &AvailabilityZone) -> DaemonOptions {
+    fn settings_of(&self, vm: &VmId, zone: &AvailabilityZone) -> Settings {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        DaemonOptions {
+        Settings {
             vm: vm.clone(),
             zone: zone.clone(),
+            region: named(text::REGION),
             listen: any_port,
             advertise: None,
             peer_listen: any_port,
             peer_advertise: None,
             admin_listen: any_port,
             store: self.store.address(),
-            cloud: self.cloud.address(),
-            vm_list: self.cloud.address(),
-            operator_key_digests: vec![text::digest_of(OPERATOR_KEY).into()],
+            cloud: Some(self.cloud.address()),
+            vm_list: Some(self.cloud.address()),
+            operator_keys: vec![KeyDigest::of(OPERATOR_KEY)],
             workers: self.spec.workers,
+            log_level: Level::Info,
             max_body: MAX_BODY,
             directory_max_age: self.spec.directory_max_age,
+            notice: NOTICE,
+            store_calls_per_second: STORE_CALLS_PER_SECOND,
         }
     }
 
--- a/crates/laburnumstall-site/src/text.rs
+++ b/crates/laburnumstall-site/src/text.rs
@@ -14,6 +14,9 @@
 /// Key of the second customer.
 pub const OTHER_CUSTOMER_KEY: &str = "demo-key-registry";
 
+/// Region of a site.
+pub(crate) const REGION: &str = "demo";
+
 /// Model service of a site.
 pub const MODEL_SERVICE: &str = "assistant";
 
@@ -34,7 +37,7 @@
     for zone in &spec.zones {
         let _ = write!(
             text,
-            "[[zone]]\nname = \"{zone}\"\nregion = \"demo\"\nprice_permille = 1000\nreclaim_permille_day = 100\n\n"
+            "[[zone]]\nname = \"{zone}\"\nregion = \"{REGION}\"\nprice_permille = 1000\nreclaim_permille_day = 100\n\n"
         );
     }
     for (index, from) in spec.zones.iter().enumerate() {
--- a/crates/laburnumstalld/src/admin.rs
+++ b/crates/laburnumstalld/src/admin.rs
@@ -11,11 +11,11 @@
 
 use actix::Addr;
 use actix_web::web;
-use compact_str::CompactString;
 use laburnumstall_config::admin::{CONFIGURATION_PATH, DRAIN_PATH, HISTORY_PATH, STATUS_PATH};
 
 use crate::inbox::Inbox;
 use crate::platform::Platform;
+use crate::settings::KeyDigest;
 
 /// What the handlers share.
 #[derive(Clone)]
@@ -24,8 +24,8 @@
     pub inbox: Inbox,
     /// The way to the key-value service.
     pub platform: Addr<Platform>,
-    /// BLAKE3 digests, in hexadecimal, of the operators' keys.
-    pub key_digests: Arc<Vec<CompactString>>,
+    /// Digests of the operators' keys.
+    pub keys: Arc<Vec<KeyDigest>>,
     /// Number of the next apply.
     pub next_token: Arc<AtomicU64>,
 }
--- a/crates/laburnumstalld/src/admin/key.rs
+++ b/crates/laburnumstalld/src/admin/key.rs
@@ -13,10 +13,9 @@
         .get(AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.strip_prefix("Bearer "));
-    let digest = key.map(|key| blake3::hash(key.trim().as_bytes()).to_hex());
-    let is_known = digest.is_some_and(|digest| {
-        let mut known = admin.key_digests.iter();
-        known.any(|known| known.as_str() == digest.as_str())
+    let is_known = key.is_some_and(|key| {
+        let mut known = admin.keys.iter();
+        known.any(|known| known.matches(key.trim()))
     });
     if is_known {
         return None;
--- a/crates/laburnumstalld/src/daemon.rs
+++ b/crates/laburnumstalld/src/daemon.rs
@@ -25,8 +25,8 @@
 use crate::front::{self, Front};
 use crate::inbox::{Inbox, Input};
 use crate::links::{self, Links};
-use crate::options::DaemonOptions;
 use crate::platform::Platform;
+use crate::settings::Settings;
 use crate::snapshot::Published;
 use crate::traffic::TrafficPool;
 
@@ -79,31 +79,31 @@
     /// # Errors
     ///
     /// Returns [`StartError`] if an address cannot be listened on or TLS cannot be set up.
-    pub async fn start<S>(options: DaemonOptions, sink: S) -> Result<Self, StartError>
+    pub async fn start<S>(settings: Settings, sink: S) -> Result<Self, StartError>
     where
         S: DecisionSink + Send + 'static,
     {
         let clock = Clock::start();
         let id = DaemonId {
-            vm: options.vm.clone(),
+            vm: settings.vm.clone(),
             incarnation: Incarnation(clock.now().0),
         };
-        let listeners = listen(&options)?;
+        let listeners = listen(&settings)?;
         let callers = local(&listeners.callers, "callers")?;
         let operators = local(&listeners.operators, "operators")?;
         let inbox = Inbox::default();
         let link_arbiter = Arbiter::new();
-        let (links, member) = start_links(&options, &id, callers, &link_arbiter, &inbox).await?;
+        let (links, member) = start_links(&settings, &id, callers, &link_arbiter, &inbox).await?;
         let published = Published::default();
         let platform_arbiter = Arbiter::new();
         let platform = {
-            let options = options.clone();
+            let settings = settings.clone();
             let inbox = inbox.clone();
             Platform::start_in_arbiter(&platform_arbiter.handle(), move |_| {
-                Platform::new(&options, inbox)
+                Platform::new(&settings, inbox)
             })
         };
-        let endpoint_arbiters: Vec<Arbiter> = (0..options.workers.max(1))
+        let endpoint_arbiters: Vec<Arbiter> = (0..settings.workers.max(1))
             .map(|_| Arbiter::new())
             .collect();
         let traffic = TrafficPool::start(&endpoint_arbiters, &inbox);
@@ -111,26 +111,26 @@
             inbox: inbox.clone(),
             published: published.clone(),
             clock,
-            max_body: options.max_body.get() as usize,
+            max_body: settings.max_body.get() as usize,
             next_caller: Arc::new(AtomicU64::new(1)),
         };
         let admin = Admin {
             inbox: inbox.clone(),
             platform: platform.clone(),
-            key_digests: Arc::new(options.operator_key_digests.clone()),
+            keys: Arc::new(settings.operator_keys.clone()),
             next_token: Arc::new(AtomicU64::new(1)),
         };
-        let servers = serve(&options, listeners, front, admin)?;
-        let settings = EntrySettings {
+        let servers = serve(&settings, listeners, front, admin)?;
+        let entry_settings = EntrySettings {
             member,
-            directory_max_age: options.directory_max_age,
+            directory_max_age: settings.directory_max_age,
         };
         let parts = ControlParts {
-            entry: Entry::new(settings),
+            entry: Entry::new(entry_settings),
             clock,
             inbox: inbox.clone(),
             published,
-            max_age: options.directory_max_age,
+            max_age: settings.directory_max_age,
             links,
             traffic,
             platform,
@@ -237,13 +237,13 @@
     });
 }
 
-fn listen(options: &DaemonOptions) -> Result<Listeners, StartError> {
+fn listen(settings: &Settings) -> Result<Listeners, StartError> {
     let open = |address: SocketAddr, purpose: &'static str| {
         std::net::TcpListener::bind(address).context(ListenSnafu { address, purpose })
     };
     Ok(Listeners {
-        callers: open(options.listen, "callers")?,
-        operators: open(options.admin_listen, "operators")?,
+        callers: open(settings.listen, "callers")?,
+        operators: open(settings.admin_listen, "operators")?,
     })
 }
 
@@ -260,7 +260,7 @@
 
 /// Sets up the links on a thread of their own.
 async fn start_links(
-    options: &DaemonOptions,
+    settings: &Settings,
     id: &DaemonId,
     callers: SocketAddr,
     arbiter: &Arbiter,
@@ -269,7 +269,7 @@
     let identity = Identity::generate(id).context(PeerSnafu)?;
     let certificate = CertificateFingerprint(identity.fingerprint().0);
     let pins = Pins::default();
-    let local = options.peer_listen;
+    let local = settings.peer_listen;
     let (tx, rx) = oneshot::channel();
     let inbox = inbox.clone();
     let link_pins = pins.clone();
@@ -287,9 +287,9 @@
     };
     let member = Member {
         id: id.clone(),
-        zone: options.zone.clone(),
-        peer_address: options.peer_advertise.unwrap_or(endpoint.local_address()),
-        caller_address: options.advertise.unwrap_or(callers),
+        zone: settings.zone.clone(),
+        peer_address: settings.peer_advertise.unwrap_or(endpoint.local_address()),
+        caller_address: settings.advertise.unwrap_or(callers),
         certificate,
         leaving: false,
     };
@@ -297,7 +297,7 @@
 }
 
 fn serve(
-    options: &DaemonOptions,
+    settings: &Settings,
     listeners: Listeners,
     front: Front,
     admin: Admin,
@@ -309,7 +309,7 @@
             .app_data(web::Data::new(front.clone()))
             .configure(front::routes)
     })
-    .workers(options.workers.max(1))
+    .workers(settings.workers.max(1))
     .disable_signals()
     .shutdown_timeout(SERVER_STOP_SECS)
     .listen(listeners.callers)
--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -14,11 +14,10 @@
 pub mod front;
 pub mod inbox;
 pub mod links;
-pub mod options;
 pub mod platform;
 pub mod settings;
 pub mod snapshot;
 pub mod traffic;
 
 pub use daemon::Daemon;
-pub use options::DaemonOptions;
+pub use settings::Settings;
--- a/crates/laburnumstalld/src/platform.rs
+++ b/crates/laburnumstalld/src/platform.rs
@@ -13,7 +13,7 @@
 use laburnumstall_platform::vm_list::{HttpVmList, VmList};
 
 use crate::inbox::Inbox;
-use crate::options::DaemonOptions;
+use crate::settings::Settings;
 
 /// Time between two reads of the VM list.
 const VM_LIST_PERIOD: Duration = Duration::from_secs(1);
@@ -27,18 +27,20 @@
 /// Makes the calls to the platform and reports on them.
 pub struct Platform {
     store: Rc<HttpKeyValue>,
-    cloud: Rc<HttpCloud>,
-    vm_list: Rc<HttpVmList>,
+    cloud: Option<Rc<HttpCloud>>,
+    vm_list: Option<Rc<HttpVmList>>,
     inbox: Inbox,
 }
 
 impl Platform {
     /// Prepares the adapters.
-    pub fn new(options: &DaemonOptions, inbox: Inbox) -> Self {
+    pub fn new(settings: &Settings, inbox: Inbox) -> Self {
+        let cloud = settings.cloud.map(HttpSettings::new);
+        let vm_list = settings.vm_list.map(HttpSettings::new);
         Self {
-            store: Rc::new(HttpKeyValue::new(HttpSettings::new(options.store))),
-            cloud: Rc::new(HttpCloud::new(HttpSettings::new(options.cloud))),
-            vm_list: Rc::new(HttpVmList::new(HttpSettings::new(options.vm_list))),
+            store: Rc::new(HttpKeyValue::new(HttpSettings::new(settings.store))),
+            cloud: cloud.map(|http| Rc::new(HttpCloud::new(http))),
+            vm_list: vm_list.map(|http| Rc::new(HttpVmList::new(http))),
             inbox,
         }
     }
@@ -48,10 +50,14 @@
     type Context = Context<Self>;
 
     fn started(&mut self, cx: &mut Self::Context) {
-        let watch = watch_vms(self.vm_list.clone(), self.inbox.clone());
-        cx.spawn(watch.into_actor(self));
-        let watch = watch_notices(self.cloud.clone(), self.inbox.clone());
-        cx.spawn(watch.into_actor(self));
+        if let Some(vm_list) = self.vm_list.clone() {
+            let watch = watch_vms(vm_list, self.inbox.clone());
+            cx.spawn(watch.into_actor(self));
+        }
+        if let Some(cloud) = self.cloud.clone() {
+            let watch = watch_notices(cloud, self.inbox.clone());
+            cx.spawn(watch.into_actor(self));
+        }
     }
 }
 
