--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -1,3 +1,4 @@
 //! The entry daemon: settings, logs and metrics around the core's decisions.
 
+pub mod logging;
 pub mod settings;
