Take another certificate at an address for a process that is gone

Cause: a restarted process answers with a new certificate; that was told as BadPeer, the same as being refused by the other side, and so was no evidence. Change: if the pinned certificate is known and another one is presented, the reason is Refused, for links and probes. Conclusion: a restart is known at the first connection after it.

--- a/crates/laburnumstall-peer/src/event.rs
+++ b/crates/laburnumstall-peer/src/event.rs
@@ -9,7 +9,8 @@
 /// Why a link was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum LostReason {
-    /// Nothing listens at the address: the process is gone.
+    /// Nothing listens at the address, or another life of a daemon does: the process is
+    /// gone.
     Refused,
     /// The other side no longer knows the connection.
     Reset,
@@ -17,7 +18,8 @@
     TimedOut,
     /// The other side closed the connection, or it was replaced here.
     Closed,
-    /// The certificate, the protocol or a frame was wrong: another daemon or a fault.
+    /// The other side doesn't accept this daemon's certificate, no certificate of the other
+    /// side is known, or the protocol or a frame was wrong.
     BadPeer,
 }
 
@@ -80,7 +82,7 @@
         to: DaemonId,
         /// Whether the daemon answered on a new connection.
         alive: bool,
-        /// Whether the address refused: the process is gone.
+        /// Whether the process is gone, as for [`LostReason::Refused`].
         refused: bool,
     },
 }
--- a/crates/laburnumstall-peer/src/pins.rs
+++ b/crates/laburnumstall-peer/src/pins.rs
@@ -32,4 +32,9 @@
     pub fn matches(&self, digest: &CertificateDigest, daemon: &DaemonId) -> bool {
         self.map.load().get(digest) == Some(daemon)
     }
+
+    /// Tells whether any digest belongs to `daemon`.
+    pub fn has_daemon(&self, daemon: &DaemonId) -> bool {
+        self.map.load().values().any(|known| known == daemon)
+    }
 }
--- a/crates/laburnumstall-peer/src/session.rs
+++ b/crates/laburnumstall-peer/src/session.rs
@@ -14,7 +14,7 @@
 use crate::endpoint::Shared;
 use crate::identity::CERTIFICATE_NAME;
 use crate::link::{LaneStep, Link};
-use crate::{Lane, LostReason, PeerEvent, STREAM_VERSION, probe};
+use crate::{Lane, LostReason, PeerEvent, Pins, STREAM_VERSION, probe};
 
 /// Code of a connection that ends in good order.
 pub(crate) const CLOSE_DONE: u32 = 0;
@@ -22,6 +22,9 @@
 /// Code of a connection that is closed for a frame that cannot be read.
 pub(crate) const CLOSE_BAD_FRAME: u32 = 1;
 
+/// TLS alert raised here when the certificate of the other side is not the pinned one.
+const ALERT_ACCESS_DENIED: u8 = 49;
+
 /// Time between two looks at whether the other side still acknowledges.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -95,7 +98,7 @@
     tokio::select! {
         outcome = handshake => match outcome {
             Ok(Ok(conn)) => Ok(conn),
-            Ok(Err(error)) => Err(reason_of(&error)),
+            Ok(Err(error)) => Err(reason_of_handshake(shared.tls().pins(), to, &error)),
             Err(_) => Err(LostReason::TimedOut),
         },
         () = probe::refused(shared.local(), address) => Err(LostReason::Refused),
@@ -189,6 +192,22 @@
     }
 }
 
+/// Says why a connection was not made.
+///
+/// If the certificate of `to` is known and the listener has another one, the process that
+/// listened there before is gone.
+fn reason_of_handshake(pins: &Pins, to: &DaemonId, error: &ConnectionError) -> LostReason {
+    match error {
+        ConnectionError::TransportError(error)
+            if error.code == TransportErrorCode::crypto(ALERT_ACCESS_DENIED)
+                && pins.has_daemon(to) =>
+        {
+            LostReason::Refused
+        }
+        error => reason_of(error),
+    }
+}
+
 /// Says why a connection ended.
 pub(crate) fn reason_of(error: &ConnectionError) -> LostReason {
     match error {
