--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod front;
 pub mod inbox;
 pub mod links;
+pub mod logging;
+pub mod metrics;
 pub mod platform;
 pub mod settings;
 pub mod snapshot;
