--- a/crates/laburnumstall-standins/src/gate.rs
+++ b/crates/laburnumstall-standins/src/gate.rs
@@ -69,13 +69,26 @@
         }
     }
 
+    /// Tells whether a connection is silent.
+    pub fn is_silent(&self, connection: ConnectionNumber) -> bool {
+        connection.0 < self.silent_below.load(SeqCst)
+    }
+
     /// Waits until the connection may speak.
     pub async fn wait_for_turn(&self, connection: ConnectionNumber) {
-        while connection.0 < self.silent_below.load(SeqCst) {
+        while self.is_silent(connection) {
             tokio::time::sleep(SILENCE_POLL).await;
         }
     }
 
+    /// Waits for the delay; does not yield without one.
+    pub(crate) async fn pause(&self) {
+        let micros = self.delay_micros.load(SeqCst);
+        if micros > 0 {
+            tokio::time::sleep(Duration::from_micros(micros)).await;
+        }
+    }
+
     pub(crate) fn next_connection(&self) -> ConnectionNumber {
         ConnectionNumber(self.accepted.fetch_add(1, SeqCst))
     }
@@ -88,10 +101,7 @@
     next: Next<B>,
 ) -> Result<ServiceResponse<B>, Error> {
     let connection = req.conn_data().copied().unwrap_or_default();
-    let delay = gate.delay_micros.load(SeqCst);
-    if delay > 0 {
-        tokio::time::sleep(Duration::from_micros(delay)).await;
-    }
+    gate.pause().await;
     gate.wait_for_turn(connection).await;
     let response = next.call(req).await;
     gate.wait_for_turn(connection).await;
--- a/crates/laburnumstall-standins/src/lib.rs
+++ b/crates/laburnumstall-standins/src/lib.rs
@@ -8,5 +8,7 @@
 pub mod engine;
 pub mod gate;
 pub mod key_value;
+pub mod network;
 pub mod plain;
 pub mod server;
+pub mod weights;
