--- a/crates/laburnumstall-platform/src/endpoint.rs
+++ b/crates/laburnumstall-platform/src/endpoint.rs
@@ -17,7 +17,7 @@
 
 pub use body::{engine_body, engine_path};
 pub use chunk::{ChunkDecoder, EngineChoice, EngineChunk, EngineDelta, EngineError, EngineUsage};
-pub use control::{CacheChange, CacheEvent, CachePage, KvExport, KvImport, KvImported};
+pub use control::{CacheChange, CacheEvent, CachePage, KvExport, KvImport, KvImported, KvOffer};
 pub use failure::AttemptFailure;
 pub use http::HttpEndpointClient;
 pub use prompt::prompt_text;
--- a/crates/laburnumstall-platform/src/endpoint/control.rs
+++ b/crates/laburnumstall-platform/src/endpoint/control.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use laburnumstall_core::ids::AttemptId;
+use compact_str::CompactString;
 use laburnumstall_core::request::BlockHash;
 use laburnumstall_core::units::Bytes;
 use laburnumstall_core::{domain, domain_value};
@@ -37,10 +37,16 @@
         pub events: Vec<CacheEvent>,
     }
 
+    /// A request to offer a stream's KV cache to other engines.
+    pub struct KvOffer {
+        /// Name of the stream: its attempt's id as text.
+        pub stream: CompactString,
+    }
+
     /// A stream's KV cache, offered by its engine for a while.
     pub struct KvExport {
-        /// Attempt that the cache belongs to.
-        pub attempt: AttemptId,
+        /// Name of the stream.
+        pub stream: CompactString,
         /// Size of the cache.
         pub size: Bytes,
         /// Prompt blocks that the cache covers.
@@ -51,8 +57,8 @@
     pub struct KvImport {
         /// Address of the engine that offers it.
         pub from: SocketAddr,
-        /// Attempt that the cache belongs to.
-        pub attempt: AttemptId,
+        /// Name of the stream.
+        pub stream: CompactString,
     }
 
     /// Result of an import.
--- a/crates/laburnumstall-platform/src/endpoint/http.rs
+++ b/crates/laburnumstall-platform/src/endpoint/http.rs
@@ -8,7 +8,7 @@
 use awc::http::Method;
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use laburnumstall_core::cloud::{CallFailure, EndpointOrder, OrderReply};
 use laburnumstall_core::ids::{AttemptId, EventIndex};
 use laburnumstall_core::request::{AnswerEvent, Request};
@@ -22,7 +22,7 @@
 };
 use super::{
     AttemptFailure, CachePage, EndpointCall, EndpointClient, EndpointEvent, KvExport, KvImport,
-    KvImported, StreamAttach, engine_body, engine_path, headers, paths,
+    KvImported, KvOffer, StreamAttach, engine_body, engine_path, headers, paths,
 };
 use crate::cloud::call_failure;
 use crate::http::{HttpFailure, HttpSettings, JsonClient, encode_segment, new_client};
@@ -217,7 +217,9 @@
         address: SocketAddr,
         attempt: &AttemptId,
     ) -> Result<KvExport, CallFailure> {
-        self.control(Method::POST, address, paths::KV_EXPORT, Some(attempt))
+        let stream = format_compact!("{attempt}");
+        let offer = KvOffer { stream };
+        self.control(Method::POST, address, paths::KV_EXPORT, Some(&offer))
             .await
     }
 
--- a/crates/laburnumstall-standins/src/engine/batch.rs
+++ b/crates/laburnumstall-standins/src/engine/batch.rs
@@ -5,7 +5,7 @@
 
 use laburnumstall_core::cloud::{EndpointOrder, OrderReply};
 use laburnumstall_core::domain_value;
-use laburnumstall_core::ids::{AttemptId, FencingToken, ServiceName};
+use laburnumstall_core::ids::{FencingToken, ServiceName};
 use laburnumstall_core::request::{BlockHash, PREFIX_BLOCK_BYTES, prefix_blocks};
 use laburnumstall_core::units::{Bytes, Priority, TokenRate, Tokens};
 use laburnumstall_core::world::LoadReport;
@@ -259,11 +259,11 @@
     }
 
     /// Offers the KV cache of a stream.
-    pub(super) fn export(&self, attempt: AttemptId) -> Option<KvExport> {
-        let stream = self.streams.get(&attempt.to_string())?;
+    pub(super) fn export(&self, name: &str) -> Option<KvExport> {
+        let stream = self.streams.get(name)?;
         let tokens = (stream.prompt_tokens() + stream.generated) as u64;
         Some(KvExport {
-            attempt,
+            stream: name.into(),
             size: Bytes(tokens * KV_BYTES_PER_TOKEN),
             blocks: stream.blocks.clone(),
         })
--- a/crates/laburnumstall-standins/src/engine/http.rs
+++ b/crates/laburnumstall-standins/src/engine/http.rs
@@ -2,17 +2,17 @@
 
 use std::time::{Duration, Instant};
 
+use actix_web::http::Method;
 use actix_web::http::header::HeaderMap;
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use futures_util::stream;
 use laburnumstall_core::cloud::EndpointOrder;
-use laburnumstall_core::ids::AttemptId;
 use laburnumstall_core::request::Dialect;
 use laburnumstall_platform::endpoint::{
-    EndpointClient, EngineChoice, EngineChunk, EngineUsage, HttpEndpointClient, KvImport,
-    KvImported, headers, paths,
+    EngineChoice, EngineChunk, EngineUsage, KvExport, KvImport, KvImported, KvOffer, headers, paths,
 };
+use laburnumstall_platform::http::{HttpSettings, JsonClient};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::watch;
@@ -21,9 +21,6 @@
 use super::text::Conversation;
 use crate::gate::ConnectionNumber;
 
-/// Longest time for a call to another engine.
-const PEER_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Event that ends a whole answer.
 const END_EVENT: &[u8] = b"data: [DONE]\n\n";
 
@@ -121,16 +118,20 @@
     HttpResponse::Ok().json(reply)
 }
 
-async fn export(engine: web::Data<Engine>, attempt: web::Json<AttemptId>) -> HttpResponse {
-    match engine.batch().export(attempt.into_inner()) {
+async fn export(engine: web::Data<Engine>, offer: web::Json<KvOffer>) -> HttpResponse {
+    match engine.batch().export(&offer.stream) {
         Some(export) => HttpResponse::Ok().json(export),
         None => HttpResponse::NotFound().finish(),
     }
 }
 
 async fn import(engine: web::Data<Engine>, import: web::Json<KvImport>) -> HttpResponse {
-    let peer = HttpEndpointClient::new(PEER_TIMEOUT, PEER_TIMEOUT, |_| {});
-    let Ok(export) = peer.export_kv(import.from, &import.attempt).await else {
+    let peer = JsonClient::new(HttpSettings::new(import.from));
+    let stream = import.into_inner().stream;
+    let offer = KvOffer { stream };
+    let export =
+        peer.call::<_, KvExport>(Method::POST, paths::KV_EXPORT, Some(&offer), Duration::ZERO);
+    let Ok(export) = export.await else {
         return HttpResponse::BadGateway().finish();
     };
     engine.batch().import(&export, Instant::now());
--- a/crates/laburnumstall-standins/tests/engine_control.rs
+++ b/crates/laburnumstall-standins/tests/engine_control.rs
@@ -197,7 +197,7 @@
     assert_eq!(export.blocks.len(), PROMPT_BYTES / 256);
     let import = KvImport {
         from: from.address(),
-        attempt: attempt(1),
+        stream: export.stream.clone(),
     };
     let imported = client.import_kv(to.address(), &import).await.unwrap();
     assert_eq!(imported.blocks, export.blocks.len() as u64);
