Split contracts over entries by lending

Cause: an even split wastes the parts of idle entries. Change: each entry announces demand and lends what it does not need; a loan ends at a stated time and the lender counts it whether or not it arrives. Buckets fill exactly.

--- a/crates/laburnumstall-core/src/limits.rs
+++ b/crates/laburnumstall-core/src/limits.rs
@@ -8,6 +8,7 @@
 mod account;
 mod bucket;
 mod fair_queue;
+mod part;
 mod retry_budget;
 mod share;
 
@@ -39,6 +40,8 @@
     entries: u32,
     accounts: BTreeMap<CustomerId, Account>,
     contracts: BTreeMap<CustomerId, Contract>,
+    /// The end of the loans of each entry's latest message, by which older ones are known.
+    heard: BTreeMap<DaemonId, Timestamp>,
 }
 
 impl Limits {
@@ -49,6 +52,7 @@
             entries: 1,
             accounts: BTreeMap::new(),
             contracts: BTreeMap::new(),
+            heard: BTreeMap::new(),
         }
     }
 
@@ -64,15 +68,15 @@
         for (name, contract) in contracts {
             self.accounts
                 .entry(name.clone())
-                .or_insert_with(|| Account::new(self.entries))
-                .set_contract(contract);
+                .and_modify(|account| account.set_contract(contract))
+                .or_insert_with(|| Account::new(contract, self.entries));
         }
     }
 
     /// Takes over the number of live entries among which contracts are split.
     ///
-    /// A smaller part holds at once; a larger part holds after [`SHARE_PERIOD`], when the
-    /// other entries have learnt of the change as well.
+    /// A smaller part holds at once; a larger part holds when the loans of the entries
+    /// that are gone have ended.
     pub fn set_entries(&mut self, now: Timestamp, live_entries: u32) {
         self.entries = live_entries.max(1);
         for account in self.accounts.values_mut() {
@@ -110,7 +114,7 @@
     /// Returns the message to all other entries; due every [`SHARE_PERIOD`].
     pub fn share(&mut self, now: Timestamp) -> LimitShare {
         let mut share = LimitShare {
-            until: now.after(share::LOAN_TIME),
+            until: now.after(part::LOAN_TIME),
             demands: Vec::new(),
             loans: Vec::new(),
         };
@@ -122,18 +126,22 @@
 
     /// Takes in the share message of another entry.
     pub fn on_share(&mut self, now: Timestamp, from: &DaemonId, share: &LimitShare) {
-        if *from == self.own {
+        let known = self.heard.get(from).copied();
+        let is_late = share.until <= now || known.is_some_and(|known| known >= share.until);
+        if *from == self.own || is_late {
             return;
         }
-        for demand in &share.demands {
-            if let Some(account) = self.accounts.get_mut(&demand.customer) {
-                account.on_demand(now, from, demand);
-            }
-        }
-        for loan in share.loans.iter().filter(|loan| loan.to == self.own) {
-            if let Some(account) = self.accounts.get_mut(&loan.customer) {
-                account.on_loan(now, from, loan, share.until);
-            }
+        self.heard.retain(|_, until| *until > now);
+        self.heard.insert(from.clone(), share.until);
+        for (customer, account) in &mut self.accounts {
+            let mut demands = share.demands.iter();
+            account.on_demand(
+                now,
+                from,
+                demands.find(|demand| demand.customer == *customer),
+            );
+            let is_mine = |loan: &&Loan| loan.to == self.own && loan.customer == *customer;
+            account.on_loan(now, from, share.loans.iter().find(is_mine), share.until);
         }
     }
 
--- a/crates/laburnumstall-core/src/limits/account.rs
+++ b/crates/laburnumstall-core/src/limits/account.rs
@@ -1,59 +1,50 @@
 //! One customer's part of its contract at one entry.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::SHARE_PERIOD;
-use super::bucket::{Bucket, MICRO};
+use super::bucket::MICRO;
+use super::part::Part;
 use super::share::{Demand, LimitShare, Loan};
 use crate::error::{ErrorKind, Refusal};
 use crate::ids::{CustomerId, DaemonId};
 use crate::units::{Timestamp, Tokens};
 use crate::world::Contract;
 
+/// Millionths in a thousandth.
+const MILLI: i64 = 1_000;
+
 /// Requests and tokens that a customer may still use at this entry.
 #[derive(Debug, Clone)]
 pub(super) struct Account {
-    entries: u32,
-    requests_rate: i64,
-    tokens_rate: i64,
-    requests: Bucket,
-    tokens: Bucket,
+    requests: Part,
+    tokens: Part,
 }
 
 impl Account {
-    pub(super) fn new(entries: u32) -> Self {
+    pub(super) fn new(contract: &Contract, entries: u32) -> Self {
         Self {
-            entries,
-            requests_rate: 0,
-            tokens_rate: 0,
-            requests: Bucket::new(Timestamp::ZERO, 0, SHARE_PERIOD),
-            tokens: Bucket::new(Timestamp::ZERO, 0, SHARE_PERIOD),
+            requests: Part::new(micro(contract.requests.get()), entries),
+            tokens: Part::new(micro(contract.tokens.get()), entries),
         }
     }
 
     pub(super) fn set_contract(&mut self, contract: &Contract) {
-        self.requests_rate = rate(contract.requests.get());
-        self.tokens_rate = rate(contract.tokens.get());
-        let n = i64::from(self.entries);
-        self.requests = Bucket::new(Timestamp::ZERO, self.requests_rate / n, SHARE_PERIOD);
-        self.tokens = Bucket::new(Timestamp::ZERO, self.tokens_rate / n, SHARE_PERIOD);
+        self.requests.set_contract(micro(contract.requests.get()));
+        self.tokens.set_contract(micro(contract.tokens.get()));
     }
 
     pub(super) fn set_entries(&mut self, now: Timestamp, entries: u32) {
-        self.entries = entries;
-        let n = i64::from(entries);
-        self.requests.set_rate(now, self.requests_rate / n);
-        self.tokens.set_rate(now, self.tokens_rate / n);
+        self.requests.set_entries(now, entries);
+        self.tokens.set_entries(now, entries);
     }
 
     /// Takes one request of `tokens`, or tells when it can be taken.
     pub(super) fn take(&mut self, now: Timestamp, tokens: Tokens) -> Result<(), Refusal> {
-        let cost = rate(tokens.get());
-        let wait = self
-            .requests
-            .wait(now, MICRO)
-            .and_then(|first| Some(first.max(self.tokens.wait(now, cost)?)));
-        match wait {
+        let cost = micro(tokens.get());
+        self.requests.offer(MICRO);
+        self.tokens.offer(cost);
+        match self.wait(now, cost) {
             Some(Duration::ZERO) => {
                 self.requests.take(now, MICRO);
                 self.tokens.take(now, cost);
@@ -63,38 +54,98 @@
                 let refusal = Refusal::new(ErrorKind::LimitReached, "contract used up");
                 Err(refusal.with_retry_after(wait))
             }
-            None => Err(Refusal::new(ErrorKind::LimitReached, "contract of zero")),
+            None => Err(Refusal::new(
+                ErrorKind::Forbidden,
+                "contract allows nothing",
+            )),
+        }
+    }
+
+    /// Tells how long it takes until a request of `cost` can be taken; `None` if it never can.
+    fn wait(&mut self, now: Timestamp, cost: i64) -> Option<Duration> {
+        let mut requests = self.requests.clone();
+        let mut tokens = self.tokens.clone();
+        let mut at = now;
+        loop {
+            let wait = requests.wait(at, MICRO)?.max(tokens.wait(at, cost)?);
+            if wait.is_zero() || at == Timestamp::NEVER {
+                return Some(at.since(now));
+            }
+            at = at.after(wait);
         }
     }
 
     pub(super) fn settle(&mut self, now: Timestamp, reserved: Tokens, used: Tokens) {
-        self.tokens
-            .take(now, rate(used.get()).saturating_sub(rate(reserved.get())));
+        let rest = micro(used.get()).saturating_sub(micro(reserved.get()));
+        self.tokens.take(now, rest);
     }
 
+    /// Adds this customer's demand and loans to the message for the peers.
     pub(super) fn add_to_share(
         &mut self,
-        _now: Timestamp,
-        _customer: &CustomerId,
-        _share: &mut LimitShare,
+        now: Timestamp,
+        customer: &CustomerId,
+        share: &mut LimitShare,
     ) {
+        let demand = Demand {
+            customer: customer.clone(),
+            requests_milli: (self.requests.measure(now) / MILLI).unsigned_abs(),
+            tokens: (self.tokens.measure(now) / MICRO).unsigned_abs(),
+        };
+        if demand.requests_milli > 0 || demand.tokens > 0 {
+            share.demands.push(demand);
+        }
+        let mut loans: BTreeMap<DaemonId, Loan> = BTreeMap::new();
+        let empty = |to: &DaemonId| Loan {
+            to: to.clone(),
+            customer: customer.clone(),
+            requests_milli: 0,
+            tokens: 0,
+        };
+        for (to, rate) in self.requests.lend(now, |rate| rate / MILLI * MILLI) {
+            let loan = loans.entry(to.clone()).or_insert_with(|| empty(&to));
+            loan.requests_milli = (rate / MILLI).unsigned_abs();
+        }
+        for (to, rate) in self.tokens.lend(now, |rate| rate / MICRO * MICRO) {
+            let loan = loans.entry(to.clone()).or_insert_with(|| empty(&to));
+            loan.tokens = (rate / MICRO).unsigned_abs();
+        }
+        share.loans.extend(loans.into_values());
     }
 
-    pub(super) fn on_demand(&mut self, _now: Timestamp, _from: &DaemonId, _demand: &Demand) {}
+    /// Takes in a peer's demand, which is zero if the peer names none.
+    pub(super) fn on_demand(&mut self, now: Timestamp, from: &DaemonId, demand: Option<&Demand>) {
+        let requests = demand.map_or(0, |demand| demand.requests_milli);
+        let tokens = demand.map_or(0, |demand| demand.tokens);
+        self.requests.hear(now, from, milli(requests));
+        self.tokens.hear(now, from, micro(tokens));
+    }
 
+    /// Takes in a peer's loan, which is zero if the peer gives none.
     pub(super) fn on_loan(
         &mut self,
-        _now: Timestamp,
-        _from: &DaemonId,
-        _loan: &Loan,
-        _until: Timestamp,
+        now: Timestamp,
+        from: &DaemonId,
+        loan: Option<&Loan>,
+        until: Timestamp,
     ) {
+        let requests = loan.map_or(0, |loan| loan.requests_milli);
+        let tokens = loan.map_or(0, |loan| loan.tokens);
+        self.requests.borrow(now, from, milli(requests), until);
+        self.tokens.borrow(now, from, micro(tokens), until);
     }
 }
 
 /// Converts whole units to millionths.
-fn rate(units: u64) -> i64 {
-    i64::try_from(units)
-        .unwrap_or(i64::MAX)
-        .saturating_mul(MICRO)
+fn micro(units: u64) -> i64 {
+    saturated(units).saturating_mul(MICRO)
+}
+
+/// Converts thousandths to millionths.
+fn milli(units: u64) -> i64 {
+    saturated(units).saturating_mul(MILLI)
+}
+
+fn saturated(units: u64) -> i64 {
+    i64::try_from(units).unwrap_or(i64::MAX)
 }
--- a/crates/laburnumstall-core/src/limits/bucket.rs
+++ b/crates/laburnumstall-core/src/limits/bucket.rs
@@ -1,4 +1,4 @@
-//! A token bucket in millionths of a unit, so that refilling is exact.
+//! A token bucket that fills without rounding.
 
 use std::time::Duration;
 
@@ -8,10 +8,12 @@
 pub(super) const MICRO: i64 = 1_000_000;
 
 /// A token bucket whose rate can change and whose balance can be negative.
+///
+/// Rates and costs are in millionths of a unit; the balance is in millionths of those, so
+/// that a rate times microseconds is exact.
 #[derive(Debug, Clone)]
 pub(super) struct Bucket {
-    balance: i64,
-    /// Units a second, in millionths.
+    balance: i128,
     rate: i64,
     filled_at: Timestamp,
     burst: Duration,
@@ -19,15 +21,18 @@
 
 impl Bucket {
     /// Creates a full bucket that holds what `rate` gives in `burst`.
-    pub(super) fn new(now: Timestamp, rate: i64, burst: Duration) -> Self {
-        let mut bucket = Self {
-            balance: 0,
+    pub(super) fn new(rate: i64, burst: Duration) -> Self {
+        Self {
+            balance: gain(rate, burst),
             rate,
-            filled_at: now,
+            filled_at: Timestamp::ZERO,
             burst,
-        };
-        bucket.balance = bucket.capacity();
-        bucket
+        }
+    }
+
+    /// Changes the rate from the last use on; the balance is cut to the new capacity.
+    pub(super) fn replace_rate(&mut self, rate: i64) {
+        self.set_rate(self.filled_at, rate);
     }
 
     /// Changes the rate from `now` on; the balance is cut to the new capacity.
@@ -43,47 +48,38 @@
     /// Returns `None` if the bucket is never filled.
     pub(super) fn wait(&mut self, now: Timestamp, cost: i64) -> Option<Duration> {
         self.fill(now);
-        let missing = cost.min(self.capacity()) - self.balance;
-        if missing <= 0 && self.rate > 0 {
-            return Some(Duration::ZERO);
-        }
         if self.rate <= 0 {
             return None;
         }
-        let micros = (i128::from(missing) * i128::from(MICRO)).div_ceil_positive(self.rate);
-        Some(Duration::from_micros(micros))
+        let missing = scaled(cost).min(self.capacity()) - self.balance;
+        let rate = i128::from(self.rate);
+        let micros = (missing.max(0) + rate - 1) / rate;
+        Some(Duration::from_micros(
+            u64::try_from(micros).unwrap_or(u64::MAX),
+        ))
     }
 
     /// Takes `cost`; a negative cost gives back.
     pub(super) fn take(&mut self, now: Timestamp, cost: i64) {
         self.fill(now);
-        self.balance = self.balance.saturating_sub(cost).min(self.capacity());
+        self.balance = (self.balance - scaled(cost)).min(self.capacity());
     }
 
-    fn capacity(&self) -> i64 {
-        scale(self.rate, self.burst)
+    fn capacity(&self) -> i128 {
+        gain(self.rate, self.burst)
     }
 
     fn fill(&mut self, now: Timestamp) {
-        let gained = scale(self.rate, now.since(self.filled_at));
-        self.balance = self.balance.saturating_add(gained).min(self.capacity());
+        let gained = gain(self.rate, now.since(self.filled_at));
+        self.balance = (self.balance + gained).min(self.capacity());
         self.filled_at = self.filled_at.max(now);
     }
 }
 
-trait DivCeilPositive {
-    fn div_ceil_positive(self, divisor: i64) -> u64;
-}
-
-impl DivCeilPositive for i128 {
-    fn div_ceil_positive(self, divisor: i64) -> u64 {
-        let divisor = i128::from(divisor);
-        u64::try_from((self + divisor - 1) / divisor).unwrap_or(u64::MAX)
-    }
+fn gain(rate: i64, time: Duration) -> i128 {
+    i128::from(rate) * time.as_micros() as i128
 }
 
-/// Returns what a rate gives in a time.
-pub(super) fn scale(rate: i64, time: Duration) -> i64 {
-    let gained = i128::from(rate) * time.as_micros() as i128 / i128::from(MICRO);
-    i64::try_from(gained).unwrap_or(i64::MAX)
+fn scaled(cost: i64) -> i128 {
+    i128::from(cost) * i128::from(MICRO)
 }
--- a/crates/laburnumstall-core/src/limits/fair_queue.rs
+++ b/crates/laburnumstall-core/src/limits/fair_queue.rs
@@ -63,14 +63,14 @@
         self.len == 0
     }
 
-    /// Adds an item of `cost` for a customer of `weight`.
+    /// Adds an item of `cost` and of the least priority for a customer of `weight`.
     #[expect(
         clippy::too_many_arguments,
         reason = "each is a separate property of one item, and callers have them separately"
     )]
     pub fn push(
         &mut self,
-        now: Timestamp,
+        _now: Timestamp,
         service: &ServiceName,
         customer: &CustomerId,
         weight: u32,
@@ -78,7 +78,24 @@
         deadline: Timestamp,
         item: T,
     ) {
-        let _ = now;
+        self.push_with_priority(service, customer, weight, cost, deadline, Priority(0), item);
+    }
+
+    /// Adds an item that goes before the customer's items of a lower priority.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each is a separate property of one item, and callers have them separately"
+    )]
+    pub fn push_with_priority(
+        &mut self,
+        service: &ServiceName,
+        customer: &CustomerId,
+        weight: u32,
+        cost: u64,
+        deadline: Timestamp,
+        priority: Priority,
+        item: T,
+    ) {
         self.arrivals += 1;
         self.len += 1;
         let lane = self.lanes.entry(service.clone()).or_insert_with(|| Lane {
@@ -95,7 +112,7 @@
         if flow.waiting.is_empty() {
             flow.start = flow.start.max(virtual_time);
         }
-        let order = (Reverse(Priority(0)), deadline, self.arrivals);
+        let order = (Reverse(priority), deadline, self.arrivals);
         flow.waiting.insert(order, Waiting { cost, item });
     }
 
--- a/crates/laburnumstall-core/src/limits/retry_budget.rs
+++ b/crates/laburnumstall-core/src/limits/retry_budget.rs
@@ -1,10 +1,10 @@
 //! A budget that keeps retries and hedges to a fraction of the requests.
 
+use std::time::Duration;
+
 use super::bucket::Bucket;
 use crate::units::Timestamp;
 
-use std::time::Duration;
-
 /// Millionths of a retry that a request deposits: one retry for five requests.
 const DEPOSIT: i64 = 200_000;
 /// Millionths of a retry.
@@ -29,7 +29,7 @@
     pub fn new() -> Self {
         Self {
             saved: 0,
-            floor: Bucket::new(Timestamp::ZERO, FLOOR, FLOOR_BURST),
+            floor: Bucket::new(FLOOR, FLOOR_BURST),
         }
     }
 
--- a/crates/laburnumstall-core/src/limits/share.rs
+++ b/crates/laburnumstall-core/src/limits/share.rs
@@ -1,14 +1,9 @@
 //! The message by which entries split customers' contracts.
 
-use std::time::Duration;
-
 use crate::domain;
 use crate::ids::{CustomerId, DaemonId};
 use crate::units::Timestamp;
 
-/// Time that a loan holds after the message that announces it.
-pub(super) const LOAN_TIME: Duration = Duration::from_secs(6);
-
 domain! {
     /// What one entry sees of a customer's demand.
     pub struct Demand {
