Join the cores in virtual time and mend what random walks broke

Traces gave three causes: a refusal at a second entry said 'not run' while a copy of the same key's request could still run; a forwarded or attached caller hung when one message was lost; two attachments of one caller at the new owner gave an event twice. Change: a test kit with entries, store, endpoints and callers in virtual time; requests with a key look for a running one first; a refusal waits until copies are dropped, and says that the outcome is not known where that cannot be told (new kind 'unresolved'); every event passes one place that lets it through once; silent owners are asked again.

--- a/crates/laburnumstall-core/src/claims/shard.rs
+++ b/crates/laburnumstall-core/src/claims/shard.rs
@@ -42,6 +42,8 @@
         pub deadline: Timestamp,
         /// What is wanted.
         pub wanted: Wanted,
+        /// Whether the log was read since and nobody held the claim.
+        pub was_free: bool,
     }
 }
 
@@ -114,7 +116,8 @@
             if wish.wanted == Wanted::Release {
                 return wish.expires > now;
             }
-            given_up.push((wish.clone(), ClaimOutcome::TimedOut));
+            let was_free = wish.was_free;
+            given_up.push((wish.clone(), ClaimOutcome::TimedOut { was_free }));
             wish.wanted = Wanted::Release;
             true
         });
@@ -141,7 +144,7 @@
         let mut settled = Vec::new();
         let mut is_changed = false;
         let mut size = log.encode().len();
-        self.wishes.retain(|wish| match judge(&log, wish, own) {
+        self.wishes.retain_mut(|wish| match judge(&log, wish, own) {
             Verdict::Settled(outcome) if !is_changed => {
                 settled.push((wish.clone(), outcome));
                 false
@@ -153,6 +156,7 @@
                     settled.push((wish.clone(), ClaimOutcome::LogFull));
                     return false;
                 }
+                wish.was_free = wish.wanted == Wanted::Hold;
                 log.put(claim);
                 is_changed = true;
                 true
@@ -257,7 +261,10 @@
     }
     let is_own = standing.holder == *own && standing.request == wish.request;
     match (&standing.state, &wish.wanted) {
-        (ClaimState::Held, _) if is_own => Verdict::Settled(ClaimOutcome::Granted),
+        (ClaimState::Held, wanted) if is_own => {
+            let is_seized = matches!(wanted, Wanted::Seize(_));
+            Verdict::Settled(ClaimOutcome::Granted { is_seized })
+        }
         (ClaimState::Held, Wanted::Seize(from)) if standing.holder == *from => {
             Verdict::Put(held(wish, own))
         }
--- a/crates/laburnumstall-core/src/claims/table.rs
+++ b/crates/laburnumstall-core/src/claims/table.rs
@@ -14,7 +14,10 @@
     /// What became of a wish.
     pub enum ClaimOutcome {
         /// This daemon may dispatch.
-        Granted,
+        Granted {
+            /// Whether the claim was taken from a daemon that may have dispatched.
+            is_seized: bool,
+        },
         /// The claim is held for another request or by another daemon.
         Taken(Claim),
         /// The key was used with another body.
@@ -22,7 +25,10 @@
         /// The shard's log has no room.
         LogFull,
         /// The deadline passed; this daemon will not dispatch.
-        TimedOut,
+        TimedOut {
+            /// Whether the log was read after the wish and nobody held the claim.
+            was_free: bool,
+        },
         /// The claim no longer bars others on account of this daemon.
         Released,
     }
@@ -128,11 +134,11 @@
 
 fn describe(now: Timestamp, wish: &ClaimWish, outcome: &ClaimOutcome) -> Decision {
     let (choice, reason) = match outcome {
-        ClaimOutcome::Granted => ("granted", "own-claim-in-log"),
+        ClaimOutcome::Granted { .. } => ("granted", "own-claim-in-log"),
         ClaimOutcome::Taken(_) => ("denied", "held-by-other"),
         ClaimOutcome::OtherBody => ("denied", "other-body"),
         ClaimOutcome::LogFull => ("denied", "log-full"),
-        ClaimOutcome::TimedOut => ("given-up", "deadline"),
+        ClaimOutcome::TimedOut { .. } => ("given-up", "deadline"),
         ClaimOutcome::Released => ("released", "not-dispatched"),
     };
     let decision = Decision::new(now, DecisionKind::Claim, choice, reason)
--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -31,6 +31,7 @@
 mod platform;
 mod progress;
 mod registry;
+mod relay;
 mod replicate;
 mod state;
 mod status;
@@ -38,6 +39,7 @@
 mod takeover;
 mod timers;
 mod watchdog;
+mod withdraw;
 
 pub use action::{Action, DispatchOrder, Output, StreamResume};
 pub use configuration::{ApplyOutcome, configuration_head_key, configuration_history_key};
--- a/crates/laburnumstall-core/src/entry/accept.rs
+++ b/crates/laburnumstall-core/src/entry/accept.rs
@@ -12,7 +12,7 @@
 use crate::entry::Entry;
 use crate::entry::owned::{Owned, Phase, Standby, Subscriber};
 use crate::entry::state::KeyName;
-use crate::error::{ErrorKind, Refusal};
+use crate::error::{ErrorKind, Execution, Refusal};
 use crate::hash::{digest64, home_of_key};
 use crate::ids::{CallerId, DaemonId, Epoch, HomeHash, RequestId};
 use crate::limits::Reservation;
@@ -29,7 +29,7 @@
 
 impl Entry {
     pub(super) fn on_arrived(&mut self, now: Timestamp, caller: CallerId, request: Arc<Request>) {
-        self.add_local_caller(caller, request.customer.clone());
+        self.add_local_caller(caller, request.customer.clone(), None);
         if let Some(peer) = self.forward_target(&request) {
             self.forward(now, caller, request, &peer);
             return;
@@ -56,17 +56,17 @@
         if self.join_known(now, from, request)? {
             return Ok(());
         }
-        self.check_quarantine(now, request)?;
-        if request.idempotent && request.key.is_some() {
+        if request.key.is_some() {
             self.locate_key(now, from.clone(), request.clone());
             return Ok(());
         }
-        self.admit(now, from.clone(), request.clone())
+        self.admit(now, from.clone(), request.clone(), true)
     }
 
     fn check_known(&self, request: &Request) -> Result<(), Refusal> {
         if self.adoption.current().is_none() {
-            return Err(Refusal::new(ErrorKind::NotReady, "no configuration yet"));
+            let refusal = Refusal::new(ErrorKind::NotReady, "no configuration yet");
+            return Err(qualify(refusal, request, false));
         }
         if self.system.service(&request.service).is_none() {
             let detail = format!("service `{}`", request.service);
@@ -163,13 +163,30 @@
         }
     }
 
-    /// Checks the request against its customer's limits and sends the copy out.
+    /// Accepts the request if nothing speaks against it.
+    ///
+    /// `is_new_key` tells that no request with the same key can have been accepted, so
+    /// that a refusal can truthfully say that nothing ran.
     pub(super) fn admit(
         &mut self,
         now: Timestamp,
         from: CallerRef,
         request: Arc<Request>,
+        is_new_key: bool,
+    ) -> Result<(), Refusal> {
+        let admitted = self.reserve_and_copy(now, from, request.clone(), is_new_key);
+        admitted.map_err(|refusal| qualify(refusal, &request, is_new_key))
+    }
+
+    /// Checks the request against its customer's limits and sends the copy out.
+    fn reserve_and_copy(
+        &mut self,
+        now: Timestamp,
+        from: CallerRef,
+        request: Arc<Request>,
+        is_new_key: bool,
     ) -> Result<(), Refusal> {
+        self.check_quarantine(now, &request)?;
         let expected = self.router.expected_first_token(now, &request);
         if expected.is_none() {
             let detail = format!("service `{}`", request.service);
@@ -193,7 +210,8 @@
             return Err(Refusal::new(ErrorKind::NoStandby, detail));
         };
         let standby = standby.id.clone();
-        let owned = self.new_owned(now, id.clone(), from, request, reservation);
+        let mut owned = self.new_owned(now, id.clone(), from, request, reservation);
+        owned.is_new_key = is_new_key;
         if let Some(name) = KeyName::of(&owned.record) {
             self.keys.insert(name, id.clone());
         }
@@ -247,8 +265,10 @@
             reservation: Some(reservation),
             excluded: Vec::new(),
             may_have_run: false,
+            is_dispatched: false,
+            is_new_key: false,
             has_claim: false,
-            is_handed_over: false,
+            handed_over_at: None,
         }
     }
 
@@ -291,50 +311,27 @@
         match next.map(|member| member.id.clone()) {
             Some(next) if tried.len() < MAX_STANDBYS_TRIED => {
                 for daemon in &tried {
-                    let epoch = Epoch(1);
-                    self.send(
-                        daemon,
-                        Message::Drop {
-                            id: id.clone(),
-                            epoch,
-                        },
-                    );
+                    self.send_drop(id, daemon);
                 }
                 self.copy_to(now, id, next);
             }
             _ => {
                 let detail = "no entry in another availability zone took a copy in time";
-                self.abandon(now, id, &Refusal::new(ErrorKind::NoStandby, detail));
+                self.withdraw(now, id, Refusal::new(ErrorKind::NoStandby, detail));
             }
         }
     }
 
-    /// Refuses a request that was never accepted and forgets it.
-    pub(super) fn abandon(&mut self, now: Timestamp, id: &RequestId, refusal: &Refusal) {
-        let Some(owned) = self.forget_owned(id) else {
-            return;
-        };
-        if let Some(reservation) = owned.reservation {
-            self.limits.settle(now, reservation, Tokens(0));
-        }
-        for subscriber in owned.subscribers {
-            self.refuse(
-                now,
-                &subscriber.caller,
-                &owned.record.request,
-                refusal.clone(),
-            );
-        }
-        let epoch = owned.record.epoch;
-        for daemon in owned.standby.into_iter().map(|standby| standby.daemon) {
-            self.send(
-                &daemon,
-                Message::Drop {
-                    id: id.clone(),
-                    epoch,
-                },
-            );
-        }
+    pub(super) fn send_drop(&mut self, id: &RequestId, to: &DaemonId) {
+        let epoch = self.owned.get(id).map(|owned| owned.record.epoch);
+        let epoch = epoch.unwrap_or(Epoch(1));
+        self.send(
+            to,
+            Message::Drop {
+                id: id.clone(),
+                epoch,
+            },
+        );
     }
 
     /// The first copy is acknowledged: the request is accepted.
@@ -387,6 +384,21 @@
             .with("execution", refusal.kind.answer().execution)
             .with("detail", &refusal.detail);
         self.journal.record(decision);
-        self.refuse_caller(to, refusal);
+        self.refuse_caller(now, to, refusal);
+    }
+}
+
+/// Replaces "not run" where an earlier request with the same key may have run.
+pub(super) fn qualify(refusal: Refusal, request: &Request, is_new_key: bool) -> Refusal {
+    let says_not_run = refusal.kind.answer().execution == Execution::NotRun;
+    let is_passing = refusal.retry_after.is_some() || refusal.kind == ErrorKind::Quarantined;
+    let may_have_run = !request.idempotent && request.key.is_some() && !is_new_key;
+    if says_not_run && is_passing && may_have_run {
+        let detail = format!(
+            "{}; an earlier request with the key may run",
+            refusal.detail
+        );
+        return Refusal::new(ErrorKind::Unresolved, detail);
     }
+    refusal
 }
--- a/crates/laburnumstall-core/src/entry/attach.rs
+++ b/crates/laburnumstall-core/src/entry/attach.rs
@@ -7,13 +7,15 @@
 use crate::error::{ErrorKind, Refusal};
 use crate::ids::{CallerId, CustomerId, DaemonId, RequestId};
 use crate::message::{CallerRef, Delivery, LocateTarget, Message, Position, RequestRecord};
-use crate::request::{AnswerEvent, Request};
+use crate::request::Request;
 use crate::units::Timestamp;
 
 /// A caller that is connected here.
 #[derive(Debug, Clone)]
 pub(super) struct LocalCaller {
     pub(super) customer: CustomerId,
+    /// What the caller has, with what it was given here.
+    pub(super) position: Position,
     /// The daemon that owns the caller's request, if it is not this one.
     pub(super) remote: Option<RemoteOwner>,
 }
@@ -23,16 +25,22 @@
 pub(super) struct RemoteOwner {
     pub(super) owner: DaemonId,
     pub(super) request: Option<RequestId>,
-    /// What the caller was given so far.
-    pub(super) position: Position,
+    /// When the owner was last heard or asked about the caller.
+    pub(super) heard_at: Timestamp,
     /// The request, until its new owner has accepted it.
     pub(super) forwarded: Option<Arc<Request>>,
 }
 
 impl Entry {
-    pub(super) fn add_local_caller(&mut self, caller: CallerId, customer: CustomerId) {
+    pub(super) fn add_local_caller(
+        &mut self,
+        caller: CallerId,
+        customer: CustomerId,
+        position: Option<Position>,
+    ) {
         let local = LocalCaller {
             customer,
+            position: position.unwrap_or(Position::START),
             remote: None,
         };
         self.callers.insert(caller, local);
@@ -46,7 +54,7 @@
         customer: CustomerId,
         position: Option<Position>,
     ) {
-        self.add_local_caller(caller, customer.clone());
+        self.add_local_caller(caller, customer.clone(), position);
         let from = self.local_ref(caller);
         self.attach_from(now, from, id, customer, position);
     }
@@ -62,10 +70,10 @@
     ) {
         if self.owned.contains_key(&id) {
             if let Err(refusal) = self.subscribe(&from, &id, &customer, position) {
-                self.refuse_caller(&from, refusal);
+                self.refuse_caller(now, &from, refusal);
                 return;
             }
-            self.deliver(&id);
+            self.deliver(now, &id);
             return;
         }
         let Some(copy) = self.copies.get(&id) else {
@@ -73,12 +81,12 @@
             return;
         };
         if copy.record.is_done() {
-            self.give_from_copy(&from, &id, &customer, position);
+            self.give_from_copy(now, &from, &id, &customer, position);
             return;
         }
         let owner = copy.record.owner.clone();
         if from.daemon != self.own {
-            self.give(&from, Delivery::Moved { owner });
+            self.give(now, &from, Delivery::Moved { owner });
             return;
         }
         self.attach_at(now, from.caller, id, &owner, customer, position);
@@ -99,7 +107,7 @@
             return;
         }
         let refusal = Refusal::new(ErrorKind::UnknownRequest, id.to_string());
-        self.refuse_caller(from, refusal);
+        self.refuse_caller(now, from, refusal);
     }
 
     fn subscribe(
@@ -127,6 +135,7 @@
     /// Gives a whole answer from a copy whose owner need not be asked.
     fn give_from_copy(
         &mut self,
+        now: Timestamp,
         from: &CallerRef,
         id: &RequestId,
         customer: &CustomerId,
@@ -138,19 +147,19 @@
         let position = match check_attachment(&copy.record, customer, position) {
             Ok(position) => position,
             Err(refusal) => {
-                self.refuse_caller(from, refusal);
+                self.refuse_caller(now, from, refusal);
                 return;
             }
         };
         let events = copy.record.events[position.index.0 as usize..].to_vec();
         let acceptance = copy.record.acceptance();
-        self.give(from, acceptance);
+        self.give(now, from, acceptance);
         let from_position = position;
         let delivery = Delivery::Events {
             from: from_position,
             events,
         };
-        self.give(from, delivery);
+        self.give(now, from, delivery);
     }
 
     /// Attaches a caller connected here to a request that another daemon owns.
@@ -174,7 +183,7 @@
         local.remote = Some(RemoteOwner {
             owner: owner.clone(),
             request: Some(id.clone()),
-            position: position.unwrap_or(Position::START),
+            heard_at: now,
             forwarded: None,
         });
         let message = Message::Attach {
@@ -200,98 +209,6 @@
         self.attach_at(now, caller, id.clone(), owner, customer, position);
     }
 
-    /// Something for a caller connected here, from the daemon that owns its request.
-    pub(super) fn on_deliver(
-        &mut self,
-        now: Timestamp,
-        from: &DaemonId,
-        caller: CallerId,
-        delivery: Delivery,
-    ) {
-        let Some(local) = self.callers.get_mut(&caller) else {
-            self.send(from, Message::Detach { caller, id: None });
-            return;
-        };
-        let Some(remote) = &mut local.remote else {
-            return;
-        };
-        if remote.owner != *from {
-            return;
-        }
-        match delivery {
-            Delivery::Accepted { ref request, .. } => {
-                remote.request = Some(request.clone());
-                remote.forwarded = None;
-                self.give_local(caller, delivery);
-            }
-            Delivery::Events {
-                from: position,
-                events,
-            } => self.relay_events(now, caller, position, events),
-            Delivery::Moved { owner } => self.on_moved(now, caller, &owner),
-            Delivery::Refused(refusal) => {
-                let to = self.local_ref(caller);
-                self.refuse_caller(&to, refusal);
-            }
-        }
-    }
-
-    /// Relays the events that the caller does not have yet, and only if they follow on.
-    fn relay_events(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        position: Position,
-        mut events: Vec<AnswerEvent>,
-    ) {
-        let Some(local) = self.callers.get_mut(&caller) else {
-            return;
-        };
-        let customer = local.customer.clone();
-        let Some(remote) = &mut local.remote else {
-            return;
-        };
-        let have = remote.position;
-        if position.index > have.index {
-            let id = remote.request.clone();
-            let owner = remote.owner.clone();
-            if let Some(id) = id {
-                self.attach_at(now, caller, id, &owner, customer, Some(have));
-            }
-            return;
-        }
-        let known = ((have.index.0 - position.index.0) as usize).min(events.len());
-        let reached = position.after(&events[..known]);
-        events.drain(..known);
-        if reached != have {
-            if reached.index == have.index {
-                let refusal = Refusal::new(ErrorKind::StreamDiverged, "at the new owner");
-                let to = self.local_ref(caller);
-                self.refuse_caller(&to, refusal);
-            }
-            return;
-        }
-        if events.is_empty() {
-            return;
-        }
-        remote.position = have.after(&events);
-        self.give_local(caller, Delivery::Events { from: have, events });
-    }
-
-    fn on_moved(&mut self, now: Timestamp, caller: CallerId, owner: &DaemonId) {
-        let Some(local) = self.callers.get(&caller) else {
-            return;
-        };
-        let customer = local.customer.clone();
-        let Some(remote) = local.remote.clone() else {
-            return;
-        };
-        if let Some(id) = remote.request {
-            let position = Some(remote.position);
-            self.attach_at(now, caller, id, owner, customer, position);
-        }
-    }
-
     pub(super) fn on_caller_gone(&mut self, caller: CallerId) {
         self.questions
             .retain(|_, question| !question.is_for(&self.own, caller));
@@ -314,34 +231,6 @@
         }
     }
 
-    /// The daemon that owned requests of callers connected here is gone.
-    pub(super) fn relocate_callers(&mut self, now: Timestamp, gone: &DaemonId) {
-        let lost: Vec<(CallerId, LocalCaller)> = self
-            .callers
-            .iter()
-            .filter(|(_, local)| {
-                let remote = local.remote.as_ref();
-                remote.is_some_and(|remote| remote.owner == *gone)
-            })
-            .map(|(caller, local)| (*caller, local.clone()))
-            .collect();
-        for (caller, local) in lost {
-            let Some(remote) = local.remote else {
-                continue;
-            };
-            match (remote.request, remote.forwarded) {
-                (Some(id), _) => {
-                    let target = LocateTarget::Request(id);
-                    let position = Some(remote.position);
-                    let missing = ErrorKind::OwnerLost;
-                    self.locate_for_caller(now, caller, target, local.customer, position, missing);
-                }
-                (None, Some(request)) => self.on_arrived(now, caller, request),
-                (None, None) => {}
-            }
-        }
-    }
-
     /// Callers that look for a request find it here after a take-over.
     pub(super) fn adopt_waiting_callers(&mut self, now: Timestamp, id: &RequestId) {
         let waiting: Vec<u64> = self
--- a/crates/laburnumstall-core/src/entry/claiming.rs
+++ b/crates/laburnumstall-core/src/entry/claiming.rs
@@ -61,6 +61,7 @@
             expires,
             deadline: request.deadline,
             wanted,
+            was_free: false,
         }
     }
 
@@ -83,7 +84,7 @@
         match event.outcome {
             ClaimOutcome::Released => self.on_released(now, &id),
             _ if !is_claiming => {}
-            ClaimOutcome::Granted => self.on_granted(now, &id),
+            ClaimOutcome::Granted { is_seized } => self.on_granted(now, &id, is_seized),
             ClaimOutcome::Taken(claim) => self.on_taken(now, &id, &claim),
             ClaimOutcome::OtherBody => {
                 let refusal = Refusal::new(ErrorKind::KeyConflict, "claimed with another body");
@@ -93,7 +94,11 @@
                 let refusal = Refusal::new(ErrorKind::ClaimUnavailable, "the claim log is full");
                 self.fail(now, &id, refusal);
             }
-            ClaimOutcome::TimedOut => {
+            ClaimOutcome::TimedOut { was_free } => {
+                if let Some(owned) = self.owned.get_mut(&id) {
+                    owned.is_new_key |= was_free;
+                    owned.may_have_run &= !was_free;
+                }
                 let detail = "the key-value service did not answer before the deadline";
                 let refusal = Refusal::new(ErrorKind::ClaimUnavailable, detail);
                 self.fail(now, &id, refusal);
@@ -101,11 +106,15 @@
         }
     }
 
-    fn on_granted(&mut self, now: Timestamp, id: &RequestId) {
-        if let Some(owned) = self.owned.get_mut(id) {
-            owned.has_claim = true;
-        }
-        self.deliver(id);
+    fn on_granted(&mut self, now: Timestamp, id: &RequestId, is_seized: bool) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        owned.has_claim = true;
+        // Only a claim taken from a lost owner leaves open whether that one dispatched.
+        owned.may_have_run = is_seized;
+        owned.is_new_key = !is_seized;
+        self.deliver(now, id);
         if self.stopping.is_some() && self.hand_over_unclaimed(now, id) {
             return;
         }
--- a/crates/laburnumstall-core/src/entry/copies.rs
+++ b/crates/laburnumstall-core/src/entry/copies.rs
@@ -118,7 +118,7 @@
         Ok(EventIndex(record.events.len() as u64))
     }
 
-    pub(super) fn on_drop(&mut self, id: &RequestId, epoch: Epoch) {
+    pub(super) fn on_drop(&mut self, from: &DaemonId, id: &RequestId, epoch: Epoch) {
         let is_covered = self
             .copies
             .get(id)
@@ -126,6 +126,10 @@
         if is_covered {
             self.forget_copy(id);
         }
+        if !self.owned.contains_key(id) {
+            let id = id.clone();
+            self.send(from, Message::DropAck { id, epoch });
+        }
     }
 
     pub(super) fn forget_copy(&mut self, id: &RequestId) -> Option<HeldCopy> {
--- a/crates/laburnumstall-core/src/entry/deliver.rs
+++ b/crates/laburnumstall-core/src/entry/deliver.rs
@@ -1,11 +1,11 @@
 //! What callers are given, here or through another daemon.
 
 use crate::entry::Entry;
-use crate::entry::action::Action;
 use crate::entry::owned::Subscriber;
 use crate::error::Refusal;
 use crate::ids::{CallerId, RequestId};
 use crate::message::{CallerRef, Delivery, Message};
+use crate::units::Timestamp;
 
 impl Entry {
     pub(super) fn local_ref(&self, caller: CallerId) -> CallerRef {
@@ -16,7 +16,7 @@
     }
 
     /// Gives every attached caller the committed events that it does not have yet.
-    pub(super) fn deliver(&mut self, id: &RequestId) {
+    pub(super) fn deliver(&mut self, now: Timestamp, id: &RequestId) {
         let Some(owned) = self.owned.get_mut(id) else {
             return;
         };
@@ -35,28 +35,22 @@
             out.extend(next_events(subscriber, events));
         }
         for (to, delivery) in out {
-            self.give(&to, delivery);
+            self.give(now, &to, delivery);
         }
     }
 
     /// Gives one caller something, here or through its daemon.
-    pub(super) fn give(&mut self, to: &CallerRef, delivery: Delivery) {
+    pub(super) fn give(&mut self, now: Timestamp, to: &CallerRef, delivery: Delivery) {
         if to.daemon != self.own {
             let caller = to.caller;
-            self.send(&to.daemon.clone(), Message::Deliver { caller, delivery });
+            self.send(&to.daemon, Message::Deliver { caller, delivery });
             return;
         }
-        self.give_local(to.caller, delivery);
+        self.give_local(now, to.caller, delivery);
     }
 
-    pub(super) fn give_local(&mut self, caller: CallerId, delivery: Delivery) {
-        if self.callers.contains_key(&caller) {
-            self.actions.push(Action::Deliver { caller, delivery });
-        }
-    }
-
-    pub(super) fn refuse_caller(&mut self, to: &CallerRef, refusal: Refusal) {
-        self.give(to, Delivery::Refused(refusal));
+    pub(super) fn refuse_caller(&mut self, now: Timestamp, to: &CallerRef, refusal: Refusal) {
+        self.give(now, to, Delivery::Refused(refusal));
         if to.daemon == self.own {
             self.callers.remove(&to.caller);
         }
--- a/crates/laburnumstall-core/src/entry/dispatch.rs
+++ b/crates/laburnumstall-core/src/entry/dispatch.rs
@@ -109,6 +109,7 @@
             return;
         };
         owned.record.attempts = number;
+        owned.is_dispatched = true;
         let place = Place {
             attempt: number,
             endpoint: route.endpoint.clone(),
@@ -135,6 +136,7 @@
             return;
         };
         let is_resumed = resume.is_some();
+        owned.is_dispatched = true;
         let record = &mut owned.record;
         let first = place.first_event.0 as usize;
         let before = record.events[..first.min(record.events.len())].to_vec();
--- a/crates/laburnumstall-core/src/entry/finish.rs
+++ b/crates/laburnumstall-core/src/entry/finish.rs
@@ -4,6 +4,7 @@
 
 use crate::decision::DecisionKind;
 use crate::entry::Entry;
+use crate::entry::accept::qualify;
 use crate::entry::action::Action;
 use crate::entry::owned::{Owned, Phase};
 use crate::entry::state::KeyName;
@@ -39,7 +40,7 @@
         let attempt = owned.attempt_id();
         let fingerprint = owned.record.request.fingerprint();
         let reservation = owned.reservation.take();
-        let has_unused_claim = owned.has_claim && !owned.may_have_run;
+        let has_unused_claim = owned.has_claim && !owned.is_dispatched;
         let used = owned.record.request.prompt.plus(owned.record.generated());
         let has_answer = matches!(owned.record.events.last(), Some(AnswerEvent::End { .. }));
         self.router.finished(now, &attempt);
@@ -54,7 +55,7 @@
         }
         self.describe_finish(now, id);
         self.replicate(now, id);
-        self.deliver(id);
+        self.deliver(now, id);
     }
 
     fn describe_finish(&mut self, now: Timestamp, id: &RequestId) {
@@ -135,7 +136,8 @@
         let Some(owned) = self.owned.get(id) else {
             return;
         };
-        if owned.is_done() || owned.record.request.deadline > now {
+        let is_withdrawing = matches!(owned.phase, Phase::Withdrawing { .. });
+        if owned.is_done() || is_withdrawing || owned.record.request.deadline > now {
             return;
         }
         let kind = match owned.phase {
@@ -149,7 +151,7 @@
         if is_accepted {
             self.fail(now, id, Refusal::new(kind, detail));
         } else {
-            self.abandon(now, id, &Refusal::new(ErrorKind::NoStandby, detail));
+            self.withdraw(now, id, Refusal::new(ErrorKind::NoStandby, detail));
         }
     }
 }
@@ -160,5 +162,5 @@
     if says_not_run && owned.may_have_run {
         return Refusal::new(ErrorKind::DeadlineExceeded, refusal.detail);
     }
-    refusal
+    qualify(refusal, &owned.record.request, owned.is_new_key)
 }
--- a/crates/laburnumstall-core/src/entry/forward.rs
+++ b/crates/laburnumstall-core/src/entry/forward.rs
@@ -7,7 +7,7 @@
 use crate::entry::attach::RemoteOwner;
 use crate::hash::digest64;
 use crate::ids::{CallerId, DaemonId, HomeHash};
-use crate::message::{Message, Position};
+use crate::message::Message;
 use crate::request::Request;
 use crate::units::Timestamp;
 
@@ -42,7 +42,7 @@
         local.remote = Some(RemoteOwner {
             owner: peer.clone(),
             request: None,
-            position: Position::START,
+            heard_at: now,
             forwarded: Some(request.clone()),
         });
         self.send(peer, Message::Forward { caller, request });
--- a/crates/laburnumstall-core/src/entry/locate.rs
+++ b/crates/laburnumstall-core/src/entry/locate.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::claims::KeyTime;
 use crate::decision::DecisionKind;
 use crate::entry::Entry;
 use crate::entry::state::KeyName;
@@ -19,6 +20,12 @@
 /// Daemons of the ranking that are asked.
 const LOCATE_WIDTH: usize = 6;
 
+/// Daemons of the ranking that are asked for an idempotency key.
+const KEY_WIDTH: usize = 3;
+
+/// Age of a key up to which its request, if there was one, is still kept by some daemon.
+const KEPT_KEY_AGE: Duration = Duration::from_secs(100);
+
 /// Time that an answer is waited for.
 const LOCATE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -45,6 +52,8 @@
     target: LocateTarget,
     purpose: Purpose,
     asked: Vec<DaemonId>,
+    /// Daemons that do not have the request.
+    denied: usize,
     best: Option<Located>,
     until: Timestamp,
     give_up_at: Timestamp,
@@ -83,6 +92,7 @@
             target,
             purpose: Purpose::Attach { position, missing },
             asked: Vec::new(),
+            denied: 0,
             best: None,
             until: now,
             give_up_at: now.after(time),
@@ -105,6 +115,7 @@
             },
             purpose: Purpose::Accept { request },
             asked: Vec::new(),
+            denied: 0,
             best: None,
             until: now,
             give_up_at: now.after(LOCATE_TIMEOUT),
@@ -138,7 +149,7 @@
                 customer,
                 service,
                 key,
-            } => (home_of_key(customer, service, key), 0),
+            } => (home_of_key(customer, service, key), KEY_WIDTH),
         };
         let mut daemons = self.membership.locate(home);
         let ranked = self.membership.rank(home);
@@ -205,6 +216,9 @@
             return;
         };
         question.asked.retain(|daemon| daemon != from);
+        if found.is_none() {
+            question.denied += 1;
+        }
         if let Some(found) = found {
             let is_better = question
                 .best
@@ -303,8 +317,10 @@
         match &question.purpose {
             Purpose::Accept { request } => {
                 let request = request.clone();
+                let is_new_key = is_new_key(now, &request, &question);
                 let from = question.from;
-                if let Err(refusal) = self.admit(now, from.clone(), request.clone()) {
+                let admitted = self.admit(now, from.clone(), request.clone(), is_new_key);
+                if let Err(refusal) = admitted {
                     self.refuse(now, &from, &request, refusal);
                 }
             }
@@ -317,7 +333,7 @@
                     return;
                 }
                 let refusal = Refusal::new(*missing, "no entry knows the request");
-                self.refuse_caller(&question.from, refusal);
+                self.refuse_caller(now, &question.from, refusal);
             }
         }
     }
@@ -345,3 +361,13 @@
         }
     }
 }
+
+/// Tells whether no request with the same key can have been accepted: the key is young,
+/// and every daemon that would keep such a request has denied having one.
+fn is_new_key(now: Timestamp, request: &Request, question: &Question) -> bool {
+    let Some(key) = &request.key else {
+        return true;
+    };
+    let is_young = KeyTime::check(now, key, KEPT_KEY_AGE).is_ok();
+    is_young && question.asked.is_empty() && question.denied > 0
+}
--- a/crates/laburnumstall-core/src/entry/owned.rs
+++ b/crates/laburnumstall-core/src/entry/owned.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::error::Refusal;
 use crate::ids::{AttemptId, DaemonId, EndpointId};
 use crate::limits::Reservation;
 use crate::message::{CallerRef, Place, Position, RequestRecord};
@@ -18,6 +19,15 @@
         /// Standbys that did not acknowledge.
         tried: Vec<DaemonId>,
     },
+    /// It is refused as soon as no standby holds a copy that could still run.
+    Withdrawing {
+        /// What the callers are told then.
+        refusal: Refusal,
+        /// Standbys that may hold a copy.
+        holders: Vec<DaemonId>,
+        /// When the callers are told that the outcome is not known.
+        until: Timestamp,
+    },
     /// Taken over; its new copy goes out before it runs on.
     Recopying {
         /// When it runs on without a copy.
@@ -94,10 +104,14 @@
     pub(super) excluded: Vec<EndpointId>,
     /// Whether the request may have been dispatched by anybody.
     pub(super) may_have_run: bool,
+    /// Whether this incarnation has dispatched the request.
+    pub(super) is_dispatched: bool,
+    /// Whether no earlier request with the same key can have been accepted.
+    pub(super) is_new_key: bool,
     /// Whether this incarnation holds the claim.
     pub(super) has_claim: bool,
-    /// Whether the standby was asked to take over.
-    pub(super) is_handed_over: bool,
+    /// When the standby was last asked to take over.
+    pub(super) handed_over_at: Option<Timestamp>,
 }
 
 impl Owned {
@@ -132,7 +146,10 @@
     }
 
     pub(super) fn is_accepted(&self) -> bool {
-        !matches!(self.phase, Phase::Accepting { .. })
+        !matches!(
+            self.phase,
+            Phase::Accepting { .. } | Phase::Withdrawing { .. }
+        )
     }
 
     /// Tells whether the answer can be gone on with from the events so far.
--- a/crates/laburnumstall-core/src/entry/peers.rs
+++ b/crates/laburnumstall-core/src/entry/peers.rs
@@ -53,7 +53,8 @@
             Message::CopyRefused { id, epoch, refusal } => {
                 self.on_copy_refused(now, &from, &id, epoch, refusal);
             }
-            Message::Drop { id, epoch } => self.on_drop(&id, epoch),
+            Message::Drop { id, epoch } => self.on_drop(&from, &id, epoch),
+            Message::DropAck { id, epoch } => self.on_drop_ack(now, &from, &id, epoch),
             Message::HandOver { id, epoch, callers } => {
                 self.on_hand_over(now, &from, &id, epoch, callers);
             }
--- a/crates/laburnumstall-core/src/entry/progress.rs
+++ b/crates/laburnumstall-core/src/entry/progress.rs
@@ -104,7 +104,7 @@
             return;
         }
         self.replicate(now, id);
-        self.deliver(id);
+        self.deliver(now, id);
     }
 }
 
--- a/crates/laburnumstall-core/src/entry/replicate.rs
+++ b/crates/laburnumstall-core/src/entry/replicate.rs
@@ -78,7 +78,7 @@
             Phase::Recopying { .. } => self.go_on(now, id),
             _ => {}
         }
-        self.deliver(id);
+        self.deliver(now, id);
         self.hand_over_if_stopping(now, id);
     }
 
@@ -112,9 +112,13 @@
         let Some(owned) = self.owned.get_mut(id) else {
             return;
         };
-        if let Phase::Accepting { until, .. } = &mut owned.phase {
-            *until = now;
-            return;
+        match &mut owned.phase {
+            Phase::Accepting { until, .. } => {
+                *until = now;
+                return;
+            }
+            Phase::Withdrawing { .. } => return,
+            _ => {}
         }
         let old = owned.standby.take().map(|standby| standby.daemon);
         let excluded: Vec<DaemonId> = old.clone().into_iter().collect();
@@ -132,7 +136,7 @@
         self.journal.record(decision);
         match next {
             Some(next) => self.copy_to(now, id, next),
-            None => self.deliver(id),
+            None => self.deliver(now, id),
         }
     }
 
--- a/crates/laburnumstall-core/src/entry/stop.rs
+++ b/crates/laburnumstall-core/src/entry/stop.rs
@@ -20,6 +20,9 @@
 /// Time before the end of the notice at which the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time after which a hand-over without an answer is repeated.
+const HAND_OVER_RETRY: Duration = Duration::from_millis(400);
+
 /// Time that a daemon that has finished still answers its peers.
 const LINGER: Duration = Duration::from_millis(300);
 
@@ -94,6 +97,9 @@
             let nothing = crate::units::Tokens(0);
             self.limits.settle(now, reservation, nothing);
         }
+        for holder in owned.standby.iter().map(|standby| &standby.daemon) {
+            self.send_drop(id, holder);
+        }
         for subscriber in owned.subscribers {
             if subscriber.caller.daemon == self.own {
                 self.forward(now, subscriber.caller.caller, request.clone(), &peer);
@@ -129,10 +135,7 @@
         let Some(owned) = self.owned.get(id) else {
             return false;
         };
-        if owned.is_handed_over {
-            return true;
-        }
-        if owned.may_have_run || owned.is_done() || owned.running().is_some() {
+        if owned.is_dispatched || owned.is_done() {
             return false;
         }
         if owned.record.request.idempotent {
@@ -148,7 +151,7 @@
         let is_waiting = self
             .owned
             .get(id)
-            .is_some_and(|owned| !owned.is_done() && !owned.may_have_run);
+            .is_some_and(|owned| !owned.is_done() && !owned.is_dispatched);
         if is_waiting && self.is_reclaimed() {
             self.hand_over(now, id);
         }
@@ -161,10 +164,13 @@
         let Some(standby) = &owned.standby else {
             return;
         };
-        if owned.is_handed_over || standby.acked.is_none() {
+        let is_under_way = owned
+            .handed_over_at
+            .is_some_and(|at| now.since(at) < HAND_OVER_RETRY);
+        if is_under_way || standby.acked.is_none() {
             return;
         }
-        owned.is_handed_over = true;
+        owned.handed_over_at = Some(now);
         let to = standby.daemon.clone();
         let epoch = owned.record.epoch;
         let events = owned.record.events.len();
@@ -252,6 +258,6 @@
 /// What a sudden end would cost: undispatched claims first, then invested tokens.
 fn cost_of_loss(owned: &Owned) -> u64 {
     let invested = owned.record.generated().plus(owned.record.request.prompt);
-    let holds_claim = owned.has_claim && !owned.may_have_run;
+    let holds_claim = owned.has_claim && !owned.is_dispatched;
     if holds_claim { u64::MAX } else { invested.0 }
 }
--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -64,7 +64,6 @@
             position: handed.position,
             is_told: true,
         });
-        let may_have_run = record.place.is_some();
         let phase = if record.is_done() {
             Phase::Done { at: now }
         } else {
@@ -78,9 +77,11 @@
             subscribers: subscribers.collect(),
             reservation: None,
             excluded: Vec::new(),
-            may_have_run,
+            may_have_run: true,
+            is_dispatched: false,
+            is_new_key: false,
             has_claim: false,
-            is_handed_over: false,
+            handed_over_at: None,
         }
     }
 
@@ -95,7 +96,7 @@
                 if !is_done {
                     self.go_on(now, id);
                 }
-                self.deliver(id);
+                self.deliver(now, id);
             }
         }
     }
--- a/crates/laburnumstall-core/src/entry/timers.rs
+++ b/crates/laburnumstall-core/src/entry/timers.rs
@@ -28,6 +28,7 @@
         }
         self.tick_copies(now);
         self.tick_questions(now);
+        self.tick_callers(now);
         self.tick_stop(now);
     }
 
@@ -40,6 +41,7 @@
         };
         match &owned.phase {
             Phase::Accepting { until, .. } if *until <= now => self.accept_timeout(now, id),
+            Phase::Withdrawing { .. } => self.finish_withdrawal(now, id),
             Phase::Recopying { until } if *until <= now => self.go_on(now, id),
             Phase::Waiting { retry_at } if *retry_at <= now => self.go_on(now, id),
             Phase::Probing { until, .. } if *until <= now => self.go_on(now, id),
--- a/crates/laburnumstall-core/src/error.rs
+++ b/crates/laburnumstall-core/src/error.rs
@@ -50,6 +50,8 @@
         Overloaded,
         /// No endpoint of the service can be used now.
         NoEndpoint,
+        /// Whether a request with the same key ran, or a copy of it will, could not be found out.
+        Unresolved,
         /// The request crashed endpoints and is not run again.
         Quarantined,
         /// This daemon has no configuration yet.
@@ -114,7 +116,7 @@
 
 /// The answer of every error kind.
 #[rustfmt::skip]
-pub const ERROR_TABLE: [ErrorAnswer; 22] = {
+pub const ERROR_TABLE: [ErrorAnswer; 23] = {
     use ErrorKind::*;
     use Execution::*;
     [
@@ -125,11 +127,12 @@
         row(UnknownService, 404, NotRun, 0, "there is no such service", "check the model or service name"),
         row(UnknownRequest, 404, OutcomeUnknown, 0, "there is no such request", "check the request id"),
         row(KeyConflict, 409, NotRun, 0, "the idempotency key was used with another body", "use a new key for a new request"),
-        row(KeyExpired, 410, NotRun, 0, "the idempotency key is older than the service's window", "use a new key"),
+        row(KeyExpired, 410, OutcomeUnknown, 0, "the idempotency key is older than the service's window", "find out whether it ran before sending it with a new key"),
         row(KeyMissing, 400, NotRun, 0, "a non-idempotent call needs an idempotency key", "send an Idempotency-Key header"),
         row(LimitReached, 429, NotRun, 1, "the contract's limit is reached", "send again after the given time"),
         row(Overloaded, 503, NotRun, 2, "the request could not be answered within its deadline", "send again after the given time"),
         row(NoEndpoint, 503, NotRun, 2, "no endpoint of the service can be used now", "send again after the given time"),
+        row(Unresolved, 503, OutcomeUnknown, 1, "whether the request ran could not be found out", "send it again with the same key"),
         row(Quarantined, 422, NotRun, 0, "the request crashed endpoints and is not run again", "change the request or ask the operators"),
         row(NotReady, 503, NotRun, 1, "this entry has no configuration yet", "use another entry"),
         row(NoStandby, 503, NotRun, 1, "the request could not be copied to another zone", "send again after the given time"),
@@ -165,6 +168,7 @@
             LimitReached => "limit-reached",
             Overloaded => "overloaded",
             NoEndpoint => "no-endpoint",
+            Unresolved => "unresolved",
             Quarantined => "quarantined",
             NotReady => "not-ready",
             NoStandby => "no-standby",
--- a/crates/laburnumstall-core/src/message.rs
+++ b/crates/laburnumstall-core/src/message.rs
@@ -248,6 +248,13 @@
             /// Epoch of the sender's ownership.
             epoch: Epoch,
         },
+        /// The standby has forgotten the request, or never had it.
+        DropAck {
+            /// Request.
+            id: RequestId,
+            /// Epoch that was dropped.
+            epoch: Epoch,
+        },
         /// The owner leaves: the standby takes the request over.
         HandOver {
             /// Request.
--- /dev/null
+++ b/crates/laburnumstall-testkit/src/checks.rs
@@ -0,0 +1,149 @@
+//! What was promised, compared with what callers were given and what endpoints ran.
+
+use std::collections::BTreeMap;
+
+use laburnumstall_core::error::{ErrorKind, Execution};
+
+use crate::caller::{FakeCaller, Outcome};
+use crate::endpoint::{expected_events, run_name};
+use crate::world::World;
+
+/// Checks that each caller has a prefix of its own answer, and the whole one if it ended.
+///
+/// # Errors
+///
+/// Returns a sentence about the first caller for which that does not hold.
+pub fn own_whole_answer(world: &World) -> Result<(), String> {
+    for (index, caller) in world.callers.iter().enumerate() {
+        check_answer(index, caller)?;
+    }
+    Ok(())
+}
+
+fn check_answer(index: usize, caller: &FakeCaller) -> Result<(), String> {
+    let expected = expected_events(&caller.request);
+    let given: Vec<_> = caller
+        .events
+        .iter()
+        .filter(|event| !is_failure(event))
+        .collect();
+    let is_prefix = given
+        .iter()
+        .zip(&expected)
+        .all(|(given, expected)| *given == expected)
+        && given.len() <= expected.len();
+    if !is_prefix {
+        return Err(format!("caller {index} was given another answer"));
+    }
+    match caller.outcome() {
+        Some(Outcome::Whole) if given.len() != expected.len() => {
+            Err(format!("caller {index} was given a part as the whole"))
+        }
+        Some(Outcome::Broken(text)) => Err(format!("caller {index}: {text}")),
+        _ => Ok(()),
+    }
+}
+
+fn is_failure(event: &laburnumstall_core::request::AnswerEvent) -> bool {
+    matches!(event, laburnumstall_core::request::AnswerEvent::Failed(_))
+}
+
+/// Checks that each non-idempotent request ran at most once over all endpoints.
+///
+/// # Errors
+///
+/// Returns a sentence about the first request for which that does not hold.
+pub fn at_most_once(world: &World) -> Result<(), String> {
+    let runs = all_runs(world);
+    for (index, caller) in world.callers.iter().enumerate() {
+        let name = run_name(&caller.request);
+        let count = runs.get(&name).copied().unwrap_or(0);
+        if !caller.request.idempotent && count > 1 {
+            return Err(format!("the request of caller {index} ran {count} times"));
+        }
+    }
+    Ok(())
+}
+
+/// Checks that a request that was refused as not run did not run, over all callers that
+/// sent it.
+///
+/// # Errors
+///
+/// Returns a sentence about the first request for which that does not hold.
+pub fn refused_did_not_run(world: &World) -> Result<(), String> {
+    let runs = all_runs(world);
+    for (index, caller) in world.callers.iter().enumerate() {
+        if caller.request.idempotent {
+            continue;
+        }
+        let name = run_name(&caller.request);
+        let is_refused = |other: &FakeCaller| match other.outcome() {
+            Some(Outcome::Refused(refusal)) => refusal.kind.answer().execution == Execution::NotRun,
+            _ => false,
+        };
+        let same = world
+            .callers
+            .iter()
+            .filter(|other| run_name(&other.request) == name);
+        let ran = runs.get(&name).copied().unwrap_or(0) > 0;
+        if ran && same.clone().all(is_refused) {
+            return Err(format!(
+                "the request of caller {index} ran although refused"
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Checks that each idempotent request that was accepted has its whole answer.
+///
+/// # Errors
+///
+/// Returns a sentence about the first request for which that does not hold.
+pub fn nothing_lost(world: &World) -> Result<(), String> {
+    for (index, caller) in world.callers.iter().enumerate() {
+        let is_accepted = caller.id.is_some();
+        let is_whole = caller.outcome() == Some(&Outcome::Whole);
+        if is_accepted && caller.request.idempotent && !is_whole {
+            let outcome = caller.outcome();
+            return Err(format!("caller {index} lost its answer: {outcome:?}"));
+        }
+    }
+    Ok(())
+}
+
+/// Checks that each caller has a final answer.
+///
+/// # Errors
+///
+/// Returns a sentence about the first caller without one.
+pub fn all_answered(world: &World) -> Result<(), String> {
+    for (index, caller) in world.callers.iter().enumerate() {
+        if caller.outcome().is_none() {
+            return Err(format!("caller {index} has no answer: {:?}", caller.state));
+        }
+    }
+    Ok(())
+}
+
+/// Counts the refusals of each kind.
+pub fn refusals(world: &World) -> BTreeMap<ErrorKind, u32> {
+    let mut counts = BTreeMap::new();
+    for caller in &world.callers {
+        if let Some(Outcome::Refused(refusal)) = caller.outcome() {
+            *counts.entry(refusal.kind).or_default() += 1;
+        }
+    }
+    counts
+}
+
+fn all_runs(world: &World) -> BTreeMap<String, u32> {
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for endpoint in &world.endpoints {
+        for (name, count) in &endpoint.runs.by_key {
+            *runs.entry(name.clone()).or_default() += count;
+        }
+    }
+    runs
+}
--- a/crates/laburnumstall-testkit/src/lib.rs
+++ b/crates/laburnumstall-testkit/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder of the crate.
+//! Entry cores joined in virtual time, with small fakes at their interfaces.
+//!
+//! A [`World`] holds entry daemons' cores, a key-value service, endpoints and callers. It
+//! carries each action of a core to its receiver after a delay, lets faults happen, and
+//! records what callers were given and what endpoints ran. [`checks`] compares that with
+//! what was promised. The same seed gives the same session, line by line.
+
+mod caller;
+pub mod checks;
+mod endpoint;
+mod network;
+mod node;
+mod outside;
+mod schedule;
+mod store;
+mod system;
+pub mod walk;
+mod world;
+
+pub use caller::{CallerState, FakeCaller, Outcome};
+pub use endpoint::{Condition, FakeEndpoint, expected_events, expected_text};
+pub use network::Network;
+pub use node::Node;
+pub use schedule::Item;
+pub use store::FakeStore;
+pub use system::{
+    CUSTOMER, MODEL, ORDERS, OTHER_CUSTOMER, STOCK, key_at, model_request, plain_request, system,
+};
+pub use world::{World, WorldSpec};
--- /dev/null
+++ b/crates/laburnumstall-testkit/src/schedule.rs
@@ -0,0 +1,67 @@
+//! What will happen in a world, ordered by time.
+
+use std::collections::BTreeMap;
+
+use laburnumstall_core::entry::Event;
+use laburnumstall_core::ids::{AttemptId, CallId, DaemonId, EndpointId};
+use laburnumstall_core::store::StoreCall;
+use laburnumstall_core::units::Timestamp;
+
+/// Something that will happen.
+#[derive(Debug, Clone)]
+pub enum Item {
+    /// A daemon is told something.
+    Tell {
+        /// The daemon; nothing happens if it has ended.
+        to: DaemonId,
+        /// What it is told.
+        event: Box<Event>,
+    },
+    /// A call reaches the key-value service.
+    Store {
+        /// The daemon that calls.
+        from: DaemonId,
+        /// The call.
+        id: CallId,
+        /// What is called.
+        call: StoreCall,
+    },
+    /// An endpoint gives the next event of an attempt.
+    Produce {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// Process life of the endpoint in which the attempt began.
+        life: u32,
+    },
+    /// A caller does its next step.
+    Caller {
+        /// Number of the caller.
+        index: usize,
+    },
+}
+
+/// Items ordered by time, and by order of insertion at the same time.
+#[derive(Debug, Default)]
+pub(crate) struct Schedule {
+    items: BTreeMap<(Timestamp, u64), Item>,
+    inserted: u64,
+}
+
+impl Schedule {
+    pub(crate) fn add(&mut self, at: Timestamp, item: Item) {
+        self.inserted += 1;
+        self.items.insert((at, self.inserted), item);
+    }
+
+    /// Takes the next item if it is due by `until`.
+    pub(crate) fn next(&mut self, until: Timestamp) -> Option<(Timestamp, Item)> {
+        let first = self.items.first_key_value()?;
+        if first.0.0 > until {
+            return None;
+        }
+        let ((at, _), item) = self.items.pop_first()?;
+        Some((at, item))
+    }
+}
