--- a/crates/laburnumstall-platform/src/endpoint/http.rs
+++ b/crates/laburnumstall-platform/src/endpoint/http.rs
@@ -101,6 +101,7 @@
         let http = self
             .client_for(call.address, request)
             .post(url)
+            .address(call.address)
             .content_type("application/json");
         let http = with_headers(http, &call.attempt, call.remaining)
             .insert_header((headers::PRIORITY, request.priority.get()));
@@ -118,6 +119,7 @@
         let http = self
             .client_for(call.address, request)
             .request(method, url)
+            .address(call.address)
             .insert_header((headers::PRIORITY, request.priority.get()));
         let mut http = with_headers(http, &call.attempt, call.remaining);
         if !request.content_type.is_empty() {
@@ -137,7 +139,9 @@
         if let Some(EventIndex(after)) = stream.after {
             url.push_str(&format!("?after={after}"));
         }
-        let http = new_client(self.connect_timeout).get(url);
+        let http = new_client(self.connect_timeout)
+            .get(url)
+            .address(stream.address);
         let http = with_headers(http, &stream.attempt, stream.remaining);
         let response = send(http, Bytes::new(), reporter).await?;
         relay_engine(response, stream.received.get(), reporter).await
--- a/crates/laburnumstall-platform/src/http.rs
+++ b/crates/laburnumstall-platform/src/http.rs
@@ -214,7 +214,9 @@
         body: Option<&B>,
     ) -> Result<Bytes, HttpFailure> {
         let client = self.client.borrow().clone();
-        let request = client.request(method.clone(), url);
+        let request = client
+            .request(method.clone(), url)
+            .address(self.settings.address);
         let sending = match body {
             Some(body) => request.send_json(body),
             None => request.send(),
--- a/crates/laburnumstall-standins/src/cloud.rs
+++ b/crates/laburnumstall-standins/src/cloud.rs
@@ -1,9 +1,8 @@
 //! Stand-in for the cloud API and the VM list, with refusals, notices and a lag.
 
-use std::collections::VecDeque;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use actix_web::{HttpResponse, web};
@@ -12,16 +11,14 @@
 use laburnumstall_core::world::{Market, Vm, VmState};
 use laburnumstall_platform::cloud::{NOTICES_PATH, NoticePage, VMS_PATH, VmAnswer};
 use laburnumstall_platform::vm_list::VM_LIST_PATH;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
+use crate::history::History;
 use crate::server::{Server, StandIn, broken_response, count_down, lock, unix_now};
 
 /// Time between two looks of a waiting call at the notices.
 const NOTICE_POLL: Duration = Duration::from_millis(5);
 
-/// Views of the VM list that are kept for its lag.
-const MAX_VIEWS: usize = 4_096;
-
 /// Starts and stops what runs on the VMs.
 pub trait VmHook: Send + 'static {
     /// A VM was granted; returns the address of the process on it.
@@ -31,10 +28,8 @@
     fn stopped(&mut self, id: &VmId);
 }
 
-/// A hook that runs nothing.
-pub struct NoProcess;
-
-impl VmHook for NoProcess {
+/// Runs nothing.
+impl VmHook for () {
     fn started(&mut self, _id: &VmId, _request: &VmRequest) -> SocketAddr {
         (Ipv4Addr::LOCALHOST, 0).into()
     }
@@ -62,9 +57,7 @@
 }
 
 /// State shared by the calls.
-pub struct CloudState<H> {
-    inner: Mutex<Inner<H>>,
-}
+pub struct CloudState<H>(Mutex<Inner<H>>);
 
 struct Inner<H> {
     hook: H,
@@ -74,7 +67,7 @@
     refusals: Vec<RefusalRule>,
     replies_to_lose: u32,
     list_lag: Duration,
-    views: VecDeque<(Instant, Vec<Vm>)>,
+    views: History<Vec<Vm>>,
 }
 
 /// A running cloud API with its VM list. `crash` and `resume` make an outage; the hook's
@@ -92,43 +85,41 @@
             refusals: Vec::new(),
             replies_to_lose: 0,
             list_lag: Duration::ZERO,
-            views: VecDeque::new(),
+            views: History::default(),
         };
-        let inner = Mutex::new(inner);
-        Self::serve(CloudState { inner }, Arc::default())
+        Self::serve(CloudState(Mutex::new(inner)), Arc::default())
     }
 
     /// Adds a VM that was there before, such as one that runs an entry.
     pub fn add(&self, vm: Vm) {
-        let mut inner = self.inner();
+        let mut inner = lock(&self.state.0);
         inner.vms.push(OwnedVm { vm, token: None });
         inner.note_change();
     }
 
     /// Returns the VMs.
     pub fn vms(&self) -> Vec<Vm> {
-        self.inner().current()
+        lock(&self.state.0).current()
     }
 
     /// Announces that VMs are taken after `notice`; [`Self::take`] takes them.
     pub fn announce(&self, vms: &[VmId], notice: Duration) {
         let deadline = unix_now().after(notice);
-        let mut inner = self.inner();
+        let mut inner = lock(&self.state.0);
         for owned in &mut inner.vms {
             if vms.contains(&owned.vm.id) {
                 owned.vm.state = VmState::Leaving { deadline };
             }
         }
         let notices = vms.iter().cloned();
-        inner
-            .notices
-            .extend(notices.map(|vm| ReclaimNotice { vm, deadline }));
+        let notices = notices.map(|vm| ReclaimNotice { vm, deadline });
+        inner.notices.extend(notices);
         inner.note_change();
     }
 
     /// Takes VMs away.
     pub fn take(&self, vms: &[VmId]) {
-        let mut inner = self.inner();
+        let mut inner = lock(&self.state.0);
         for vm in vms {
             inner.remove(vm);
         }
@@ -136,27 +127,17 @@
 
     /// Refuses the requests for VMs that a rule covers.
     pub fn set_refusals(&self, rules: Vec<RefusalRule>) {
-        self.inner().refusals = rules;
+        lock(&self.state.0).refusals = rules;
     }
 
     /// Loses the replies of the next `calls` requests and releases; they take effect.
     pub fn lose_replies(&self, calls: u32) {
-        self.inner().replies_to_lose = calls;
+        lock(&self.state.0).replies_to_lose = calls;
     }
 
     /// Makes the VM list show what there was `lag` ago.
     pub fn set_list_lag(&self, lag: Duration) {
-        self.inner().list_lag = lag;
-    }
-
-    fn inner(&self) -> MutexGuard<'_, Inner<H>> {
-        self.state.inner()
-    }
-}
-
-impl<H> CloudState<H> {
-    fn inner(&self) -> MutexGuard<'_, Inner<H>> {
-        lock(&self.inner)
+        lock(&self.state.0).list_lag = lag;
     }
 }
 
@@ -167,34 +148,23 @@
 
     fn note_change(&mut self) {
         let view = self.current();
-        self.views.push_back((Instant::now(), view));
-        if self.views.len() > MAX_VIEWS {
-            self.views.pop_front();
-        }
+        self.views.push(Instant::now(), view);
     }
 
     fn lagging(&self) -> Vec<Vm> {
-        let now = Instant::now();
-        let is_shown = |at: &Instant| now.duration_since(*at) >= self.list_lag;
-        let newest = self.views.iter().rev().find(|(at, _)| is_shown(at));
-        newest.map(|(_, view)| view.clone()).unwrap_or_default()
+        let mut shown = self.views.shown(Instant::now(), self.list_lag);
+        shown.next_back().cloned().unwrap_or_default()
     }
 
     fn request(&mut self, request: VmRequest) -> VmAnswer {
-        let is_same = |owned: &&OwnedVm| owned.token.as_ref() == Some(&request.token);
-        if let Some(known) = self.vms.iter().find(is_same) {
-            let owned = Box::new(known.clone());
-            return VmAnswer::Granted { owned };
-        }
-        if self.refusals.iter().any(|rule| rule.covers(&request)) {
+        let mut known = self.vms.iter();
+        let known = known.find(|owned| owned.token.as_ref() == Some(&request.token));
+        if known.is_none() && self.refusals.iter().any(|rule| rule.covers(&request)) {
             return VmAnswer::Refused;
         }
-        let owned = self.create(request);
-        self.vms.push(owned.clone());
-        self.note_change();
-        VmAnswer::Granted {
-            owned: Box::new(owned),
-        }
+        let owned = known.cloned().unwrap_or_else(|| self.create(request));
+        let owned = Box::new(owned);
+        VmAnswer::Granted { owned }
     }
 
     fn create(&mut self, request: VmRequest) -> OwnedVm {
@@ -212,7 +182,10 @@
             state: VmState::Live,
         };
         let token = Some(request.token);
-        OwnedVm { vm, token }
+        let owned = OwnedVm { vm, token };
+        self.vms.push(owned.clone());
+        self.note_change();
+        owned
     }
 
     fn remove(&mut self, id: &VmId) {
@@ -224,6 +197,13 @@
         }
     }
 
+    fn reply(&mut self, answer: &impl Serialize) -> HttpResponse {
+        match count_down(&mut self.replies_to_lose) {
+            true => broken_response(),
+            false => HttpResponse::Ok().json(answer),
+        }
+    }
+
     fn notices_after(&self, after: u64) -> NoticePage {
         let skipped = usize::try_from(after).unwrap_or(usize::MAX);
         NoticePage {
@@ -235,12 +215,10 @@
 
 impl<H: VmHook> StandIn for CloudState<H> {
     fn routes(cfg: &mut web::ServiceConfig) {
+        let vm_path = format!("{VMS_PATH}/{{vm}}");
         cfg.route(VMS_PATH, web::get().to(list::<H>))
             .route(VMS_PATH, web::post().to(request::<H>))
-            .route(
-                &format!("{VMS_PATH}/{{vm}}"),
-                web::delete().to(release::<H>),
-            )
+            .route(&vm_path, web::delete().to(release::<H>))
             .route(VM_LIST_PATH, web::get().to(lagging_list::<H>))
             .route(NOTICES_PATH, web::get().to(notices::<H>));
     }
@@ -253,32 +231,26 @@
 }
 
 async fn list<H: VmHook>(state: web::Data<CloudState<H>>) -> HttpResponse {
-    HttpResponse::Ok().json(&state.inner().vms)
+    HttpResponse::Ok().json(&lock(&state.0).vms)
 }
 
 async fn lagging_list<H: VmHook>(state: web::Data<CloudState<H>>) -> HttpResponse {
-    HttpResponse::Ok().json(state.inner().lagging())
+    HttpResponse::Ok().json(lock(&state.0).lagging())
 }
 
 async fn request<H: VmHook>(
     state: web::Data<CloudState<H>>,
     request: web::Json<VmRequest>,
 ) -> HttpResponse {
-    let mut inner = state.inner();
+    let mut inner = lock(&state.0);
     let answer = inner.request(request.into_inner());
-    match count_down(&mut inner.replies_to_lose) {
-        true => broken_response(),
-        false => HttpResponse::Ok().json(answer),
-    }
+    inner.reply(&answer)
 }
 
 async fn release<H: VmHook>(state: web::Data<CloudState<H>>, vm: web::Path<VmId>) -> HttpResponse {
-    let mut inner = state.inner();
+    let mut inner = lock(&state.0);
     inner.remove(&vm);
-    match count_down(&mut inner.replies_to_lose) {
-        true => broken_response(),
-        false => HttpResponse::Ok().json(()),
-    }
+    inner.reply(&())
 }
 
 async fn notices<H: VmHook>(
@@ -287,7 +259,7 @@
 ) -> HttpResponse {
     let ends = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
-        let page = state.inner().notices_after(query.after);
+        let page = lock(&state.0).notices_after(query.after);
         if !page.notices.is_empty() || Instant::now() >= ends {
             return HttpResponse::Ok().json(page);
         }
--- a/crates/laburnumstall-standins/src/engine/batch.rs
+++ b/crates/laburnumstall-standins/src/engine/batch.rs
@@ -1,5 +1,6 @@
 //! The batch of an engine: which streams wait, run and are done.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,7 @@
 use super::EngineSpec;
 use super::cache::PrefixCache;
 use super::text::Conversation;
+use crate::history::History;
 use crate::server::unix_now;
 
 /// Bytes of a prompt that count as one token.
@@ -25,9 +27,6 @@
 /// Ended streams that are kept for readers.
 const MAX_ENDED: usize = 1_024;
 
-/// Load reports that are kept for their lag.
-const MAX_REPORTS: usize = 4_096;
-
 domain_value! {
     /// What an engine has done since its start, over all crashes.
     #[derive(Default)]
@@ -46,8 +45,6 @@
         pub attached: u64,
         /// Streams cancelled.
         pub cancelled: u64,
-        /// KV caches fetched from another engine.
-        pub imported: u64,
         /// Crashes by a marked body.
         pub crashes: u64,
     }
@@ -84,7 +81,8 @@
     prefill_free_at: Option<Instant>,
     pub(super) cache: PrefixCache,
     pub(super) counts: EngineCounts,
-    reports: VecDeque<(Instant, LoadReport)>,
+    reports: History<LoadReport>,
+    next_report: u64,
     highest_fencing: FencingToken,
     pub(super) orders: Vec<EndpointOrder>,
     loading: Option<(Instant, Vec<ServiceName>)>,
@@ -99,7 +97,8 @@
             prefill_free_at: None,
             cache: PrefixCache::new(spec.cache_blocks, spec.cache_lag, spec.lost_cache_event),
             counts: EngineCounts::default(),
-            reports: VecDeque::new(),
+            reports: History::default(),
+            next_report: 1,
             highest_fencing: FencingToken::default(),
             orders: Vec::new(),
             loading: None,
@@ -168,18 +167,16 @@
             oldest.map(|name| self.streams.remove(&name));
         }
         self.finish_loading(now);
-        self.report(now);
+        self.reports.push(now, self.load());
+        self.next_report += 1;
         false
     }
 
     fn admit(&mut self, now: Instant, marker: Option<&str>) -> bool {
         while self.running() < self.spec.batch as usize {
-            let waiting = self
-                .streams
-                .iter_mut()
-                .filter(|(_, s)| s.ready_at.is_none());
-            let next = waiting.max_by_key(|(_, s)| (s.priority, std::cmp::Reverse(s.order)));
-            let Some((_, stream)) = next else {
+            let streams = self.streams.values_mut();
+            let waiting = streams.filter(|stream| stream.ready_at.is_none());
+            let Some(stream) = waiting.max_by_key(|s| (s.priority, Reverse(s.order))) else {
                 return false;
             };
             if marker.is_some_and(|marker| stream.conversation.prompt.contains(marker)) {
@@ -224,20 +221,11 @@
         }
     }
 
-    fn report(&mut self, now: Instant) {
-        let report = self.load();
-        self.reports.push_back((now, report));
-        if self.reports.len() > MAX_REPORTS {
-            self.reports.pop_front();
-        }
-    }
-
     /// Returns the newest report that is as old as the lag, or else the first one.
     pub(super) fn lagging_load(&self, now: Instant) -> LoadReport {
-        let is_shown = |at: &Instant| now.duration_since(*at) >= self.spec.load_lag;
-        let newest = self.reports.iter().rev().find(|(at, _)| is_shown(at));
-        let shown = newest.or(self.reports.front());
-        shown.map_or_else(|| self.load(), |(_, report)| report.clone())
+        let newest = self.reports.shown(now, self.spec.load_lag).next_back();
+        let shown = newest.or(self.reports.oldest());
+        shown.cloned().unwrap_or_else(|| self.load())
     }
 
     fn load(&self) -> LoadReport {
@@ -246,7 +234,7 @@
         let period = self.spec.token_period.as_secs_f64();
         LoadReport {
             endpoint: self.spec.id.clone(),
-            sequence: self.reports.back().map_or(1, |(_, last)| last.sequence + 1),
+            sequence: self.next_report,
             taken_at: unix_now(),
             running: self.running() as u32,
             waiting: waiting.count() as u32,
@@ -268,12 +256,6 @@
             blocks: stream.blocks.clone(),
         })
     }
-
-    /// Takes a KV cache over.
-    pub(super) fn import(&mut self, export: &KvExport, now: Instant) {
-        self.counts.imported += 1;
-        self.cache.store(&export.blocks, now);
-    }
 }
 
 fn prefill_time(tokens: u64, rate: TokenRate) -> Duration {
--- a/crates/laburnumstall-standins/src/engine/cache.rs
+++ b/crates/laburnumstall-standins/src/engine/cache.rs
@@ -1,13 +1,12 @@
 //! A bounded prefix cache with the events that it publishes late and with gaps.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use laburnumstall_core::request::BlockHash;
 use laburnumstall_platform::endpoint::{CacheChange, CacheEvent, CachePage};
 
-/// Cache events that are kept for readers.
-const MAX_EVENTS: usize = 1_024;
+use crate::history::History;
 
 /// Prefix blocks by the time of their last use, least recently used evicted first.
 pub(super) struct PrefixCache {
@@ -17,7 +16,7 @@
     sequence: u64,
     lost_each: u64,
     lag: Duration,
-    events: VecDeque<(Instant, CacheEvent)>,
+    events: History<CacheEvent>,
 }
 
 impl PrefixCache {
@@ -29,7 +28,7 @@
             sequence: 0,
             lost_each,
             lag,
-            events: VecDeque::new(),
+            events: History::default(),
         }
     }
 
@@ -55,18 +54,10 @@
 
     /// Returns the events after number `after` that are published by now.
     pub(super) fn page(&self, after: u64, now: Instant) -> CachePage {
-        let is_published = |at: &Instant| now.duration_since(*at) >= self.lag;
-        let published: Vec<_> = self
-            .events
-            .iter()
-            .filter(|(at, event)| is_published(at) && event.sequence > after)
-            .map(|(_, event)| event.clone())
-            .collect();
-        let newest = published.last().map_or(after, |event| event.sequence);
-        CachePage {
-            newest,
-            events: published,
-        }
+        let published = self.events.shown(now, self.lag);
+        let events: Vec<_> = published.filter(|e| e.sequence > after).cloned().collect();
+        let newest = events.last().map_or(after, |event| event.sequence);
+        CachePage { newest, events }
     }
 
     fn evict(&mut self) -> Vec<BlockHash> {
@@ -88,15 +79,11 @@
         if self.lost_each > 0 && self.sequence.is_multiple_of(self.lost_each) {
             return;
         }
-        let sequence = self.sequence;
         let event = CacheEvent {
-            sequence,
+            sequence: self.sequence,
             change,
             blocks,
         };
-        self.events.push_back((now, event));
-        if self.events.len() > MAX_EVENTS {
-            self.events.pop_front();
-        }
+        self.events.push(now, event);
     }
 }
--- a/crates/laburnumstall-standins/src/engine/http.rs
+++ b/crates/laburnumstall-standins/src/engine/http.rs
@@ -10,7 +10,8 @@
 use laburnumstall_core::cloud::EndpointOrder;
 use laburnumstall_core::request::Dialect;
 use laburnumstall_platform::endpoint::{
-    EngineChoice, EngineChunk, EngineUsage, KvExport, KvImport, KvImported, KvOffer, headers, paths,
+    EngineChoice, EngineChunk, EngineUsage, KvExport, KvImport, KvImported, KvOffer, engine_path,
+    headers, paths,
 };
 use laburnumstall_platform::http::{HttpSettings, JsonClient};
 use serde::Deserialize;
@@ -29,9 +30,11 @@
 
 pub(super) fn routes(cfg: &mut web::ServiceConfig) {
     let stream_path = format!("{}/{{attempt}}", paths::STREAMS);
-    cfg.route("/v1/chat/completions", web::post().to(chat))
-        .route("/v1/completions", web::post().to(completion))
-        .route(&stream_path, web::get().to(attach))
+    for dialect in [Dialect::Chat, Dialect::Completion] {
+        let path = engine_path(dialect).unwrap_or_default();
+        cfg.route(path, web::post().to(begin));
+    }
+    cfg.route(&stream_path, web::get().to(attach))
         .route(&stream_path, web::delete().to(cancel))
         .route(paths::HEALTH, web::get().to(healthy))
         .route(paths::LOAD, web::get().to(load))
@@ -46,28 +49,19 @@
     HttpResponse::Ok().json(())
 }
 
-async fn chat(engine: web::Data<Engine>, req: HttpRequest, body: web::Json<Value>) -> HttpResponse {
-    begin(engine, &req, Dialect::Chat, &body)
-}
-
-async fn completion(
+async fn begin(
     engine: web::Data<Engine>,
     req: HttpRequest,
     body: web::Json<Value>,
-) -> HttpResponse {
-    begin(engine, &req, Dialect::Completion, &body)
-}
-
-fn begin(
-    engine: web::Data<Engine>,
-    req: &HttpRequest,
-    dialect: Dialect,
-    body: &Value,
 ) -> HttpResponse {
     if engine.faults().is_leaving {
         return HttpResponse::ServiceUnavailable().body("leaving");
     }
-    let Some(conversation) = Conversation::read(dialect, body) else {
+    let dialect = match req.path() == engine_path(Dialect::Chat).unwrap_or_default() {
+        true => Dialect::Chat,
+        false => Dialect::Completion,
+    };
+    let Some(conversation) = Conversation::read(dialect, &body) else {
         return HttpResponse::BadRequest().body("no prompt");
     };
     let Some(name) = header(req.headers(), headers::REQUEST_ID) else {
@@ -76,7 +70,7 @@
     let priority = header(req.headers(), headers::PRIORITY).and_then(|text| text.parse().ok());
     let priority = priority.unwrap_or_default();
     engine.batch().begin(&name, priority, conversation);
-    stream_response(engine, req, name, 0)
+    stream_response(engine, &req, name, 0)
 }
 
 #[derive(Deserialize)]
@@ -134,7 +128,7 @@
     let Ok(export) = export.await else {
         return HttpResponse::BadGateway().finish();
     };
-    engine.batch().import(&export, Instant::now());
+    engine.batch().cache.store(&export.blocks, Instant::now());
     let blocks = export.blocks.len() as u64;
     HttpResponse::Ok().json(KvImported { blocks })
 }
--- a/crates/laburnumstall-standins/src/key_value/table.rs
+++ b/crates/laburnumstall-standins/src/key_value/table.rs
@@ -36,7 +36,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Lease {
-    ttl: Duration,
+    ttl_ms: u64,
     expires: Instant,
 }
 
@@ -81,7 +81,7 @@
                 value,
                 lease,
             } => self.swap(key, *expected, value.clone(), *lease),
-            WireCall::Grant { ttl_ms } => self.grant(Duration::from_millis(*ttl_ms), now),
+            WireCall::Grant { ttl_ms } => self.grant(*ttl_ms, now),
             WireCall::Renew { lease } => self.renew(*lease, now),
             WireCall::Revoke { lease } => {
                 self.end_lease(*lease);
@@ -173,28 +173,26 @@
         version
     }
 
-    fn grant(&mut self, ttl: Duration, now: Instant) -> WireReply {
+    fn grant(&mut self, ttl_ms: u64, now: Instant) -> WireReply {
         self.last_lease += 1;
         let lease = LeaseId(self.last_lease);
-        let expires = now + ttl;
-        self.leases.insert(lease, Lease { ttl, expires });
-        lease_reply(lease, ttl)
+        let expires = now;
+        self.leases.insert(lease, Lease { ttl_ms, expires });
+        self.renew(lease, now)
     }
 
     fn renew(&mut self, name: LeaseId, now: Instant) -> WireReply {
         let Some(lease) = self.leases.get_mut(&name) else {
             return WireReply::LeaseGone;
         };
-        lease.expires = now + lease.ttl;
-        lease_reply(name, lease.ttl)
+        lease.expires = now + Duration::from_millis(lease.ttl_ms);
+        WireReply::Lease {
+            lease: name,
+            ttl_ms: lease.ttl_ms,
+        }
     }
 }
 
-fn lease_reply(lease: LeaseId, ttl: Duration) -> WireReply {
-    let ttl_ms = ttl.as_millis() as u64;
-    WireReply::Lease { lease, ttl_ms }
-}
-
 fn to_stored(key: &StoreKey, entry: &Entry) -> WireStored {
     WireStored {
         key: key.clone(),
--- a/crates/laburnumstall-standins/src/lib.rs
+++ b/crates/laburnumstall-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cloud;
 pub mod engine;
 pub mod gate;
+mod history;
 pub mod key_value;
 pub mod network;
 pub mod plain;
--- a/crates/laburnumstall-standins/tests/cloud_calls.rs
+++ b/crates/laburnumstall-standins/tests/cloud_calls.rs
@@ -7,7 +7,7 @@
 use laburnumstall_platform::cloud::{Cloud, HttpCloud};
 use laburnumstall_platform::http::HttpSettings;
 use laburnumstall_platform::vm_list::{HttpVmList, VmList};
-use laburnumstall_standins::cloud::{CloudStandIn, NoProcess, RefusalRule};
+use laburnumstall_standins::cloud::{CloudStandIn, RefusalRule};
 
 fn request(token: &str, zone: &str) -> VmRequest {
     VmRequest {
@@ -19,8 +19,8 @@
     }
 }
 
-fn start() -> (CloudStandIn<NoProcess>, HttpCloud, HttpVmList) {
-    let cloud = CloudStandIn::start(NoProcess).unwrap();
+fn start() -> (CloudStandIn<()>, HttpCloud, HttpVmList) {
+    let cloud = CloudStandIn::start(()).unwrap();
     let settings = HttpSettings::new(cloud.address());
     (cloud, HttpCloud::new(settings), HttpVmList::new(settings))
 }
