Test which connections are pooled, and take two timing assumptions out of tests

Cause: removing replace_pool failed no test, since one silent connection is never pooled again; the relay refuses connections shortly after cut returns, not before. Change: two pooled connections go silent in the test; a test of pooled and new connections; the relay test waits for the refusal; time limits of 1 s in place of 100 and 200 ms. Removing replace_pool, the new connection or drop_connections now fails a test each.

--- a/crates/laburnumstall-standins/tests/engine_streams.rs
+++ b/crates/laburnumstall-standins/tests/engine_streams.rs
@@ -266,7 +266,7 @@
     );
     engine.gate().silence_all();
     let mut short = call(&engine, Dialect::Chat, &body);
-    short.remaining = Duration::from_millis(100);
+    short.remaining = Duration::from_secs(1);
     let silent = collect(&client, short).await;
     assert_eq!(silent.failure, Some(AttemptFailure::TimedOut));
     assert_eq!(silent.sent, 1);
--- a/crates/laburnumstall-standins/tests/plain_calls.rs
+++ b/crates/laburnumstall-standins/tests/plain_calls.rs
@@ -42,9 +42,16 @@
     }
 }
 
+fn client() -> HttpEndpointClient {
+    let timeout = Duration::from_secs(5);
+    HttpEndpointClient::new(timeout, timeout, |_| {})
+}
+
 async fn run(call: EndpointCall) -> Vec<EndpointEvent> {
-    let timeout = Duration::from_secs(2);
-    let client = HttpEndpointClient::new(timeout, timeout, |_| {});
+    run_with(&client(), call).await
+}
+
+async fn run_with(client: &HttpEndpointClient, call: EndpointCall) -> Vec<EndpointEvent> {
     let (tx, mut rx) = mpsc::channel(1000);
     client.run(call, tx).await;
     let mut events = Vec::new();
@@ -98,6 +105,7 @@
     service.close();
 }
 
+/// Fails when `is_not_sent` in `http.rs` counts `ConnectError::Disconnected` as not sent.
 #[actix_rt::test]
 async fn reset_does_not_tell_whether_it_ran() {
     let service = PlainStandIn::start(false).unwrap();
@@ -140,3 +148,25 @@
     assert_eq!(service.runs().total, 1);
     service.close();
 }
+
+/// Fails when `client_for` in `endpoint/http.rs` takes the pool in every case, or when
+/// `drop_connections` does nothing.
+#[actix_rt::test]
+async fn connections_are_pooled_or_new() {
+    let service = PlainStandIn::start(false).unwrap();
+    let client = client();
+    let mut idempotent = call(&service, "a");
+    Arc::get_mut(&mut idempotent.request).unwrap().idempotent = true;
+    for _ in 0..3 {
+        assert_eq!(run_with(&client, idempotent.clone()).await.len(), 4);
+    }
+    assert_eq!(service.gate().accepted(), 1);
+    client.drop_connections(service.address());
+    run_with(&client, idempotent).await;
+    assert_eq!(service.gate().accepted(), 2);
+    for _ in 0..3 {
+        run_with(&client, call(&service, "a")).await;
+    }
+    assert_eq!(service.gate().accepted(), 5);
+    service.close();
+}
--- a/crates/laburnumstall-standins/tests/relay_faults.rs
+++ b/crates/laburnumstall-standins/tests/relay_faults.rs
@@ -83,7 +83,12 @@
     relay.cut();
     let broken = echo(&mut old).unwrap_err();
     assert_ne!(broken.kind(), ErrorKind::WouldBlock);
-    let refused = TcpStream::connect(relay.address()).unwrap_err();
+    let refused = loop {
+        match TcpStream::connect(relay.address()) {
+            Ok(_) => thread::yield_now(),
+            Err(error) => break error,
+        }
+    };
     assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
     relay.mend();
     let mut mended = TcpStream::connect(relay.address());
--- a/crates/laburnumstall-standins/tests/store_calls.rs
+++ b/crates/laburnumstall-standins/tests/store_calls.rs
@@ -101,6 +101,7 @@
     store.close();
 }
 
+/// Fails when `HttpKeyValue::call` in `key_value/http.rs` reports a lost write as without effect.
 #[actix_rt::test]
 async fn lost_reply_is_unknown() {
     let (store, client) = start();
@@ -130,15 +131,22 @@
     store.close();
 }
 
+/// Two connections are pooled before both go silent. Fails when `JsonClient::call` in
+/// `http.rs` keeps its pool after a timeout.
 #[actix_rt::test]
 async fn silent_connection_is_replaced() {
     let (store, _) = start();
     let settings = HttpSettings {
-        timeout: Duration::from_millis(200),
+        timeout: Duration::from_secs(1),
         ..HttpSettings::new(store.address())
     };
     let client = HttpKeyValue::new(settings);
-    assert_eq!(get(&client, "k").await, Ok(StoreReply::Value(None)));
+    store.gate().set_delay(Duration::from_millis(20));
+    let both = tokio::join!(get(&client, "k"), get(&client, "k"));
+    let absent = Ok(StoreReply::Value(None));
+    assert_eq!(both, (absent.clone(), absent));
+    store.gate().set_delay(Duration::ZERO);
+    assert_eq!(store.gate().accepted(), 2);
     store.gate().silence_existing();
     let silent = client.call(swap("k", None, b"x")).await;
     assert_eq!(silent, Err(StoreFailure::Unknown));
