Share sample requests between the tests, and test silent watches

Cause: four test files built the same request. Change: a module of sample requests in the stand-ins.

--- a/crates/laburnumstall-standins/src/lib.rs
+++ b/crates/laburnumstall-standins/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod key_value;
 pub mod network;
 pub mod plain;
+pub mod sample;
 pub mod server;
 pub mod weights;
--- a/crates/laburnumstall-standins/tests/broken_answers.rs
+++ b/crates/laburnumstall-standins/tests/broken_answers.rs
@@ -3,16 +3,16 @@
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Mutex;
 use std::sync::mpsc as std_mpsc;
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
-use laburnumstall_core::request::{AnswerEvent, AnswerForm, Dialect, Request};
-use laburnumstall_core::units::{Priority, Timestamp, Tokens};
+use laburnumstall_core::request::{AnswerEvent, Dialect};
 use laburnumstall_platform::endpoint::{
     EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient,
 };
+use laburnumstall_standins::sample;
 use tokio::sync::mpsc;
 
 const CASES: usize = 1_000;
@@ -98,31 +98,7 @@
 }
 
 fn call(address: SocketAddr, dialect: Dialect) -> EndpointCall {
-    let request = Request {
-        customer: "c".parse().unwrap(),
-        service: "s".parse().unwrap(),
-        dialect,
-        method: "POST".into(),
-        path: "/x".into(),
-        content_type: "application/json".into(),
-        body: br#"{"prompt":"p"}"#.as_slice().into(),
-        key: None,
-        idempotent: false,
-        form: AnswerForm::Stream,
-        deadline: Timestamp::NEVER,
-        priority: Priority(0),
-        prompt: Tokens(1),
-        answer: Tokens(9),
-        prefix: Vec::new(),
-    };
-    EndpointCall {
-        attempt: "r-vm@1-1-00000000/1".parse().unwrap(),
-        address,
-        request: Arc::new(request),
-        generated: "".into(),
-        generated_tokens: Tokens(0),
-        remaining: Duration::from_secs(20),
-    }
+    sample::call(address, sample::request(dialect, r#"{"prompt":"p"}"#))
 }
 
 /// Returns the text relayed, and whether an end or a failure came last.
--- a/crates/laburnumstall-standins/tests/engine_control.rs
+++ b/crates/laburnumstall-standins/tests/engine_control.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use laburnumstall_core::cloud::{CallFailure, EndpointOrder, LoadOrder, OrderReply};
-use laburnumstall_core::ids::{AttemptId, FencingToken};
-use laburnumstall_core::request::{AnswerForm, Dialect, Request, prefix_blocks};
-use laburnumstall_core::units::{Priority, Timestamp, Tokens};
+use laburnumstall_core::ids::FencingToken;
+use laburnumstall_core::request::{Dialect, Request, prefix_blocks};
+use laburnumstall_core::units::{Priority, Tokens};
 use laburnumstall_platform::endpoint::{
     CacheChange, EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient, KvImport,
     prompt_text,
 };
 use laburnumstall_standins::engine::{EngineSpec, EngineStandIn};
+use laburnumstall_standins::sample::{self, attempt};
 use tokio::sync::mpsc;
 
 const PROMPT_BYTES: usize = 4_096;
@@ -27,10 +28,6 @@
     HttpEndpointClient::new(timeout, timeout, |_| {})
 }
 
-fn attempt(number: u32) -> AttemptId {
-    format!("r-vm@1-1-00000000/{number}").parse().unwrap()
-}
-
 fn body(fill: &str) -> serde_json::Value {
     let prompt = fill.repeat(PROMPT_BYTES / fill.len());
     serde_json::json!({ "model": "m", "prompt": prompt, "max_tokens": 2 })
@@ -38,29 +35,12 @@
 
 fn call(engine: &EngineStandIn, number: u32, fill: &str, priority: u64) -> EndpointCall {
     let request = Request {
-        customer: "c".parse().unwrap(),
-        service: "s".parse().unwrap(),
-        dialect: Dialect::Completion,
-        method: "POST".into(),
-        path: "/v1/completions".into(),
-        content_type: "application/json".into(),
-        body: body(fill).to_string().into_bytes().into(),
-        key: None,
-        idempotent: true,
-        form: AnswerForm::Stream,
-        deadline: Timestamp::NEVER,
         priority: Priority(priority),
-        prompt: Tokens(0),
-        answer: Tokens(2),
-        prefix: Vec::new(),
+        ..sample::request(Dialect::Completion, &body(fill).to_string())
     };
     EndpointCall {
         attempt: attempt(number),
-        address: engine.address(),
-        request: Arc::new(request),
-        generated: "".into(),
-        generated_tokens: Tokens(0),
-        remaining: Duration::from_secs(20),
+        ..sample::call(engine.address(), request)
     }
 }
 
--- a/crates/laburnumstall-standins/tests/engine_streams.rs
+++ b/crates/laburnumstall-standins/tests/engine_streams.rs
@@ -1,18 +1,18 @@
 //! The endpoint adapter against the engine stand-in: whole answers, continued ones, and
 //! each way to lose one.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumstall_core::ids::{AttemptId, EventIndex};
-use laburnumstall_core::request::{AnswerEvent, AnswerForm, Dialect, Request};
-use laburnumstall_core::units::{Priority, Timestamp, Tokens};
+use laburnumstall_core::ids::EventIndex;
+use laburnumstall_core::request::{AnswerEvent, Dialect};
+use laburnumstall_core::units::Tokens;
 use laburnumstall_platform::endpoint::{
     AttemptFailure, EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient, StreamAttach,
 };
 use laburnumstall_standins::engine::{
     EngineFaults, EngineSpec, EngineStandIn, expected_answer, expected_tokens,
 };
+use laburnumstall_standins::sample::{self, attempt};
 use tokio::sync::mpsc;
 
 const CHANNEL: usize = 4;
@@ -29,39 +29,8 @@
     serde_json::json!({ "model": "m", "prompt": text, "max_tokens": TOKENS }).to_string()
 }
 
-fn request(dialect: Dialect, body: &str) -> Arc<Request> {
-    Arc::new(Request {
-        customer: "c".parse().unwrap(),
-        service: "s".parse().unwrap(),
-        dialect,
-        method: "POST".into(),
-        path: "/v1/chat/completions".into(),
-        content_type: "application/json".into(),
-        body: body.as_bytes().into(),
-        key: None,
-        idempotent: true,
-        form: AnswerForm::Stream,
-        deadline: Timestamp::NEVER,
-        priority: Priority(1),
-        prompt: Tokens(10),
-        answer: Tokens(TOKENS),
-        prefix: Vec::new(),
-    })
-}
-
-fn attempt(number: u32) -> AttemptId {
-    format!("r-vm@1-1-00000000/{number}").parse().unwrap()
-}
-
 fn call(engine: &EngineStandIn, dialect: Dialect, body: &str) -> EndpointCall {
-    EndpointCall {
-        attempt: attempt(1),
-        address: engine.address(),
-        request: request(dialect, body),
-        generated: "".into(),
-        generated_tokens: Tokens(0),
-        remaining: REMAINING,
-    }
+    sample::call(engine.address(), sample::request(dialect, body))
 }
 
 fn engine() -> EngineStandIn {
--- a/crates/laburnumstall-standins/tests/plain_calls.rs
+++ b/crates/laburnumstall-standins/tests/plain_calls.rs
@@ -4,42 +4,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumstall_core::request::{AnswerEvent, AnswerForm, Dialect, Request};
-use laburnumstall_core::units::{Priority, Timestamp, Tokens};
+use laburnumstall_core::request::{AnswerEvent, Dialect, Request};
 use laburnumstall_platform::endpoint::{
     AttemptFailure, EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient,
 };
 use laburnumstall_standins::plain::{PlainFaults, PlainStandIn, expected_plain_answer};
+use laburnumstall_standins::sample;
 use tokio::sync::mpsc;
 
 const PATH: &str = "/orders/dispose?box=7";
 
 fn call(service: &PlainStandIn, body: &str) -> EndpointCall {
     let request = Request {
-        customer: "c".parse().unwrap(),
-        service: "s".parse().unwrap(),
-        dialect: Dialect::Plain,
         method: "PUT".into(),
         path: PATH.into(),
-        content_type: "text/plain".into(),
-        body: body.as_bytes().into(),
         key: Some("key-1".parse().unwrap()),
         idempotent: false,
-        form: AnswerForm::Whole,
-        deadline: Timestamp::NEVER,
-        priority: Priority(0),
-        prompt: Tokens(0),
-        answer: Tokens(0),
-        prefix: Vec::new(),
+        ..sample::request(Dialect::Plain, body)
     };
-    EndpointCall {
-        attempt: "r-vm@1-1-00000000/1".parse().unwrap(),
-        address: service.address(),
-        request: Arc::new(request),
-        generated: "".into(),
-        generated_tokens: Tokens(0),
-        remaining: Duration::from_secs(10),
-    }
+    sample::call(service.address(), request)
 }
 
 fn client() -> HttpEndpointClient {
--- a/crates/laburnumstall-standins/tests/store_calls.rs
+++ b/crates/laburnumstall-standins/tests/store_calls.rs
@@ -164,14 +164,31 @@
     store.restore(snapshot);
     let read = get(&client, "k").await;
     assert_eq!(read, Ok(StoreReply::Value(Some(stored("k", b"old", 1)))));
+    let version = StoreVersion(1);
+    let values = Vec::new();
+    let nothing = StoreReply::Changes { values, version };
+    assert_eq!(changes_after(&client, 2).await, Ok(nothing));
+    store.close();
+}
+
+#[actix_rt::test]
+async fn silent_watch_reports_nothing() {
+    let (store, client) = start();
+    client.call(swap("k", None, b"x")).await.unwrap();
+    let version = StoreVersion(1);
+    for (is_silent, values) in [(true, vec![]), (false, vec![stored("k", b"x", 1)])] {
+        store.set_watches_silent(is_silent);
+        let expected = StoreReply::Changes { values, version };
+        assert_eq!(changes_after(&client, 0).await, Ok(expected));
+    }
+    store.close();
+}
+
+async fn changes_after(client: &HttpKeyValue, version: u64) -> StoreOutcome {
     let watch = StoreCall::Watch {
         prefix: key("k"),
-        after: StoreVersion(2),
+        after: StoreVersion(version),
         wait: Duration::ZERO,
     };
-    let changes = client.call(watch).await;
-    let version = StoreVersion(1);
-    let values = Vec::new();
-    assert_eq!(changes, Ok(StoreReply::Changes { values, version }));
-    store.close();
+    client.call(watch).await
 }
