Reuse idle connections for 2 s, and connect anew in the test of broken answers

Ruled out: a lost content-length, which was the answer to another case. Change: the test asks for new connections as it did at first; the adapters keep idle connections for 2 s in place of 15 s. Not done: a hidden retry, which could crash a second endpoint.

--- a/crates/laburnumstall-platform/src/http.rs
+++ b/crates/laburnumstall-platform/src/http.rs
@@ -19,7 +19,10 @@
 pub const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 
 /// Longest time that an idle connection is kept for reuse.
-pub const IDLE_CONNECTION: Duration = Duration::from_secs(15);
+///
+/// Shorter than the time after which common servers close an idle connection, because a
+/// request written at that moment is lost with the connection.
+pub const IDLE_CONNECTION: Duration = Duration::from_secs(2);
 
 /// An HTTP call without a usable reply.
 #[derive(Debug, Snafu)]
--- a/crates/laburnumstall-standins/tests/broken_answers.rs
+++ b/crates/laburnumstall-standins/tests/broken_answers.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use laburnumstall_core::request::{AnswerEvent, Dialect};
+use laburnumstall_core::request::{AnswerEvent, Dialect, Request};
 use laburnumstall_platform::endpoint::{
     EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient,
 };
@@ -98,7 +98,12 @@
 }
 
 fn call(address: SocketAddr, dialect: Dialect) -> EndpointCall {
-    sample::call(address, sample::request(dialect, r#"{"prompt":"p"}"#))
+    let request = Request {
+        // A new connection for each call, since the server closes each after its answer.
+        idempotent: false,
+        ..sample::request(dialect, r#"{"prompt":"p"}"#)
+    };
+    sample::call(address, request)
 }
 
 /// Returns the text relayed, and whether an end or a failure came last.
