--- a/crates/laburnumstall-standins/src/lib.rs
+++ b/crates/laburnumstall-standins/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod cloud;
 pub mod engine;
 pub mod gate;
+mod history;
 pub mod key_value;
 pub mod network;
 pub mod plain;
+pub mod sample;
 pub mod server;
 pub mod weights;
--- a/crates/laburnumstall-standins/tests/plain_calls.rs
+++ b/crates/laburnumstall-standins/tests/plain_calls.rs
@@ -4,47 +4,37 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumstall_core::request::{AnswerEvent, AnswerForm, Dialect, Request};
-use laburnumstall_core::units::{Priority, Timestamp, Tokens};
+use laburnumstall_core::request::{AnswerEvent, Dialect, Request};
 use laburnumstall_platform::endpoint::{
     AttemptFailure, EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient,
 };
 use laburnumstall_standins::plain::{PlainFaults, PlainStandIn, expected_plain_answer};
+use laburnumstall_standins::sample;
 use tokio::sync::mpsc;
 
 const PATH: &str = "/orders/dispose?box=7";
 
 fn call(service: &PlainStandIn, body: &str) -> EndpointCall {
     let request = Request {
-        customer: "c".parse().unwrap(),
-        service: "s".parse().unwrap(),
-        dialect: Dialect::Plain,
         method: "PUT".into(),
         path: PATH.into(),
-        content_type: "text/plain".into(),
-        body: body.as_bytes().into(),
         key: Some("key-1".parse().unwrap()),
         idempotent: false,
-        form: AnswerForm::Whole,
-        deadline: Timestamp::NEVER,
-        priority: Priority(0),
-        prompt: Tokens(0),
-        answer: Tokens(0),
-        prefix: Vec::new(),
+        ..sample::request(Dialect::Plain, body)
     };
-    EndpointCall {
-        attempt: "r-vm@1-1-00000000/1".parse().unwrap(),
-        address: service.address(),
-        request: Arc::new(request),
-        generated: "".into(),
-        generated_tokens: Tokens(0),
-        remaining: Duration::from_secs(10),
-    }
+    sample::call(service.address(), request)
+}
+
+fn client() -> HttpEndpointClient {
+    let timeout = Duration::from_secs(5);
+    HttpEndpointClient::new(timeout, timeout, |_| {})
 }
 
 async fn run(call: EndpointCall) -> Vec<EndpointEvent> {
-    let timeout = Duration::from_secs(2);
-    let client = HttpEndpointClient::new(timeout, timeout, |_| {});
+    run_with(&client(), call).await
+}
+
+async fn run_with(client: &HttpEndpointClient, call: EndpointCall) -> Vec<EndpointEvent> {
     let (tx, mut rx) = mpsc::channel(1000);
     client.run(call, tx).await;
     let mut events = Vec::new();
@@ -98,6 +88,7 @@
     service.close();
 }
 
+/// Fails when `is_not_sent` in `http.rs` counts `ConnectError::Disconnected` as not sent.
 #[actix_rt::test]
 async fn reset_does_not_tell_whether_it_ran() {
     let service = PlainStandIn::start(false).unwrap();
@@ -140,3 +131,25 @@
     assert_eq!(service.runs().total, 1);
     service.close();
 }
+
+/// Fails when `client_for` in `endpoint/http.rs` takes the pool in every case, or when
+/// `drop_connections` does nothing.
+#[actix_rt::test]
+async fn connections_are_pooled_or_new() {
+    let service = PlainStandIn::start(false).unwrap();
+    let client = client();
+    let mut idempotent = call(&service, "a");
+    Arc::get_mut(&mut idempotent.request).unwrap().idempotent = true;
+    for _ in 0..3 {
+        assert_eq!(run_with(&client, idempotent.clone()).await.len(), 4);
+    }
+    assert_eq!(service.gate().accepted(), 1);
+    client.drop_connections(service.address());
+    run_with(&client, idempotent).await;
+    assert_eq!(service.gate().accepted(), 2);
+    for _ in 0..3 {
+        run_with(&client, call(&service, "a")).await;
+    }
+    assert_eq!(service.gate().accepted(), 5);
+    service.close();
+}
--- a/crates/laburnumstall-standins/tests/store_calls.rs
+++ b/crates/laburnumstall-standins/tests/store_calls.rs
@@ -101,6 +101,7 @@
     store.close();
 }
 
+/// Fails when `HttpKeyValue::call` in `key_value/http.rs` reports a lost write as without effect.
 #[actix_rt::test]
 async fn lost_reply_is_unknown() {
     let (store, client) = start();
@@ -130,15 +131,22 @@
     store.close();
 }
 
+/// Two connections are pooled before both go silent. Fails when `JsonClient::call` in
+/// `http.rs` keeps its pool after a timeout.
 #[actix_rt::test]
 async fn silent_connection_is_replaced() {
     let (store, _) = start();
     let settings = HttpSettings {
-        timeout: Duration::from_millis(200),
+        timeout: Duration::from_secs(1),
         ..HttpSettings::new(store.address())
     };
     let client = HttpKeyValue::new(settings);
-    assert_eq!(get(&client, "k").await, Ok(StoreReply::Value(None)));
+    store.gate().set_delay(Duration::from_millis(20));
+    let both = tokio::join!(get(&client, "k"), get(&client, "k"));
+    let absent = Ok(StoreReply::Value(None));
+    assert_eq!(both, (absent.clone(), absent));
+    store.gate().set_delay(Duration::ZERO);
+    assert_eq!(store.gate().accepted(), 2);
     store.gate().silence_existing();
     let silent = client.call(swap("k", None, b"x")).await;
     assert_eq!(silent, Err(StoreFailure::Unknown));
@@ -156,14 +164,31 @@
     store.restore(snapshot);
     let read = get(&client, "k").await;
     assert_eq!(read, Ok(StoreReply::Value(Some(stored("k", b"old", 1)))));
+    let version = StoreVersion(1);
+    let values = Vec::new();
+    let nothing = StoreReply::Changes { values, version };
+    assert_eq!(changes_after(&client, 2).await, Ok(nothing));
+    store.close();
+}
+
+#[actix_rt::test]
+async fn silent_watch_reports_nothing() {
+    let (store, client) = start();
+    client.call(swap("k", None, b"x")).await.unwrap();
+    let version = StoreVersion(1);
+    for (is_silent, values) in [(true, vec![]), (false, vec![stored("k", b"x", 1)])] {
+        store.set_watches_silent(is_silent);
+        let expected = StoreReply::Changes { values, version };
+        assert_eq!(changes_after(&client, 0).await, Ok(expected));
+    }
+    store.close();
+}
+
+async fn changes_after(client: &HttpKeyValue, version: u64) -> StoreOutcome {
     let watch = StoreCall::Watch {
         prefix: key("k"),
-        after: StoreVersion(2),
+        after: StoreVersion(version),
         wait: Duration::ZERO,
     };
-    let changes = client.call(watch).await;
-    let version = StoreVersion(1);
-    let values = Vec::new();
-    assert_eq!(changes, Ok(StoreReply::Changes { values, version }));
-    store.close();
+    client.call(watch).await
 }
