Drive load at a live system

Cause: nothing could show from outside that callers get their own whole answers. Change: load sends a seeded workload, carries each request through cut and silent connections by its key and its id, checks the answers by AnswerCheck and counts what happened; exit 1 if a promise was broken. explain knows a daemon by its VM alone, as logs may name it. Not run yet against real daemons.

--- a/crates/laburnumstall/src/cli.rs
+++ b/crates/laburnumstall/src/cli.rs
@@ -3,10 +3,12 @@
 //! General options may stand before or after the command; [`Arguments::read`] moves them
 //! to the front, where the parser expects them.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use gumdrop::{Options, ParsingStyle};
 use laburnumstall_core::ids::{Revision, VmId};
+use laburnumstall_core::units::RequestRate;
 
 use crate::program_usage;
 
@@ -87,6 +89,9 @@
     /// Tells what happened to a request, a VM or an endpoint.
     #[options(help = "tell the story of a request, VM, endpoint or order from logs")]
     Explain(ExplainOptions),
+    /// Drives callers at a live system.
+    #[options(help = "drive callers at a live system and check their answers")]
+    Load(LoadOptions),
 }
 
 /// Reads a text and reports all of its faults.
@@ -188,6 +193,56 @@
     pub id_and_logs: Vec<String>,
 }
 
+/// Drives callers at a live system, and checks that each answer is whole and the caller's own.
+#[derive(Debug, Options)]
+pub struct LoadOptions {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Addresses of entries.
+    #[options(
+        no_short,
+        required,
+        meta = "ADDR",
+        help = "an entry's address; can be given again"
+    )]
+    pub entry: Vec<SocketAddr>,
+    /// Bearer key of a customer.
+    #[options(
+        no_short,
+        meta = "NAME=KEY",
+        help = "a customer's key; can be given again"
+    )]
+    pub caller: Vec<String>,
+    /// Requests a second.
+    #[options(no_short, meta = "RATE", help = "requests a second", default = "10")]
+    pub rate: RequestRate,
+    /// Time during which requests are sent.
+    #[options(
+        no_short,
+        meta = "TIME",
+        help = "time to send requests for",
+        default = "10s"
+    )]
+    pub duration: String,
+    /// Most requests at once.
+    #[options(no_short, meta = "N", help = "most requests at once", default = "64")]
+    pub concurrency: u32,
+    /// Seed of the workload.
+    #[options(no_short, meta = "N", help = "seed of the workload", default = "1")]
+    pub seed: u64,
+    /// Share of a service.
+    #[options(
+        no_short,
+        meta = "SERVICE=N",
+        help = "a service's share; can be given again"
+    )]
+    pub mix: Vec<String>,
+    /// Text that lists services and customers.
+    #[options(free, required, help = "text that lists the services and customers")]
+    pub file: PathBuf,
+}
+
 impl Arguments {
     /// Reads the arguments after the program's name.
     ///
--- a/crates/laburnumstall/src/commands.rs
+++ b/crates/laburnumstall/src/commands.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod explain;
 pub mod history;
+pub mod load;
 pub mod show;
 pub mod status;
 
--- a/crates/laburnumstall/src/error.rs
+++ b/crates/laburnumstall/src/error.rs
@@ -88,6 +88,26 @@
         /// How to give it.
         hint: &'static str,
     },
+    /// An argument is wrong.
+    #[snafu(display("read the arguments: `{argument}` is not {expected}"))]
+    BadArgument {
+        /// The argument.
+        argument: String,
+        /// What was expected.
+        expected: &'static str,
+    },
+    /// A promise to callers was broken under load.
+    #[snafu(display(
+        "drive load: {lost} accepted requests were lost, {damaged} answers were damaged and {foreign} foreign"
+    ))]
+    PromiseBroken {
+        /// Accepted requests without an answer.
+        lost: u64,
+        /// Answers with a missing, repeated or changed part.
+        damaged: u64,
+        /// Answers that belong to another request.
+        foreign: u64,
+    },
     /// No daemon answered.
     #[snafu(display("{call}: no daemon answered ({})", list(tried)))]
     Unreachable {
@@ -168,7 +188,9 @@
     /// Returns the exit code that goes with the error.
     pub fn exit(&self) -> Exit {
         match self {
-            Self::NotGiven { .. } | Self::Unauthorized { .. } => Exit::Usage,
+            Self::NotGiven { .. } | Self::BadArgument { .. } | Self::Unauthorized { .. } => {
+                Exit::Usage
+            }
             Self::Conflict { .. } => Exit::Conflict,
             Self::Unreachable { .. } | Self::StoreUnavailable { .. } => Exit::Unreachable,
             Self::Unconfirmed { .. } => Exit::Unconfirmed,
@@ -186,6 +208,8 @@
             }
             Self::WriteResult { .. } | Self::WriteJson { .. } => "check where the output goes",
             Self::NotGiven { hint, .. } => hint,
+            Self::BadArgument { .. } => "see the command's --help",
+            Self::PromiseBroken { .. } => "`laburnumstall explain` tells a request's story",
             Self::Unreachable {
                 may_have_acted: true,
                 ..
--- a/crates/laburnumstall/src/explain/references.rs
+++ b/crates/laburnumstall/src/explain/references.rs
@@ -62,11 +62,11 @@
     /// Tells whether an event is about an endpoint or a daemon of the story.
     pub(crate) fn is_context(&self, event: &LogEvent) -> bool {
         let is_own = is_among(event, &OWN_CONTEXT_EVENTS);
-        if is_own && self.places.contains(event.daemon.as_str()) {
+        if is_own && self.places.contains(place_of(&event.daemon)) {
             return true;
         }
         let is_context = is_among(event, &CONTEXT_EVENTS);
-        is_context && names(event).any(|name| self.places.contains(name))
+        is_context && names(event).any(|name| self.places.contains(place_of(name)))
     }
 
     /// Notes what a direct event refers to; tells whether there is a new subject.
@@ -76,17 +76,20 @@
             self.subjects.insert(name.to_owned());
         }
         for value in PLACE_FIELDS.iter().filter_map(|name| event.field(name)) {
-            self.places.extend(words(value).map(str::to_owned));
+            self.add_places(value);
         }
         if matches!(event.event.as_str(), "route" | "take-over" | "standby") {
-            self.places.extend(words(&event.choice).map(str::to_owned));
-        }
-        if !event.daemon.is_empty() {
-            self.places.insert(event.daemon.to_string());
+            self.add_places(&event.choice);
         }
+        self.add_places(&event.daemon);
         self.subjects.len() > known
     }
 
+    fn add_places(&mut self, value: &str) {
+        let places = words(value).map(|word| place_of(word).to_owned());
+        self.places.extend(places);
+    }
+
     /// A name is a subject, an attempt of it (`REQUEST/2`) or a life of it (`VM@3`).
     fn is_subject(&self, name: &str) -> bool {
         let is_part =
@@ -97,6 +100,11 @@
     }
 }
 
+/// Returns the VM of a daemon's life (`VM@3`), and any other name as it is.
+fn place_of(name: &str) -> &str {
+    name.split_once('@').map_or(name, |(vm, _)| vm)
+}
+
 fn is_among(event: &LogEvent, kinds: &[&str]) -> bool {
     kinds.contains(&event.event.as_str())
 }
--- a/crates/laburnumstall/src/lib.rs
+++ b/crates/laburnumstall/src/lib.rs
@@ -13,6 +13,7 @@
 mod exit;
 pub mod explain;
 mod grid;
+pub mod load;
 mod settings;
 mod shell;
 
@@ -68,6 +69,7 @@
         Command::Status(options) => commands::status::run(cx, options).await,
         Command::Drain(options) => commands::drain::run(cx, options).await,
         Command::Explain(options) => commands::explain::run(cx, options).await,
+        Command::Load(options) => commands::load::run(cx, options).await,
     }
 }
 
