Ask for a sign of life only on links that wait for an answer

Change: no keep-alives; after a write, an answer must come, else the other side is pinged and its port tried. At most 32 handshakes at a time per endpoint. Tests of a cut flow, a stalled reader and an unused link.

--- a/crates/laburnumstall-peer/src/endpoint.rs
+++ b/crates/laburnumstall-peer/src/endpoint.rs
@@ -10,7 +10,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::ResultExt;
 use tokio::runtime::Handle;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::time::timeout;
 
 use crate::error::{BindSnafu, RuntimeSnafu};
@@ -24,6 +24,9 @@
     SendFault, Traffic, inbound, link, probe,
 };
 
+/// Most outgoing handshakes under way at a time.
+const MAX_DIALS: usize = 32;
+
 /// What an endpoint shares with its tasks.
 #[derive(Debug)]
 pub(crate) struct Shared<M> {
@@ -34,6 +37,7 @@
     links: Mutex<BTreeMap<DaemonId, Arc<Link>>>,
     incumbents: Mutex<BTreeMap<DaemonId, Incumbent>>,
     meter: Meter,
+    dials: Semaphore,
     retired: Notify,
     is_closing: AtomicBool,
     tx: mpsc::Sender<PeerEvent<M>>,
@@ -61,6 +65,11 @@
         &self.meter
     }
 
+    /// Bounds the handshakes under way at a time.
+    pub(crate) fn dials(&self) -> &Semaphore {
+        &self.dials
+    }
+
     /// Returns the endpoint from which new connections are made.
     pub(crate) fn dialer(&self) -> quinn::Endpoint {
         lock(&self.dialer).clone()
@@ -152,6 +161,7 @@
             links: Mutex::default(),
             incumbents: Mutex::default(),
             meter: Meter::default(),
+            dials: Semaphore::new(MAX_DIALS),
             retired: Notify::new(),
             is_closing: AtomicBool::new(false),
             tx,
--- a/crates/laburnumstall-peer/src/lib.rs
+++ b/crates/laburnumstall-peer/src/lib.rs
@@ -14,6 +14,7 @@
 mod inbound;
 mod lane;
 mod link;
+mod liveness;
 mod pins;
 mod probe;
 mod session;
--- a/crates/laburnumstall-peer/src/link.rs
+++ b/crates/laburnumstall-peer/src/link.rs
@@ -18,6 +18,7 @@
     address: SocketAddr,
     state: Mutex<LinkState>,
     wake: [Notify; 2],
+    wrote: Notify,
     replaced: Notify,
 }
 
@@ -46,6 +47,7 @@
             address,
             state: Mutex::default(),
             wake: [Notify::new(), Notify::new()],
+            wrote: Notify::new(),
             replaced: Notify::new(),
         }
     }
@@ -87,6 +89,16 @@
         self.wake[lane.index()].notified().await;
     }
 
+    /// Notes that something was written, to which an answer is due.
+    pub(crate) fn note_written(&self) {
+        self.wrote.notify_one();
+    }
+
+    /// Waits for [`Link::note_written`].
+    pub(crate) async fn written_to(&self) {
+        self.wrote.notified().await;
+    }
+
     /// Lets the lanes finish what is queued and then end the connection.
     pub(crate) fn drain(&self) {
         self.state().is_draining = true;
--- a/crates/laburnumstall-peer/src/session.rs
+++ b/crates/laburnumstall-peer/src/session.rs
@@ -9,12 +9,12 @@
 use laburnumstall_core::ids::DaemonId;
 use quinn::{Connection, ConnectionError, ReadError, ReadExactError, RecvStream, SendStream};
 use quinn::{TransportErrorCode, WriteError};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::endpoint::Shared;
 use crate::identity::CERTIFICATE_NAME;
 use crate::link::{LaneStep, Link};
-use crate::{Lane, LostReason, PeerEvent, Pins, STREAM_VERSION, probe};
+use crate::{Lane, LostReason, PeerEvent, Pins, STREAM_VERSION, liveness, probe};
 
 /// Code of a connection that ends in good order.
 pub(crate) const CLOSE_DONE: u32 = 0;
@@ -22,12 +22,12 @@
 /// Code of a connection that is closed for a frame that cannot be read.
 pub(crate) const CLOSE_BAD_FRAME: u32 = 1;
 
+/// Longest time for which a handshake keeps others waiting.
+const DIAL_TURN: Duration = Duration::from_millis(200);
+
 /// TLS alert raised here when the certificate of the other side is not the pinned one.
 const ALERT_ACCESS_DENIED: u8 = 49;
 
-/// Time between two looks at whether the other side still acknowledges.
-const LIVENESS_INTERVAL: Duration = Duration::from_millis(250);
-
 /// How a connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SessionEnd {
@@ -61,7 +61,7 @@
 ) -> Result<(), LostReason> {
     let endpoint = shared.dialer();
     let address = link.address();
-    let conn = dial(shared, &endpoint, to, address).await?;
+    let conn = dial_in_turn(shared, &endpoint, to, address).await?;
     let _counted = shared.meter().count(&conn);
     let greeting = timeout(shared.timeouts().connect, open(&conn, Lane::Control));
     let control = greeting.await.map_err(|_| LostReason::TimedOut)??;
@@ -75,13 +75,33 @@
     tokio::select! {
         outcome = lanes => outcome.map(|_| ())?,
         error = conn.closed() => return Err(reason_of(&error)),
-        () = refused_later(&conn, shared.local(), address) => return Err(LostReason::Refused),
+        reason = liveness::watch(shared, link, &conn) => return Err(reason),
         never = drain_unused(link, shared.timeouts().unused) => match never {},
     }
     conn.close(CLOSE_DONE.into(), b"done");
     Ok(())
 }
 
+/// Makes a connection when few others are being made.
+///
+/// The answers to many handshakes at once would overflow the socket's buffer. A daemon
+/// that doesn't answer soon gives way to the others, and is waited for beside them.
+async fn dial_in_turn<M>(
+    shared: &Shared<M>,
+    endpoint: &quinn::Endpoint,
+    to: &DaemonId,
+    address: SocketAddr,
+) -> Result<Connection, LostReason> {
+    let turn = shared.dials().acquire().await;
+    let dialed = dial(shared, endpoint, to, address);
+    tokio::pin!(dialed);
+    tokio::select! {
+        outcome = &mut dialed => return outcome,
+        () = sleep(DIAL_TURN) => drop(turn),
+    }
+    dialed.await
+}
+
 /// Makes a connection to the daemon `to`.
 pub(crate) async fn dial<M>(
     shared: &Shared<M>,
@@ -131,6 +151,7 @@
         }
         link.woken(Lane::Bulk).await;
     }
+    link.note_written();
     let stream = open(conn, Lane::Bulk).await?;
     write_lane(link, Lane::Bulk, stream).await
 }
@@ -139,13 +160,16 @@
 async fn write_lane(link: &Link, lane: Lane, mut stream: LaneStream) -> Result<(), LostReason> {
     loop {
         match link.step(lane) {
-            LaneStep::Write(batch) => stream
-                .tx
-                .write_chunk(Bytes::from(batch.bytes))
-                .await
-                .map_err(|error| reason_of_write(&error))?,
+            LaneStep::Write(batch) => {
+                link.note_written();
+                let written = stream.tx.write_chunk(Bytes::from(batch.bytes)).await;
+                written.map_err(|error| reason_of_write(&error))?;
+            }
             LaneStep::Wait => link.woken(lane).await,
-            LaneStep::Finish => return finish(stream).await,
+            LaneStep::Finish => {
+                link.note_written();
+                return finish(stream).await;
+            }
         }
     }
 }
@@ -165,33 +189,12 @@
     let mut pushed = None;
     while pushed != Some(link.pushed()) {
         pushed = Some(link.pushed());
-        tokio::time::sleep(unused).await;
+        sleep(unused).await;
     }
     link.drain();
     future::pending().await
 }
 
-/// Waits until the other side's port refuses while the connection gets no answer.
-///
-/// A process that was killed closes nothing; its system refuses at once, long before the
-/// idle timeout.
-async fn refused_later(conn: &Connection, local: SocketAddr, address: SocketAddr) {
-    let mut earlier = conn.stats();
-    loop {
-        tokio::time::sleep(LIVENESS_INTERVAL).await;
-        let stats = conn.stats();
-        let has_sent = stats.udp_tx.datagrams != earlier.udp_tx.datagrams;
-        let has_heard = stats.udp_rx.datagrams != earlier.udp_rx.datagrams;
-        if has_sent && !has_heard {
-            let knock = probe::refused(local, address);
-            if timeout(LIVENESS_INTERVAL, knock).await.is_ok() {
-                return;
-            }
-        }
-        earlier = stats;
-    }
-}
-
 /// Says why a connection was not made.
 ///
 /// If the certificate of `to` is known and the listener has another one, the process that
--- a/crates/laburnumstall-peer/src/timeouts.rs
+++ b/crates/laburnumstall-peer/src/timeouts.rs
@@ -16,6 +16,12 @@
 /// so that the bulk lane cannot block the control lane.
 const SEND_WINDOW_BYTES: u64 = 4 * STREAM_WINDOW_BYTES as u64;
 
+/// Memory for datagrams, which are never read: each only asks for an answer.
+const PING_BUFFER_BYTES: usize = 256;
+
+/// Time by which the receiver keeps an unused connection longer than its sender.
+const IDLE_MARGIN: Duration = Duration::from_secs(5);
+
 /// Most streams that a peer may have open on one connection: one for each lane.
 const MAX_STREAMS: u32 = 2;
 
@@ -24,11 +30,10 @@
 pub struct PeerTimeouts {
     /// Longest wait for a connection to be accepted.
     pub connect: Duration,
-    /// Longest silence of a connection before it counts as lost.
-    pub idle: Duration,
-    /// Silence after which the connecting side asks for a sign of life.
-    pub keep_alive: Duration,
+    /// Longest wait for any answer to what was sent before the link counts as lost.
+    pub silence: Duration,
     /// Time without a message after which the sender closes a link, without an event.
+    /// Until then a link without messages costs nothing: it is not kept alive.
     pub unused: Duration,
     /// Longest wait for queued messages to arrive when the endpoint closes.
     pub close: Duration,
@@ -38,8 +43,7 @@
     fn default() -> Self {
         Self {
             connect: Duration::from_millis(1_500),
-            idle: Duration::from_millis(1_500),
-            keep_alive: Duration::from_millis(500),
+            silence: Duration::from_millis(1_500),
             unused: Duration::from_secs(30),
             close: Duration::from_secs(2),
         }
@@ -54,20 +58,20 @@
         Ok(Arc::new(cfg))
     }
 
-    /// Settings of the connecting side, which alone sends keep-alives.
+    /// Settings of the connecting side.
     pub(crate) fn connecting(&self) -> Result<Arc<TransportConfig>, PeerError> {
         let mut cfg = self.common()?;
         cfg.max_concurrent_bidi_streams(VarInt::from_u32(0));
-        cfg.keep_alive_interval(Some(self.keep_alive));
         Ok(Arc::new(cfg))
     }
 
     fn common(&self) -> Result<TransportConfig, PeerError> {
-        let idle = self.idle.try_into().context(IdleTimeoutSnafu)?;
+        let idle = self.unused + IDLE_MARGIN;
+        let idle = idle.try_into().context(IdleTimeoutSnafu)?;
         let mut cfg = TransportConfig::default();
         cfg.max_idle_timeout(Some(idle));
         cfg.max_concurrent_uni_streams(VarInt::from_u32(0));
-        cfg.datagram_receive_buffer_size(None);
+        cfg.datagram_receive_buffer_size(Some(PING_BUFFER_BYTES));
         cfg.stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES));
         cfg.send_window(SEND_WINDOW_BYTES);
         Ok(cfg)
--- a/crates/laburnumstall-peer/tests/links/main.rs
+++ b/crates/laburnumstall-peer/tests/links/main.rs
@@ -8,3 +8,5 @@
 mod node;
 mod pinned_certificates;
 mod process_gone;
+mod relay;
+mod silent_link;
--- a/crates/laburnumstall-peer/tests/links/node.rs
+++ b/crates/laburnumstall-peer/tests/links/node.rs
@@ -42,11 +42,20 @@
 
     /// Starts a daemon at an address.
     pub(crate) fn start_at(address: SocketAddr, vm: &str, incarnation: u64) -> Self {
+        Self::start_with(PeerTimeouts::default(), address, vm, incarnation)
+    }
+
+    /// Starts a daemon with its own timeouts.
+    pub(crate) fn start_with(
+        timeouts: PeerTimeouts,
+        address: SocketAddr,
+        vm: &str,
+        incarnation: u64,
+    ) -> Self {
         let daemon = daemon(vm, incarnation);
         let identity = Identity::generate(&daemon).expect("a certificate");
         let pins = Pins::default();
         let (tx, rx) = mpsc::channel(64);
-        let timeouts = PeerTimeouts::default();
         let endpoint =
             PeerEndpoint::bind(identity, address, pins.clone(), timeouts, tx).expect("a socket");
         Self {
--- a/crates/laburnumstall-peer/tests/links/process_gone.rs
+++ b/crates/laburnumstall-peer/tests/links/process_gone.rs
@@ -54,7 +54,7 @@
 }
 
 /// A killed process closes nothing: its runtime is dropped with all its tasks, and only
-/// then its socket. Fails without `session::refused_later`.
+/// then its socket. Fails without the knock in `liveness::answered`.
 #[tokio::test]
 async fn a_killed_process_refuses() {
     let mut a = Node::start("a", 1);
