core: placement controller, order of work before a reclaim, call budget

Cause: a plan needs somebody to carry it out, also after lost replies; a daemon under notice must do first what would be lost; calls to the key-value service are few. Change: the plan is swapped in before it is followed; VM requests carry their slot's token and a listing precedes any repetition after a lost reply; one order at a time for each endpoint; token buckets with parts reserved by purpose. Conclusion: the interfaces stand.

--- a/crates/laburnumstall-core/src/placement.rs
+++ b/crates/laburnumstall-core/src/placement.rs
@@ -1,20 +1,35 @@
 //! What to buy, what to load where, and who may give the orders.
 //!
-//! One daemon of a region holds a lease ([`LeaseHolder`]). It computes a plan from the
-//! operators' text, the present fleet and the cloud's refusals, and an executor derives
+//! One daemon of a region holds a lease ([`LeaseHolder`]). It computes a [`Plan`] from the
+//! operators' text, the present fleet and the cloud's refusals, and [`Placement`] derives
 //! the difference between plan and observation: requests for VMs, orders to endpoints and
 //! releases.
 
 mod capacity;
+mod controller;
+mod endpoint_orders;
 mod lease;
+mod observed;
 mod plan;
+mod plan_keeper;
 mod planner;
+mod reclaim;
+mod refusals;
 mod solver;
+mod vm_requests;
 
 pub use capacity::FIRST_TOKEN_TARGET;
+pub use controller::{PLAN_PERIOD, Placement, PlacementInput, PlacementOutput};
+pub use endpoint_orders::{LOAD_TIMEOUT, REFUSED_PERIOD};
 pub use lease::{
     CALL_TIMEOUT, HolderRecord, LEASE_MARGIN, LEASE_TTL, LONGEST_ORDER, LeaseHolder, POLL_PERIOD,
     RENEW_PERIOD, StoreRequest, TokenRecord,
 };
+pub use observed::ObservedEndpoint;
 pub use plan::{Alternative, Choice, Offer, Plan, PlanInput, PlanRevision, PlanSlot, Shortfall};
 pub use planner::{KEEP_DISCOUNT_PERMILLE, RECLAIM_COST_HOURS, plan};
+pub use reclaim::{CLAIM_BYTES, CLOSING_TIME, HandoverPlan, HandoverWork, reclaim_order};
+pub use refusals::{FIRST_BACKOFF, LONGEST_BACKOFF, Refusals};
+pub use vm_requests::{
+    CLOUD_TIMEOUT, CloudRequest, DRAIN_TIME, Drain, LIST_PERIOD, MAX_CLOUD_CALLS, SURPLUS_TIME,
+};
--- a/crates/laburnumstall-core/src/placement/plan.rs
+++ b/crates/laburnumstall-core/src/placement/plan.rs
@@ -117,6 +117,24 @@
 }
 
 impl Plan {
+    /// Returns a plan without VMs, before the first one.
+    pub(super) fn empty(region: Region) -> Self {
+        Self {
+            revision: PlanRevision(0),
+            configuration: Revision(0),
+            region,
+            slots: Vec::new(),
+            hourly: HourlyPrice(0),
+            shortfalls: Vec::new(),
+            alternatives: Vec::new(),
+        }
+    }
+
+    /// Tells whether another plan wants anything else than this one.
+    pub fn differs(&self, other: &Self) -> bool {
+        self.slots != other.slots || self.shortfalls != other.shortfalls
+    }
+
     /// Records the plan with its price, the alternatives weighed and what falls short.
     pub fn record(&self, now: Timestamp, journal: &mut Journal) {
         let open = self.slots.iter().filter(|slot| slot.vm.is_none()).count();
