core: tests of placement end to end; no load is dropped unseen

Cause: a test of a version change saw 8 of 14 endpoints serving: an endpoint that had loaded the old version, but was not seen to have, was told to drop it. Change: what an endpoint was told to load counts as there. An order is sent within a second of being given out or not at all, so that an older one cannot follow a newer. Fleet and observations are indexed by VM.

--- a/crates/laburnumstall-core/src/placement.rs
+++ b/crates/laburnumstall-core/src/placement.rs
@@ -20,7 +20,7 @@
 
 pub use capacity::FIRST_TOKEN_TARGET;
 pub use controller::{PLAN_PERIOD, Placement, PlacementInput, PlacementOutput};
-pub use endpoint_orders::{LOAD_TIMEOUT, REFUSED_PERIOD};
+pub use endpoint_orders::{LOAD_TIMEOUT, REFUSED_PERIOD, SEND_WITHIN};
 pub use lease::{
     CALL_TIMEOUT, HolderRecord, LEASE_MARGIN, LEASE_TTL, LONGEST_ORDER, LeaseHolder, POLL_PERIOD,
     RENEW_PERIOD, StoreRequest, TokenRecord,
--- a/crates/laburnumstall-core/src/placement/controller.rs
+++ b/crates/laburnumstall-core/src/placement/controller.rs
@@ -5,18 +5,21 @@
 //! observed, gives calls to the cloud API and orders to endpoints. Replies come back by
 //! the `on_` functions and change what the next [`Placement::tick`] gives.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
-use crate::cloud::{CallFailure, CloudReply, EndpointOrder, OrderId, OrderReply, ReclaimNotice};
+use crate::cloud::{
+    CallFailure, ClientToken, CloudReply, EndpointOrder, OrderId, OrderReply, ReclaimNotice,
+};
 use crate::decision::Journal;
 use crate::ids::{CallId, DaemonId, ParseIdError, Region, Revision, VmId};
 use crate::placement::endpoint_orders::{EndpointOrders, FilledSlot, OrderContext};
 use crate::placement::lease::{LeaseHolder, StoreRequest};
 use crate::placement::observed::{Observed, ObservedEndpoint};
-use crate::placement::plan::{Offer, Plan, PlanInput};
+use crate::placement::plan::{Offer, Plan, PlanInput, PlanSlot};
 use crate::placement::plan_keeper::{FIRST_CALL, PlanKeeper};
-use crate::placement::planner::{fills, plan};
+use crate::placement::planner::plan;
 use crate::placement::vm_requests::{CloudRequest, Drain, Permission, VmRequests};
 use crate::store::StoreOutcome;
 use crate::units::Timestamp;
@@ -25,6 +28,9 @@
 /// Time after which a plan is computed again although nothing is known to have changed.
 pub const PLAN_PERIOD: Duration = Duration::from_secs(60);
 
+/// Time that a daemon without the lease remembers what an endpoint has loaded.
+const OBSERVATION_LIFE: Duration = Duration::from_secs(600);
+
 /// What placement follows.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementInput<'a> {
@@ -105,10 +111,15 @@
 
     /// Returns the plan in force, while this daemon holds the lease.
     pub fn plan(&self) -> Option<&Plan> {
-        self.keeper.plan()
+        self.keeper.plan().map(Arc::as_ref)
     }
 
-    /// Tells whether an order may still go out now.
+    /// Tells whether an order may still go out now; one that may not is reported by
+    /// [`Placement::on_order`] as not sent.
+    ///
+    /// After the check the order arrives within [`LONGEST_ORDER`](super::LONGEST_ORDER) less
+    /// [`SEND_WITHIN`](super::SEND_WITHIN), or
+    /// its connection is closed.
     pub fn may_send(&self, now: Timestamp, order: &EndpointOrder, system: &System) -> bool {
         let is_checked = order.loads.iter().all(|load| {
             let service = system.service(&load.service);
@@ -118,7 +129,8 @@
             true => self.lease.may_order(now),
             false => self.lease.may_order_unchecked(now),
         };
-        may_order && self.lease.token(now) == Some(order.fencing)
+        let is_own = self.lease.token(now) == Some(order.fencing);
+        may_order && is_own && self.orders.is_current(now, order)
     }
 
     /// Takes in a reclaim notice: the VM no longer counts for the plan.
@@ -154,10 +166,10 @@
         journal: &mut Journal,
     ) {
         self.vms.on_reply(now, id, outcome, journal);
-        let vms = &self.vms;
-        let is_there = |vm: &VmId| vms.fleet().iter().any(|owned| owned.vm.id == *vm);
-        if vms.is_settled() {
-            self.observed.keep_vms(is_there);
+        if self.vms.is_settled() {
+            let fleet = self.vms.fleet().iter();
+            let ids: BTreeSet<&VmId> = fleet.map(|owned| &owned.vm.id).collect();
+            self.observed.retain(|observed| ids.contains(&observed.vm));
             self.orders.keep(&self.observed);
         }
     }
@@ -188,6 +200,9 @@
         };
         self.follow_lease(now);
         if !self.lease.may_order(now) {
+            let is_fresh =
+                |observed: &ObservedEndpoint| now.since(observed.taken_at) < OBSERVATION_LIFE;
+            self.observed.retain(is_fresh);
             return output;
         }
         output.store.extend(self.keeper.tick(now));
@@ -264,7 +279,7 @@
             share_permille: input.share_permille,
             fleet: self.vms.fleet(),
             serving: &serving,
-            previous: self.keeper.plan(),
+            previous: self.keeper.plan().map(Arc::as_ref),
             refused: &basis.refused,
             spent: self.vms.spent(),
         });
@@ -277,10 +292,15 @@
     }
 
     fn filled<'p>(&self, plan: &'p Plan) -> Vec<FilledSlot<'p>> {
-        let vm_of = |slot| {
-            let mut fleet = self.vms.fleet().iter();
-            let owned = fleet.find(|owned| fills(slot, owned));
-            owned.map(|owned| owned.vm.id.clone())
+        let fleet = self.vms.fleet();
+        let ids: BTreeSet<&VmId> = fleet.iter().map(|owned| &owned.vm.id).collect();
+        let tokens: BTreeMap<&ClientToken, &VmId> = fleet
+            .iter()
+            .filter_map(|owned| Some((owned.token.as_ref()?, &owned.vm.id)))
+            .collect();
+        let vm_of = |slot: &PlanSlot| {
+            let known = slot.vm.as_ref().filter(|vm| ids.contains(vm));
+            known.or(tokens.get(&slot.token).copied()).cloned()
         };
         plan.slots
             .iter()
--- a/crates/laburnumstall-core/src/placement/endpoint_orders.rs
+++ b/crates/laburnumstall-core/src/placement/endpoint_orders.rs
@@ -24,6 +24,9 @@
 /// Time after which an order that the endpoint refused is tried again.
 pub const REFUSED_PERIOD: Duration = Duration::from_secs(60);
 
+/// Time within which an order is sent after it was given out, or not at all.
+pub const SEND_WITHIN: Duration = Duration::from_secs(1);
+
 /// A slot of the plan with the VM that fills it, if one does.
 #[derive(Debug, Clone)]
 pub(super) struct FilledSlot<'a> {
@@ -59,6 +62,11 @@
 }
 
 impl LastOrder {
+    fn is_refused(&self) -> bool {
+        self.answer
+            .is_some_and(|answer| answer != OrderReply::Accepted)
+    }
+
     /// Returns from when on no copy can arrive any more.
     fn closed_at(&self) -> Timestamp {
         match self.copies {
@@ -120,6 +128,13 @@
         orders
     }
 
+    /// Tells whether an order is still the one to send: the last to its endpoint, and fresh.
+    pub(super) fn is_current(&self, now: Timestamp, order: &EndpointOrder) -> bool {
+        self.last
+            .get(&order.endpoint)
+            .is_some_and(|last| last.id == order.id && now.since(last.sent) < SEND_WITHIN)
+    }
+
     /// Takes in an endpoint's answer; returns whether it knows a higher token.
     pub(super) fn on_reply(
         &mut self,
@@ -160,10 +175,7 @@
         let is_loading = |endpoint: &EndpointId, last: &LastOrder| {
             let seen = observed.get(endpoint);
             let is_missing = seen.is_none_or(|seen| !seen.has_all(&last.loads));
-            let is_refused = last
-                .answer
-                .is_some_and(|answer| answer != OrderReply::Accepted);
-            is_missing && !is_refused && now.since(last.sent) < LOAD_TIMEOUT
+            is_missing && !last.is_refused() && now.since(last.sent) < LOAD_TIMEOUT
         };
         self.last
             .iter()
@@ -205,9 +217,17 @@
         observed: &ObservedEndpoint,
         cx: &OrderContext<'_>,
     ) -> Option<Vec<LoadOrder>> {
+        // What it was told to load counts as there, so that it is not dropped unseen.
+        let told = self
+            .last
+            .get(&observed.endpoint)
+            .filter(|last| !last.is_refused());
+        let told = told.map_or(&[][..], |last| &last.loads);
+        let unseen = told.iter().filter(|load| !observed.loads.contains(load));
         let extra: Vec<&LoadOrder> = observed
             .loads
             .iter()
+            .chain(unseen)
             .filter(|load| !slot.loads.contains(load))
             .collect();
         match (observed.has_all(&slot.loads), extra.is_empty()) {
@@ -249,10 +269,7 @@
     fn is_changing(&self, observed: &ObservedEndpoint) -> bool {
         self.last.get(&observed.endpoint).is_some_and(|last| {
             let drops = observed.loads.iter().any(|load| !last.loads.contains(load));
-            let is_refused = last
-                .answer
-                .is_some_and(|answer| answer != OrderReply::Accepted);
-            drops && !observed.has_all(&last.loads) && !is_refused
+            drops && !observed.has_all(&last.loads) && !last.is_refused()
         })
     }
 
--- a/crates/laburnumstall-core/src/placement/observed.rs
+++ b/crates/laburnumstall-core/src/placement/observed.rs
@@ -1,6 +1,6 @@
 //! What the endpoints of a region were seen to have loaded.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::cloud::LoadOrder;
 use crate::domain;
@@ -37,20 +37,36 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Observed {
     endpoints: BTreeMap<EndpointId, ObservedEndpoint>,
+    by_vm: BTreeMap<VmId, BTreeSet<EndpointId>>,
 }
 
 impl Observed {
     /// Takes in a reading; one that is older than the last changes nothing.
     pub(super) fn add(&mut self, observed: ObservedEndpoint) {
         let known = self.endpoints.get(&observed.endpoint);
-        if known.is_none_or(|known| known.taken_at <= observed.taken_at) {
-            self.endpoints.insert(observed.endpoint.clone(), observed);
+        if known.is_some_and(|known| known.taken_at > observed.taken_at) {
+            return;
+        }
+        let of_vm = self.by_vm.entry(observed.vm.clone()).or_default();
+        of_vm.insert(observed.endpoint.clone());
+        let earlier = self
+            .endpoints
+            .insert(observed.endpoint.clone(), observed.clone());
+        if let Some(earlier) = earlier.filter(|earlier| earlier.vm != observed.vm)
+            && let Some(of_vm) = self.by_vm.get_mut(&earlier.vm)
+        {
+            of_vm.remove(&earlier.endpoint);
         }
     }
 
-    /// Forgets endpoints whose VM is gone.
-    pub(super) fn keep_vms(&mut self, is_there: impl Fn(&VmId) -> bool) {
-        self.endpoints.retain(|_, observed| is_there(&observed.vm));
+    /// Forgets the endpoints that `is_kept` does not hold for.
+    pub(super) fn retain(&mut self, is_kept: impl Fn(&ObservedEndpoint) -> bool) {
+        self.endpoints.retain(|_, observed| is_kept(observed));
+        let endpoints = &self.endpoints;
+        for of_vm in self.by_vm.values_mut() {
+            of_vm.retain(|endpoint| endpoints.contains_key(endpoint));
+        }
+        self.by_vm.retain(|_, of_vm| !of_vm.is_empty());
     }
 
     pub(super) fn get(&self, endpoint: &EndpointId) -> Option<&ObservedEndpoint> {
@@ -58,10 +74,11 @@
     }
 
     pub(super) fn on_vm<'a>(&'a self, vm: &VmId) -> impl Iterator<Item = &'a ObservedEndpoint> {
-        let vm = vm.clone();
-        self.endpoints
-            .values()
-            .filter(move |observed| observed.vm == vm)
+        let of_vm = self.by_vm.get(vm);
+        of_vm
+            .into_iter()
+            .flatten()
+            .filter_map(|endpoint| self.endpoints.get(endpoint))
     }
 
     /// Returns one service that each VM's endpoint has loaded.
--- a/crates/laburnumstall-core/src/placement/plan_keeper.rs
+++ b/crates/laburnumstall-core/src/placement/plan_keeper.rs
@@ -3,6 +3,8 @@
 //! A plan is followed only once the swap is known to have taken effect, so the next
 //! holder finds the tokens of every request that may have been made.
 
+use std::sync::Arc;
+
 use crate::ids::{CallId, ParseIdError, Region};
 use crate::placement::lease::{CALL_TIMEOUT, StoreRequest};
 use crate::placement::plan::Plan;
@@ -24,8 +26,8 @@
     key: StoreKey,
     is_loaded: bool,
     version: Option<StoreVersion>,
-    plan: Option<Plan>,
-    proposed: Option<Plan>,
+    plan: Option<Arc<Plan>>,
+    proposed: Option<Arc<Plan>>,
     pending: Option<Pending>,
     due: Timestamp,
     next_call: u64,
@@ -61,13 +63,13 @@
     }
 
     /// Returns the plan in force.
-    pub(super) fn plan(&self) -> Option<&Plan> {
+    pub(super) fn plan(&self) -> Option<&Arc<Plan>> {
         self.plan.as_ref()
     }
 
     /// Begins to swap a newer plan in.
     pub(super) fn propose(&mut self, plan: Plan) {
-        self.proposed = Some(plan);
+        self.proposed = Some(Arc::new(plan));
     }
 
     pub(super) fn tick(&mut self, now: Timestamp) -> Option<StoreRequest> {
@@ -88,7 +90,7 @@
             (true, Some(plan)) => StoreCall::Swap {
                 key: self.key.clone(),
                 expected: self.version,
-                value: serde_json::to_vec(plan).ok(),
+                value: serde_json::to_vec(&**plan).ok(),
                 lease: None,
             },
             (true, None) => return None,
@@ -126,7 +128,9 @@
     fn adopt(&mut self, current: Option<StoredValue>) {
         self.version = current.as_ref().map(|stored| stored.version);
         let value = current.and_then(|stored| stored.value);
-        self.plan = value.and_then(|value| serde_json::from_slice(&value).ok());
+        self.plan = value
+            .and_then(|value| serde_json::from_slice(&value).ok())
+            .map(Arc::new);
         self.proposed = None;
         self.is_loaded = true;
     }
--- a/crates/laburnumstall-core/src/placement/planner.rs
+++ b/crates/laburnumstall-core/src/placement/planner.rs
@@ -288,7 +288,7 @@
 }
 
 /// Tells whether a VM is the one that a slot asks for.
-pub(super) fn fills(slot: &PlanSlot, owned: &OwnedVm) -> bool {
+fn fills(slot: &PlanSlot, owned: &OwnedVm) -> bool {
     slot.vm.as_ref() == Some(&owned.vm.id) || owned.token.as_ref() == Some(&slot.token)
 }
 
--- a/crates/laburnumstall-core/src/placement/vm_requests.rs
+++ b/crates/laburnumstall-core/src/placement/vm_requests.rs
@@ -14,7 +14,6 @@
 use crate::domain;
 use crate::ids::{CallId, VmId};
 use crate::placement::plan::{Offer, Plan, PlanSlot};
-use crate::placement::planner::fills;
 use crate::placement::refusals::Refusals;
 use crate::units::Timestamp;
 use crate::world::{VmRole, VmState};
@@ -34,6 +33,9 @@
 /// Time between a VM's draining and its release.
 pub const DRAIN_TIME: Duration = Duration::from_secs(120);
 
+/// Time after its deadline that a notice is remembered.
+const NOTICE_KEPT: Duration = Duration::from_secs(3_600);
+
 /// Time after which a call that was not sent is tried again.
 const RETRY_PERIOD: Duration = Duration::from_secs(1);
 
@@ -108,6 +110,8 @@
 
     /// Takes in a reclaim notice, ahead of the listing.
     pub(super) fn on_notice(&mut self, notice: &ReclaimNotice) {
+        let keeps = |deadline: &Timestamp| deadline.after(NOTICE_KEPT) > notice.deadline;
+        self.leaving.retain(|_, deadline| keeps(deadline));
         self.leaving.insert(notice.vm.clone(), notice.deadline);
         self.apply_notices();
     }
@@ -255,11 +259,13 @@
 
     fn ask(&mut self, now: Timestamp, plan: &Plan, journal: &mut Journal) -> Vec<CloudRequest> {
         let excluded = self.refusals.excluded(now);
+        let fleet = self.fleet.iter();
+        let held: BTreeSet<&ClientToken> = fleet.filter_map(|o| o.token.as_ref()).collect();
         let is_wanted = |slot: &&PlanSlot| {
             slot.vm.is_none()
                 && !excluded.contains(&slot.offer)
                 && !self.spent.contains(&slot.token)
-                && !self.fleet.iter().any(|owned| fills(slot, owned))
+                && !held.contains(&slot.token)
                 && !self.is_under_way(&slot.token)
         };
         let free = MAX_CLOUD_CALLS.saturating_sub(self.calls.len());
@@ -292,11 +298,17 @@
 
     /// Returns the VMs that no slot wants for long enough.
     fn drain(&mut self, now: Timestamp, plan: &Plan, journal: &mut Journal) -> Vec<Drain> {
+        let tokens: BTreeSet<&ClientToken> = plan.slots.iter().map(|slot| &slot.token).collect();
+        let vms: BTreeSet<&VmId> = plan.slots.iter().filter_map(|s| s.vm.as_ref()).collect();
+        let is_planned = |owned: &OwnedVm| {
+            let by_token = owned.token.as_ref().is_some_and(|t| tokens.contains(t));
+            by_token || vms.contains(&owned.vm.id)
+        };
         let surplus: BTreeSet<VmId> = self
             .fleet
             .iter()
             .filter(|owned| owned.vm.role == VmRole::Endpoint && owned.vm.state == VmState::Live)
-            .filter(|owned| !plan.slots.iter().any(|slot| fills(slot, owned)))
+            .filter(|owned| !is_planned(owned))
             .map(|owned| owned.vm.id.clone())
             .collect();
         self.surplus.retain(|vm, _| surplus.contains(vm));
--- a/crates/laburnumstall-core/tests/order_lease.rs
+++ b/crates/laburnumstall-core/tests/order_lease.rs
@@ -255,7 +255,7 @@
     assert!(world.daemons[0].holder.may_order_unchecked(world.now));
 }
 
-/// Fails without the call of `drop_lapsed` in `LeaseHolder::tick`.
+/// Fails without the next step that `LeaseHolder::give_up` sets.
 #[test]
 fn an_outage_ends_the_lease_and_the_next_take_over_works() {
     let mut world = world(7, 2);
@@ -277,7 +277,7 @@
     let mut world = world(7, 1);
     world.run_for(Duration::from_secs(3));
     world.checking.in_effect = FencingToken(5_000);
-    world.store.lose_all();
+    world.store = FakeStore::default();
     world.run_for(Duration::from_secs(20));
     let daemon = &mut world.daemons[0];
     let low = daemon.holder.token(world.now).unwrap();
--- a/crates/laburnumstall-core/tests/placement_plan.rs
+++ b/crates/laburnumstall-core/tests/placement_plan.rs
@@ -4,19 +4,77 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fastrand::Rng;
-use fleet::{Around, carried, class, offer, offers, service, system, zone};
-use laburnumstall_core::placement::{Offer, Plan};
+use fleet::{class, granted, offer, service, system, zone};
+use laburnumstall_core::cloud::{ClientToken, OwnedVm};
+use laburnumstall_core::ids::Region;
+use laburnumstall_core::placement::{Offer, Plan, PlanInput, plan};
 use laburnumstall_core::prelude::*;
-use laburnumstall_core::world::{Market, VmClassSpec};
+use laburnumstall_core::world::{Market, Target, VmClassSpec};
 
 const MARKETS: [Market; 2] = [Market::Reclaimable, Market::OnDemand];
 
 /// Rounding of the planner's whole numbers.
 const ROUNDING: f64 = 1e-6;
 
+/// What the planner is told besides the system.
+#[derive(Default)]
+struct Around {
+    fleet: Vec<OwnedVm>,
+    refused: BTreeSet<Offer>,
+    spent: BTreeSet<ClientToken>,
+    serving: BTreeMap<VmId, ServiceName>,
+}
+
+impl Around {
+    fn plan(&self, system: &System, previous: Option<&Plan>) -> Plan {
+        let region: Region = "north".parse().unwrap();
+        plan(&PlanInput {
+            system,
+            configuration: Revision(1),
+            region: &region,
+            share_permille: 1_000,
+            fleet: &self.fleet,
+            serving: &self.serving,
+            previous,
+            refused: &self.refused,
+            spent: &self.spent,
+        })
+    }
+
+    /// Grants every open slot of a plan.
+    fn grant(&mut self, plan: &Plan) {
+        for slot in plan.slots.iter().filter(|slot| slot.vm.is_none()) {
+            self.spent.insert(slot.token.clone());
+            self.fleet.push(granted(slot));
+        }
+    }
+}
+
+/// Returns the requests a second that a VM of a class carries at the target, worked out
+/// apart from the planner.
+fn rate(class: &VmClassSpec, target: &Target) -> f64 {
+    let prefill = target.prompt.get() as f64 / class.prefill.get() as f64;
+    let slack = 1.0 - prefill;
+    let busiest = 2.0 * slack / (3.0 * prefill + 2.0 * slack);
+    let decode = target.answer.get() as f64 / class.decode.get() as f64;
+    1.0 / (prefill / busiest + decode)
+}
+
+/// Returns what share of a system's first service its VMs carry without `lost`.
+fn carried(system: &System, offers: &[Offer], lost: Option<&AvailabilityZone>) -> f64 {
+    let target = system.services[0].target.as_ref().unwrap();
+    let left = offers.iter().filter(|offer| Some(&offer.zone) != lost);
+    let rates = left.map(|offer| rate(system.class(&offer.class).unwrap(), target));
+    rates.sum::<f64>() / target.requests.get() as f64
+}
+
+fn offers(plan: &Plan) -> Vec<Offer> {
+    plan.slots.iter().map(|slot| slot.offer.clone()).collect()
+}
+
 fn holds(system: &System, offers: &[Offer]) -> bool {
     let whole = 1.0 - ROUNDING;
     let after_any_loss = system
@@ -264,7 +322,6 @@
     );
 }
 
-/// Fails without the limit of points in `thin`, by time alone; the target holds either way.
 #[test]
 fn a_region_of_the_target_size_is_planned() {
     let system = system(800);
--- /dev/null
+++ b/crates/laburnumstall-core/tests/placement_recovery.rs
@@ -0,0 +1,163 @@
+//! Placement end to end: holders that pause, die and race, lost replies, refusals, waves
+//! and version changes, on endpoints that check the fencing token and ones that do not.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+#[path = "support/store.rs"]
+mod store;
+#[path = "support/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use fleet::system;
+use laburnumstall_core::placement::{DRAIN_TIME, SURPLUS_TIME};
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::world::Market;
+use world::World;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn set_version(world: &mut World, version: &str) {
+    let need = world.system.services[0].model.as_mut().unwrap();
+    need.version = version.parse().unwrap();
+    world.configuration += 1;
+}
+
+/// Fails without `is_current` in `Placement::may_send`, without `closed_at` in
+/// `EndpointOrders::may_send`, or if `VmRequests::on_unknown` does not list again.
+#[test]
+fn no_conflicting_orders_and_no_vm_paid_twice() {
+    let mut takeovers = 0;
+    for seed in 0..1_000 {
+        let mut world = World::new(seed, system(2));
+        world.system.services[0].checks_fencing = seed % 2 == 0;
+        world.holds_two = seed % 3 != 0;
+        world.fault_percent = 25;
+        for round in 0..6 {
+            let index = world.rng.usize(0..2);
+            let pause = Duration::from_millis(world.rng.u64(0..20_000));
+            match world.rng.u32(0..4) {
+                0 => world.daemons[index].paused_until = world.now.after(pause),
+                1 => world.restart(index),
+                2 => set_version(&mut world, ["v1", "v2"][round % 2]),
+                _ => world.store.down = !world.store.down,
+            }
+            let time = Duration::from_millis(world.rng.u64(0..20_000));
+            world.run_for(time);
+        }
+        world.fault_percent = 0;
+        world.store.down = false;
+        assert!(world.settle(5 * MINUTE), "seed {seed} does not settle");
+        let slots = world.slots().unwrap().len();
+        assert_eq!(world.cloud.by_token.len(), slots, "seed {seed} paid twice");
+        let mut daemons = world.daemons.iter();
+        let token = daemons.find_map(|daemon| daemon.placement.lease().token(world.now));
+        takeovers += u64::from(token.unwrap() > FencingToken(1));
+    }
+    assert!(takeovers > 500);
+}
+
+/// Fails without the union of versions in `EndpointOrders::next_loads`.
+#[test]
+fn versions_change_without_an_endpoint_less_if_both_fit() {
+    let mut world = World::new(7, system(20));
+    assert!(world.settle(5 * MINUTE));
+    let before = world.serving();
+    set_version(&mut world, "v2");
+    let end = world.now.after(10 * MINUTE);
+    while world.now < end && !world.is_settled() {
+        world.step();
+        assert_eq!(world.serving(), before, "at {}", world.now);
+    }
+    assert!(world.is_settled());
+}
+
+/// Fails without `others_serve` in `EndpointOrders::next_loads`.
+#[test]
+fn versions_change_one_endpoint_at_a_time_if_one_fits() {
+    let mut world = World::new(7, system(20));
+    world.holds_two = false;
+    assert!(world.settle(5 * MINUTE));
+    let before = world.serving();
+    set_version(&mut world, "v2");
+    let end = world.now.after(30 * MINUTE);
+    while world.now < end && !world.is_settled() {
+        world.step();
+        assert!(world.serving() + 1 >= before, "at {}", world.now);
+    }
+    assert!(world.is_settled());
+}
+
+/// Fails without the replanning on a changed fleet in `Placement::replan`.
+#[test]
+fn a_second_zone_is_lost_before_recovery_and_the_holder_dies_each_time() {
+    for step in 0..60 {
+        let mut world = World::new(step, system(10));
+        assert!(world.settle(5 * MINUTE));
+        for (lost, rest) in [("a", step), ("b", 60 - step)] {
+            let zone: AvailabilityZone = lost.parse().unwrap();
+            world.take_vms(|vm| vm.zone == zone);
+            for class in ["large", "small"] {
+                let refused = fleet::offer(class, Market::Reclaimable, lost);
+                world.cloud.refused.insert(refused);
+            }
+            world.run_for(Duration::from_millis(250 * rest));
+            let holder = world
+                .daemons
+                .iter()
+                .position(|daemon| daemon.placement.lease().may_order(world.now));
+            world.restart(holder.unwrap_or(0));
+        }
+        assert!(world.settle(10 * MINUTE), "step {step}");
+        let bought = world.cloud.by_token.len();
+        world.run_for(MINUTE);
+        assert_eq!(
+            world.cloud.by_token.len(),
+            bought,
+            "step {step} goes on buying"
+        );
+    }
+}
+
+/// Fails without `Refusals::refuse` in `VmRequests::on_reply`.
+#[test]
+fn a_class_that_is_refused_everywhere_is_left_alone_and_replaced() {
+    let mut world = World::new(7, system(10));
+    for zone in ["a", "b", "c"] {
+        for market in [Market::Reclaimable, Market::OnDemand] {
+            world
+                .cloud
+                .refused
+                .insert(fleet::offer("large", market, zone));
+        }
+    }
+    assert!(world.settle(5 * MINUTE));
+    let slots = world.slots().unwrap();
+    assert!(
+        slots
+            .iter()
+            .all(|slot| slot.offer.class.as_str() == "small")
+    );
+    let refusals = world.journal.take();
+    let backed_off = refusals.iter().filter(|d| d.choice == "back-off").count();
+    assert!(
+        backed_off <= 12,
+        "each offer is refused about once, not {backed_off} times"
+    );
+}
+
+/// Fails without the wait for readiness before `VmRequests::drain` in `Placement::tick`.
+#[test]
+fn superfluous_vms_are_drained_and_released_after_their_replacements_are_ready() {
+    let mut world = World::new(7, system(20));
+    assert!(world.settle(5 * MINUTE));
+    let before = world.cloud.vms.len();
+    world.system.services[0].target.as_mut().unwrap().requests = RequestRate(6);
+    world.configuration += 1;
+    world.run_for(SURPLUS_TIME);
+    assert_eq!(world.cloud.vms.len(), before, "hysteresis");
+    world.run_for(DRAIN_TIME + 2 * MINUTE);
+    let slots = world.slots().unwrap().len();
+    assert!(slots < before && world.cloud.vms.len() == slots && world.is_settled());
+}
--- a/crates/laburnumstall-core/tests/support/fleet.rs
+++ b/crates/laburnumstall-core/tests/support/fleet.rs
@@ -1,11 +1,9 @@
 //! A small system and its VMs for tests of placement.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use laburnumstall_core::cloud::{ClientToken, OwnedVm};
-use laburnumstall_core::ids::Region;
-use laburnumstall_core::placement::{Offer, Plan, PlanInput, PlanSlot, plan};
+use laburnumstall_core::cloud::OwnedVm;
+use laburnumstall_core::placement::{Offer, PlanSlot};
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::units::HourlyPrice;
 use laburnumstall_core::world::{Market, ModelNeed, Target, VmClassSpec, VmRole};
@@ -70,40 +68,6 @@
     }
 }
 
-/// What the planner is told besides the system.
-#[derive(Default)]
-pub(crate) struct Around {
-    pub(crate) fleet: Vec<OwnedVm>,
-    pub(crate) refused: BTreeSet<Offer>,
-    pub(crate) spent: BTreeSet<ClientToken>,
-    pub(crate) serving: BTreeMap<VmId, ServiceName>,
-}
-
-impl Around {
-    pub(crate) fn plan(&self, system: &System, previous: Option<&Plan>) -> Plan {
-        let region: Region = "north".parse().unwrap();
-        plan(&PlanInput {
-            system,
-            configuration: Revision(1),
-            region: &region,
-            share_permille: 1_000,
-            fleet: &self.fleet,
-            serving: &self.serving,
-            previous,
-            refused: &self.refused,
-            spent: &self.spent,
-        })
-    }
-
-    /// Grants every open slot of a plan.
-    pub(crate) fn grant(&mut self, plan: &Plan) {
-        for slot in plan.slots.iter().filter(|slot| slot.vm.is_none()) {
-            self.spent.insert(slot.token.clone());
-            self.fleet.push(granted(slot));
-        }
-    }
-}
-
 pub(crate) fn granted(slot: &PlanSlot) -> OwnedVm {
     OwnedVm {
         vm: Vm {
@@ -119,28 +83,6 @@
     }
 }
 
-/// Returns the requests a second that a VM of a class carries at the target, worked out
-/// apart from the planner.
-pub(crate) fn rate(class: &VmClassSpec, target: &Target) -> f64 {
-    let prefill = target.prompt.get() as f64 / class.prefill.get() as f64;
-    let slack = 1.0 - prefill;
-    let busiest = 2.0 * slack / (3.0 * prefill + 2.0 * slack);
-    let decode = target.answer.get() as f64 / class.decode.get() as f64;
-    1.0 / (prefill / busiest + decode)
-}
-
-/// Returns what share of a system's first service its VMs carry without `lost`.
-pub(crate) fn carried(system: &System, offers: &[Offer], lost: Option<&AvailabilityZone>) -> f64 {
-    let target = system.services[0].target.as_ref().unwrap();
-    let left = offers.iter().filter(|offer| Some(&offer.zone) != lost);
-    let rates = left.map(|offer| rate(system.class(&offer.class).unwrap(), target));
-    rates.sum::<f64>() / target.requests.get() as f64
-}
-
-pub(crate) fn offers(plan: &Plan) -> Vec<Offer> {
-    plan.slots.iter().map(|slot| slot.offer.clone()).collect()
-}
-
 pub(crate) fn offer(class: &str, market: Market, zone: &str) -> Offer {
     Offer {
         class: class.parse().unwrap(),
--- a/crates/laburnumstall-core/tests/support/store.rs
+++ b/crates/laburnumstall-core/tests/support/store.rs
@@ -67,12 +67,6 @@
         })
     }
 
-    /// Goes back to an empty store, as after a restore from a much older copy.
-    pub(crate) fn lose_all(&mut self) {
-        self.entries.clear();
-        self.leases.clear();
-    }
-
     fn swap(
         &mut self,
         key: &StoreKey,
--- /dev/null
+++ b/crates/laburnumstall-core/tests/support/world.rs
@@ -0,0 +1,422 @@
+//! Daemons, a key-value service, a cloud and engines in virtual time, with faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use fastrand::Rng;
+use laburnumstall_core::cloud::{
+    CallFailure, ClientToken, CloudCall, CloudReply, EndpointOrder, LoadOrder, OrderId, OrderReply,
+    OwnedVm,
+};
+use laburnumstall_core::placement::{
+    LONGEST_ORDER, ObservedEndpoint, Offer, Placement, PlacementInput, PlanSlot, SEND_WITHIN,
+};
+use laburnumstall_core::prelude::*;
+
+use crate::fleet::granted;
+use crate::store::FakeStore;
+
+pub(crate) const STEP: Duration = Duration::from_millis(250);
+const BOOT_TIME: Duration = Duration::from_secs(5);
+const LOAD_TIME: Duration = Duration::from_secs(4);
+const READ_PERIOD: Duration = Duration::from_secs(2);
+
+/// The cloud: a repeated token gives the same VM.
+#[derive(Default)]
+pub(crate) struct FakeCloud {
+    pub(crate) vms: Vec<OwnedVm>,
+    pub(crate) by_token: BTreeMap<ClientToken, OwnedVm>,
+    pub(crate) refused: BTreeSet<Offer>,
+}
+
+/// An engine; it takes orders with a lower number only if it does not check them.
+pub(crate) struct FakeEngine {
+    vm: VmId,
+    pub(crate) loads: Vec<LoadOrder>,
+    wanted: Vec<LoadOrder>,
+    ready_at: Timestamp,
+    highest: FencingToken,
+    /// Holder and number of the last order in effect.
+    last: (FencingToken, u64),
+}
+
+enum Message {
+    Store(CallId, StoreOutcome),
+    Cloud(CallId, Result<CloudReply, CallFailure>),
+    Answer(OrderId, Result<OrderReply, CallFailure>),
+    Reading(ObservedEndpoint),
+    /// An order on its way to an endpoint, with its number among all orders.
+    Order(EndpointOrder, u64),
+}
+
+struct Delivery {
+    at: Timestamp,
+    daemon: usize,
+    message: Message,
+}
+
+pub(crate) struct Daemon {
+    pub(crate) placement: Placement,
+    pub(crate) paused_until: Timestamp,
+    /// Orders given out and not yet sent.
+    outbox: Vec<(Timestamp, EndpointOrder, u64)>,
+    incarnation: u64,
+}
+
+pub(crate) struct World {
+    pub(crate) now: Timestamp,
+    pub(crate) rng: Rng,
+    pub(crate) system: System,
+    pub(crate) configuration: u64,
+    pub(crate) store: FakeStore,
+    pub(crate) cloud: FakeCloud,
+    pub(crate) engines: BTreeMap<EndpointId, FakeEngine>,
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) fault_percent: u32,
+    pub(crate) holds_two: bool,
+    pub(crate) journal: Journal,
+    deliveries: Vec<Delivery>,
+    orders: u64,
+}
+
+fn placement(number: usize, incarnation: u64) -> Placement {
+    let id = format!("vm-{number}@{incarnation}").parse().unwrap();
+    Placement::new(id, "north".parse().unwrap()).unwrap()
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, system: System) -> Self {
+        let daemon = |number| Daemon {
+            placement: placement(number, 1),
+            paused_until: Timestamp::ZERO,
+            outbox: Vec::new(),
+            incarnation: 1,
+        };
+        Self {
+            now: Timestamp::ZERO,
+            rng: Rng::with_seed(seed),
+            system,
+            configuration: 1,
+            store: FakeStore::default(),
+            cloud: FakeCloud::default(),
+            engines: BTreeMap::new(),
+            daemons: (0..2).map(daemon).collect(),
+            fault_percent: 0,
+            holds_two: true,
+            journal: Journal::default(),
+            deliveries: Vec::new(),
+            orders: 0,
+        }
+    }
+
+    pub(crate) fn run_for(&mut self, time: Duration) {
+        let end = self.now.after(time);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until every slot of the plan in force has its loads, at most for `patience`.
+    pub(crate) fn settle(&mut self, patience: Duration) -> bool {
+        let end = self.now.after(patience);
+        while self.now < end && !self.is_settled() {
+            self.step();
+        }
+        self.is_settled()
+    }
+
+    pub(crate) fn is_settled(&self) -> bool {
+        let Some(slots) = self.slots() else {
+            return false;
+        };
+        let is_filled = |slot: &PlanSlot| {
+            let vm =
+                self.cloud.vms.iter().find(|vm| {
+                    vm.token.as_ref() == Some(&slot.token) && vm.vm.state == VmState::Live
+                });
+            let mut engines = self.engines.values();
+            let mut loads = slot.loads.clone();
+            loads.sort_by(|a, b| a.service.cmp(&b.service));
+            vm.is_some_and(|vm| engines.any(|e| e.vm == vm.vm.id && e.loads == loads))
+        };
+        !slots.is_empty() && slots.iter().all(is_filled) && self.follows_text(&slots)
+    }
+
+    fn follows_text(&self, slots: &[PlanSlot]) -> bool {
+        let version = &self.system.services[0].model.as_ref().unwrap().version;
+        slots.iter().all(|slot| slot.loads[0].version == *version)
+    }
+
+    /// Returns the slots of the holder's plan.
+    pub(crate) fn slots(&self) -> Option<Vec<PlanSlot>> {
+        let mut daemons = self.daemons.iter();
+        let holder = daemons.find(|daemon| daemon.placement.lease().may_order(self.now))?;
+        holder.placement.plan().map(|plan| plan.slots.clone())
+    }
+
+    /// Returns how many engines answer requests of the first service.
+    pub(crate) fn serving(&self) -> usize {
+        let name = &self.system.services[0].name;
+        let serves = |engine: &&FakeEngine| engine.loads.iter().any(|load| load.service == *name);
+        self.engines.values().filter(serves).count()
+    }
+
+    /// Replaces a daemon's process; what it had given out and not sent is lost.
+    pub(crate) fn restart(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        daemon.incarnation += 1;
+        daemon.placement = placement(index, daemon.incarnation);
+        daemon.outbox.clear();
+        let for_endpoint = |d: &Delivery| matches!(d.message, Message::Order(..));
+        self.deliveries
+            .retain(|delivery| delivery.daemon != index || for_endpoint(delivery));
+    }
+
+    /// Takes VMs away at once, with their engines.
+    pub(crate) fn take_vms(&mut self, is_taken: impl Fn(&Vm) -> bool) {
+        self.cloud.vms.retain(|owned| !is_taken(&owned.vm));
+        let vms = &self.cloud.vms;
+        self.engines
+            .retain(|_, engine| vms.iter().any(|owned| owned.vm.id == engine.vm));
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        self.load();
+        self.deliver();
+        for index in 0..self.daemons.len() {
+            if self.daemons[index].paused_until <= self.now {
+                self.run_daemon(index);
+            }
+        }
+    }
+
+    fn load(&mut self) {
+        for engine in self.engines.values_mut() {
+            if engine.ready_at <= self.now {
+                engine.loads.clone_from(&engine.wanted);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let all = std::mem::take(&mut self.deliveries);
+        for delivery in all {
+            let is_for_engine = matches!(delivery.message, Message::Order(..));
+            let is_awake = self.daemons[delivery.daemon].paused_until <= self.now;
+            if delivery.at > self.now || (!is_for_engine && !is_awake) {
+                self.deliveries.push(delivery);
+                continue;
+            }
+            let placement = &mut self.daemons[delivery.daemon].placement;
+            let journal = &mut self.journal;
+            match delivery.message {
+                Message::Store(id, outcome) => placement.on_store(self.now, id, outcome, journal),
+                Message::Cloud(id, outcome) => placement.on_cloud(self.now, id, outcome, journal),
+                Message::Answer(id, outcome) => placement.on_order(self.now, &id, outcome, journal),
+                Message::Reading(observed) => placement.on_endpoint(observed),
+                Message::Order(order, number) => self.land(delivery.daemon, order, number),
+            }
+        }
+    }
+
+    /// An order arrives; one that follows a later one with other loads is a conflict.
+    fn land(&mut self, daemon: usize, order: EndpointOrder, number: u64) {
+        let checks = self.system.services[0].checks_fencing;
+        let Some(engine) = self.engines.get_mut(&order.endpoint) else {
+            return;
+        };
+        let versions = order
+            .loads
+            .iter()
+            .filter(|l| l.service == order.loads[0].service);
+        let reply = if checks && order.fencing < engine.highest {
+            OrderReply::Fenced
+        } else if !self.holds_two && versions.count() > 1 {
+            OrderReply::Refused
+        } else {
+            let is_later = (order.fencing, number) > engine.last;
+            assert!(
+                is_later || order.loads == engine.wanted,
+                "order {number} of {} follows {:?} at {}",
+                order.fencing,
+                engine.last,
+                self.now
+            );
+            engine.highest = engine.highest.max(order.fencing);
+            engine.last = engine.last.max((order.fencing, number));
+            engine.loads.retain(|load| order.loads.contains(load));
+            if engine.wanted != order.loads {
+                engine.ready_at = self.now.after(LOAD_TIME);
+            }
+            engine.wanted = order.loads.clone();
+            OrderReply::Accepted
+        };
+        let answer = Message::Answer(order.id, Ok(reply));
+        if !self.is_faulty() {
+            let delay = Duration::from_millis(5);
+            self.post(daemon, delay, answer);
+        }
+    }
+
+    fn run_daemon(&mut self, index: usize) {
+        let input = PlacementInput {
+            system: &self.system,
+            configuration: Revision(self.configuration),
+            share_permille: 1_000,
+            loads_at_once: 8,
+        };
+        let daemon = &mut self.daemons[index];
+        let output = daemon.placement.tick(self.now, &input, &mut self.journal);
+        for request in output.store {
+            let outcome = self.call_store(&request.call);
+            let delay = self.delay();
+            self.post(index, delay, Message::Store(request.id, outcome));
+        }
+        for request in output.cloud {
+            let outcome = self.call_cloud(&request.call);
+            let delay = self.delay();
+            self.post(index, delay, Message::Cloud(request.id, outcome));
+        }
+        for order in output.orders {
+            self.orders += 1;
+            let wait = self.delay();
+            let ready = self.now.after(wait);
+            let entry = (ready, order, self.orders);
+            self.daemons[index].outbox.push(entry);
+        }
+        self.send_orders(index);
+        self.read_engines(index);
+    }
+
+    /// Sends the orders that are due, asking for leave right before.
+    fn send_orders(&mut self, index: usize) {
+        let outbox = std::mem::take(&mut self.daemons[index].outbox);
+        for (ready, order, number) in outbox {
+            let daemon = &mut self.daemons[index];
+            if ready > self.now {
+                daemon.outbox.push((ready, order, number));
+            } else if daemon.placement.may_send(self.now, &order, &self.system) {
+                let longest = (LONGEST_ORDER - SEND_WITHIN).as_millis() as u64;
+                let flight = match self.fault_percent {
+                    0 => 10,
+                    _ => self.rng.u64(0..longest),
+                };
+                let message = Message::Order(order, number);
+                self.post(index, Duration::from_millis(flight), message);
+            } else {
+                let outcome = Err(CallFailure::NotSent);
+                let journal = &mut self.journal;
+                daemon
+                    .placement
+                    .on_order(self.now, &order.id, outcome, journal);
+            }
+        }
+    }
+
+    fn read_engines(&mut self, index: usize) {
+        if !self.now.0.is_multiple_of(READ_PERIOD.as_micros() as u64) {
+            return;
+        }
+        let readings: Vec<ObservedEndpoint> = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.ready_at > Timestamp::ZERO)
+            .map(|(id, engine)| ObservedEndpoint {
+                endpoint: id.clone(),
+                vm: engine.vm.clone(),
+                loads: engine.loads.clone(),
+                taken_at: self.now,
+            })
+            .collect();
+        for reading in readings {
+            let delay = self.delay();
+            self.post(index, delay, Message::Reading(reading));
+        }
+    }
+
+    fn call_store(&mut self, call: &StoreCall) -> StoreOutcome {
+        if self.is_faulty() && self.rng.bool() {
+            return Err(StoreFailure::Unknown);
+        }
+        let outcome = self.store.call(self.now, call);
+        match self.is_faulty() {
+            true => Err(StoreFailure::Unknown),
+            false => outcome,
+        }
+    }
+
+    fn call_cloud(&mut self, call: &CloudCall) -> Result<CloudReply, CallFailure> {
+        if self.is_faulty() && self.rng.bool() {
+            return Err(CallFailure::Unknown);
+        }
+        let reply = match call {
+            CloudCall::List => CloudReply::Vms(self.cloud.vms.clone()),
+            CloudCall::Release { vm } => {
+                let vm = vm.clone();
+                self.take_vms(|taken| taken.id == vm);
+                CloudReply::Released
+            }
+            CloudCall::Request(request) => {
+                let offer = Offer {
+                    class: request.class.clone(),
+                    market: request.market,
+                    zone: request.zone.clone(),
+                };
+                match self.cloud.by_token.get(&request.token) {
+                    Some(known) => CloudReply::Granted(known.clone()),
+                    None if self.cloud.refused.contains(&offer) => CloudReply::Refused,
+                    None => CloudReply::Granted(self.grant(offer, &request.token)),
+                }
+            }
+        };
+        match self.is_faulty() {
+            true => Err(CallFailure::Unknown),
+            false => Ok(reply),
+        }
+    }
+
+    fn grant(&mut self, offer: Offer, token: &ClientToken) -> OwnedVm {
+        let owned = granted(&PlanSlot {
+            token: token.clone(),
+            offer,
+            pool: self.system.services[0].name.clone(),
+            loads: Vec::new(),
+            vm: None,
+        });
+        self.cloud.vms.push(owned.clone());
+        self.cloud.by_token.insert(token.clone(), owned.clone());
+        let engine = FakeEngine {
+            vm: owned.vm.id.clone(),
+            loads: Vec::new(),
+            wanted: Vec::new(),
+            ready_at: self.now.after(BOOT_TIME),
+            highest: FencingToken(0),
+            last: (FencingToken(0), 0),
+        };
+        let id = format!("e-{}", owned.vm.id).parse().unwrap();
+        self.engines.insert(id, engine);
+        owned
+    }
+
+    fn is_faulty(&mut self) -> bool {
+        self.rng.u32(0..100) < self.fault_percent
+    }
+
+    fn delay(&mut self) -> Duration {
+        let millis = match self.is_faulty() {
+            true => self.rng.u64(0..3_000),
+            false => 5,
+        };
+        Duration::from_millis(millis)
+    }
+
+    fn post(&mut self, daemon: usize, delay: Duration, message: Message) {
+        let at = self.now.after(delay);
+        self.deliveries.push(Delivery {
+            at,
+            daemon,
+            message,
+        });
+    }
+}
