--- a/crates/laburnumstall-core/tests/placement_recovery.rs
+++ b/crates/laburnumstall-core/tests/placement_recovery.rs
@@ -146,7 +146,7 @@
 #[test]
 fn a_lost_reply_and_a_refusal_of_the_same_offer_buy_nothing_twice() {
     for lost in 1..8 {
-        let mut world = World::new(7, system(4));
+        let mut world = World::new(7, system(12));
         world.cloud.most = Some(1);
         world.lost_grants = lost;
         assert!(world.settle(5 * MINUTE), "{lost} replies lost");
