--- /dev/null
+++ b/crates/laburnumstall-core/tests/budget_rates.rs
@@ -0,0 +1,105 @@
+//! Calls to the key-value service under a rate, and what gives way first.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use laburnumstall_core::budget::{Admission, CallBudget, CallKind, CallRates, Operation, Purpose};
+use laburnumstall_core::prelude::*;
+
+const RATES: CallRates = CallRates {
+    reads: RequestRate(20),
+    writes: RequestRate(5),
+};
+
+const PURPOSES: [Purpose; 4] = [
+    Purpose::Placement,
+    Purpose::Configuration,
+    Purpose::Membership,
+    Purpose::Claims,
+];
+
+fn kind(operation: Operation, purpose: Purpose) -> CallKind {
+    CallKind { operation, purpose }
+}
+
+/// Fails without the check of the level in `Bucket::take`.
+#[test]
+fn calls_stay_under_the_rate_whatever_is_asked() {
+    let operations = [Operation::Read, Operation::Write, Operation::Watch];
+    for seed in 0..1_000 {
+        let mut rng = Rng::with_seed(seed);
+        let mut budget = CallBudget::new(RATES);
+        let mut now = Timestamp::from_millis(1_000_000);
+        let start = now;
+        for _ in 0..300 {
+            now = now.after(Duration::from_millis(rng.u64(0..60)));
+            let asked = kind(operations[rng.usize(0..3)], PURPOSES[rng.usize(0..4)]);
+            budget.admit(now, asked);
+        }
+        let seconds = now.since(start).as_secs_f64() + 2.0;
+        let made = |is_write: bool| -> u64 {
+            let of_kind = budget
+                .counts()
+                .filter(|count| (count.kind.operation == Operation::Write) == is_write);
+            of_kind.map(|count| count.admitted).sum()
+        };
+        assert!(made(false) as f64 <= 20.0 * seconds && made(true) as f64 <= 5.0 * seconds);
+    }
+}
+
+/// Fails without `reserved_quarters` in `Bucket::take`.
+#[test]
+fn placement_waits_first_and_claims_last() {
+    let mut budget = CallBudget::new(RATES);
+    let now = Timestamp::from_millis(1_000);
+    let mut waited = Vec::new();
+    for _ in 0..20 {
+        for purpose in PURPOSES {
+            let asked = kind(Operation::Write, purpose);
+            let is_new = !waited.contains(&purpose);
+            if is_new && budget.admit(now, asked) != Admission::Now {
+                waited.push(purpose);
+            }
+        }
+    }
+    assert_eq!(waited, PURPOSES);
+}
+
+/// Fails if the wait in `Bucket::take` is counted short or long.
+#[test]
+fn a_call_is_admitted_after_the_wait_that_it_was_told() {
+    for purpose in PURPOSES {
+        let mut budget = CallBudget::new(RATES);
+        let asked = kind(Operation::Read, purpose);
+        let mut now = Timestamp::from_millis(1_000);
+        for _ in 0..200 {
+            if let Admission::Wait(wait) = budget.admit(now, asked) {
+                let early = now.after(wait.saturating_sub(Duration::from_millis(1)));
+                assert!(
+                    wait < Duration::from_millis(2)
+                        || budget.clone().admit(early, asked) != Admission::Now
+                );
+                now = now.after(wait);
+                assert_eq!(budget.admit(now, asked), Admission::Now);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_waiting_watch_counts_as_one_read() {
+    let mut budget = CallBudget::new(RATES);
+    let call = StoreCall::Watch {
+        prefix: "daemons/".parse().unwrap(),
+        after: StoreVersion(0),
+        wait: Duration::from_secs(30),
+    };
+    let now = Timestamp::from_millis(1_000);
+    let asked = CallKind::of(&call, Purpose::Claims);
+    let made = (0..100).filter(|_| budget.admit(now, asked) == Admission::Now);
+    assert_eq!(made.count(), 40, "two seconds' worth of reads");
+    let read = kind(Operation::Read, Purpose::Claims);
+    assert!(matches!(budget.admit(now, read), Admission::Wait(_)));
+    let line = asked.delay(now, Duration::from_millis(50)).to_string();
+    assert!(line.contains("operation=watch purpose=claims wait_ms=50"));
+}
