Spread load under late reports, and share endpoints between daemons

Cause: least-of-two on reports a second old sends all daemons to the same endpoints. Change: chance picks in proportion to free places; a report is dated by its endpoint or its arrival, whichever is earlier; each endpoint picks its daemons by rendezvous hashing; suspects are dealt to daemons; trial requests end; cache views survive restarts.

--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -8,9 +8,11 @@
 mod cache;
 mod candidates;
 mod health;
+mod peers;
 mod pool;
 mod query;
 mod score;
+mod selection;
 mod slot;
 
 use std::collections::BTreeMap;
@@ -18,24 +20,23 @@
 
 use fastrand::Rng;
 
-use crate::hash;
 use crate::prelude::*;
 pub use cache::CacheReport;
 use health::Health;
+pub use peers::Peer;
 use pool::Pool;
 pub use pool::SUBSET_SIZE;
 pub use query::{Route, RouteQuery};
-use score::{Alternatives, Candidate, Score};
-use slot::{InFlight, Slot};
-
-/// Time after which a caller can come back when no endpoint can be used.
-const NO_ENDPOINT_WAIT: Duration = Duration::from_secs(2);
+use slot::Slot;
 
 /// One daemon's view of the endpoints.
 #[derive(Debug, Clone)]
 pub struct Router {
     hash: u64,
     zone: AvailabilityZone,
+    known_peers: Vec<Peer>,
+    /// Hashes of the other daemons of the region.
+    peers: Vec<u64>,
     rng: Rng,
     system: System,
     subset_size: usize,
@@ -48,10 +49,12 @@
 impl Router {
     /// Creates the router of a daemon in a zone; it knows no endpoint yet.
     pub fn new(own: &DaemonId, zone: AvailabilityZone) -> Self {
-        let hash = hash::digest64(&[own.to_string().as_bytes()]);
+        let hash = peers::hash_of(own);
         Self {
             hash,
             zone,
+            known_peers: Vec::new(),
+            peers: Vec::new(),
             rng: Rng::with_seed(hash),
             system: System::default(),
             subset_size: SUBSET_SIZE,
@@ -73,6 +76,15 @@
         self.refresh();
     }
 
+    /// Takes over the list of live daemons, with or without this one.
+    ///
+    /// Those of the same region share its endpoints: each uses a subset, and each may retry
+    /// suspects on endpoints of its own.
+    pub fn set_peers(&mut self, peers: &[Peer]) {
+        self.known_peers = peers.to_vec();
+        self.refresh();
+    }
+
     /// Takes over the whole list of known endpoints; those that stay keep their state.
     ///
     /// An endpoint whose address changed is a new process and starts afresh.
@@ -131,11 +143,10 @@
         let Some(slot) = self.slot_mut(id) else {
             return;
         };
-        let health = slot.health.failed(now);
-        if health == slot.health {
+        if matches!(slot.health, Health::Leaving | Health::Gone) {
             return;
         }
-        slot.health = health;
+        slot.on_failed(now);
         let mut decision = Decision::new(now, DecisionKind::Membership, "no-work", "failed")
             .with("endpoint", id)
             .with("in_flight", slot.in_flight.len());
@@ -180,12 +191,12 @@
         let best = scores.iter().min_by_key(|score| score.cost).copied();
         let Some(best) = best else {
             let refusal = self.no_endpoint(now, query);
-            journal.record(refused(now, query, &refusal));
+            journal.record(selection::refused(now, query, &refusal));
             return Err(refusal);
         };
         journal.record(self.chosen(now, query, &best, &scores, usable.len()));
-        self.hold_place(now, query, &best);
-        let slot = &self.slots[best.candidate.slot];
+        let slot = &mut self.slots[best.candidate.slot];
+        slot.on_chosen(now, query.attempt, query.isolated);
         Ok(Route {
             endpoint: slot.endpoint.id.clone(),
             address: slot.endpoint.address,
@@ -205,15 +216,8 @@
         let Some(slot) = self.slot_mut(&route.endpoint) else {
             return;
         };
-        let is_suspect = slot.in_flight.get(attempt).is_some_and(|a| a.is_suspect);
-        let in_flight = InFlight {
-            started_at: now,
-            uncached: request.prompt.minus(route.expected_cached),
-            has_first_token: false,
-            is_suspect,
-        };
-        slot.in_flight.insert(attempt.clone(), in_flight);
-        slot.cache.on_sent(now, &request.prefix);
+        let uncached = request.prompt.minus(route.expected_cached);
+        slot.on_started(now, attempt, uncached, &request.prefix);
         self.attempts
             .insert(attempt.clone(), route.endpoint.clone());
     }
@@ -231,6 +235,9 @@
     /// Takes in that an attempt has ended in any way; a repetition has no effect.
     pub fn finished(&mut self, now: Timestamp, attempt: &AttemptId) {
         let Some(id) = self.attempts.remove(attempt) else {
+            for slot in &mut self.slots {
+                slot.release(attempt);
+            }
             return;
         };
         if let Some(slot) = self.slot_mut(&id) {
@@ -251,118 +258,14 @@
     pub fn expected_first_token(&self, now: Timestamp, request: &Request) -> Option<Duration> {
         let pool = self.pools.get(&request.service)?;
         let is_plain = self.is_plain(&request.service);
-        pool.subset
-            .iter()
-            .map(|index| &self.slots[*index])
-            .filter(|slot| slot.health == Health::Usable)
-            .map(|slot| slot.expected_first_token(now, request, is_plain))
-            .min()
-    }
-
-    fn usable(&self, now: Timestamp, query: &RouteQuery<'_>) -> Vec<usize> {
-        let Some(pool) = self.pools.get(&query.request.service) else {
-            return Vec::new();
-        };
-        let among = |indices: &[usize]| -> Vec<usize> {
-            let is_usable = |index: &usize| self.is_usable(now, query, &self.slots[*index]);
-            indices.iter().copied().filter(is_usable).collect()
-        };
-        let usable = among(&pool.subset);
-        if usable.is_empty() && pool.all.len() > pool.subset.len() {
-            return among(&pool.all);
-        }
-        usable
-    }
-
-    fn is_usable(&self, now: Timestamp, query: &RouteQuery<'_>, slot: &Slot) -> bool {
-        let is_probe = || query.request.idempotent && slot.health.is_probe_due(now);
-        let is_healthy = slot.health == Health::Usable || is_probe();
-        is_healthy
-            && slot.occupancy() < slot.batch()
-            && !(query.isolated && slot.has_suspect())
-            && !query.excluded.contains(&slot.endpoint.id)
-    }
-
-    fn scores(&mut self, now: Timestamp, query: &RouteQuery<'_>, usable: &[usize]) -> Vec<Score> {
-        if self.is_plain(&query.request.service) {
-            let score = |slot: &usize| {
-                let candidate = Candidate {
-                    slot: *slot,
-                    hashed_blocks: 0,
-                };
-                score::plain(candidate, &self.slots[*slot])
-            };
-            return usable.iter().map(score).collect();
-        }
-        candidates::pick(&query.request.prefix, usable, &self.slots, &mut self.rng)
-            .into_iter()
-            .map(|candidate| score::model(now, query, candidate, &self.slots[candidate.slot]))
-            .collect()
-    }
-
-    /// Counts an isolated attempt on its endpoint at once, before it is reported started.
-    fn hold_place(&mut self, now: Timestamp, query: &RouteQuery<'_>, best: &Score) {
-        let slot = &mut self.slots[best.candidate.slot];
-        if let Health::Failed { probe, .. } = &mut slot.health {
-            *probe = Some(query.attempt.clone());
-        }
-        if !query.isolated {
-            return;
-        }
-        let in_flight = InFlight {
-            started_at: now,
-            uncached: query.request.prompt.minus(best.cached),
-            has_first_token: false,
-            is_suspect: true,
-        };
-        slot.in_flight.insert(query.attempt.clone(), in_flight);
-        let endpoint = slot.endpoint.id.clone();
-        self.attempts.insert(query.attempt.clone(), endpoint);
-    }
-
-    fn no_endpoint(&self, now: Timestamp, query: &RouteQuery<'_>) -> Refusal {
-        let pool = self.pools.get(&query.request.service);
-        let indices = pool.map_or(&[][..], |pool| &pool.subset);
-        let wait = indices
-            .iter()
-            .filter_map(|index| self.slots[*index].usable_in(now))
-            .min()
-            .unwrap_or(NO_ENDPOINT_WAIT);
-        Refusal::new(ErrorKind::NoEndpoint, "no endpoint takes new work").with_retry_after(wait)
-    }
-
-    fn chosen(
-        &self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        best: &Score,
-        scores: &[Score],
-        usable: usize,
-    ) -> Decision {
-        let slot = &self.slots[best.candidate.slot];
-        let reason = match (best.cached.get(), best.candidate.hashed_blocks) {
-            _ if query.isolated => "isolated",
-            (1.., _) => "cached-prefix",
-            (0, 1..) => "prefix-hash",
-            _ => "least-cost",
+        let among = |group: &[usize]| {
+            let slots = group.iter().map(|index| &self.slots[*index]);
+            slots
+                .filter(|slot| slot.health == Health::Usable)
+                .map(|slot| slot.expected_first_token(now, request, is_plain))
+                .min()
         };
-        Decision::new(now, DecisionKind::Route, slot.endpoint.id.as_str(), reason)
-            .with("attempt", query.attempt)
-            .with("service", &query.request.service)
-            .with("prompt", query.request.prompt)
-            .with("generated", query.generated)
-            .with("usable", usable)
-            .with("occupancy", slot.occupancy())
-            .with("batch", slot.batch())
-            .with("cached", best.cached)
-            .with("first_token_us", best.first_token.as_micros())
-            .with(
-                "alternatives",
-                Alternatives {
-                    scores,
-                    slots: &self.slots,
-                },
-            )
+        pool.groups().into_iter().find_map(among)
     }
 
     fn is_plain(&self, service: &ServiceName) -> bool {
@@ -375,7 +278,23 @@
         for slot in &mut self.slots {
             slot.round_trip = self.system.latency(&self.zone, &slot.endpoint.zone) * 2;
         }
-        self.pools = pool::build(self.hash, self.subset_size, &self.slots);
+        let is_peer = |peer: &&Peer| self.is_near(&peer.zone);
+        let others = self.known_peers.iter().filter(is_peer);
+        let others = others.map(|peer| peers::hash_of(&peer.daemon));
+        self.peers = others.filter(|peer| *peer != self.hash).collect();
+        let choose = |near: &[usize]| {
+            peers::subset(self.hash, &self.peers, self.subset_size, &self.slots, near)
+        };
+        let is_near = |slot: &Slot| self.is_near(&slot.endpoint.zone);
+        self.pools = pool::build(&self.slots, is_near, choose);
+    }
+
+    /// Tells whether a zone is of this daemon's region; a zone that is not configured counts.
+    fn is_near(&self, zone: &AvailabilityZone) -> bool {
+        match (self.system.zone(&self.zone), self.system.zone(zone)) {
+            (Some(own), Some(other)) => own.region == other.region,
+            _ => true,
+        }
     }
 
     fn index(&self, id: &EndpointId) -> Option<usize> {
@@ -392,13 +311,3 @@
         self.index(id).map(|index| &mut self.slots[index])
     }
 }
-
-fn refused(now: Timestamp, query: &RouteQuery<'_>, refusal: &Refusal) -> Decision {
-    let wait = refusal.retry_after.unwrap_or(NO_ENDPOINT_WAIT);
-    Decision::new(now, DecisionKind::Route, "refuse", refusal.kind.name())
-        .with("attempt", query.attempt)
-        .with("service", &query.request.service)
-        .with("excluded", query.excluded.len())
-        .with("isolated", query.isolated)
-        .with("retry_after_us", wait.as_micros())
-}
--- a/crates/laburnumstall-core/src/routing/cache.rs
+++ b/crates/laburnumstall-core/src/routing/cache.rs
@@ -17,6 +17,8 @@
 const MIN_TRUST: u32 = 16;
 /// Most blocks known of one endpoint.
 const MAX_BLOCKS: usize = 8192;
+/// Consecutive reports with old numbers that show that the endpoint counts anew.
+const RESTART_REPORTS: u32 = 3;
 
 domain! {
     /// What an endpoint says of its prefix cache; it arrives late, and some of it never.
@@ -45,6 +47,9 @@
 pub(super) struct CacheView {
     blocks: BTreeMap<BlockHash, Known>,
     next_event: Option<u64>,
+    /// Number that continues the last report with old numbers.
+    next_old_event: Option<u64>,
+    old_reports: u32,
 }
 
 impl CacheView {
@@ -59,7 +64,7 @@
     /// Takes in a report; returns whether events before it are missing.
     pub(super) fn on_report(&mut self, now: Timestamp, report: &CacheReport) -> bool {
         let expected = self.next_event.unwrap_or(report.first);
-        if report.last < expected {
+        if report.last < expected && !self.is_restart(report) {
             return false;
         }
         let is_gap = report.first > expected;
@@ -77,6 +82,18 @@
         is_gap
     }
 
+    /// Counts consecutive reports with old numbers; enough of them start the view afresh.
+    fn is_restart(&mut self, report: &CacheReport) -> bool {
+        let is_next = self.next_old_event == Some(report.first);
+        self.old_reports = if is_next { self.old_reports + 1 } else { 1 };
+        self.next_old_event = Some(report.last + 1);
+        let is_restart = self.old_reports >= RESTART_REPORTS;
+        if is_restart {
+            *self = Self::default();
+        }
+        is_restart
+    }
+
     /// Returns the leading blocks of `prefix` that are believed cached, each weighted by
     /// its trust, in parts of [`FULL_TRUST`].
     pub(super) fn matched(&self, prefix: &[BlockHash]) -> u64 {
--- a/crates/laburnumstall-core/src/routing/candidates.rs
+++ b/crates/laburnumstall-core/src/routing/candidates.rs
@@ -3,7 +3,8 @@
 //! Prefix hashes pick endpoints that other daemons pick for the same prefix as well
 //! (rendezvous hashing with bounded load: Mirrokni, Thorup and Zadimoghaddam, 2018); the
 //! cache view adds the endpoint that holds most; chance adds two (power of two choices:
-//! Mitzenmacher, 2001).
+//! Mitzenmacher, 2001), each in proportion to the free places, which reacts softly to late
+//! reports.
 
 use fastrand::Rng;
 
@@ -37,8 +38,8 @@
         add(&mut picked, slot, 0);
     }
     for _ in 0..RANDOM_CHOICES {
-        if let Some(slot) = rng.choice(usable) {
-            add(&mut picked, *slot, 0);
+        if let Some(slot) = random(usable, slots, rng) {
+            add(&mut picked, slot, 0);
         }
     }
     picked
@@ -63,6 +64,19 @@
     }
 }
 
+/// Picks an endpoint by chance, in proportion to its free places.
+fn random(usable: &[usize], slots: &[Slot], rng: &mut Rng) -> Option<usize> {
+    let places = |slot: &usize| u64::from(slots[*slot].free_places()) + 1;
+    let total: u64 = usable.iter().map(places).sum();
+    let mut left = rng.u64(..total.max(1));
+    let is_here = |slot: &usize| {
+        let is_here = left < places(slot);
+        left = left.saturating_sub(places(slot));
+        is_here
+    };
+    usable.iter().copied().find(is_here)
+}
+
 fn hashed(block: BlockHash, usable: &[usize], slots: &[Slot], bound: u64) -> Option<usize> {
     usable
         .iter()
--- a/crates/laburnumstall-core/src/routing/pool.rs
+++ b/crates/laburnumstall-core/src/routing/pool.rs
@@ -1,16 +1,12 @@
-//! The endpoints of each service, and the subset of them that this daemon uses.
-//!
-//! A daemon uses at most [`SUBSET_SIZE`] endpoints of a service, so that its state and
-//! connections do not grow with the fleet. Rendezvous hashing of the daemon's name over
-//! the endpoints picks them: the subset changes by one when one endpoint comes or goes.
+//! The endpoints of each service, by how this daemon uses them.
 
 use std::collections::BTreeMap;
 
 use super::slot::Slot;
-use crate::hash;
 use crate::ids::ServiceName;
 
-/// Most endpoints of one service that a daemon uses.
+/// Number of endpoints of one service that a daemon uses, so that its state and its
+/// connections do not grow with the fleet.
 pub const SUBSET_SIZE: usize = 64;
 
 /// The endpoints of one service, as indices of slots.
@@ -18,37 +14,41 @@
 pub(super) struct Pool {
     /// Endpoints that this daemon uses.
     pub(super) subset: Vec<usize>,
-    /// All endpoints, for when none of the subset is usable.
+    /// Endpoints of the daemon's region, for when none of the subset is usable.
+    pub(super) near: Vec<usize>,
+    /// All endpoints, for when none of the region is usable.
     pub(super) all: Vec<usize>,
 }
 
-/// Sorts the endpoints into the pools of their services.
+impl Pool {
+    /// Returns the groups of endpoints in the order in which they are tried.
+    pub(super) fn groups(&self) -> [&[usize]; 3] {
+        [&self.subset, &self.near, &self.all]
+    }
+}
+
+/// Sorts the endpoints into the pools of their services; `choose_subset` picks among the
+/// endpoints for which `is_near` holds, or among all if there are none.
 pub(super) fn build(
-    daemon: u64,
-    subset_size: usize,
     slots: &[Slot],
+    is_near: impl Fn(&Slot) -> bool,
+    choose_subset: impl Fn(&[usize]) -> Vec<usize>,
 ) -> BTreeMap<ServiceName, Pool> {
     let mut pools: BTreeMap<ServiceName, Pool> = BTreeMap::new();
     for (index, slot) in slots.iter().enumerate() {
         for service in &slot.endpoint.services {
-            pools.entry(service.clone()).or_default().all.push(index);
+            let pool = pools.entry(service.clone()).or_default();
+            pool.all.push(index);
+            if is_near(slot) {
+                pool.near.push(index);
+            }
         }
     }
     for pool in pools.values_mut() {
-        pool.subset = choose_subset(daemon, subset_size, slots, &pool.all);
+        if pool.near.is_empty() {
+            pool.near.clone_from(&pool.all);
+        }
+        pool.subset = choose_subset(&pool.near);
     }
     pools
 }
-
-fn choose_subset(daemon: u64, size: usize, slots: &[Slot], all: &[usize]) -> Vec<usize> {
-    if all.len() <= size {
-        return all.to_vec();
-    }
-    let mut ranked = all.to_vec();
-    ranked.sort_unstable_by_key(|index| {
-        std::cmp::Reverse(hash::rendezvous_weight(daemon, slots[*index].hash))
-    });
-    ranked.truncate(size);
-    ranked.sort_unstable();
-    ranked
-}
--- a/crates/laburnumstall-core/src/routing/slot.rs
+++ b/crates/laburnumstall-core/src/routing/slot.rs
@@ -7,7 +7,7 @@
 use super::health::Health;
 use crate::hash;
 use crate::ids::AttemptId;
-use crate::request::{MAX_PREFIX_BLOCKS, Request};
+use crate::request::{BlockHash, MAX_PREFIX_BLOCKS, Request};
 use crate::units::{Timestamp, Tokens};
 use crate::world::{Endpoint, LoadReport};
 
@@ -19,6 +19,8 @@
 const DEFAULT_DURATION: Duration = Duration::from_secs(1);
 /// Tokens of one prefix block of a prompt that is longer than its hashes.
 const TOKENS_PER_BLOCK: u64 = 64;
+/// Time that an endpoint is kept for a suspect that was routed to it but not yet sent.
+const HOLD_TIME: Duration = Duration::from_secs(10);
 /// Weight of a new duration in the moving average, as a divisor.
 const AVERAGE_WEIGHT: u32 = 8;
 
@@ -37,11 +39,15 @@
     pub(super) endpoint: Endpoint,
     pub(super) hash: u64,
     pub(super) health: Health,
-    pub(super) load: Option<LoadReport>,
+    load: Option<LoadReport>,
+    /// When the last report was taken, or came if the endpoint's clock is ahead.
+    reported_at: Timestamp,
     pub(super) cache: CacheView,
     pub(super) in_flight: BTreeMap<AttemptId, InFlight>,
     /// Round trip to the endpoint's zone.
     pub(super) round_trip: Duration,
+    /// Suspect that was routed here and not yet sent.
+    held: Option<(AttemptId, Timestamp)>,
     duration: Duration,
     /// Ends of attempts that the last report may still count.
     departures: Vec<Timestamp>,
@@ -55,9 +61,11 @@
             hash,
             health: Health::Usable,
             load: None,
+            reported_at: Timestamp::ZERO,
             cache: CacheView::default(),
             in_flight: BTreeMap::new(),
             round_trip: Duration::ZERO,
+            held: None,
             duration: DEFAULT_DURATION,
             departures: Vec::new(),
         }
@@ -90,12 +98,9 @@
         {
             return false;
         }
-        let taken_at = report.taken_at.min(now);
-        self.departures.retain(|at| *at > taken_at);
-        self.load = Some(LoadReport {
-            taken_at,
-            ..report.clone()
-        });
+        self.reported_at = report.taken_at.min(now);
+        self.departures.retain(|at| *at > self.reported_at);
+        self.load = Some(report.clone());
         if matches!(self.health, Health::Failed { since, .. } if report.taken_at > since) {
             self.health = Health::Usable;
         }
@@ -107,17 +112,53 @@
         if let Some(in_flight) = self.in_flight.get_mut(attempt) {
             in_flight.has_first_token = true;
         }
-        if matches!(&self.health, Health::Failed { probe: Some(trial), .. } if trial == attempt) {
-            self.health = Health::Usable;
+        self.health.on_first_token(attempt);
+    }
+
+    /// Takes in that an attempt was routed here.
+    pub(super) fn on_chosen(&mut self, now: Timestamp, attempt: &AttemptId, is_suspect: bool) {
+        self.health.on_chosen(now, attempt);
+        if is_suspect {
+            self.held = Some((attempt.clone(), now));
         }
     }
 
+    /// Takes in that an attempt was sent here.
+    pub(super) fn on_started(
+        &mut self,
+        now: Timestamp,
+        attempt: &AttemptId,
+        uncached: Tokens,
+        prefix: &[BlockHash],
+    ) {
+        let in_flight = InFlight {
+            started_at: now,
+            uncached,
+            has_first_token: false,
+            is_suspect: self.release(attempt),
+        };
+        self.in_flight.insert(attempt.clone(), in_flight);
+        self.cache.on_sent(now, prefix);
+    }
+
+    /// Ends the holding of the endpoint for an attempt; returns whether it was held.
+    pub(super) fn release(&mut self, attempt: &AttemptId) -> bool {
+        self.held.take_if(|(held, _)| held == attempt).is_some()
+    }
+
+    /// Takes in that the endpoint's process is gone or silent.
+    pub(super) fn on_failed(&mut self, now: Timestamp) {
+        self.health = self.health.failed(now);
+        self.cache = CacheView::default();
+    }
+
     /// Ends an attempt.
     pub(super) fn on_finished(&mut self, now: Timestamp, attempt: &AttemptId) {
+        self.health.on_finished(now, attempt);
         let Some(ended) = self.in_flight.remove(attempt) else {
             return;
         };
-        if ended.started_at <= self.reported_at() {
+        if !self.is_unreported(&ended) {
             self.departures.push(now);
         }
         if ended.has_first_token {
@@ -129,8 +170,7 @@
     /// Returns the requests on the endpoint: the last report, corrected by what this
     /// daemon has started and ended since.
     pub(super) fn occupancy(&self) -> u32 {
-        let since = self.reported_at();
-        let started = self.in_flight.values().filter(|a| a.started_at > since);
+        let started = self.in_flight.values().filter(|a| self.is_unreported(a));
         let reported = self
             .load
             .as_ref()
@@ -140,9 +180,21 @@
     }
 
     pub(super) fn batch(&self) -> u32 {
-        self.load
-            .as_ref()
-            .map_or(DEFAULT_BATCH, |load| load.batch.max(1))
+        let reported = self.load.as_ref().map(|load| load.batch.max(1));
+        reported.unwrap_or(DEFAULT_BATCH)
+    }
+
+    /// Returns the places of the batch that are expected to be free.
+    pub(super) fn free_places(&self) -> u32 {
+        self.batch().saturating_sub(self.occupancy())
+    }
+
+    /// Tells whether the batch is known to be full; one more would slow every token in it.
+    ///
+    /// A plain service that has not reported takes any number.
+    pub(super) fn is_full(&self, is_plain: bool) -> bool {
+        let is_unlimited = is_plain && self.load.is_none();
+        !is_unlimited && self.occupancy() >= self.batch()
     }
 
     /// Returns the time until a place in the batch is expected; zero if there is one.
@@ -166,7 +218,7 @@
 
     /// Returns the time until the engine has worked off the prompts that it has.
     pub(super) fn backlog_time(&self, now: Timestamp) -> Duration {
-        let since = self.reported_at();
+        let since = self.reported_at;
         let reported = self
             .load
             .as_ref()
@@ -175,7 +227,7 @@
         let added = self
             .in_flight
             .values()
-            .filter(|a| a.started_at > since && !a.has_first_token)
+            .filter(|a| self.is_unreported(a) && !a.has_first_token)
             .map(|a| a.uncached.get())
             .sum();
         left + self.prefill_time(added)
@@ -212,14 +264,15 @@
         }
     }
 
-    pub(super) fn has_suspect(&self) -> bool {
-        self.in_flight.values().any(|a| a.is_suspect)
+    /// Tells whether a suspect of this daemon runs here or is about to.
+    pub(super) fn has_suspect(&self, now: Timestamp) -> bool {
+        let is_held = |(_, at): &(AttemptId, Timestamp)| now.since(*at) < HOLD_TIME;
+        self.held.as_ref().is_some_and(is_held) || self.in_flight.values().any(|a| a.is_suspect)
     }
 
-    fn reported_at(&self) -> Timestamp {
-        self.load
-            .as_ref()
-            .map_or(Timestamp::ZERO, |load| load.taken_at)
+    /// Tells whether an attempt reached the endpoint after its last report.
+    fn is_unreported(&self, attempt: &InFlight) -> bool {
+        attempt.started_at.after(self.round_trip / 2) >= self.reported_at
     }
 }
 
--- /dev/null
+++ b/crates/laburnumstall-core/tests/route_choice.rs
@@ -0,0 +1,362 @@
+//! Named cases of routing: where a request goes, and where it must not go.
+
+use std::time::Duration;
+
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::request::{Dialect, prefix_blocks};
+use laburnumstall_core::routing::{CacheReport, Peer, Route, RouteQuery, Router};
+use laburnumstall_core::world::Link;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn daemon(number: u64) -> DaemonId {
+    DaemonId {
+        vm: format!("vm-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn zone(number: u64) -> AvailabilityZone {
+    format!("zone-{}", number % 3).parse().unwrap()
+}
+
+fn id(number: u64) -> EndpointId {
+    format!("ep-{number:04}").parse().unwrap()
+}
+
+fn endpoints(count: u64) -> Vec<Endpoint> {
+    let endpoint = |number| Endpoint {
+        id: id(number),
+        vm: format!("gpu-{number}").parse().unwrap(),
+        zone: zone(number),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
+        services: vec!["clerk".parse().unwrap()],
+    };
+    (0..count).map(endpoint).collect()
+}
+
+fn router(number: u64, count: u64) -> Router {
+    let mut router = Router::new(&daemon(number), zone(number));
+    router.set_endpoints(at(0), endpoints(count));
+    router
+}
+
+fn request(prompt: &[u8]) -> Request {
+    Request {
+        customer: "caroni".parse().unwrap(),
+        service: "clerk".parse().unwrap(),
+        dialect: Dialect::Chat,
+        method: "POST".into(),
+        path: "/v1/chat/completions".into(),
+        content_type: "application/json".into(),
+        body: std::sync::Arc::from(prompt),
+        key: None,
+        idempotent: true,
+        form: AnswerForm::Stream,
+        deadline: Timestamp::NEVER,
+        priority: Priority(0),
+        prompt: Tokens(prompt.len() as u64 / 4),
+        answer: Tokens(100),
+        prefix: prefix_blocks("clerk", prompt),
+    }
+}
+
+fn attempt(number: u64) -> AttemptId {
+    AttemptId {
+        request: RequestId {
+            owner: daemon(1),
+            sequence: number,
+            home: HomeHash(0),
+        },
+        number: 1,
+    }
+}
+
+fn choose(
+    router: &mut Router,
+    now: Timestamp,
+    number: u64,
+    request: &Request,
+    isolated: bool,
+) -> Result<Route, Refusal> {
+    let query = RouteQuery {
+        attempt: &attempt(number),
+        request,
+        generated: Tokens(0),
+        excluded: &[],
+        isolated,
+    };
+    router.choose(now, &query, &mut Journal::default())
+}
+
+fn load(of: u64, sequence: u64, taken_at: Timestamp, running: u32, waiting: u32) -> LoadReport {
+    LoadReport {
+        endpoint: id(of),
+        sequence,
+        taken_at,
+        running,
+        waiting,
+        batch: 16,
+        prefill_backlog: Tokens(0),
+        prefill: TokenRate(8_000),
+        decode_per_request: TokenRate(25),
+        services: vec!["clerk".parse().unwrap()],
+    }
+}
+
+/// Fails without `prefix-hash` candidates: each daemon would choose by chance.
+#[test]
+fn daemons_agree_on_a_prefix() {
+    for history in 0..20 {
+        let prompt = vec![history; 16 * 256];
+        let mut routes = (0..6).map(|n| {
+            let mut router = router(n, 12);
+            choose(&mut router, at(0), 1, &request(&prompt), false)
+                .unwrap()
+                .endpoint
+        });
+        let first = routes.next().unwrap();
+        assert!(routes.all(|endpoint| endpoint == first));
+    }
+}
+
+/// Fails without `on_sent` in `Slot::on_started`: the longer prompt hashes elsewhere.
+#[test]
+fn conversation_stays_where_it_is_cached() {
+    let mut router = router(1, 12);
+    let mut prompt = vec![3; 4 * 256];
+    let first = choose(&mut router, at(0), 0, &request(&prompt), false).unwrap();
+    for turn in 1..40 {
+        let now = at(turn * 10_000);
+        router.started(now, &attempt(turn), &first, &request(&prompt));
+        router.first_token(now, &attempt(turn));
+        router.finished(now, &attempt(turn));
+        prompt.extend(vec![turn as u8; 512]);
+        let route = choose(&mut router, now, turn + 1, &request(&prompt), false).unwrap();
+        assert_eq!(route.endpoint, first.endpoint, "turn {turn}");
+        assert!(route.expected_cached.get() * 2 > request(&prompt).prompt.get() / 2);
+    }
+}
+
+/// Fails without `halve_trust`: events lost in a gap may have told of evictions.
+#[test]
+fn gap_lowers_trust_in_the_cache() {
+    let mut router = router(1, 1);
+    let request = request(&[5; 16 * 256]);
+    let report = |first, last, stored: &[BlockHash], evicted: &[BlockHash]| CacheReport {
+        endpoint: id(0),
+        first,
+        last,
+        stored: stored.to_vec(),
+        evicted: evicted.to_vec(),
+    };
+    let cached = |router: &mut Router| {
+        choose(router, at(0), 1, &request, false)
+            .unwrap()
+            .expected_cached
+            .get()
+    };
+    router.on_cache(at(0), &report(1, 4, &request.prefix, &[]));
+    assert_eq!(cached(&mut router), 1_024);
+    router.on_cache(at(1), &report(1, 4, &[], &request.prefix));
+    assert_eq!(
+        cached(&mut router),
+        1_024,
+        "a repeated report has no effect"
+    );
+    router.on_cache(at(2), &report(9, 9, &[], &[]));
+    assert_eq!(cached(&mut router), 512);
+    router.on_cache(at(3), &report(10, 10, &[], &request.prefix[8..]));
+    assert_eq!(cached(&mut router), 256);
+    for restart in 0..3 {
+        router.on_cache(at(4), &report(restart, restart, &request.prefix[..4], &[]));
+    }
+    assert_eq!(
+        cached(&mut router),
+        256,
+        "counted anew, four blocks of full trust"
+    );
+}
+
+/// Fails if `on_load` compares sequences alone: a late report would undo a newer one.
+#[test]
+fn late_and_repeated_reports_change_nothing() {
+    let mut router = router(1, 1);
+    router.on_load(at(0), &load(0, 7, at(50), 16, 3));
+    router.on_load(at(60), &load(0, 6, at(40), 0, 0));
+    router.on_load(at(60), &load(0, 7, at(50), 0, 0));
+    let refusal = choose(&mut router, at(61), 1, &request(b"x"), false).unwrap_err();
+    assert_eq!(refusal.kind, ErrorKind::NoEndpoint);
+    assert!(refusal.retry_after.is_some_and(|wait| !wait.is_zero()));
+    assert!(
+        router
+            .expected_first_token(at(61), &request(b"x"))
+            .is_some()
+    );
+    router.on_load(at(70), &load(0, 1, at(65), 0, 0));
+    assert!(
+        choose(&mut router, at(71), 1, &request(b"x"), false).is_ok(),
+        "a new process"
+    );
+}
+
+/// Fails if `on_load` ignores `since`: a report from before the failure would end it.
+#[test]
+fn failed_endpoint_waits_for_a_new_report_or_a_probe() {
+    let mut router = router(1, 1);
+    let mut journal = Journal::default();
+    router.mark_failed(at(1_000), &id(0), &mut journal);
+    assert_eq!(router.expected_first_token(at(1_000), &request(b"x")), None);
+    router.on_load(at(1_100), &load(0, 9, at(900), 0, 0));
+    assert!(choose(&mut router, at(1_200), 1, &request(b"x"), false).is_err());
+    let probe = choose(&mut router, at(2_000), 2, &request(b"x"), false).unwrap();
+    assert!(
+        choose(&mut router, at(2_001), 3, &request(b"x"), false).is_err(),
+        "one trial"
+    );
+    router.started(at(2_001), &attempt(2), &probe, &request(b"x"));
+    router.finished(at(2_002), &attempt(2));
+    assert!(
+        choose(&mut router, at(3_500), 4, &request(b"x"), false).is_err(),
+        "2 s backoff"
+    );
+    let mut call = request(b"x");
+    call.idempotent = false;
+    assert!(
+        choose(&mut router, at(4_100), 5, &call, false).is_err(),
+        "no trial"
+    );
+    let probe = choose(&mut router, at(4_100), 6, &request(b"x"), false).unwrap();
+    router.started(at(4_101), &attempt(6), &probe, &request(b"x"));
+    router.first_token(at(4_102), &attempt(6));
+    assert!(choose(&mut router, at(4_103), 7, &call, false).is_ok());
+    router.mark_failed(at(5_000), &id(0), &mut journal);
+    router.on_load(at(5_100), &load(0, 10, at(5_050), 0, 0));
+    assert!(choose(&mut router, at(5_101), 8, &call, false).is_ok());
+}
+
+/// Fails if `listed_again` forgets the health of an endpoint that stays.
+#[test]
+fn leaving_lasts_until_the_endpoint_is_gone() {
+    let mut router = router(1, 2);
+    let mut journal = Journal::default();
+    let route = loop {
+        let route = choose(&mut router, at(0), 1, &request(b"x"), false).unwrap();
+        if route.endpoint == id(1) {
+            break route;
+        }
+    };
+    router.started(at(0), &attempt(1), &route, &request(b"x"));
+    router.mark_leaving(at(1), &id(1), Some(at(30_000)), &mut journal);
+    router.on_load(at(2), &load(1, 1, at(2), 0, 0));
+    router.mark_failed(at(3), &id(1), &mut journal);
+    router.set_endpoints(at(4), endpoints(2));
+    for number in 2..100 {
+        let route = choose(&mut router, at(5), number, &request(b"x"), false).unwrap();
+        assert_eq!(route.endpoint, id(0));
+    }
+    router.set_endpoints(at(6), endpoints(1));
+    assert_eq!(
+        router.in_flight(&id(1)).count(),
+        1,
+        "kept until the attempt ends"
+    );
+    router.finished(at(7), &attempt(1));
+    router.finished(at(7), &attempt(1));
+    router.set_endpoints(at(8), endpoints(1));
+    assert!(router.endpoint(&id(1)).is_none());
+    assert_eq!(journal.decisions().len(), 1);
+}
+
+/// Fails without `trial_endpoints`: two daemons would retry suspects on one endpoint.
+#[test]
+fn suspects_are_apart_over_all_daemons() {
+    let peers: Vec<Peer> = (0..4)
+        .map(|n| Peer {
+            daemon: daemon(n),
+            zone: zone(n),
+        })
+        .collect();
+    let mut used = Vec::new();
+    for number in 0..4 {
+        let mut router = router(number, 9);
+        router.set_peers(&peers);
+        let mut own = 0;
+        while let Ok(route) = choose(&mut router, at(0), own, &request(b"x"), true) {
+            if own == 0 {
+                router.started(at(0), &attempt(0), &route, &request(b"x"));
+            }
+            used.push(route.endpoint);
+            own += 1;
+        }
+        assert!(own >= 2, "nine endpoints give each of four daemons two");
+        router.finished(at(1), &attempt(0));
+        assert!(choose(&mut router, at(1), 9, &request(b"x"), true).is_ok());
+    }
+    let count = used.len();
+    used.sort();
+    used.dedup();
+    assert_eq!((used.len(), count), (9, 9));
+}
+
+/// Fails if `refresh` leaves the round trip out of the score of a plain service.
+#[test]
+fn plain_service_goes_to_the_least_outstanding() {
+    let mut router = router(0, 3);
+    let link = |from, to| Link {
+        from: zone(from),
+        to: zone(to),
+        latency: Duration::from_micros(1_400),
+    };
+    let plain: Service = serde_json::from_value(serde_json::json!({
+        "name": "clerk", "kind": "plain", "depends_on": [], "model": null,
+        "idempotent": true, "calls": [], "checks_keys": false, "checks_fencing": false,
+        "key_window": {"secs": 60, "nanos": 0}, "deadline": {"secs": 60, "nanos": 0},
+        "endpoints": [], "target": null
+    }))
+    .unwrap();
+    router.set_system(&System {
+        links: vec![link(0, 1), link(0, 2), link(1, 2)],
+        services: vec![plain],
+        ..System::default()
+    });
+    let mut chosen = Vec::new();
+    for number in 0..30 {
+        let route = choose(&mut router, at(0), number, &request(b"x"), false).unwrap();
+        router.started(at(0), &attempt(number), &route, &request(b"x"));
+        chosen.push(route.endpoint);
+    }
+    assert_eq!(chosen[0], id(0), "own zone first");
+    for number in 0..3 {
+        assert_eq!(chosen.iter().filter(|c| **c == id(number)).count(), 10);
+    }
+}
+
+/// Fails if the excluded endpoints or the generated tokens are left out of the choice.
+#[test]
+fn resume_counts_generated_tokens() {
+    let mut router = router(1, 2);
+    let mut journal = Journal::default();
+    let request = request(&[9; 4_096]);
+    let excluded = [id(0)];
+    let query = RouteQuery {
+        attempt: &attempt(1),
+        request: &request,
+        generated: Tokens(8_000),
+        excluded: &excluded,
+        isolated: false,
+    };
+    let route = router.choose(at(0), &query, &mut journal).unwrap();
+    assert_eq!(route.endpoint, id(1));
+    assert_eq!(route.expected_first_token, Duration::from_millis(1_128));
+    let decision = &journal.decisions()[0];
+    assert_eq!(decision.field("generated"), Some("8000tok"));
+    assert!(
+        decision
+            .field("alternatives")
+            .unwrap()
+            .starts_with("ep-0001:")
+    );
+}
--- /dev/null
+++ b/crates/laburnumstall-core/tests/route_herd.rs
@@ -0,0 +1,263 @@
+//! Daemons that see the same late reports do not all choose the same endpoint.
+//!
+//! The bounds are those of the target: the first token within 1 s for 95 of 100 requests,
+//! and no batch above its size for 95 of 100, since a larger one breaks 51 ms between
+//! tokens. The fleet is loaded to seven tenths of what its batches hold, so a full batch
+//! is a load of 10/7 of the mean.
+
+use std::time::Duration;
+
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::request::{Dialect, prefix_blocks};
+use laburnumstall_core::routing::{Peer, RouteQuery, Router};
+
+const DAEMONS: usize = 12;
+const ENDPOINTS: usize = 12;
+const BATCH: u32 = 16;
+const PREFILL: u64 = 8_000;
+const PROMPT: u64 = 1_024;
+const TOKEN_TIME: Duration = Duration::from_millis(40);
+/// Mean tokens of an answer; the lengths are exponential.
+const ANSWER: u32 = 100;
+const REPORT_PERIOD: u64 = 250;
+const REPORT_LAG: u64 = 1_000;
+const STEP: u64 = 5;
+
+struct Job {
+    daemon: usize,
+    attempt: AttemptId,
+    sent: Timestamp,
+    /// Tokens of its answer.
+    answer: u32,
+    prefill_ends: Option<Timestamp>,
+    has_first_token: bool,
+    is_overfull: bool,
+}
+
+/// An engine that processes prompts one by one and generates for all requests at once.
+#[derive(Default)]
+struct Engine {
+    jobs: Vec<Job>,
+    prefill_free: Timestamp,
+    sequence: u64,
+}
+
+struct Outcome {
+    first_tokens: Vec<Duration>,
+    overfull: usize,
+}
+
+fn daemon(number: usize) -> DaemonId {
+    DaemonId {
+        vm: format!("vm-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn endpoint(number: usize) -> Endpoint {
+    Endpoint {
+        id: format!("ep-{number:02}").parse().unwrap(),
+        vm: format!("gpu-{number}").parse().unwrap(),
+        zone: format!("zone-{}", number % 3).parse().unwrap(),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
+        services: vec!["clerk".parse().unwrap()],
+    }
+}
+
+fn request(prompt: &[u8]) -> Request {
+    Request {
+        customer: "caroni".parse().unwrap(),
+        service: "clerk".parse().unwrap(),
+        dialect: Dialect::Chat,
+        method: "POST".into(),
+        path: "/v1/chat/completions".into(),
+        content_type: "application/json".into(),
+        body: std::sync::Arc::from(prompt),
+        key: None,
+        idempotent: true,
+        form: AnswerForm::Stream,
+        deadline: Timestamp::NEVER,
+        priority: Priority(0),
+        prompt: Tokens(PROMPT),
+        answer: Tokens(u64::from(ANSWER)),
+        prefix: prefix_blocks("clerk", prompt),
+    }
+}
+
+impl Engine {
+    fn report(&mut self, number: usize, now: Timestamp) -> LoadReport {
+        self.sequence += 1;
+        let backlog = self.prefill_free.since(now).as_micros() as u64 * PREFILL / 1_000_000;
+        let running = self.jobs.len().min(BATCH as usize);
+        LoadReport {
+            endpoint: endpoint(number).id,
+            sequence: self.sequence,
+            taken_at: now,
+            running: running as u32,
+            waiting: (self.jobs.len() - running) as u32,
+            batch: BATCH,
+            prefill_backlog: Tokens(backlog),
+            prefill: TokenRate(PREFILL),
+            decode_per_request: TokenRate(25),
+            services: endpoint(number).services,
+        }
+    }
+
+    /// Starts prefills that have a place, and ends what is done.
+    fn advance(&mut self, now: Timestamp, routers: &mut [Router], outcome: &mut Outcome) {
+        for job in self.jobs.iter_mut().take(BATCH as usize) {
+            let ends = *job.prefill_ends.get_or_insert_with(|| {
+                let start = self.prefill_free.max(now);
+                self.prefill_free =
+                    start.after(Duration::from_micros(PROMPT * 1_000_000 / PREFILL));
+                self.prefill_free
+            });
+            if !job.has_first_token && ends <= now {
+                job.has_first_token = true;
+                outcome.first_tokens.push(now.since(job.sent));
+                outcome.overfull += usize::from(job.is_overfull);
+                routers[job.daemon].first_token(now, &job.attempt);
+            }
+        }
+        let is_done = |job: &mut Job| {
+            let ends = job
+                .prefill_ends
+                .map(|ends| ends.after(TOKEN_TIME * job.answer));
+            ends.is_some_and(|ends| ends <= now)
+        };
+        for job in self.jobs.extract_if(.., is_done) {
+            routers[job.daemon].finished(now, &job.attempt);
+        }
+    }
+}
+
+/// Runs a minute of requests at seven tenths of the fleet's places.
+fn run(seed: u64, shared_prefix: usize) -> Outcome {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let zone = |n: usize| format!("zone-{}", n % 3).parse().unwrap();
+    let mut routers: Vec<Router> = (0..DAEMONS)
+        .map(|n| Router::new(&daemon(n), zone(n)))
+        .collect();
+    let peer = |n| Peer {
+        daemon: daemon(n),
+        zone: zone(n),
+    };
+    let peers: Vec<Peer> = (0..DAEMONS).map(peer).collect();
+    for router in &mut routers {
+        router.set_peers(&peers);
+        router.set_endpoints(Timestamp::ZERO, (0..ENDPOINTS).map(endpoint).collect());
+    }
+    let mut engines: Vec<Engine> = (0..ENDPOINTS).map(|_| Engine::default()).collect();
+    let mut reports: Vec<(u64, LoadReport)> = Vec::new();
+    let mut outcome = Outcome {
+        first_tokens: Vec::new(),
+        overfull: 0,
+    };
+    let service_time = TOKEN_TIME * ANSWER + Duration::from_micros(PROMPT * 1_000_000 / PREFILL);
+    let places = f64::from(BATCH) * ENDPOINTS as f64;
+    let chance = 0.7 * places / service_time.as_secs_f64() * STEP as f64 / 1_000.0;
+    let mut sent = 0;
+    for millis in (0..60_000).step_by(STEP as usize) {
+        let now = Timestamp::from_millis(millis);
+        for (number, engine) in engines.iter_mut().enumerate() {
+            engine.advance(now, &mut routers, &mut outcome);
+            if millis % REPORT_PERIOD == 0 {
+                reports.push((millis + REPORT_LAG, engine.report(number, now)));
+            }
+        }
+        for (_, report) in reports.extract_if(.., |(due, _)| *due <= millis) {
+            for router in &mut routers {
+                router.on_load(now, &report);
+            }
+        }
+        let whole = chance.floor() as u32 + u32::from(rng.f64() < chance.fract());
+        for _ in 0..whole {
+            sent += 1;
+            let mut prompt = vec![7; shared_prefix];
+            prompt.extend((0..4_096 - shared_prefix).map(|_| rng.u8(..)));
+            let answer = (-rng.f64().max(1e-6).ln() * f64::from(ANSWER)) as u32 + 1;
+            send(
+                rng.usize(..DAEMONS),
+                sent,
+                &prompt,
+                now,
+                answer,
+                &mut routers,
+                &mut engines,
+            );
+        }
+    }
+    outcome
+}
+
+fn send(
+    from: usize,
+    number: u64,
+    prompt: &[u8],
+    now: Timestamp,
+    answer: u32,
+    routers: &mut [Router],
+    engines: &mut [Engine],
+) {
+    let request = request(prompt);
+    let attempt = AttemptId {
+        request: RequestId {
+            owner: daemon(from),
+            sequence: number,
+            home: HomeHash(0),
+        },
+        number: 1,
+    };
+    let query = RouteQuery {
+        attempt: &attempt,
+        request: &request,
+        generated: Tokens(0),
+        excluded: &[],
+        isolated: false,
+    };
+    let Ok(route) = routers[from].choose(now, &query, &mut Journal::default()) else {
+        return;
+    };
+    routers[from].started(now, &attempt, &route, &request);
+    let engine = (0..ENDPOINTS)
+        .find(|n| endpoint(*n).id == route.endpoint)
+        .unwrap();
+    let jobs = &mut engines[engine].jobs;
+    jobs.push(Job {
+        daemon: from,
+        attempt,
+        sent: now,
+        answer,
+        prefill_ends: None,
+        has_first_token: false,
+        is_overfull: jobs.len() >= BATCH as usize,
+    });
+}
+
+fn check(shared_prefix: usize) {
+    for seed in 0..4 {
+        let Outcome {
+            mut first_tokens,
+            overfull,
+        } = run(seed, shared_prefix);
+        let served = first_tokens.len();
+        first_tokens.sort_unstable();
+        let p95 = first_tokens[served * 95 / 100];
+        println!("seed={seed} served={served} p95={p95:?} overfull={overfull}");
+        assert!(served >= 1_800, "{served} of about 1,950 requests");
+        assert!(p95 <= Duration::from_secs(1), "first token {p95:?}");
+        assert!(overfull * 100 <= served * 5, "{overfull} in full batches");
+    }
+}
+
+/// Fails if `Slot::occupancy` leaves out what this daemon started since the report.
+#[test]
+fn late_reports_do_not_herd() {
+    check(0);
+}
+
+/// Fails without the load bound in `candidates::hashed`.
+#[test]
+fn shared_prefix_does_not_herd() {
+    check(1_024);
+}
