--- a/crates/laburnumstall-site/src/site.rs
+++ b/crates/laburnumstall-site/src/site.rs
@@ -7,7 +7,7 @@
 use laburnumstall_core::ids::{AvailabilityZone, EndpointId, Revision, VmId};
 use laburnumstall_core::units::Bytes;
 use laburnumstall_core::world::{Market, Vm, VmRole, VmState};
-use laburnumstall_standins::cloud::{CloudStandIn, NoProcess};
+use laburnumstall_standins::cloud::CloudStandIn;
 use laburnumstall_standins::engine::{EngineSpec, EngineStandIn};
 use laburnumstall_standins::key_value::KeyValueStandIn;
 use laburnumstall_standins::plain::PlainStandIn;
@@ -67,7 +67,7 @@
     /// The key-value service.
     pub store: KeyValueStandIn,
     /// The cloud API and the VM list.
-    pub cloud: CloudStandIn<NoProcess>,
+    pub cloud: CloudStandIn<()>,
     /// The model engines.
     pub engines: Vec<EngineSlot>,
     /// The service whose POST calls are not idempotent.
@@ -99,7 +99,7 @@
 
     fn start_outside(spec: SiteSpec) -> Result<Self, SiteError> {
         let store = KeyValueStandIn::start().context(StandInSnafu { what: "the store" })?;
-        let cloud = CloudStandIn::start(NoProcess).context(StandInSnafu { what: "the cloud" })?;
+        let cloud = CloudStandIn::start(()).context(StandInSnafu { what: "the cloud" })?;
         let orders = PlainStandIn::start(false).context(StandInSnafu { what: "orders" })?;
         let stock = PlainStandIn::start(false).context(StandInSnafu { what: "stock" })?;
         let mut site = Self {
