core: members return by registration or by a peer's word; no word grows younger

Ruled out: the ring of heartbeats and the verdict, which were right for true ages. Change: a second-hand word is told one heartbeat period older. A member that was wrongly counted as gone returns by a peer's word or by a registration that outlives the verdict. Old suspicions are dropped.

--- a/crates/laburnumstall-core/src/membership.rs
+++ b/crates/laburnumstall-core/src/membership.rs
@@ -34,6 +34,9 @@
 /// Time between two heartbeats to one member.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
 
+/// Time after which the registration of a process that is gone has expired.
+pub const LEASE_OUTLIVED: Duration = Duration::from_secs(30);
+
 /// Time that a gone member is remembered, so that late words about it are understood.
 pub const GONE_KEPT: Duration = Duration::from_secs(600);
 
@@ -73,6 +76,12 @@
         &self.own
     }
 
+    /// Tells whether a later process was seen on this daemon's own VM.
+    pub fn is_replaced(&self) -> bool {
+        let latest = self.latest.get(&self.own.id.vm);
+        latest.is_some_and(|latest| *latest > self.own.id.incarnation)
+    }
+
     /// Marks this daemon as leaving: it is out of the ranking and the directory.
     pub fn set_leaving(&mut self) {
         if !self.own.leaving {
@@ -88,6 +97,7 @@
         self.now = self.now.max(now);
         for member in members {
             self.see(now, member, journal);
+            self.return_if_registered(now, &member.id, journal);
             if let Some(standing) = self.others.get_mut(&member.id) {
                 standing.registered = true;
                 standing.registry_absent = None;
@@ -166,9 +176,9 @@
             Evidence::Goodbye | Evidence::Replaced(_) => {}
         }
         match evidence {
-            Evidence::Heartbeat => self.return_if_gone(now, daemon, journal),
+            Evidence::Heartbeat => self.return_if_gone(now, daemon, "heard", journal),
             Evidence::HeartbeatLeaving => {
-                self.return_if_gone(now, daemon, journal);
+                self.return_if_gone(now, daemon, "heard", journal);
                 self.mark_leaving(now, daemon, "said-so", journal);
             }
             Evidence::Notice { .. } => self.mark_leaving(now, daemon, "notice", journal),
@@ -223,6 +233,9 @@
     /// Weighs the evidence, and gives out what changed since the last call, in order.
     pub fn tick(&mut self, now: Timestamp, journal: &mut Journal) -> Vec<MemberEvent> {
         self.now = self.now.max(now);
+        for standing in self.others.values_mut() {
+            standing.drop_old_suspicions(now);
+        }
         let sound = self.listing_is_sound;
         let gone: Vec<(DaemonId, GoneReason)> = self
             .others
@@ -348,8 +361,24 @@
         journal.record(decision);
     }
 
-    /// Takes a member back that counted as gone and is heard again.
-    fn return_if_gone(&mut self, now: Timestamp, id: &DaemonId, journal: &mut Journal) {
+    /// Takes a member back whose registration outlived the verdict: it renews its lease.
+    fn return_if_registered(&mut self, now: Timestamp, id: &DaemonId, journal: &mut Journal) {
+        let is_renewed = |standing: &Standing| {
+            standing.state == MemberState::Gone && now.since(standing.changed) >= LEASE_OUTLIVED
+        };
+        if self.others.get(id).is_some_and(is_renewed) {
+            self.return_if_gone(now, id, "registered", journal);
+        }
+    }
+
+    /// Takes a member back that counted as gone, unless that was final.
+    fn return_if_gone(
+        &mut self,
+        now: Timestamp,
+        id: &DaemonId,
+        reason: &'static str,
+        journal: &mut Journal,
+    ) {
         let Some(standing) = self.others.get_mut(id) else {
             return;
         };
@@ -363,8 +392,11 @@
         };
         standing.reason = None;
         standing.changed = now;
+        standing.returned = true;
+        standing.refusals = 0;
+        standing.registry_absent = None;
         self.events.push(MemberEvent::Returned(id.clone()));
-        let decision = Decision::new(now, DecisionKind::Membership, "returned", "heard");
+        let decision = Decision::new(now, DecisionKind::Membership, "returned", reason);
         journal.record(decision.with("daemon", id));
     }
 }
--- a/crates/laburnumstall-core/src/membership/standing.rs
+++ b/crates/laburnumstall-core/src/membership/standing.rs
@@ -54,6 +54,8 @@
     pub(super) deadline: Option<Timestamp>,
     /// When the state last changed.
     pub(super) changed: Timestamp,
+    /// Whether the last change took it back.
+    pub(super) returned: bool,
 }
 
 impl Standing {
@@ -78,6 +80,7 @@
             vm_absent: false,
             deadline: None,
             changed: now,
+            returned: false,
         }
     }
 
@@ -90,6 +93,11 @@
         self.suspected_by.clear();
     }
 
+    pub(super) fn drop_old_suspicions(&mut self, now: Timestamp) {
+        self.suspected_by
+            .retain(|_, at| now.since(*at) <= SUSPICION_LIFE);
+    }
+
     /// Tells whether this daemon itself finds the member silent.
     pub(super) fn is_suspected_here(&self, now: Timestamp) -> bool {
         self.probe_failed.is_some() && now.since(self.heard) >= SILENT_AFTER
@@ -110,7 +118,7 @@
         if silence < SILENT_AFTER {
             return None;
         }
-        if self.is_suspected_here(now) && self.is_confirmed(now) {
+        if self.is_suspected_here(now) && self.is_confirmed() {
             return Some(GoneReason::Silent);
         }
         let expired = self
@@ -127,11 +135,7 @@
         now >= deadline.after(PROBE_AFTER) && now.since(self.heard_anywhere) >= PROBE_AFTER
     }
 
-    fn is_confirmed(&self, now: Timestamp) -> bool {
-        let by_peer = self
-            .suspected_by
-            .values()
-            .any(|at| now.since(*at) <= SUSPICION_LIFE);
-        by_peer || self.registry_absent.is_some() || self.vm_absent
+    fn is_confirmed(&self) -> bool {
+        !self.suspected_by.is_empty() || self.registry_absent.is_some() || self.vm_absent
     }
 }
--- a/crates/laburnumstall-core/src/membership/view.rs
+++ b/crates/laburnumstall-core/src/membership/view.rs
@@ -8,7 +8,7 @@
 use crate::membership::evidence::MemberState;
 use crate::membership::ring::{self, Seat};
 use crate::membership::standing::{PROBE_AFTER, SILENT_AFTER, Standing};
-use crate::membership::{Member, Membership};
+use crate::membership::{HEARTBEAT_PERIOD, Member, Membership};
 use crate::units::Timestamp;
 
 /// A member's place in a ranking; the name breaks ties.
@@ -185,6 +185,9 @@
                 let age = u64::from(age_millis).saturating_mul(1_000);
                 let at = Timestamp(now.0.saturating_sub(age));
                 standing.heard_anywhere = standing.heard_anywhere.max(at);
+                if at > standing.changed {
+                    self.return_if_gone(now, id, "heard-by-peer", journal);
+                }
             }
             Word::Leaving => self.mark_leaving(now, id, "peer", journal),
             Word::Gone(reason) => {
@@ -206,8 +209,15 @@
 
 fn rumour(now: Timestamp, standing: &Standing) -> Option<Rumour> {
     let is_recent = now.since(standing.changed) < RUMOUR_LIFE;
-    let heard_age = now.since(standing.heard_anywhere);
-    let in_question = standing.registry_absent.is_some() || !standing.suspected_by.is_empty();
+    let heard_age = match standing.heard >= standing.heard_anywhere {
+        true => now.since(standing.heard),
+        // Without this the time on the way would make a word younger at each daemon that
+        // passes it on, and two daemons could keep a third one alive for good.
+        false => now.since(standing.heard_anywhere) + HEARTBEAT_PERIOD,
+    };
+    let in_question = standing.registry_absent.is_some()
+        || !standing.suspected_by.is_empty()
+        || (standing.returned && is_recent);
     let word = match standing.state {
         MemberState::Gone => standing.reason.filter(|_| is_recent).map(Word::Gone),
         _ if standing.is_suspected_here(now) => Some(Word::Suspected),
