--- a/crates/laburnumstall-core/tests/member_waves.rs
+++ b/crates/laburnumstall-core/tests/member_waves.rs
@@ -67,7 +67,7 @@
             inbox: Vec::new(),
             loss_percent: 1,
         };
-        world.run_for(3 * STEP);
+        world.run_for(3 * LIST_PERIOD);
         world
     }
 
