--- a/crates/laburnumstall-core/src/placement.rs
+++ b/crates/laburnumstall-core/src/placement.rs
@@ -5,6 +5,7 @@
 //! the difference between plan and observation: requests for VMs, orders to endpoints and
 //! releases.
 
+mod candidates;
 mod capacity;
 mod controller;
 mod endpoint_orders;
@@ -18,6 +19,7 @@
 mod solver;
 mod vm_requests;
 
+pub use candidates::{CANDIDATES, is_candidate};
 pub use capacity::FIRST_TOKEN_TARGET;
 pub use controller::{PLAN_PERIOD, Placement, PlacementInput, PlacementOutput};
 pub use endpoint_orders::{LOAD_TIMEOUT, REFUSED_PERIOD, SEND_WITHIN};
--- a/crates/laburnumstall-core/tests/order_lease.rs
+++ b/crates/laburnumstall-core/tests/order_lease.rs
@@ -4,11 +4,13 @@
 #[path = "support/store.rs"]
 mod store;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fastrand::Rng;
+use laburnumstall_core::membership::{CertificateFingerprint, Member};
 use laburnumstall_core::placement::{
-    LEASE_TTL, LONGEST_ORDER, LeaseHolder, POLL_PERIOD, StoreRequest,
+    CANDIDATES, LEASE_TTL, LONGEST_ORDER, LeaseHolder, POLL_PERIOD, StoreRequest, is_candidate,
 };
 use laburnumstall_core::prelude::*;
 use store::FakeStore;
@@ -297,3 +299,27 @@
     world.run_for(Duration::from_secs(5));
     assert_eq!(world.holders(), [1 - first]);
 }
+
+/// Fails without the order by zones in `is_candidate`.
+#[test]
+fn a_few_daemons_in_different_zones_try_for_the_lease() {
+    let member = |number: u16| Member {
+        id: format!("vm-{number}@1").parse().unwrap(),
+        zone: ["a", "b", "c"][usize::from(number) % 7 % 3]
+            .parse()
+            .unwrap(),
+        peer_address: ([10, 0, 0, 1], 10_000 + number).into(),
+        caller_address: ([10, 0, 0, 1], 20_000 + number).into(),
+        certificate: CertificateFingerprint([0; 32]),
+        leaving: false,
+    };
+    let members: Vec<Member> = (0..40).map(member).collect();
+    let members: Vec<&Member> = members.iter().collect();
+    for region in ["north", "south", "east", "west"] {
+        let region = region.parse().unwrap();
+        let is_one = |member: &&&Member| is_candidate(&member.id, &region, &members);
+        let chosen: Vec<&&Member> = members.iter().filter(is_one).collect();
+        let zones: BTreeSet<_> = chosen.iter().map(|member| &member.zone).collect();
+        assert!(chosen.len() == CANDIDATES && zones.len() == 3);
+    }
+}
