--- a/crates/laburnumstall-core/src/placement.rs
+++ b/crates/laburnumstall-core/src/placement.rs
@@ -9,6 +9,7 @@
 mod capacity;
 mod controller;
 mod endpoint_orders;
+mod exchange;
 mod lease;
 mod observed;
 mod plan;
--- a/crates/laburnumstall-core/src/placement/solver.rs
+++ b/crates/laburnumstall-core/src/placement/solver.rs
@@ -4,12 +4,17 @@
 //! greatest capacity in one zone, the target holds after any loss exactly when the sum is
 //! at least the target plus `top`. So for each `top` on a frontier the zones are combined
 //! with no zone above it, and the cheapest of all wins. This is exact as long as no
-//! frontier has more than [`MAX_POINTS`] points.
+//! frontier has more than [`MAX_POINTS`] points; beyond, exchanges of single VMs make up
+//! for most of what was thinned out.
 
 use super::capacity::WHOLE;
+use super::exchange::Improver;
 
-/// Most points of a frontier; beyond, neighbouring points are merged upwards.
-const MAX_POINTS: usize = 256;
+/// Most points of a frontier before it is thinned out.
+const MAX_POINTS: usize = 64;
+
+/// Scale in which costs for a unit of capacity are compared.
+const RATE_SCALE: u128 = 1 << 40;
 
 /// One kind of VM that can be had in one zone.
 #[derive(Debug, Clone, PartialEq)]
@@ -75,7 +80,8 @@
         .map(|zone| frontier(zone, kinds, all.max(after_loss)))
         .collect();
     if after_loss == 0 {
-        return combine(&frontiers, u64::MAX, all, kinds.len());
+        let best = combine(&frontiers, u64::MAX, all, kinds.len())?;
+        return Some(Improver::new(zones, kinds, all, after_loss).improve(best));
     }
     let mut tops: Vec<u64> = frontiers
         .iter()
@@ -100,7 +106,7 @@
             (best, _) => best,
         };
     }
-    best
+    best.map(|best| Improver::new(zones, kinds, all, after_loss).improve(best))
 }
 
 /// Returns the least cost of a unit of capacity.
@@ -160,14 +166,22 @@
     kept
 }
 
-/// Merges neighbouring points upwards until at most [`MAX_POINTS`] are left.
+/// Thins out to about [`MAX_POINTS`]: of neighbouring points the one that costs least for
+/// its capacity stays, and so do the first and the last.
 fn thin(points: Vec<Point>) -> Vec<Point> {
     if points.len() <= MAX_POINTS {
         return points;
     }
+    let rate = |point: &Point| u128::from(point.cost) * RATE_SCALE / u128::from(point.capacity);
     let last = points.len() - 1;
-    (0..MAX_POINTS)
-        .map(|step| points[last * step / (MAX_POINTS - 1)].clone())
+    let inner = points[1..last].chunks(points.len().div_ceil(MAX_POINTS));
+    let best = inner.filter_map(|chunk| chunk.iter().min_by_key(|point| rate(point)));
+    let ends = [points.first(), points.last()];
+    ends[0]
+        .into_iter()
+        .chain(best)
+        .chain(ends[1])
+        .cloned()
         .collect()
 }
 
