core: tokens that a restored plan cannot use again; smaller files

Cause: a plan restored from an older copy would number its slots again, and could take a VM of another offer for the one that it asks for. Change: a token tells its offer and skips listed and spent ones; the records of the lease and the changes of the view have files of their own. Checked: cargo test -p laburnumstall-core passes (49 tests); the new test fails without the line that it names.

--- a/crates/laburnumstall-core/src/placement.rs
+++ b/crates/laburnumstall-core/src/placement.rs
@@ -16,6 +16,7 @@
 mod plan_keeper;
 mod planner;
 mod reclaim;
+mod records;
 mod refusals;
 mod solver;
 mod vm_requests;
@@ -25,13 +26,13 @@
 pub use controller::{PLAN_PERIOD, Placement, PlacementInput, PlacementOutput};
 pub use endpoint_orders::{LOAD_TIMEOUT, REFUSED_PERIOD, SEND_WITHIN};
 pub use lease::{
-    CALL_TIMEOUT, HolderRecord, LEASE_MARGIN, LEASE_TTL, LONGEST_ORDER, LeaseHolder, POLL_PERIOD,
-    RENEW_PERIOD, StoreRequest, TokenRecord,
+    CALL_TIMEOUT, LEASE_MARGIN, LEASE_TTL, LONGEST_ORDER, LeaseHolder, POLL_PERIOD, RENEW_PERIOD,
 };
 pub use observed::ObservedEndpoint;
 pub use plan::{Alternative, Choice, Offer, Plan, PlanInput, PlanRevision, PlanSlot, Shortfall};
 pub use planner::{KEEP_DISCOUNT_PERMILLE, RECLAIM_COST_HOURS, plan};
 pub use reclaim::{CLAIM_BYTES, CLOSING_TIME, HandoverPlan, HandoverWork, reclaim_order};
+pub use records::{HolderRecord, StoreRequest, TokenRecord};
 pub use refusals::{FIRST_BACKOFF, LONGEST_BACKOFF, Refusals};
 pub use vm_requests::{
     CLOUD_TIMEOUT, CloudRequest, DRAIN_TIME, Drain, LIST_PERIOD, MAX_CLOUD_CALLS, SURPLUS_TIME,
--- a/crates/laburnumstall-core/src/placement/controller.rs
+++ b/crates/laburnumstall-core/src/placement/controller.rs
@@ -15,11 +15,12 @@
 use crate::decision::Journal;
 use crate::ids::{CallId, DaemonId, ParseIdError, Region, Revision, VmId};
 use crate::placement::endpoint_orders::{EndpointOrders, FilledSlot, OrderContext};
-use crate::placement::lease::{LeaseHolder, StoreRequest};
+use crate::placement::lease::LeaseHolder;
 use crate::placement::observed::{Observed, ObservedEndpoint};
 use crate::placement::plan::{Offer, Plan, PlanInput, PlanSlot};
 use crate::placement::plan_keeper::{FIRST_CALL, PlanKeeper};
 use crate::placement::planner::plan;
+use crate::placement::records::StoreRequest;
 use crate::placement::vm_requests::{CloudRequest, Drain, Permission, VmRequests};
 use crate::store::StoreOutcome;
 use crate::units::Timestamp;
--- a/crates/laburnumstall-core/src/placement/lease.rs
+++ b/crates/laburnumstall-core/src/placement/lease.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use crate::decision::{Decision, DecisionKind, Journal};
-use crate::domain;
 use crate::ids::{CallId, DaemonId, FencingToken, Region};
+use crate::placement::records::{HolderRecord, StoreRequest, TokenRecord, token_in, token_record};
 use crate::store::{
     HeldLease, LeaseId, StoreCall, StoreFailure, StoreKey, StoreOutcome, StoreReply, StoredValue,
 };
@@ -38,32 +38,6 @@
 /// Step of the counter after an endpoint knew a higher token: the service was restored.
 const TOKEN_JUMP: u64 = 1 << 20;
 
-domain! {
-    /// A call to the key-value service; its reply comes back under the same number.
-    pub struct StoreRequest {
-        /// Number, unique within the component that makes the call.
-        pub id: CallId,
-        /// The call.
-        pub call: StoreCall,
-    }
-
-    /// Value of the holder key.
-    pub struct HolderRecord {
-        /// Daemon that holds the lease.
-        pub holder: DaemonId,
-        /// Number by which the holder recognises its own write.
-        pub nonce: u64,
-    }
-
-    /// Value of the counter key.
-    pub struct TokenRecord {
-        /// Highest token given out.
-        pub token: FencingToken,
-        /// Number by which the writer recognises its own write.
-        pub nonce: u64,
-    }
-}
-
 /// What the holder does next; one call is under way at a time.
 #[derive(Debug, Clone, PartialEq)]
 enum Step {
@@ -413,15 +387,6 @@
     }
 }
 
-fn token_record(current: &Option<StoredValue>) -> Option<TokenRecord> {
-    let value = current.as_ref()?.value.as_ref()?;
-    serde_json::from_slice(value).ok()
-}
-
-fn token_in(current: &Option<StoredValue>) -> FencingToken {
-    token_record(current).map_or(FencingToken(0), |record| record.token)
-}
-
 fn failure_name(failure: StoreFailure) -> &'static str {
     match failure {
         StoreFailure::Unavailable => "store-unavailable",
--- a/crates/laburnumstall-core/src/placement/plan_keeper.rs
+++ b/crates/laburnumstall-core/src/placement/plan_keeper.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 
 use crate::ids::{CallId, ParseIdError, Region};
-use crate::placement::lease::{CALL_TIMEOUT, StoreRequest};
+use crate::placement::lease::CALL_TIMEOUT;
 use crate::placement::plan::Plan;
+use crate::placement::records::StoreRequest;
 use crate::store::{StoreCall, StoreKey, StoreOutcome, StoreReply, StoreVersion, StoredValue};
 use crate::units::Timestamp;
 
--- a/crates/laburnumstall-core/src/placement/planner.rs
+++ b/crates/laburnumstall-core/src/placement/planner.rs
@@ -5,6 +5,7 @@
 use compact_str::format_compact;
 
 use crate::cloud::{ClientToken, OwnedVm};
+use crate::hash::digest64;
 use crate::ids::{ServiceName, VmId};
 use crate::placement::capacity::{Pool, WHOLE};
 use crate::placement::plan::{
@@ -217,7 +218,7 @@
                 let known = owned.and_then(|(owned, _)| owned.token.clone());
                 let token = match (known, vm.is_some()) {
                     (Some(token), _) => token,
-                    (None, true) => self.new_token(),
+                    (None, true) => self.new_token(&kind.offer),
                     (None, false) => self.open_token(pool, &kind.offer),
                 };
                 self.hourly = self.hourly.plus(kind.price);
@@ -238,16 +239,27 @@
         let matches = |slot: &&PlanSlot| slot.pool == *pool.name() && slot.offer == *offer;
         match self.open.iter().position(matches) {
             Some(index) => self.open.remove(index).token.clone(),
-            None => self.new_token(),
+            None => self.new_token(offer),
         }
     }
 
-    fn new_token(&mut self) -> ClientToken {
-        self.numbered += 1;
+    /// Returns a token that was never used: its name tells the offer, so that a plan
+    /// restored from an older copy cannot take another VM for this one.
+    fn new_token(&mut self, offer: &Offer) -> ClientToken {
         let region = self.input.region.as_str();
         let short = &region[..region.len().min(64)];
-        let text = format!("{short}-{}-{}", self.revision, self.numbered);
-        text.parse().expect("a token is short and visible")
+        let digest = digest64(&[offer.to_string().as_bytes()]) as u32;
+        loop {
+            self.numbered += 1;
+            let text = format!("{short}-{}-{}-{digest:08x}", self.revision, self.numbered);
+            let token: ClientToken = text.parse().expect("a token is short and visible");
+            let is_listed = |owned: &OwnedVm| owned.token.as_ref() == Some(&token);
+            let is_used =
+                self.input.spent.contains(&token) || self.input.fleet.iter().any(is_listed);
+            if !is_used {
+                return token;
+            }
+        }
     }
 
     fn weigh_alternatives(&mut self, pool: &Pool<'_>) {
--- a/crates/laburnumstall-core/tests/placement_plan.rs
+++ b/crates/laburnumstall-core/tests/placement_plan.rs
@@ -328,3 +328,24 @@
     let plan = Around::default().plan(&system, None);
     assert!(plan.slots.len() > 100 && holds(&system, &offers(&plan)));
 }
+
+/// Fails without the check of listed tokens in `Planner::new_token`.
+#[test]
+fn a_plan_restored_from_an_older_copy_uses_no_token_again() {
+    let mut around = Around::default();
+    let first = around.plan(&system(20), None);
+    around.grant(&first);
+    around.spent.clear();
+    let after_restore = around.plan(&system(40), None);
+    let open: Vec<_> = after_restore
+        .slots
+        .iter()
+        .filter(|slot| slot.vm.is_none())
+        .collect();
+    let is_listed = |token: &ClientToken| {
+        let mut fleet = around.fleet.iter();
+        fleet.any(|owned| owned.token.as_ref() == Some(token))
+    };
+    assert!(!open.is_empty());
+    assert!(open.iter().all(|slot| !is_listed(&slot.token)));
+}
