--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -116,6 +116,12 @@
         self.slot(id).map(|slot| &slot.endpoint)
     }
 
+    /// Returns the endpoints of a service that this daemon uses.
+    pub fn subset(&self, service: &ServiceName) -> impl Iterator<Item = &EndpointId> {
+        let indices = self.pools.get(service).map_or(&[][..], |pool| &pool.subset);
+        indices.iter().map(|index| &self.slots[*index].endpoint.id)
+    }
+
     /// Gives an endpoint no new work until it is gone from the list.
     pub fn mark_leaving(
         &mut self,
--- /dev/null
+++ b/crates/laburnumstall-core/tests/route_subset.rs
@@ -0,0 +1,81 @@
+//! Subsets of endpoints: of constant size, spread evenly, and stable.
+
+use std::collections::BTreeSet;
+
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::routing::{Peer, Router, SUBSET_SIZE};
+
+const ENDPOINTS: usize = 2_500;
+const DAEMONS: usize = 220;
+
+fn peer(number: usize) -> Peer {
+    Peer {
+        daemon: DaemonId {
+            vm: format!("vm-{number}").parse().unwrap(),
+            incarnation: Incarnation(1),
+        },
+        zone: format!("zone-{}", number % 3).parse().unwrap(),
+    }
+}
+
+fn endpoints(count: usize) -> Vec<Endpoint> {
+    let endpoint = |number| Endpoint {
+        id: format!("ep-{number:05}").parse().unwrap(),
+        vm: format!("gpu-{number}").parse().unwrap(),
+        zone: format!("zone-{}", number % 3).parse().unwrap(),
+        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 80).into(),
+        services: vec!["clerk".parse().unwrap()],
+    };
+    (0..count).map(endpoint).collect()
+}
+
+fn subset(of: usize, daemons: usize, count: usize) -> BTreeSet<EndpointId> {
+    let peers: Vec<Peer> = (0..daemons).map(peer).collect();
+    let own = peer(of);
+    let mut router = Router::new(&own.daemon, own.zone);
+    router.set_peers(&peers);
+    router.set_endpoints(Timestamp::ZERO, endpoints(count));
+    router.subset(&"clerk".parse().unwrap()).cloned().collect()
+}
+
+/// Fails if `peers::subset` falls back to the daemon's own choice: some endpoints would be
+/// used by nobody.
+#[test]
+fn endpoints_are_used_alike() {
+    let cover = (SUBSET_SIZE * DAEMONS).div_ceil(ENDPOINTS);
+    let mut users = vec![0; ENDPOINTS];
+    for daemon in 0..DAEMONS {
+        let subset = subset(daemon, DAEMONS, ENDPOINTS);
+        assert!((SUBSET_SIZE / 2..SUBSET_SIZE * 2).contains(&subset.len()));
+        let zones: BTreeSet<usize> = subset.iter().map(|id| number(id) % 3).collect();
+        assert_eq!(zones.len(), 3, "the loss of a zone leaves endpoints");
+        subset.iter().for_each(|id| users[number(id)] += 1);
+    }
+    assert!(users.iter().all(|users| *users == cover));
+}
+
+fn number(id: &EndpointId) -> usize {
+    id.as_str()[3..].parse().unwrap()
+}
+
+/// Fails if the subset depends on the order or the number of the endpoints or daemons.
+#[test]
+fn few_places_change() {
+    for daemon in 0..10 {
+        let before = subset(daemon, DAEMONS, ENDPOINTS);
+        let with_endpoint = subset(daemon, DAEMONS, ENDPOINTS + 1);
+        assert!(before.symmetric_difference(&with_endpoint).count() <= 1);
+        let with_daemon = subset(daemon, DAEMONS + 1, ENDPOINTS);
+        assert!(with_daemon.is_subset(&before));
+        assert!(before.len() - with_daemon.len() <= 4);
+    }
+}
+
+/// Fails if `subset` cuts a list that fits: small fleets use every endpoint.
+#[test]
+fn small_fleet_is_used_whole() {
+    for daemon in 0..4 {
+        assert_eq!(subset(daemon, 4, 12).len(), 12);
+    }
+    assert_eq!(subset(0, 1, 1_000).len(), SUBSET_SIZE);
+}
