Ask the quarantine before each attempt of a suspect, and walk with a poisoned request

Cause: walks with a request that crashes its endpoint lost six endpoints to it: the entry retried at once, and each refused poll was reported as another crash, which looked like a wave and withdrew the conviction. Change: an entry asks for its turn before it retries a suspect, tells peers first, and reports a crash once.

--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -36,6 +36,7 @@
 mod state;
 mod status;
 mod stop;
+mod suspects;
 mod takeover;
 mod timers;
 mod watchdog;
--- a/crates/laburnumstall-core/src/entry/accept.rs
+++ b/crates/laburnumstall-core/src/entry/accept.rs
@@ -155,11 +155,11 @@
     fn check_quarantine(&self, now: Timestamp, request: &Request) -> Result<(), Refusal> {
         let fingerprint = request.fingerprint();
         match self.quarantine.verdict(now, fingerprint) {
-            Verdict::Quarantined => {
+            Verdict::Quarantined if self.quarantine.held_until(now, fingerprint).is_none() => {
                 let detail = format!("fingerprint {fingerprint}");
                 Err(Refusal::new(ErrorKind::Quarantined, detail))
             }
-            Verdict::Clear | Verdict::Suspect => Ok(()),
+            _ => Ok(()),
         }
     }
 
--- a/crates/laburnumstall-core/src/entry/dispatch.rs
+++ b/crates/laburnumstall-core/src/entry/dispatch.rs
@@ -6,10 +6,10 @@
 use crate::entry::Entry;
 use crate::entry::action::{Action, DispatchOrder, StreamResume};
 use crate::entry::owned::{Phase, Running};
+use crate::entry::suspects::Clearance;
 use crate::error::ErrorKind;
 use crate::ids::{AttemptId, EventIndex, RequestId};
 use crate::message::Place;
-use crate::quarantine::Verdict;
 use crate::request::AnswerEvent;
 use crate::routing::{Route, RouteQuery};
 use crate::units::{Timestamp, Tokens};
@@ -80,23 +80,32 @@
         };
         let request = owned.record.request.clone();
         let generated = owned.record.generated();
-        let excluded = owned.excluded.clone();
+        let mut excluded = owned.excluded.clone();
         let number = owned.record.attempts + 1;
         let attempt = AttemptId {
             request: id.clone(),
             number,
         };
-        let verdict = self.quarantine.verdict(now, request.fingerprint());
-        if verdict == Verdict::Quarantined {
-            self.fail_quarantined(now, id);
-            return;
+        let clearance = self.clearance(now, request.fingerprint());
+        let isolated = matches!(clearance, Clearance::Apart(_));
+        match clearance {
+            Clearance::Free => {}
+            Clearance::Apart(occupied) => excluded.extend(occupied),
+            Clearance::Wait(until) => {
+                self.wait_as_suspect(now, id, until);
+                return;
+            }
+            Clearance::Never => {
+                self.fail_quarantined(now, id);
+                return;
+            }
         }
         let query = RouteQuery {
             attempt: &attempt,
             request: &request,
             generated,
             excluded: &excluded,
-            isolated: verdict == Verdict::Suspect,
+            isolated,
         };
         match self.router.choose(now, &query, &mut self.journal) {
             Ok(route) => self.begin(now, id, number, &route),
@@ -120,6 +129,8 @@
         let request = owned.record.request.clone();
         let attempt = owned.attempt_id();
         self.router.started(now, &attempt, route, &request);
+        self.quarantine
+            .on_dispatched(request.fingerprint(), &route.endpoint);
         self.start(now, id, place, None, route.expected_first_token, 0);
     }
 
--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -14,8 +14,7 @@
 use crate::entry::owned::{Owned, Phase, Running};
 use crate::error::{ErrorKind, Refusal};
 use crate::ids::{EndpointId, Fingerprint, RequestId};
-use crate::message::{Message, Place};
-use crate::quarantine::Verdict;
+use crate::message::Place;
 use crate::units::Timestamp;
 
 /// Wait when the retry budget is used up.
@@ -47,8 +46,10 @@
             number: place.attempt,
         };
         self.describe_failure(now, id, &place, &failure, &recovery);
-        if recovery != Recovery::Probe {
-            self.router.finished(now, &attempt);
+        match recovery {
+            Recovery::Probe => {}
+            Recovery::Anew => self.router.finished(now, &attempt),
+            _ => self.attempt_ended(now, id, &place),
         }
         if failure == AttemptFailure::NotSent {
             self.router
@@ -196,7 +197,7 @@
 
     fn on_endpoint_alive(&mut self, now: Timestamp, endpoint: &EndpointId, broken: Vec<RequestId>) {
         for id in broken {
-            self.finish_attempt(now, &id);
+            self.end_unharmed(now, &id);
             self.go_on(now, &id);
         }
         self.replace_silent(now, endpoint);
@@ -266,49 +267,17 @@
         }
     }
 
-    /// Suspects what ran on a crashed endpoint, and tells the peers before any retry.
-    fn report_crash(&mut self, now: Timestamp, endpoint: &EndpointId, suspects: &[Fingerprint]) {
-        let suspicion = self
-            .quarantine
-            .on_crash(now, endpoint, suspects, &mut self.journal);
-        if let Some(suspicion) = suspicion {
-            self.send_to_all(&Message::Suspect(suspicion));
-        }
-        self.fail_all_quarantined(now);
-    }
-
-    /// Fails every request here whose fingerprint is quarantined by now.
-    pub(super) fn fail_all_quarantined(&mut self, now: Timestamp) {
-        let quarantined: Vec<RequestId> = self
+    /// The endpoint of a broken attempt lives: the connection alone was lost.
+    fn end_unharmed(&mut self, now: Timestamp, id: &RequestId) {
+        let place = self
             .owned
-            .iter()
-            .filter(|(_, owned)| !owned.is_done() && owned.is_accepted())
-            .filter(|(_, owned)| {
-                let fingerprint = owned.record.request.fingerprint();
-                self.quarantine.verdict(now, fingerprint) == Verdict::Quarantined
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in quarantined {
-            self.fail_quarantined(now, &id);
+            .get(id)
+            .and_then(|owned| owned.record.place.clone());
+        if let Some(place) = place {
+            self.attempt_ended(now, id, &place);
         }
     }
 
-    pub(super) fn fail_quarantined(&mut self, now: Timestamp, id: &RequestId) {
-        let has_run = self.owned.get(id).is_some_and(|owned| owned.may_have_run);
-        let kind = if has_run {
-            ErrorKind::EndpointCrashed
-        } else {
-            ErrorKind::Quarantined
-        };
-        self.cancel_attempt(id);
-        self.fail(
-            now,
-            id,
-            Refusal::new(kind, "its fingerprint is quarantined"),
-        );
-    }
-
     fn finish_attempt(&mut self, now: Timestamp, id: &RequestId) {
         if let Some(owned) = self.owned.get(id) {
             let attempt = owned.attempt_id();
--- a/crates/laburnumstall-core/src/entry/finish.rs
+++ b/crates/laburnumstall-core/src/entry/finish.rs
@@ -37,13 +37,15 @@
             return;
         };
         owned.phase = Phase::Done { at: now };
-        let attempt = owned.attempt_id();
         let fingerprint = owned.record.request.fingerprint();
         let reservation = owned.reservation.take();
         let has_unused_claim = owned.has_claim && !owned.is_dispatched;
         let used = owned.record.request.prompt.plus(owned.record.generated());
         let has_answer = matches!(owned.record.events.last(), Some(AnswerEvent::End { .. }));
-        self.router.finished(now, &attempt);
+        let place = owned.record.place.clone();
+        if let Some(place) = place {
+            self.attempt_ended(now, id, &place);
+        }
         if let Some(reservation) = reservation {
             self.limits.settle(now, reservation, used);
         }
--- a/crates/laburnumstall-core/src/entry/peers.rs
+++ b/crates/laburnumstall-core/src/entry/peers.rs
@@ -7,7 +7,7 @@
 use crate::ids::{DaemonId, RequestId, Revision};
 use crate::membership::{Evidence, Member, MemberDigest, MemberEvent, MemberState};
 use crate::message::{CallerRef, Message};
-use crate::quarantine::Suspicion;
+use crate::routing::Peer;
 use crate::units::Timestamp;
 use crate::world::LoadReport;
 
@@ -98,7 +98,7 @@
             Message::Deliver { caller, delivery } => {
                 self.on_deliver(now, &from, caller, delivery);
             }
-            Message::Suspect(suspicion) => self.on_suspect(now, &suspicion),
+            Message::Suspect(suspicion) => self.on_suspect(now, &from, &suspicion),
             Message::Limits(share) => self.limits.on_share(now, &from, &share),
             Message::Loads(reports) => self.on_loads(now, &reports),
             Message::EndpointLeaving { endpoint, deadline } => {
@@ -139,12 +139,6 @@
         }
     }
 
-    fn on_suspect(&mut self, now: Timestamp, suspicion: &Suspicion) {
-        if self.quarantine.merge(now, suspicion, &mut self.journal) {
-            self.fail_all_quarantined(now);
-        }
-    }
-
     fn on_loads(&mut self, now: Timestamp, reports: &[LoadReport]) {
         for report in reports {
             self.take_report(now, report);
@@ -223,11 +217,18 @@
         if member.id != self.own {
             let heartbeat = self.heartbeat();
             self.send(&member.id, heartbeat);
+            let known = self.quarantine.snapshot();
+            if !known.is_empty() {
+                self.send(&member.id, Message::Suspect(known));
+            }
+            self.refresh_router_peers();
         }
     }
 
     fn on_gone(&mut self, now: Timestamp, daemon: &DaemonId) {
         self.source.forget(daemon);
+        self.quarantine.forget_peer(daemon);
+        self.refresh_router_peers();
         // Requests without any copy come first: another loss may follow at once.
         self.leave_standby(now, daemon, "gone");
         self.tick_copies(now);
@@ -235,6 +236,19 @@
         self.relocate_callers(now, daemon);
     }
 
+    /// Tells the router which daemons it shares the endpoints with.
+    fn refresh_router_peers(&mut self) {
+        let peers: Vec<Peer> = self
+            .membership
+            .reachable()
+            .map(|member| Peer {
+                daemon: member.id.clone(),
+                zone: member.zone.clone(),
+            })
+            .collect();
+        self.router.set_peers(&peers);
+    }
+
     fn leave_standby(&mut self, now: Timestamp, daemon: &DaemonId, reason: &str) {
         let on_it: Vec<RequestId> = self
             .owned
--- a/crates/laburnumstall-core/src/entry/platform.rs
+++ b/crates/laburnumstall-core/src/entry/platform.rs
@@ -96,6 +96,9 @@
         endpoint: &EndpointId,
         deadline: Option<Timestamp>,
     ) {
+        if !self.router.is_leaving(endpoint) {
+            self.quarantine.on_reclaim(now, endpoint, &mut self.journal);
+        }
         self.router
             .mark_leaving(now, endpoint, deadline, &mut self.journal);
         if let Some(deadline) = deadline {
@@ -129,8 +132,11 @@
             PollOutcome::Report(report) => {
                 self.take_report(now, &report);
             }
-            PollOutcome::Refused => self.on_endpoint_gone(now, endpoint, true),
-            PollOutcome::Silent => {}
+            // One crash is reported once: repeated reports would look like a wave.
+            PollOutcome::Refused if !self.router.is_failed(endpoint) => {
+                self.on_endpoint_gone(now, endpoint, true);
+            }
+            PollOutcome::Refused | PollOutcome::Silent => {}
         }
     }
 
@@ -181,6 +187,7 @@
         };
         let recomputed = owned.record.request.prompt.plus(owned.record.generated());
         let attempt = owned.attempt_id();
+        let place = owned.record.place.clone();
         let decision = self
             .decision(now, DecisionKind::Retry, "move", "endpoint-leaving")
             .with("request", id)
@@ -188,7 +195,9 @@
             .with("recomputed", recomputed);
         self.journal.record(decision);
         self.cancel_attempt(id);
-        self.router.finished(now, &attempt);
+        if let Some(place) = place {
+            self.attempt_ended(now, id, &place);
+        }
         self.dispatch(now, id);
     }
 }
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -148,6 +148,7 @@
         self.take_in(now, event);
         self.settle_claims(now);
         self.follow_members(now);
+        self.spread_suspicions();
         Output {
             actions: std::mem::take(&mut self.actions),
             decisions: self.journal.take(),
--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -196,11 +196,12 @@
         let Some(running) = self.owned.get(id).and_then(Owned::running) else {
             return;
         };
+        let place = running.place.clone();
         let attempt = AttemptId {
             request: id.clone(),
-            number: running.place.attempt,
+            number: place.attempt,
         };
-        self.router.finished(now, &attempt);
+        self.attempt_ended(now, id, &place);
         self.actions.push(Action::Abandon { attempt });
     }
 }
--- a/crates/laburnumstall-core/src/entry/watchdog.rs
+++ b/crates/laburnumstall-core/src/entry/watchdog.rs
@@ -90,11 +90,7 @@
         self.cancel_attempt(id);
         self.router
             .mark_failed(now, &place.endpoint, &mut self.journal);
-        let attempt = crate::ids::AttemptId {
-            request: id.clone(),
-            number: place.attempt,
-        };
-        self.router.finished(now, &attempt);
+        self.attempt_ended(now, id, &place);
         self.dispatch(now, id);
     }
 }
--- a/crates/laburnumstall-testkit/src/checks.rs
+++ b/crates/laburnumstall-testkit/src/checks.rs
@@ -5,7 +5,7 @@
 use laburnumstall_core::error::{ErrorKind, Execution};
 
 use crate::caller::{FakeCaller, Outcome};
-use crate::endpoint::{expected_events, run_name};
+use crate::endpoint::{POISON, expected_events, run_name};
 use crate::world::World;
 
 /// Checks that each caller has a prefix of its own answer, and the whole one if it ended.
@@ -127,6 +127,35 @@
     Ok(())
 }
 
+/// Endpoints that one request may crash over all entries and resends.
+const MAX_POISONED: u32 = 2;
+
+/// Checks that the request that crashes endpoints crashed few, and that no other request
+/// was refused for it.
+///
+/// # Errors
+///
+/// Returns a sentence about what was seen instead.
+pub fn poison_is_contained(world: &World) -> Result<(), String> {
+    if world.poisoned > MAX_POISONED {
+        return Err(format!("one request crashed {} endpoints", world.poisoned));
+    }
+    for (index, caller) in world.callers.iter().enumerate() {
+        let is_poison = caller.request.body.as_ref() == POISON;
+        let is_refused_for_it = match caller.outcome() {
+            Some(Outcome::Refused(refusal)) => matches!(
+                refusal.kind,
+                ErrorKind::Quarantined | ErrorKind::EndpointCrashed
+            ),
+            _ => false,
+        };
+        if is_refused_for_it && !is_poison {
+            return Err(format!("caller {index} was refused for another's crash"));
+        }
+    }
+    Ok(())
+}
+
 /// Counts the refusals of each kind.
 pub fn refusals(world: &World) -> BTreeMap<ErrorKind, u32> {
     let mut counts = BTreeMap::new();
--- a/crates/laburnumstall-testkit/src/outside.rs
+++ b/crates/laburnumstall-testkit/src/outside.rs
@@ -112,6 +112,7 @@
             .any(|part| part == POISON);
         if is_poison && request.dialect != Dialect::Plain {
             endpoint.crashes += 1;
+            self.poisoned += 1;
             let attempt = order.attempt.clone();
             self.crash_endpoint(index, Condition::Down);
             self.fail(from, &attempt, AttemptFailure::Reset);
--- a/crates/laburnumstall-testkit/src/walk.rs
+++ b/crates/laburnumstall-testkit/src/walk.rs
@@ -3,6 +3,7 @@
 //! A walk draws its steps from its seed. When a promise is broken, the steps are cut down
 //! to a short list that still breaks it, which is printed with the seed.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     LookUp(u64),
     /// An order is sent again with the same key through another entry.
     OrderAgain(u64),
+    /// A caller asks a model what crashes each endpoint that runs it.
+    AskPoison,
     /// A caller's connection breaks.
     Disconnect(usize),
     /// An entry's process dies.
@@ -114,7 +117,9 @@
         30..45 => Step::Order(number),
         45..52 => Step::LookUp(number),
         52..60 => Step::OrderAgain(rng.u64(..number.max(1))),
-        60..64 => Step::Disconnect(rng.usize(..16)),
+        60..63 => Step::Disconnect(rng.usize(..16)),
+        63..64 => Step::AddEntry,
+        64..67 if faults == Faults::All => Step::AskPoison,
         64..67 => Step::AddEntry,
         67..70 => Step::StopEntry(entry),
         70..74 => Step::ReclaimEntry(entry),
@@ -150,10 +155,12 @@
         take(world, step);
         checks::own_whole_answer(world)?;
         checks::at_most_once(world)?;
+        checks::poison_is_contained(world)?;
     }
     settle(world);
     checks::own_whole_answer(world)?;
     checks::at_most_once(world)?;
+    checks::poison_is_contained(world)?;
     checks::refused_did_not_run(world)?;
     checks::all_answered(world)?;
     if faults == Faults::Announced {
@@ -234,6 +241,10 @@
             let request = plain_request(world.now, STOCK, &body, None, patience);
             world.call(request, None);
         }
+        Step::AskPoison => {
+            let request = model_request(world.now, "poison", 20, patience);
+            world.call(request, None);
+        }
         Step::Disconnect(index) if *index < world.callers.len() => world.disconnect(*index),
         Step::AddEntry if world.nodes.len() < 8 => {
             world.add_entry();
@@ -260,12 +271,8 @@
 }
 
 fn take_at_machine(world: &mut World, step: &Step) {
-    let listed = world.nodes.iter().filter(|node| node.is_listed()).count();
-    let is_entry_free = |world: &World, number: usize| world.nodes[number].is_listed();
     match step {
-        Step::KillEntry(number) if listed > 2 && is_entry_free(world, *number) => {
-            world.kill_entry(*number);
-        }
+        Step::KillEntry(number) if is_spare(world, *number) => world.kill_entry(*number),
         Step::RestartEntry(number)
             if !world.nodes[*number].is_running() && !world.nodes[*number].is_vm_gone =>
         {
@@ -274,12 +281,10 @@
         Step::PauseEntry(number, millis) if world.nodes[*number].is_running() => {
             world.pause_entry(*number, Duration::from_millis(*millis));
         }
-        Step::ReclaimEntry(number) if listed > 2 && is_entry_free(world, *number) => {
+        Step::ReclaimEntry(number) if is_spare(world, *number) => {
             world.reclaim_entry(*number, Duration::from_secs(5));
         }
-        Step::StopEntry(number) if listed > 2 && is_entry_free(world, *number) => {
-            world.stop_entry(*number);
-        }
+        Step::StopEntry(number) if is_spare(world, *number) => world.stop_entry(*number),
         Step::CrashEndpoint(index) => {
             world.crash_endpoint(*index, Condition::Down);
             world.run_for(Duration::from_millis(300));
@@ -294,3 +299,11 @@
         _ => {}
     }
 }
+
+/// Tells whether an entry is in use and others in two zones would be left without it.
+fn is_spare(world: &World, number: usize) -> bool {
+    let others = world.nodes.iter().enumerate();
+    let others = others.filter(|(other, node)| *other != number && node.is_listed());
+    let zones: BTreeSet<_> = others.map(|(_, node)| node.zone.clone()).collect();
+    world.nodes[number].is_listed() && zones.len() > 1
+}
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -83,6 +83,8 @@
     pub keeps_lines: bool,
     pub(crate) schedule: Schedule,
     pub(crate) system: System,
+    /// Endpoints that a request crashed.
+    pub poisoned: u32,
     /// Keys that ran, as services remember them that check keys.
     pub(crate) answered: BTreeSet<String>,
     next_caller: u64,
@@ -106,6 +108,7 @@
             keeps_lines: spec.keeps_lines,
             schedule: Schedule::default(),
             system,
+            poisoned: 0,
             answered: BTreeSet::new(),
             next_caller: 0,
             next_incarnation: 0,
