core: membership by a watch of the registry

Cause: a whole listing at 880 daemons is about 264 KB, by counting, and cannot be read often within 4 KB/s. Change: single registrations and their ends are taken in, with the same guard against a registry that lost most of its keys. Checked: member_view and member_waves pass; the new test fails without its line.

--- a/crates/laburnumstall-core/src/membership.rs
+++ b/crates/laburnumstall-core/src/membership.rs
@@ -48,7 +48,7 @@
     others: BTreeMap<DaemonId, Standing>,
     /// Highest incarnation seen on each VM.
     latest: BTreeMap<VmId, Incarnation>,
-    /// Whether the last successful listing still held at least half of the members.
+    /// Whether the registry, as last read, still holds at least half of the members.
     listing_is_sound: bool,
     events: Vec<MemberEvent>,
     /// Latest time given to any call.
@@ -97,29 +97,42 @@
     pub fn on_registry(&mut self, now: Timestamp, members: &[Member], journal: &mut Journal) {
         self.now = self.now.max(now);
         for member in members {
-            self.see(now, member, journal);
-            self.return_if_registered(now, &member.id, journal);
-            if let Some(standing) = self.others.get_mut(&member.id) {
-                standing.registered = true;
-                standing.registry_absent = None;
-            }
+            self.register(now, member, journal);
         }
         let listed: BTreeSet<&DaemonId> = members.iter().map(|member| &member.id).collect();
-        let registered: Vec<DaemonId> = self
-            .others
-            .values()
-            .filter(|standing| standing.state != MemberState::Gone && standing.registered)
+        let absent: Vec<DaemonId> = self
+            .registered()
             .map(|standing| standing.member.id.clone())
-            .collect();
-        let known = registered.len();
-        let absent: Vec<DaemonId> = registered
-            .into_iter()
             .filter(|id| !listed.contains(id))
             .collect();
-        self.listing_is_sound = absent.len() * 2 <= known;
         for id in absent {
             self.on_evidence(now, &id, Evidence::RegistryAbsent, journal);
         }
+        self.weigh_listing();
+    }
+
+    /// Takes in one registration that a watch of the registry showed.
+    ///
+    /// A watch costs far less than whole listings in a large fleet; since it can go silent,
+    /// a listing follows it at long intervals.
+    pub fn on_registered(&mut self, now: Timestamp, member: &Member, journal: &mut Journal) {
+        self.now = self.now.max(now);
+        self.register(now, member, journal);
+        self.weigh_listing();
+    }
+
+    /// Takes in that a watch showed the end of the registration of a VM's daemon.
+    pub fn on_unregistered(&mut self, now: Timestamp, vm: &VmId, journal: &mut Journal) {
+        let ended: Vec<DaemonId> = self
+            .registered()
+            .map(|standing| &standing.member.id)
+            .filter(|id| id.vm == *vm)
+            .cloned()
+            .collect();
+        for id in ended {
+            self.on_evidence(now, &id, Evidence::RegistryAbsent, journal);
+        }
+        self.weigh_listing();
     }
 
     /// Keeps the view while the registry cannot be read: nobody's absence counts.
@@ -255,6 +268,30 @@
         std::mem::take(&mut self.events)
     }
 
+    fn register(&mut self, now: Timestamp, member: &Member, journal: &mut Journal) {
+        self.see(now, member, journal);
+        self.return_if_registered(now, &member.id, journal);
+        if let Some(standing) = self.others.get_mut(&member.id) {
+            standing.registered = true;
+            standing.registry_absent = None;
+        }
+    }
+
+    /// Returns the others that were registered once and do not count as gone.
+    fn registered(&self) -> impl Iterator<Item = &Standing> {
+        self.others
+            .values()
+            .filter(|standing| standing.state != MemberState::Gone && standing.registered)
+    }
+
+    /// Notes whether at least half of the registrations still stand.
+    fn weigh_listing(&mut self) {
+        let known = self.registered().count();
+        let is_absent = |standing: &&Standing| standing.registry_absent.is_some();
+        let absent = self.registered().filter(is_absent).count();
+        self.listing_is_sound = absent * 2 <= known;
+    }
+
     fn on_own_evidence(&mut self, evidence: Evidence) {
         if let Evidence::Notice { .. } = evidence {
             self.set_leaving();
--- a/crates/laburnumstall-core/tests/member_view.rs
+++ b/crates/laburnumstall-core/tests/member_view.rs
@@ -218,6 +218,26 @@
     assert_eq!(second.state(dead), Some(MemberState::Gone));
 }
 
+/// Fails without `weigh_listing` in `Membership::on_unregistered`.
+#[test]
+fn a_watch_tells_the_same_as_listings() {
+    let ends_at = Timestamp::from_millis(1_000);
+    let later = Timestamp::from_millis(30_000);
+    for ended in 1..4 {
+        let (mut view, members, mut journal) = four();
+        for member in &members[1..=ended] {
+            view.on_unregistered(ends_at, &member.id.vm, &mut journal);
+        }
+        let gone = view.tick(later, &mut journal).len();
+        let expected = if ended == 1 { 1 } else { 0 };
+        assert_eq!(gone, expected, "{ended} of three registrations ended");
+        let successor = member(1, "b", 2);
+        view.on_registered(later, &successor, &mut journal);
+        assert_eq!(view.state(&successor.id), Some(MemberState::Live));
+        assert_eq!(view.state(&members[1].id), Some(MemberState::Gone));
+    }
+}
+
 fn fleet(count: u16, zones: u16) -> Vec<Member> {
     (0..count)
         .map(|number| member(number, &format!("zone-{}", number % zones), 1))
