--- a/crates/laburnumstall-peer/src/link.rs
+++ b/crates/laburnumstall-peer/src/link.rs
@@ -12,6 +12,9 @@
 use crate::session::{self, SessionEnd};
 use crate::{Lane, PeerEvent, SendFault};
 
+/// Largest write, in bytes, that surely leaves with the first flight of packets.
+const SMALL_WRITE_BYTES: usize = 8 << 10;
+
 /// Queues of messages to one daemon, shared by the senders and the link's task.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -28,6 +31,8 @@
     is_draining: bool,
     pushed: u64,
     written: u64,
+    writes: u32,
+    has_large_write: bool,
 }
 
 /// What a lane does next.
@@ -89,16 +94,31 @@
         self.wake[lane.index()].notified().await;
     }
 
-    /// Notes that something was written, to which an answer is due.
-    pub(crate) fn note_written(&self) {
+    /// Notes that a write of some bytes begins, to which an answer is due.
+    pub(crate) fn begin_write(&self, bytes: usize) {
+        let mut state = self.state();
+        state.writes += 1;
+        state.has_large_write |= bytes > SMALL_WRITE_BYTES;
+        drop(state);
         self.wrote.notify_one();
     }
 
-    /// Waits for [`Link::note_written`].
-    pub(crate) async fn written_to(&self) {
+    /// Notes that the transport has taken a write.
+    pub(crate) fn end_write(&self) {
+        self.state().writes -= 1;
+    }
+
+    /// Waits until a write begins.
+    pub(crate) async fn write_begun(&self) {
         self.wrote.notified().await;
     }
 
+    /// Tells whether a write is under way, or a large one was since the last call.
+    pub(crate) fn take_large_write(&self) -> bool {
+        let mut state = self.state();
+        std::mem::take(&mut state.has_large_write) || state.writes > 0
+    }
+
     /// Lets the lanes finish what is queued and then end the connection.
     pub(crate) fn drain(&self) {
         self.state().is_draining = true;
@@ -142,6 +162,8 @@
         let mut state = self.state();
         state.is_draining = false;
         state.written = 0;
+        state.writes = 0;
+        state.has_large_write = false;
     }
 
     /// Number of messages written on the present connection.
--- a/crates/laburnumstall-peer/src/session.rs
+++ b/crates/laburnumstall-peer/src/session.rs
@@ -151,8 +151,9 @@
         }
         link.woken(Lane::Bulk).await;
     }
-    link.note_written();
+    link.begin_write(0);
     let stream = open(conn, Lane::Bulk).await?;
+    link.end_write();
     write_lane(link, Lane::Bulk, stream).await
 }
 
@@ -161,14 +162,17 @@
     loop {
         match link.step(lane) {
             LaneStep::Write(batch) => {
-                link.note_written();
+                link.begin_write(batch.bytes.len());
                 let written = stream.tx.write_chunk(Bytes::from(batch.bytes)).await;
                 written.map_err(|error| reason_of_write(&error))?;
+                link.end_write();
             }
             LaneStep::Wait => link.woken(lane).await,
             LaneStep::Finish => {
-                link.note_written();
-                return finish(stream).await;
+                link.begin_write(0);
+                finish(stream).await?;
+                link.end_write();
+                return Ok(());
             }
         }
     }
