Make the contract's property saturate every entry

Cause: removing the lent part from a part's rate did not fail the property, as its demand was below the contract. Change: random sets of entries are loaded above their parts; windows are checked by an equivalent leaky bucket; a named case for a smaller loan that is lost; no clones for a wait of zero.

--- a/crates/laburnumstall-core/src/limits/account.rs
+++ b/crates/laburnumstall-core/src/limits/account.rs
@@ -63,16 +63,16 @@
 
     /// Tells how long it takes until a request of `cost` can be taken; `None` if it never can.
     fn wait(&mut self, now: Timestamp, cost: i64) -> Option<Duration> {
-        let mut requests = self.requests.clone();
-        let mut tokens = self.tokens.clone();
-        let mut at = now;
-        loop {
-            let wait = requests.wait(at, MICRO)?.max(tokens.wait(at, cost)?);
-            if wait.is_zero() || at == Timestamp::NEVER {
-                return Some(at.since(now));
-            }
-            at = at.after(wait);
+        let wait = self
+            .requests
+            .wait(now, MICRO)?
+            .max(self.tokens.wait(now, cost)?);
+        let later = now.after(wait);
+        if wait.is_zero() || later == Timestamp::NEVER {
+            return Some(wait);
         }
+        let rest = self.clone().wait(later, cost)?;
+        Some(later.after(rest).since(now))
     }
 
     pub(super) fn settle(&mut self, now: Timestamp, reserved: Tokens, used: Tokens) {
--- a/crates/laburnumstall-core/src/limits/part.rs
+++ b/crates/laburnumstall-core/src/limits/part.rs
@@ -103,22 +103,16 @@
     /// Tells how long it takes until `cost` can be taken; `None` if it never can.
     pub(super) fn wait(&mut self, now: Timestamp, cost: i64) -> Option<Duration> {
         self.advance(now);
-        let mut later = self.clone();
-        let mut at = now;
-        loop {
-            let wait = later.bucket.wait(at, cost);
-            let change = later.next_change();
-            match (wait, change) {
-                (Some(wait), Some(change)) if at.after(wait) <= change => {
-                    return Some(at.after(wait).since(now));
-                }
-                (wait, None) => return wait.map(|wait| at.after(wait).since(now)),
-                (_, Some(change)) => {
-                    later.advance(change);
-                    at = change;
-                }
-            }
+        let wait = self.bucket.wait(now, cost);
+        let Some(change) = self.next_change() else {
+            return wait;
+        };
+        if wait.is_some_and(|wait| now.after(wait) <= change) {
+            return wait;
         }
+        let mut later = self.clone();
+        let rest = later.wait(change, cost)?;
+        Some(change.after(rest).since(now))
     }
 
     /// Takes `cost`; a negative cost gives back.
--- a/crates/laburnumstall-core/tests/limit_contract.rs
+++ b/crates/laburnumstall-core/tests/limit_contract.rs
@@ -101,19 +101,22 @@
 }
 
 /// Tells whether every window admits at most the contract and one period's burst.
+///
+/// A leaky bucket that the contract empties holds the largest excess over all windows that
+/// end now.
 fn windows_hold(admitted: &[(Timestamp, u64)], rate: u64) -> bool {
-    (0..admitted.len()).all(|first| {
-        let mut sum = 0;
-        admitted[first..].iter().all(|(at, cost)| {
-            sum += cost;
-            let window = at.since(admitted[first].0) + SHARE_PERIOD;
-            u128::from(sum) * 1_000_000 <= u128::from(rate) * window.as_micros()
-        })
+    let burst = u128::from(rate) * SHARE_PERIOD.as_micros();
+    let mut level = 0;
+    let mut last = Timestamp::ZERO;
+    admitted.iter().all(|(at, cost)| {
+        let leaked = u128::from(rate) * at.since(last).as_micros();
+        level = u128::saturating_sub(level, leaked) + u128::from(*cost) * 1_000_000;
+        last = *at;
+        level <= burst
     })
 }
 
-/// Fails if `Part::rate` does not subtract what is lent, or if `lent_rate` counts the
-/// latest loan in place of the largest.
+/// Fails if `Part::rate` does not subtract what is lent.
 #[test]
 fn sum_never_exceeds_contract() {
     fn holds(seed: u64) -> bool {
@@ -124,25 +127,22 @@
         let chance = rng.u8(..=10);
         let mut late = Vec::new();
         let mut admitted = Vec::new();
-        let mut hot = 0;
+        let mut is_loaded = vec![true; fleet.len()];
         let mut now = Timestamp::ZERO;
-        for step in 0..400 {
+        for step in 0..240 {
             now = now.after(TICK);
             if step % 40 == 0 {
                 exchange(&mut fleet, &mut late, now, &mut rng, chance);
             }
-            if rng.u8(..60) == 0 {
-                hot = rng.usize(..fleet.len());
+            if rng.u8(..50) == 0 {
+                is_loaded.fill_with(|| rng.bool());
             }
-            for _ in 0..rng.u8(..5) {
-                let entry = if rng.u8(..4) > 0 {
-                    hot
-                } else {
-                    rng.usize(..fleet.len())
-                };
-                let cost = rng.u64(1..200);
-                if try_admit(&mut fleet[entry], now, cost).is_ok() {
-                    admitted.push((now, cost));
+            for entry in (0..fleet.len()).filter(|entry| is_loaded[*entry]) {
+                for _ in 0..rng.u8(..5) {
+                    let cost = rng.u64(1..200);
+                    if try_admit(&mut fleet[entry], now, cost).is_ok() {
+                        admitted.push((now, cost));
+                    }
                 }
             }
         }
@@ -205,6 +205,39 @@
     admitted
 }
 
+/// Fails if `lent_rate` counts the latest loan in place of the largest: the borrower, which
+/// has not got the smaller one, still uses the larger.
+#[test]
+fn lost_smaller_loan_is_counted_as_larger() {
+    let mut fleet = entries(2, 40, 1_000_000);
+    let mut late = Vec::new();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut admitted = 0;
+    for step in 0..160 {
+        let now = Timestamp::ZERO.after(TICK * step);
+        match step {
+            0 | 40 | 80 => exchange(&mut fleet, &mut late, now, &mut rng, 10),
+            120 => drop(fleet[0].share(now)),
+            _ => {}
+        }
+        let offered = match step {
+            0..80 => 0,
+            80..120 => step % 2,
+            _ => 5,
+        };
+        for (entry, offered) in [(0, offered), (1, 5)] {
+            for _ in 0..offered {
+                let is_admitted = try_admit(&mut fleet[entry], now, 10).is_ok();
+                admitted += usize::from(is_admitted && step > 120);
+            }
+        }
+    }
+    assert!(
+        (70..=82).contains(&admitted),
+        "40 a second for 2 s: {admitted}"
+    );
+}
+
 /// Fails without the call of `lend` in `add_to_share`.
 #[test]
 fn idle_entries_lend() {
--- a/crates/laburnumstall-core/tests/route_choice.rs
+++ b/crates/laburnumstall-core/tests/route_choice.rs
@@ -235,6 +235,7 @@
         router.set_peers(&peers);
         let mut own = 0;
         while let Ok(route) = choose(&mut router, at(0), own, &request(b"x"), true) {
+            assert!(own < 9, "two suspects on one endpoint");
             if own == 0 {
                 router.started(at(0), &attempt(0), &route, &request(b"x"));
             }
