--- a/crates/laburnumstall/src/cli.rs
+++ b/crates/laburnumstall/src/cli.rs
@@ -92,6 +92,9 @@
     /// Drives callers at a live system.
     #[options(help = "drive callers at a live system and check their answers")]
     Load(LoadOptions),
+    /// Measures cost at the latency target and recomputed tokens.
+    #[options(help = "measure cost, latency and recomputed tokens in virtual time")]
+    Bench(BenchOptions),
 }
 
 /// Reads a text and reports all of its faults.
@@ -243,6 +246,44 @@
     pub file: PathBuf,
 }
 
+/// Measures cost at the latency target, latency and recomputed tokens in virtual time.
+#[derive(Debug, Default, Options)]
+pub struct BenchOptions {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Workload, or `all`.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "caroni, kuusiviulu or all",
+        default = "all"
+    )]
+    pub workload: String,
+    /// Policy, or `all`.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "laburnumstall, round-robin, least-loaded, power-of-two, bound or all",
+        default = "all"
+    )]
+    pub policy: String,
+    /// Kind of faults, or `all`.
+    #[options(
+        no_short,
+        meta = "KIND",
+        help = "none, waves, zone-loss or all",
+        default = "all"
+    )]
+    pub faults: String,
+    /// Seed of all chance.
+    #[options(no_short, meta = "N", help = "seed of all chance", default = "1")]
+    pub seed: u64,
+    /// Whether the search for the fewest replicas is left out.
+    #[options(no_short, help = "do not search for the cost at the latency target")]
+    pub no_cost: bool,
+}
+
 impl Arguments {
     /// Reads the arguments after the program's name.
     ///
--- a/crates/laburnumstall/src/commands.rs
+++ b/crates/laburnumstall/src/commands.rs
@@ -1,6 +1,7 @@
 //! One module for each command.
 
 pub mod apply;
+pub mod bench;
 pub mod check;
 pub mod diff;
 pub mod drain;
--- a/crates/laburnumstall/src/lib.rs
+++ b/crates/laburnumstall/src/lib.rs
@@ -70,6 +70,7 @@
         Command::Drain(options) => commands::drain::run(cx, options).await,
         Command::Explain(options) => commands::explain::run(cx, options).await,
         Command::Load(options) => commands::load::run(cx, options).await,
+        Command::Bench(options) => commands::bench::run(cx, options).await,
     }
 }
 
