Show a system on loopback, and what faults do to live load

Cause: there was no way to look at a running system, or at a fault, by one command.

Load keys are now UUIDs of version 7, as non-idempotent calls demand, and the load driver reads streams by the platform's parser instead of one of its own.

--- a/crates/laburnumstall-site/src/lines.rs
+++ b/crates/laburnumstall-site/src/lines.rs
@@ -26,6 +26,11 @@
         self.lock().clone()
     }
 
+    /// Returns the lines from the one with a number on; the first has number zero.
+    pub fn read_from(&self, number: usize) -> Vec<String> {
+        self.lock().get(number..).unwrap_or_default().to_vec()
+    }
+
     /// Counts the lines that hold a text.
     pub fn count(&self, text: &str) -> usize {
         self.lock()
--- a/crates/laburnumstall-site/src/site.rs
+++ b/crates/laburnumstall-site/src/site.rs
@@ -17,7 +17,7 @@
 use snafu::ResultExt;
 use spdlog::Level;
 
-use crate::caller::Caller;
+use crate::caller::{Answer, Caller};
 use crate::error::{AdminSnafu, DaemonSnafu, NotReadySnafu, SiteError, StandInSnafu};
 use crate::lines::LogLines;
 use crate::spec::SiteSpec;
@@ -193,20 +193,36 @@
         text::write(&self.spec, self.orders.address(), self.stock.address())
     }
 
-    async fn apply_first(&self) -> Result<(), SiteError> {
+    /// Applies a text as an operator who changed the revision `base`, through the running
+    /// entry with a number.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError::Admin`] if the daemon does not answer.
+    pub async fn apply(
+        &self,
+        entry: usize,
+        base: Revision,
+        text: String,
+        operator: &str,
+    ) -> Result<Answer, SiteError> {
         let request = ApplyRequest {
-            base: Revision(0),
-            text: self.text(),
-            reason: "first system".into(),
-            operator: named("demo"),
+            base,
+            text,
+            reason: "demonstration".into(),
+            operator: named(operator),
             nonce: new_nonce(),
         };
         let body = serde_json::to_value(&request).unwrap_or(Value::Null);
         let operators = self.operators();
         let caller = Caller::new(OPERATOR_KEY);
         let path = laburnumstall_config::admin::CONFIGURATION_PATH;
-        let answer = caller.post(operators[0], path, None, &body).await;
-        let answer = answer.context(AdminSnafu)?;
+        let answer = caller.post(operators[entry], path, None, &body).await;
+        answer.context(AdminSnafu)
+    }
+
+    async fn apply_first(&self) -> Result<(), SiteError> {
+        let answer = self.apply(0, Revision(0), self.text(), "demo").await?;
         if answer.status != 200 {
             return NotReadySnafu {
                 seconds: 0_u64,
@@ -269,6 +285,16 @@
         }
     }
 
+    /// Ends an outage of the key-value service.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError::StandIn`] if its port was taken meanwhile.
+    pub fn resume_store(&self) -> Result<(), SiteError> {
+        let resumed = self.store.resume();
+        resumed.context(StandInSnafu { what: "the store" })
+    }
+
     /// Announces that a VM is taken after `notice`.
     pub fn announce(&self, vms: &[VmId], notice: Duration) {
         self.cloud.announce(vms, notice);
--- a/crates/laburnumstall/src/cli.rs
+++ b/crates/laburnumstall/src/cli.rs
@@ -10,6 +10,7 @@
 use laburnumstall_core::ids::{Revision, VmId};
 use laburnumstall_core::units::RequestRate;
 
+use crate::demo::Scenario;
 use crate::program_usage;
 
 /// General options that take a value.
@@ -92,6 +93,9 @@
     /// Drives callers at a live system.
     #[options(help = "drive callers at a live system and check their answers")]
     Load(LoadOptions),
+    /// Runs a whole system on loopback.
+    #[options(help = "run a whole system on loopback, and faults in it")]
+    Demo(DemoOptions),
 }
 
 /// Reads a text and reports all of its faults.
@@ -243,6 +247,32 @@
     pub file: PathBuf,
 }
 
+/// Runs a whole system on loopback until Ctrl-C, or shows what a fault does to live load.
+#[derive(Debug, Default, Options)]
+pub struct DemoOptions {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Fault to show.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "run load through zone-loss, config-race, poison, store-outage, silent-connection, entry-loss or planned-stop"
+    )]
+    pub scenario: Option<Scenario>,
+    /// Time after which the system stops by itself.
+    #[options(
+        no_short,
+        long = "for",
+        meta = "SECONDS",
+        help = "stop after this time"
+    )]
+    pub limit: Option<String>,
+    /// Whether decision lines are written.
+    #[options(no_short, help = "write decision lines to standard error")]
+    pub verbose: bool,
+}
+
 impl Arguments {
     /// Reads the arguments after the program's name.
     ///
--- a/crates/laburnumstall/src/commands.rs
+++ b/crates/laburnumstall/src/commands.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod demo;
 pub mod diff;
 pub mod drain;
 pub mod explain;
--- a/crates/laburnumstall/src/error.rs
+++ b/crates/laburnumstall/src/error.rs
@@ -14,6 +14,7 @@
 use snafu::Snafu;
 
 use crate::context::Context;
+use crate::demo::DemoError;
 use crate::exit::Exit;
 
 domain! {
@@ -108,6 +109,18 @@
         /// Answers that belong to another request.
         foreign: u64,
     },
+    /// The demonstration could not be run.
+    #[snafu(display("run the demonstration"))]
+    Demo {
+        /// Cause.
+        source: DemoError,
+    },
+    /// A promise was broken in a scenario.
+    #[snafu(display("run the scenario: {promises} promises were broken"))]
+    ScenarioBroken {
+        /// Number of broken promises.
+        promises: usize,
+    },
     /// No daemon answered.
     #[snafu(display("{call}: no daemon answered ({})", list(tried)))]
     Unreachable {
@@ -209,7 +222,10 @@
             Self::WriteResult { .. } | Self::WriteJson { .. } => "check where the output goes",
             Self::NotGiven { hint, .. } => hint,
             Self::BadArgument { .. } => "see the command's --help",
-            Self::PromiseBroken { .. } => "`laburnumstall explain` tells a request's story",
+            Self::Demo { .. } => "the demonstration needs free ports on loopback",
+            Self::PromiseBroken { .. } | Self::ScenarioBroken { .. } => {
+                "`laburnumstall explain` tells a request's story"
+            }
             Self::Unreachable {
                 may_have_acted: true,
                 ..
--- a/crates/laburnumstall/src/lib.rs
+++ b/crates/laburnumstall/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 pub mod commands;
 mod context;
+pub mod demo;
 mod error;
 mod exit;
 pub mod explain;
@@ -70,6 +71,7 @@
         Command::Drain(options) => commands::drain::run(cx, options).await,
         Command::Explain(options) => commands::explain::run(cx, options).await,
         Command::Load(options) => commands::load::run(cx, options).await,
+        Command::Demo(options) => commands::demo::run(cx, options).await,
     }
 }
 
--- a/crates/laburnumstall/src/load.rs
+++ b/crates/laburnumstall/src/load.rs
@@ -10,13 +10,14 @@
 mod check;
 mod directory;
 mod driver;
-mod event_lines;
 mod plan;
 mod report;
 mod workload;
 
 pub use check::{AnswerCheck, AnswerVerdict, PresenceCheck, ReceivedAnswer};
 pub use driver::drive;
+pub(crate) use driver::unix_now;
 pub use plan::{CallerKey, LoadPlan, MixPart};
-pub use report::{LoadReport, Quantiles};
+pub use report::{Ending, LoadReport, Quantiles, RequestEnd};
+pub(crate) use workload::new_key;
 pub use workload::{SentRequest, Workload};
--- a/crates/laburnumstall/src/load/caller.rs
+++ b/crates/laburnumstall/src/load/caller.rs
@@ -10,13 +10,13 @@
 use futures_util::{Stream, StreamExt};
 use laburnumstall_core::error::{ErrorBody, ErrorKind, Refusal};
 use laburnumstall_core::request::Dialect;
+use laburnumstall_platform::endpoint::sse::{SseEvent, SseParser};
 use serde_json::Value;
 
 use super::check::{AnswerCheck, ReceivedAnswer};
 use super::directory::{DIRECTORY_PATH, DirectoryAnswer};
 use super::driver::LoadRun;
-use super::event_lines::{EventLines, StreamEvent};
-use super::report::Ending;
+use super::report::{Ending, RequestEnd};
 use super::workload::SentRequest;
 
 /// Time between two attempts to reach an entry.
@@ -31,6 +31,9 @@
 /// Mark at the end of a whole stream.
 const END_MARK: &str = "[DONE]";
 
+/// Name of the event that tells an error.
+const ERROR_EVENT: &str = "error";
+
 /// Path of accepted requests.
 const REQUESTS_PATH: &str = "/v1/requests";
 
@@ -51,6 +54,7 @@
     last_event: Option<String>,
     last_token_at: Option<Instant>,
     answer: ReceivedAnswer,
+    last_return: Option<Instant>,
     turn: u64,
 }
 
@@ -78,16 +82,17 @@
             last_event: None,
             last_token_at: None,
             answer: ReceivedAnswer::default(),
+            last_return: None,
             turn: sent.number,
         }
     }
 
     /// Carries the request to its end.
-    pub(crate) async fn carry<C: AnswerCheck>(mut self, check: &C) -> Ending {
+    pub(crate) async fn carry<C: AnswerCheck>(mut self, check: &C) -> RequestEnd {
         let limit = self.sent.part.deadline + self.run.grace;
         let ended = tokio::time::timeout(limit, self.until_ended()).await;
         let was_accepted = self.request.is_some();
-        match ended {
+        let ending = match ended {
             Ok(Ended::Whole) => Ending::Answered(check.check(self.sent, &self.answer)),
             Ok(Ended::Error(body)) => Ending::Error {
                 body,
@@ -95,6 +100,11 @@
                 is_idempotent: self.sent.part.idempotent,
             },
             Err(_) => Ending::Nothing { was_accepted },
+        };
+        RequestEnd {
+            ending,
+            chunks: self.answer.chunks,
+            last_return: self.last_return,
         }
     }
 
@@ -114,7 +124,8 @@
         }
     }
 
-    fn count_return(&self) {
+    fn count_return(&mut self) {
+        self.last_return = Some(Instant::now());
         let report = &mut self.run.tally.borrow_mut().report;
         match self.request {
             Some(_) => report.attached += 1,
@@ -193,27 +204,33 @@
             self.answer.text.clear();
             self.answer.chunks = 0;
         }
-        let mut lines = EventLines::default();
+        let mut parser = SseParser::default();
+        let mut events = Vec::new();
         while let Ok(Some(Ok(piece))) = tokio::time::timeout(self.run.silence, pieces.next()).await
         {
-            for event in lines.add(piece.as_ref()) {
+            let parsed = parser.push(piece.as_ref(), &mut events);
+            for event in events.drain(..) {
                 if let Some(ended) = self.take_event(event) {
                     return Step::Ended(ended);
                 }
             }
+            if parsed.is_err() {
+                break;
+            }
         }
         Step::CutOff
     }
 
-    fn take_event(&mut self, event: StreamEvent) -> Option<Ended> {
-        if event.is_error {
+    fn take_event(&mut self, event: SseEvent) -> Option<Ended> {
+        if event.name == ERROR_EVENT {
             let body = serde_json::from_str(&event.data);
             return Some(Ended::Error(body.unwrap_or_else(|_| unreadable())));
         }
         if event.data == END_MARK {
             return Some(Ended::Whole);
         }
-        self.last_event = event.id.or(self.last_event.take());
+        let id = event.id.map(String::from);
+        self.last_event = id.or(self.last_event.take());
         let text = chunk_text(self.sent.part.dialect, &event.data)?;
         self.answer.text.push_str(&text);
         self.answer.chunks += 1;
--- a/crates/laburnumstall/src/load/check.rs
+++ b/crates/laburnumstall/src/load/check.rs
@@ -3,6 +3,7 @@
 use laburnumstall_core::domain_value;
 use laburnumstall_core::request::Dialect;
 
+use super::report::RequestEnd;
 use super::workload::SentRequest;
 
 /// An answer as a caller has it at the end.
@@ -36,6 +37,9 @@
 pub trait AnswerCheck {
     /// Judges the answer to a request that ended without an error.
     fn check(&self, sent: &SentRequest, answer: &ReceivedAnswer) -> AnswerVerdict;
+
+    /// Takes note of how a request ended.
+    fn note_end(&self, _sent: &SentRequest, _end: &RequestEnd) {}
 }
 
 /// A check for endpoints whose answers are not known: there must be an answer.
--- a/crates/laburnumstall/src/load/driver.rs
+++ b/crates/laburnumstall/src/load/driver.rs
@@ -3,9 +3,10 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use awc::{Client, Connector};
+use laburnumstall_core::units::Timestamp;
 use tokio::sync::Semaphore;
 
 use super::caller::Caller;
@@ -75,7 +76,7 @@
     let start = Instant::now();
     let mut next_progress = start;
     let mut tasks = Vec::new();
-    for sent in Workload::new(plan) {
+    for sent in Workload::starting_at(plan, unix_now()) {
         tokio::time::sleep_until((start + sent.at).into()).await;
         if places.available_permits() == 0 {
             run.tally.borrow_mut().report.delayed += 1;
@@ -105,12 +106,19 @@
 async fn carry<C: AnswerCheck>(run: Rc<LoadRun>, check: Rc<C>, sent: SentRequest) {
     run.tally.borrow_mut().report.sent += 1;
     let begun = Instant::now();
-    let ending = Caller::new(&run, &sent).carry(check.as_ref()).await;
+    let end = Caller::new(&run, &sent).carry(check.as_ref()).await;
+    check.note_end(&sent, &end);
     let mut tally = run.tally.borrow_mut();
-    if matches!(ending, Ending::Answered(_)) {
+    if matches!(end.ending, Ending::Answered(_)) {
         tally.total.record(begun.elapsed());
     }
-    tally.report.count(&ending);
+    tally.report.count(&end.ending);
+}
+
+/// Returns the time since the Unix epoch.
+pub(crate) fn unix_now() -> Timestamp {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Timestamp(since.unwrap_or_default().as_micros() as u64)
 }
 
 impl LoadRun {
--- a/crates/laburnumstall/src/load/report.rs
+++ b/crates/laburnumstall/src/load/report.rs
@@ -1,7 +1,7 @@
 //! What happened to the requests of a run.
 
 use std::fmt;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
 use laburnumstall_core::domain_value;
@@ -62,17 +62,34 @@
 
 /// How one request ended.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) enum Ending {
+pub enum Ending {
     /// With an answer, which was checked.
     Answered(AnswerVerdict),
     /// With an error, before or after it was accepted.
     Error {
+        /// The error.
         body: ErrorBody,
+        /// Whether the caller had been given the request's id.
         was_accepted: bool,
+        /// Whether a repetition has no further effect.
         is_idempotent: bool,
     },
     /// With nothing until its deadline.
-    Nothing { was_accepted: bool },
+    Nothing {
+        /// Whether the caller had been given the request's id.
+        was_accepted: bool,
+    },
+}
+
+/// The end of one request, with what led to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestEnd {
+    /// How it ended.
+    pub ending: Ending,
+    /// Chunks of the answer that came.
+    pub chunks: u64,
+    /// When the caller last had to come back or send again.
+    pub last_return: Option<Instant>,
 }
 
 /// Counts and times of a run.
--- a/crates/laburnumstall/src/load/workload.rs
+++ b/crates/laburnumstall/src/load/workload.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use laburnumstall_core::request::Dialect;
+use laburnumstall_core::units::Timestamp;
 use serde_json::json;
+use uuid::Builder;
 
 use super::plan::{CallerKey, LoadPlan, MixPart};
 
@@ -23,7 +25,7 @@
     pub caller: CallerKey,
     /// Text in the body that no other request has.
     pub nonce: String,
-    /// Idempotency key, the same for each repetition.
+    /// Idempotency key, the same for each repetition: a UUID of version 7 (RFC 9562).
     pub key: String,
     /// Path of the call, with the service for a plain one.
     pub path: String,
@@ -35,16 +37,23 @@
 #[derive(Debug)]
 pub struct Workload {
     plan: LoadPlan,
+    started_at: Timestamp,
     rng: fastrand::Rng,
     next_number: u64,
     next_at: Duration,
 }
 
 impl Workload {
-    /// Starts the workload of a plan.
+    /// Starts the workload of a plan, with keys that carry the Unix epoch as their time.
     pub fn new(plan: &LoadPlan) -> Self {
+        Self::starting_at(plan, Timestamp(0))
+    }
+
+    /// Starts the workload of a plan at a time, which its idempotency keys carry.
+    pub fn starting_at(plan: &LoadPlan, started_at: Timestamp) -> Self {
         Self {
             plan: plan.clone(),
+            started_at,
             rng: fastrand::Rng::with_seed(plan.seed),
             next_number: 0,
             next_at: Duration::ZERO,
@@ -69,6 +78,11 @@
         None
     }
 
+    /// Draws the idempotency key of a request that is sent `at` after the start.
+    fn key(&mut self, at: Duration) -> String {
+        new_key(self.started_at.after(at), &mut self.rng)
+    }
+
     /// Draws the gap to the next request: exponential, so that arrivals are a Poisson process.
     fn gap(&mut self) -> Duration {
         let rate = self.plan.rate.get().max(1) as f64;
@@ -77,6 +91,14 @@
     }
 }
 
+/// Draws an idempotency key that carries a time: a UUID of version 7 (RFC 9562).
+pub(crate) fn new_key(at: Timestamp, rng: &mut fastrand::Rng) -> String {
+    let mut random = [0; 10];
+    rng.fill(&mut random);
+    let key = Builder::from_unix_timestamp_millis(at.0 / 1_000, &random);
+    key.into_uuid().to_string()
+}
+
 impl Iterator for Workload {
     type Item = SentRequest;
 
@@ -92,12 +114,13 @@
         let number = self.next_number;
         self.next_number += 1;
         self.next_at = at;
+        let key = self.key(at);
         Some(SentRequest {
             number,
             at,
             path: path_of(&part),
             body: body_of(&part, &caller, &nonce),
-            key: format!("load-{:016x}-{number}", self.plan.seed ^ self.rng.u64(..)),
+            key,
             part,
             caller,
             nonce,
