--- a/crates/laburnumstall/src/demo/run.rs
+++ b/crates/laburnumstall/src/demo/run.rs
@@ -55,8 +55,10 @@
     pub rate: RequestRate,
     /// Time during which requests are sent.
     pub duration: Duration,
-    /// Tokens of each model answer.
+    /// Tokens of a short model answer.
     pub answer: Tokens,
+    /// Tokens of a long model answer, which outlasts the notice of a zone's loss.
+    pub long_answer: Tokens,
     /// Seed of the workload.
     pub seed: u64,
 }
@@ -67,6 +69,7 @@
             rate: RequestRate(30),
             duration: Duration::from_secs(12),
             answer: Tokens(80),
+            long_answer: Tokens(700),
             seed: 1,
         }
     }
@@ -108,7 +111,8 @@
             caller("registry", OTHER_CUSTOMER_KEY),
         ],
         mix: vec![
-            chat(load.answer),
+            chat(load.answer, 6),
+            chat(load.long_answer, 1),
             plain(ORDER_SERVICE, false, 3),
             plain(STOCK_SERVICE, true, 1),
         ],
@@ -128,14 +132,14 @@
     }
 }
 
-fn chat(answer: Tokens) -> MixPart {
+fn chat(answer: Tokens, weight: u32) -> MixPart {
     MixPart {
         service: MODEL_SERVICE.parse().expect("a service's name is valid"),
         dialect: Dialect::Chat,
         method: "POST".into(),
         path: "/v1/chat/completions".into(),
         idempotent: true,
-        weight: 6,
+        weight,
         prompt: Bytes(2_000),
         answer,
         deadline: Duration::from_secs(60),
