--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -18,7 +18,7 @@
 const RECOPY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Attempt numbers that are set apart for each epoch, so that two owners never use the same.
-const ATTEMPTS_PER_EPOCH: u32 = 1_000;
+pub(super) const ATTEMPTS_PER_EPOCH: u32 = 1_000;
 
 impl Entry {
     /// Makes this daemon the owner of a request that it holds a copy of.
--- a/crates/laburnumstall-core/src/entry/watchdog.rs
+++ b/crates/laburnumstall-core/src/entry/watchdog.rs
@@ -3,15 +3,16 @@
 //! A connection can go silent while the endpoint is well, because something between the
 //! two ends forgot it. A probe on a new connection tells the two apart. If the endpoint
 //! answers, the old connection is dead: pooled connections are dropped and the stream is
-//! resumed on a new one. A plain call gives no progress before its end, so that only its
-//! deadline ends it, and a non-idempotent one is never sent again.
+//! resumed on a new one. A plain call gives no progress before its end: an idempotent one
+//! is sent again after a part of its time, and a non-idempotent one never is.
 
 use std::time::Duration;
 
 use crate::decision::DecisionKind;
 use crate::entry::Entry;
 use crate::entry::action::Action;
-use crate::entry::owned::{Owned, Running};
+use crate::entry::owned::{Owned, Phase, Running};
+use crate::entry::takeover::ATTEMPTS_PER_EPOCH;
 use crate::ids::{EndpointId, RequestId};
 use crate::request::Dialect;
 use crate::units::Timestamp;
@@ -22,6 +23,12 @@
 /// Allowance over the expected time to the first token, as a factor.
 const FIRST_TOKEN_FACTOR: u32 = 2;
 
+/// Part of its time that an idempotent plain call gets before it is sent again.
+const PLAIN_PART: u32 = 4;
+
+/// Times that a plain call is sent.
+const MAX_PLAIN_ATTEMPTS: u32 = 3;
+
 /// Times that one attempt's stream is resumed before the endpoint counts as stuck.
 const MAX_RESUMES: u32 = 2;
 
@@ -31,11 +38,14 @@
         let Some(owned) = self.owned.get_mut(id) else {
             return;
         };
-        let is_plain = owned.record.request.dialect == Dialect::Plain;
-        let crate::entry::owned::Phase::Running(running) = &mut owned.phase else {
+        let patience = patience(owned);
+        let Phase::Running(running) = &mut owned.phase else {
             return;
         };
-        if is_plain || running.is_probing || now.since(running.progress_at) < patience(running) {
+        let Some(patience) = patience else {
+            return;
+        };
+        if running.is_probing || now.since(running.progress_at) < patience {
             return;
         }
         running.is_probing = true;
@@ -83,6 +93,16 @@
         };
         let place = running.place.clone();
         let resumes = running.resumes + 1;
+        let is_plain = self
+            .owned
+            .get(id)
+            .is_some_and(|owned| !owned.is_resumable());
+        if is_plain {
+            self.cancel_attempt(id);
+            self.attempt_ended(now, id, &place);
+            self.dispatch(now, id);
+            return;
+        }
         if resumes <= MAX_RESUMES {
             self.resume_stream(now, id, place, resumes);
             return;
@@ -95,7 +115,20 @@
     }
 }
 
-fn patience(running: &Running) -> Duration {
+/// Returns the silence after which an attempt is checked; `None` if it never is.
+fn patience(owned: &Owned) -> Option<Duration> {
+    let running = owned.running()?;
+    let request = &owned.record.request;
+    if request.dialect == Dialect::Plain {
+        let tries = owned.record.attempts % ATTEMPTS_PER_EPOCH;
+        let may_repeat = request.idempotent && tries < MAX_PLAIN_ATTEMPTS;
+        let time = request.deadline.since(owned.record.accepted_at);
+        return may_repeat.then_some(time / PLAIN_PART);
+    }
+    Some(stream_patience(running))
+}
+
+fn stream_patience(running: &Running) -> Duration {
     let has_begun = running.progress_at > running.started_at;
     if has_begun {
         STALL
--- a/crates/laburnumstall-core/src/quarantine/crash.rs
+++ b/crates/laburnumstall-core/src/quarantine/crash.rs
@@ -79,13 +79,21 @@
         let near = near(crashes, index);
         let mut counted = crash.counted.clone();
         counted.retain(|f| {
-            let others = near.iter().filter(|other| !other.in_flight.contains(f));
-            !is_reclaim && others.count() < WAVE_OTHERS
+            let (with, without): (Vec<&Crash>, Vec<&Crash>) =
+                near.iter().partition(|other| other.in_flight.contains(f));
+            // A wave takes more endpoints without the request than with it.
+            let least = WAVE_OTHERS.max(endpoints(&with) + 2);
+            !is_reclaim && endpoints(&without) < least
         });
         crashes[index].counted = counted;
     }
 }
 
+fn endpoints(crashes: &[&Crash]) -> usize {
+    let endpoints: BTreeSet<&EndpointId> = crashes.iter().map(|crash| &crash.endpoint).collect();
+    endpoints.len()
+}
+
 /// Returns the crashes of other endpoints at nearly the same time.
 fn near(crashes: &[Crash], index: usize) -> Vec<&Crash> {
     let crash = &crashes[index];
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -1,6 +1,6 @@
 //! Entry cores joined with each other and with the fakes around them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -85,6 +85,8 @@
     pub(crate) system: System,
     /// Endpoints that a request crashed.
     pub poisoned: u32,
+    /// Crashes at which a request was in flight, by its name.
+    pub(crate) crashed_with: BTreeMap<String, u32>,
     /// Keys that ran, as services remember them that check keys.
     pub(crate) answered: BTreeSet<String>,
     next_caller: u64,
@@ -109,6 +111,7 @@
             schedule: Schedule::default(),
             system,
             poisoned: 0,
+            crashed_with: BTreeMap::new(),
             answered: BTreeSet::new(),
             next_caller: 0,
             next_incarnation: 0,
--- a/crates/laburnumstall/src/commands.rs
+++ b/crates/laburnumstall/src/commands.rs
@@ -3,6 +3,7 @@
 pub mod apply;
 pub mod bench;
 pub mod check;
+pub mod demo;
 pub mod diff;
 pub mod drain;
 pub mod explain;
--- a/crates/laburnumstall/src/lib.rs
+++ b/crates/laburnumstall/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 pub mod commands;
 mod context;
+pub mod demo;
 mod error;
 mod exit;
 pub mod explain;
@@ -71,6 +72,7 @@
         Command::Explain(options) => commands::explain::run(cx, options).await,
         Command::Load(options) => commands::load::run(cx, options).await,
         Command::Bench(options) => commands::bench::run(cx, options).await,
+        Command::Demo(options) => commands::demo::run(cx, options).await,
     }
 }
 
