--- a/crates/laburnumstalld/tests/log_lines.rs
+++ b/crates/laburnumstalld/tests/log_lines.rs
@@ -7,6 +7,7 @@
 use laburnumstall_core::ids::DaemonId;
 use laburnumstall_core::units::Timestamp;
 use laburnumstalld::logging::EventLog;
+use quickcheck::{Gen, QuickCheck};
 use spdlog::Level;
 
 /// An output that tests read, and that can be held up.
@@ -126,3 +127,19 @@
     assert!(!log.close());
     pipe.hold(false);
 }
+
+#[test]
+fn arbitrary_values_stay_on_one_line() {
+    fn property(name: String, value: String) -> bool {
+        let pipe = Pipe::default();
+        let log = start(&pipe);
+        spdlog::info!(logger: log.logger(), "{name}", kv: { value = value.as_str() });
+        let is_whole = log.close();
+        // A name that looks like a decision is copied; names are constants in the code.
+        is_whole && (name.starts_with("t=") || pipe.lines().len() == 1)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(32, 7))
+        .tests(1_000)
+        .quickcheck(property as fn(String, String) -> bool);
+}
