--- a/crates/laburnumstall-core/tests/route_choice.rs
+++ b/crates/laburnumstall-core/tests/route_choice.rs
@@ -152,6 +152,25 @@
     );
 }
 
+/// Fails if `Slot::occupancy` leaves out what this daemon started since the report.
+#[test]
+fn burst_between_reports_overfills_no_batch() {
+    let mut router = router(1, 2);
+    for of in 0..2 {
+        router.on_load(at(50), &load(of, 1, at(50), 6));
+    }
+    for number in 0..20 {
+        let route = choose(&mut router, at(60), number, &request(b"x"), false).unwrap();
+        router.started(at(60), &attempt(number), &route, &request(b"x"));
+    }
+    for of in 0..2 {
+        assert_eq!(router.in_flight(&id(of)).count(), 10);
+    }
+    assert!(choose(&mut router, at(60), 20, &request(b"x"), false).is_err());
+    router.finished(at(61), &attempt(0));
+    assert!(choose(&mut router, at(61), 20, &request(b"x"), false).is_ok());
+}
+
 /// Fails if `on_load` ignores `since`: a report from before the failure would end it.
 #[test]
 fn failed_endpoint_waits_for_a_new_report_or_a_probe() {
--- a/crates/laburnumstall-core/tests/route_herd.rs
+++ b/crates/laburnumstall-core/tests/route_herd.rs
@@ -210,8 +210,7 @@
     }
 }
 
-/// Fails if `Slot::occupancy` leaves out what this daemon started since the report: two
-/// daemons see half of the new load themselves.
+/// Fails without `FILL_COST` in the score.
 #[test]
 fn late_reports_do_not_herd() {
     check(12, 0);
