--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -7,6 +7,7 @@
 use crate::adoption::Adoption;
 use crate::claims::{ClaimKey, Claims, ShardId};
 use crate::decision::{Decision, DecisionKind, Journal};
+use crate::domain;
 use crate::entry::action::{Action, Output};
 use crate::entry::attach::LocalCaller;
 use crate::entry::configuration::ConfigurationSource;
@@ -29,13 +30,14 @@
 use crate::units::Timestamp;
 use crate::world::System;
 
-/// Settings of an entry that do not change while it runs.
-#[derive(Debug, Clone)]
-pub struct EntrySettings {
-    /// This daemon, as it registers itself.
-    pub member: Member,
-    /// Time that callers keep the directory's answer.
-    pub directory_max_age: Duration,
+domain! {
+    /// Settings of an entry that do not change while it runs.
+    pub struct EntrySettings {
+        /// This daemon, as it registers itself.
+        pub member: Member,
+        /// Time that callers keep the directory's answer.
+        pub directory_max_age: Duration,
+    }
 }
 
 /// Name of a keyed request.
--- a/crates/laburnumstall-core/src/lib.rs
+++ b/crates/laburnumstall-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod quarantine;
 pub mod request;
 pub mod routing;
+pub mod session;
 pub mod store;
 pub mod units;
 pub mod watch;
--- a/crates/laburnumstall-site/src/site.rs
+++ b/crates/laburnumstall-site/src/site.rs
@@ -155,7 +155,8 @@
         let vm: VmId = named(&format!("entry-{number}"));
         let zone = self.spec.zone_of(number);
         let settings = self.settings_of(&vm, &zone);
-        let sink = self.lines.sink(&vm);
+        let is_recorded = self.spec.recorded_entry == Some(number);
+        let sink = self.lines.sink(&vm, is_recorded);
         let daemon = Daemon::start(settings, sink).await;
         let daemon = daemon.context(DaemonSnafu { vm: vm.to_string() })?;
         self.list_vm(&vm, &zone, VmRole::Entry, daemon.callers());
--- a/crates/laburnumstall-site/src/spec.rs
+++ b/crates/laburnumstall-site/src/spec.rs
@@ -19,6 +19,8 @@
     pub directory_max_age: Duration,
     /// Traffic threads of each daemon, for callers and as many for endpoints.
     pub workers: usize,
+    /// Number of the entry whose session is recorded, if one is.
+    pub recorded_entry: Option<usize>,
 }
 
 impl Default for SiteSpec {
@@ -32,6 +34,7 @@
             token_period: Duration::from_millis(10),
             directory_max_age: Duration::from_secs(2),
             workers: 1,
+            recorded_entry: None,
         }
     }
 }
--- a/crates/laburnumstall/src/admin_client.rs
+++ b/crates/laburnumstall/src/admin_client.rs
@@ -6,9 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::{ConnectError, PayloadError, SendRequestError};
+use awc::error::{PayloadError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use laburnumstall_config::admin::AdminError;
+use laburnumstall_platform::http::is_not_sent;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, ensure};
@@ -60,8 +61,7 @@
 
 impl SendFailure {
     fn before_answer(error: SendRequestError) -> Self {
-        // A connection that closes before the answer is reported as `Connect(Disconnected)`.
-        let is_not_sent = matches!(error, SendRequestError::Connect(ConnectError::Io(_)));
+        let is_not_sent = is_not_sent(&error);
         Self {
             reason: error.to_string(),
             was_sent: !is_not_sent,
--- a/crates/laburnumstall/src/cli.rs
+++ b/crates/laburnumstall/src/cli.rs
@@ -93,6 +93,12 @@
     /// Drives callers at a live system.
     #[options(help = "drive callers at a live system and check their answers")]
     Load(LoadOptions),
+    /// Shows what placement would buy for a text.
+    #[options(help = "show what placement would buy for a text, and why")]
+    Plan(PlanOptions),
+    /// Takes the decisions of a recorded session again.
+    #[options(help = "take the decisions of a recorded session again")]
+    Replay(ReplayOptions),
     /// Runs a whole system on loopback.
     #[options(help = "run a whole system on loopback, and faults in it")]
     Demo(DemoOptions),
@@ -247,6 +253,28 @@
     pub file: PathBuf,
 }
 
+/// Shows what placement would buy for a text and an empty fleet, and why.
+#[derive(Debug, Default, Options)]
+pub struct PlanOptions {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Text to plan for.
+    #[options(free, required, help = "text to plan for")]
+    pub file: PathBuf,
+}
+
+/// Takes the decisions of a recorded session again: the same events give the same lines.
+#[derive(Debug, Default, Options)]
+pub struct ReplayOptions {
+    /// Whether help is asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Session to replay.
+    #[options(free, required, help = "session, as `demo --record` writes it")]
+    pub session: PathBuf,
+}
+
 /// Runs a whole system on loopback until Ctrl-C, or shows what a fault does to live load.
 #[derive(Debug, Default, Options)]
 pub struct DemoOptions {
@@ -268,6 +296,13 @@
         help = "stop after this time"
     )]
     pub limit: Option<String>,
+    /// File for the session of the first entry.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "record what the first entry is told, with bodies"
+    )]
+    pub record: Option<PathBuf>,
     /// Whether decision lines are written.
     #[options(no_short, help = "write decision lines to standard error")]
     pub verbose: bool,
--- a/crates/laburnumstall/src/commands.rs
+++ b/crates/laburnumstall/src/commands.rs
@@ -8,6 +8,8 @@
 pub mod explain;
 pub mod history;
 pub mod load;
+pub mod plan;
+pub mod replay;
 pub mod show;
 pub mod status;
 
--- a/crates/laburnumstall/src/commands/demo.rs
+++ b/crates/laburnumstall/src/commands/demo.rs
@@ -2,9 +2,11 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use laburnumstall_core::domain;
+use laburnumstall_core::session::SessionRecord;
 use laburnumstall_site::{
     CUSTOMER_KEY, LogLines, MODEL_SERVICE, OPERATOR_KEY, ORDER_SERVICE, OTHER_CUSTOMER_KEY, Site,
     SiteSpec,
@@ -15,7 +17,10 @@
 use crate::cli::DemoOptions;
 use crate::context::Context;
 use crate::demo::{DemoLoad, Scenario, StartSnafu, run_scenario};
-use crate::error::{BadArgumentSnafu, CommandError, DemoSnafu, ScenarioBrokenSnafu};
+use crate::error::{
+    BadArgumentSnafu, CommandError, DemoSnafu, ScenarioBrokenSnafu, WriteJsonSnafu,
+    WriteSessionSnafu,
+};
 use crate::load::{LoadReport, new_key, unix_now};
 use crate::shell::Shell;
 
@@ -98,7 +103,7 @@
 /// Returns [`CommandError`] if the system does not start or a promise was broken.
 pub async fn run(cx: &Context<'_>, options: DemoOptions) -> Result<(), CommandError> {
     match options.scenario {
-        Some(scenario) => show_fault(cx, scenario, options.verbose).await,
+        Some(scenario) => show_fault(cx, scenario, &options).await,
         None => stay(cx, &options).await,
     }
 }
@@ -106,7 +111,7 @@
 async fn show_fault(
     cx: &Context<'_>,
     scenario: Scenario,
-    is_verbose: bool,
+    options: &DemoOptions,
 ) -> Result<(), CommandError> {
     cx.status("Running", format_args!("load through {scenario}"));
     let progress = |report: &LoadReport| {
@@ -116,12 +121,16 @@
     };
     let outcome = run_scenario(scenario, DemoLoad::default(), progress).await;
     cx.shell().end_progress();
-    let (report, lines) = outcome.context(DemoSnafu)?;
-    if is_verbose {
-        for line in lines {
+    let outcome = outcome.context(DemoSnafu)?;
+    if options.verbose {
+        for line in &outcome.lines {
             cx.shell().message(line);
         }
     }
+    if let Some(path) = &options.record {
+        write_session(path, &outcome.session)?;
+    }
+    let report = outcome.report;
     cx.present(&report)?;
     ensure!(
         report.is_kept(),
@@ -138,7 +147,11 @@
         None => None,
     };
     cx.status("Starting", "a whole system on loopback");
-    let site = Site::start(SiteSpec::default()).await;
+    let spec = SiteSpec {
+        recorded_entry: options.record.is_some().then_some(0),
+        ..SiteSpec::default()
+    };
+    let site = Site::start(spec).await;
     let site = site.context(StartSnafu).context(DemoSnafu)?;
     cx.present(&DemoAddresses::of(&site))?;
     cx.status("Running", "until Ctrl-C");
@@ -152,8 +165,22 @@
         waiting.await;
     }
     cx.status("Stopping", "all daemons and stand-ins");
+    let log = site.lines.clone();
     site.close().await;
-    Ok(())
+    match &options.record {
+        Some(path) => write_session(path, &log.records()),
+        None => Ok(()),
+    }
+}
+
+/// Writes a session as one record a line.
+fn write_session(path: &Path, records: &[SessionRecord]) -> Result<(), CommandError> {
+    let mut text = String::new();
+    for record in records {
+        text.push_str(&serde_json::to_string(record).context(WriteJsonSnafu)?);
+        text.push('\n');
+    }
+    std::fs::write(path, text).context(WriteSessionSnafu { path })
 }
 
 fn seconds(text: &str) -> Result<Duration, CommandError> {
--- a/crates/laburnumstall/src/demo.rs
+++ b/crates/laburnumstall/src/demo.rs
@@ -14,5 +14,5 @@
 
 pub use report::{BrokenPromise, ScenarioReport};
 pub(crate) use run::StartSnafu;
-pub use run::{DemoError, DemoLoad, run_scenario};
+pub use run::{DemoError, DemoLoad, ScenarioOutcome, run_scenario};
 pub use scenario::{Scenario, UnknownScenario};
--- a/crates/laburnumstall/src/demo/run.rs
+++ b/crates/laburnumstall/src/demo/run.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::join;
 use laburnumstall_core::request::Dialect;
+use laburnumstall_core::session::SessionRecord;
 use laburnumstall_core::units::{Bytes, RequestRate, Tokens};
 use laburnumstall_site::{
     CUSTOMER_KEY, MODEL_SERVICE, ORDER_SERVICE, OTHER_CUSTOMER_KEY, STOCK_SERVICE, Site, SiteError,
@@ -75,7 +76,18 @@
     }
 }
 
-/// Runs a scenario and returns what it led to, with the decision lines of all daemons.
+/// What a scenario leaves behind.
+#[derive(Debug, Clone)]
+pub struct ScenarioOutcome {
+    /// What the scenario led to.
+    pub report: ScenarioReport,
+    /// Decision lines of all daemons.
+    pub lines: Vec<String>,
+    /// Session of the first entry.
+    pub session: Vec<SessionRecord>,
+}
+
+/// Runs a scenario and returns what it led to.
 ///
 /// # Errors
 ///
@@ -84,8 +96,12 @@
     scenario: Scenario,
     load: DemoLoad,
     progress: impl FnMut(&LoadReport),
-) -> Result<(ScenarioReport, Vec<String>), DemoError> {
-    let mut site = Site::start(SiteSpec::default()).await.context(StartSnafu)?;
+) -> Result<ScenarioOutcome, DemoError> {
+    let spec = SiteSpec {
+        recorded_entry: Some(0),
+        ..SiteSpec::default()
+    };
+    let mut site = Site::start(spec).await.context(StartSnafu)?;
     let account = Account::default();
     let plan = plan_of(&site, load);
     let driving = drive(&plan, account.clone(), progress);
@@ -93,9 +109,13 @@
     let (report, fault) = join(driving, provoking).await;
     let fault = fault.context(ProvokeSnafu)?;
     let report = ScenarioReport::of(scenario, &report, &account, &site, fault);
-    let lines = site.lines.read();
+    let log = site.lines.clone();
     site.close().await;
-    Ok((report, lines))
+    Ok(ScenarioOutcome {
+        report,
+        lines: log.read(),
+        session: log.records(),
+    })
 }
 
 async fn provoke(scenario: Scenario, site: &mut Site) -> Result<Fault, SiteError> {
--- a/crates/laburnumstall/src/error.rs
+++ b/crates/laburnumstall/src/error.rs
@@ -109,6 +109,38 @@
         /// Answers that belong to another request.
         foreign: u64,
     },
+    /// A session could not be read.
+    #[snafu(display("read the session {}", path.display()))]
+    ReadSession {
+        /// File of the session.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A session could not be written.
+    #[snafu(display("write the session {}", path.display()))]
+    WriteSession {
+        /// File of the session.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A line of a session is not a record.
+    #[snafu(display("read line {line} of the session {}", path.display()))]
+    ReadRecord {
+        /// File of the session.
+        path: PathBuf,
+        /// Number of the line, from one.
+        line: usize,
+        /// Cause.
+        source: serde_json::Error,
+    },
+    /// A session does not begin with the start of an entry.
+    #[snafu(display("read the session {}: it does not begin with a start", path.display()))]
+    NoSession {
+        /// File of the session.
+        path: PathBuf,
+    },
     /// The demonstration could not be run.
     #[snafu(display("run the demonstration"))]
     Demo {
@@ -222,6 +254,10 @@
             Self::WriteResult { .. } | Self::WriteJson { .. } => "check where the output goes",
             Self::NotGiven { hint, .. } => hint,
             Self::BadArgument { .. } => "see the command's --help",
+            Self::ReadSession { .. } | Self::ReadRecord { .. } | Self::NoSession { .. } => {
+                "`laburnumstall demo --record FILE` writes a session"
+            }
+            Self::WriteSession { .. } => "check that the file can be written",
             Self::Demo { .. } => "the demonstration needs free ports on loopback",
             Self::PromiseBroken { .. } | Self::ScenarioBroken { .. } => {
                 "`laburnumstall explain` tells a request's story"
--- a/crates/laburnumstall/src/lib.rs
+++ b/crates/laburnumstall/src/lib.rs
@@ -71,6 +71,8 @@
         Command::Drain(options) => commands::drain::run(cx, options).await,
         Command::Explain(options) => commands::explain::run(cx, options).await,
         Command::Load(options) => commands::load::run(cx, options).await,
+        Command::Plan(options) => commands::plan::run(cx, options).await,
+        Command::Replay(options) => commands::replay::run(cx, options).await,
         Command::Demo(options) => commands::demo::run(cx, options).await,
     }
 }
--- a/crates/laburnumstall/tests/command_output.rs
+++ b/crates/laburnumstall/tests/command_output.rs
@@ -116,3 +116,9 @@
     ];
     assert_eq!(all.map(Exit::code), [0, 1, 2, 3, 4, 5]);
 }
+
+#[actix_rt::test]
+async fn plan_for_empty_fleet() {
+    insta::assert_snapshot!(show(&["plan", CARONI]).await);
+    insta::assert_snapshot!(show(&["plan", "tests/texts/two_faults.toml"]).await);
+}
--- a/crates/laburnumstall/tests/demo_scenarios.rs
+++ b/crates/laburnumstall/tests/demo_scenarios.rs
@@ -19,8 +19,10 @@
 
 async fn kept(scenario: Scenario, seconds: u64) -> ScenarioReport {
     let outcome = run_scenario(scenario, short_load(seconds), |_| {}).await;
-    let (report, lines) = outcome.expect("the scenario runs");
-    assert!(report.is_kept(), "{report}\n{}", lines.join("\n"));
+    let outcome = outcome.expect("the scenario runs");
+    let report = outcome.report;
+    let lines = outcome.lines.join("\n");
+    assert!(report.is_kept(), "{report}\n{lines}");
     assert!(report.sent > 0, "{report}");
     report
 }
--- a/crates/laburnumstalld/src/control.rs
+++ b/crates/laburnumstalld/src/control.rs
@@ -8,9 +8,10 @@
 
 use actix::Addr;
 use laburnumstall_core::decision::Decision;
-use laburnumstall_core::entry::{Action, ApplyOutcome, Entry, Event, Output, TICK};
+use laburnumstall_core::entry::{Action, ApplyOutcome, Entry, EntrySettings, Event, Output, TICK};
 use laburnumstall_core::ids::CallerId;
 use laburnumstall_core::message::Delivery;
+use laburnumstall_core::units::Timestamp;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
@@ -24,6 +25,12 @@
 pub trait DecisionSink {
     /// Writes one decision.
     fn write(&mut self, decision: &Decision);
+
+    /// Takes note of the settings that the entry starts with.
+    fn note_start(&mut self, _settings: &EntrySettings) {}
+
+    /// Takes note of what the entry is told; all events together replay its decisions.
+    fn note_event(&mut self, _at: Timestamp, _event: &Event) {}
 }
 
 /// Why the control thread ended.
@@ -143,7 +150,9 @@
             self.callers.remove(caller);
         }
         let changes_view = matches!(event, Event::Store { .. } | Event::Stop { .. });
-        let Output { actions, decisions } = self.entry.handle(self.clock.now(), event);
+        let now = self.clock.now();
+        self.sink.note_event(now, &event);
+        let Output { actions, decisions } = self.entry.handle(now, event);
         for decision in &decisions {
             self.sink.write(decision);
         }
--- a/crates/laburnumstalld/src/daemon.rs
+++ b/crates/laburnumstalld/src/daemon.rs
@@ -79,7 +79,7 @@
     /// # Errors
     ///
     /// Returns [`StartError`] if an address cannot be listened on or TLS cannot be set up.
-    pub async fn start<S>(settings: Settings, sink: S) -> Result<Self, StartError>
+    pub async fn start<S>(settings: Settings, mut sink: S) -> Result<Self, StartError>
     where
         S: DecisionSink + Send + 'static,
     {
@@ -125,6 +125,7 @@
             member,
             directory_max_age: settings.directory_max_age,
         };
+        sink.note_start(&entry_settings);
         let parts = ControlParts {
             entry: Entry::new(entry_settings),
             clock,
