Count what further attempts process again as recomputed

Cause: the table counted answer tokens that were generated again, but not prompts that a further attempt processes. The routing lines of attempts after the first say how much that is.

--- a/crates/laburnumstall/src/demo/report.rs
+++ b/crates/laburnumstall/src/demo/report.rs
@@ -1,6 +1,6 @@
 //! The table at the end of a scenario.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
 
@@ -54,7 +54,7 @@
         pub cut_off: u64,
         /// Requests that went on at another entry or endpoint.
         pub moved: u64,
-        /// Answer tokens that were generated again.
+        /// Tokens that further attempts processed or generated again.
         pub recomputed: Tokens,
         /// Engines that crashed.
         pub engines_lost: u64,
@@ -158,22 +158,23 @@
 
 /// Counts the requests that went on at another entry or endpoint.
 fn moved(lines: &[String]) -> u64 {
-    let mut requests = BTreeMap::new();
+    let mut requests = BTreeSet::new();
     for line in lines {
         let is_move = line.contains(" choice=take-over ")
             || line.contains(" choice=move ")
             || line.contains(" choice=elsewhere ");
-        let request = line.split(" request=").nth(1);
-        if let (true, Some(request)) = (is_move, request) {
-            let id = request.split(' ').next().unwrap_or_default();
-            *requests.entry(id.to_owned()).or_insert(0_u64) += 1;
+        if let (true, Some(request)) = (is_move, field(line, "request")) {
+            requests.insert(request);
         }
     }
     requests.len() as u64
 }
 
-/// Returns what the engines generated beyond what callers were given.
+/// Returns what further attempts had to process, as they were routed, and what the engines
+/// generated beyond what callers were given.
 fn recomputed(account: &Account, site: &Site) -> Tokens {
+    let lines = site.lines.read();
+    let processed: u64 = lines.iter().filter_map(|line| processed_again(line)).sum();
     let generated: u64 = site
         .engines
         .iter()
@@ -184,7 +185,25 @@
         .iter()
         .map(|entered| entered.end.chunks)
         .sum();
-    Tokens(generated.saturating_sub(given))
+    Tokens(processed + generated.saturating_sub(given))
+}
+
+/// Returns the uncached tokens of an attempt after a request's first.
+fn processed_again(line: &str) -> Option<u64> {
+    let (_, number) = field(line, "attempt")?.rsplit_once('/')?;
+    let is_route = line.contains(" event=route ") && number != "1";
+    let tokens = |name: &str| -> Option<u64> {
+        let text = field(line, name)?;
+        text.strip_suffix("tok")?.parse().ok()
+    };
+    let all = tokens("prompt")? + tokens("generated")?;
+    is_route.then(|| all.saturating_sub(tokens("cached").unwrap_or(0)))
+}
+
+/// Returns the value of a field of a decision line.
+fn field<'l>(line: &'l str, name: &str) -> Option<&'l str> {
+    let mut pairs = line.split(' ').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
 impl fmt::Display for ScenarioReport {
