--- a/crates/laburnumstall/src/lib.rs
+++ b/crates/laburnumstall/src/lib.rs
@@ -72,6 +72,8 @@
         Command::Explain(options) => commands::explain::run(cx, options).await,
         Command::Load(options) => commands::load::run(cx, options).await,
         Command::Bench(options) => commands::bench::run(cx, options).await,
+        Command::Plan(options) => commands::plan::run(cx, options).await,
+        Command::Replay(options) => commands::replay::run(cx, options).await,
         Command::Demo(options) => commands::demo::run(cx, options).await,
     }
 }
