bench: a factor on contracts

Cause: with the examples' contracts limits refuse at half of what a contract allows, in every row alike, and hide what routing does.

--- a/crates/laburnumstall-bench/src/figures.rs
+++ b/crates/laburnumstall-bench/src/figures.rs
@@ -32,6 +32,8 @@
     pub seed: u64,
     /// Model replicas.
     pub replicas: usize,
+    /// Factor on the rates of the text's contracts.
+    pub contracts: u64,
     /// Time with requests before measurement.
     pub warm_up: Duration,
     /// Time with requests that are measured.
--- a/crates/laburnumstall-bench/src/lib.rs
+++ b/crates/laburnumstall-bench/src/lib.rs
@@ -22,6 +22,6 @@
 pub use figures::{BETWEEN_TOKENS_TARGET, FIRST_TOKEN_TARGET, Figures, RefusalCount, RunSpec};
 pub use policy::{Bound, CoreRouter, EngineView, LeastLoaded, Policy, PowerOfTwo, RoundRobin};
 pub use search::{TargetCost, run};
-pub use spec::{BenchSpec, PolicyName, measure};
+pub use spec::{BenchSpec, DEFAULT_CONTRACTS, PolicyName, measure};
 pub use table::{Row, Table, Verdict};
 pub use workload::WorkloadName;
--- a/crates/laburnumstall-bench/src/spec.rs
+++ b/crates/laburnumstall-bench/src/spec.rs
@@ -16,6 +16,9 @@
 use crate::table::{Row, Table};
 use crate::workload::WorkloadName;
 
+/// Factor on contracts by which limits seldom refuse, so that they do not hide the rest.
+pub const DEFAULT_CONTRACTS: u64 = 8;
+
 /// Most runs at once.
 const MOST_THREADS: usize = 4;
 
@@ -85,6 +88,8 @@
     pub faults: Vec<FaultKind>,
     /// Seed of all chance.
     pub seed: u64,
+    /// Factor on the rates of the text's contracts.
+    pub contracts: u64,
     /// Time with requests before measurement.
     pub warm_up: Duration,
     /// Time with requests that are measured.
@@ -100,6 +105,7 @@
             policies: PolicyName::ALL.to_vec(),
             faults: FaultKind::ALL.to_vec(),
             seed: 1,
+            contracts: DEFAULT_CONTRACTS,
             warm_up: Duration::from_secs(20),
             time: Duration::from_secs(30),
             searches_cost: true,
@@ -130,6 +136,7 @@
             workload,
             faults,
             seed: self.seed,
+            contracts: self.contracts,
             replicas: workload.replicas(),
             warm_up: self.warm_up,
             time: self.time,
--- a/crates/laburnumstall-bench/src/workload.rs
+++ b/crates/laburnumstall-bench/src/workload.rs
@@ -13,7 +13,7 @@
 use laburnumstall_core::hash::rendezvous_weight;
 use laburnumstall_core::ids::{ParseIdError, ServiceName};
 use laburnumstall_core::request::{AnswerForm, BlockHash, Dialect, MAX_PREFIX_BLOCKS, Request};
-use laburnumstall_core::units::{Timestamp, Tokens};
+use laburnumstall_core::units::{RequestRate, Timestamp, TokenRate, Tokens};
 use laburnumstall_core::world::{Customer, Service, ServiceKind, System};
 use laburnumstall_testkit::key_at;
 
@@ -77,6 +77,17 @@
         laburnumstall_config::parse(text).expect("the example is valid")
     }
 
+    /// Returns the user's system with a factor on the rates of all contracts.
+    pub(crate) fn system_with(self, contracts: u64) -> System {
+        let mut system = self.system();
+        for customer in &mut system.customers {
+            let contract = &mut customer.contract;
+            contract.requests = RequestRate(contract.requests.get() * contracts);
+            contract.tokens = TokenRate(contract.tokens.get() * contracts);
+        }
+        system
+    }
+
     fn conversations(self) -> Conversations {
         match self {
             Self::Caroni => Conversations {
--- a/crates/laburnumstall-bench/src/world.rs
+++ b/crates/laburnumstall-bench/src/world.rs
@@ -88,7 +88,7 @@
 
 impl<P: Policy> World<P> {
     pub(crate) fn new(spec: &RunSpec) -> Self {
-        let system = spec.workload.system();
+        let system = spec.workload.system_with(spec.contracts);
         let class = system.classes[0].clone();
         let mut world = Self {
             now: BEGINNING,
--- a/crates/laburnumstall/src/cli.rs
+++ b/crates/laburnumstall/src/cli.rs
@@ -279,6 +279,14 @@
     /// Seed of all chance.
     #[options(no_short, meta = "N", help = "seed of all chance", default = "1")]
     pub seed: u64,
+    /// Factor on the rates of the contracts.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "factor on the rates of the contracts",
+        default = "8"
+    )]
+    pub contracts: u64,
     /// Whether the search for the fewest replicas is left out.
     #[options(no_short, help = "do not search for the cost at the latency target")]
     pub no_cost: bool,
--- a/crates/laburnumstall/src/commands/bench.rs
+++ b/crates/laburnumstall/src/commands/bench.rs
@@ -34,6 +34,7 @@
             "none, waves, zone-loss or all",
         )?,
         seed: options.seed,
+        contracts: options.contracts.max(1),
         searches_cost: !options.no_cost,
         ..BenchSpec::default()
     };
