--- a/crates/laburnumstall-bench/tests/short_run.rs
+++ b/crates/laburnumstall-bench/tests/short_run.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use laburnumstall_bench::{
-    BenchSpec, CoreRouter, FaultKind, PolicyName, RunSpec, WorkloadName, measure, run,
+    BenchSpec, CoreRouter, DEFAULT_CONTRACTS, FaultKind, PolicyName, RunSpec, WorkloadName,
+    measure, run,
 };
 
 const SEED: u64 = 7;
@@ -30,6 +31,7 @@
         policies: PolicyName::ALL.to_vec(),
         faults: vec![FaultKind::None],
         seed: SEED,
+        contracts: DEFAULT_CONTRACTS,
         warm_up: Duration::from_secs(1),
         time: Duration::from_secs(3),
         searches_cost: false,
@@ -53,6 +55,9 @@
 }
 
 /// Nothing is lost or damaged and nothing runs twice, whatever is announced to be taken.
+///
+/// Fails without `generated_tokens: tokens_of(&before)` in the core's `start`: moved
+/// streams then begin anew in the middle of an answer.
 #[test]
 fn promises_under_faults() {
     for workload in WorkloadName::ALL {
@@ -72,6 +77,7 @@
         faults,
         seed: SEED,
         replicas: workload.replicas(),
+        contracts: DEFAULT_CONTRACTS,
         warm_up: Duration::from_secs(2),
         time: Duration::from_secs(14),
     }
