--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -15,6 +15,7 @@
 mod accept;
 mod action;
 mod attach;
+mod calls;
 mod claiming;
 mod configuration;
 mod copies;
--- a/crates/laburnumstall-core/src/entry/claiming.rs
+++ b/crates/laburnumstall-core/src/entry/claiming.rs
@@ -68,7 +68,7 @@
     /// Makes the calls that claims need and carries out their outcomes.
     pub(super) fn settle_claims(&mut self, now: Timestamp) {
         for request in self.claims.step(now, &mut self.journal) {
-            self.call_store(CallPurpose::Claims(request.shard), request.call);
+            self.call_store(now, CallPurpose::Claims(request.shard), request.call);
         }
         for event in self.claims.take_events() {
             self.on_claim(now, event);
--- a/crates/laburnumstall-core/src/entry/configuration.rs
+++ b/crates/laburnumstall-core/src/entry/configuration.rs
@@ -87,6 +87,10 @@
     heard: BTreeMap<DaemonId, Revision>,
     pending: Vec<Pending>,
     is_writing: bool,
+    /// Accepted records whose place in the history is not confirmed.
+    unrecorded: Vec<Arc<ConfigurationRecord>>,
+    is_recording: bool,
+    record_at: Timestamp,
 }
 
 impl ConfigurationSource {
@@ -108,7 +112,7 @@
         if !self.source.is_reading && self.source.read_at <= now {
             self.source.is_reading = true;
             let key = configuration_head_key();
-            self.call_store(CallPurpose::ConfigurationRead, StoreCall::Get { key });
+            self.call_store(now, CallPurpose::ConfigurationRead, StoreCall::Get { key });
         }
         if !self.source.is_watching && self.source.watch_at <= now {
             self.source.is_watching = true;
@@ -117,9 +121,10 @@
                 after: self.source.watch_after,
                 wait: WATCH_WAIT,
             };
-            self.call_store(CallPurpose::ConfigurationWatch, call);
+            self.call_store(now, CallPurpose::ConfigurationWatch, call);
         }
-        self.write_pending();
+        self.write_pending(now);
+        self.write_history(now);
         self.settle_pending(now);
     }
 
@@ -153,7 +158,7 @@
         };
         match serde_json::from_slice::<ConfigurationRecord>(buf) {
             Ok(record) => {
-                self.confirm_written(&record);
+                self.confirm_written(now, &record);
                 self.adopt(now, record, "store");
             }
             Err(error) => {
@@ -166,16 +171,49 @@
     }
 
     /// A write whose reply was lost is found by its nonce.
-    fn confirm_written(&mut self, seen: &ConfigurationRecord) {
+    fn confirm_written(&mut self, now: Timestamp, seen: &ConfigurationRecord) {
         let seen_revision = seen.configuration.revision;
         for pending in &mut self.source.pending {
             let own = &pending.record;
-            if own.nonce == seen.nonce && own.configuration.revision == seen_revision {
+            let is_own = own.nonce == seen.nonce && own.configuration.revision == seen_revision;
+            if is_own && !pending.is_written {
                 pending.is_written = true;
+                pending.until = now.after(CONFIRM_TIME);
+                self.source.unrecorded.push(pending.record.clone());
             }
         }
     }
 
+    /// Writes the history of an accepted record until the write is confirmed.
+    fn write_history(&mut self, now: Timestamp) {
+        if self.source.is_recording || self.source.record_at > now {
+            return;
+        }
+        let Some(record) = self.source.unrecorded.first() else {
+            return;
+        };
+        let call = StoreCall::Swap {
+            key: configuration_history_key(record.configuration.revision),
+            expected: None,
+            value: serde_json::to_vec(&**record).ok(),
+            lease: None,
+        };
+        self.source.is_recording = true;
+        self.call_store(now, CallPurpose::ConfigurationHistory, call);
+    }
+
+    pub(super) fn on_history_written(&mut self, now: Timestamp, outcome: &StoreOutcome) {
+        self.source.is_recording = false;
+        match outcome {
+            // A conflict says that the record is there already.
+            Ok(_) if !self.source.unrecorded.is_empty() => {
+                self.source.unrecorded.remove(0);
+            }
+            Ok(_) => {}
+            Err(_) => self.source.record_at = now.after(RETRY_WAIT),
+        }
+    }
+
     /// Puts a configuration in force unless one at least as high is.
     pub(super) fn adopt(&mut self, now: Timestamp, record: ConfigurationRecord, source: &str) {
         let record = Arc::new(record);
@@ -235,11 +273,11 @@
             may_be_written: false,
             until: now.after(WRITE_TIME),
         });
-        self.write_pending();
+        self.write_pending(now);
     }
 
     /// Writes the oldest apply that is not written, one at a time.
-    fn write_pending(&mut self) {
+    fn write_pending(&mut self, now: Timestamp) {
         if self.source.is_writing {
             return;
         }
@@ -257,7 +295,7 @@
             lease: None,
         };
         self.source.is_writing = true;
-        self.call_store(CallPurpose::ConfigurationWrite, call);
+        self.call_store(now, CallPurpose::ConfigurationWrite, call);
     }
 
     pub(super) fn on_configuration_written(&mut self, now: Timestamp, outcome: StoreOutcome) {
@@ -292,14 +330,8 @@
         pending.until = now.after(CONFIRM_TIME);
         let record = pending.record.clone();
         self.adopt(now, ConfigurationRecord::clone(&record), "apply");
-        let value = serde_json::to_vec(&*record);
-        let call = StoreCall::Swap {
-            key: configuration_history_key(record.configuration.revision),
-            expected: None,
-            value: value.ok(),
-            lease: None,
-        };
-        self.call_store(CallPurpose::ConfigurationHistory, call);
+        self.source.unrecorded.push(record);
+        self.write_history(now);
     }
 
     /// Answers applies whose base is no longer in force.
--- a/crates/laburnumstall-core/src/entry/finish.rs
+++ b/crates/laburnumstall-core/src/entry/finish.rs
@@ -72,6 +72,7 @@
         let decision = self
             .decision(now, DecisionKind::Finish, choice, reason)
             .with("request", id)
+            .with("service", &record.request.service)
             .with("epoch", record.epoch)
             .with("attempts", record.attempts)
             .with("events", record.events.len())
--- a/crates/laburnumstall-core/src/entry/registry.rs
+++ b/crates/laburnumstall-core/src/entry/registry.rs
@@ -132,12 +132,12 @@
     pub(super) fn tick_registry(&mut self, now: Timestamp) {
         let own = self.membership.own().clone();
         if let Some(call) = self.registry.next(now, &own) {
-            self.call_store(CallPurpose::Registry, call);
+            self.call_store(now, CallPurpose::Registry, call);
         }
         if !self.registry.is_listing && self.registry.list_at <= now {
             self.registry.is_listing = true;
             let prefix = prefix();
-            self.call_store(CallPurpose::Members, StoreCall::List { prefix });
+            self.call_store(now, CallPurpose::Members, StoreCall::List { prefix });
         }
     }
 
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use crate::adoption::Adoption;
+use crate::budget::CallBudget;
 use crate::claims::{ClaimKey, Claims, ShardId};
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::domain;
 use crate::entry::action::{Action, Output};
 use crate::entry::attach::LocalCaller;
+use crate::entry::calls::HeldCall;
 use crate::entry::configuration::ConfigurationSource;
 use crate::entry::copies::HeldCopy;
 use crate::entry::event::Event;
@@ -26,7 +28,6 @@
 use crate::message::{Message, RequestRecord};
 use crate::quarantine::Quarantine;
 use crate::routing::Router;
-use crate::store::StoreCall;
 use crate::units::Timestamp;
 use crate::world::System;
 
@@ -69,6 +70,7 @@
     ConfigurationWatch,
     ConfigurationWrite,
     ConfigurationHistory,
+    Farewell,
 }
 
 /// The control state of one entry daemon.
@@ -97,6 +99,8 @@
     pub(super) stopping: Option<Stopping>,
     pub(super) calls: BTreeMap<CallId, CallPurpose>,
     pub(super) next_call: u64,
+    pub(super) budget: Option<CallBudget>,
+    pub(super) held_calls: Vec<HeldCall>,
     pub(super) is_store_reachable: bool,
     pub(super) next_sequence: u64,
     pub(super) next_token: u64,
@@ -133,6 +137,8 @@
             stopping: None,
             calls: BTreeMap::new(),
             next_call: 0,
+            budget: None,
+            held_calls: Vec::new(),
             is_store_reachable: true,
             next_sequence: 0,
             next_token: 0,
@@ -206,14 +212,6 @@
         }
     }
 
-    pub(super) fn call_store(&mut self, purpose: CallPurpose, call: StoreCall) -> CallId {
-        self.next_call += 1;
-        let id = CallId(self.next_call);
-        self.calls.insert(id, purpose);
-        self.actions.push(Action::Store { id, call });
-        id
-    }
-
     /// Starts a decision record that names the configuration in force.
     pub(super) fn decision(
         &self,
--- a/crates/laburnumstall-core/src/entry/stop.rs
+++ b/crates/laburnumstall-core/src/entry/stop.rs
@@ -238,7 +238,7 @@
         self.send_to_all(&Message::Goodbye);
         if let Some(lease) = self.registry.lease() {
             let call = crate::store::StoreCall::Revoke { lease };
-            self.call_store(crate::entry::state::CallPurpose::ConfigurationHistory, call);
+            self.call_store(now, crate::entry::state::CallPurpose::Farewell, call);
         }
         if let Some(stopping) = &mut self.stopping {
             stopping.goodbye_at = Some(now);
--- a/crates/laburnumstall-core/src/entry/timers.rs
+++ b/crates/laburnumstall-core/src/entry/timers.rs
@@ -19,6 +19,7 @@
 
 impl Entry {
     pub(super) fn on_tick(&mut self, now: Timestamp) {
+        self.make_held_calls(now);
         self.tick_peers(now);
         self.tick_platform(now);
         self.quarantine.tick(now);
--- a/crates/laburnumstall-core/src/error.rs
+++ b/crates/laburnumstall-core/src/error.rs
@@ -152,6 +152,12 @@
         ERROR_TABLE[self as usize]
     }
 
+    /// Returns the kind with a name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        let rows = ERROR_TABLE.iter();
+        rows.map(|row| row.kind).find(|kind| kind.name() == name)
+    }
+
     /// Returns the kind's name as written in answers and logs.
     pub fn name(self) -> &'static str {
         use ErrorKind::*;
--- /dev/null
+++ b/crates/laburnumstall-core/tests/error_table.rs
@@ -0,0 +1,37 @@
+//! The table of errors: closed, in order, and the same as the reference page.
+
+use laburnumstall_core::error::{ERROR_TABLE, ErrorKind, Execution};
+
+const PAGE: &str = include_str!("../../../docs/reference/errors.md");
+
+#[test]
+fn rows_stand_at_their_kind() {
+    for row in ERROR_TABLE {
+        assert_eq!(row.kind.answer(), row);
+        assert_eq!(ErrorKind::from_name(row.kind.name()), Some(row.kind));
+        assert!((400..600).contains(&row.status), "{}", row.kind);
+    }
+}
+
+#[test]
+fn only_passing_refusals_say_when_to_come_back() {
+    for row in ERROR_TABLE {
+        if row.retry_after.is_some() {
+            assert_ne!(row.execution, Execution::RanFailed, "{}", row.kind);
+        }
+    }
+}
+
+#[test]
+fn page_lists_every_kind() {
+    for row in ERROR_TABLE {
+        let wait = row
+            .retry_after
+            .map_or("-".to_owned(), |wait| format!("{} s", wait.as_secs()));
+        let line = format!(
+            "| {} | {} | {} | {wait} | {} | {} |",
+            row.kind, row.status, row.execution, row.text, row.hint
+        );
+        assert!(PAGE.contains(&line), "the page lacks: {line}");
+    }
+}
--- a/crates/laburnumstall-site/src/site.rs
+++ b/crates/laburnumstall-site/src/site.rs
@@ -157,7 +157,7 @@
         let settings = self.settings_of(&vm, &zone);
         let is_recorded = self.spec.recorded_entry == Some(number);
         let sink = self.lines.sink(&vm, is_recorded);
-        let daemon = Daemon::start(settings, sink).await;
+        let daemon = Daemon::start(settings, Daemon::identity(&vm), sink).await;
         let daemon = daemon.context(DaemonSnafu { vm: vm.to_string() })?;
         self.list_vm(&vm, &zone, VmRole::Entry, daemon.callers());
         let daemon = Some(daemon);
--- a/crates/laburnumstalld/src/admin.rs
+++ b/crates/laburnumstalld/src/admin.rs
@@ -4,6 +4,7 @@
 
 mod configuration;
 mod key;
+mod metrics;
 mod status;
 
 use std::sync::Arc;
@@ -14,9 +15,13 @@
 use laburnumstall_config::admin::{CONFIGURATION_PATH, DRAIN_PATH, HISTORY_PATH, STATUS_PATH};
 
 use crate::inbox::Inbox;
+use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::settings::KeyDigest;
 
+/// Path of the metrics; it needs no key, since it shows numbers alone.
+const METRICS_PATH: &str = "/metrics";
+
 /// What the handlers share.
 #[derive(Clone)]
 pub struct Admin {
@@ -26,6 +31,8 @@
     pub platform: Addr<Platform>,
     /// Digests of the operators' keys.
     pub keys: Arc<Vec<KeyDigest>>,
+    /// What the daemon counts.
+    pub metrics: Metrics,
     /// Number of the next apply.
     pub next_token: Arc<AtomicU64>,
 }
@@ -36,5 +43,6 @@
         .route(CONFIGURATION_PATH, web::get().to(configuration::show))
         .route(HISTORY_PATH, web::get().to(configuration::history))
         .route(STATUS_PATH, web::get().to(status::status))
+        .route(METRICS_PATH, web::get().to(metrics::show))
         .route(DRAIN_PATH, web::post().to(status::drain));
 }
--- /dev/null
+++ b/crates/laburnumstalld/src/admin/metrics.rs
@@ -0,0 +1,16 @@
+//! The daemon's metrics in the text format of Prometheus.
+
+use actix_web::{HttpResponse, web};
+
+use crate::admin::Admin;
+
+/// Media type of the text format.
+const TEXT_FORMAT: &str = "text/plain; version=0.0.4";
+
+/// Answers with all metrics.
+pub(super) async fn show(admin: web::Data<Admin>) -> HttpResponse {
+    match admin.metrics.encode() {
+        Ok(text) => HttpResponse::Ok().content_type(TEXT_FORMAT).body(text),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
--- a/crates/laburnumstalld/src/control.rs
+++ b/crates/laburnumstalld/src/control.rs
@@ -4,7 +4,7 @@
 //! log and carries out the actions by passing them to the traffic threads.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix::Addr;
 use laburnumstall_core::decision::Decision;
@@ -12,15 +12,20 @@
 use laburnumstall_core::ids::CallerId;
 use laburnumstall_core::message::Delivery;
 use laburnumstall_core::units::Timestamp;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use crate::clock::Clock;
 use crate::inbox::{Inbox, Input};
 use crate::links::Links;
+use crate::metrics::Metrics;
 use crate::platform::{CallStore, Platform};
 use crate::snapshot::{DirectoryEntry, Published, Snapshot};
+use crate::telemetry::{CallerSlot, count_decision, show_status};
 use crate::traffic::{Abandon, Cancel, DropConnections, Poll, Probe, Run, TrafficPool};
 
+/// Time between two updates of the metrics that show a state.
+const SHOW_PERIOD: Duration = Duration::from_secs(1);
+
 /// Where the control thread writes its decisions.
 pub trait DecisionSink {
     /// Writes one decision.
@@ -53,7 +58,9 @@
     traffic: TrafficPool,
     platform: Addr<Platform>,
     sink: S,
-    callers: BTreeMap<CallerId, mpsc::UnboundedSender<Delivery>>,
+    metrics: Metrics,
+    shown_at: Instant,
+    callers: BTreeMap<CallerId, CallerSlot>,
     applies: BTreeMap<u64, oneshot::Sender<ApplyOutcome>>,
 }
 
@@ -77,6 +84,8 @@
     pub platform: Addr<Platform>,
     /// Where decisions go.
     pub sink: S,
+    /// What is counted.
+    pub metrics: Metrics,
 }
 
 impl<S: DecisionSink> Control<S> {
@@ -92,6 +101,8 @@
             traffic: parts.traffic,
             platform: parts.platform,
             sink: parts.sink,
+            metrics: parts.metrics,
+            shown_at: Instant::now(),
             callers: BTreeMap::new(),
             applies: BTreeMap::new(),
         }
@@ -103,10 +114,16 @@
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let inbox = self.inbox.clone();
         loop {
-            let end = tokio::select! {
-                _ = tick.tick() => self.on_tick(),
-                inputs = inbox.take() => self.on_inputs(inputs),
+            let inputs = tokio::select! {
+                _ = tick.tick() => None,
+                inputs = inbox.take() => Some(inputs),
+            };
+            let began = Instant::now();
+            let end = match inputs {
+                None => self.on_tick(),
+                Some(inputs) => self.on_inputs(inputs),
             };
+            self.metrics.control_busy(began.elapsed());
             if let Some(end) = end {
                 return (end, self.links);
             }
@@ -116,15 +133,25 @@
     fn on_tick(&mut self) -> Option<End> {
         let end = self.on_event(Event::Tick);
         self.publish();
+        self.show();
         end
     }
 
+    fn show(&mut self) {
+        if self.shown_at.elapsed() < SHOW_PERIOD {
+            return;
+        }
+        self.shown_at = Instant::now();
+        show_status(&self.metrics, &self.entry.status());
+        self.metrics.set_traffic(&self.links.traffic());
+    }
+
     fn on_inputs(&mut self, inputs: Vec<Input>) -> Option<End> {
         for input in inputs {
             let end = match input {
                 Input::Event(event) => self.on_event(event),
                 Input::Open { caller, tx } => {
-                    self.callers.insert(caller, tx);
+                    self.callers.insert(caller, CallerSlot::new(tx));
                     None
                 }
                 Input::Status(tx) => {
@@ -146,6 +173,11 @@
     }
 
     fn on_event(&mut self, event: Event) -> Option<End> {
+        if let Event::Arrived { caller, request } = &event
+            && let Some(slot) = self.callers.get_mut(caller)
+        {
+            slot.serve(self.metrics.service(&request.service));
+        }
         if let Event::CallerGone { caller } = &event {
             self.callers.remove(caller);
         }
@@ -155,6 +187,7 @@
         let Output { actions, decisions } = self.entry.handle(now, event);
         for decision in &decisions {
             self.sink.write(decision);
+            count_decision(&self.metrics, decision);
         }
         let mut end = None;
         for action in actions {
@@ -222,9 +255,8 @@
     }
 
     fn deliver(&mut self, caller: CallerId, delivery: Delivery) {
-        if let Some(tx) = self.callers.get(&caller) {
-            // A caller that went away is reported by its own connection.
-            let _ = tx.send(delivery);
+        if let Some(slot) = self.callers.get_mut(&caller) {
+            slot.give(delivery);
         }
     }
 
--- a/crates/laburnumstalld/src/daemon.rs
+++ b/crates/laburnumstalld/src/daemon.rs
@@ -11,10 +11,11 @@
 use actix::{Actor, Arbiter};
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpServer, web};
+use laburnumstall_core::budget::CallRates;
 use laburnumstall_core::entry::{Entry, EntrySettings, Event};
-use laburnumstall_core::ids::{DaemonId, Incarnation};
+use laburnumstall_core::ids::{DaemonId, Incarnation, VmId};
 use laburnumstall_core::membership::{CertificateFingerprint, Member};
-use laburnumstall_core::units::Timestamp;
+use laburnumstall_core::units::{RequestRate, Timestamp};
 use laburnumstall_peer::{Identity, PeerEndpoint, PeerError, PeerTimeouts, Pins};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::{mpsc, oneshot};
@@ -25,6 +26,7 @@
 use crate::front::{self, Front};
 use crate::inbox::{Inbox, Input};
 use crate::links::{self, Links};
+use crate::metrics::{Metrics, MetricsError};
 use crate::platform::Platform;
 use crate::settings::Settings;
 use crate::snapshot::Published;
@@ -52,6 +54,12 @@
         /// Cause.
         source: PeerError,
     },
+    /// The metrics could not be registered.
+    #[snafu(display("cannot register the metrics"))]
+    Metrics {
+        /// Cause.
+        source: MetricsError,
+    },
     /// The thread of the links ended before they were set up.
     #[snafu(display("the thread of the links ended early"))]
     LinkThread,
@@ -74,20 +82,25 @@
 }
 
 impl Daemon {
+    /// Returns the identity of a process that starts now on a VM.
+    pub fn identity(vm: &VmId) -> DaemonId {
+        DaemonId {
+            vm: vm.clone(),
+            incarnation: Incarnation(Clock::start().now().0),
+        }
+    }
+
     /// Starts a daemon whose decisions go to `sink`.
     ///
     /// # Errors
     ///
     /// Returns [`StartError`] if an address cannot be listened on or TLS cannot be set up.
-    pub async fn start<S>(settings: Settings, mut sink: S) -> Result<Self, StartError>
+    pub async fn start<S>(settings: Settings, id: DaemonId, mut sink: S) -> Result<Self, StartError>
     where
         S: DecisionSink + Send + 'static,
     {
         let clock = Clock::start();
-        let id = DaemonId {
-            vm: settings.vm.clone(),
-            incarnation: Incarnation(clock.now().0),
-        };
+        let metrics = Metrics::new().context(MetricsSnafu)?;
         let listeners = listen(&settings)?;
         let callers = local(&listeners.callers, "callers")?;
         let operators = local(&listeners.operators, "operators")?;
@@ -99,8 +112,9 @@
         let platform = {
             let settings = settings.clone();
             let inbox = inbox.clone();
+            let metrics = metrics.clone();
             Platform::start_in_arbiter(&platform_arbiter.handle(), move |_| {
-                Platform::new(&settings, inbox)
+                Platform::new(&settings, inbox, metrics)
             })
         };
         let endpoint_arbiters: Vec<Arbiter> = (0..settings.workers.max(1))
@@ -118,6 +132,7 @@
             inbox: inbox.clone(),
             platform: platform.clone(),
             keys: Arc::new(settings.operator_keys.clone()),
+            metrics: metrics.clone(),
             next_token: Arc::new(AtomicU64::new(1)),
         };
         let servers = serve(&settings, listeners, front, admin)?;
@@ -127,7 +142,8 @@
         };
         sink.note_start(&entry_settings);
         let parts = ControlParts {
-            entry: Entry::new(entry_settings),
+            entry: Entry::new(entry_settings)
+                .with_call_rates(call_rates(settings.store_calls_per_second)),
             clock,
             inbox: inbox.clone(),
             published,
@@ -136,6 +152,7 @@
             traffic,
             platform,
             sink,
+            metrics,
         };
         let (tx, ended) = oneshot::channel();
         let threads = Threads {
@@ -338,3 +355,13 @@
     actix::spawn(admin_server);
     Ok(handles)
 }
+
+/// Splits the calls a second: a quarter of them may be writes.
+fn call_rates(calls_per_second: u32) -> CallRates {
+    let calls = u64::from(calls_per_second);
+    let writes = (calls / 4).max(1);
+    CallRates {
+        reads: RequestRate((calls - writes.min(calls)).max(1)),
+        writes: RequestRate(writes),
+    }
+}
--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod platform;
 pub mod settings;
 pub mod snapshot;
+mod telemetry;
 pub mod traffic;
 
 pub use daemon::Daemon;
--- a/crates/laburnumstalld/src/links.rs
+++ b/crates/laburnumstalld/src/links.rs
@@ -10,7 +10,9 @@
 use laburnumstall_core::ids::DaemonId;
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::message::{Lane, Message};
-use laburnumstall_peer::{CertificateDigest, LostReason, PeerEndpoint, PeerEvent, Pins, SendFault};
+use laburnumstall_peer::{
+    CertificateDigest, LostReason, PeerEndpoint, PeerEvent, Pins, SendFault, Traffic,
+};
 use tokio::sync::mpsc;
 
 use crate::inbox::Inbox;
@@ -53,6 +55,11 @@
         sent.map_err(|error| error.fault)
     }
 
+    /// Returns what the links carried so far.
+    pub fn traffic(&self) -> Traffic {
+        self.endpoint.traffic()
+    }
+
     /// Asks a daemon for a sign of life on a new connection.
     pub fn probe(&self, to: &DaemonId, address: SocketAddr) {
         self.endpoint.probe(to, address);
--- a/crates/laburnumstalld/src/main.rs
+++ b/crates/laburnumstalld/src/main.rs
@@ -1,11 +1,11 @@
 //! The entry daemon's process: settings, signals and exit codes.
 
-use std::io::Write;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use laburnumstall_core::decision::Decision;
 use laburnumstalld::control::{DecisionSink, End};
+use laburnumstalld::logging::EventLog;
 use laburnumstalld::settings::{Invocation, ProcessEnvironment, SettingsError};
 use laburnumstalld::{Daemon, Settings};
 use tokio::signal::unix::{SignalKind, signal};
@@ -16,16 +16,14 @@
 /// Time before the end of the notice at which whatever is unfinished is handed over.
 const HAND_OVER_TIME: Duration = Duration::from_secs(3);
 
-/// Writes each decision as one line to standard output.
-struct StandardOutput {
-    daemon: String,
+/// Writes each decision as one line of the log.
+struct LogSink {
+    log: EventLog,
 }
 
-impl DecisionSink for StandardOutput {
+impl DecisionSink for LogSink {
     fn write(&mut self, decision: &Decision) {
-        let mut out = std::io::stdout().lock();
-        // Without a reader there is nobody to tell.
-        let _ = writeln!(out, "daemon={} {decision}", self.daemon);
+        self.log.decision(decision);
     }
 }
 
@@ -46,10 +44,13 @@
 
 async fn run(settings: Settings) -> ExitCode {
     let notice = settings.notice;
-    let sink = StandardOutput {
-        daemon: settings.vm.to_string(),
+    let id = Daemon::identity(&settings.vm);
+    let log = match EventLog::start(&id, settings.log_level, std::io::stdout()) {
+        Ok(log) => log,
+        Err(error) => return report(&error),
     };
-    let daemon = match Daemon::start(settings, sink).await {
+    let sink = LogSink { log };
+    let daemon = match Daemon::start(settings, id, sink).await {
         Ok(daemon) => daemon,
         Err(error) => return report(&error),
     };
--- a/crates/laburnumstalld/src/platform.rs
+++ b/crates/laburnumstalld/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's services, called from a thread of their own.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture, WrapFuture};
 use laburnumstall_core::entry::Event;
@@ -13,6 +13,7 @@
 use laburnumstall_platform::vm_list::{HttpVmList, VmList};
 
 use crate::inbox::Inbox;
+use crate::metrics::{Metrics, StoreCallKind};
 use crate::settings::Settings;
 
 /// Time between two reads of the VM list.
@@ -30,11 +31,12 @@
     cloud: Option<Rc<HttpCloud>>,
     vm_list: Option<Rc<HttpVmList>>,
     inbox: Inbox,
+    metrics: Metrics,
 }
 
 impl Platform {
     /// Prepares the adapters.
-    pub fn new(settings: &Settings, inbox: Inbox) -> Self {
+    pub fn new(settings: &Settings, inbox: Inbox, metrics: Metrics) -> Self {
         let cloud = settings.cloud.map(HttpSettings::new);
         let vm_list = settings.vm_list.map(HttpSettings::new);
         Self {
@@ -42,6 +44,7 @@
             cloud: cloud.map(|http| Rc::new(HttpCloud::new(http))),
             vm_list: vm_list.map(|http| Rc::new(HttpVmList::new(http))),
             inbox,
+            metrics,
         }
     }
 }
@@ -77,8 +80,12 @@
     fn handle(&mut self, msg: CallStore, cx: &mut Self::Context) {
         let store = self.store.clone();
         let inbox = self.inbox.clone();
+        let metrics = self.metrics.clone();
         let work = async move {
+            let kind = StoreCallKind::from(&msg.call);
+            let began = Instant::now();
             let outcome = store.call(msg.call).await;
+            metrics.store_call(kind, &outcome, began.elapsed());
             inbox.event(Event::Store {
                 call: msg.id,
                 outcome,
