Look only at what can change, and keep delivered answers for less time

Change: ticks look at requests that are not settled; members are followed on events that can change them; copies are looked at twice a second; an answer without a key is kept 15 s once a caller was given all of it. The test kit's world is split by job.

--- a/crates/laburnumstall-core/src/entry/accept.rs
+++ b/crates/laburnumstall-core/src/entry/accept.rs
@@ -210,11 +210,14 @@
             return Err(Refusal::new(ErrorKind::NoStandby, detail));
         };
         let standby = standby.id.clone();
-        let mut owned = self.new_owned(now, id.clone(), from, request, reservation);
+        let mut owned = self.new_owned(now, id.clone(), from.clone(), request, reservation);
         owned.is_new_key = is_new_key;
         if let Some(name) = KeyName::of(&owned.record) {
             self.keys.insert(name, id.clone());
         }
+        if from.daemon == self.own {
+            self.note_request(from.caller, &id);
+        }
         self.owned.insert(id.clone(), owned);
         self.copy_to(now, &id, standby);
         Ok(())
@@ -268,6 +271,7 @@
             is_dispatched: false,
             is_new_key: false,
             has_claim: false,
+            was_delivered: false,
             handed_over_at: None,
         }
     }
@@ -277,6 +281,7 @@
         let Some(owned) = self.owned.get_mut(id) else {
             return;
         };
+        self.active.insert(id.clone());
         owned.standby = Some(Standby {
             daemon: standby.clone(),
             sent: owned.record.events.len(),
--- a/crates/laburnumstall-core/src/entry/attach.rs
+++ b/crates/laburnumstall-core/src/entry/attach.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::entry::Entry;
-use crate::entry::owned::Subscriber;
+use crate::entry::owned::{Owned, Subscriber};
 use crate::error::{ErrorKind, Refusal};
 use crate::ids::{CallerId, CustomerId, DaemonId, RequestId};
 use crate::message::{CallerRef, Delivery, LocateTarget, Message, Position, RequestRecord};
@@ -14,6 +14,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct LocalCaller {
     pub(super) customer: CustomerId,
+    /// Request that it is attached to here.
+    pub(super) request: Option<RequestId>,
     /// What the caller has, with what it was given here.
     pub(super) position: Position,
     /// The daemon that owns the caller's request, if it is not this one.
@@ -40,6 +42,7 @@
     ) {
         let local = LocalCaller {
             customer,
+            request: None,
             position: position.unwrap_or(Position::START),
             remote: None,
         };
@@ -73,6 +76,9 @@
                 self.refuse_caller(now, &from, refusal);
                 return;
             }
+            if from.daemon == self.own {
+                self.note_request(from.caller, &id);
+            }
             self.deliver(now, &id);
             return;
         }
@@ -220,14 +226,26 @@
             self.send(&remote.owner, Message::Detach { caller, id });
         }
         let from = self.local_ref(caller);
-        self.unsubscribe(&from);
+        self.unsubscribe(&from, local.request.as_ref());
     }
 
-    pub(super) fn unsubscribe(&mut self, from: &CallerRef) {
-        for owned in self.owned.values_mut() {
+    /// Removes a caller from its request, or from all if that is not known.
+    pub(super) fn unsubscribe(&mut self, from: &CallerRef, id: Option<&RequestId>) {
+        let detach = |owned: &mut Owned| {
             owned
                 .subscribers
                 .retain(|subscriber| subscriber.caller != *from);
+        };
+        match id {
+            Some(id) => self.owned.get_mut(id).into_iter().for_each(detach),
+            None => self.owned.values_mut().for_each(detach),
+        }
+    }
+
+    /// Notes which request a caller connected here is attached to.
+    pub(super) fn note_request(&mut self, caller: CallerId, id: &RequestId) {
+        if let Some(local) = self.callers.get_mut(&caller) {
+            local.request = Some(id.clone());
         }
     }
 
--- a/crates/laburnumstall-core/src/entry/deliver.rs
+++ b/crates/laburnumstall-core/src/entry/deliver.rs
@@ -34,6 +34,10 @@
             let events = &owned.record.events[..committed];
             out.extend(next_events(subscriber, events));
         }
+        let is_given = |subscriber: &Subscriber| {
+            subscriber.position.index.0 == owned.record.events.len() as u64
+        };
+        owned.was_delivered |= owned.is_done() && owned.subscribers.iter().any(is_given);
         for (to, delivery) in out {
             self.give(now, &to, delivery);
         }
--- a/crates/laburnumstall-core/src/entry/finish.rs
+++ b/crates/laburnumstall-core/src/entry/finish.rs
@@ -14,6 +14,9 @@
 use crate::request::AnswerEvent;
 use crate::units::Timestamp;
 
+/// Time that an answer without a key is kept after a caller was given all of it.
+const DELIVERED_RETENTION: Duration = Duration::from_secs(15);
+
 /// Time that an answer is kept for callers that come back.
 pub(super) const RETENTION: Duration = Duration::from_secs(120);
 
@@ -99,6 +102,7 @@
         let owned = self.owned.remove(id)?;
         self.forget_key(id, KeyName::of(&owned.record));
         self.claim_keys.remove(id);
+        self.active.remove(id);
         Some(owned)
     }
 
@@ -113,7 +117,7 @@
     /// Forgets a finished request when its answer has been kept long enough.
     pub(super) fn expire_done(&mut self, now: Timestamp, id: &RequestId) {
         let is_over = self.owned.get(id).is_some_and(|owned| match owned.phase {
-            Phase::Done { at } => now.since(at) >= RETENTION,
+            Phase::Done { at } => now.since(at) >= retention_of(owned),
             _ => false,
         });
         if !is_over {
@@ -159,6 +163,15 @@
     }
 }
 
+/// Returns how long an answer is kept once it is complete.
+pub(super) fn retention_of(owned: &Owned) -> Duration {
+    if owned.was_delivered && owned.record.request.key.is_none() {
+        DELIVERED_RETENTION
+    } else {
+        RETENTION
+    }
+}
+
 /// Replaces a kind that says "not run" when the request may have run.
 fn truthful(owned: &Owned, refusal: Refusal) -> Refusal {
     let says_not_run = refusal.kind.answer().execution == Execution::NotRun;
--- a/crates/laburnumstall-core/src/entry/owned.rs
+++ b/crates/laburnumstall-core/src/entry/owned.rs
@@ -110,6 +110,8 @@
     pub(super) is_new_key: bool,
     /// Whether this incarnation holds the claim.
     pub(super) has_claim: bool,
+    /// Whether a caller was given the whole answer.
+    pub(super) was_delivered: bool,
     /// When the standby was last asked to take over.
     pub(super) handed_over_at: Option<Timestamp>,
 }
--- a/crates/laburnumstall-core/src/entry/peers.rs
+++ b/crates/laburnumstall-core/src/entry/peers.rs
@@ -81,12 +81,12 @@
                 };
                 self.attach_from(now, caller, id, customer, position);
             }
-            Message::Detach { caller, .. } => {
+            Message::Detach { caller, id } => {
                 let caller = CallerRef {
                     daemon: from,
                     caller,
                 };
-                self.unsubscribe(&caller);
+                self.unsubscribe(&caller, id.as_ref());
             }
             Message::Forward { caller, request } => {
                 let caller = CallerRef {
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -1,6 +1,6 @@
 //! The parts of an entry's state and the entrance for events.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -88,6 +88,10 @@
     pub(super) claims: Claims,
     pub(super) claim_keys: BTreeMap<RequestId, ClaimKey>,
     pub(super) owned: BTreeMap<RequestId, Owned>,
+    /// Requests that each tick looks at: all but those that are done and fully copied.
+    pub(super) active: BTreeSet<RequestId>,
+    /// Requests that only wait for the end of their retention, by that time.
+    pub(super) settled: BTreeSet<(Timestamp, RequestId)>,
     pub(super) copies: BTreeMap<RequestId, HeldCopy>,
     pub(super) keys: BTreeMap<KeyName, RequestId>,
     pub(super) callers: BTreeMap<CallerId, LocalCaller>,
@@ -106,6 +110,7 @@
     pub(super) next_token: u64,
     pub(super) heartbeat_at: Timestamp,
     pub(super) share_at: Timestamp,
+    pub(super) copies_at: Timestamp,
     pub(super) actions: Vec<Action>,
     pub(super) journal: Journal,
 }
@@ -126,6 +131,8 @@
             claims: Claims::new(own.clone()),
             claim_keys: BTreeMap::new(),
             owned: BTreeMap::new(),
+            active: BTreeSet::new(),
+            settled: BTreeSet::new(),
             copies: BTreeMap::new(),
             keys: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -144,6 +151,7 @@
             next_token: 0,
             heartbeat_at: Timestamp::ZERO,
             share_at: Timestamp::ZERO,
+            copies_at: Timestamp::ZERO,
             actions: Vec::new(),
             journal: Journal::default(),
             own,
@@ -153,9 +161,12 @@
 
     /// Takes in an event and returns what has to be done and what was decided.
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Output {
+        let may_change_members = tells_of_members(&event);
         self.take_in(now, event);
         self.settle_claims(now);
-        self.follow_members(now);
+        if may_change_members {
+            self.follow_members(now);
+        }
         self.spread_suspicions();
         Output {
             actions: std::mem::take(&mut self.actions),
@@ -223,3 +234,18 @@
         Decision::new(now, kind, choice, reason).with("revision", self.adoption.revision())
     }
 }
+
+/// Tells whether an event can change the view of the other daemons.
+fn tells_of_members(event: &Event) -> bool {
+    match event {
+        Event::Tick
+        | Event::Link { .. }
+        | Event::Store { .. }
+        | Event::Notice(_)
+        | Event::Vms(_) => true,
+        Event::Peer { message, .. } => {
+            matches!(**message, Message::Heartbeat { .. } | Message::Goodbye)
+        }
+        _ => false,
+    }
+}
--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -45,6 +45,7 @@
             self.keys.insert(name, id.clone());
         }
         self.owned.insert(id.clone(), owned);
+        self.active.insert(id.clone());
         self.protect(now, id);
         self.adopt_waiting_callers(now, id);
     }
@@ -81,6 +82,7 @@
             is_dispatched: false,
             is_new_key: false,
             has_claim: false,
+            was_delivered: false,
             handed_over_at: None,
         }
     }
--- a/crates/laburnumstall-core/src/entry/timers.rs
+++ b/crates/laburnumstall-core/src/entry/timers.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use crate::entry::Entry;
+use crate::entry::finish::retention_of;
 use crate::entry::owned::Phase;
 use crate::ids::RequestId;
+use crate::limits::SHARE_PERIOD;
 use crate::message::Message;
 use crate::units::Timestamp;
 
@@ -14,8 +16,8 @@
 /// Time between two heartbeats to a peer.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
 
-/// Time between two messages about the use of limits.
-const SHARE_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between two looks at the copies held for other daemons.
+const COPIES_PERIOD: Duration = Duration::from_millis(500);
 
 impl Entry {
     pub(super) fn on_tick(&mut self, now: Timestamp) {
@@ -23,19 +25,53 @@
         self.tick_peers(now);
         self.tick_platform(now);
         self.quarantine.tick(now);
-        let ids: Vec<RequestId> = self.owned.keys().cloned().collect();
+        let ids: Vec<RequestId> = self.active.iter().cloned().collect();
         for id in ids {
             self.tick_request(now, &id);
+            self.settle(&id);
+        }
+        self.expire_settled(now);
+        if self.copies_at <= now {
+            self.copies_at = now.after(COPIES_PERIOD);
+            self.tick_copies(now);
         }
-        self.tick_copies(now);
         self.tick_questions(now);
         self.tick_callers(now);
         self.tick_stop(now);
     }
 
+    /// Looks no longer at a request that is done and whose standby has all of it.
+    fn settle(&mut self, id: &RequestId) {
+        let Some(owned) = self.owned.get(id) else {
+            self.active.remove(id);
+            return;
+        };
+        let events = owned.record.events.len();
+        let is_copied = owned
+            .standby
+            .as_ref()
+            .is_none_or(|standby| standby.acked == Some(events));
+        if let Phase::Done { at } = owned.phase
+            && is_copied
+        {
+            let until = at.after(retention_of(owned));
+            self.active.remove(id);
+            self.settled.insert((until, id.clone()));
+        }
+    }
+
+    /// Forgets settled requests whose retention is over.
+    fn expire_settled(&mut self, now: Timestamp) {
+        while let Some((until, _)) = self.settled.first()
+            && *until <= now
+            && let Some((_, id)) = self.settled.pop_first()
+        {
+            self.expire_done(now, &id);
+        }
+    }
+
     fn tick_request(&mut self, now: Timestamp, id: &RequestId) {
         self.check_deadline(now, id);
-        self.expire_done(now, id);
         self.check_standby(now, id);
         let Some(owned) = self.owned.get(id) else {
             return;
--- a/crates/laburnumstall-standins/src/network.rs
+++ b/crates/laburnumstall-standins/src/network.rs
@@ -1,7 +1,7 @@
 //! A relay on loopback with a faulty network in it, for TCP connections or UDP datagrams.
 //!
 //! A connection, or a UDP source address, is a flow. Silent flows stay open and carry
-//! nothing, as when a middlebox has lost track of them; new flows work.
+//! nothing, as when a middlebox has dropped their state; new flows work.
 
 use std::collections::btree_map::{BTreeMap, Entry};
 use std::io;
--- a/crates/laburnumstall-testkit/src/lib.rs
+++ b/crates/laburnumstall-testkit/src/lib.rs
@@ -6,8 +6,10 @@
 //! what was promised. The same seed gives the same session, line by line.
 
 mod caller;
+mod callers;
 pub mod checks;
 mod endpoint;
+mod machines;
 mod network;
 mod node;
 mod outside;
--- a/crates/laburnumstall-testkit/src/system.rs
+++ b/crates/laburnumstall-testkit/src/system.rs
@@ -128,7 +128,7 @@
 pub fn key_at(now: Timestamp, number: u64) -> IdempotencyKey {
     let millis = now.0 / 1_000;
     let mut random = [0; 10];
-    random[2..].copy_from_slice(&number.to_le_bytes());
+    random[2..].copy_from_slice(&number.to_be_bytes());
     let uuid = uuid::Builder::from_unix_timestamp_millis(millis, &random).into_uuid();
     named(&uuid.to_string())
 }
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -1,22 +1,19 @@
 //! Entry cores joined with each other and with the fakes around them.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use fastrand::Rng;
-use laburnumstall_core::cloud::ReclaimNotice;
 use laburnumstall_core::decision::Decision;
 use laburnumstall_core::entry::{Action, Event, LinkEvent, Output, TICK};
 use laburnumstall_core::ids::{
-    AvailabilityZone, CallerId, DaemonId, EndpointId, Incarnation, Revision, VmId,
+    AvailabilityZone, DaemonId, EndpointId, Incarnation, Revision, VmId,
 };
-use laburnumstall_core::message::{ConfigurationRecord, Delivery, Message};
-use laburnumstall_core::request::Request;
+use laburnumstall_core::message::{ConfigurationRecord, Message};
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_core::world::{Configuration, System};
 
-use crate::caller::{CallerState, FakeCaller, RETRY};
+use crate::caller::FakeCaller;
 use crate::endpoint::FakeEndpoint;
 use crate::network::Network;
 use crate::node::Node;
@@ -89,7 +86,7 @@
     pub(crate) crashed_with: BTreeMap<String, u32>,
     /// Keys that ran, as services remember them that check keys.
     pub(crate) answered: BTreeSet<String>,
-    next_caller: u64,
+    pub(crate) next_caller: u64,
     next_incarnation: u64,
 }
 
@@ -216,14 +213,6 @@
         }
     }
 
-    /// Adds a caller that sends its request now, to the given entry or to a listed one.
-    pub fn call(&mut self, request: Request, first: Option<usize>) -> usize {
-        let index = self.callers.len();
-        self.callers.push(FakeCaller::new(Arc::new(request), first));
-        self.schedule.add(self.now, Item::Caller { index });
-        index
-    }
-
     /// Lets time pass.
     pub fn run_for(&mut self, time: Duration) {
         self.run_until(self.now.after(time));
@@ -257,7 +246,7 @@
         self.nodes.iter().position(is_it)
     }
 
-    fn tell_daemon(&mut self, to: &DaemonId, event: Event) {
+    pub(crate) fn tell_daemon(&mut self, to: &DaemonId, event: Event) {
         let Some(number) = self.node_of(to) else {
             return;
         };
@@ -373,156 +362,6 @@
         self.tell_link(&from, daemon, event, after);
     }
 
-    fn deliver(&mut self, number: usize, caller: CallerId, delivery: Delivery) {
-        let id = self.nodes[number].id.clone();
-        let now = self.now;
-        let found = self.callers.iter_mut().find(|c| c.is_at(&id, caller));
-        let Some(found) = found else {
-            return;
-        };
-        found.take_in(now, delivery);
-        if found.outcome().is_some() {
-            let event = Box::new(Event::CallerGone { caller });
-            self.schedule.add(now, Item::Tell { to: id, event });
-        }
-    }
-
-    /// A caller sends, comes back or looks whether it should.
-    fn step_caller(&mut self, index: usize) {
-        let again = self.now.after(RETRY);
-        let caller = &self.callers[index];
-        if caller.outcome().is_some() {
-            return;
-        }
-        self.schedule.add(again, Item::Caller { index });
-        if let CallerState::Connected { to, .. } = &caller.state {
-            if self.node_of(to).is_some() {
-                return;
-            }
-            self.callers[index].state = CallerState::Disconnected;
-        }
-        let Some(number) = self.pick_entry(index) else {
-            return;
-        };
-        self.connect(index, number);
-    }
-
-    fn pick_entry(&mut self, index: usize) -> Option<usize> {
-        if let Some(first) = self.callers[index].first.take()
-            && self.nodes[first].is_running()
-        {
-            return Some(first);
-        }
-        let listed: Vec<usize> = (0..self.nodes.len())
-            .filter(|number| self.nodes[*number].is_listed())
-            .collect();
-        if listed.is_empty() {
-            return None;
-        }
-        Some(listed[self.rng.usize(..listed.len())])
-    }
-
-    /// Connects a caller to an entry, with a new request or to go on with one.
-    pub fn connect(&mut self, index: usize, number: usize) {
-        self.next_caller += 1;
-        let number_of_connection = CallerId(self.next_caller);
-        let to = self.nodes[number].id.clone();
-        let caller = &mut self.callers[index];
-        let event = match &caller.id {
-            Some(id) => Event::Attach {
-                caller: number_of_connection,
-                id: id.clone(),
-                customer: caller.request.customer.clone(),
-                position: (!caller.events.is_empty()).then_some(caller.position),
-            },
-            None if caller.sent > 0 && !caller.sends_again => return,
-            None => {
-                caller.sent += 1;
-                Event::Arrived {
-                    caller: number_of_connection,
-                    request: caller.request.clone(),
-                }
-            }
-        };
-        caller.state = CallerState::Connected {
-            to: to.clone(),
-            caller: number_of_connection,
-        };
-        self.tell_daemon(&to, event);
-    }
-
-    /// Breaks a caller's connection; it comes back at its next step.
-    pub fn disconnect(&mut self, index: usize) {
-        let CallerState::Connected { to, caller } = self.callers[index].state.clone() else {
-            return;
-        };
-        self.callers[index].state = CallerState::Disconnected;
-        self.tell_daemon(&to, Event::CallerGone { caller });
-    }
-
-    /// Ends an entry's process at once.
-    pub fn kill_entry(&mut self, number: usize) {
-        let vm = self.nodes[number].vm.clone();
-        self.note(&format!("entry dies vm={vm}"));
-        self.end_process(number);
-    }
-
-    fn end_process(&mut self, number: usize) {
-        let id = self.nodes[number].id.clone();
-        self.nodes[number].entry = None;
-        self.drop_readers(&id);
-    }
-
-    /// Takes an entry's VM away.
-    pub fn take_entry_vm(&mut self, number: usize) {
-        if !self.nodes[number].is_vm_gone {
-            let vm = self.nodes[number].vm.clone();
-            self.note(&format!("entry vm taken vm={vm}"));
-            self.end_process(number);
-            self.nodes[number].is_vm_gone = true;
-        }
-    }
-
-    /// Pauses an entry's process.
-    pub fn pause_entry(&mut self, number: usize, time: Duration) {
-        let vm = self.nodes[number].vm.clone();
-        self.note(&format!("entry pauses vm={vm} for={time:?}"));
-        self.nodes[number].paused_until = self.now.after(time);
-    }
-
-    /// Announces that an entry's VM is taken after `notice`.
-    pub fn reclaim_entry(&mut self, number: usize, notice: Duration) {
-        let vm = self.nodes[number].vm.clone();
-        let deadline = self.now.after(notice);
-        self.note(&format!("reclaim announced vm={vm} notice={notice:?}"));
-        self.nodes[number].reclaim_at = Some(deadline);
-        for other in 0..self.nodes.len() {
-            let vm = vm.clone();
-            let notice = ReclaimNotice { vm, deadline };
-            let to = self.nodes[other].id.clone();
-            self.tell_daemon(&to, Event::Notice(notice));
-        }
-    }
-
-    /// Asks an entry for a planned stop.
-    pub fn stop_entry(&mut self, number: usize) {
-        let vm = self.nodes[number].vm.clone();
-        self.note(&format!("planned stop vm={vm}"));
-        let to = self.nodes[number].id.clone();
-        self.tell_daemon(&to, Event::Stop { deadline: None });
-    }
-
-    /// Takes the VMs whose notice is over.
-    pub fn take_due_vms(&mut self) {
-        let now = self.now;
-        let due: Vec<usize> = (0..self.nodes.len())
-            .filter(|number| self.nodes[*number].reclaim_at.is_some_and(|at| at <= now))
-            .collect();
-        for number in due {
-            self.take_entry_vm(number);
-        }
-    }
-
     pub(crate) fn endpoint_index(&self, id: &EndpointId) -> Option<usize> {
         self.endpoints.iter().position(|known| known.id == *id)
     }
