--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -262,7 +262,11 @@
     /// An endpoint that does not know a stream that it gave has been restarted.
     fn on_lost_stream(&mut self, now: Timestamp, id: &RequestId, place: &Place) {
         let fingerprints = self.fingerprints(std::slice::from_ref(id));
-        if !self.router.is_leaving(&place.endpoint) {
+        let had_begun = self
+            .owned
+            .get(id)
+            .is_some_and(|owned| had_begun(owned, place));
+        if had_begun && !self.router.is_leaving(&place.endpoint) {
             self.report_crash(now, &place.endpoint, &fingerprints);
         }
     }
@@ -286,6 +290,15 @@
     }
 }
 
+/// Tells whether an attempt's stream certainly existed: it gave events, or its connection
+/// was reset here after the request was sent.
+fn had_begun(owned: &Owned, place: &Place) -> bool {
+    let has_events = owned.record.events.len() as u64 > place.first_event.0;
+    let is_own = place.attempt == owned.record.attempts;
+    let was_reset = owned.running().is_some_and(|running| running.resumes == 0);
+    has_events || (is_own && was_reset)
+}
+
 fn kind_of(failure: &AttemptFailure) -> &'static str {
     match failure {
         AttemptFailure::NotSent => "not-sent",
--- a/crates/laburnumstall-core/src/entry/peers.rs
+++ b/crates/laburnumstall-core/src/entry/peers.rs
@@ -163,6 +163,7 @@
                     daemon: daemon.clone(),
                 });
                 self.resend_to(now, daemon);
+                self.tell_suspicions(daemon);
             }
             LinkEvent::ProbeSilent => self.on_evidence(now, daemon, Evidence::Silent),
         }
@@ -217,10 +218,7 @@
         if member.id != self.own {
             let heartbeat = self.heartbeat();
             self.send(&member.id, heartbeat);
-            let known = self.quarantine.snapshot();
-            if !known.is_empty() {
-                self.send(&member.id, Message::Suspect(known));
-            }
+            self.tell_suspicions(&member.id);
             self.refresh_router_peers();
         }
     }
--- a/crates/laburnumstall-core/src/entry/suspects.rs
+++ b/crates/laburnumstall-core/src/entry/suspects.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Tells one peer all that is known: messages may have been lost with a link.
+    pub(super) fn tell_suspicions(&mut self, to: &DaemonId) {
+        let known = self.quarantine.snapshot();
+        if !known.is_empty() {
+            self.send(to, Message::Suspect(known));
+        }
+    }
+
     /// Suspects what ran on a crashed endpoint, and tells the peers before any retry.
     pub(super) fn report_crash(
         &mut self,
--- a/crates/laburnumstall-core/src/entry/timers.rs
+++ b/crates/laburnumstall-core/src/entry/timers.rs
@@ -102,6 +102,9 @@
             self.limits.set_entries(now, live.max(1));
             let share = self.limits.share(now);
             self.send_to_all(&Message::Limits(share));
+            for to in self.membership.heartbeat_targets() {
+                self.tell_suspicions(&to);
+            }
         }
     }
 }
