--- a/crates/laburnumstall/src/commands/demo.rs
+++ b/crates/laburnumstall/src/commands/demo.rs
@@ -38,6 +38,10 @@
         pub customer_keys: Vec<String>,
         /// Key of the operators.
         pub operator_key: String,
+        /// The key-value service.
+        pub store: SocketAddr,
+        /// The cloud API, which gives the VM list too.
+        pub cloud: SocketAddr,
         /// Idempotency key for a first order.
         pub idempotency_key: String,
     }
@@ -50,6 +54,8 @@
             admin: site.operators(),
             customer_keys: vec![CUSTOMER_KEY.to_owned(), OTHER_CUSTOMER_KEY.to_owned()],
             operator_key: OPERATOR_KEY.to_owned(),
+            store: site.store.address(),
+            cloud: site.cloud.address(),
             idempotency_key: new_key(unix_now(), &mut fastrand::Rng::new()),
         }
     }
@@ -61,6 +67,7 @@
         writeln!(f, "operators      {}", list(&self.admin))?;
         writeln!(f, "customer keys  {}", self.customer_keys.join(" "))?;
         writeln!(f, "operator key   {}", self.operator_key)?;
+        writeln!(f, "store, cloud   {} {}", self.store, self.cloud)?;
         let (Some(first), Some(last)) = (self.entries.first(), self.entries.last()) else {
             return Ok(());
         };
