Drop the claim names that nothing reads

Cause: the entry kept a map from request to claim that was written and removed, never read. Change: the map is gone. Conclusion: no behaviour changes.

--- a/crates/laburnumstall-core/src/entry/claiming.rs
+++ b/crates/laburnumstall-core/src/entry/claiming.rs
@@ -33,7 +33,6 @@
             return;
         };
         let wish = self.wish_of(now, &owned.record, wanted);
-        self.claim_keys.insert(id.clone(), wish.key);
         self.claims.wish(wish);
     }
 
--- a/crates/laburnumstall-core/src/entry/finish.rs
+++ b/crates/laburnumstall-core/src/entry/finish.rs
@@ -101,7 +101,6 @@
     pub(super) fn forget_owned(&mut self, id: &RequestId) -> Option<Owned> {
         let owned = self.owned.remove(id)?;
         self.forget_key(id, KeyName::of(&owned.record));
-        self.claim_keys.remove(id);
         self.active.remove(id);
         Some(owned)
     }
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -6,7 +6,7 @@
 
 use crate::adoption::Adoption;
 use crate::budget::CallBudget;
-use crate::claims::{ClaimKey, Claims, ShardId};
+use crate::claims::{Claims, ShardId};
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::domain;
 use crate::entry::action::{Action, Output};
@@ -86,7 +86,6 @@
     pub(super) retry_budget: RetryBudget,
     pub(super) quarantine: Quarantine,
     pub(super) claims: Claims,
-    pub(super) claim_keys: BTreeMap<RequestId, ClaimKey>,
     pub(super) owned: BTreeMap<RequestId, Owned>,
     /// Requests that each tick looks at: all but those that are done and fully copied.
     pub(super) active: BTreeSet<RequestId>,
@@ -129,7 +128,6 @@
             retry_budget: RetryBudget::default(),
             quarantine: Quarantine::new(&own),
             claims: Claims::new(own.clone()),
-            claim_keys: BTreeMap::new(),
             owned: BTreeMap::new(),
             active: BTreeSet::new(),
             settled: BTreeSet::new(),
