Store and send configurations by section

Reading the old code for it showed a fault: an apply whose reply was lost was told 'conflict' when another was accepted before it was read back.

Change: a record under a key of its own holds the sections that differ from the one before (SystemChange), and swapping a small head accepts it. Peers send the changes that the other lacks. Four daemons of a region watch the head. The text is written anew from the system and no longer kept.

Ruled out: a manifest of digests (about 45 KB a change at 500 sections), a difference of texts (two edits far apart send all between).

Eight tests in virtual time; the lines that they name were taken out once each and failed.

--- a/crates/laburnumstall-bench/src/world/daemons.rs
+++ b/crates/laburnumstall-bench/src/world/daemons.rs
@@ -68,7 +68,6 @@
                 digest: "bench".into(),
                 system: self.system.clone(),
             },
-            text: "".into(),
             operator: "bench".into(),
             at: self.now,
             reason: "".into(),
--- a/crates/laburnumstall-config/src/lib.rs
+++ b/crates/laburnumstall-config/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Data flows one way. [`parse()`] reads TOML with the place of every key and value, reports
 //! all [`Faults`] at once, and builds a [`System`]. [`canonical()`] writes a system as the
-//! one text that stands for it, [`digest()`] names that text, [`sections()`] cuts it into
-//! the parts by which it is stored and pulled, and [`diff()`] tells two systems apart.
+//! one text that stands for it, [`digest()`] names that text, and [`diff()`] tells two
+//! systems apart.
 //! [`admin`] holds the messages between operators and daemons.
 //!
 //! [`System`]: laburnumstall_core::world::System
@@ -12,7 +12,6 @@
 mod canonical;
 mod diff;
 mod fault;
-mod manifest;
 mod parse;
 mod reader;
 mod scalar;
@@ -22,8 +21,5 @@
 pub use canonical::{canonical, digest, normalize};
 pub use diff::{Change, ItemChange, ItemKind, KeyChange, diff};
 pub use fault::{Fault, FaultKind, Faults};
-pub use manifest::{Manifest, SectionId};
 pub use parse::parse;
-pub use section::{
-    AssembleError, Section, assemble, customer_section, platform_section, sections, service_section,
-};
+pub use section::{customer_section, platform_section, service_section};
--- a/crates/laburnumstall-config/tests/canonical_form.rs
+++ b/crates/laburnumstall-config/tests/canonical_form.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use laburnumstall_config::{
-    AssembleError, Manifest, assemble, canonical, diff, digest, normalize, parse, sections,
-};
+use laburnumstall_config::{canonical, diff, digest, normalize, parse};
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::units::HourlyPrice;
-use laburnumstall_core::world::{CallRule, Link, ModelNeed, NamedEndpoint, Target, VmClassSpec};
+use laburnumstall_core::world::{
+    CallRule, Link, ModelNeed, NamedEndpoint, SystemChange, Target, VmClassSpec,
+};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 const CARONI: &str = include_str!("../../../examples/caroni.toml");
@@ -197,37 +197,67 @@
     check(property, 12);
 }
 
-/// Removing the comparison with the digest in `assemble` makes this fail.
+/// A change carries exactly the sections that differ, and rebuilds the later system.
+///
+/// Removing `replace` for services or customers, or the platform's section, from
+/// `SystemChange::apply` makes this fail.
 #[test]
-fn sections_come_together() {
-    fn property(SaidSystem(system): SaidSystem) -> bool {
-        let mut parts = sections(&system);
-        let whole: String = parts.iter().map(|part| part.body.as_str()).collect();
-        let text = canonical(&system);
-        parts.reverse();
-        let again = assemble(&parts).unwrap_or_else(|error| panic!("{error}"));
-        parts[0].body.push('\n');
-        let damaged = matches!(assemble(&parts), Err(AssembleError::Damaged { .. }));
-        whole == text && canonical(&again) == text && damaged
+fn changes_rebuild() {
+    fn property(SaidSystem(mut old): SaidSystem) -> bool {
+        normalize(&mut old);
+        let edits = [drop_last, change_first, rename_all, change_platform];
+        edits.into_iter().all(|edit| {
+            let mut new = old.clone();
+            edit(&mut new);
+            normalize(&mut new);
+            let there = SystemChange::between(&old, &new).expect("both are in order");
+            let back = SystemChange::between(&new, &old).expect("both are in order");
+            there.apply(&old) == new && back.apply(&new) == old
+        })
     }
     check(property, 13);
 }
 
-/// Removing either `ensure!` of `Manifest::assemble` makes this fail.
+fn drop_last(system: &mut System) {
+    system.services.pop();
+    system.customers.pop();
+}
+
+fn change_first(system: &mut System) {
+    if let Some(customer) = system.customers.first_mut() {
+        customer.contract.weight += 1;
+    }
+}
+
+fn rename_all(system: &mut System) {
+    for customer in &mut system.customers {
+        let name = format!("a-{}", customer.name);
+        customer.name = name.parse().expect("still a name");
+    }
+    for service in &mut system.services {
+        service.deadline += Duration::from_secs(1);
+    }
+}
+
+fn change_platform(system: &mut System) {
+    system.links.pop();
+    for zone in &mut system.zones {
+        zone.price_permille += 1;
+    }
+}
+
+/// The size of a change does not depend on what stays the same.
+///
+/// Removing the comparison of parts in `SystemChange::between` makes this fail.
 #[test]
-fn manifest_wants_all_sections() {
-    let system = parse(CARONI).expect("the example is valid");
-    let manifest = Manifest::of(&system);
-    let mut held = sections(&system);
-    assert_eq!(manifest.assemble(&held).expect("whole"), system);
-    let last = held.pop().expect("a customer");
-    assert_eq!(manifest.missing(&held)[0].name, last.name);
-    let error = manifest.assemble(&held).expect_err("a section is missing");
-    assert!(matches!(error, AssembleError::Missing { .. }), "{error}");
-    let mut shorter = manifest.clone();
-    shorter.sections.pop();
-    let error = shorter.assemble(&held).expect_err("the whole differs");
-    assert!(matches!(error, AssembleError::Different), "{error}");
+fn changes_are_small() {
+    let old = parse(CARONI).expect("the example is valid");
+    let mut new = old.clone();
+    change_first(&mut new);
+    let change = SystemChange::between(&old, &new).expect("both are in order");
+    assert_eq!(change.customers, [new.customers[0].clone()]);
+    assert!(change.platform.is_none() && change.services.is_empty());
+    assert!(change.removed_services.is_empty() && change.removed_customers.is_empty());
 }
 
 #[test]
@@ -235,7 +265,6 @@
     for text in [CARONI, KUUSIVIULU] {
         let system = parse(text).unwrap_or_else(|faults| panic!("{faults}"));
         assert_eq!(parse(&canonical(&system)).expect("canonical"), system);
-        assert_eq!(assemble(&sections(&system)).expect("whole"), system);
     }
 }
 
--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -44,7 +44,7 @@
 mod withdraw;
 
 pub use action::{Action, DispatchOrder, Output, StreamResume};
-pub use configuration::{ApplyOutcome, configuration_head_key, configuration_history_key};
+pub use configuration::{ApplyOutcome, configuration_head_key, configuration_record_prefix};
 pub use event::{
     ApplyRequest, AttemptEvent, AttemptFailure, Event, LinkEvent, PROBE_TIMEOUT, PollOutcome,
     ProbeOutcome,
--- a/crates/laburnumstall-core/src/entry/calls.rs
+++ b/crates/laburnumstall-core/src/entry/calls.rs
@@ -28,7 +28,8 @@
             Self::ConfigurationRead
             | Self::ConfigurationWatch
             | Self::ConfigurationWrite
-            | Self::ConfigurationHistory => Purpose::Configuration,
+            | Self::ConfigurationFetch
+            | Self::ConfigurationOffer => Purpose::Configuration,
         }
     }
 }
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/configuration/reading.rs
@@ -0,0 +1,266 @@
+//! From the head in the key-value service to the configuration that it names.
+//!
+//! A new head names a record. A record that is a change needs the one before it, so that the
+//! records are read backwards until one is whole or starts from the configuration in force.
+
+use std::time::Duration;
+
+use super::{Head, RETRY_WAIT, configuration_head_key};
+use crate::adoption::{ConfigurationChange, ConfigurationId, Offer, StoredConfigurationRecord};
+use crate::decision::DecisionKind;
+use crate::entry::Entry;
+use crate::entry::state::CallPurpose;
+use crate::hash::{digest64, rendezvous_weight};
+use crate::ids::{AvailabilityZone, DaemonId, Region};
+use crate::message::ConfigurationRecord;
+use crate::store::{StoreCall, StoreOutcome, StoreReply, StoredValue};
+use crate::units::Timestamp;
+
+/// Daemons of a region that watch the head; the others hear of it by heartbeats.
+const HEAD_WATCHERS: usize = 4;
+
+/// Key by which the watchers are picked.
+const WATCHER_KEY: u64 = 0x6865_6164;
+
+/// Number of live daemons that share one rate of backing reads.
+const READERS: u32 = 16;
+
+/// Time between two reads that back up the watch, up to [`READERS`] daemons.
+const READ_PERIOD: Duration = Duration::from_secs(5);
+
+/// Longest time that one watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Number of changes that are read backwards before the reading is given up.
+const LONGEST_CHAIN: usize = 64;
+
+/// Records that are being read.
+#[derive(Debug, Clone)]
+pub(super) struct Fetch {
+    /// Record that the head names.
+    target: ConfigurationId,
+    /// Record that is asked for.
+    wanted: ConfigurationId,
+    /// Changes read so far, the newest first.
+    changes: Vec<ConfigurationChange>,
+}
+
+impl Entry {
+    pub(super) fn read_head(&mut self, now: Timestamp) {
+        if self.source.is_reading || self.source.read_at > now {
+            return;
+        }
+        self.source.is_reading = true;
+        let key = configuration_head_key();
+        self.call_store(now, CallPurpose::ConfigurationRead, StoreCall::Get { key });
+    }
+
+    pub(super) fn watch_head(&mut self, now: Timestamp) {
+        if self.source.is_watching || self.source.watch_at > now {
+            return;
+        }
+        if !self.is_head_watcher() {
+            self.source.watch_at = now.after(READ_PERIOD);
+            return;
+        }
+        self.source.is_watching = true;
+        let call = StoreCall::Watch {
+            prefix: configuration_head_key(),
+            after: self.source.watch_after,
+            wait: WATCH_WAIT,
+        };
+        self.call_store(now, CallPurpose::ConfigurationWatch, call);
+    }
+
+    /// Picks the watchers by rendezvous hashing over the live daemons of the region.
+    fn is_head_watcher(&self) -> bool {
+        let weight = |id: &DaemonId| {
+            let seed = digest64(&[id.vm.as_str().as_bytes()]);
+            rendezvous_weight(WATCHER_KEY, seed)
+        };
+        let own = weight(&self.own);
+        let region = self.region_of(&self.membership.own().zone);
+        let before = self
+            .membership
+            .live()
+            .filter(|member| weight(&member.id) > own && self.region_of(&member.zone) == region);
+        before.count() < HEAD_WATCHERS
+    }
+
+    fn region_of(&self, zone: &AvailabilityZone) -> Option<&Region> {
+        self.system.zone(zone).map(|zone| &zone.region)
+    }
+
+    /// Returns the time until the next backing read; all daemons together keep to one rate.
+    fn read_period(&self) -> Duration {
+        let live = self.membership.live().count() as u32;
+        READ_PERIOD * live.div_ceil(READERS).max(1)
+    }
+
+    pub(in crate::entry) fn on_configuration_read(
+        &mut self,
+        now: Timestamp,
+        outcome: StoreOutcome,
+    ) {
+        self.source.is_reading = false;
+        self.source.read_at = now.after(self.read_period());
+        match outcome {
+            Ok(StoreReply::Value(Some(value))) => self.see_head(now, &value),
+            Ok(StoreReply::Value(None)) => self.source.head = None,
+            _ => self.source.read_at = now.after(RETRY_WAIT),
+        }
+    }
+
+    pub(in crate::entry) fn on_configuration_changes(
+        &mut self,
+        now: Timestamp,
+        outcome: StoreOutcome,
+    ) {
+        self.source.is_watching = false;
+        let Ok(StoreReply::Changes { values, version }) = outcome else {
+            self.source.watch_at = now.after(RETRY_WAIT);
+            return;
+        };
+        self.source.watch_after = version;
+        for value in values {
+            self.see_head(now, &value);
+        }
+    }
+
+    pub(super) fn see_head(&mut self, now: Timestamp, value: &StoredValue) {
+        let Some(buf) = &value.value else {
+            self.source.head = None;
+            return;
+        };
+        let decoded = serde_json::from_slice::<ConfigurationId>(buf);
+        self.source.head = Some(Head {
+            version: value.version,
+            id: decoded.as_ref().ok().cloned(),
+        });
+        match decoded {
+            Ok(id) => self.follow_head(now, &id),
+            Err(error) => self.refuse_unreadable(now, &error),
+        }
+    }
+
+    fn refuse_unreadable(&mut self, now: Timestamp, error: &serde_json::Error) {
+        let decision = self
+            .decision(now, DecisionKind::Configuration, "refused", "unreadable")
+            .with("error", error);
+        self.journal.record(decision);
+    }
+
+    fn follow_head(&mut self, now: Timestamp, id: &ConfigurationId) {
+        self.confirm_written(now, id);
+        match self.adoption.judge(id) {
+            Offer::Adopted => self.fetch(now, id.clone()),
+            Offer::Known => {}
+            offer @ (Offer::Older | Offer::Forked) => {
+                let decision = self.offer_decision(now, offer, id, "store");
+                self.journal.record(decision);
+            }
+        }
+    }
+
+    fn fetch(&mut self, now: Timestamp, id: ConfigurationId) {
+        if self.source.fetch.is_some() {
+            return;
+        }
+        let fetch = Fetch {
+            target: id.clone(),
+            wanted: id,
+            changes: Vec::new(),
+        };
+        self.fetch_next(now, fetch);
+    }
+
+    fn fetch_next(&mut self, now: Timestamp, fetch: Fetch) {
+        let key = fetch.wanted.record_key();
+        self.source.fetch = Some(fetch);
+        self.call_store(now, CallPurpose::ConfigurationFetch, StoreCall::Get { key });
+    }
+
+    pub(in crate::entry) fn on_configuration_fetched(
+        &mut self,
+        now: Timestamp,
+        outcome: StoreOutcome,
+    ) {
+        let Some(fetch) = self.source.fetch.take() else {
+            return;
+        };
+        let target = fetch.target.clone();
+        let Ok(StoreReply::Value(value)) = outcome else {
+            self.source.read_at = now.after(RETRY_WAIT);
+            return;
+        };
+        let buf = value.and_then(|value| value.value);
+        let Some(buf) = buf else {
+            self.refuse_fetch(now, &fetch, "record-missing");
+            self.follow_newer_head(now, &target);
+            return;
+        };
+        match serde_json::from_slice::<StoredConfigurationRecord>(&buf) {
+            Ok(record) => self.take_record(now, fetch, record),
+            Err(error) => self.refuse_unreadable(now, &error),
+        }
+        self.follow_newer_head(now, &target);
+    }
+
+    fn refuse_fetch(&mut self, now: Timestamp, fetch: &Fetch, reason: &str) {
+        let decision = self
+            .decision(now, DecisionKind::Configuration, "refused", reason)
+            .with("offered", fetch.wanted.revision)
+            .with("digest", &fetch.wanted.digest);
+        self.journal.record(decision);
+    }
+
+    fn take_record(&mut self, now: Timestamp, fetch: Fetch, record: StoredConfigurationRecord) {
+        self.confirm_written(now, &fetch.wanted);
+        match record {
+            StoredConfigurationRecord::Whole { record, .. } => {
+                self.adopt_fetched(now, *record, &fetch.changes);
+            }
+            StoredConfigurationRecord::Change(change) => self.take_change(now, fetch, *change),
+        }
+    }
+
+    fn take_change(&mut self, now: Timestamp, mut fetch: Fetch, change: ConfigurationChange) {
+        fetch.wanted = change.base.clone();
+        fetch.changes.push(change);
+        let current = self.adoption.current();
+        let base = current.filter(|record| record.id() == fetch.wanted);
+        if let Some(base) = base {
+            let base = ConfigurationRecord::clone(base);
+            self.adopt_fetched(now, base, &fetch.changes);
+            return;
+        }
+        match fetch.changes.len() < LONGEST_CHAIN {
+            true => self.fetch_next(now, fetch),
+            false => self.refuse_fetch(now, &fetch, "chain-too-long"),
+        }
+    }
+
+    /// Applies `changes`, the newest first, and puts the result in force.
+    fn adopt_fetched(
+        &mut self,
+        now: Timestamp,
+        mut record: ConfigurationRecord,
+        changes: &[ConfigurationChange],
+    ) {
+        for change in changes.iter().rev() {
+            let Some(next) = change.apply(&record) else {
+                return;
+            };
+            record = next;
+        }
+        self.adopt(now, record, "store");
+    }
+
+    /// Goes on with a head that came while an older one was followed.
+    fn follow_newer_head(&mut self, now: Timestamp, followed: &ConfigurationId) {
+        let head = self.source.head_id().filter(|head| *head != followed);
+        if let Some(head) = head.cloned() {
+            self.follow_head(now, &head);
+        }
+    }
+}
--- a/crates/laburnumstall-core/src/entry/event.rs
+++ b/crates/laburnumstall-core/src/entry/event.rs
@@ -82,8 +82,6 @@
         pub system: Box<System>,
         /// Digest of the canonical text.
         pub digest: CompactString,
-        /// The text.
-        pub text: CompactString,
         /// Who applies it.
         pub operator: CompactString,
         /// Why.
--- a/crates/laburnumstall-core/src/entry/peers.rs
+++ b/crates/laburnumstall-core/src/entry/peers.rs
@@ -105,7 +105,8 @@
                 self.on_endpoint_leaving(now, &endpoint, deadline);
             }
             Message::Drain => self.on_stop(now, None),
-            Message::PullConfiguration => self.push_configuration(&from),
+            Message::PullConfiguration { known } => self.push_configuration(&from, known.as_ref()),
+            Message::PushChanges(changes) => self.on_changes(now, &from, &changes),
             Message::PushConfiguration(record) => self.adopt(now, *record, from.vm.as_str()),
             _ => {}
         }
@@ -135,7 +136,8 @@
             .on_digest(now, from, digest, &mut self.journal);
         self.source.heard(from, revision);
         if revision > self.adoption.revision() {
-            self.send(from, Message::PullConfiguration);
+            let known = self.adoption.current_id();
+            self.send(from, Message::PullConfiguration { known });
         }
     }
 
--- a/crates/laburnumstall-core/src/entry/platform.rs
+++ b/crates/laburnumstall-core/src/entry/platform.rs
@@ -34,7 +34,8 @@
             CallPurpose::ConfigurationRead => self.on_configuration_read(now, outcome),
             CallPurpose::ConfigurationWatch => self.on_configuration_changes(now, outcome),
             CallPurpose::ConfigurationWrite => self.on_configuration_written(now, outcome),
-            CallPurpose::ConfigurationHistory => self.on_history_written(now, &outcome),
+            CallPurpose::ConfigurationFetch => self.on_configuration_fetched(now, outcome),
+            CallPurpose::ConfigurationOffer => self.on_configuration_offered(now, &outcome),
             CallPurpose::Farewell => {}
         }
     }
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -69,7 +69,8 @@
     ConfigurationRead,
     ConfigurationWatch,
     ConfigurationWrite,
-    ConfigurationHistory,
+    ConfigurationFetch,
+    ConfigurationOffer,
     Farewell,
 }
 
--- a/crates/laburnumstall-core/src/message.rs
+++ b/crates/laburnumstall-core/src/message.rs
@@ -9,6 +9,7 @@
 
 use compact_str::CompactString;
 
+use crate::adoption::{ConfigurationChange, ConfigurationId};
 use crate::domain;
 use crate::domain_value;
 use crate::error::Refusal;
@@ -181,8 +182,6 @@
     pub struct ConfigurationRecord {
         /// The configuration.
         pub configuration: Configuration,
-        /// Text as the operator gave it.
-        pub text: CompactString,
         /// Who applied it.
         pub operator: CompactString,
         /// When it was applied.
@@ -333,9 +332,14 @@
         /// An operator asks the receiver to stop as planned.
         Drain,
         /// Asks for the configuration in force at the receiver.
-        PullConfiguration,
+        PullConfiguration {
+            /// What is in force at the sender, if anything is.
+            known: Option<ConfigurationId>,
+        },
         /// The configuration in force at the sender.
         PushConfiguration(Box<ConfigurationRecord>),
+        /// The changes up to the configuration in force at the sender, the oldest first.
+        PushChanges(Vec<ConfigurationChange>),
     }
 
     /// A caller that goes on with a request at its new owner.
@@ -359,7 +363,8 @@
             | Self::Deliver { .. }
             | Self::Attach { .. }
             | Self::Detach { .. }
-            | Self::PushConfiguration(_) => Lane::Bulk,
+            | Self::PushConfiguration(_)
+            | Self::PushChanges(_) => Lane::Bulk,
             _ => Lane::Control,
         }
     }
--- a/crates/laburnumstall-core/src/world.rs
+++ b/crates/laburnumstall-core/src/world.rs
@@ -3,6 +3,7 @@
 //! `laburnumstall-config` builds a [`System`] from the text; every decision reads it.
 //! [`Vm`] and [`Endpoint`] are what the platform and the endpoints say is there now.
 
+mod change;
 mod customer;
 mod endpoint;
 mod service;
@@ -10,6 +11,7 @@
 mod vm;
 mod zone;
 
+pub use change::{PlatformSection, SystemChange};
 pub use customer::{Contract, Customer};
 pub use endpoint::{Endpoint, LoadReport};
 pub use service::{CallRule, ModelNeed, NamedEndpoint, Service, ServiceKind, Target};
--- a/crates/laburnumstall-testkit/src/lib.rs
+++ b/crates/laburnumstall-testkit/src/lib.rs
@@ -28,4 +28,4 @@
 pub use system::{
     CUSTOMER, MODEL, ORDERS, OTHER_CUSTOMER, STOCK, key_at, model_request, plain_request, system,
 };
-pub use world::{World, WorldSpec};
+pub use world::{SettledApply, World, WorldSpec};
--- a/crates/laburnumstall-testkit/src/store.rs
+++ b/crates/laburnumstall-testkit/src/store.rs
@@ -31,6 +31,8 @@
     pub lose_replies: u32,
     /// Calls answered so far.
     pub calls: u64,
+    /// Watches answered so far.
+    pub watches: u64,
     values: BTreeMap<StoreKey, Held>,
     leases: BTreeMap<LeaseId, HeldLease>,
     version: u64,
@@ -56,7 +58,10 @@
                 self.end_lease(*lease);
                 StoreReply::Revoked
             }
-            StoreCall::Watch { prefix, after, .. } => self.changes(prefix, *after),
+            StoreCall::Watch { prefix, after, .. } => {
+                self.watches += 1;
+                self.changes(prefix, *after)
+            }
         }
     }
 
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -5,7 +5,7 @@
 
 use fastrand::Rng;
 use laburnumstall_core::decision::Decision;
-use laburnumstall_core::entry::{Action, Event, LinkEvent, Output, TICK};
+use laburnumstall_core::entry::{Action, ApplyOutcome, Event, LinkEvent, Output, TICK};
 use laburnumstall_core::ids::{
     AvailabilityZone, DaemonId, EndpointId, Incarnation, Revision, VmId,
 };
@@ -57,6 +57,15 @@
     }
 }
 
+/// An apply with its answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SettledApply {
+    /// Number that the operator gave it.
+    pub token: u64,
+    /// What became of it.
+    pub outcome: ApplyOutcome,
+}
+
 /// A world in virtual time.
 #[derive(Debug)]
 pub struct World {
@@ -72,6 +81,8 @@
     pub endpoints: Vec<FakeEndpoint>,
     /// Callers.
     pub callers: Vec<FakeCaller>,
+    /// What became of applied configurations, in the order of the answers.
+    pub applies: Vec<SettledApply>,
     /// Delays and cuts between the daemons.
     pub network: Network,
     /// Decision lines of all daemons with what the test did, in order.
@@ -102,6 +113,7 @@
             store: FakeStore::default(),
             endpoints,
             callers: Vec::new(),
+            applies: Vec::new(),
             network: Network::default(),
             lines: Vec::new(),
             keeps_lines: spec.keeps_lines,
@@ -197,7 +209,6 @@
                 digest: format!("digest-{revision}").into(),
                 system: self.system.clone(),
             },
-            text: "".into(),
             operator: "test".into(),
             at: self.now,
             reason: "".into(),
@@ -305,7 +316,10 @@
                 self.nodes[number].has_exited = true;
                 self.end_process(number);
             }
-            Action::ReplaceLink { .. } | Action::Applied { .. } => {}
+            Action::Applied { token, outcome } => {
+                self.applies.push(SettledApply { token, outcome });
+            }
+            Action::ReplaceLink { .. } => {}
             other => self.carry_out_at_endpoint(number, other),
         }
     }
--- a/crates/laburnumstalld/src/admin/configuration.rs
+++ b/crates/laburnumstalld/src/admin/configuration.rs
@@ -8,15 +8,17 @@
     StoredConfiguration,
 };
 use laburnumstall_config::{Change, canonical, diff, digest, normalize, parse};
+use laburnumstall_core::adoption::{ConfigurationId, StoredConfigurationRecord, accepted_records};
 use laburnumstall_core::entry::{
-    self, ApplyOutcome, Event, configuration_head_key, configuration_history_key,
+    self, ApplyOutcome, Event, configuration_head_key, configuration_record_prefix,
 };
 use laburnumstall_core::hash::digest64;
 use laburnumstall_core::ids::{OperatorName, Revision};
 use laburnumstall_core::message::ConfigurationRecord;
-use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply, StoredValue};
+use laburnumstall_core::store::{StoreCall, StoreReply, StoredValue};
 use laburnumstall_core::world::System;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use tokio::sync::oneshot;
 
 use crate::admin::{Admin, key};
@@ -57,7 +59,6 @@
         token,
         base: body.base,
         digest: digest(&system),
-        text: canonical(&system).into(),
         system: Box::new(system),
         operator: body.operator.to_string().into(),
         reason: body.reason,
@@ -118,7 +119,7 @@
     }
     let record = match query.revision {
         Some(revision) => read_revision(&admin, revision).await,
-        None => read_key(&admin, configuration_head_key()).await,
+        None => read_current(&admin).await,
     };
     match record {
         Some(record) => HttpResponse::Ok().json(to_stored(record)),
@@ -149,29 +150,38 @@
 }
 
 async fn read_history(admin: &Admin) -> Option<Vec<ConfigurationRecord>> {
-    let prefix = "configuration/history/".parse().ok()?;
-    let reply = ask(admin, StoreCall::List { prefix }).await?;
-    let StoreReply::Listing { values, .. } = reply else {
+    let Some(head) = read_head(admin).await? else {
+        return Some(Vec::new());
+    };
+    read_records(admin, &head).await
+}
+
+async fn read_records(admin: &Admin, head: &ConfigurationId) -> Option<Vec<ConfigurationRecord>> {
+    let prefix = configuration_record_prefix();
+    let StoreReply::Listing { values, .. } = ask(admin, StoreCall::List { prefix }).await? else {
         return None;
     };
-    let mut records: Vec<ConfigurationRecord> = values.iter().filter_map(decode).collect();
-    records.sort_by_key(|record| record.configuration.revision);
-    Some(records)
+    let records: Vec<StoredConfigurationRecord> = values.iter().filter_map(decode).collect();
+    Some(accepted_records(records, head))
 }
 
 async fn read_revision(admin: &Admin, revision: Revision) -> Option<ConfigurationRecord> {
-    let record = read_key(admin, configuration_history_key(revision)).await;
-    if record.is_some() {
-        return record;
-    }
-    // The history is written after the head and may lag behind it.
-    let head = read_key(admin, configuration_head_key()).await?;
-    (head.configuration.revision == revision).then_some(head)
+    let records = read_history(admin).await?;
+    let mut records = records.into_iter();
+    records.find(|record| record.configuration.revision == revision)
+}
+
+async fn read_current(admin: &Admin) -> Option<ConfigurationRecord> {
+    let head = read_head(admin).await??;
+    let mut records = read_records(admin, &head).await?;
+    records.pop().filter(|record| record.id() == head)
 }
 
-async fn read_key(admin: &Admin, key: StoreKey) -> Option<ConfigurationRecord> {
+/// Reads the head; `Some(None)` if nothing was ever accepted.
+async fn read_head(admin: &Admin) -> Option<Option<ConfigurationId>> {
+    let key = configuration_head_key();
     match ask(admin, StoreCall::Get { key }).await? {
-        StoreReply::Value(Some(value)) => decode(&value),
+        StoreReply::Value(value) => Some(value.as_ref().and_then(decode)),
         _ => None,
     }
 }
@@ -180,7 +190,7 @@
     admin.platform.send(AskStore(call)).await.ok()?.ok()
 }
 
-fn decode(value: &StoredValue) -> Option<ConfigurationRecord> {
+fn decode<T: DeserializeOwned>(value: &StoredValue) -> Option<T> {
     serde_json::from_slice(value.value.as_ref()?).ok()
 }
 
@@ -198,7 +208,7 @@
         operator: operator_of(&record),
         revision: record.configuration.revision,
         digest: record.configuration.digest,
-        text: record.text.into(),
+        text: canonical(&record.configuration.system),
         at: record.at,
         reason: record.reason,
     }
