Keep placement away from what is not its own, and report loads with versions

Cause: under a text without targets a plan has no slots, so that every endpoint VM that the cloud lists counts as superfluous, is drained after 5 minutes and given back. The same holds for VMs that others bought, VMs of another region and VMs of a service whose target is removed. Load reports named services without versions, so that nothing could be compared with a plan.

Change: `placement/scope.rs` holds one rule. Without a model service with a target and a zone of the region the lease is given up and nothing is done; a VM is counted, ordered or given back only if its token is one of the region's placement, its zone is in the region and nothing that it was seen to have loaded belongs to a service without a target; a VM outside the plan must have been seen first. `LoadReport::loads` names the loaded orders; the engine stand-in fills it in from the orders that took effect.

No existing test was changed but for the new field, and the world of the placement tests can add VMs of others.

--- a/crates/laburnumstall-bench/src/engine.rs
+++ b/crates/laburnumstall-bench/src/engine.rs
@@ -282,6 +282,7 @@
             prefill: TokenRate(self.prefill),
             decode_per_request: TokenRate(1_000_000 / step.as_micros().max(1) as u64),
             services: self.services.clone(),
+            loads: None,
         });
     }
 
--- a/crates/laburnumstall-core/benches/routing.rs
+++ b/crates/laburnumstall-core/benches/routing.rs
@@ -76,6 +76,7 @@
             prefill: TokenRate(8_000),
             decode_per_request: TokenRate(25),
             services: endpoint(number).services,
+            loads: None,
         };
         router.on_load(Timestamp::ZERO, &report);
     }
--- a/crates/laburnumstall-core/examples/load_digests.rs
+++ b/crates/laburnumstall-core/examples/load_digests.rs
@@ -228,6 +228,7 @@
         prefill: TokenRate(20_000),
         decode_per_request: TokenRate(25),
         services: Vec::new(),
+        loads: None,
     }
 }
 
--- a/crates/laburnumstall-core/src/placement.rs
+++ b/crates/laburnumstall-core/src/placement.rs
@@ -18,6 +18,7 @@
 mod reclaim;
 mod records;
 mod refusals;
+mod scope;
 mod solver;
 mod vm_requests;
 
@@ -34,6 +35,7 @@
 pub use reclaim::{CLAIM_BYTES, CLOSING_TIME, HandoverPlan, HandoverWork, reclaim_order};
 pub use records::{HolderRecord, StoreRequest, TokenRecord};
 pub use refusals::{FIRST_BACKOFF, LONGEST_BACKOFF, Refusals};
+pub use scope::has_targets;
 pub use vm_requests::{
     CLOUD_TIMEOUT, CloudRequest, DRAIN_TIME, Drain, LIST_PERIOD, MAX_CLOUD_CALLS, SURPLUS_TIME,
 };
--- a/crates/laburnumstall-core/src/placement/controller.rs
+++ b/crates/laburnumstall-core/src/placement/controller.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use crate::cloud::{
-    CallFailure, ClientToken, CloudReply, EndpointOrder, OrderId, OrderReply, ReclaimNotice,
+    CallFailure, ClientToken, CloudReply, EndpointOrder, OrderId, OrderReply, OwnedVm,
+    ReclaimNotice,
 };
 use crate::decision::Journal;
 use crate::ids::{CallId, DaemonId, ParseIdError, Region, Revision, VmId};
@@ -21,10 +22,11 @@
 use crate::placement::plan_keeper::{FIRST_CALL, PlanKeeper};
 use crate::placement::planner::plan;
 use crate::placement::records::StoreRequest;
+use crate::placement::scope::{Scope, has_targets};
 use crate::placement::vm_requests::{CloudRequest, Drain, Permission, VmRequests};
 use crate::store::StoreOutcome;
 use crate::units::Timestamp;
-use crate::world::{System, VmRole, VmState};
+use crate::world::{System, VmState};
 
 /// Time after which a plan is computed again although nothing is known to have changed.
 pub const PLAN_PERIOD: Duration = Duration::from_secs(60);
@@ -70,6 +72,7 @@
 #[derive(Debug, Clone)]
 pub struct Placement {
     region: Region,
+    is_candidate: bool,
     lease: LeaseHolder,
     keeper: PlanKeeper,
     vms: VmRequests,
@@ -91,6 +94,7 @@
             lease: LeaseHolder::new(own, &region)?,
             keeper: PlanKeeper::new(&region)?,
             region,
+            is_candidate: true,
             vms: VmRequests::default(),
             orders: EndpointOrders::default(),
             observed: Observed::default(),
@@ -107,7 +111,12 @@
 
     /// Sets whether this daemon tries for the lease.
     pub fn set_candidate(&mut self, candidate: bool) {
-        self.lease.set_candidate(candidate);
+        self.is_candidate = candidate;
+    }
+
+    /// Returns the VMs that the cloud listed last, while this daemon holds the lease.
+    pub fn fleet(&self) -> &[OwnedVm] {
+        self.vms.fleet()
     }
 
     /// Returns the plan in force, while this daemon holds the lease.
@@ -116,7 +125,7 @@
     }
 
     /// Tells whether an order may still go out now; one that may not is reported by
-    /// [`Placement::on_order`] as not sent.
+    /// [`Placement::on_order`] as not sent. Under a text without targets none may.
     ///
     /// After the check the order arrives within [`LONGEST_ORDER`](super::LONGEST_ORDER) less
     /// [`SEND_WITHIN`](super::SEND_WITHIN), or
@@ -131,7 +140,8 @@
             false => self.lease.may_order_unchecked(now),
         };
         let is_own = self.lease.token(now) == Some(order.fencing);
-        may_order && is_own && self.orders.is_current(now, order)
+        let is_wanted = has_targets(system, &self.region);
+        may_order && is_own && is_wanted && self.orders.is_current(now, order)
     }
 
     /// Takes in a reclaim notice: the VM no longer counts for the plan.
@@ -189,18 +199,23 @@
     }
 
     /// Returns what to do now.
+    ///
+    /// Under a text without targets in the region the lease is given up, and nothing else
+    /// is done.
     pub fn tick(
         &mut self,
         now: Timestamp,
         input: &PlacementInput<'_>,
         journal: &mut Journal,
     ) -> PlacementOutput {
+        let is_wanted = has_targets(input.system, &self.region);
+        self.lease.set_candidate(self.is_candidate && is_wanted);
         let mut output = PlacementOutput {
             store: self.lease.tick(now, journal),
             ..PlacementOutput::default()
         };
         self.follow_lease(now);
-        if !self.lease.may_order(now) {
+        if !self.lease.may_order(now) || !is_wanted {
             let is_fresh =
                 |observed: &ObservedEndpoint| now.since(observed.taken_at) < OBSERVATION_LIFE;
             self.observed.retain(is_fresh);
@@ -209,17 +224,22 @@
         output.store.extend(self.keeper.tick(now));
         self.replan(now, input, journal);
         let Some(plan) = self.keeper.plan().cloned() else {
-            self.ask_for_fleet(now, &mut output, journal);
+            self.ask_for_fleet(now, input, &mut output, journal);
             return output;
         };
-        let slots = self.filled(&plan);
+        let slots = self.filled(input, &plan);
         let may_release = self.lease.may_order_unchecked(now) && self.is_ready(&slots);
         let permission = Permission {
             ask: self.keeper.is_settled(),
             release: self.keeper.is_settled() && may_release,
         };
         output.orders = self.order(now, input, &plan, &slots, journal);
-        (output.cloud, output.drains) = self.vms.tick(now, &plan, permission, journal);
+        let scope = Scope {
+            system: input.system,
+            region: &self.region,
+            observed: &self.observed,
+        };
+        (output.cloud, output.drains) = self.vms.tick(now, &plan, &scope, permission, journal);
         output
     }
 
@@ -244,6 +264,7 @@
     fn ask_for_fleet(
         &mut self,
         now: Timestamp,
+        input: &PlacementInput<'_>,
         output: &mut PlacementOutput,
         journal: &mut Journal,
     ) {
@@ -252,7 +273,12 @@
             ask: true,
             release: false,
         };
-        (output.cloud, _) = self.vms.tick(now, &empty, permission, journal);
+        let scope = Scope {
+            system: input.system,
+            region: &self.region,
+            observed: &self.observed,
+        };
+        (output.cloud, _) = self.vms.tick(now, &empty, &scope, permission, journal);
     }
 
     /// Computes a newer plan if its basis changed, and proposes it if it differs.
@@ -260,12 +286,21 @@
         if !self.keeper.is_settled() || !self.vms.is_settled() {
             return;
         }
-        let is_usable =
-            |vm: &crate::world::Vm| vm.role == VmRole::Endpoint && vm.state == VmState::Live;
-        let usable = self.vms.fleet().iter().filter(|owned| is_usable(&owned.vm));
+        let previous = self.keeper.plan().map(Arc::as_ref);
+        let scope = self.scope(input);
+        let usable: Vec<OwnedVm> = self
+            .vms
+            .fleet()
+            .iter()
+            .filter(|owned| scope.can_plan(owned, previous))
+            .cloned()
+            .collect();
+        let live = usable
+            .iter()
+            .filter(|owned| owned.vm.state == VmState::Live);
         let basis = Basis {
             configuration: input.configuration,
-            vms: usable.map(|owned| owned.vm.id.clone()).collect(),
+            vms: live.map(|owned| owned.vm.id.clone()).collect(),
             refused: self.vms.refusals.excluded(now),
         };
         let is_due = now.since(self.planned) >= PLAN_PERIOD;
@@ -278,9 +313,9 @@
             configuration: input.configuration,
             region: &self.region,
             share_permille: input.share_permille,
-            fleet: self.vms.fleet(),
+            fleet: &usable,
             serving: &serving,
-            previous: self.keeper.plan().map(Arc::as_ref),
+            previous,
             refused: &basis.refused,
             spent: self.vms.spent(),
         });
@@ -292,8 +327,18 @@
         }
     }
 
-    fn filled<'p>(&self, plan: &'p Plan) -> Vec<FilledSlot<'p>> {
-        let fleet = self.vms.fleet();
+    fn scope<'a>(&'a self, input: &PlacementInput<'a>) -> Scope<'a> {
+        Scope {
+            system: input.system,
+            region: &self.region,
+            observed: &self.observed,
+        }
+    }
+
+    fn filled<'p>(&self, input: &PlacementInput<'_>, plan: &'p Plan) -> Vec<FilledSlot<'p>> {
+        let scope = self.scope(input);
+        let fleet = self.vms.fleet().iter();
+        let fleet: Vec<&OwnedVm> = fleet.filter(|owned| scope.is_own(owned)).collect();
         let ids: BTreeSet<&VmId> = fleet.iter().map(|owned| &owned.vm.id).collect();
         let tokens: BTreeMap<&ClientToken, &VmId> = fleet
             .iter()
--- a/crates/laburnumstall-core/src/placement/planner.rs
+++ b/crates/laburnumstall-core/src/placement/planner.rs
@@ -11,6 +11,7 @@
 use crate::placement::plan::{
     Alternative, Choice, Offer, Plan, PlanInput, PlanRevision, PlanSlot, Shortfall,
 };
+use crate::placement::scope::token_prefix;
 use crate::placement::solver::{self, Choosable, Point};
 use crate::units::HourlyPrice;
 use crate::world::{Market, VmClassSpec, VmRole, VmState, Zone};
@@ -246,8 +247,7 @@
     /// Returns a token that was never used: its name tells the offer, so that a plan
     /// restored from an older copy cannot take another VM for this one.
     fn new_token(&mut self, offer: &Offer) -> ClientToken {
-        let region = self.input.region.as_str();
-        let short = &region[..region.len().min(64)];
+        let short = token_prefix(self.input.region);
         let digest = digest64(&[offer.to_string().as_bytes()]) as u32;
         loop {
             self.numbered += 1;
--- a/crates/laburnumstall-core/src/placement/vm_requests.rs
+++ b/crates/laburnumstall-core/src/placement/vm_requests.rs
@@ -15,6 +15,7 @@
 use crate::ids::{CallId, VmId};
 use crate::placement::plan::{Offer, Plan, PlanSlot};
 use crate::placement::refusals::Refusals;
+use crate::placement::scope::Scope;
 use crate::units::Timestamp;
 use crate::world::{VmRole, VmState};
 
@@ -127,6 +128,7 @@
         &mut self,
         now: Timestamp,
         plan: &Plan,
+        scope: &Scope<'_>,
         permission: Permission,
         journal: &mut Journal,
     ) -> (Vec<CloudRequest>, Vec<Drain>) {
@@ -143,7 +145,7 @@
         }
         requests.extend(self.ask(now, plan, journal));
         let drains = match permission.release {
-            true => self.drain(now, plan, journal),
+            true => self.drain(now, plan, scope, journal),
             false => Vec::new(),
         };
         if permission.release {
@@ -297,7 +299,13 @@
     }
 
     /// Returns the VMs that no slot wants for long enough.
-    fn drain(&mut self, now: Timestamp, plan: &Plan, journal: &mut Journal) -> Vec<Drain> {
+    fn drain(
+        &mut self,
+        now: Timestamp,
+        plan: &Plan,
+        scope: &Scope<'_>,
+        journal: &mut Journal,
+    ) -> Vec<Drain> {
         let tokens: BTreeSet<&ClientToken> = plan.slots.iter().map(|slot| &slot.token).collect();
         let vms: BTreeSet<&VmId> = plan.slots.iter().filter_map(|s| s.vm.as_ref()).collect();
         let is_planned = |owned: &OwnedVm| {
@@ -307,7 +315,7 @@
         let surplus: BTreeSet<VmId> = self
             .fleet
             .iter()
-            .filter(|owned| owned.vm.role == VmRole::Endpoint && owned.vm.state == VmState::Live)
+            .filter(|owned| owned.vm.state == VmState::Live && scope.can_release(owned))
             .filter(|owned| !is_planned(owned))
             .map(|owned| owned.vm.id.clone())
             .collect();
--- a/crates/laburnumstall-core/src/world/endpoint.rs
+++ b/crates/laburnumstall-core/src/world/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::cloud::LoadOrder;
 use crate::domain;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, VmId};
 use crate::units::{Timestamp, TokenRate, Tokens};
@@ -43,5 +44,8 @@
         pub decode_per_request: TokenRate,
         /// Services that the endpoint has loaded.
         pub services: Vec<ServiceName>,
+        /// The orders that it has loaded, with their versions; `None` if it does not tell
+        /// them, so that placement leaves it alone.
+        pub loads: Option<Vec<LoadOrder>>,
     }
 }
--- a/crates/laburnumstall-core/tests/support/attempt.rs
+++ b/crates/laburnumstall-core/tests/support/attempt.rs
@@ -29,5 +29,6 @@
         prefill: TokenRate(8_000),
         decode_per_request: TokenRate(25),
         services: endpoint(of).services,
+        loads: None,
     }
 }
--- a/crates/laburnumstall-core/tests/support/world.rs
+++ b/crates/laburnumstall-core/tests/support/world.rs
@@ -43,7 +43,7 @@
 
 /// An engine; it takes orders with a lower number only if it does not check them.
 pub(crate) struct FakeEngine {
-    vm: VmId,
+    pub(crate) vm: VmId,
     pub(crate) loads: Vec<LoadOrder>,
     wanted: Vec<LoadOrder>,
     ready_at: Timestamp,
@@ -91,7 +91,8 @@
     pub(crate) lost_grants: u32,
     pub(crate) journal: Journal,
     deliveries: Vec<Delivery>,
-    orders: u64,
+    /// Orders given out so far.
+    pub(crate) orders: u64,
 }
 
 fn placement(number: usize, incarnation: u64) -> Placement {
@@ -408,19 +409,24 @@
             loads: Vec::new(),
             vm: None,
         });
-        self.cloud.vms.push(owned.clone());
         self.cloud.by_token.insert(token.clone(), owned.clone());
+        self.add_vm(owned.clone(), Vec::new());
+        owned
+    }
+
+    /// Adds a VM whose engine has something loaded.
+    pub(crate) fn add_vm(&mut self, owned: OwnedVm, loads: Vec<LoadOrder>) {
         let engine = FakeEngine {
             vm: owned.vm.id.clone(),
-            loads: Vec::new(),
-            wanted: Vec::new(),
+            wanted: loads.clone(),
+            loads,
             ready_at: self.now.after(BOOT_TIME),
             highest: FencingToken(0),
             last: (FencingToken(0), 0),
         };
         let id = format!("e-{}", owned.vm.id).parse().unwrap();
+        self.cloud.vms.push(owned);
         self.engines.insert(id, engine);
-        owned
     }
 
     fn is_faulty(&mut self) -> bool {
--- a/crates/laburnumstall-core/tests/watch_digest.rs
+++ b/crates/laburnumstall-core/tests/watch_digest.rs
@@ -42,6 +42,7 @@
         prefill: TokenRate(20_000),
         decode_per_request: TokenRate(25),
         services: Vec::new(),
+        loads: None,
     }
 }
 
--- a/crates/laburnumstall-standins/src/engine/batch.rs
+++ b/crates/laburnumstall-standins/src/engine/batch.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use laburnumstall_core::cloud::{EndpointOrder, OrderReply};
+use laburnumstall_core::cloud::{EndpointOrder, LoadOrder, OrderReply};
 use laburnumstall_core::domain_value;
 use laburnumstall_core::ids::{FencingToken, ServiceName};
 use laburnumstall_core::request::{BlockHash, PREFIX_BLOCK_BYTES, prefix_blocks};
@@ -85,8 +85,11 @@
     next_report: u64,
     highest_fencing: FencingToken,
     pub(super) orders: Vec<EndpointOrder>,
-    loading: Option<(Instant, Vec<ServiceName>)>,
+    loading: Option<(Instant, Vec<LoadOrder>)>,
     services: Vec<ServiceName>,
+    /// What was loaded by order; `None` while the services of the start are loaded, whose
+    /// versions nobody told.
+    loads: Option<Vec<LoadOrder>>,
 }
 
 impl Batch {
@@ -103,6 +106,7 @@
             orders: Vec::new(),
             loading: None,
             services: spec.services.clone(),
+            loads: spec.services.is_empty().then(Vec::new),
             spec: spec.clone(),
         }
     }
@@ -209,15 +213,15 @@
         if self.orders.iter().any(|known| known.id == order.id) {
             return OrderReply::Accepted;
         }
-        let services = order.loads.iter().map(|load| load.service.clone());
-        self.loading = Some((now + self.spec.load_time, services.collect()));
+        self.loading = Some((now + self.spec.load_time, order.loads.clone()));
         self.orders.push(order);
         OrderReply::Accepted
     }
 
     fn finish_loading(&mut self, now: Instant) {
-        if let Some((_, services)) = self.loading.take_if(|(at, _)| *at <= now) {
-            self.services = services;
+        if let Some((_, loads)) = self.loading.take_if(|(at, _)| *at <= now) {
+            self.services = services_of(&loads);
+            self.loads = Some(loads);
         }
     }
 
@@ -243,6 +247,7 @@
             prefill: self.spec.prefill,
             decode_per_request: TokenRate((1.0 / period) as u64),
             services: self.services.clone(),
+            loads: self.loads.clone(),
         }
     }
 
@@ -258,6 +263,17 @@
     }
 }
 
+/// Returns the services that loads are for, each once although it may have two versions.
+fn services_of(loads: &[LoadOrder]) -> Vec<ServiceName> {
+    let mut services: Vec<ServiceName> = Vec::new();
+    for load in loads {
+        if !services.contains(&load.service) {
+            services.push(load.service.clone());
+        }
+    }
+    services
+}
+
 fn prefill_time(tokens: u64, rate: TokenRate) -> Duration {
     Duration::from_micros(tokens.saturating_mul(1_000_000) / rate.get().max(1))
 }
--- a/crates/laburnumstall-testkit/src/outside.rs
+++ b/crates/laburnumstall-testkit/src/outside.rs
@@ -303,6 +303,7 @@
             prefill: TokenRate(20_000),
             decode_per_request: TokenRate(25),
             services: vec![endpoint.service.clone()],
+            loads: None,
         }
     }
 
