Run placement on the control thread of each daemon

Cause: the core's placement was a library that no process ran.

Change: `laburnumstalld::placement` ticks it beside the entry each 100 ms, where a cloud API is known. Its calls to the key-value service and the cloud go through the thread of the platform; the former have an eighth of the daemon's rate to themselves, so that a recorded session of the entry replays without it. Notices reach placement with the entry, and its drains reach the entry as an operator's do. The site's stand-in cloud runs an engine on each VM that is bought; `SiteSpec::target` writes a target into the text, without which nothing changes.

Ruled out: placement within `Entry` (its lines would be in the recorded sessions, but every walk and session of the entry would carry it); a thread of its own (a second writer of control state).

--- a/crates/laburnumstall-core/tests/placement_scope.rs
+++ b/crates/laburnumstall-core/tests/placement_scope.rs
@@ -142,7 +142,7 @@
     world.system.zones.push(far);
     let mut unknown = vm("none", "a");
     unknown.token = None;
-    for owned in [unknown, vm("tool-1", "a"), vm("south-1-1-0", "far")] {
+    for owned in [unknown, vm("tool-1", "a"), vm("north-9-9-0", "far")] {
         world.add_vm(owned, Vec::new());
     }
     let strangers = loaded(&world);
--- a/crates/laburnumstall-site/src/lib.rs
+++ b/crates/laburnumstall-site/src/lib.rs
@@ -4,6 +4,7 @@
 //! The demonstration, the experiments and the end-to-end tests all start a [`Site`], send
 //! requests to its entries over HTTP and provoke faults through its methods.
 
+mod bought;
 mod caller;
 mod error;
 mod lines;
@@ -11,6 +12,7 @@
 mod spec;
 mod text;
 
+pub use bought::{BoughtEngines, BoughtVm, EngineHook};
 pub use caller::{Answer, CallError, Caller};
 pub use error::SiteError;
 pub use lines::{LineSink, LogLines};
--- a/crates/laburnumstall-site/src/site.rs
+++ b/crates/laburnumstall-site/src/site.rs
@@ -17,6 +17,7 @@
 use snafu::ResultExt;
 use spdlog::Level;
 
+use crate::bought::{BoughtEngines, EngineHook};
 use crate::caller::{Answer, Caller};
 use crate::error::{AdminSnafu, DaemonSnafu, NotReadySnafu, SiteError, StandInSnafu};
 use crate::lines::LogLines;
@@ -67,8 +68,10 @@
     /// The key-value service.
     pub store: KeyValueStandIn,
     /// The cloud API and the VM list.
-    pub cloud: CloudStandIn<()>,
-    /// The model engines.
+    pub cloud: CloudStandIn<EngineHook>,
+    /// The engines on VMs that the system bought.
+    pub bought: BoughtEngines,
+    /// The model engines that were there before.
     pub engines: Vec<EngineSlot>,
     /// The service whose POST calls are not idempotent.
     pub orders: PlainStandIn,
@@ -99,13 +102,16 @@
 
     fn start_outside(spec: SiteSpec) -> Result<Self, SiteError> {
         let store = KeyValueStandIn::start().context(StandInSnafu { what: "the store" })?;
-        let cloud = CloudStandIn::start(()).context(StandInSnafu { what: "the cloud" })?;
+        let bought = BoughtEngines::default();
+        let hook = bought.hook(spec.token_period);
+        let cloud = CloudStandIn::start(hook).context(StandInSnafu { what: "the cloud" })?;
         let orders = PlainStandIn::start(false).context(StandInSnafu { what: "orders" })?;
         let stock = PlainStandIn::start(false).context(StandInSnafu { what: "stock" })?;
         let mut site = Self {
             spec,
             store,
             cloud,
+            bought,
             engines: Vec::new(),
             orders,
             stock,
@@ -321,7 +327,12 @@
         let entries = self.entries.iter().filter(|slot| slot.zone == *zone);
         let engines = self.engines.iter().filter(|slot| slot.zone == *zone);
         let entries = entries.map(|slot| slot.vm.clone());
-        entries.chain(engines.map(|slot| slot.vm.clone())).collect()
+        let bought = self.bought.read().into_iter();
+        let bought = bought.filter(|known| known.zone == *zone && known.is_there);
+        entries
+            .chain(engines.map(|slot| slot.vm.clone()))
+            .chain(bought.map(|known| known.vm))
+            .collect()
     }
 
     /// Ends everything at once.
@@ -332,6 +343,7 @@
         for slot in self.engines {
             slot.engine.close();
         }
+        self.bought.close();
         self.orders.close();
         self.stock.close();
         self.cloud.close();
--- a/crates/laburnumstall-site/src/spec.rs
+++ b/crates/laburnumstall-site/src/spec.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use laburnumstall_core::ids::AvailabilityZone;
+use laburnumstall_core::units::RequestRate;
 
 /// How large a site is.
 #[derive(Debug, Clone)]
@@ -19,6 +20,9 @@
     pub directory_max_age: Duration,
     /// Traffic threads of each daemon, for callers and as many for endpoints.
     pub workers: usize,
+    /// Requests a second that placement buys engines for; `None` leaves the text without a
+    /// target, and placement does nothing.
+    pub target: Option<RequestRate>,
     /// Number of the entry whose session is recorded, if one is.
     pub recorded_entry: Option<usize>,
 }
@@ -34,6 +38,7 @@
             token_period: Duration::from_millis(10),
             directory_max_age: Duration::from_secs(2),
             workers: 1,
+            target: None,
             recorded_entry: None,
         }
     }
--- a/crates/laburnumstall-site/src/text.rs
+++ b/crates/laburnumstall-site/src/text.rs
@@ -3,6 +3,8 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
+use laburnumstall_core::units::RequestRate;
+
 use crate::spec::SiteSpec;
 
 /// Key of the operators.
@@ -49,7 +51,7 @@
         }
     }
     text.push_str(CLASS);
-    let _ = write!(text, "{}", model_service());
+    let _ = write!(text, "{}", model_service(spec.target));
     let first = &spec.zones[0];
     let second = &spec.zones[1 % spec.zones.len()];
     let _ = write!(
@@ -78,11 +80,18 @@
 
 "#;
 
-fn model_service() -> String {
+fn model_service(target: Option<RequestRate>) -> String {
+    let checks_fencing = target.is_some();
+    let target = target.map_or_else(String::new, |requests| {
+        format!(
+            "[service.target]\nrequests = \"{requests}\"\nprompt = \"400tok\"\nanswer = \"80tok\"\n\n"
+        )
+    });
     format!(
         r#"[[service]]
 name = "{MODEL_SERVICE}"
 kind = "model"
+checks_fencing = {checks_fencing}
 deadline = "60s"
 
 [service.model]
@@ -90,7 +99,7 @@
 version = "2026-11"
 classes = ["accel-24"]
 
-"#
+{target}"#
     )
 }
 
--- a/crates/laburnumstalld/src/control.rs
+++ b/crates/laburnumstalld/src/control.rs
@@ -18,6 +18,7 @@
 use crate::inbox::{Inbox, Input};
 use crate::links::Links;
 use crate::metrics::Metrics;
+use crate::placement::PlacementDriver;
 use crate::platform::{CallStore, Platform};
 use crate::snapshot::{DirectoryEntry, Published, Snapshot};
 use crate::telemetry::{CallerSlot, count_decision, show_status};
@@ -59,6 +60,7 @@
     platform: Addr<Platform>,
     sink: S,
     metrics: Metrics,
+    placement: Option<PlacementDriver>,
     shown_at: Instant,
     callers: BTreeMap<CallerId, CallerSlot>,
     applies: BTreeMap<u64, oneshot::Sender<ApplyOutcome>>,
@@ -86,6 +88,8 @@
     pub sink: S,
     /// What is counted.
     pub metrics: Metrics,
+    /// Placement, where a cloud API is known.
+    pub placement: Option<PlacementDriver>,
 }
 
 impl<S: DecisionSink> Control<S> {
@@ -102,6 +106,7 @@
             platform: parts.platform,
             sink: parts.sink,
             metrics: parts.metrics,
+            placement: parts.placement,
             shown_at: Instant::now(),
             callers: BTreeMap::new(),
             applies: BTreeMap::new(),
@@ -125,6 +130,9 @@
             };
             self.metrics.control_busy(began.elapsed());
             if let Some(end) = end {
+                if let Some(placement) = self.placement.filter(|_| end == End::Finished) {
+                    placement.close();
+                }
                 return (end, self.links);
             }
         }
@@ -132,11 +140,26 @@
 
     fn on_tick(&mut self) -> Option<End> {
         let end = self.on_event(Event::Tick);
+        let end = self.tick_placement().or(end);
         self.publish();
         self.show();
         end
     }
 
+    fn tick_placement(&mut self) -> Option<End> {
+        let placement = self.placement.as_mut()?;
+        let drained = placement.tick(&self.entry);
+        for decision in placement.take_decisions() {
+            self.sink.write(&decision);
+            count_decision(&self.metrics, &decision);
+        }
+        let mut end = None;
+        for vm in drained {
+            end = self.on_event(Event::Drain { vm }).or(end);
+        }
+        end
+    }
+
     fn show(&mut self) {
         if self.shown_at.elapsed() < SHOW_PERIOD {
             return;
@@ -163,6 +186,12 @@
                     self.applies.insert(token, tx);
                     self.on_event(event)
                 }
+                Input::Placement(event) => {
+                    if let Some(placement) = &mut self.placement {
+                        placement.on_event(event);
+                    }
+                    None
+                }
                 Input::Halt => Some(End::Halted),
             };
             if end.is_some() {
@@ -181,6 +210,9 @@
         if let Event::CallerGone { caller } = &event {
             self.callers.remove(caller);
         }
+        if let (Event::Notice(notice), Some(placement)) = (&event, &mut self.placement) {
+            placement.on_notice(notice);
+        }
         let changes_view = matches!(event, Event::Store { .. } | Event::Stop { .. });
         let now = self.clock.now();
         self.sink.note_event(now, &event);
--- a/crates/laburnumstalld/src/daemon.rs
+++ b/crates/laburnumstalld/src/daemon.rs
@@ -13,7 +13,7 @@
 use actix_web::{App, HttpServer, web};
 use laburnumstall_core::budget::CallRates;
 use laburnumstall_core::entry::{Entry, EntrySettings, Event};
-use laburnumstall_core::ids::{DaemonId, Incarnation, VmId};
+use laburnumstall_core::ids::{DaemonId, Incarnation, ParseIdError, VmId};
 use laburnumstall_core::membership::{CertificateFingerprint, Member};
 use laburnumstall_core::units::{RequestRate, Timestamp};
 use laburnumstall_peer::{Identity, PeerEndpoint, PeerError, PeerTimeouts, Pins};
@@ -27,6 +27,7 @@
 use crate::inbox::{Inbox, Input};
 use crate::links::{self, Links};
 use crate::metrics::{Metrics, MetricsError};
+use crate::placement::{EndpointCalls, PlacementDriver, PlacementParts};
 use crate::platform::Platform;
 use crate::settings::Settings;
 use crate::snapshot::Published;
@@ -35,6 +36,9 @@
 /// Seconds that a server waits for its connections when it stops.
 const SERVER_STOP_SECS: u64 = 2;
 
+/// Part of the calls to the key-value service that placement has: one in this many.
+const PLACEMENT_PART: u64 = 8;
+
 /// Why a daemon could not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -60,6 +64,12 @@
         /// Cause.
         source: MetricsError,
     },
+    /// The region's name cannot be used in a key.
+    #[snafu(display("cannot use the region's name as a key"))]
+    Region {
+        /// Cause.
+        source: ParseIdError,
+    },
     /// The thread of the links ended before they were set up.
     #[snafu(display("the thread of the links ended early"))]
     LinkThread,
@@ -117,6 +127,24 @@
                 Platform::new(&settings, inbox, metrics)
             })
         };
+        let [entry_rates, placement_rates] = call_rates(settings.store_calls_per_second);
+        let placement = match settings.cloud {
+            Some(_) => {
+                let inbox = inbox.clone();
+                let start = move |_: &mut _| EndpointCalls::new(clock, inbox);
+                let handle = platform_arbiter.handle();
+                let parts = PlacementParts {
+                    own: id.clone(),
+                    region: settings.region.clone(),
+                    clock,
+                    platform: platform.clone(),
+                    endpoints: EndpointCalls::start_in_arbiter(&handle, start),
+                    rates: placement_rates,
+                };
+                Some(PlacementDriver::new(parts).context(RegionSnafu)?)
+            }
+            None => None,
+        };
         let endpoint_arbiters: Vec<Arbiter> = (0..settings.workers.max(1))
             .map(|_| Arbiter::new())
             .collect();
@@ -142,8 +170,7 @@
         };
         sink.note_start(&entry_settings);
         let parts = ControlParts {
-            entry: Entry::new(entry_settings)
-                .with_call_rates(call_rates(settings.store_calls_per_second)),
+            entry: Entry::new(entry_settings).with_call_rates(entry_rates),
             clock,
             inbox: inbox.clone(),
             published,
@@ -153,6 +180,7 @@
             platform,
             sink,
             metrics,
+            placement,
         };
         let (tx, ended) = oneshot::channel();
         let threads = Threads {
@@ -356,12 +384,17 @@
     Ok(handles)
 }
 
-/// Splits the calls a second: a quarter of them may be writes.
-fn call_rates(calls_per_second: u32) -> CallRates {
+/// Splits the calls a second between the entry and placement: placement has an eighth, and
+/// a quarter of either's may be writes.
+fn call_rates(calls_per_second: u32) -> [CallRates; 2] {
     let calls = u64::from(calls_per_second);
-    let writes = (calls / 4).max(1);
-    CallRates {
-        reads: RequestRate((calls - writes.min(calls)).max(1)),
-        writes: RequestRate(writes),
-    }
+    let placement = (calls / PLACEMENT_PART).max(1);
+    let split = |calls: u64| {
+        let writes = (calls / 4).max(1);
+        CallRates {
+            reads: RequestRate((calls - writes.min(calls)).max(1)),
+            writes: RequestRate(writes),
+        }
+    };
+    [split(calls - placement.min(calls)), split(placement)]
 }
--- a/crates/laburnumstalld/src/inbox.rs
+++ b/crates/laburnumstalld/src/inbox.rs
@@ -5,6 +5,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::placement::PlacementEvent;
 use laburnumstall_core::entry::{EntryStatus, Event};
 use laburnumstall_core::ids::CallerId;
 use laburnumstall_core::message::Delivery;
@@ -33,6 +34,8 @@
         /// Where the answer goes.
         tx: oneshot::Sender<laburnumstall_core::entry::ApplyOutcome>,
     },
+    /// A call of placement ended.
+    Placement(PlacementEvent),
     /// The control thread ends at once.
     Halt,
 }
--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod links;
 pub mod logging;
 pub mod metrics;
+pub mod placement;
 pub mod platform;
 pub mod settings;
 pub mod snapshot;
--- a/crates/laburnumstalld/src/platform.rs
+++ b/crates/laburnumstalld/src/platform.rs
@@ -27,11 +27,11 @@
 
 /// Makes the calls to the platform and reports on them.
 pub struct Platform {
-    store: Rc<HttpKeyValue>,
-    cloud: Option<Rc<HttpCloud>>,
+    pub(crate) store: Rc<HttpKeyValue>,
+    pub(crate) cloud: Option<Rc<HttpCloud>>,
     vm_list: Option<Rc<HttpVmList>>,
-    inbox: Inbox,
-    metrics: Metrics,
+    pub(crate) inbox: Inbox,
+    pub(crate) metrics: Metrics,
 }
 
 impl Platform {
