Show the plan in force in the metrics, and demonstrate replacement

The holder that takes over repeats the tokens of slots whose VMs are gone, which buys one VM for each slot, as INTERFACES says of a token whose VM is no longer there. The check now compares the VMs that are there with those of the plan.

--- a/crates/laburnumstall-site/src/bought.rs
+++ b/crates/laburnumstall-site/src/bought.rs
@@ -57,6 +57,13 @@
         self.lock().iter().map(known).collect()
     }
 
+    /// Returns what is known of those that are still there.
+    pub fn there(&self) -> Vec<BoughtVm> {
+        let mut known = self.read();
+        known.retain(|bought| bought.is_there);
+        known
+    }
+
     /// Starts and stops engines for a cloud.
     pub(crate) fn hook(&self, token_period: Duration) -> EngineHook {
         EngineHook {
--- a/crates/laburnumstall-site/src/site.rs
+++ b/crates/laburnumstall-site/src/site.rs
@@ -14,7 +14,7 @@
 use laburnumstalld::settings::KeyDigest;
 use laburnumstalld::{Daemon, Settings};
 use serde_json::Value;
-use snafu::ResultExt;
+use snafu::{ResultExt, ensure};
 use spdlog::Level;
 
 use crate::bought::{BoughtEngines, EngineHook};
@@ -22,11 +22,14 @@
 use crate::error::{AdminSnafu, DaemonSnafu, NotReadySnafu, SiteError, StandInSnafu};
 use crate::lines::LogLines;
 use crate::spec::SiteSpec;
-use crate::text::{self, MODEL_SERVICE, OPERATOR_KEY};
+use crate::text::{self, CUSTOMER_KEY, MODEL_SERVICE, OPERATOR_KEY};
 
 /// Longest wait for the system to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longest wait for the entries to answer.
+const SERVING_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Time between two looks at whether it is ready.
 const READY_POLL: Duration = Duration::from_millis(50);
 
@@ -256,6 +259,45 @@
         .fail()
     }
 
+    /// Waits until each entry answers a chat.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError::NotReady`] if one does not in time.
+    pub async fn wait_serving(&self) -> Result<(), SiteError> {
+        let caller = Caller::new(CUSTOMER_KEY);
+        let body = Caller::chat_body("ready", 1, false);
+        let mut waited = Duration::ZERO;
+        for address in self.addresses() {
+            while !caller
+                .chat(address, &body)
+                .await
+                .is_ok_and(|a| a.status == 200)
+            {
+                ensure!(
+                    waited < SERVING_TIMEOUT,
+                    NotReadySnafu {
+                        seconds: SERVING_TIMEOUT.as_secs(),
+                        what: "an entry answers no chat",
+                    }
+                );
+                actix_rt::time::sleep(READY_POLL).await;
+                waited += READY_POLL;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the running entry that last came to hold the placement lease.
+    pub fn placement_holder(&self) -> Option<usize> {
+        let lines = self.lines.read();
+        let mut held = lines.iter().rev();
+        let line = held.find(|line| line.contains("event=lease choice=held"))?;
+        let name = line.strip_prefix("daemon=")?.split(' ').next()?;
+        let is_holder = |slot: &EntrySlot| slot.vm.as_str() == name && slot.daemon.is_some();
+        self.entries.iter().position(is_holder)
+    }
+
     /// Tells whether each entry has the configuration, all members and all engines.
     pub async fn is_ready(&self) -> bool {
         let caller = Caller::new(OPERATOR_KEY);
--- a/crates/laburnumstall/src/cli.rs
+++ b/crates/laburnumstall/src/cli.rs
@@ -334,7 +334,7 @@
     #[options(
         no_short,
         meta = "NAME",
-        help = "run load through zone-loss, config-race, poison, store-outage, silent-connection, entry-loss or planned-stop"
+        help = "run load through zone-loss, config-race, poison, store-outage, silent-connection, entry-loss, planned-stop or replacement"
     )]
     pub scenario: Option<Scenario>,
     /// Time after which the system stops by itself.
--- a/crates/laburnumstall/src/demo.rs
+++ b/crates/laburnumstall/src/demo.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod operators;
 mod poison;
+mod replacement;
 mod report;
 mod run;
 mod scenario;
--- a/crates/laburnumstall/src/demo/faults.rs
+++ b/crates/laburnumstall/src/demo/faults.rs
@@ -8,7 +8,7 @@
 
 use super::report::BrokenPromise;
 use super::scenario::Scenario;
-use super::{operators, poison};
+use super::{operators, poison, replacement};
 
 /// Notice before a zone is taken.
 const ZONE_NOTICE: Duration = Duration::from_secs(5);
@@ -63,6 +63,7 @@
         Scenario::SilentConnection => Ok(silence_connections(site)),
         Scenario::EntryLoss => Ok(lose_entry(site).await),
         Scenario::PlannedStop => Ok(stop_entry(site).await),
+        Scenario::Replacement => Ok(replacement::lose_holder_and_vms(site).await),
     }
 }
 
--- a/crates/laburnumstall/src/demo/report.rs
+++ b/crates/laburnumstall/src/demo/report.rs
@@ -112,6 +112,12 @@
         report
     }
 
+    /// Leaves out tokens that were generated before the load began.
+    pub(super) fn without_tokens(mut self, before: Tokens) -> Self {
+        self.recomputed = Tokens(self.recomputed.get().saturating_sub(before.get()));
+        self
+    }
+
     /// Tells whether each promise was kept.
     pub fn is_kept(&self) -> bool {
         self.broken.is_empty()
@@ -175,11 +181,7 @@
 fn recomputed(account: &Account, site: &Site) -> Tokens {
     let lines = site.lines.read();
     let processed: u64 = lines.iter().filter_map(|line| processed_again(line)).sum();
-    let generated: u64 = site
-        .engines
-        .iter()
-        .map(|slot| slot.engine.counts().generated.get())
-        .sum();
+    let generated = generated(site).get();
     let given: u64 = account
         .read()
         .iter()
@@ -188,6 +190,14 @@
     Tokens(processed + generated.saturating_sub(given))
 }
 
+/// Returns what all engines generated so far.
+pub(super) fn generated(site: &Site) -> Tokens {
+    let own = site.engines.iter().map(|slot| slot.engine.counts());
+    let bought = site.bought.read().into_iter().map(|known| known.counts);
+    let generated = own.chain(bought).map(|counts| counts.generated.get());
+    Tokens(generated.sum())
+}
+
 /// Returns the uncached tokens of an attempt after a request's first.
 fn processed_again(line: &str) -> Option<u64> {
     let (_, number) = field(line, "attempt")?.rsplit_once('/')?;
@@ -201,7 +211,7 @@
 }
 
 /// Returns the value of a field of a decision line.
-fn field<'l>(line: &'l str, name: &str) -> Option<&'l str> {
+pub(super) fn field<'l>(line: &'l str, name: &str) -> Option<&'l str> {
     let mut pairs = line.split(' ').filter_map(|pair| pair.split_once('='));
     pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
 }
--- a/crates/laburnumstall/src/demo/run.rs
+++ b/crates/laburnumstall/src/demo/run.rs
@@ -14,7 +14,8 @@
 
 use super::account::Account;
 use super::faults::{self, Fault};
-use super::report::ScenarioReport;
+use super::replacement;
+use super::report::{self, ScenarioReport};
 use super::scenario::Scenario;
 use crate::load::{CallerKey, LoadPlan, LoadReport, MixPart, drive};
 
@@ -97,11 +98,11 @@
     load: DemoLoad,
     progress: impl FnMut(&LoadReport),
 ) -> Result<ScenarioOutcome, DemoError> {
-    let spec = SiteSpec {
-        recorded_entry: Some(0),
-        ..SiteSpec::default()
-    };
-    let mut site = Site::start(spec).await.context(StartSnafu)?;
+    let mut site = Site::start(spec_of(scenario)).await.context(StartSnafu)?;
+    if scenario == Scenario::Replacement {
+        site.wait_serving().await.context(StartSnafu)?;
+    }
+    let generated_before = report::generated(&site);
     let account = Account::default();
     let plan = plan_of(&site, load);
     let driving = drive(&plan, account.clone(), progress);
@@ -109,6 +110,7 @@
     let (report, fault) = join(driving, provoking).await;
     let fault = fault.context(ProvokeSnafu)?;
     let report = ScenarioReport::of(scenario, &report, &account, &site, fault);
+    let report = report.without_tokens(generated_before);
     let log = site.lines.clone();
     site.close().await;
     Ok(ScenarioOutcome {
@@ -118,6 +120,17 @@
     })
 }
 
+fn spec_of(scenario: Scenario) -> SiteSpec {
+    let spec = SiteSpec {
+        recorded_entry: Some(0),
+        ..SiteSpec::default()
+    };
+    match scenario {
+        Scenario::Replacement => replacement::bought(spec),
+        _ => spec,
+    }
+}
+
 async fn provoke(scenario: Scenario, site: &mut Site) -> Result<Fault, SiteError> {
     tokio::time::sleep(CALM).await;
     faults::provoke(scenario, site).await
--- a/crates/laburnumstall/tests/demo_scenarios.rs
+++ b/crates/laburnumstall/tests/demo_scenarios.rs
@@ -77,3 +77,9 @@
     let report = kept(Scenario::PlannedStop, 4).await;
     assert_eq!(report.answered_whole, report.sent);
 }
+
+/// Fails without `PlacementDriver::tick` in the control thread: nothing is bought.
+#[actix_rt::test]
+async fn holder_and_bought_vms_are_lost() {
+    kept(Scenario::Replacement, 4).await;
+}
--- a/crates/laburnumstalld/src/control.rs
+++ b/crates/laburnumstalld/src/control.rs
@@ -167,6 +167,9 @@
         self.shown_at = Instant::now();
         show_status(&self.metrics, &self.entry.status());
         self.metrics.set_traffic(&self.links.traffic());
+        if let Some(placement) = &self.placement {
+            self.metrics.set_placement(placement.counts());
+        }
     }
 
     fn on_inputs(&mut self, inputs: Vec<Input>) -> Option<End> {
--- a/crates/laburnumstalld/src/metrics.rs
+++ b/crates/laburnumstalld/src/metrics.rs
@@ -15,7 +15,7 @@
 use laburnumstall_core::decision::Decision;
 use laburnumstall_core::ids::{Revision, ServiceName};
 use laburnumstall_core::store::StoreOutcome;
-use laburnumstall_core::units::Tokens;
+use laburnumstall_core::units::{HourlyPrice, Tokens};
 use laburnumstall_peer::{LostReason, Traffic};
 use prometheus::{
     Counter, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry,
@@ -56,6 +56,19 @@
     pub callers: u32,
 }
 
+/// The plan in force, while this daemon holds the placement lease.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlacementCounts {
+    /// Whether the lease is held.
+    pub is_holder: bool,
+    /// VMs that are there.
+    pub filled: usize,
+    /// VMs that are still to be had.
+    pub open: usize,
+    /// List price of all.
+    pub hourly: HourlyPrice,
+}
+
 /// All metrics of a daemon.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -86,6 +99,9 @@
     peer_connections: IntGauge,
     peer_bytes: IntCounterVec,
     peer_links_lost: IntCounterVec,
+    placement_holder: IntGauge,
+    placement_vms: IntGaugeVec,
+    placement_price: IntGauge,
     log_lines_dropped: IntCounter,
 }
 
@@ -115,6 +131,9 @@
             peer_connections: register::gauge(r, &spec::PEER_CONNECTIONS)?,
             peer_bytes: register::counters(r, &spec::PEER_BYTES)?,
             peer_links_lost: register::counters(r, &spec::PEER_LINKS_LOST)?,
+            placement_holder: register::gauge(r, &spec::PLACEMENT_HOLDER)?,
+            placement_vms: register::gauges(r, &spec::PLACEMENT_VMS)?,
+            placement_price: register::gauge(r, &spec::PLACEMENT_PRICE)?,
             log_lines_dropped: register::counter(r, &spec::LOG_LINES_DROPPED)?,
             registry,
         };
@@ -271,6 +290,18 @@
             .inc();
     }
 
+    /// Shows the plan in force.
+    pub fn set_placement(&self, counts: PlacementCounts) {
+        let whole = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        self.families.placement_holder.set(counts.is_holder.into());
+        for (state, count) in [("filled", counts.filled), ("open", counts.open)] {
+            let gauge = self.families.placement_vms.with_label_values(&[state]);
+            gauge.set(whole(count));
+        }
+        let price = i64::try_from(counts.hourly.get()).unwrap_or(i64::MAX);
+        self.families.placement_price.set(price);
+    }
+
     /// Shows the number of log lines dropped so far.
     pub fn set_log_lines_dropped(&self, total: u64) {
         raise(&self.families.log_lines_dropped, total);
--- a/crates/laburnumstalld/src/metrics/spec.rs
+++ b/crates/laburnumstalld/src/metrics/spec.rs
@@ -111,6 +111,12 @@
         "Bytes exchanged with other daemons, with IP and UDP headers.";
     PEER_LINKS_LOST = "laburnumstall_peer_links_lost_total" Counter ["reason"]
         "Links to other daemons that were lost or could not be made.";
+    PLACEMENT_HOLDER = "laburnumstall_placement_holder" Gauge []
+        "1 while this daemon holds the placement lease of its region, else 0.";
+    PLACEMENT_VMS = "laburnumstall_placement_vms" Gauge ["state"]
+        "VMs of the plan in force; 0 where the lease is not held.";
+    PLACEMENT_PRICE = "laburnumstall_placement_hourly_price" Gauge []
+        "List price of the plan in force, in millionths of the currency unit an hour.";
     LOG_LINES_DROPPED = "laburnumstall_log_lines_dropped_total" Counter []
         "Log lines dropped because their reader was too slow.";
 }
--- a/crates/laburnumstalld/src/placement.rs
+++ b/crates/laburnumstalld/src/placement.rs
@@ -29,6 +29,7 @@
 use laburnumstall_core::world::{System, VmRole};
 
 use crate::clock::Clock;
+use crate::metrics::PlacementCounts;
 use crate::platform::Platform;
 use held_calls::HeldCalls;
 
@@ -134,6 +135,24 @@
         drains
     }
 
+    /// Returns what the metrics show of the plan in force.
+    pub fn counts(&self) -> PlacementCounts {
+        let is_holder = self.core.lease().may_order(self.clock.now());
+        let Some(plan) = self.core.plan().filter(|_| is_holder) else {
+            return PlacementCounts {
+                is_holder,
+                ..PlacementCounts::default()
+            };
+        };
+        let filled = plan.slots.iter().filter(|slot| slot.vm.is_some()).count();
+        PlacementCounts {
+            is_holder,
+            filled,
+            open: plan.slots.len() - filled,
+            hourly: plan.hourly,
+        }
+    }
+
     /// Takes in the outcome of a call.
     pub fn on_event(&mut self, event: PlacementEvent) {
         let now = self.clock.now();
