--- a/crates/laburnumstall-site/src/site.rs
+++ b/crates/laburnumstall-site/src/site.rs
@@ -14,18 +14,22 @@
 use laburnumstalld::settings::KeyDigest;
 use laburnumstalld::{Daemon, Settings};
 use serde_json::Value;
-use snafu::ResultExt;
+use snafu::{ResultExt, ensure};
 use spdlog::Level;
 
+use crate::bought::{BoughtEngines, EngineHook};
 use crate::caller::{Answer, Caller};
 use crate::error::{AdminSnafu, DaemonSnafu, NotReadySnafu, SiteError, StandInSnafu};
 use crate::lines::LogLines;
 use crate::spec::SiteSpec;
-use crate::text::{self, MODEL_SERVICE, OPERATOR_KEY};
+use crate::text::{self, CUSTOMER_KEY, MODEL_SERVICE, OPERATOR_KEY};
 
 /// Longest wait for the system to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longest wait for the entries to answer.
+const SERVING_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Time between two looks at whether it is ready.
 const READY_POLL: Duration = Duration::from_millis(50);
 
@@ -67,8 +71,10 @@
     /// The key-value service.
     pub store: KeyValueStandIn,
     /// The cloud API and the VM list.
-    pub cloud: CloudStandIn<()>,
-    /// The model engines.
+    pub cloud: CloudStandIn<EngineHook>,
+    /// The engines on VMs that the system bought.
+    pub bought: BoughtEngines,
+    /// The model engines that were there before.
     pub engines: Vec<EngineSlot>,
     /// The service whose POST calls are not idempotent.
     pub orders: PlainStandIn,
@@ -99,13 +105,16 @@
 
     fn start_outside(spec: SiteSpec) -> Result<Self, SiteError> {
         let store = KeyValueStandIn::start().context(StandInSnafu { what: "the store" })?;
-        let cloud = CloudStandIn::start(()).context(StandInSnafu { what: "the cloud" })?;
+        let bought = BoughtEngines::default();
+        let hook = bought.hook(spec.token_period);
+        let cloud = CloudStandIn::start(hook).context(StandInSnafu { what: "the cloud" })?;
         let orders = PlainStandIn::start(false).context(StandInSnafu { what: "orders" })?;
         let stock = PlainStandIn::start(false).context(StandInSnafu { what: "stock" })?;
         let mut site = Self {
             spec,
             store,
             cloud,
+            bought,
             engines: Vec::new(),
             orders,
             stock,
@@ -250,6 +259,45 @@
         .fail()
     }
 
+    /// Waits until each entry answers a chat.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError::NotReady`] if one does not in time.
+    pub async fn wait_serving(&self) -> Result<(), SiteError> {
+        let caller = Caller::new(CUSTOMER_KEY);
+        let body = Caller::chat_body("ready", 1, false);
+        let mut waited = Duration::ZERO;
+        for address in self.addresses() {
+            while !caller
+                .chat(address, &body)
+                .await
+                .is_ok_and(|a| a.status == 200)
+            {
+                ensure!(
+                    waited < SERVING_TIMEOUT,
+                    NotReadySnafu {
+                        seconds: SERVING_TIMEOUT.as_secs(),
+                        what: "an entry answers no chat",
+                    }
+                );
+                actix_rt::time::sleep(READY_POLL).await;
+                waited += READY_POLL;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the running entry that last came to hold the placement lease.
+    pub fn placement_holder(&self) -> Option<usize> {
+        let lines = self.lines.read();
+        let mut held = lines.iter().rev();
+        let line = held.find(|line| line.contains("event=lease choice=held"))?;
+        let name = line.strip_prefix("daemon=")?.split(' ').next()?;
+        let is_holder = |slot: &EntrySlot| slot.vm.as_str() == name && slot.daemon.is_some();
+        self.entries.iter().position(is_holder)
+    }
+
     /// Tells whether each entry has the configuration, all members and all engines.
     pub async fn is_ready(&self) -> bool {
         let caller = Caller::new(OPERATOR_KEY);
@@ -321,7 +369,12 @@
         let entries = self.entries.iter().filter(|slot| slot.zone == *zone);
         let engines = self.engines.iter().filter(|slot| slot.zone == *zone);
         let entries = entries.map(|slot| slot.vm.clone());
-        entries.chain(engines.map(|slot| slot.vm.clone())).collect()
+        let bought = self.bought.read().into_iter();
+        let bought = bought.filter(|known| known.zone == *zone && known.is_there);
+        entries
+            .chain(engines.map(|slot| slot.vm.clone()))
+            .chain(bought.map(|known| known.vm))
+            .collect()
     }
 
     /// Ends everything at once.
@@ -332,6 +385,7 @@
         for slot in self.engines {
             slot.engine.close();
         }
+        self.bought.close();
         self.orders.close();
         self.stock.close();
         self.cloud.close();
