Suspect no request of a crash whose endpoint it never reached

Cause: a poll that finds an endpoint's process gone reports every request under way there, also one that was dispatched after the crash and whose connection was never accepted. Where endpoints crash together, a request that lost one endpoint is sent to the next dead one, counts as alone in flight at two crashes and is refused for good.

Change: only requests whose connection was accepted, or whose stream is resumed, are reported when a probe or a poll finds the process gone.

Ruled out: not dispatching until every endpoint is polled again; a crash that nobody has noticed yet would still be met.

--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -212,7 +212,9 @@
     ) {
         let lost = self.lost_on(endpoint);
         if is_process_exit && !self.router.is_leaving(endpoint) {
-            let fingerprints = self.fingerprints(&lost);
+            let reached = lost.iter().filter(|id| self.has_reached(id));
+            let reached: Vec<RequestId> = reached.cloned().collect();
+            let fingerprints = self.fingerprints(&reached);
             self.report_crash(now, endpoint, &fingerprints);
         }
         self.router.mark_failed(now, endpoint, &mut self.journal);
@@ -237,6 +239,13 @@
             .collect()
     }
 
+    /// Tells whether the attempt's endpoint may have read it; a connection that was never
+    /// accepted cannot have crashed a process.
+    fn has_reached(&self, id: &RequestId) -> bool {
+        let running = self.owned.get(id).and_then(Owned::running);
+        running.is_none_or(|running| running.is_sent)
+    }
+
     fn fingerprints(&self, ids: &[RequestId]) -> Vec<Fingerprint> {
         let owned = ids.iter().filter_map(|id| self.owned.get(id));
         owned
