Let a caller wait whose owner is gone and whose copy is not taken over yet

Cause: a caller that came back in the moment between the notice of its owner's death and the take-over was told unknown-request: the daemon asked had a copy, but named an owner that was gone, which counted as no answer.

Change: an answer that names a gone owner shows that the request exists; the caller's search goes on for the time that a lost owner is searched for, and ends as owner-lost if nobody takes over.

Ruled out: a longer wait for every unknown request; it would hold back the answer to a caller that asks for nothing that exists.

--- a/crates/laburnumstall-core/src/entry/locate.rs
+++ b/crates/laburnumstall-core/src/entry/locate.rs
@@ -260,6 +260,7 @@
                 self.resolve_found(now, question, found);
                 return;
             }
+            expect_take_over(now, &mut question);
         }
         self.resolve_missing(now, token, question);
     }
@@ -362,6 +363,16 @@
     }
 }
 
+/// Lets a caller wait on: somebody holds a copy of its request, and its owner is gone.
+fn expect_take_over(now: Timestamp, question: &mut Question) {
+    if let Purpose::Attach { missing, .. } = &mut question.purpose
+        && *missing != ErrorKind::OwnerLost
+    {
+        *missing = ErrorKind::OwnerLost;
+        question.give_up_at = now.after(SEARCH_TIME);
+    }
+}
+
 /// Tells whether no request with the same key can have been accepted: the key is young,
 /// and every daemon that would keep such a request has denied having one.
 fn is_new_key(now: Timestamp, request: &Request, question: &Question) -> bool {
