Prove the output commit: owners die before the standby has an event

A message that was sent always arrived although its sender died, and a new attempt gave the same tokens again.

Change: an option of the world makes each attempt's tokens differ, as sampling does; an owner can die with what it sent and nobody has got yet, and with the endpoints that it reads.

--- a/crates/laburnumstall-testkit/src/callers.rs
+++ b/crates/laburnumstall-testkit/src/callers.rs
@@ -20,6 +20,14 @@
         index
     }
 
+    /// Adds a caller that reads another's request from its beginning, through an entry.
+    pub fn read_again(&mut self, caller: usize, entry: usize) -> usize {
+        let request = self.callers[caller].request.as_ref().clone();
+        let reader = self.call(request, Some(entry));
+        self.callers[reader].id = self.callers[caller].id.clone();
+        reader
+    }
+
     pub(crate) fn deliver(&mut self, number: usize, caller: CallerId, delivery: Delivery) {
         let id = self.nodes[number].id.clone();
         let now = self.now;
--- a/crates/laburnumstall-testkit/src/endpoint.rs
+++ b/crates/laburnumstall-testkit/src/endpoint.rs
@@ -117,6 +117,12 @@
         expected_events(request)
     }
 
+    pub(crate) fn is_read_by(&self, daemon: &DaemonId) -> bool {
+        let reader = |stream: &RunningStream| stream.reader.as_ref().map(|r| r.daemon.clone());
+        let mut readers = self.streams.values().filter_map(reader);
+        readers.any(|reader| reader == *daemon)
+    }
+
     /// Ends the process: its streams and its memory are lost.
     pub(crate) fn end_process(&mut self, condition: Condition) -> Vec<RunningStream> {
         self.condition = condition;
@@ -163,3 +169,26 @@
     let tokens = (0..request.answer.get()).map(token);
     tokens.chain(std::iter::once(end)).collect()
 }
+
+/// Separates a token's word from what was drawn for it.
+const DRAW_MARK: char = '~';
+
+/// Marks a model's tokens with a draw, as sampling makes them differ from run to run.
+pub(crate) fn mark_draw(events: &mut [AnswerEvent], draw: u16) {
+    for event in events {
+        if let AnswerEvent::Chunk { text, .. } = event {
+            text.push_str(&format!("{DRAW_MARK}{draw:04x}"));
+        }
+    }
+}
+
+/// Returns an event without what was drawn for it.
+pub(crate) fn without_draw(event: &AnswerEvent) -> AnswerEvent {
+    let mut event = event.clone();
+    if let AnswerEvent::Chunk { text, .. } = &mut event
+        && let Some(at) = text.find(DRAW_MARK)
+    {
+        text.truncate(at);
+    }
+    event
+}
--- a/crates/laburnumstall-testkit/src/machines.rs
+++ b/crates/laburnumstall-testkit/src/machines.rs
@@ -5,6 +5,7 @@
 use laburnumstall_core::cloud::ReclaimNotice;
 use laburnumstall_core::entry::Event;
 
+use crate::endpoint::Condition;
 use crate::world::World;
 
 impl World {
@@ -15,6 +16,19 @@
         self.end_process(number);
     }
 
+    /// Ends an entry's process and at the same moment those of the endpoints that it reads;
+    /// what the entry sent and nobody has got yet is lost with it.
+    pub fn kill_with_endpoints(&mut self, number: usize) {
+        let id = self.nodes[number].id.clone();
+        for index in 0..self.endpoints.len() {
+            if self.endpoints[index].is_read_by(&id) {
+                self.crash_endpoint(index, Condition::Down);
+            }
+        }
+        self.kill_entry(number);
+        self.schedule.lose_messages(&id);
+    }
+
     pub(crate) fn end_process(&mut self, number: usize) {
         let id = self.nodes[number].id.clone();
         self.nodes[number].entry = None;
--- a/crates/laburnumstall-testkit/src/schedule.rs
+++ b/crates/laburnumstall-testkit/src/schedule.rs
@@ -55,6 +55,17 @@
         self.items.insert((at, self.inserted), item);
     }
 
+    /// Loses the messages of a daemon that are under way.
+    pub(crate) fn lose_messages(&mut self, sender: &DaemonId) {
+        let is_lost = |item: &Item| match item {
+            Item::Tell { event, .. } => {
+                matches!(&**event, Event::Peer { from, .. } if from == sender)
+            }
+            _ => false,
+        };
+        self.items.retain(|_, item| !is_lost(item));
+    }
+
     /// Takes the next item if it is due by `until`.
     pub(crate) fn next(&mut self, until: Timestamp) -> Option<(Timestamp, Item)> {
         let first = self.items.first_key_value()?;
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -41,6 +41,8 @@
     pub models: u16,
     /// Whether the order service runs a repeated key once.
     pub orders_check_keys: bool,
+    /// Whether a model's answer differs each time that it is begun.
+    pub samples: bool,
     /// Whether the world keeps its lines.
     pub keeps_lines: bool,
 }
@@ -52,6 +54,7 @@
             entries: 4,
             models: 6,
             orders_check_keys: false,
+            samples: false,
             keeps_lines: false,
         }
     }
@@ -78,6 +81,8 @@
     pub lines: Vec<String>,
     /// Whether lines are kept.
     pub keeps_lines: bool,
+    /// Whether a model's answer differs each time that it is begun.
+    pub(crate) samples: bool,
     pub(crate) schedule: Schedule,
     pub(crate) system: System,
     /// Endpoints that a request crashed.
@@ -105,6 +110,7 @@
             network: Network::default(),
             lines: Vec::new(),
             keeps_lines: spec.keeps_lines,
+            samples: spec.samples,
             schedule: Schedule::default(),
             system,
             poisoned: 0,
