Tell an operator of its own accepted write, also when a peer brings it back

Cause: an apply whose reply from the key-value service was lost was recognised by its nonce only when the record was read from the service. A peer that had read it sooner pushed it; the entry adopted it and told the operator of a conflict with its own text.

Change: every record that is taken in is compared with the writes that are not settled. Golden sessions of two operators that race, and of a store restored to an older revision (no entry goes back, an order sent again joins the one that ran, the next apply works).

Ruled out: reading the service before each answer; it would add a call to every apply.

--- a/crates/laburnumstall-core/src/entry/configuration.rs
+++ b/crates/laburnumstall-core/src/entry/configuration.rs
@@ -157,10 +157,7 @@
             return;
         };
         match serde_json::from_slice::<ConfigurationRecord>(buf) {
-            Ok(record) => {
-                self.confirm_written(now, &record);
-                self.adopt(now, record, "store");
-            }
+            Ok(record) => self.adopt(now, record, "store"),
             Err(error) => {
                 let decision = self
                     .decision(now, DecisionKind::Configuration, "refused", "unreadable")
@@ -170,7 +167,7 @@
         }
     }
 
-    /// A write whose reply was lost is found by its nonce.
+    /// A write whose reply was lost is found by its nonce, wherever the record is seen.
     fn confirm_written(&mut self, now: Timestamp, seen: &ConfigurationRecord) {
         let seen_revision = seen.configuration.revision;
         for pending in &mut self.source.pending {
@@ -216,6 +213,7 @@
 
     /// Puts a configuration in force unless one at least as high is.
     pub(super) fn adopt(&mut self, now: Timestamp, record: ConfigurationRecord, source: &str) {
+        self.confirm_written(now, &record);
         let record = Arc::new(record);
         let offer = self.adoption.offer(&record);
         if offer == Offer::Known {
--- a/crates/laburnumstall-testkit/src/lib.rs
+++ b/crates/laburnumstall-testkit/src/lib.rs
@@ -12,6 +12,7 @@
 mod machines;
 mod network;
 mod node;
+mod operators;
 mod outside;
 mod schedule;
 mod store;
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -5,7 +5,7 @@
 
 use fastrand::Rng;
 use laburnumstall_core::decision::Decision;
-use laburnumstall_core::entry::{Action, Event, LinkEvent, Output, TICK};
+use laburnumstall_core::entry::{Action, ApplyOutcome, Event, LinkEvent, Output, TICK};
 use laburnumstall_core::ids::{
     AvailabilityZone, DaemonId, EndpointId, Incarnation, Revision, VmId,
 };
@@ -79,6 +79,8 @@
     pub network: Network,
     /// Decision lines of all daemons with what the test did, in order.
     pub lines: Vec<String>,
+    /// What operators were told, in order.
+    pub applied: Vec<ApplyOutcome>,
     /// Whether lines are kept.
     pub keeps_lines: bool,
     /// Whether a model's answer differs each time that it is begun.
@@ -109,6 +111,7 @@
             callers: Vec::new(),
             network: Network::default(),
             lines: Vec::new(),
+            applied: Vec::new(),
             keeps_lines: spec.keeps_lines,
             samples: spec.samples,
             schedule: Schedule::default(),
@@ -311,7 +314,8 @@
                 self.nodes[number].has_exited = true;
                 self.end_process(number);
             }
-            Action::ReplaceLink { .. } | Action::Applied { .. } => {}
+            Action::Applied { outcome, .. } => self.answer_operator(number, outcome),
+            Action::ReplaceLink { .. } => {}
             other => self.carry_out_at_endpoint(number, other),
         }
     }
--- a/crates/laburnumstall-testkit/tests/golden_sessions.rs
+++ b/crates/laburnumstall-testkit/tests/golden_sessions.rs
@@ -3,8 +3,9 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-use laburnumstall_core::entry::Event;
+use laburnumstall_core::entry::{ApplyOutcome, Event};
 use laburnumstall_core::error::ErrorKind;
+use laburnumstall_core::ids::Revision;
 use laburnumstall_testkit::{
     Condition, MODEL, ORDERS, Outcome, STOCK, World, WorldSpec, checks, key_at, model_request,
     plain_request,
@@ -317,3 +318,74 @@
     assert!(whole(&world, caller));
     insta::assert_snapshot!(story(&world));
 }
+
+/// Lets time pass; no entry ever puts a lower revision in force.
+fn run_forward(world: &mut World, seconds: u64) {
+    let mut highest = vec![Revision(0); world.nodes.len()];
+    for _ in 0..seconds * 50 {
+        world.run_for(Duration::from_millis(20));
+        for (node, highest) in world.nodes.iter().zip(&mut highest) {
+            let Some(entry) = &node.entry else { continue };
+            assert!(entry.revision() >= *highest, "{} goes back", node.vm);
+            *highest = entry.revision();
+        }
+    }
+}
+
+/// Checks that every entry has the same configuration in force.
+fn assert_in_force(world: &World, revision: u64, digest: &str) {
+    let in_force = world.in_force();
+    let running = world.nodes.iter().filter(|node| node.is_running());
+    assert_eq!(in_force.len(), running.count());
+    for record in in_force {
+        let configuration = &record.configuration;
+        let seen = (configuration.revision.0, configuration.digest.as_str());
+        assert_eq!(seen, (revision, digest));
+    }
+}
+
+/// Two operators apply on the same base, and the reply to the first write is lost.
+///
+/// Fails without: the call of `confirm_written` in the core's `adopt`.
+#[test]
+fn operators_race_on_apply() {
+    let mut world = world();
+    world.store.lose_replies = 1;
+    world.apply(0, 1, "east-wing-closed");
+    world.apply(2, 1, "west-wing-closed");
+    run_forward(&mut world, 6);
+    assert_in_force(&world, 2, "east-wing-closed");
+    world.apply(2, 2, "both-wings-closed");
+    run_forward(&mut world, 2);
+    assert_in_force(&world, 3, "both-wings-closed");
+    let accepted = |outcome: &&ApplyOutcome| matches!(outcome, ApplyOutcome::Accepted { .. });
+    assert_eq!(world.applied.iter().filter(accepted).count(), 2);
+    assert!(world.applied.contains(&ApplyOutcome::Conflict {
+        current: Revision(2)
+    }));
+    insta::assert_snapshot!(story(&world));
+}
+
+/// Fails without: the refusal of an older revision in the core's `Adoption::offer`.
+#[test]
+fn store_restored_to_older_revision() {
+    let mut world = world();
+    let ordered = order(&mut world, 1, PATIENCE, 0);
+    world.apply(0, 1, "winter-hours");
+    run_forward(&mut world, 2);
+    let backup = world.store.clone();
+    world.apply(1, 2, "summer-hours");
+    let late = order(&mut world, 2, PATIENCE, 1);
+    run_forward(&mut world, 2);
+    world.note("the store is restored to its state of two seconds ago");
+    world.store = backup;
+    let again = order_like(&mut world, late, 3);
+    world.add_entry();
+    run_forward(&mut world, 8);
+    assert_in_force(&world, 3, "summer-hours");
+    world.apply(2, 3, "autumn-hours");
+    run_forward(&mut world, 4);
+    assert_in_force(&world, 4, "autumn-hours");
+    assert!(whole(&world, ordered) && whole(&world, late) && whole(&world, again));
+    insta::assert_snapshot!(story(&world));
+}
