--- a/crates/laburnumstall-core/tests/support/world.rs
+++ b/crates/laburnumstall-core/tests/support/world.rs
@@ -87,6 +87,8 @@
     pub(crate) fault_percent: u32,
     pub(crate) holds_two: bool,
     pub(crate) load_time: Duration,
+    /// Time between an order's decision and its sending.
+    pub(crate) order_wait: Duration,
     /// Requests for VMs that take effect without a reply.
     pub(crate) lost_grants: u32,
     pub(crate) journal: Journal,
@@ -119,6 +121,7 @@
             fault_percent: 0,
             holds_two: true,
             load_time: Duration::from_secs(4),
+            order_wait: Duration::ZERO,
             lost_grants: 0,
             journal: Journal::default(),
             deliveries: Vec::new(),
@@ -178,6 +181,11 @@
         self.engines.values().filter(serves).count()
     }
 
+    /// Tells whether a daemon has given out orders that are not sent.
+    pub(crate) fn has_orders_in_hand(&self, index: usize) -> bool {
+        !self.daemons[index].outbox.is_empty()
+    }
+
     /// Replaces a daemon's process; what it had given out and not sent is lost.
     pub(crate) fn restart(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
@@ -302,7 +310,7 @@
                 false => 1,
             };
             let wait = Duration::from_millis(self.rng.u64(0..longest));
-            let ready = self.now.after(wait);
+            let ready = self.now.after(wait + self.order_wait);
             let entry = (ready, order, self.orders);
             self.daemons[index].outbox.push(entry);
         }
