Let all tests in virtual time share one key-value service

Cause: the placement tests had a key-value service of their own, which does what that of the testkit does.

Change: they use the testkit's, with a call that fails while the service is down; the core's integration tests depend on the testkit for it. No check is changed; a field is called `is_down` in both now.

Ruled out: the same for the table of the stand-in; it holds wire values, keeps deleted keys for watches and counts by real time.

--- a/crates/laburnumstall-core/tests/order_lease.rs
+++ b/crates/laburnumstall-core/tests/order_lease.rs
@@ -221,7 +221,7 @@
                         world.daemons[holder].paused_until = world.now.after(pause);
                     }
                 }
-                3 => world.store.down = !world.store.down,
+                3 => world.store.is_down = !world.store.is_down,
                 _ => world.fault_percent = world.rng.u32(0..50),
             }
             let time = Duration::from_millis(world.rng.u64(0..15_000));
@@ -264,10 +264,10 @@
     world.run_for(Duration::from_secs(3));
     assert_eq!(world.holders().len(), 1);
     let before = world.checking.in_effect;
-    world.store.down = true;
+    world.store.is_down = true;
     world.run_for(LEASE_TTL);
     assert!(world.holders().is_empty());
-    world.store.down = false;
+    world.store.is_down = false;
     world.run_for(LEASE_TTL + POLL_PERIOD * 2 + Duration::from_secs(5));
     assert_eq!(world.holders().len(), 1);
     assert!(world.checking.in_effect > before);
--- a/crates/laburnumstall-core/tests/placement_recovery.rs
+++ b/crates/laburnumstall-core/tests/placement_recovery.rs
@@ -42,13 +42,13 @@
                 0 => world.daemons[index].paused_until = world.now.after(pause),
                 1 => world.restart(index),
                 2 => set_version(&mut world, ["v1", "v2"][round % 2]),
-                _ => world.store.down = !world.store.down,
+                _ => world.store.is_down = !world.store.is_down,
             }
             let time = Duration::from_millis(world.rng.u64(0..20_000));
             world.run_for(time);
         }
         world.fault_percent = 0;
-        world.store.down = false;
+        world.store.is_down = false;
         assert!(world.settle(5 * MINUTE), "seed {seed} does not settle");
         let slots = world.slots().unwrap().len();
         assert_eq!(world.cloud.by_token.len(), slots, "seed {seed} paid twice");
--- a/crates/laburnumstall-testkit/src/outside.rs
+++ b/crates/laburnumstall-testkit/src/outside.rs
@@ -33,30 +33,16 @@
 
 impl World {
     pub(crate) fn answer_store(&mut self, from: &DaemonId, id: CallId, call: &StoreCall) {
-        let is_write = FakeStore::is_write(call);
-        let failure = |failure| Event::Store {
-            call: id,
-            outcome: Err(failure),
-        };
-        if self.store.is_down {
-            self.tell_later(
-                from,
-                Duration::from_millis(1),
-                failure(StoreFailure::Unavailable),
-            );
-            return;
-        }
-        let reply = self.store.answer(self.now, call);
-        if is_write && self.store.lose_replies > 0 {
-            self.store.lose_replies -= 1;
-            self.tell_later(from, SILENCE, failure(StoreFailure::Unknown));
-            return;
-        }
-        let after = match call {
-            StoreCall::Watch { .. } => WATCH_PERIOD,
-            _ => Duration::from_millis(1),
+        let outcome = self.store.call(self.now, call);
+        let is_lost = outcome.is_ok() && FakeStore::is_write(call) && self.store.lose_replies > 0;
+        let (outcome, after) = match call {
+            _ if is_lost => {
+                self.store.lose_replies -= 1;
+                (Err(StoreFailure::Unknown), SILENCE)
+            }
+            StoreCall::Watch { .. } if outcome.is_ok() => (outcome, WATCH_PERIOD),
+            _ => (outcome, Duration::from_millis(1)),
         };
-        let outcome = Ok(reply);
         self.tell_later(from, after, Event::Store { call: id, outcome });
     }
 
--- a/crates/laburnumstall-testkit/src/store.rs
+++ b/crates/laburnumstall-testkit/src/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use laburnumstall_core::store::{
-    LeaseId, StoreCall, StoreKey, StoreReply, StoreVersion, StoredValue,
+    LeaseId, StoreCall, StoreFailure, StoreKey, StoreOutcome, StoreReply, StoreVersion, StoredValue,
 };
 use laburnumstall_core::units::Timestamp;
 
@@ -37,8 +37,20 @@
 }
 
 impl FakeStore {
+    /// Answers a call, or fails it without effect while the service is down.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreFailure::Unavailable`] while the service is down.
+    pub fn call(&mut self, now: Timestamp, call: &StoreCall) -> StoreOutcome {
+        if self.is_down {
+            return Err(StoreFailure::Unavailable);
+        }
+        Ok(self.answer(now, call))
+    }
+
     /// Answers a call.
-    pub fn answer(&mut self, now: Timestamp, call: &StoreCall) -> StoreReply {
+    fn answer(&mut self, now: Timestamp, call: &StoreCall) -> StoreReply {
         self.calls += 1;
         self.expire(now);
         match call {
