Check that a planned stop cuts no connection, and that a reclaimed entry has nothing left

Cause: with an entry that stops at once instead of finishing, no check failed: callers came back elsewhere. With no hand-over at a reclaim only the story differed.

Change: callers count how often they came back; in the session of planned stops streams are under way at each stop and nobody may come back. Two seconds after the notice a reclaimed entry may own nothing.

--- a/crates/laburnumstall-testkit/src/caller.rs
+++ b/crates/laburnumstall-testkit/src/caller.rs
@@ -62,6 +62,8 @@
     pub refusals: Vec<Refusal>,
     /// Times that it sent its request.
     pub sent: u32,
+    /// Times that it came back to go on with its request.
+    pub came_back: u32,
     /// VM that it must use first.
     pub first: Option<usize>,
 }
@@ -79,6 +81,7 @@
             sends_again: true,
             refusals: Vec::new(),
             sent: 0,
+            came_back: 0,
             first,
         }
     }
--- a/crates/laburnumstall-testkit/src/callers.rs
+++ b/crates/laburnumstall-testkit/src/callers.rs
@@ -83,6 +83,7 @@
         let number_of_connection = CallerId(self.next_caller);
         let to = self.nodes[number].id.clone();
         let caller = &mut self.callers[index];
+        caller.came_back += u32::from(caller.id.is_some());
         let event = match &caller.id {
             Some(id) => Event::Attach {
                 caller: number_of_connection,
--- a/crates/laburnumstall-testkit/tests/golden_sessions.rs
+++ b/crates/laburnumstall-testkit/tests/golden_sessions.rs
@@ -139,7 +139,7 @@
     insta::assert_snapshot!(story(&world));
 }
 
-/// Fails without: `hand_over_all` in the core's `stop.rs`, or the second wave's copies.
+/// Fails without: `hand_over` in `hand_over_if_stopping` of the core's `stop.rs`.
 #[test]
 fn zone_taken_and_second_wave() {
     let mut world = world();
@@ -149,6 +149,11 @@
     world.reclaim_entry(0, Duration::from_secs(5));
     world.reclaim_entry(3, Duration::from_secs(5));
     run(&mut world, 2);
+    for number in [0, 3] {
+        let entry = world.nodes[number].entry.as_ref();
+        let owned = entry.map_or(0, |entry| entry.status().owned);
+        assert_eq!(owned, 0, "entry {number} has handed everything over");
+    }
     world.add_entry();
     world.reclaim_entry(1, Duration::from_secs(5));
     run(&mut world, 12);
@@ -156,12 +161,13 @@
     insta::assert_snapshot!(story(&world));
 }
 
-/// Fails without: the forwarding of newcomers in `forward.rs`.
+/// Fails without: `stopping` in the core's `forward_target` (new work is kept), or
+/// `is_settled` in `is_finished` of `stop.rs` (connections are cut).
 #[test]
 fn all_entries_replaced_in_turn() {
     let mut world = world();
     for number in 0..4 {
-        ask(&mut world, &format!("question {number}"), 30, number);
+        ask(&mut world, &format!("question {number}"), 90, number);
         order(&mut world, number as u64, PATIENCE, number);
         world.run_for(Duration::from_millis(100));
         world.add_entry();
@@ -177,6 +183,8 @@
         );
     }
     checks::nothing_lost(&world).expect("nothing is lost");
+    let came_back: u32 = world.callers.iter().map(|caller| caller.came_back).sum();
+    assert_eq!(came_back, 0, "no connection is cut");
     insta::assert_snapshot!(story(&world));
 }
 
