Weigh the endpoint that holds most also for a popular prefix

Cause: two requests of one conversation at one of four daemons count as eight, which makes the prefix popular. Then only one of the first ranks of its hash was weighed, below 1.25 times the mean load. The endpoint that held the history (11 sequences, no backlog) was not looked at, and 12,000 to 16,000 tokens were computed again. Seen in each request's route beside what every engine held at that moment.

Change: the endpoint that the cache view says holds most is weighed besides. The two by chance are still left out for a popular prefix.

--- a/crates/laburnumstall-core/src/routing/candidates.rs
+++ b/crates/laburnumstall-core/src/routing/candidates.rs
@@ -4,7 +4,8 @@
 //! (rendezvous hashing with bounded load: Mirrokni, Thorup and Zadimoghaddam, 2018); the
 //! cache view adds the endpoint that holds most; chance adds two (power of two choices:
 //! Mitzenmacher, 2001), each in proportion to the free places, which reacts softly to late
-//! reports. A prefix too popular for one endpoint is spread over the first few of its hash.
+//! reports. A prefix too popular for one endpoint is spread over the first few of its hash,
+//! and besides them only the endpoint that holds most is weighed.
 
 use std::cmp::Reverse;
 
@@ -52,9 +53,6 @@
             break;
         }
     }
-    if choice.is_popular(prefix) && !picked.is_empty() {
-        return picked;
-    }
     let known = picked
         .iter()
         .map(|known| choice.matched(prefix, known.slot));
@@ -62,6 +60,9 @@
     if let Some(slot) = choice.most_cached(prefix, known) {
         add(&mut picked, slot, 0);
     }
+    if choice.is_popular(prefix) && !picked.is_empty() {
+        return picked;
+    }
     for _ in 0..RANDOM_CHOICES {
         if let Some(slot) = choice.by_places(choice.usable, rng) {
             add(&mut picked, slot, 0);
