Lower trust in a cache by what lost events can have evicted

Cause: each lost cache report (one in 50) halved the trust in every block of that endpoint, so that after one gap a history of 16,320 tokens counted 8,160 and an endpoint without it was cheaper. A cache of 9,375 blocks evicts few of them in one report.

Change: each lost event can have evicted one block, so trust falls by lost events over known blocks.

--- a/crates/laburnumstall-core/src/routing/cache.rs
+++ b/crates/laburnumstall-core/src/routing/cache.rs
@@ -69,7 +69,7 @@
         }
         let is_gap = report.first > expected;
         if is_gap {
-            self.halve_trust();
+            self.lower_trust(report.first - expected);
         }
         self.next_event = Some(report.last + 1);
         for block in &report.stored {
@@ -117,10 +117,14 @@
         self.blocks.insert(block, known);
     }
 
-    fn halve_trust(&mut self) {
-        self.blocks.retain(|_, known| {
-            known.trust /= 2;
-            known.trust >= MIN_TRUST
+    /// Lowers the trust in every block by the chance that one of the events that were lost
+    /// told of its eviction: at most one block for each event.
+    fn lower_trust(&mut self, lost: u64) {
+        let known = self.blocks.len() as u64;
+        let kept = known.saturating_sub(lost);
+        self.blocks.retain(|_, block| {
+            block.trust = (u64::from(block.trust) * kept / known.max(1)) as u32;
+            block.trust >= MIN_TRUST
         });
     }
 
