Offer a request above the limit here to entries whose parts have room

Cause: a contract is split over four entries with 2 s of burst, and one quotation of 15,000 tokens uses up one entry's part of a contract of 30,000 tok/s, while the other parts are full.

Change: an entry whose part is used up passes the request to its successors on the ring of names, at most three, one after the other; a budget like that of retries bounds them. The parts are untouched, so the contract's test holds as it is.

--- a/crates/laburnumstall-core/src/entry/accept.rs
+++ b/crates/laburnumstall-core/src/entry/accept.rs
@@ -31,7 +31,7 @@
     pub(super) fn on_arrived(&mut self, now: Timestamp, caller: CallerId, request: Arc<Request>) {
         self.add_local_caller(caller, request.customer.clone(), None);
         if let Some(peer) = self.forward_target(&request) {
-            self.forward(now, caller, request, &peer);
+            self.forward(now, caller, request, &peer, "leaving");
             return;
         }
         let from = self.local_ref(caller);
@@ -41,7 +41,22 @@
     /// Takes in a request of a caller connected here or at a leaving daemon.
     pub(super) fn receive(&mut self, now: Timestamp, from: CallerRef, request: Arc<Request>) {
         if let Err(refusal) = self.check_and_join(now, &from, &request) {
-            self.refuse(now, &from, &request, refusal);
+            self.refuse_or_offer(now, &from, &request, refusal);
+        }
+    }
+
+    /// Offers a request that is above the limit here to other daemons, or refuses it.
+    pub(super) fn refuse_or_offer(
+        &mut self,
+        now: Timestamp,
+        from: &CallerRef,
+        request: &Arc<Request>,
+        refusal: Refusal,
+    ) {
+        let own = self.own.clone();
+        let is_local = from.daemon == own;
+        if !is_local || !self.offer_next(now, from.caller, request, &refusal, &own) {
+            self.refuse(now, from, request, refusal);
         }
     }
 
@@ -196,6 +211,7 @@
             .limits
             .admit(now, &request, expected, &mut self.journal)?;
         self.retry_budget.deposit();
+        self.offer_budget.deposit();
         self.next_sequence += 1;
         let home = self.home_of(&request);
         let id = RequestId {
--- a/crates/laburnumstall-core/src/entry/forward.rs
+++ b/crates/laburnumstall-core/src/entry/forward.rs
@@ -1,4 +1,10 @@
-//! A leaving daemon passes new requests on to another one.
+//! New requests are passed on to another daemon.
+//!
+//! A leaving daemon passes all of them on. One whose part of a contract is used up offers the
+//! request to its successors on the ring of the live daemons' names, one after the other, and
+//! tells the caller the last one's refusal. Each daemon admits within its own part alone, so
+//! that the contract holds as without offers. A budget keeps offers to a fraction of what is
+//! accepted, so that a customer far above its contract does not multiply its own refusals.
 
 use std::sync::Arc;
 
@@ -6,11 +12,15 @@
 use crate::entry::Entry;
 use crate::entry::attach::RemoteOwner;
 use crate::hash::digest64;
+use crate::error::{ErrorKind, Refusal};
 use crate::ids::{CallerId, DaemonId, HomeHash};
 use crate::message::Message;
 use crate::request::Request;
 use crate::units::Timestamp;
 
+/// Daemons that a request is offered to when the contract's part here is used up.
+const MAX_OFFERS: usize = 3;
+
 impl Entry {
     /// Returns the daemon that takes new requests in place of this one, if this one leaves.
     pub(super) fn forward_target(&self, request: &Request) -> Option<DaemonId> {
@@ -28,9 +38,10 @@
         caller: CallerId,
         request: Arc<Request>,
         peer: &DaemonId,
+        reason: &'static str,
     ) {
         let decision = self
-            .decision(now, DecisionKind::Admit, "forwarded", "leaving")
+            .decision(now, DecisionKind::Admit, "forwarded", reason)
             .with("customer", &request.customer)
             .with("service", &request.service)
             .with("caller", caller)
@@ -47,4 +58,41 @@
         });
         self.send(peer, Message::Forward { caller, request });
     }
+
+    /// Offers a request to the next daemon if it was refused for its customer's limit by
+    /// `by`; returns whether it did.
+    pub(super) fn offer_next(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        request: &Arc<Request>,
+        refusal: &Refusal,
+        by: &DaemonId,
+    ) -> bool {
+        if refusal.kind != ErrorKind::LimitReached {
+            return false;
+        }
+        let Some(peer) = self.offer_target(by) else {
+            return false;
+        };
+        if !self.offer_budget.try_withdraw(now) {
+            return false;
+        }
+        self.forward(now, caller, request.clone(), &peer, "limit-reached");
+        true
+    }
+
+    /// Returns the daemon behind `after` among the successors that get offers.
+    fn offer_target(&self, after: &DaemonId) -> Option<DaemonId> {
+        let live = self.membership.live().map(|member| &member.id);
+        let mut ring: Vec<&DaemonId> = live.filter(|id| **id != self.own).collect();
+        ring.sort_by_key(|id| (**id < self.own, *id));
+        ring.truncate(MAX_OFFERS);
+        let next = match ring.iter().position(|id| *id == after) {
+            Some(index) => index + 1,
+            None if *after == self.own => 0,
+            None => return None,
+        };
+        ring.get(next).map(|id| (*id).clone())
+    }
 }
--- a/crates/laburnumstall-core/src/entry/locate.rs
+++ b/crates/laburnumstall-core/src/entry/locate.rs
@@ -321,7 +321,7 @@
                 let from = question.from;
                 let admitted = self.admit(now, from.clone(), request.clone(), is_new_key);
                 if let Err(refusal) = admitted {
-                    self.refuse(now, &from, &request, refusal);
+                    self.refuse_or_offer(now, &from, &request, refusal);
                 }
             }
             Purpose::Attach { missing, .. } => {
--- a/crates/laburnumstall-core/src/entry/relay.rs
+++ b/crates/laburnumstall-core/src/entry/relay.rs
@@ -85,8 +85,20 @@
             Delivery::Events { .. } => self.give_local(now, caller, delivery),
             Delivery::Moved { owner } => self.on_moved(now, caller, &owner),
             Delivery::Refused(refusal) => {
-                let to = self.local_ref(caller);
-                self.refuse_caller(now, &to, refusal);
+                if refusal.kind == ErrorKind::UnknownRequest
+                    && let Some(id) = remote.request.clone()
+                {
+                    self.search_owner(now, caller, id);
+                    return;
+                }
+                let request = remote.forwarded.clone();
+                let is_offered = request.is_some_and(|request| {
+                    self.offer_next(now, caller, &request, &refusal, from)
+                });
+                if !is_offered {
+                    let to = self.local_ref(caller);
+                    self.refuse_caller(now, &to, refusal);
+                }
             }
         }
     }
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -84,6 +84,8 @@
     pub(super) router: Router,
     pub(super) limits: Limits,
     pub(super) retry_budget: RetryBudget,
+    /// Offers of requests to other daemons when a limit is reached here.
+    pub(super) offer_budget: RetryBudget,
     pub(super) quarantine: Quarantine,
     pub(super) claims: Claims,
     pub(super) owned: BTreeMap<RequestId, Owned>,
@@ -126,6 +128,7 @@
             router: Router::new(&own, zone),
             limits: Limits::new(&own),
             retry_budget: RetryBudget::default(),
+            offer_budget: RetryBudget::default(),
             quarantine: Quarantine::new(&own),
             claims: Claims::new(own.clone()),
             owned: BTreeMap::new(),
--- a/crates/laburnumstall-core/src/entry/stop.rs
+++ b/crates/laburnumstall-core/src/entry/stop.rs
@@ -102,7 +102,7 @@
         }
         for subscriber in owned.subscribers {
             if subscriber.caller.daemon == self.own {
-                self.forward(now, subscriber.caller.caller, request.clone(), &peer);
+                self.forward(now, subscriber.caller.caller, request.clone(), &peer, "leaving");
             }
         }
     }
--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -11,7 +11,7 @@
 use crate::entry::owned::{Owned, Phase, Subscriber};
 use crate::entry::state::KeyName;
 use crate::ids::{AttemptId, DaemonId, Epoch, RequestId};
-use crate::message::{CopyRefusal, HandedCaller, Message, RequestRecord};
+use crate::message::{CopyRefusal, Delivery, HandedCaller, Message, RequestRecord};
 use crate::units::Timestamp;
 
 /// Time that a new standby has before the request runs on without a copy.
@@ -185,6 +185,8 @@
         let customer = owned.record.request.customer.clone();
         for subscriber in owned.subscribers {
             if subscriber.caller.daemon != self.own {
+                let owner = owner.clone();
+                self.give(now, &subscriber.caller, Delivery::Moved { owner });
                 continue;
             }
             let caller = subscriber.caller.caller;
