Read each endpoint by two watchers, and tell the others what changed

The watchers and digests were a library that nothing used.

Change: the core's entry works out its watches with WatchRing for each region, reads those alone, subscribes at the watchers of the endpoints that it uses, and reads by itself what failed, what it has no news of, and at the start what nobody told yet. Messages Subscribe, LoadDigest and EndpointRefused; Loads carries whole reports where words say too little. Words carry the age of their reading in place of the low byte of a number, which wraps within 30 s when several daemons read one endpoint. A digest that does not fit the byte rate is cut and no longer put off for good. A forgotten endpoint is told anew.

A daemon that is refused tells the watchers, they tell the subscribers, and each of these reads the endpoint at once: nobody acts on hearsay.

Ruled out: digests of whole reports alone, some ten times the bytes of a word; believing a refused connection that another daemon saw. Left as a cost: an idle endpoint's exit is seen within the reading period (3 s with six watched endpoints, 500 ms before).

--- a/crates/laburnumstall-core/examples/load_digests.rs
+++ b/crates/laburnumstall-core/examples/load_digests.rs
@@ -56,6 +56,7 @@
         let now = Timestamp::from_millis(1_000 * second);
         for load in &mut loads {
             wander(load, &mut rng);
+            load.taken_at = now;
         }
         read(now, &ring, &loads, &mut daemons);
         tell(now, &mut daemons);
@@ -122,10 +123,13 @@
             continue;
         };
         for message in daemon.sender.due(now) {
-            let bytes = message.digest.max_bytes();
+            let bytes = message.max_bytes();
             let reader = daemons
                 .get_mut(&message.to)
                 .expect("a subscriber is a daemon");
+            for report in &message.reports {
+                reader.view.on_report(now, report);
+            }
             reader.view.on_digest(now, &message.digest);
             reader.bytes_heard += bytes;
         }
--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -41,6 +41,7 @@
 mod takeover;
 mod timers;
 mod watchdog;
+mod watching;
 mod withdraw;
 
 pub use action::{Action, DispatchOrder, Output, StreamResume};
--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -52,6 +52,9 @@
             _ => self.attempt_ended(now, id, &place),
         }
         if failure == AttemptFailure::NotSent {
+            if !self.router.is_failed(&place.endpoint) {
+                self.tell_refused(&place.endpoint);
+            }
             self.router
                 .mark_failed(now, &place.endpoint, &mut self.journal);
         }
@@ -211,6 +214,9 @@
         is_process_exit: bool,
     ) {
         let lost = self.lost_on(endpoint);
+        if is_process_exit && !self.router.is_failed(endpoint) {
+            self.tell_refused(endpoint);
+        }
         if is_process_exit && !self.router.is_leaving(endpoint) {
             let fingerprints = self.fingerprints(&lost);
             self.report_crash(now, endpoint, &fingerprints);
--- a/crates/laburnumstall-core/src/entry/fleet.rs
+++ b/crates/laburnumstall-core/src/entry/fleet.rs
@@ -11,7 +11,6 @@
 pub(super) struct Fleet {
     vms: Vec<Vm>,
     loaded: BTreeMap<EndpointId, Vec<ServiceName>>,
-    pub(super) poll_at: Timestamp,
 }
 
 impl Fleet {
--- a/crates/laburnumstall-core/src/entry/peers.rs
+++ b/crates/laburnumstall-core/src/entry/peers.rs
@@ -9,7 +9,6 @@
 use crate::message::{CallerRef, Message};
 use crate::routing::Peer;
 use crate::units::Timestamp;
-use crate::world::LoadReport;
 
 impl Entry {
     pub(super) fn heartbeat(&self) -> Message {
@@ -100,7 +99,10 @@
             }
             Message::Suspect(suspicion) => self.on_suspect(now, &from, &suspicion),
             Message::Limits(share) => self.limits.on_share(now, &from, &share),
-            Message::Loads(reports) => self.on_loads(now, &reports),
+            Message::Loads(reports) => self.on_loads(now, reports),
+            Message::LoadDigest(digest) => self.on_load_digest(now, &digest),
+            Message::Subscribe(endpoints) => self.on_subscribe(now, &from, &endpoints),
+            Message::EndpointRefused { endpoint } => self.on_endpoint_refused(now, endpoint),
             Message::EndpointLeaving { endpoint, deadline } => {
                 self.on_endpoint_leaving(now, &endpoint, deadline);
             }
@@ -139,12 +141,6 @@
         }
     }
 
-    fn on_loads(&mut self, now: Timestamp, reports: &[LoadReport]) {
-        for report in reports {
-            self.take_report(now, report);
-        }
-    }
-
     pub(super) fn on_evidence(&mut self, now: Timestamp, daemon: &DaemonId, evidence: Evidence) {
         self.membership
             .on_evidence(now, daemon, evidence, &mut self.journal);
@@ -205,6 +201,7 @@
     /// Carries out what changes of the view ask for.
     pub(super) fn follow_members(&mut self, now: Timestamp) {
         for event in self.membership.tick(now, &mut self.journal) {
+            self.watching.look_soon();
             match event {
                 MemberEvent::Joined(member) => self.on_joined(&member),
                 MemberEvent::Leaving(daemon) => self.leave_standby(now, &daemon, "leaving"),
@@ -225,6 +222,7 @@
 
     fn on_gone(&mut self, now: Timestamp, daemon: &DaemonId) {
         self.source.forget(daemon);
+        self.watching.on_gone(daemon);
         self.quarantine.forget_peer(daemon);
         self.refresh_router_peers();
         // Requests without any copy come first: another loss may follow at once.
--- a/crates/laburnumstall-core/src/entry/platform.rs
+++ b/crates/laburnumstall-core/src/entry/platform.rs
@@ -5,18 +5,13 @@
 use crate::cloud::ReclaimNotice;
 use crate::decision::DecisionKind;
 use crate::entry::Entry;
-use crate::entry::action::Action;
-use crate::entry::event::PollOutcome;
 use crate::entry::owned::{Owned, Phase};
 use crate::entry::state::CallPurpose;
 use crate::ids::{CallId, EndpointId, RequestId, VmId};
 use crate::message::Message;
 use crate::store::StoreOutcome;
 use crate::units::Timestamp;
-use crate::world::{LoadReport, Vm};
-
-/// Time between two polls of an endpoint's load.
-const POLL_PERIOD: Duration = Duration::from_millis(500);
+use crate::world::Vm;
 
 /// Time before the end of an endpoint's VM at which its streams move.
 const MOVE_MARGIN: Duration = Duration::from_millis(1_500);
@@ -111,41 +106,7 @@
         self.tick_registry(now);
         self.tick_configuration(now);
         self.move_streams(now);
-        if self.fleet.poll_at > now {
-            return;
-        }
-        self.fleet.poll_at = now.after(POLL_PERIOD);
-        for endpoint in self.fleet.pollable(&self.system) {
-            self.actions.push(Action::Poll {
-                endpoint: endpoint.id,
-                address: endpoint.address,
-            });
-        }
-    }
-
-    pub(super) fn on_polled(
-        &mut self,
-        now: Timestamp,
-        endpoint: &EndpointId,
-        outcome: PollOutcome,
-    ) {
-        match outcome {
-            PollOutcome::Report(report) => {
-                self.take_report(now, &report);
-            }
-            // One crash is reported once: repeated reports would look like a wave.
-            PollOutcome::Refused if !self.router.is_failed(endpoint) => {
-                self.on_endpoint_gone(now, endpoint, true);
-            }
-            PollOutcome::Refused | PollOutcome::Silent => {}
-        }
-    }
-
-    pub(super) fn take_report(&mut self, now: Timestamp, report: &LoadReport) {
-        if self.fleet.set_loaded(&report.endpoint, &report.services) {
-            self.refresh_endpoints(now);
-        }
-        self.router.on_load(now, report);
+        self.tick_watching(now);
     }
 
     /// Moves the streams of endpoints whose VMs are about to be taken.
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -20,6 +20,7 @@
 use crate::entry::owned::Owned;
 use crate::entry::registry::Registry;
 use crate::entry::stop::Stopping;
+use crate::entry::watching::Watching;
 use crate::ids::{
     CallId, CallerId, CustomerId, DaemonId, EndpointId, IdempotencyKey, RequestId, ServiceName,
 };
@@ -96,6 +97,7 @@
     pub(super) callers: BTreeMap<CallerId, LocalCaller>,
     pub(super) questions: BTreeMap<u64, Question>,
     pub(super) fleet: Fleet,
+    pub(super) watching: Watching,
     pub(super) leaving_endpoints: BTreeMap<EndpointId, Timestamp>,
     pub(super) registry: Registry,
     pub(super) source: ConfigurationSource,
@@ -136,6 +138,7 @@
             callers: BTreeMap::new(),
             questions: BTreeMap::new(),
             fleet: Fleet::default(),
+            watching: Watching::default(),
             leaving_endpoints: BTreeMap::new(),
             registry: Registry::default(),
             source: ConfigurationSource::default(),
--- /dev/null
+++ b/crates/laburnumstall-core/src/entry/watching.rs
@@ -0,0 +1,289 @@
+//! Watching endpoints: reading the loads of a few, hearing those of the others.
+//!
+//! Each endpoint is read by its two watchers. The first of them tells the daemons that
+//! subscribed; whoever sees a refused connection tells the watchers, and they the
+//! subscribers. A word of another daemon never takes an endpoint in or out of service: it
+//! makes this daemon read the endpoint by itself.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::entry::Entry;
+use crate::entry::action::Action;
+use crate::entry::event::PollOutcome;
+use crate::ids::{AvailabilityZone, DaemonId, EndpointId, Region};
+use crate::message::Message;
+use crate::units::Timestamp;
+use crate::watch::{
+    DigestSender, EndpointTag, LoadDigest, LoadView, MIN_SEND_PERIOD, ReadSchedule, Watch,
+    WatchBasis, WatchedEndpoint, WatchingMember,
+};
+use crate::world::{Endpoint, LoadReport};
+
+/// Time between two looks at what has to be read and told.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+
+/// State of the watching.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Watching {
+    schedule: ReadSchedule,
+    sender: DigestSender,
+    view: LoadView,
+    /// Last whole report of each endpoint, which words are applied to.
+    reports: BTreeMap<EndpointId, LoadReport>,
+    addresses: BTreeMap<EndpointId, SocketAddr>,
+    tags: BTreeMap<EndpointTag, EndpointId>,
+    look_at: Timestamp,
+}
+
+impl Watching {
+    /// Makes the next tick look at what has changed.
+    pub(super) fn look_soon(&mut self) {
+        self.look_at = Timestamp::ZERO;
+    }
+
+    pub(super) fn on_gone(&mut self, daemon: &DaemonId) {
+        self.sender.on_gone(daemon);
+    }
+
+    fn set_endpoints(&mut self, endpoints: &[Endpoint]) {
+        self.addresses = endpoints
+            .iter()
+            .map(|endpoint| (endpoint.id.clone(), endpoint.address))
+            .collect();
+        let addresses = &self.addresses;
+        self.reports.retain(|id, _| addresses.contains_key(id));
+        self.tags = addresses
+            .keys()
+            .map(|id| (EndpointTag::of(id), id.clone()))
+            .collect();
+        let heard: Vec<EndpointId> = self.schedule.heard().cloned().collect();
+        self.view.set_subset(&heard);
+    }
+}
+
+impl Entry {
+    pub(super) fn tick_watching(&mut self, now: Timestamp) {
+        if self.watching.look_at > now {
+            return;
+        }
+        self.watching.look_at = now.after(LOOK_PERIOD);
+        self.refresh_watches(now);
+        self.carry_loads_on(now);
+        let router = &self.router;
+        let due = self
+            .watching
+            .schedule
+            .due(now, |endpoint| router.is_failed(endpoint));
+        for endpoint in due {
+            self.poll(endpoint);
+        }
+        for (to, endpoints) in self.watching.schedule.subscriptions_due(now) {
+            self.send(&to, Message::Subscribe(endpoints));
+        }
+        self.tell_loads(now);
+    }
+
+    fn poll(&mut self, endpoint: EndpointId) {
+        if let Some(address) = self.watching.addresses.get(&endpoint).copied() {
+            self.actions.push(Action::Poll { endpoint, address });
+        }
+    }
+
+    /// Works out the watches anew if a daemon or an endpoint came or went.
+    fn refresh_watches(&mut self, now: Timestamp) {
+        let endpoints = self.fleet.pollable(&self.system);
+        let used: BTreeSet<&EndpointId> = self.router.used().collect();
+        let endpoint = |endpoint: &Endpoint| WatchedEndpoint {
+            region: self.region_of(&endpoint.zone),
+            // What an endpoint has loaded is unknown until its first report.
+            is_wanted: endpoint.services.is_empty() || used.contains(&endpoint.id),
+            id: endpoint.id.clone(),
+        };
+        let member = |member: &crate::membership::Member| WatchingMember {
+            region: self.region_of(&member.zone),
+            member: member.clone(),
+        };
+        let basis = WatchBasis {
+            members: self.membership.live().map(member).collect(),
+            endpoints: endpoints.iter().map(endpoint).collect(),
+        };
+        let own = self.own.clone();
+        let is_changed = self.watching.schedule.set_basis(now, &own, basis);
+        let is_moved = endpoints
+            .iter()
+            .any(|known| self.watching.addresses.get(&known.id) != Some(&known.address));
+        if is_changed || is_moved {
+            self.watching.set_endpoints(&endpoints);
+            self.forget_unwatched();
+        }
+    }
+
+    fn region_of(&self, zone: &AvailabilityZone) -> Option<Region> {
+        self.system.zone(zone).map(|zone| zone.region.clone())
+    }
+
+    fn forget_unwatched(&mut self) {
+        let watching = &mut self.watching;
+        let is_first = |id: &EndpointId| watching.schedule.watch(id) == Some(Watch::First);
+        let others: Vec<EndpointId> = watching
+            .sender
+            .endpoints()
+            .filter(|id| !is_first(id))
+            .cloned()
+            .collect();
+        for id in others {
+            watching.sender.forget(&id);
+        }
+    }
+
+    /// A load that was told holds until another is told: it is taken as read anew.
+    fn carry_loads_on(&mut self, now: Timestamp) {
+        let lag = self.watching.schedule.period() + MIN_SEND_PERIOD;
+        let heard: Vec<EndpointId> = self.watching.schedule.heard().cloned().collect();
+        for endpoint in heard {
+            if self.router.is_failed(&endpoint) {
+                self.watching.view.forget(&endpoint);
+                continue;
+            }
+            self.apply_heard(now, &endpoint, now.before(lag));
+        }
+    }
+
+    /// Gives the router a load that was heard, as read at `at` or later.
+    fn apply_heard(&mut self, now: Timestamp, endpoint: &EndpointId, at: Timestamp) {
+        let Some(heard) = self.watching.view.load(now, endpoint) else {
+            return;
+        };
+        let Some(known) = self.watching.reports.get(endpoint) else {
+            return;
+        };
+        let report = heard.load.to_report(known, heard.taken_at.max(at));
+        self.router.on_load(now, &report);
+    }
+
+    fn tell_loads(&mut self, now: Timestamp) {
+        for message in self.watching.sender.due(now) {
+            if !message.reports.is_empty() {
+                self.send(&message.to, Message::Loads(message.reports));
+            }
+            if !message.digest.words.is_empty() {
+                self.send(&message.to, Message::LoadDigest(message.digest));
+            }
+        }
+    }
+
+    pub(super) fn on_polled(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        outcome: PollOutcome,
+    ) {
+        match outcome {
+            PollOutcome::Report(report) => self.on_report(now, report),
+            // One crash is reported once: repeated reports would look like a wave.
+            PollOutcome::Refused if !self.router.is_failed(endpoint) => {
+                self.watching.sender.forget(endpoint);
+                self.on_endpoint_gone(now, endpoint, true);
+            }
+            PollOutcome::Refused | PollOutcome::Silent => {
+                self.watching.sender.forget(endpoint);
+            }
+        }
+    }
+
+    /// Takes in a report that this daemon read.
+    fn on_report(&mut self, now: Timestamp, report: LoadReport) {
+        let taken_at = report.taken_at.min(now);
+        let report = LoadReport { taken_at, ..report };
+        let endpoint = report.endpoint.clone();
+        self.watching.schedule.on_answer(now, &endpoint);
+        if self.watching.schedule.watch(&endpoint) == Some(Watch::First) {
+            self.watching.sender.on_report(&report);
+            self.tell_services(&report);
+        }
+        if self.fleet.set_loaded(&endpoint, &report.services) {
+            self.refresh_endpoints(now);
+            self.watching.look_soon();
+        }
+        self.router.on_load(now, &report);
+        self.watching.reports.insert(endpoint, report);
+    }
+
+    /// Tells every daemon what an endpoint has loaded now: also those that do not use it.
+    fn tell_services(&mut self, report: &LoadReport) {
+        let known = self.watching.reports.get(&report.endpoint);
+        if known.is_some_and(|known| known.services != report.services) {
+            self.send_to_all(&Message::Loads(vec![report.clone()]));
+        }
+    }
+
+    /// Takes in reports that another daemon read.
+    pub(super) fn on_loads(&mut self, now: Timestamp, reports: Vec<LoadReport>) {
+        for report in reports {
+            let taken_at = report.taken_at.min(now);
+            let report = LoadReport { taken_at, ..report };
+            let endpoint = report.endpoint.clone();
+            self.watching.schedule.on_news(now, &endpoint);
+            if self.fleet.set_loaded(&endpoint, &report.services) {
+                self.refresh_endpoints(now);
+                self.watching.look_soon();
+            }
+            if !self.router.is_failed(&endpoint) {
+                self.router.on_load(now, &report);
+            }
+            self.watching.view.on_report(now, &report);
+            self.watching.reports.insert(endpoint, report);
+        }
+    }
+
+    /// Takes in loads that a watcher told.
+    pub(super) fn on_load_digest(&mut self, now: Timestamp, digest: &LoadDigest) {
+        self.watching.view.on_digest(now, digest);
+        for word in &digest.words {
+            let Some(endpoint) = self.watching.tags.get(&word.endpoint).cloned() else {
+                continue;
+            };
+            // Without a whole report the word says nothing, and the endpoint is read.
+            if !self.watching.reports.contains_key(&endpoint) {
+                continue;
+            }
+            self.watching.schedule.on_news(now, &endpoint);
+            if !self.router.is_failed(&endpoint) {
+                self.apply_heard(now, &endpoint, Timestamp::ZERO);
+            }
+        }
+    }
+
+    pub(super) fn on_subscribe(
+        &mut self,
+        now: Timestamp,
+        from: &DaemonId,
+        endpoints: &[EndpointId],
+    ) {
+        self.watching.sender.on_subscription(now, from, endpoints);
+    }
+
+    /// Tells that an endpoint refused a connection of this daemon: a watcher tells the
+    /// subscribers, any other daemon the watchers.
+    pub(super) fn tell_refused(&mut self, endpoint: &EndpointId) {
+        let watching = &self.watching;
+        let to: Vec<DaemonId> = match watching.schedule.watch(endpoint) {
+            Some(_) => watching.sender.subscribers_of(endpoint).cloned().collect(),
+            None => watching.schedule.watchers(endpoint).to_vec(),
+        };
+        for to in to {
+            let endpoint = endpoint.clone();
+            self.send(&to, Message::EndpointRefused { endpoint });
+        }
+    }
+
+    /// Another daemon was refused by an endpoint: it is read at once.
+    pub(super) fn on_endpoint_refused(&mut self, now: Timestamp, endpoint: EndpointId) {
+        if !self.router.is_failed(&endpoint) && !self.router.is_leaving(&endpoint) {
+            self.watching.schedule.on_read(now, &endpoint);
+            self.poll(endpoint);
+        }
+    }
+}
--- a/crates/laburnumstall-core/src/message.rs
+++ b/crates/laburnumstall-core/src/message.rs
@@ -22,6 +22,7 @@
 use crate::quarantine::Suspicion;
 use crate::request::{AnswerEvent, Dialect, Request};
 use crate::units::{Timestamp, Tokens};
+use crate::watch::LoadDigest;
 use crate::world::{Configuration, LoadReport};
 
 domain_value! {
@@ -321,7 +322,7 @@
         Suspect(Suspicion),
         /// How the sender uses the customers' limits.
         Limits(LimitShare),
-        /// Load reports of endpoints that the sender watches.
+        /// Whole load reports of endpoints that the sender watches.
         Loads(Vec<LoadReport>),
         /// An endpoint of the given list gets no new work.
         EndpointLeaving {
@@ -336,6 +337,16 @@
         PullConfiguration,
         /// The configuration in force at the sender.
         PushConfiguration(Box<ConfigurationRecord>),
+        /// The endpoints whose loads the sender wants to hear from the receiver, in place of
+        /// those that it asked for before.
+        Subscribe(Vec<EndpointId>),
+        /// Loads of endpoints that the sender watches.
+        LoadDigest(LoadDigest),
+        /// An endpoint refused a connection of the sender.
+        EndpointRefused {
+            /// Endpoint.
+            endpoint: EndpointId,
+        },
     }
 
     /// A caller that goes on with a request at its new owner.
--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -145,6 +145,12 @@
         indices.iter().map(|index| &self.slots[*index].endpoint.id)
     }
 
+    /// Returns the endpoints of any service that this daemon uses.
+    pub fn used(&self) -> impl Iterator<Item = &EndpointId> {
+        let indices = self.pools.values().flat_map(|pool| &pool.subset);
+        indices.map(|index| &self.slots[*index].endpoint.id)
+    }
+
     /// Gives an endpoint no new work until it is gone from the list.
     pub fn mark_leaving(
         &mut self,
--- a/crates/laburnumstall-core/src/units.rs
+++ b/crates/laburnumstall-core/src/units.rs
@@ -51,6 +51,11 @@
     pub const fn after(self, wait: Duration) -> Self {
         Self(self.0.saturating_add(wait.as_micros() as u64))
     }
+
+    /// Returns the timestamp `time` earlier, or zero.
+    pub const fn before(self, time: Duration) -> Self {
+        Self(self.0.saturating_sub(time.as_micros() as u64))
+    }
 }
 
 impl fmt::Display for Timestamp {
--- a/crates/laburnumstall-core/src/watch/load.rs
+++ b/crates/laburnumstall-core/src/watch/load.rs
@@ -4,6 +4,7 @@
 
 use crate::hash::digest64;
 use crate::ids::EndpointId;
+use crate::units::{Timestamp, Tokens};
 use crate::world::LoadReport;
 use crate::{domain, domain_value};
 
@@ -16,6 +17,9 @@
 /// Steps of the batch that are told apart.
 const OCCUPANCY_STEPS: u64 = 8;
 
+/// Smallest difference between two ages of a reading.
+const AGE_STEP: Duration = Duration::from_millis(200);
+
 domain_value! {
     /// Short hash that stands for an endpoint's name.
     pub struct EndpointTag(pub u32);
@@ -23,6 +27,11 @@
     /// Predicted wait on a logarithmic scale: two classes for each doubling; 0 is none.
     pub struct WaitClass(pub u8);
 
+    /// Time since a report was taken, in steps of 200 ms, up to 51 s.
+    ///
+    /// An age needs no agreement between the clocks of two daemons.
+    pub struct ReadingAge(pub u8);
+
     /// A load report, quantised.
     pub struct QuantisedLoad {
         /// Wait that a new request can expect.
@@ -37,13 +46,14 @@
     pub struct LoadWord {
         /// Endpoint that it is about.
         pub endpoint: EndpointTag,
-        /// Low byte of the report's number, so that a late word is told from a new one.
-        pub sequence: u8,
+        /// Time since the report was taken, so that a late word is told from a new one.
+        pub age: ReadingAge,
         /// The load.
         pub load: QuantisedLoad,
     }
 
     /// The loads that one daemon tells another at a time.
+    #[derive(Default)]
     pub struct LoadDigest {
         /// The loads.
         pub words: Vec<LoadWord>,
@@ -57,6 +67,22 @@
     }
 }
 
+impl ReadingAge {
+    /// Returns the age at `now` of a reading taken at `taken_at`, rounded up.
+    pub fn at(now: Timestamp, taken_at: Timestamp) -> Self {
+        let steps = now
+            .since(taken_at)
+            .as_millis()
+            .div_ceil(AGE_STEP.as_millis());
+        Self(u8::try_from(steps).unwrap_or(u8::MAX))
+    }
+
+    /// Returns the time that the age stands for.
+    pub fn duration(self) -> Duration {
+        AGE_STEP * u32::from(self.0)
+    }
+}
+
 impl WaitClass {
     /// Returns the class of a wait.
     pub fn of(wait: Duration) -> Self {
@@ -95,6 +121,28 @@
         }
     }
 
+    /// Returns a report that quantises to this load, for an endpoint that is otherwise as
+    /// `known` says; the middle of a step stands for the step.
+    pub fn to_report(self, known: &LoadReport, taken_at: Timestamp) -> LoadReport {
+        let batch = u64::from(known.batch.max(1));
+        let occupancy = u64::from(self.occupancy).min(OCCUPANCY_STEPS);
+        let floor = (occupancy * batch).div_ceil(OCCUPANCY_STEPS);
+        let step = batch / OCCUPANCY_STEPS;
+        let running = match occupancy {
+            0 => 0,
+            OCCUPANCY_STEPS => batch,
+            _ => floor + step.saturating_sub(1) / 2,
+        };
+        let millis = self.wait.wait().as_millis() as u64;
+        LoadReport {
+            taken_at,
+            running: running as u32,
+            waiting: 0,
+            prefill_backlog: Tokens(millis.saturating_mul(known.prefill.get()) / 1_000),
+            ..known.clone()
+        }
+    }
+
     /// Returns the share of the batch that is free, from 0 to 1,000.
     pub fn free_permille(self) -> u64 {
         let occupied = u64::from(self.occupancy).min(OCCUPANCY_STEPS);
--- a/crates/laburnumstall-core/src/watch/reader.rs
+++ b/crates/laburnumstall-core/src/watch/reader.rs
@@ -6,7 +6,8 @@
 use crate::domain;
 use crate::ids::EndpointId;
 use crate::units::Timestamp;
-use crate::watch::load::{EndpointTag, LoadDigest, LoadWord, QuantisedLoad};
+use crate::watch::load::{EndpointTag, LoadDigest, LoadWord, QuantisedLoad, ReadingAge};
+use crate::world::LoadReport;
 
 /// Time after which a load that was not told again counts as unknown: two refreshes and some.
 pub const LOAD_LIFE: Duration = Duration::from_secs(75);
@@ -16,8 +17,8 @@
     pub struct HeardLoad {
         /// The load.
         pub load: QuantisedLoad,
-        /// Low byte of the number of the report.
-        pub sequence: u8,
+        /// When the report was taken, by this daemon's clock.
+        pub taken_at: Timestamp,
         /// When it was heard.
         pub at: Timestamp,
     }
@@ -37,27 +38,40 @@
         self.loads.retain(|tag, _| self.subset.contains(tag));
     }
 
-    /// Takes in a digest; a word older than the one known, or about an endpoint outside
-    /// the subset, changes nothing.
+    /// Takes in a digest; a word about an older reading than the one known, or about an
+    /// endpoint outside the subset, changes nothing.
     pub fn on_digest(&mut self, now: Timestamp, digest: &LoadDigest) {
         let wanted = |word: &&LoadWord| self.subset.contains(&word.endpoint);
         for word in digest.words.iter().filter(wanted) {
+            let taken_at = now.before(word.age.duration());
             let known = self.loads.get(&word.endpoint);
-            let is_late = known.is_some_and(|known| {
-                let is_fresh = now.since(known.at) < LOAD_LIFE;
-                is_fresh && is_before(word.sequence, known.sequence)
-            });
-            if !is_late {
-                let heard = HeardLoad {
-                    load: word.load,
-                    sequence: word.sequence,
-                    at: now,
-                };
-                self.loads.insert(word.endpoint, heard);
+            if known.is_some_and(|known| known.taken_at > taken_at) {
+                continue;
             }
+            let heard = HeardLoad {
+                load: word.load,
+                taken_at,
+                at: now,
+            };
+            self.loads.insert(word.endpoint, heard);
         }
     }
 
+    /// Takes in a whole report that a watcher passed on, like a word about it.
+    pub fn on_report(&mut self, now: Timestamp, report: &LoadReport) {
+        let word = LoadWord {
+            endpoint: EndpointTag::of(&report.endpoint),
+            age: ReadingAge::at(now, report.taken_at),
+            load: QuantisedLoad::of(report),
+        };
+        self.on_digest(now, &LoadDigest { words: vec![word] });
+    }
+
+    /// Forgets the load of an endpoint.
+    pub fn forget(&mut self, endpoint: &EndpointId) {
+        self.loads.remove(&EndpointTag::of(endpoint));
+    }
+
     /// Returns the load of an endpoint, if it was heard lately.
     pub fn load(&self, now: Timestamp, endpoint: &EndpointId) -> Option<&HeardLoad> {
         self.loads
@@ -65,9 +79,3 @@
             .filter(|heard| now.since(heard.at) < LOAD_LIFE)
     }
 }
-
-/// Tells whether `a` was counted before `b` on a circle of 256 numbers (RFC 1982).
-fn is_before(a: u8, b: u8) -> bool {
-    let distance = b.wrapping_sub(a);
-    distance != 0 && distance < 128
-}
--- a/crates/laburnumstall-core/src/watch/sender.rs
+++ b/crates/laburnumstall-core/src/watch/sender.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use crate::domain;
+use crate::hash::digest64;
 use crate::ids::{DaemonId, EndpointId};
 use crate::units::Timestamp;
-use crate::watch::load::{EndpointTag, LoadDigest, LoadWord, QuantisedLoad};
+use crate::watch::load::{EndpointTag, LoadDigest, LoadWord, QuantisedLoad, ReadingAge};
 use crate::world::LoadReport;
 
 /// Bytes a second that a daemon spends on telling loads.
@@ -21,28 +22,37 @@
 /// Time that a subscription lives without being repeated.
 pub const SUBSCRIPTION_LIFE: Duration = Duration::from_secs(120);
 
+/// Most bytes of a whole report besides its names.
+const REPORT_BYTES: u64 = 72;
+
 /// Bytes that may be sent at once after a quiet time.
 const BURST_BYTES: u64 = 4 * DIGEST_BYTES_PER_SECOND;
 
 domain! {
-    /// A digest with the daemon that it is for.
+    /// Loads with the daemon that they are for.
     pub struct LoadMessage {
-        /// Daemon to send it to.
+        /// Daemon to send them to.
         pub to: DaemonId,
-        /// The loads.
+        /// Whole reports of endpoints that the daemon was not told of, or whose services or
+        /// batch changed: words say nothing of those.
+        pub reports: Vec<LoadReport>,
+        /// The other loads.
         pub digest: LoadDigest,
     }
 }
 
 #[derive(Debug, Clone)]
 struct Latest {
-    sequence: u64,
+    report: LoadReport,
     load: QuantisedLoad,
+    /// Hash of what words do not tell.
+    shape: u64,
 }
 
 #[derive(Debug, Clone)]
 struct Told {
     load: QuantisedLoad,
+    shape: u64,
     at: Timestamp,
 }
 
@@ -88,22 +98,39 @@
 
     /// Takes in a load report of a watched endpoint; a late one changes nothing.
     pub fn on_report(&mut self, report: &LoadReport) {
+        let order = |report: &LoadReport| (report.taken_at, report.sequence);
+        let known = self.latest.get(&report.endpoint);
+        if known.is_some_and(|known| order(&known.report) >= order(report)) {
+            return;
+        }
         let newer = Latest {
-            sequence: report.sequence,
             load: QuantisedLoad::of(report),
+            shape: shape_of(report),
+            report: report.clone(),
         };
-        match self.latest.get_mut(&report.endpoint) {
-            Some(latest) if latest.sequence >= report.sequence => {}
-            Some(latest) => *latest = newer,
-            None => {
-                self.latest.insert(report.endpoint.clone(), newer);
-            }
-        }
+        self.latest.insert(report.endpoint.clone(), newer);
     }
 
-    /// Forgets an endpoint that this daemon no longer watches or that restarted.
+    /// Forgets an endpoint that this daemon no longer watches or that failed; its next
+    /// report is told to all subscribers as if it were the first.
     pub fn forget(&mut self, endpoint: &EndpointId) {
         self.latest.remove(endpoint);
+        for subscriber in self.subscribers.values_mut() {
+            subscriber.told.remove(endpoint);
+        }
+    }
+
+    /// Returns the endpoints whose loads it tells.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
+        self.latest.keys()
+    }
+
+    /// Returns the daemons that subscribed to an endpoint.
+    pub fn subscribers_of(&self, endpoint: &EndpointId) -> impl Iterator<Item = &DaemonId> {
+        self.subscribers
+            .iter()
+            .filter(|(_, subscriber)| subscriber.wants.contains(endpoint))
+            .map(|(id, _)| id)
     }
 
     /// Returns the digests to send now: those waiting longest first, within the byte rate.
@@ -120,17 +147,13 @@
         order.sort();
         let mut messages = Vec::new();
         for (_, to) in order {
-            let Some(digest) = self.digest_for(now, &to) else {
+            let limit = self.allowance / MICRO;
+            let Some((message, cost)) = self.message_for(now, &to, limit) else {
                 continue;
             };
-            let cost = digest.max_bytes();
-            if self.allowance < cost * MICRO {
-                break;
-            }
             self.allowance -= cost * MICRO;
             self.bytes_sent += cost;
-            self.note_told(now, &to, &digest);
-            messages.push(LoadMessage { to, digest });
+            messages.push(message);
         }
         messages
     }
@@ -150,44 +173,116 @@
         self.refilled = now;
     }
 
-    fn digest_for(&self, now: Timestamp, to: &DaemonId) -> Option<LoadDigest> {
-        let subscriber = self.subscribers.get(to)?;
-        let words: Vec<LoadWord> = subscriber
+    /// Returns what a subscriber is told now, with its most bytes on the wire: what was
+    /// told longest ago comes first, and `limit` bytes are not exceeded.
+    fn message_for(
+        &mut self,
+        now: Timestamp,
+        to: &DaemonId,
+        limit: u64,
+    ) -> Option<(LoadMessage, u64)> {
+        let subscriber = self.subscribers.get_mut(to)?;
+        let mut message = LoadMessage {
+            to: to.clone(),
+            reports: Vec::new(),
+            digest: LoadDigest::default(),
+        };
+        let mut cost = LoadDigest::FRAME_BYTES;
+        for endpoint in subscriber.untold(now, &self.latest) {
+            let Some(latest) = self.latest.get(&endpoint) else {
+                continue;
+            };
+            let told = subscriber.told.get(&endpoint);
+            let is_shape_known = told.is_some_and(|told| told.shape == latest.shape);
+            let bytes = match (is_shape_known, message.reports.is_empty()) {
+                (true, _) => LoadWord::MAX_BYTES,
+                (false, false) => report_bytes(&latest.report),
+                (false, true) => report_bytes(&latest.report) + LoadDigest::FRAME_BYTES,
+            };
+            if cost + bytes > limit {
+                break;
+            }
+            cost += bytes;
+            match is_shape_known {
+                true => message.digest.words.push(latest.word(now, &endpoint)),
+                false => message.reports.push(latest.report.clone()),
+            }
+            let told = Told {
+                load: latest.load,
+                shape: latest.shape,
+                at: now,
+            };
+            subscriber.told.insert(endpoint, told);
+        }
+        let is_empty = message.reports.is_empty() && message.digest.words.is_empty();
+        if is_empty {
+            return None;
+        }
+        subscriber.sent = Some(now);
+        Some((message, cost))
+    }
+}
+
+impl LoadMessage {
+    /// Returns the most bytes that the loads take on the wire.
+    pub fn max_bytes(&self) -> u64 {
+        let words = self.digest.max_bytes();
+        let reports: u64 = self.reports.iter().map(report_bytes).sum();
+        match self.reports.is_empty() {
+            true => words,
+            false => words + LoadDigest::FRAME_BYTES + reports,
+        }
+    }
+}
+
+impl Latest {
+    fn word(&self, now: Timestamp, endpoint: &EndpointId) -> LoadWord {
+        LoadWord {
+            endpoint: EndpointTag::of(endpoint),
+            age: ReadingAge::at(now, self.report.taken_at),
+            load: self.load,
+        }
+    }
+}
+
+impl Subscriber {
+    /// Returns the endpoints whose load the subscriber does not know, the one that was told
+    /// longest ago first.
+    fn untold(&self, now: Timestamp, latest: &BTreeMap<EndpointId, Latest>) -> Vec<EndpointId> {
+        let told_at = |endpoint: &EndpointId| self.told.get(endpoint).map(|told| told.at);
+        let mut untold: Vec<EndpointId> = self
             .wants
             .iter()
-            .filter_map(|endpoint| {
-                let latest = self.latest.get(endpoint)?;
-                let is_known = subscriber.told.get(endpoint).is_some_and(|told| {
-                    told.load == latest.load && now.since(told.at) < REFRESH_PERIOD
-                });
-                (!is_known).then(|| LoadWord {
-                    endpoint: EndpointTag::of(endpoint),
-                    sequence: latest.sequence as u8,
-                    load: latest.load,
-                })
+            .filter(|endpoint| {
+                latest
+                    .get(*endpoint)
+                    .is_some_and(|latest| !self.knows(now, endpoint, latest))
             })
+            .cloned()
             .collect();
-        (!words.is_empty()).then_some(LoadDigest { words })
+        untold.sort_by_key(|endpoint| told_at(endpoint));
+        untold
     }
 
-    fn note_told(&mut self, now: Timestamp, to: &DaemonId, digest: &LoadDigest) {
-        let Some(subscriber) = self.subscribers.get_mut(to) else {
-            return;
-        };
-        subscriber.sent = Some(now);
-        for endpoint in &subscriber.wants {
-            let tag = EndpointTag::of(endpoint);
-            let word = digest.words.iter().find(|word| word.endpoint == tag);
-            if let Some(word) = word {
-                let told = Told {
-                    load: word.load,
-                    at: now,
-                };
-                subscriber.told.insert(endpoint.clone(), told);
-            }
-        }
+    fn knows(&self, now: Timestamp, endpoint: &EndpointId, latest: &Latest) -> bool {
+        self.told.get(endpoint).is_some_and(|told| {
+            let is_same = told.load == latest.load && told.shape == latest.shape;
+            is_same && now.since(told.at) < REFRESH_PERIOD
+        })
     }
 }
 
+fn shape_of(report: &LoadReport) -> u64 {
+    let batch = report.batch.to_le_bytes();
+    let names = report.services.iter().map(|name| name.as_str().as_bytes());
+    let parts: Vec<&[u8]> = std::iter::once(&batch[..]).chain(names).collect();
+    digest64(&parts)
+}
+
+fn report_bytes(report: &LoadReport) -> u64 {
+    let names = report.services.iter().map(|name| name.as_str().len() + 1);
+    REPORT_BYTES + (report.endpoint.as_str().len() + names.sum::<usize>()) as u64
+}
+
 /// Millionths in a whole.
 const MICRO: u64 = 1_000_000;
--- a/crates/laburnumstall-core/tests/watch_digest.rs
+++ b/crates/laburnumstall-core/tests/watch_digest.rs
@@ -7,8 +7,8 @@
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::watch::{
     DIGEST_BYTES_PER_SECOND, DigestSender, LoadDigest, LoadView, LoadWord, MAX_READ_PERIOD,
-    READ_BYTES_PER_SECOND, REPORT_BYTES, WaitClass, WatchRing, own_watches, read_period,
-    subscriptions, watchers_of,
+    MIN_SEND_PERIOD, QuantisedLoad, READ_BYTES_PER_SECOND, REPORT_BYTES, WaitClass, WatchRing,
+    own_watches, read_period, subscriptions, watchers_of,
 };
 use quickcheck::{Gen, QuickCheck};
 
@@ -34,7 +34,7 @@
     LoadReport {
         endpoint: endpoint.clone(),
         sequence,
-        taken_at: Timestamp::ZERO,
+        taken_at: Timestamp::from_millis(1_000 * sequence),
         running,
         waiting: 0,
         batch: 64,
@@ -94,7 +94,7 @@
     }
 }
 
-/// Fails without the comparison of `told.load` in `DigestSender::digest_for`.
+/// Fails without the comparison of `told.load` in `Subscriber::knows`.
 #[test]
 fn only_changes_are_told_and_late_words_change_nothing() {
     let endpoint = &endpoints(1)[0];
@@ -105,24 +105,78 @@
     sender.on_report(&report(endpoint, 1, 8, 0));
     let first = sender.due(at(1));
     assert_eq!(first.len(), 1);
+    assert_eq!(first[0].reports, [report(endpoint, 1, 8, 0)]);
     sender.on_report(&report(endpoint, 2, 9, 0));
     assert!(sender.due(at(3)).is_empty(), "the same step of the batch");
-    sender.on_report(&report(endpoint, 3, 64, 40_000));
-    let second = sender.due(at(5));
-    sender.on_report(&report(endpoint, 2, 0, 0));
+    sender.on_report(&report(endpoint, 3, 32, 0));
+    let second = sender.due(at(4));
+    sender.on_report(&report(endpoint, 5, 64, 40_000));
+    let third = sender.due(at(5));
+    assert!(second[0].reports.is_empty() && third[0].reports.is_empty());
+    sender.on_report(&report(endpoint, 4, 0, 0));
     assert!(sender.due(at(7)).is_empty(), "a late report");
     let mut view = LoadView::default();
-    view.on_digest(at(5), &second[0].digest);
+    view.on_digest(at(5), &third[0].digest);
     assert!(view.load(at(5), endpoint).is_none(), "outside the subset");
     view.set_subset(std::slice::from_ref(endpoint));
+    view.on_digest(at(5), &third[0].digest);
     view.on_digest(at(5), &second[0].digest);
-    view.on_digest(at(6), &first[0].digest);
+    view.on_report(at(6), &first[0].reports[0]);
     let heard = view.load(at(6), endpoint).unwrap().load;
     assert_eq!(heard.free_permille(), 0);
     assert!(heard.wait.wait() >= Duration::from_secs(2));
     assert!(view.load(at(600), endpoint).is_none(), "not told for long");
 }
 
+/// Fails without `told.remove` in `DigestSender::forget`, or without the shape in
+/// `Subscriber::knows`.
+#[test]
+fn a_changed_or_forgotten_endpoint_is_told_whole() {
+    let endpoint = &endpoints(1)[0];
+    let reader: DaemonId = "vm-1@1".parse().unwrap();
+    let mut sender = DigestSender::default();
+    let at = |secs: u64| Timestamp::from_millis(1_000 * secs);
+    sender.on_subscription(at(1), &reader, std::slice::from_ref(endpoint));
+    sender.on_report(&report(endpoint, 1, 8, 0));
+    assert_eq!(sender.due(at(1))[0].reports.len(), 1);
+    let mut loaded = report(endpoint, 2, 8, 0);
+    loaded.services = vec!["poetry".parse().unwrap()];
+    sender.on_report(&loaded);
+    assert_eq!(sender.due(at(3))[0].reports, [loaded.clone()]);
+    loaded.taken_at = at(4);
+    sender.on_report(&loaded);
+    assert!(sender.due(at(5)).is_empty(), "nothing changed");
+    sender.forget(endpoint);
+    assert!(sender.due(at(6)).is_empty(), "nothing is known");
+    sender.on_report(&loaded);
+    assert_eq!(sender.due(at(7))[0].reports, [loaded]);
+}
+
+/// Fails without the middle of a step in `QuantisedLoad::to_report`.
+#[test]
+fn a_word_makes_a_report_of_the_same_load() {
+    let endpoint = &endpoints(1)[0];
+    for batch in [1, 3, 8, 20, 64, 100] {
+        for running in 0..=batch {
+            let mut known = report(endpoint, 1, running, u64::from(running) * 900);
+            known.batch = batch;
+            let load = QuantisedLoad::of(&known);
+            let made = load.to_report(&known, Timestamp::from_millis(9_000));
+            assert_eq!(QuantisedLoad::of(&made), load, "{running} of {batch}");
+            // An idle endpoint stays idle, so that the lowest step stands for none.
+            let most = if load.occupancy == 0 {
+                batch / 8
+            } else {
+                batch.div_ceil(16)
+            };
+            assert!(
+                made.running.abs_diff(running) <= most,
+                "{running} of {batch}"
+            );
+        }
+    }
+}
+
 /// Fails without the check of the allowance in `DigestSender::due`.
 #[test]
 fn digests_keep_the_byte_rate_and_reach_everybody() {
@@ -158,10 +212,11 @@
         }
         for sender in senders.values_mut() {
             for message in sender.due(now) {
-                views
-                    .get_mut(&message.to)
-                    .unwrap()
-                    .on_digest(now, &message.digest);
+                let view = views.get_mut(&message.to).unwrap();
+                for report in &message.reports {
+                    view.on_report(now, report);
+                }
+                view.on_digest(now, &message.digest);
             }
         }
     }
@@ -183,8 +238,13 @@
     let mut sender = DigestSender::default();
     let now = Timestamp::from_millis(5_000);
     sender.on_subscription(now, &reader, std::slice::from_ref(endpoint));
-    sender.on_report(&report(endpoint, 255, 64, u64::MAX / 2_000));
-    let digest: LoadDigest = sender.due(now).remove(0).digest;
+    sender.on_report(&report(endpoint, 1, 0, 0));
+    let whole = sender.due(now).remove(0);
+    let encoded = postcard::to_allocvec(&whole.reports).unwrap();
+    assert!(encoded.len() as u64 <= whole.max_bytes());
+    sender.on_report(&report(endpoint, 2, 64, u64::MAX / 2_000));
+    let later = now.after(MIN_SEND_PERIOD + Duration::from_secs(60));
+    let digest: LoadDigest = sender.due(later).remove(0).digest;
     let word: &LoadWord = &digest.words[0];
     let encoded = postcard::to_allocvec(word).unwrap();
     assert!(encoded.len() as u64 <= LoadWord::MAX_BYTES);
--- a/crates/laburnumstall-testkit/src/lib.rs
+++ b/crates/laburnumstall-testkit/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod callers;
 pub mod checks;
+mod counts;
 mod endpoint;
 mod machines;
 mod network;
@@ -20,6 +21,7 @@
 mod world;
 
 pub use caller::{CallerState, FakeCaller, Outcome};
+pub use counts::Counts;
 pub use endpoint::{Condition, FakeEndpoint, expected_events, expected_text};
 pub use network::Network;
 pub use node::Node;
--- a/crates/laburnumstall-testkit/src/outside.rs
+++ b/crates/laburnumstall-testkit/src/outside.rs
@@ -274,6 +274,7 @@
     }
 
     fn poll(&mut self, from: &DaemonId, endpoint: &EndpointId) {
+        self.counts.poll(from, endpoint);
         let (outcome, after) = match self.condition_of(endpoint) {
             Condition::Up => (PollOutcome::Report(self.report(endpoint)), ENDPOINT_DELAY),
             Condition::Down => (PollOutcome::Refused, ENDPOINT_DELAY),
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -14,6 +14,7 @@
 use laburnumstall_core::world::{Configuration, System};
 
 use crate::caller::FakeCaller;
+use crate::counts::Counts;
 use crate::endpoint::FakeEndpoint;
 use crate::network::Network;
 use crate::node::Node;
@@ -78,6 +79,8 @@
     pub lines: Vec<String>,
     /// Whether lines are kept.
     pub keeps_lines: bool,
+    /// What the daemons asked of endpoints and told each other.
+    pub counts: Counts,
     pub(crate) schedule: Schedule,
     pub(crate) system: System,
     /// Endpoints that a request crashed.
@@ -105,6 +108,7 @@
             network: Network::default(),
             lines: Vec::new(),
             keeps_lines: spec.keeps_lines,
+            counts: Counts::default(),
             schedule: Schedule::default(),
             system,
             poisoned: 0,
@@ -311,6 +315,7 @@
     }
 
     fn send(&mut self, number: usize, to: &DaemonId, message: Message) {
+        self.counts.message(&message);
         let from = self.nodes[number].id.clone();
         let Some(target) = self.nodes.iter().position(|node| node.vm == to.vm) else {
             return;
