--- /dev/null
+++ b/crates/laburnumstalld/benches/relay/bare.rs
@@ -0,0 +1,77 @@
+//! A relay without decisions, in a process of its own, with the daemon's HTTP libraries.
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use awc::{Client, Connector};
+
+/// Variable that asks this program to be the relay: address to listen on, then endpoint's.
+const ASKED: &str = "BARE_RELAY";
+
+/// The relay's process.
+pub(crate) struct BareRelay {
+    pub(crate) address: SocketAddr,
+    child: Child,
+}
+
+impl BareRelay {
+    pub(crate) fn start(endpoint: SocketAddr) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it has an address");
+        drop(listener);
+        let program = std::env::current_exe().expect("this program has a path");
+        let child = Command::new(program)
+            .env(ASKED, format!("{address} {endpoint}"))
+            .stdout(Stdio::null())
+            .spawn();
+        let child = child.expect("the relay starts");
+        let relay = Self { address, child };
+        crate::caller::wait_for_answer(address);
+        relay
+    }
+
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub(crate) fn close(mut self) {
+        self.child.kill().expect("the relay runs");
+        self.child.wait().expect("the relay ended");
+    }
+}
+
+/// Tells whether this process is to be the relay.
+pub(crate) fn is_asked_for() -> bool {
+    std::env::var_os(ASKED).is_some()
+}
+
+/// Relays until the process is killed.
+pub(crate) fn run() {
+    let asked = std::env::var(ASKED).unwrap_or_default();
+    let (own, endpoint) = asked.split_once(' ').expect("two addresses are given");
+    let endpoint: SocketAddr = endpoint.parse().expect("an address");
+    let own: SocketAddr = own.parse().expect("an address");
+    let server = HttpServer::new(move || {
+        // Without a limit: the library's 100 connections would make streams wait.
+        let connector = Connector::new().limit(0);
+        let client = Client::builder().connector(connector).disable_timeout();
+        let data = web::Data::new((client.finish(), endpoint));
+        App::new().app_data(data).default_service(web::to(relay))
+    });
+    let server = server.workers(2).bind(own).expect("the port is free").run();
+    actix_rt::System::new()
+        .block_on(server)
+        .expect("the relay serves");
+}
+
+async fn relay(data: web::Data<(Client, SocketAddr)>, body: web::Bytes) -> HttpResponse {
+    let (client, endpoint) = data.get_ref();
+    let url = format!("http://{endpoint}/v1/chat/completions");
+    match client.post(url).send_body(body).await {
+        Ok(answer) => HttpResponse::Ok()
+            .content_type("text/event-stream")
+            .streaming(answer),
+        Err(error) => HttpResponse::BadGateway().body(error.to_string()),
+    }
+}
