--- a/crates/laburnumstall-core/src/entry/configuration/reading.rs
+++ b/crates/laburnumstall-core/src/entry/configuration/reading.rs
@@ -11,7 +11,7 @@
 use crate::entry::Entry;
 use crate::entry::state::CallPurpose;
 use crate::hash::{digest64, rendezvous_weight};
-use crate::ids::{AvailabilityZone, DaemonId, Region};
+use crate::ids::DaemonId;
 use crate::message::ConfigurationRecord;
 use crate::store::{StoreCall, StoreOutcome, StoreReply, StoredValue};
 use crate::units::Timestamp;
@@ -79,18 +79,13 @@
             rendezvous_weight(WATCHER_KEY, seed)
         };
         let own = weight(&self.own);
-        let region = self.region_of(&self.membership.own().zone);
-        let before = self
-            .membership
-            .live()
-            .filter(|member| weight(&member.id) > own && self.region_of(&member.zone) == region);
+        let region = self.system.region_of(&self.membership.own().zone);
+        let before = self.membership.live().filter(|member| {
+            weight(&member.id) > own && self.system.region_of(&member.zone) == region
+        });
         before.count() < HEAD_WATCHERS
     }
 
-    fn region_of(&self, zone: &AvailabilityZone) -> Option<&Region> {
-        self.system.zone(zone).map(|zone| &zone.region)
-    }
-
     /// Returns the time until the next backing read; all daemons together keep to one rate.
     fn read_period(&self) -> Duration {
         let live = self.membership.live().count() as u32;
--- a/crates/laburnumstall-core/src/world/system.rs
+++ b/crates/laburnumstall-core/src/world/system.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 use crate::domain;
-use crate::ids::{AvailabilityZone, CustomerId, Revision, ServiceName, VmClass};
+use crate::ids::{AvailabilityZone, CustomerId, Region, Revision, ServiceName, VmClass};
 use crate::world::{Customer, Link, Service, VmClassSpec, Zone};
 
 domain! {
@@ -61,6 +61,11 @@
         self.zones.iter().find(|zone| zone.name == *name)
     }
 
+    /// Returns the region of a zone; `None` if the text has no such zone.
+    pub fn region_of(&self, zone: &AvailabilityZone) -> Option<&Region> {
+        self.zone(zone).map(|zone| &zone.region)
+    }
+
     /// Finds a machine class by name.
     pub fn class(&self, name: &VmClass) -> Option<&VmClassSpec> {
         self.classes.iter().find(|class| class.name == *name)
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -14,6 +14,7 @@
 use laburnumstall_core::world::{Configuration, System};
 
 use crate::caller::FakeCaller;
+use crate::counts::Counts;
 use crate::endpoint::FakeEndpoint;
 use crate::network::Network;
 use crate::node::Node;
@@ -86,6 +87,8 @@
     pub keeps_lines: bool,
     /// Whether a model's answer differs each time that it is begun.
     pub(crate) samples: bool,
+    /// What the daemons asked of endpoints and told each other.
+    pub counts: Counts,
     pub(crate) schedule: Schedule,
     pub(crate) system: System,
     /// Endpoints that a request crashed.
@@ -115,6 +118,7 @@
             applied: Vec::new(),
             keeps_lines: spec.keeps_lines,
             samples: spec.samples,
+            counts: Counts::default(),
             schedule: Schedule::default(),
             system,
             poisoned: 0,
@@ -321,6 +325,7 @@
     }
 
     fn send(&mut self, number: usize, to: &DaemonId, message: Message) {
+        self.counts.message(&message);
         let from = self.nodes[number].id.clone();
         let Some(target) = self.nodes.iter().position(|node| node.vm == to.vm) else {
             return;
--- a/crates/laburnumstall-testkit/tests/limit_offers.rs
+++ b/crates/laburnumstall-testkit/tests/limit_offers.rs
@@ -30,7 +30,6 @@
             digest: "small".into(),
             system,
         },
-        text: "".into(),
         operator: "test".into(),
         at: world.now,
         reason: "".into(),
