Never plan with a VM that was drained

Cause: a drain lets every daemon send the VM no work any more. If the plan wanted the VM again in the 2 minutes before its release, it counted for the plan and carried nothing.

Change: a holder leaves out what it drained until it is given back.

Seen: `placement_scope` with the new test passes, and fails without `is_drained`; `placement_recovery` passes.

--- a/crates/laburnumstall-core/src/placement/controller.rs
+++ b/crates/laburnumstall-core/src/placement/controller.rs
@@ -293,6 +293,7 @@
             .fleet()
             .iter()
             .filter(|owned| scope.can_plan(owned, previous))
+            .filter(|owned| !self.vms.is_drained(&owned.vm.id))
             .cloned()
             .collect();
         let live = usable
--- a/crates/laburnumstall-core/src/placement/vm_requests.rs
+++ b/crates/laburnumstall-core/src/placement/vm_requests.rs
@@ -109,6 +109,12 @@
         &self.spent
     }
 
+    /// Tells whether a VM was drained: the daemons send it no work any more, so that it
+    /// cannot be planned with again.
+    pub(super) fn is_drained(&self, vm: &VmId) -> bool {
+        self.drained.contains_key(vm)
+    }
+
     /// Takes in a reclaim notice, ahead of the listing.
     pub(super) fn on_notice(&mut self, notice: &ReclaimNotice) {
         let keeps = |deadline: &Timestamp| deadline.after(NOTICE_KEPT) > notice.deadline;
--- a/crates/laburnumstall-core/tests/placement_scope.rs
+++ b/crates/laburnumstall-core/tests/placement_scope.rs
@@ -8,7 +8,7 @@
 #[path = "support/world.rs"]
 mod world;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use fleet::{granted, offer, service, system};
@@ -38,6 +38,15 @@
     engines.map(|e| (e.vm.clone(), e.loads.clone())).collect()
 }
 
+/// VMs that were told to take no new work.
+fn drained(world: &World) -> BTreeSet<VmId> {
+    let decisions = world.journal.decisions().iter();
+    let drains = decisions.filter(|decision| decision.choice == "drain");
+    drains
+        .filter_map(|decision| decision.field("vm")?.parse().ok())
+        .collect()
+}
+
 fn holders(world: &World) -> usize {
     let daemons = world.daemons.iter();
     daemons
@@ -153,3 +162,29 @@
         assert_eq!(after.get(&vm), Some(&loads), "{vm}");
     }
 }
+
+/// Fails without `is_drained` in `Placement::replan`: the daemons would send no work to a
+/// VM that counts for the plan.
+#[test]
+fn a_drained_vm_is_not_planned_with_again() {
+    let mut world = World::new(7, system(20));
+    assert!(world.settle(5 * MINUTE));
+    let target = world.system.services[0].target.clone();
+    let lower = target.clone().map(|target| Target {
+        requests: RequestRate(6),
+        ..target
+    });
+    set_target(&mut world, 0, lower);
+    let end = world.now.after(LONG);
+    while world.now < end && drained(&world).is_empty() {
+        world.step();
+    }
+    let drained = drained(&world);
+    assert!(!drained.is_empty());
+    set_target(&mut world, 0, target);
+    assert!(world.settle(5 * MINUTE));
+    world.run_for(LONG);
+    let there = loaded(&world);
+    assert!(world.is_settled());
+    assert!(drained.iter().all(|vm| !there.contains_key(vm)));
+}
