Show the plan of placement in `status`

Change: the daemon that holds the placement lease adds to its status how many VMs of the plan are there and still to be had, and their price; others leave the line out.

--- a/crates/laburnumstall-config/src/admin.rs
+++ b/crates/laburnumstall-config/src/admin.rs
@@ -17,7 +17,7 @@
 use laburnumstall_core::ids::{
     AvailabilityZone, DaemonId, EndpointId, OperatorName, Revision, VmId,
 };
-use laburnumstall_core::units::Timestamp;
+use laburnumstall_core::units::{HourlyPrice, Timestamp};
 use laburnumstall_core::{domain, domain_value, text_id};
 
 use crate::diff::Change;
@@ -172,6 +172,16 @@
         pub copies: u64,
     }
 
+    /// The plan of placement, as the daemon that holds the lease follows it.
+    pub struct PlacementStatus {
+        /// VMs of the plan that are there.
+        pub filled: u64,
+        /// VMs of the plan that are still to be had.
+        pub open: u64,
+        /// List price of all.
+        pub hourly: HourlyPrice,
+    }
+
     /// What a daemon knows of itself and the others.
     pub struct Status {
         /// The daemon that answers.
@@ -188,6 +198,9 @@
         pub requests: RequestCounts,
         /// Whether the key-value service answers.
         pub store: StoreState,
+        /// Placement, if this daemon holds its lease.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub placement: Option<PlacementStatus>,
     }
 
     /// Asks that a VM takes no new work and its work ends or moves.
--- a/crates/laburnumstall-site/tests/placement_path.rs
+++ b/crates/laburnumstall-site/tests/placement_path.rs
@@ -4,11 +4,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use laburnumstall_config::admin::STATUS_PATH;
 use laburnumstall_core::error::ErrorKind;
 use laburnumstall_core::placement::LIST_PERIOD;
 use laburnumstall_core::request::Dialect;
 use laburnumstall_core::units::RequestRate;
-use laburnumstall_site::{CUSTOMER_KEY, Caller, Site, SiteSpec};
+use laburnumstall_site::{CUSTOMER_KEY, Caller, OPERATOR_KEY, Site, SiteSpec};
 use laburnumstall_standins::engine::expected_answer;
 
 /// Longest wait for something to come about; no assertion depends on the time it takes.
@@ -104,6 +105,10 @@
     assert_eq!(site.bought.read().len(), before, "it goes on buying");
     assert_eq!(site.lines.count("choice=release"), 0);
     assert_paid_once(&site);
+    let holder = site.operators()[site.placement_holder().expect("a holder")];
+    let status = Caller::new(OPERATOR_KEY).get(holder, STATUS_PATH).await;
+    let status = status.expect("a status").body;
+    assert!(status.contains("\"placement\":{"), "{status}");
     site.close().await;
 }
 
--- a/crates/laburnumstall/src/commands/status.rs
+++ b/crates/laburnumstall/src/commands/status.rs
@@ -33,6 +33,13 @@
             "requests: {} owned, {} copies\n",
             status.requests.owned, status.requests.copies
         )?;
+        if let Some(placement) = &status.placement {
+            writeln!(
+                f,
+                "placement: holds the lease; {} VMs there, {} to be had, {}\n",
+                placement.filled, placement.open, placement.hourly
+            )?;
+        }
         writeln!(f, "{}\n", member_grid(&status.members))?;
         write!(f, "{}", endpoint_grid(&status.endpoints))
     }
--- a/crates/laburnumstall/tests/admin_calls.rs
+++ b/crates/laburnumstall/tests/admin_calls.rs
@@ -12,7 +12,7 @@
 use laburnumstall_config::admin::*;
 use laburnumstall_config::{canonical, diff, digest, parse};
 use laburnumstall_core::ids::Revision;
-use laburnumstall_core::units::Timestamp;
+use laburnumstall_core::units::{HourlyPrice, Timestamp};
 use serde::Serialize;
 
 const TEXT: &str = "tests/texts/changed.toml";
@@ -292,6 +292,11 @@
             copies: 9,
         },
         store: StoreState::Unreachable,
+        placement: Some(PlacementStatus {
+            filled: 5,
+            open: 1,
+            hourly: HourlyPrice(2_340_000),
+        }),
     };
     let daemon = FakeDaemon::default().answering(STATUS_PATH, 200, &status);
     let address = [daemon.start()];
--- a/crates/laburnumstalld/src/admin/status.rs
+++ b/crates/laburnumstalld/src/admin/status.rs
@@ -2,8 +2,8 @@
 
 use actix_web::{HttpRequest, HttpResponse, web};
 use laburnumstall_config::admin::{
-    AdminError, DrainRequest, EndpointStatus, MemberState, MemberStatus, RequestCounts, Status,
-    StoreState,
+    AdminError, DrainRequest, EndpointStatus, MemberState, MemberStatus, PlacementStatus,
+    RequestCounts, Status, StoreState,
 };
 use laburnumstall_core::entry::{EntryStatus, Event};
 use laburnumstall_core::membership;
@@ -19,13 +19,28 @@
     rx.await.ok()
 }
 
+/// Asks the control thread for the plan of placement, if this daemon holds the lease.
+async fn ask_placement(admin: &Admin) -> Option<PlacementStatus> {
+    let (tx, rx) = oneshot::channel();
+    admin.inbox.push(Input::PlacementStatus(tx));
+    let counts = rx.await.ok()?.filter(|counts| counts.is_holder)?;
+    Some(PlacementStatus {
+        filled: counts.filled as u64,
+        open: counts.open as u64,
+        hourly: counts.hourly,
+    })
+}
+
 /// Answers with the state of this daemon and what it knows of the others.
 pub(super) async fn status(req: HttpRequest, admin: web::Data<Admin>) -> HttpResponse {
     if let Some(response) = key::refusal(&req, &admin) {
         return response;
     }
     match ask(&admin).await {
-        Some(status) => HttpResponse::Ok().json(translate(status)),
+        Some(status) => {
+            let placement = ask_placement(&admin).await;
+            HttpResponse::Ok().json(translate(status, placement))
+        }
         None => key::ending(),
     }
 }
@@ -56,7 +71,7 @@
     HttpResponse::Accepted().json(())
 }
 
-fn translate(status: EntryStatus) -> Status {
+fn translate(status: EntryStatus, placement: Option<PlacementStatus>) -> Status {
     let members = status.members.into_iter().map(|known| MemberStatus {
         id: known.member.id,
         zone: known.member.zone,
@@ -89,6 +104,7 @@
         } else {
             StoreState::Unreachable
         },
+        placement,
     }
 }
 
--- a/crates/laburnumstalld/src/control.rs
+++ b/crates/laburnumstalld/src/control.rs
@@ -189,6 +189,12 @@
                     self.applies.insert(token, tx);
                     self.on_event(event)
                 }
+                Input::PlacementStatus(tx) => {
+                    let counts = self.placement.as_ref().map(PlacementDriver::counts);
+                    // The asker may have gone away.
+                    let _ = tx.send(counts);
+                    None
+                }
                 Input::Placement(event) => {
                     if let Some(placement) = &mut self.placement {
                         placement.on_event(event);
--- a/crates/laburnumstalld/src/inbox.rs
+++ b/crates/laburnumstalld/src/inbox.rs
@@ -5,6 +5,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::metrics::PlacementCounts;
 use crate::placement::PlacementEvent;
 use laburnumstall_core::entry::{EntryStatus, Event};
 use laburnumstall_core::ids::CallerId;
@@ -34,6 +35,8 @@
         /// Where the answer goes.
         tx: oneshot::Sender<laburnumstall_core::entry::ApplyOutcome>,
     },
+    /// A question for the plan of placement.
+    PlacementStatus(oneshot::Sender<Option<PlacementCounts>>),
     /// A call of placement ended.
     Placement(PlacementEvent),
     /// The control thread ends at once.
