Check that leaving endpoints begin nothing, and stop entries with streams under way

Cause: with the mark of a leaving endpoint taken out only a story differed, and the streams of the planned stops had ended before the stop.

Change: a test in which five of six endpoints leave and all new work must go to the sixth; streams of 6 s in the session of planned stops.

--- a/crates/laburnumstall-testkit/tests/golden_sessions.rs
+++ b/crates/laburnumstall-testkit/tests/golden_sessions.rs
@@ -6,6 +6,7 @@
 use laburnumstall_core::entry::{ApplyOutcome, Event};
 use laburnumstall_core::error::{ErrorKind, Execution};
 use laburnumstall_core::ids::Revision;
+use laburnumstall_core::message::Message;
 use laburnumstall_testkit::{
     Condition, MODEL, ORDERS, Outcome, STOCK, World, WorldSpec, checks, key_at, model_request,
     plain_request,
@@ -106,6 +107,39 @@
     insta::assert_snapshot!(story(&world));
 }
 
+/// Tells every entry that an endpoint's VM is taken after `notice`.
+fn tell_leaving(world: &mut World, index: usize, notice: Duration) {
+    let endpoint = world.endpoints[index].id.clone();
+    let deadline = Some(world.now.after(notice));
+    for number in 0..world.nodes.len() {
+        let message = Message::EndpointLeaving {
+            endpoint: endpoint.clone(),
+            deadline,
+        };
+        let from = world.nodes[(number + 1) % 4].id.clone();
+        let message = Box::new(message);
+        world.tell(number, Event::Peer { from, message });
+    }
+}
+
+/// Five of six endpoints leave: all new work goes to the sixth.
+///
+/// Fails without: the setting of `Health::Leaving` in the core's `routing.rs`.
+#[test]
+fn leaving_endpoints_get_no_work() {
+    let mut world = world();
+    for index in 0..5 {
+        tell_leaving(&mut world, index, Duration::from_secs(20));
+    }
+    for number in 0..12 {
+        ask(&mut world, &format!("new work {number}"), 5, number % 4);
+    }
+    run(&mut world, 2);
+    checks::nothing_lost(&world).expect("the sixth takes all");
+    let begun = world.endpoints[..5].iter().map(|e| e.runs.begun);
+    assert_eq!(begun.sum::<u64>(), 0);
+}
+
 /// Fails without: the call of `move_stream` in the core's `platform.rs`.
 #[test]
 fn endpoint_reclaimed_midway() {
@@ -114,22 +148,7 @@
     run(&mut world, 1);
     let index = world.endpoints.iter().position(|e| e.runs.begun > 0);
     let index = index.expect("an endpoint runs the request");
-    let id = world.endpoints[index].id.clone();
-    let deadline = world.now.after(Duration::from_secs(2));
-    for number in 0..4 {
-        let message = laburnumstall_core::message::Message::EndpointLeaving {
-            endpoint: id.clone(),
-            deadline: Some(deadline),
-        };
-        let from = world.nodes[(number + 1) % 4].id.clone();
-        world.tell(
-            number,
-            Event::Peer {
-                from,
-                message: Box::new(message),
-            },
-        );
-    }
+    tell_leaving(&mut world, index, Duration::from_secs(2));
     run(&mut world, 2);
     let is_awaited = world.endpoints[index].is_awaited();
     assert!(!is_awaited, "the stream has moved before the VM is taken");
@@ -167,7 +186,7 @@
 fn all_entries_replaced_in_turn() {
     let mut world = world();
     for number in 0..4 {
-        ask(&mut world, &format!("question {number}"), 90, number);
+        ask(&mut world, &format!("question {number}"), 150, number);
         order(&mut world, number as u64, PATIENCE, number);
         world.run_for(Duration::from_millis(100));
         world.add_entry();
