Record which test fails for which line, as seen

Each line that a golden session or a promise names was taken out once on a scratch copy. Two names were wrong: the read after an unknown write (the swap conflicts anyway) and the epoch of the paused owner (a new owner refuses as well); the doc comments say what holds.

--- a/crates/laburnumstall-testkit/tests/golden_sessions.rs
+++ b/crates/laburnumstall-testkit/tests/golden_sessions.rs
@@ -220,7 +220,7 @@
     insta::assert_snapshot!(story(&world));
 }
 
-/// Fails without: the read after an unknown write in the core's `claims/shard.rs`.
+/// Fails without: `is_own` in `judge` of the core's `claims/shard.rs`.
 #[test]
 fn claim_reply_lost() {
     let mut world = world();
@@ -247,7 +247,8 @@
 
 /// The order runs at its endpoint; nobody may say that it did not.
 ///
-/// Fails without: `truthful` in the core's `finish.rs`.
+/// Fails without: both `truthful` and `qualify` in the core's `finish.rs`; with one of them
+/// out only the story differs.
 #[test]
 fn order_taken_over_while_store_is_down() {
     let mut world = world();
@@ -283,7 +284,8 @@
     insta::assert_snapshot!(story(&world));
 }
 
-/// Fails without: `Epoch(record.epoch.0 + 1)` in the core's `takeover.rs`.
+/// The story fails without: `Epoch(record.epoch.0 + 1)` in the core's `takeover.rs`. The
+/// answer stays whole, since a new owner also refuses what the former one appends.
 #[test]
 fn paused_owner_wakes() {
     let mut world = world();
