Replace the holder in the session of refused replacements

The session uses all of the shared world of the placement tests now, so that clippy has no unused part to warn of; nothing may be paid twice after the holder's process is replaced.

--- a/crates/laburnumstall-core/tests/golden_placement.rs
+++ b/crates/laburnumstall-core/tests/golden_placement.rs
@@ -91,7 +91,7 @@
     let first = session.holder().expect("the fleet has a holder");
     session.world.order_wait = Duration::from_millis(500);
     session.set_version("v2");
-    while !session.world.has_orders_in_hand(first) {
+    while session.world.daemons[first].outbox.is_empty() {
         session.world.step();
     }
     session.note("the holder is paused with its orders in hand");
@@ -134,9 +134,13 @@
         assert!(session.world.serving() >= left, "what is left stays");
     }
     assert_eq!(session.world.cloud.by_token.len(), bought);
-    session.note("the cloud grants again");
+    session.note("the cloud grants again, and the holder's process is replaced");
+    let holder = session.holder().expect("somebody holds the lease");
+    session.world.restart(holder);
     session.world.cloud.refused.clear();
     session.world.run_for(3 * MINUTE);
     assert_eq!(session.world.serving(), before, "the fleet is whole again");
+    let bought_since = session.world.cloud.by_token.len() - bought;
+    assert_eq!(bought_since, before - left, "no VM is paid twice");
     insta::assert_snapshot!(session.end());
 }
--- a/crates/laburnumstall-core/tests/support/world.rs
+++ b/crates/laburnumstall-core/tests/support/world.rs
@@ -71,7 +71,7 @@
     pub(crate) placement: Placement,
     pub(crate) paused_until: Timestamp,
     /// Orders given out and not yet sent.
-    outbox: Vec<(Timestamp, EndpointOrder, u64)>,
+    pub(crate) outbox: Vec<(Timestamp, EndpointOrder, u64)>,
     incarnation: u64,
 }
 
@@ -181,11 +181,6 @@
         self.engines.values().filter(serves).count()
     }
 
-    /// Tells whether a daemon has given out orders that are not sent.
-    pub(crate) fn has_orders_in_hand(&self, index: usize) -> bool {
-        !self.daemons[index].outbox.is_empty()
-    }
-
     /// Replaces a daemon's process; what it had given out and not sent is lost.
     pub(crate) fn restart(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
