--- a/crates/laburnumstall-testkit/src/store.rs
+++ b/crates/laburnumstall-testkit/src/store.rs
@@ -49,8 +49,8 @@
         Ok(self.answer(now, call))
     }
 
-    /// Answers a call.
-    fn answer(&mut self, now: Timestamp, call: &StoreCall) -> StoreReply {
+    /// Answers a call as if the service were up.
+    pub fn answer(&mut self, now: Timestamp, call: &StoreCall) -> StoreReply {
         self.calls += 1;
         self.expire(now);
         match call {
