Keep one type of certificate fingerprint and of lane, and one set of checks

Change: peer uses core's two types; what a link makes of a lane is a trait of its own; a macro gives the three checks to both verifiers.

--- a/crates/laburnumstall-core/src/membership/member.rs
+++ b/crates/laburnumstall-core/src/membership/member.rs
@@ -10,7 +10,8 @@
 use crate::ids::{AvailabilityZone, DaemonId, ParseIdError};
 
 domain_value! {
-    /// SHA-256 digest of a daemon's TLS certificate; peers accept this certificate alone.
+    /// BLAKE3 digest of a daemon's TLS certificate in DER form; peers accept this
+    /// certificate alone.
     pub struct CertificateFingerprint(pub [u8; 32]);
 }
 
@@ -40,6 +41,13 @@
     }
 }
 
+impl CertificateFingerprint {
+    /// Computes the fingerprint of a certificate in DER form.
+    pub fn of(certificate: &[u8]) -> Self {
+        Self(*blake3::hash(certificate).as_bytes())
+    }
+}
+
 impl fmt::Display for CertificateFingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/laburnumstall-core/src/message.rs
+++ b/crates/laburnumstall-core/src/message.rs
@@ -4,6 +4,7 @@
 //! lanes one takes. Acceptance copies, appended events and ownership changes share a lane,
 //! so that a standby sees them in the order in which the owner sent them.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -43,6 +44,15 @@
     }
 }
 
+impl fmt::Display for Lane {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Control => "control",
+            Self::Bulk => "bulk",
+        })
+    }
+}
+
 impl Position {
     /// The beginning of a stream.
     pub const START: Self = Self {
--- a/crates/laburnumstall-peer/examples/link_cost/daemon.rs
+++ b/crates/laburnumstall-peer/examples/link_cost/daemon.rs
@@ -7,7 +7,7 @@
 
 use laburnumstall_core::ids::{DaemonId, Incarnation};
 use laburnumstall_peer::{
-    CertificateDigest, Identity, Lane, PeerEndpoint, PeerEvent, PeerTimeouts, Pins, SendFault,
+    CertificateFingerprint, Identity, Lane, PeerEndpoint, PeerEvent, PeerTimeouts, Pins, SendFault,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -34,7 +34,7 @@
 pub(crate) struct Contact {
     pub(crate) id: DaemonId,
     pub(crate) address: SocketAddr,
-    digest: CertificateDigest,
+    fingerprint: CertificateFingerprint,
 }
 
 /// An endpoint with its events.
@@ -69,12 +69,14 @@
         Contact {
             id: self.id.clone(),
             address: self.endpoint.local_address(),
-            digest: self.endpoint.fingerprint(),
+            fingerprint: self.endpoint.fingerprint(),
         }
     }
 
     pub(crate) fn know(&self, others: &[Contact]) {
-        let pins = others.iter().map(|other| (other.digest, other.id.clone()));
+        let pins = others
+            .iter()
+            .map(|other| (other.fingerprint, other.id.clone()));
         self.pins.set(pins);
     }
 
--- a/crates/laburnumstall-peer/src/endpoint.rs
+++ b/crates/laburnumstall-peer/src/endpoint.rs
@@ -20,7 +20,7 @@
 use crate::tls::TlsContext;
 use crate::traffic::Meter;
 use crate::{
-    CertificateDigest, Identity, Lane, PeerError, PeerEvent, PeerTimeouts, Pins, SendError,
+    CertificateFingerprint, Identity, Lane, PeerError, PeerEvent, PeerTimeouts, Pins, SendError,
     SendFault, Traffic, inbound, link, probe,
 };
 
@@ -179,8 +179,8 @@
         self.shared.local
     }
 
-    /// Returns the digest of the endpoint's certificate.
-    pub fn fingerprint(&self) -> CertificateDigest {
+    /// Returns the fingerprint of the endpoint's certificate.
+    pub fn fingerprint(&self) -> CertificateFingerprint {
         self.shared.tls.identity().fingerprint()
     }
 
--- a/crates/laburnumstall-peer/src/inbound.rs
+++ b/crates/laburnumstall-peer/src/inbound.rs
@@ -12,8 +12,9 @@
 
 use crate::endpoint::Shared;
 use crate::frame::{FrameDecoder, FrameError};
+use crate::lane::LinkLane;
 use crate::session::CLOSE_BAD_FRAME;
-use crate::{CertificateDigest, Lane, PeerEvent, STREAM_VERSION};
+use crate::{CertificateFingerprint, Lane, PeerEvent, STREAM_VERSION};
 
 /// Most connections, incoming and outgoing, that an endpoint serves at a time.
 const MAX_CONNECTIONS: usize = 4096;
@@ -133,8 +134,8 @@
     let identity = conn.peer_identity()?;
     let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
     let certificate = chain.first()?;
-    let digest = CertificateDigest::of(certificate);
-    shared.tls().pins().daemon_of(&digest)
+    let fingerprint = CertificateFingerprint::of(certificate);
+    shared.tls().pins().daemon_of(&fingerprint)
 }
 
 /// Reads one stream; a bad frame ends its connection.
--- a/crates/laburnumstall-peer/src/lane.rs
+++ b/crates/laburnumstall-peer/src/lane.rs
@@ -1,7 +1,6 @@
 //! Lanes of a link and the queue of encoded messages that each has.
 
-use std::fmt;
-
+use laburnumstall_core::message::Lane;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::SendFault;
@@ -13,38 +12,50 @@
 /// Most bytes queued on the bulk lane of one link.
 const BULK_QUEUE_BYTES: usize = 32 << 20;
 
-/// A stream of its own within a link, so that bulk data never delays control messages.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Lane {
-    /// Small messages whose latency matters; sent first.
-    Control,
-    /// Copies of bodies and answers.
-    Bulk,
-}
-
-impl Lane {
+/// What a link makes of a lane: a stream of its own, so that bulk data never delays control
+/// messages.
+pub(crate) trait LinkLane: Sized {
     /// All lanes.
-    pub(crate) const ALL: [Self; 2] = [Self::Control, Self::Bulk];
+    const ALL: [Self; 2];
 
     /// Position in arrays.
-    pub(crate) const fn index(self) -> usize {
-        self as usize
-    }
+    fn index(self) -> usize;
 
     /// Byte that names the lane at the start of its stream.
-    pub(crate) const fn code(self) -> u8 {
-        self as u8
-    }
+    fn code(self) -> u8;
 
     /// Priority of the stream; a higher number is sent first.
-    pub(crate) const fn priority(self) -> i32 {
+    fn priority(self) -> i32;
+
+    /// Most bytes queued on the lane of one link.
+    fn capacity(self) -> usize;
+}
+
+impl LinkLane for Lane {
+    const ALL: [Self; 2] = [Self::Control, Self::Bulk];
+
+    fn index(self) -> usize {
+        match self {
+            Self::Control => 0,
+            Self::Bulk => 1,
+        }
+    }
+
+    fn code(self) -> u8 {
+        match self {
+            Self::Control => 0,
+            Self::Bulk => 1,
+        }
+    }
+
+    fn priority(self) -> i32 {
         match self {
             Self::Control => 1,
             Self::Bulk => 0,
         }
     }
 
-    const fn capacity(self) -> usize {
+    fn capacity(self) -> usize {
         match self {
             Self::Control => CONTROL_QUEUE_BYTES,
             Self::Bulk => BULK_QUEUE_BYTES,
@@ -52,15 +63,6 @@
     }
 }
 
-impl fmt::Display for Lane {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Control => "control",
-            Self::Bulk => "bulk",
-        })
-    }
-}
-
 /// Encoded messages that wait for the link.
 #[derive(Debug, Default)]
 pub(crate) struct LaneQueue {
--- a/crates/laburnumstall-peer/src/lib.rs
+++ b/crates/laburnumstall-peer/src/lib.rs
@@ -4,7 +4,7 @@
 //! link's task connects on demand and writes whatever is queued in one write. The
 //! receiving endpoint decodes the frames of each stream and passes them on as
 //! [`PeerEvent::Message`], in order within a lane and at most once. A daemon is known by
-//! the digest of its self-signed certificate, which [`Pins`] maps to its identifier.
+//! the fingerprint of its self-signed certificate, which [`Pins`] maps to its identifier.
 
 mod endpoint;
 mod error;
@@ -25,8 +25,9 @@
 pub use endpoint::PeerEndpoint;
 pub use error::PeerError;
 pub use event::{LostReason, PeerEvent, SendError, SendFault};
-pub use identity::{CertificateDigest, Identity};
-pub use lane::Lane;
+pub use identity::Identity;
+pub use laburnumstall_core::membership::CertificateFingerprint;
+pub use laburnumstall_core::message::Lane;
 pub use pins::Pins;
 pub use timeouts::PeerTimeouts;
 pub use traffic::Traffic;
--- a/crates/laburnumstall-peer/src/link.rs
+++ b/crates/laburnumstall-peer/src/link.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 
 use crate::endpoint::Shared;
-use crate::lane::{Batch, LaneQueue};
+use crate::lane::{Batch, LaneQueue, LinkLane};
 use crate::session::{self, SessionEnd};
 use crate::{Lane, PeerEvent, SendFault};
 
--- a/crates/laburnumstall-peer/src/session.rs
+++ b/crates/laburnumstall-peer/src/session.rs
@@ -13,6 +13,7 @@
 
 use crate::endpoint::Shared;
 use crate::identity::CERTIFICATE_NAME;
+use crate::lane::LinkLane;
 use crate::link::{LaneStep, Link};
 use crate::{Lane, LostReason, PeerEvent, Pins, STREAM_VERSION, liveness, probe};
 
--- a/crates/laburnumstall-peer/src/tls.rs
+++ b/crates/laburnumstall-peer/src/tls.rs
@@ -1,6 +1,6 @@
-//! Mutual TLS 1.3 in which a certificate is accepted by its pinned digest.
+//! Mutual TLS 1.3 in which a certificate is accepted by its pinned fingerprint.
 //!
-//! The digest stands in for a chain of trust; the signature over the handshake is checked
+//! The fingerprint stands in for a chain of trust; the signature over the handshake is checked
 //! as usual, so that only the holder of the private key can present the certificate.
 //! Sessions are never resumed: each connection checks the pins again.
 
@@ -18,7 +18,7 @@
 use snafu::ResultExt;
 
 use crate::error::{CipherSnafu, TlsSnafu};
-use crate::{CertificateDigest, Identity, PROTOCOL, PeerError, PeerTimeouts, Pins};
+use crate::{CertificateFingerprint, Identity, PROTOCOL, PeerError, PeerTimeouts, Pins};
 
 /// Accepts the certificates of one daemon, or of all known ones.
 #[derive(Debug)]
@@ -30,10 +30,10 @@
 
 impl PinVerifier {
     fn check(&self, certificate: &CertificateDer<'_>) -> Result<(), Error> {
-        let digest = CertificateDigest::of(certificate);
+        let fingerprint = CertificateFingerprint::of(certificate);
         let is_pinned = match &self.expected {
-            Some(daemon) => self.pins.matches(&digest, daemon),
-            None => self.pins.daemon_of(&digest).is_some(),
+            Some(daemon) => self.pins.matches(&fingerprint, daemon),
+            None => self.pins.daemon_of(&fingerprint).is_some(),
         };
         if is_pinned {
             Ok(())
@@ -41,32 +41,36 @@
             Err(CertificateError::ApplicationVerificationFailure.into())
         }
     }
+}
 
-    fn check_tls12(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        let algorithms = &self.provider.signature_verification_algorithms;
-        verify_tls12_signature(message, cert, dss, algorithms)
-    }
+/// The checks of a handshake's signature, which the verifiers of both sides have to give.
+macro_rules! signature_checks {
+    () => {
+        fn verify_tls12_signature(
+            &self,
+            message: &[u8],
+            cert: &CertificateDer<'_>,
+            dss: &DigitallySignedStruct,
+        ) -> Result<HandshakeSignatureValid, Error> {
+            let algorithms = &self.provider.signature_verification_algorithms;
+            verify_tls12_signature(message, cert, dss, algorithms)
+        }
 
-    fn check_tls13(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        let algorithms = &self.provider.signature_verification_algorithms;
-        verify_tls13_signature(message, cert, dss, algorithms)
-    }
+        fn verify_tls13_signature(
+            &self,
+            message: &[u8],
+            cert: &CertificateDer<'_>,
+            dss: &DigitallySignedStruct,
+        ) -> Result<HandshakeSignatureValid, Error> {
+            let algorithms = &self.provider.signature_verification_algorithms;
+            verify_tls13_signature(message, cert, dss, algorithms)
+        }
 
-    fn schemes(&self) -> Vec<SignatureScheme> {
-        self.provider
-            .signature_verification_algorithms
-            .supported_schemes()
-    }
+        fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+            let algorithms = &self.provider.signature_verification_algorithms;
+            algorithms.supported_schemes()
+        }
+    };
 }
 
 impl ServerCertVerifier for PinVerifier {
@@ -82,27 +86,7 @@
         Ok(ServerCertVerified::assertion())
     }
 
-    fn verify_tls12_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        self.check_tls12(message, cert, dss)
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        self.check_tls13(message, cert, dss)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.schemes()
-    }
+    signature_checks!();
 }
 
 impl ClientCertVerifier for PinVerifier {
@@ -120,27 +104,7 @@
         Ok(ClientCertVerified::assertion())
     }
 
-    fn verify_tls12_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        self.check_tls12(message, cert, dss)
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        self.check_tls13(message, cert, dss)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.schemes()
-    }
+    signature_checks!();
 }
 
 /// What is needed to make the TLS settings of connections.
--- a/crates/laburnumstall-peer/tests/links/exchange.rs
+++ b/crates/laburnumstall-peer/tests/links/exchange.rs
@@ -11,9 +11,13 @@
         a.send(&b, number);
         b.send(&a, number);
     }
+    // Both are read at the same time: a daemon whose events are not taken does not send.
+    tokio::join!(numbers(&mut a), numbers(&mut b));
+}
+
+async fn numbers(node: &mut Node) {
     for number in 0..1_000 {
-        assert_eq!(b.message().await, Message::Number(number));
-        assert_eq!(a.message().await, Message::Number(number));
+        assert_eq!(node.message().await, Message::Number(number));
     }
 }
 
--- a/crates/laburnumstall-peer/tests/links/node.rs
+++ b/crates/laburnumstall-peer/tests/links/node.rs
@@ -5,7 +5,7 @@
 
 use laburnumstall_core::ids::{DaemonId, Incarnation};
 use laburnumstall_peer::{
-    CertificateDigest, Identity, LostReason, PeerEndpoint, PeerEvent, PeerTimeouts, Pins,
+    CertificateFingerprint, Identity, LostReason, PeerEndpoint, PeerEvent, PeerTimeouts, Pins,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -94,7 +94,7 @@
         (a, b)
     }
 
-    pub(crate) fn pin(&self) -> (CertificateDigest, DaemonId) {
+    pub(crate) fn pin(&self) -> (CertificateFingerprint, DaemonId) {
         (self.endpoint.fingerprint(), self.daemon.clone())
     }
 
--- a/crates/laburnumstall-peer/tests/links/pinned_certificates.rs
+++ b/crates/laburnumstall-peer/tests/links/pinned_certificates.rs
@@ -4,7 +4,7 @@
 
 use crate::node::{Message, Node};
 
-/// Fails without the digest check of the accepting side, in `tls.rs`.
+/// Fails without the fingerprint check of the accepting side, in `tls.rs`.
 #[tokio::test]
 async fn an_unknown_caller_is_refused() {
     let (mut a, mut b) = Node::pair();
@@ -16,7 +16,7 @@
     assert!(b.rx.try_recv().is_err());
 }
 
-/// Fails without the digest check of the connecting side, in `tls.rs`.
+/// Fails without the fingerprint check of the connecting side, in `tls.rs`.
 #[tokio::test]
 async fn a_listener_with_another_certificate_is_refused() {
     let (mut a, mut b) = Node::pair();
--- a/crates/laburnumstall-peer/tests/links/silent_link.rs
+++ b/crates/laburnumstall-peer/tests/links/silent_link.rs
@@ -56,7 +56,8 @@
     }
     let to = b.daemon.clone();
     assert_eq!(a.event().await, PeerEvent::Connected { to });
-    tokio::time::sleep(timeouts.silence * 2).await;
+    // Several times the silence after which a link counts as lost.
+    tokio::time::sleep(timeouts.silence * 5).await;
     for _ in 0..480 {
         assert_eq!(b.message().await, blob);
     }
--- a/crates/laburnumstalld/src/daemon.rs
+++ b/crates/laburnumstalld/src/daemon.rs
@@ -14,7 +14,7 @@
 use laburnumstall_core::budget::CallRates;
 use laburnumstall_core::entry::{Entry, EntrySettings, Event};
 use laburnumstall_core::ids::{DaemonId, Incarnation, VmId};
-use laburnumstall_core::membership::{CertificateFingerprint, Member};
+use laburnumstall_core::membership::Member;
 use laburnumstall_core::units::{RequestRate, Timestamp};
 use laburnumstall_peer::{Identity, PeerEndpoint, PeerError, PeerTimeouts, Pins};
 use snafu::{ResultExt, Snafu};
@@ -285,7 +285,7 @@
     inbox: &Inbox,
 ) -> Result<(Links, Member), StartError> {
     let identity = Identity::generate(id).context(PeerSnafu)?;
-    let certificate = CertificateFingerprint(identity.fingerprint().0);
+    let certificate = identity.fingerprint();
     let pins = Pins::default();
     let local = settings.peer_listen;
     let (tx, rx) = oneshot::channel();
--- a/crates/laburnumstalld/src/links.rs
+++ b/crates/laburnumstalld/src/links.rs
@@ -9,10 +9,8 @@
 use laburnumstall_core::entry::{Event, LinkEvent};
 use laburnumstall_core::ids::DaemonId;
 use laburnumstall_core::membership::Member;
-use laburnumstall_core::message::{Lane, Message};
-use laburnumstall_peer::{
-    CertificateDigest, LostReason, PeerEndpoint, PeerEvent, Pins, SendFault, Traffic,
-};
+use laburnumstall_core::message::Message;
+use laburnumstall_peer::{LostReason, PeerEndpoint, PeerEvent, Pins, SendFault, Traffic};
 use tokio::sync::mpsc;
 
 use crate::inbox::Inbox;
@@ -47,10 +45,7 @@
         address: SocketAddr,
         message: Message,
     ) -> Result<(), SendFault> {
-        let lane = match message.lane() {
-            Lane::Control => laburnumstall_peer::Lane::Control,
-            Lane::Bulk => laburnumstall_peer::Lane::Bulk,
-        };
+        let lane = message.lane();
         let sent = self.endpoint.send_on(lane, to, address, message);
         sent.map_err(|error| error.fault)
     }
@@ -73,10 +68,7 @@
 
     /// Accepts exactly the given members from now on.
     pub fn pin<'a>(&self, members: impl Iterator<Item = &'a Member>) {
-        let pins = members.map(|member| {
-            let digest = CertificateDigest(member.certificate.0);
-            (digest, member.id.clone())
-        });
+        let pins = members.map(|member| (member.certificate, member.id.clone()));
         self.pins.set(pins);
     }
 
