--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -47,6 +47,8 @@
     pub samples: bool,
     /// Whether the world keeps its lines.
     pub keeps_lines: bool,
+    /// Whether messages are counted, which takes more time than some of them.
+    pub counts_messages: bool,
 }
 
 impl Default for WorldSpec {
@@ -58,6 +60,7 @@
             orders_check_keys: false,
             samples: false,
             keeps_lines: false,
+            counts_messages: false,
         }
     }
 }
@@ -89,6 +92,7 @@
     pub(crate) samples: bool,
     /// What the daemons asked of endpoints and told each other.
     pub counts: Counts,
+    counts_messages: bool,
     pub(crate) schedule: Schedule,
     pub(crate) system: System,
     /// Endpoints that a request crashed.
@@ -119,6 +123,7 @@
             keeps_lines: spec.keeps_lines,
             samples: spec.samples,
             counts: Counts::default(),
+            counts_messages: spec.counts_messages,
             schedule: Schedule::default(),
             system,
             poisoned: 0,
@@ -325,7 +330,9 @@
     }
 
     fn send(&mut self, number: usize, to: &DaemonId, message: Message) {
-        self.counts.message(&message);
+        if self.counts_messages {
+            self.counts.message(&message);
+        }
         let from = self.nodes[number].id.clone();
         let Some(target) = self.nodes.iter().position(|node| node.vm == to.vm) else {
             return;
