Weigh no holder for a popular prefix again

They nearly end recomputing without faults, but make worse what they were to mend, the reclaim waves and the loss of a zone: streams gather where their conversation is, so that more of them move at once and the prompts queue. The trust in caches by lost events stays.

--- a/crates/laburnumstall-core/src/routing/candidates.rs
+++ b/crates/laburnumstall-core/src/routing/candidates.rs
@@ -4,14 +4,12 @@
 //! (rendezvous hashing with bounded load: Mirrokni, Thorup and Zadimoghaddam, 2018); the
 //! cache view adds the endpoint that holds most; chance adds two (power of two choices:
 //! Mitzenmacher, 2001), each in proportion to the free places, which reacts softly to late
-//! reports. A prefix too popular for one endpoint is spread over the first few of its hash,
-//! and besides them only an endpoint that holds more than that prefix is weighed.
+//! reports. A prefix too popular for one endpoint is spread over the first few of its hash.
 
 use std::cmp::Reverse;
 
 use fastrand::Rng;
 
-use super::cache::FULL_TRUST;
 use super::popularity::Popularity;
 use super::score::Candidate;
 use super::slot::Slot;
@@ -54,18 +52,16 @@
             break;
         }
     }
-    let popular = choice.popular_depth(prefix).filter(|_| !picked.is_empty());
+    if choice.is_popular(prefix) && !picked.is_empty() {
+        return picked;
+    }
     let known = picked
         .iter()
         .map(|known| choice.matched(prefix, known.slot));
-    let shared = popular.unwrap_or(0) as u64 * u64::from(FULL_TRUST);
-    let known = known.max().unwrap_or(0).max(shared);
-    if let Some(slot) = choice.most_cached(prefix, known, rng) {
+    let known = known.max().unwrap_or(0);
+    if let Some(slot) = choice.most_cached(prefix, known) {
         add(&mut picked, slot, 0);
     }
-    if popular.is_some() {
-        return picked;
-    }
     for _ in 0..RANDOM_CHOICES {
         if let Some(slot) = choice.by_places(choice.usable, rng) {
             add(&mut picked, slot, 0);
@@ -128,12 +124,11 @@
         1 + (running / self.load(100).max(MIN_SPREAD_LOAD)) as usize
     }
 
-    /// Returns the length of the longest hashed prefix if it needs several endpoints; comparing
-    /// more of them by late reports would send all daemons to the same one. Only what an
-    /// endpoint holds beyond that length belongs to fewer requests.
-    fn popular_depth(&self, prefix: &[BlockHash]) -> Option<usize> {
+    /// Tells whether the longest hashed prefix needs several endpoints; comparing more of
+    /// them by late reports would send all daemons to the same one.
+    fn is_popular(&self, prefix: &[BlockHash]) -> bool {
         let longest = depths(prefix.len()).next();
-        longest.filter(|depth| self.spread(prefix[depth - 1]) > 1)
+        longest.is_some_and(|depth| self.spread(prefix[depth - 1]) > 1)
     }
 
     /// Returns a part of the mean load, rounded up.
@@ -144,16 +139,14 @@
         ((total + 1) * percent).div_ceil(100 * count)
     }
 
-    /// Returns an endpoint that holds most of a prefix, if that is more than `known`.
-    fn most_cached(&self, prefix: &[BlockHash], known: u64, rng: &mut Rng) -> Option<usize> {
-        let matched = |slot: &usize| self.matched(prefix, *slot);
-        let most = self.usable.iter().map(matched).max()?;
-        if most <= known {
-            return None;
-        }
-        let usable = self.usable.iter().copied();
-        let holders: Vec<usize> = usable.filter(|slot| matched(slot) == most).collect();
-        self.by_places(&holders, rng)
+    /// Returns the endpoint that holds most of a prefix, if that is more than `known`.
+    fn most_cached(&self, prefix: &[BlockHash], known: u64) -> Option<usize> {
+        self.usable
+            .iter()
+            .map(|slot| (self.matched(prefix, *slot), *slot))
+            .filter(|(matched, _)| *matched > known)
+            .max()
+            .map(|(_, slot)| slot)
     }
 
     fn matched(&self, prefix: &[BlockHash], slot: usize) -> u64 {
