--- a/crates/laburnumstall-bench/src/spec.rs
+++ b/crates/laburnumstall-bench/src/spec.rs
@@ -16,8 +16,8 @@
 use crate::table::{Row, Table};
 use crate::workload::WorkloadName;
 
-/// Factor on contracts by which limits seldom refuse, so that they do not hide the rest.
-pub const DEFAULT_CONTRACTS: u64 = 8;
+/// Factor on contracts: the users' own.
+pub const DEFAULT_CONTRACTS: u64 = 1;
 
 /// Most runs at once.
 const MOST_THREADS: usize = 4;
--- a/crates/laburnumstall-core/src/entry/relay.rs
+++ b/crates/laburnumstall-core/src/entry/relay.rs
@@ -92,9 +92,8 @@
                     return;
                 }
                 let request = remote.forwarded.clone();
-                let is_offered = request.is_some_and(|request| {
-                    self.offer_next(now, caller, &request, &refusal, from)
-                });
+                let is_offered = request
+                    .is_some_and(|request| self.offer_next(now, caller, &request, &refusal, from));
                 if !is_offered {
                     let to = self.local_ref(caller);
                     self.refuse_caller(now, &to, refusal);
--- a/crates/laburnumstall-core/src/entry/stop.rs
+++ b/crates/laburnumstall-core/src/entry/stop.rs
@@ -102,7 +102,13 @@
         }
         for subscriber in owned.subscribers {
             if subscriber.caller.daemon == self.own {
-                self.forward(now, subscriber.caller.caller, request.clone(), &peer, "leaving");
+                self.forward(
+                    now,
+                    subscriber.caller.caller,
+                    request.clone(),
+                    &peer,
+                    "leaving",
+                );
             }
         }
     }
--- a/crates/laburnumstall/src/cli.rs
+++ b/crates/laburnumstall/src/cli.rs
@@ -294,7 +294,7 @@
         no_short,
         meta = "N",
         help = "factor on the rates of the contracts",
-        default = "8"
+        default = "1"
     )]
     pub contracts: u64,
     /// Whether the search for the fewest replicas is left out.
