Hold the bound on endpoints lost to one request where other faults coincide

Change: reports carry `reached_at`; evidence is passed on at a conviction, with answers, and by the standby before it acknowledges a copy; lost places are forgotten and their crashes counted once; lost copies end; returned endpoints make no wave; a request alone with an earlier crash of another's conviction is convicted. The messages of peers have new fields.

Tests: `quarantine_bound` passes `reached_at` to `on_crash`; none was eased.

Ruled out: passing all known claims on, by which a dead entry's claim came back.

--- a/crates/laburnumstall-core/src/entry/copies.rs
+++ b/crates/laburnumstall-core/src/entry/copies.rs
@@ -49,6 +49,7 @@
         if let Some(name) = KeyName::of(&record) {
             self.keys.insert(name, id.clone());
         }
+        self.warn(now, from, record.request.fingerprint());
         let updated_at = now;
         self.copies
             .insert(id.clone(), HeldCopy { record, updated_at });
--- a/crates/laburnumstall-core/src/entry/dispatch.rs
+++ b/crates/laburnumstall-core/src/entry/dispatch.rs
@@ -147,6 +147,9 @@
             return;
         };
         let is_resumed = resume.is_some();
+        if !is_resumed {
+            owned.reached_at = None;
+        }
         owned.is_dispatched = true;
         let record = &mut owned.record;
         let first = place.first_event.0 as usize;
--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -13,7 +13,7 @@
 use crate::entry::event::{AttemptFailure, PROBE_TIMEOUT, ProbeOutcome};
 use crate::entry::owned::{Owned, Phase, Running};
 use crate::error::{ErrorKind, Refusal};
-use crate::ids::{EndpointId, Fingerprint, RequestId};
+use crate::ids::{EndpointId, RequestId};
 use crate::message::Place;
 use crate::units::Timestamp;
 
@@ -48,16 +48,16 @@
         self.describe_failure(now, id, &place, &failure, &recovery);
         match recovery {
             Recovery::Probe => {}
-            Recovery::Anew => self.router.finished(now, &attempt),
+            Recovery::Anew => {
+                self.router.finished(now, &attempt);
+                self.on_lost_stream(now, id, &place);
+            }
             _ => self.attempt_ended(now, id, &place),
         }
         if failure == AttemptFailure::NotSent {
             self.router
                 .mark_failed(now, &place.endpoint, &mut self.journal);
         }
-        if failure == AttemptFailure::UnknownStream {
-            self.on_lost_stream(now, id, &place);
-        }
         match recovery {
             Recovery::Elsewhere => self.try_elsewhere(now, id, &place.endpoint),
             Recovery::Anew => self.dispatch(now, id),
@@ -212,12 +212,11 @@
     ) {
         let lost = self.lost_on(endpoint);
         if is_process_exit && !self.router.is_leaving(endpoint) {
-            let fingerprints = self.fingerprints(&lost);
-            self.report_crash(now, endpoint, &fingerprints);
+            self.report_crash(now, endpoint, &lost);
         }
         self.router.mark_failed(now, endpoint, &mut self.journal);
         for id in lost {
-            self.finish_attempt(now, &id);
+            self.end_lost(now, &id, endpoint, is_process_exit);
             self.go_on_elsewhere(now, &id);
         }
     }
@@ -237,13 +236,6 @@
             .collect()
     }
 
-    fn fingerprints(&self, ids: &[RequestId]) -> Vec<Fingerprint> {
-        let owned = ids.iter().filter_map(|id| self.owned.get(id));
-        owned
-            .map(|owned| owned.record.request.fingerprint())
-            .collect()
-    }
-
     fn go_on_elsewhere(&mut self, now: Timestamp, id: &RequestId) {
         let Some(owned) = self.owned.get(id) else {
             return;
@@ -261,14 +253,26 @@
 
     /// An endpoint that does not know a stream that it gave has been restarted.
     fn on_lost_stream(&mut self, now: Timestamp, id: &RequestId, place: &Place) {
-        let fingerprints = self.fingerprints(std::slice::from_ref(id));
         let had_begun = self
             .owned
             .get(id)
             .is_some_and(|owned| had_begun(owned, place));
-        if had_begun && !self.router.is_leaving(&place.endpoint) {
-            self.report_crash(now, &place.endpoint, &fingerprints);
+        let is_crash = had_begun && !self.router.is_leaving(&place.endpoint);
+        if is_crash && !self.knows_crash(id, &place.endpoint) {
+            self.report_crash(now, &place.endpoint, std::slice::from_ref(id));
+            self.quarantine
+                .on_returned(now, &place.endpoint, &mut self.journal);
         }
+        self.end_lost(now, id, &place.endpoint, true);
+    }
+
+    /// Tells whether the crash that lost a request's stream is known.
+    fn knows_crash(&self, id: &RequestId, endpoint: &EndpointId) -> bool {
+        self.owned.get(id).is_some_and(|owned| {
+            let fingerprint = owned.record.request.fingerprint();
+            self.quarantine
+                .knows_crash(fingerprint, endpoint, owned.reached_at)
+        })
     }
 
     /// The endpoint of a broken attempt lives: the connection alone was lost.
@@ -282,11 +286,25 @@
         }
     }
 
-    fn finish_attempt(&mut self, now: Timestamp, id: &RequestId) {
-        if let Some(owned) = self.owned.get(id) {
-            let attempt = owned.attempt_id();
-            self.router.finished(now, &attempt);
+    /// Ends an attempt whose endpoint is gone. The stream of a process that ended is lost,
+    /// and is not asked for again.
+    fn end_lost(
+        &mut self,
+        now: Timestamp,
+        id: &RequestId,
+        endpoint: &EndpointId,
+        is_process_exit: bool,
+    ) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        if is_process_exit {
+            owned.record.place = None;
         }
+        let attempt = owned.attempt_id();
+        let fingerprint = owned.record.request.fingerprint();
+        self.router.finished(now, &attempt);
+        self.quarantine.on_lost(fingerprint, endpoint);
     }
 }
 
--- a/crates/laburnumstall-core/src/entry/owned.rs
+++ b/crates/laburnumstall-core/src/entry/owned.rs
@@ -112,6 +112,8 @@
     pub(super) has_claim: bool,
     /// Whether a caller was given the whole answer.
     pub(super) was_delivered: bool,
+    /// When the last connection was begun that the attempt's endpoint accepted.
+    pub(super) reached_at: Option<Timestamp>,
     /// When the standby was last asked to take over.
     pub(super) handed_over_at: Option<Timestamp>,
 }
--- a/crates/laburnumstall-core/src/entry/platform.rs
+++ b/crates/laburnumstall-core/src/entry/platform.rs
@@ -145,7 +145,12 @@
         if self.fleet.set_loaded(&report.endpoint, &report.services) {
             self.refresh_endpoints(now);
         }
+        let was_failed = self.router.is_failed(&report.endpoint);
         self.router.on_load(now, report);
+        if was_failed && !self.router.is_failed(&report.endpoint) {
+            self.quarantine
+                .on_returned(now, &report.endpoint, &mut self.journal);
+        }
     }
 
     /// Moves the streams of endpoints whose VMs are about to be taken.
--- a/crates/laburnumstall-core/src/entry/progress.rs
+++ b/crates/laburnumstall-core/src/entry/progress.rs
@@ -70,6 +70,7 @@
         if let Phase::Running(running) = &mut owned.phase {
             running.is_sent = true;
             running.progress_at = now;
+            owned.reached_at = Some(running.started_at);
         }
     }
 
@@ -131,6 +132,7 @@
     running.progress_at = now;
     running.is_sent = true;
     running.is_probing = false;
+    owned.reached_at = Some(running.started_at);
     owned.may_have_run = true;
     if let Some(end) = events.iter().position(AnswerEvent::is_last) {
         events.truncate(end + 1);
--- a/crates/laburnumstall-core/src/entry/suspects.rs
+++ b/crates/laburnumstall-core/src/entry/suspects.rs
@@ -74,16 +74,29 @@
         }
     }
 
+    /// Tells the owner of a request what speaks against it, before it runs there.
+    pub(super) fn warn(&mut self, now: Timestamp, owner: &DaemonId, fingerprint: Fingerprint) {
+        if let Some(warning) = self.quarantine.warning(now, fingerprint) {
+            self.send(owner, Message::Suspect(warning));
+        }
+    }
+
     /// Suspects what ran on a crashed endpoint, and tells the peers before any retry.
     pub(super) fn report_crash(
         &mut self,
         now: Timestamp,
         endpoint: &EndpointId,
-        suspects: &[Fingerprint],
+        lost: &[RequestId],
     ) {
-        let suspicion = self
-            .quarantine
-            .on_crash(now, endpoint, suspects, &mut self.journal);
+        let owned = lost.iter().filter_map(|id| self.owned.get(id));
+        let suspects: Vec<Fingerprint> = owned
+            .clone()
+            .map(|owned| owned.record.request.fingerprint())
+            .collect();
+        let reached_at = owned.filter_map(|owned| owned.reached_at).max();
+        let suspicion =
+            self.quarantine
+                .on_crash(now, endpoint, reached_at, &suspects, &mut self.journal);
         if let Some(suspicion) = suspicion {
             self.send_to_all(&Message::Suspect(suspicion));
         }
--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -83,6 +83,7 @@
             is_new_key: false,
             has_claim: false,
             was_delivered: false,
+            reached_at: None,
             handed_over_at: None,
         }
     }
--- a/crates/laburnumstall-core/src/quarantine.rs
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -11,6 +11,7 @@
 //! no evidence against requests that were not in flight on all of them.
 
 mod crash;
+mod evidence;
 mod retention;
 mod suspicion;
 mod trial;
@@ -19,15 +20,18 @@
 use std::time::Duration;
 
 use crate::prelude::*;
-use crash::{Dated, Reports, Standing};
+use crash::{Dated, Ends, ReportKey, Reports, Standing};
 use retention::{MAX_REPORTS, REPORT_TTL};
-pub use suspicion::{Clearance, Conviction, CrashReport, Reclaim, Suspicion, TrialClaim};
+pub use suspicion::{Clearance, Conviction, CrashReport, Reclaim, Return, Suspicion, TrialClaim};
 use trial::{Trials, Turn};
 
 /// Time between two reports of one crash by different daemons.
 const SAME_CRASH: Duration = Duration::from_secs(5);
 /// Time within which a crash that one daemon notices twice is one crash.
 const SAME_NOTICE: Duration = Duration::from_secs(1);
+/// Least time from the notice of a crash until the process is there again; the daemons'
+/// clocks differ by less.
+const MIN_RESTART: Duration = Duration::from_millis(250);
 /// Time after a crash in which the other daemons tell what they had in flight there.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Time within which crashes of different endpoints are taken for one reclaim.
@@ -36,6 +40,9 @@
 const WAVE_OTHERS: usize = 2;
 /// Time between a crash and the notice that the endpoint was reclaimed.
 const RECLAIM_WINDOW: Duration = Duration::from_secs(120);
+/// Time after a crash in which an endpoint that answers again shows that its VM was not
+/// taken.
+const RETURN_WINDOW: Duration = Duration::from_secs(10);
 /// Most requests of one report.
 const MAX_IN_FLIGHT: usize = 1024;
 
@@ -66,7 +73,7 @@
 pub struct Quarantine {
     own: DaemonId,
     reports: Reports,
-    reclaims: BTreeMap<EndpointId, Timestamp>,
+    ends: Ends,
     cleared: Dated,
     /// Convictions whose reports have expired.
     convicted: Dated,
@@ -81,7 +88,7 @@
         Self {
             own: own.clone(),
             reports: Reports::new(),
-            reclaims: BTreeMap::new(),
+            ends: Ends::default(),
             cleared: Dated::new(),
             convicted: Dated::new(),
             trials: Trials::default(),
@@ -147,7 +154,8 @@
 
     /// Takes in that a request was sent to an endpoint, whatever its verdict.
     ///
-    /// Its end is told by [`on_crash`](Self::on_crash) or [`on_ended`](Self::on_ended).
+    /// Its end is told by [`on_crash`](Self::on_crash), [`on_lost`](Self::on_lost) or
+    /// [`on_ended`](Self::on_ended).
     pub fn on_dispatched(&mut self, fingerprint: Fingerprint, endpoint: &EndpointId) {
         self.trials.start(fingerprint, endpoint);
     }
@@ -160,6 +168,11 @@
         }
     }
 
+    /// Takes in that a request's copy is gone with its endpoint; this daemon's claim stays.
+    pub fn on_lost(&mut self, fingerprint: Fingerprint, endpoint: &EndpointId) {
+        self.trials.stop(fingerprint, endpoint);
+    }
+
     /// Returns the endpoints that run a suspect, as far as this daemon knows.
     ///
     /// A suspect is not retried there: a crash would not tell which of the two caused it.
@@ -168,54 +181,40 @@
         self.trials.occupied(now, is_suspect).into_iter().collect()
     }
 
-    /// Returns what a peer is to know before it retries a suspect: suspects that run here
-    /// already, and this daemon's claims on the suspects of the peer's message.
-    ///
-    /// The answer belongs to the acknowledgement of the message, after it was merged.
-    pub fn reply(&self, told: &Suspicion) -> Suspicion {
-        let reported = told.reports.iter().flat_map(|report| &report.in_flight);
-        let claimed = told.trials.iter().map(|claim| &claim.fingerprint);
-        let suspects: BTreeSet<Fingerprint> = reported.chain(claimed).copied().collect();
-        let is_wanted = |claim: &TrialClaim| {
-            claim.by == self.own
-                && (claim.endpoint.is_some() || suspects.contains(&claim.fingerprint))
-        };
-        Suspicion {
-            trials: self.trials.claims().filter(is_wanted).collect(),
-            ..Suspicion::default()
-        }
-    }
-
     /// Takes in the crash of an endpoint's process with the requests of this daemon that
     /// were in flight there.
     ///
     /// Returns the message that peers get before any of the requests is retried, or `None`
     /// if the crash is known. A reclaim is not a crash. A crash with nothing in flight is
-    /// told as well: it shows that a request is not the cause.
+    /// told as well: it shows that a request is not the cause. `reached_at` is when this
+    /// daemon began the last connection that the process accepted: it tells the crash from
+    /// an earlier one of the same endpoint.
     pub fn on_crash(
         &mut self,
         now: Timestamp,
         endpoint: &EndpointId,
+        reached_at: Option<Timestamp>,
         in_flight: &[Fingerprint],
         journal: &mut Journal,
     ) -> Option<Suspicion> {
         let report = CrashReport {
             endpoint: endpoint.clone(),
-            at: self.notice_time(now, endpoint),
+            at: self.notice_time(now, endpoint, reached_at),
             from: self.own.clone(),
+            reached_at,
             in_flight: in_flight.iter().copied().take(MAX_IN_FLIGHT).collect(),
         };
         let mut suspicion = Suspicion {
             reports: vec![report],
             ..Suspicion::default()
         };
+        for f in in_flight {
+            self.trials.stop(*f, endpoint);
+        }
         if !self.merge(now, &suspicion, journal) {
             return None;
         }
         let unique: BTreeSet<Fingerprint> = in_flight.iter().copied().collect();
-        for f in in_flight {
-            self.trials.stop(*f, endpoint);
-        }
         suspicion.trials = unique
             .into_iter()
             .filter_map(|f| self.trials.claim_after_crash(now, f, &self.own))
@@ -238,6 +237,30 @@
         }
     }
 
+    /// Takes in that an endpoint that had failed answers again: its crash was no reclaim,
+    /// and makes no wave of others.
+    pub fn on_returned(&mut self, now: Timestamp, endpoint: &EndpointId, journal: &mut Journal) {
+        let of_endpoint = self.reports.keys().filter(|(of, _, _)| of == endpoint);
+        let Some(crashed_at) = of_endpoint.map(|(_, at, _)| *at).max() else {
+            return;
+        };
+        let is_late = now.since(crashed_at) >= RETURN_WINDOW;
+        if is_late || self.ends.has_returned(endpoint, crashed_at) {
+            return;
+        }
+        let back = Return {
+            endpoint: endpoint.clone(),
+            at: now,
+        };
+        let suspicion = Suspicion {
+            returns: vec![back.clone()],
+            ..Suspicion::default()
+        };
+        if self.merge(now, &suspicion, journal) {
+            self.news.returns.push(back);
+        }
+    }
+
     /// Takes in what a peer tells; returns whether anything was new.
     pub fn merge(&mut self, now: Timestamp, suspicion: &Suspicion, journal: &mut Journal) -> bool {
         let mut is_new = false;
@@ -245,7 +268,15 @@
             is_new |= self.add_report(now, report, journal);
         }
         for reclaim in &suspicion.reclaims {
-            is_new |= keep_latest(&mut self.reclaims, reclaim.endpoint.clone(), reclaim.at);
+            is_new |= keep_latest(
+                &mut self.ends.reclaims,
+                reclaim.endpoint.clone(),
+                reclaim.at,
+            );
+        }
+        for back in &suspicion.returns {
+            let key = (back.endpoint.clone(), back.at);
+            is_new |= self.ends.returns.insert(key);
         }
         for clearance in &suspicion.cleared {
             is_new |= keep_latest(&mut self.cleared, clearance.fingerprint, clearance.at);
@@ -295,9 +326,15 @@
     }
 
     /// Returns this daemon's earlier notice of the same crash, or `now`.
-    fn notice_time(&self, now: Timestamp, endpoint: &EndpointId) -> Timestamp {
-        let is_same = |(of, at, from): &&(EndpointId, Timestamp, DaemonId)| {
-            of == endpoint && *from == self.own && now.since(*at) < SAME_NOTICE
+    fn notice_time(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        reached_at: Option<Timestamp>,
+    ) -> Timestamp {
+        let is_same = |(of, at, from): &&ReportKey| {
+            let was_alive = reached_at.is_some_and(|reached| reached > *at);
+            of == endpoint && *from == self.own && now.since(*at) < SAME_NOTICE && !was_alive
         };
         self.reports
             .keys()
@@ -314,9 +351,11 @@
         let key = (report.endpoint.clone(), report.at, report.from.clone());
         let is_new = !self.reports.contains_key(&key);
         let known = self.reports.entry(key).or_default();
-        let before = known.len();
-        known.extend(report.in_flight.iter().take(MAX_IN_FLIGHT));
-        let has_grown = known.len() > before;
+        let before = known.clone();
+        known.reached_at = known.reached_at.max(report.reached_at);
+        let in_flight = report.in_flight.iter().take(MAX_IN_FLIGHT);
+        known.in_flight.extend(in_flight);
+        let has_grown = *known != before;
         if is_new {
             journal.record(crash_decision(now, report));
         }
@@ -351,13 +390,21 @@
     }
 
     fn refresh(&mut self, now: Timestamp, journal: &mut Journal) {
-        let mut crashes = crash::group(&self.reports, &self.cleared, &self.reclaims);
+        let mut crashes = crash::group(&self.reports, &self.cleared, &self.ends);
         let standings = crash::standings(&mut crashes, &self.standing_convictions());
         let before = std::mem::replace(&mut self.standings, standings);
-        for (f, standing) in &self.standings {
-            if is_convicted(standing) && !before.get(f).is_some_and(is_convicted) {
-                journal.record(decision(now, "quarantine", "only-suspect-at-crash", *f));
-            }
+        let is_new = |(f, standing): &(&Fingerprint, &Standing)| {
+            is_convicted(standing) && !before.get(*f).is_some_and(is_convicted)
+        };
+        let convicted: Vec<Fingerprint> = self
+            .standings
+            .iter()
+            .filter(is_new)
+            .map(|(f, _)| *f)
+            .collect();
+        for f in convicted {
+            journal.record(decision(now, "quarantine", "only-suspect-at-crash", f));
+            self.pass_on_evidence(f);
         }
         for (f, _) in before.iter().filter(|(_, standing)| is_convicted(standing)) {
             if !self.standings.get(f).is_some_and(is_convicted) {
--- a/crates/laburnumstall-core/src/quarantine/crash.rs
+++ b/crates/laburnumstall-core/src/quarantine/crash.rs
@@ -5,12 +5,31 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{RECLAIM_WINDOW, SAME_CRASH, WAVE_OTHERS, WAVE_WINDOW};
+use super::{MIN_RESTART, RECLAIM_WINDOW, RETURN_WINDOW, SAME_CRASH, WAVE_OTHERS, WAVE_WINDOW};
 use crate::ids::{DaemonId, EndpointId, Fingerprint};
 use crate::units::Timestamp;
 
-/// Reports by endpoint, time and daemon, with the requests in flight.
-pub(super) type Reports = BTreeMap<(EndpointId, Timestamp, DaemonId), BTreeSet<Fingerprint>>;
+/// Endpoint, time and daemon of a report.
+pub(super) type ReportKey = (EndpointId, Timestamp, DaemonId);
+/// Reports by endpoint, time and daemon.
+pub(super) type Reports = BTreeMap<ReportKey, Noticed>;
+
+/// What one daemon noticed at a crash.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Noticed {
+    /// When it began the last connection that the process accepted.
+    pub(super) reached_at: Option<Timestamp>,
+    pub(super) in_flight: BTreeSet<Fingerprint>,
+}
+/// What became of the endpoints that crashed.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Ends {
+    /// Endpoints whose VMs were taken.
+    pub(super) reclaims: BTreeMap<EndpointId, Timestamp>,
+    /// Endpoints that answered again soon after.
+    pub(super) returns: BTreeSet<(EndpointId, Timestamp)>,
+}
+
 /// Requests with the time of a verdict.
 pub(super) type Dated = BTreeMap<Fingerprint, Timestamp>;
 
@@ -28,7 +47,8 @@
     endpoint: EndpointId,
     /// Earliest notice.
     at: Timestamp,
-    from: BTreeSet<DaemonId>,
+    /// Daemons that noticed, and when.
+    notices: BTreeSet<(DaemonId, Timestamp)>,
     in_flight: BTreeSet<Fingerprint>,
     /// Requests against which the crash counts.
     counted: BTreeSet<Fingerprint>,
@@ -38,45 +58,46 @@
 
 /// Groups reports of one endpoint that are close in time and from different daemons;
 /// returns the crashes in the order of time.
-pub(super) fn group(
-    reports: &Reports,
-    cleared: &Dated,
-    reclaims: &BTreeMap<EndpointId, Timestamp>,
-) -> Vec<Crash> {
+///
+/// A daemon that reached the process after a crash was noticed tells of a later crash.
+pub(super) fn group(reports: &Reports, cleared: &Dated, ends: &Ends) -> Vec<Crash> {
     let mut crashes: Vec<Crash> = Vec::new();
-    for ((endpoint, at, from), in_flight) in reports {
+    for (key, noticed) in reports {
+        let (endpoint, at, from) = key;
         let is_current = |f: &&Fingerprint| cleared.get(*f).is_none_or(|until| until < at);
-        let current = in_flight.iter().filter(is_current).copied();
-        match crashes.last_mut() {
-            Some(crash) if crash.includes(endpoint, *at, from) => {
-                crash.from.insert(from.clone());
-                crash.in_flight.extend(in_flight);
+        let current = noticed.in_flight.iter().filter(is_current).copied();
+        let is_same = |crash: &&mut Crash| crash.includes(key, noticed);
+        let of_endpoint = |crash: &&mut Crash| crash.endpoint == *endpoint;
+        let known = crashes.iter_mut().rev().take_while(of_endpoint);
+        match known.filter(is_same).last() {
+            Some(crash) => {
+                crash.notices.insert((from.clone(), *at));
+                crash.in_flight.extend(&noticed.in_flight);
                 crash.counted.extend(current);
             }
-            _ => crashes.push(Crash {
+            None => crashes.push(Crash {
                 endpoint: endpoint.clone(),
                 at: *at,
-                from: BTreeSet::from([from.clone()]),
-                in_flight: in_flight.clone(),
+                notices: BTreeSet::from([(from.clone(), *at)]),
+                in_flight: noticed.in_flight.clone(),
                 counted: current.collect(),
                 explained_at: None,
             }),
         }
     }
     crashes.sort_by(|a, b| (a.at, &a.endpoint).cmp(&(b.at, &b.endpoint)));
-    drop_reclaims(&mut crashes, reclaims);
+    drop_reclaims(&mut crashes, ends);
     crashes
 }
 
 /// Takes out of each crash the requests against which it does not count, because the
 /// endpoint or several others at that time were reclaimed.
-fn drop_reclaims(crashes: &mut [Crash], reclaims: &BTreeMap<EndpointId, Timestamp>) {
+fn drop_reclaims(crashes: &mut [Crash], ends: &Ends) {
     for index in 0..crashes.len() {
         let crash = &crashes[index];
-        let is_reclaim = reclaims
-            .get(&crash.endpoint)
-            .is_some_and(|at| apart(*at, crash.at) < RECLAIM_WINDOW);
-        let near = near(crashes, index);
+        let is_reclaim = ends.is_reclaim(crash);
+        let mut near = near(crashes, index);
+        near.retain(|other| !ends.has_returned(&other.endpoint, other.at));
         let mut counted = crash.counted.clone();
         counted.retain(|f| {
             let (with, without): (Vec<&Crash>, Vec<&Crash>) =
@@ -109,7 +130,7 @@
 /// Derives the standing of every request that was in flight at a crash that counts.
 ///
 /// A crash convicts a request if it is the only one there with an earlier crash that no
-/// other request has been convicted of.
+/// other request has been convicted of, see `only_repeated`.
 pub(super) fn standings(
     crashes: &mut [Crash],
     convicted_before: &Dated,
@@ -136,21 +157,37 @@
     collect(crashes, &convicted)
 }
 
-/// Returns the request of a crash that alone has an earlier unexplained crash.
+/// Returns the request of a crash that alone has an earlier unexplained crash, or, if there
+/// is none, alone has an earlier crash at which another was convicted: the other may have
+/// been there by chance.
 fn only_repeated(
     crashes: &[Crash],
     index: usize,
     history: &BTreeMap<Fingerprint, Vec<usize>>,
 ) -> Option<Fingerprint> {
+    let counted = &crashes[index].counted;
     let is_unexplained = |earlier: &usize| crashes[*earlier].explained_at.is_none();
+    let mut repeated = with_earlier(counted, history, is_unexplained);
+    if repeated.is_empty() {
+        repeated = with_earlier(counted, history, |_| true);
+    }
+    match repeated[..] {
+        [only] => Some(only),
+        _ => None,
+    }
+}
+
+/// Returns the requests that were in flight at an earlier crash for which `is_wanted` holds.
+fn with_earlier(
+    counted: &BTreeSet<Fingerprint>,
+    history: &BTreeMap<Fingerprint, Vec<usize>>,
+    is_wanted: impl Fn(&usize) -> bool,
+) -> Vec<Fingerprint> {
     let is_repeated = |f: &&Fingerprint| {
-        history
-            .get(*f)
-            .is_some_and(|earlier| earlier.iter().any(is_unexplained))
+        let earlier = history.get(*f).map_or(&[][..], Vec::as_slice);
+        earlier.iter().any(&is_wanted)
     };
-    let mut repeated = crashes[index].counted.iter().filter(is_repeated);
-    let only = repeated.next()?;
-    repeated.next().is_none().then_some(*only)
+    counted.iter().filter(is_repeated).copied().collect()
 }
 
 fn collect(crashes: &[Crash], convicted: &Dated) -> BTreeMap<Fingerprint, Standing> {
@@ -180,34 +217,42 @@
 }
 
 /// Returns the reports whose crash says nothing against any request.
-pub(super) fn without_evidence(crashes: &[Crash], before: Timestamp) -> Vec<EndpointCrash> {
+pub(super) fn without_evidence(crashes: &[Crash], before: Timestamp) -> BTreeSet<ReportKey> {
     crashes
         .iter()
         .filter(|crash| crash.is_idle(before))
-        .map(|crash| EndpointCrash {
-            endpoint: crash.endpoint.clone(),
-            at: crash.at,
-        })
+        .flat_map(Crash::reports)
         .collect()
 }
 
-/// Names a crash: an endpoint and the earliest notice.
-pub(super) struct EndpointCrash {
-    pub(super) endpoint: EndpointId,
-    pub(super) at: Timestamp,
-}
+impl Ends {
+    fn is_reclaim(&self, crash: &Crash) -> bool {
+        let taken = self.reclaims.get(&crash.endpoint);
+        taken.is_some_and(|at| apart(*at, crash.at) < RECLAIM_WINDOW)
+    }
 
-impl EndpointCrash {
-    /// Tells whether a report belongs to the crash.
-    pub(super) fn includes(&self, endpoint: &EndpointId, at: Timestamp) -> bool {
-        self.endpoint == *endpoint && apart(self.at, at) < SAME_CRASH
+    /// Tells whether an endpoint answered again soon after a crash at the time given.
+    pub(super) fn has_returned(&self, endpoint: &EndpointId, crashed_at: Timestamp) -> bool {
+        let from = (endpoint.clone(), crashed_at);
+        let until = (endpoint.clone(), crashed_at.after(RETURN_WINDOW));
+        self.returns.range(from..until).next().is_some()
     }
 }
 
 impl Crash {
-    fn includes(&self, endpoint: &EndpointId, at: Timestamp, from: &DaemonId) -> bool {
-        let is_same = self.endpoint == *endpoint && at.since(self.at) < SAME_CRASH;
-        is_same && !self.from.contains(from)
+    fn includes(&self, (endpoint, at, from): &ReportKey, noticed: &Noticed) -> bool {
+        let is_close = self.endpoint == *endpoint && at.since(self.at) < SAME_CRASH;
+        let was_alive = noticed
+            .reached_at
+            .is_some_and(|reached| reached >= self.at.after(MIN_RESTART));
+        let is_known = self.notices.iter().any(|(known, _)| known == from);
+        is_close && !was_alive && !is_known
+    }
+
+    fn reports(&self) -> impl Iterator<Item = ReportKey> {
+        self.notices
+            .iter()
+            .map(|(from, at)| (self.endpoint.clone(), *at, from.clone()))
     }
 
     fn is_idle(&self, before: Timestamp) -> bool {
--- a/crates/laburnumstall-core/src/quarantine/retention.rs
+++ b/crates/laburnumstall-core/src/quarantine/retention.rs
@@ -1,12 +1,14 @@
 //! What a quarantine keeps, for how long, and what it gives to a new peer.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::crash::{self, Standing};
-use super::{Clearance, Conviction, CrashReport, Quarantine, RECLAIM_WINDOW, Reclaim, Suspicion};
+use super::crash::{self, Noticed, ReportKey, Standing};
+use super::{
+    Clearance, Conviction, CrashReport, Quarantine, RECLAIM_WINDOW, Reclaim, Return, Suspicion,
+};
 use crate::decision::Journal;
-use crate::ids::{DaemonId, EndpointId};
+use crate::ids::EndpointId;
 use crate::units::Timestamp;
 
 /// Time that a crash counts against requests that have not been cleared.
@@ -25,7 +27,8 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.trials.expire(now);
         self.drop_reports(now);
-        expire(&mut self.reclaims, now, RECLAIM_WINDOW * 2);
+        expire(&mut self.ends.reclaims, now, RECLAIM_WINDOW * 2);
+        self.expire_returns(now);
         expire(&mut self.cleared, now, CONVICTION_TTL);
         expire(&mut self.convicted, now, CONVICTION_TTL);
         self.refresh(now, &mut Journal::default());
@@ -33,30 +36,35 @@
 
     /// Returns everything known, for a peer that has just started.
     pub fn snapshot(&self) -> Suspicion {
-        let report =
-            |((endpoint, at, from), in_flight): (&(EndpointId, _, DaemonId), &BTreeSet<_>)| {
-                CrashReport {
-                    endpoint: endpoint.clone(),
-                    at: *at,
-                    from: from.clone(),
-                    in_flight: in_flight.iter().copied().collect(),
-                }
-            };
         let clearance = |(&fingerprint, &at): (&_, &_)| Clearance { fingerprint, at };
         let conviction = |(&fingerprint, &at): (&_, &_)| Conviction { fingerprint, at };
         let reclaim = |(endpoint, &at): (&EndpointId, &_)| Reclaim {
             endpoint: endpoint.clone(),
             at,
         };
+        let returned = |(endpoint, at): &(EndpointId, Timestamp)| Return {
+            endpoint: endpoint.clone(),
+            at: *at,
+        };
         Suspicion {
-            reports: self.reports.iter().map(report).collect(),
-            reclaims: self.reclaims.iter().map(reclaim).collect(),
+            returns: self.ends.returns.iter().map(returned).collect(),
+            reports: self.reports.iter().map(told).collect(),
+            reclaims: self.ends.reclaims.iter().map(reclaim).collect(),
             cleared: self.cleared.iter().map(clearance).collect(),
             convicted: self.convicted.iter().map(conviction).collect(),
             trials: self.trials.claims().collect(),
         }
     }
 
+    fn expire_returns(&mut self, now: Timestamp) {
+        let returns = &mut self.ends.returns;
+        returns.retain(|(_, at)| now.since(*at) < REPORT_TTL);
+        while returns.len() > MAX_REPORTS {
+            let oldest = returns.iter().min_by_key(|(_, at)| *at).cloned();
+            oldest.map(|key| returns.remove(&key));
+        }
+    }
+
     /// Drops expired reports, after the convictions that rest on them are recorded.
     pub(super) fn drop_reports(&mut self, now: Timestamp) {
         for (f, standing) in &self.standings {
@@ -66,13 +74,12 @@
                 self.convicted.entry(*f).or_insert(*from);
             }
         }
-        let mut crashes = crash::group(&self.reports, &self.cleared, &self.reclaims);
+        let mut crashes = crash::group(&self.reports, &self.cleared, &self.ends);
         crash::standings(&mut crashes, &self.standing_convictions());
         let idle_before = Timestamp(now.0.saturating_sub(IDLE_REPORT_TTL.as_micros() as u64));
         let idle = crash::without_evidence(&crashes, idle_before);
-        self.reports.retain(|(endpoint, at, _), _| {
-            now.since(*at) < REPORT_TTL && !idle.iter().any(|crash| crash.includes(endpoint, *at))
-        });
+        self.reports
+            .retain(|key, _| now.since(key.1) < REPORT_TTL && !idle.contains(key));
         while self.reports.len() > MAX_REPORTS {
             let oldest = self.reports.keys().min_by_key(|(_, at, _)| *at).cloned();
             oldest.map(|key| self.reports.remove(&key));
@@ -80,6 +87,18 @@
     }
 }
 
+/// Returns a report as peers are told of it.
+pub(super) fn told((key, noticed): (&ReportKey, &Noticed)) -> CrashReport {
+    let (endpoint, at, from) = key;
+    CrashReport {
+        endpoint: endpoint.clone(),
+        at: *at,
+        from: from.clone(),
+        reached_at: noticed.reached_at,
+        in_flight: noticed.in_flight.iter().copied().collect(),
+    }
+}
+
 fn expire<K: Ord + Clone>(records: &mut BTreeMap<K, Timestamp>, now: Timestamp, ttl: Duration) {
     records.retain(|_, at| now.since(*at) < ttl);
     while records.len() > MAX_RECORDS {
--- a/crates/laburnumstall-core/src/quarantine/suspicion.rs
+++ b/crates/laburnumstall-core/src/quarantine/suspicion.rs
@@ -13,6 +13,8 @@
         pub at: Timestamp,
         /// Daemon that noticed.
         pub from: DaemonId,
+        /// When the daemon began the last connection that the process accepted.
+        pub reached_at: Option<Timestamp>,
         /// Requests of that daemon that were in flight on the endpoint.
         pub in_flight: Vec<Fingerprint>,
     }
@@ -25,6 +27,14 @@
         pub at: Timestamp,
     }
 
+    /// An endpoint answers again soon after its crash: its VM was not taken.
+    pub struct Return {
+        /// Endpoint that answers.
+        pub endpoint: EndpointId,
+        /// When a daemon noticed.
+        pub at: Timestamp,
+    }
+
     /// A suspect that finished whole, or was released by an operator.
     pub struct Clearance {
         /// The request.
@@ -62,6 +72,8 @@
         pub reports: Vec<CrashReport>,
         /// Endpoints whose end was a reclaim.
         pub reclaims: Vec<Reclaim>,
+        /// Endpoints that answer again.
+        pub returns: Vec<Return>,
         /// Suspects cleared.
         pub cleared: Vec<Clearance>,
         /// Requests convicted.
--- a/crates/laburnumstall-core/tests/quarantine_bound.rs
+++ b/crates/laburnumstall-core/tests/quarantine_bound.rs
@@ -114,8 +114,13 @@
                 .map(|r| r.request)
                 .collect();
             let quarantine = &mut self.entries[entry];
-            let message =
-                quarantine.on_crash(self.now, &id(endpoint), &in_flight, &mut Journal::default());
+            let message = quarantine.on_crash(
+                self.now,
+                &id(endpoint),
+                None,
+                &in_flight,
+                &mut Journal::default(),
+            );
             told.extend(message.map(|message| (entry, message)));
             self.now = self.now.after(Duration::from_millis(self.rng.u64(0..20)));
             self.waiting
@@ -253,10 +258,14 @@
             let mut source = Quarantine::new(&daemon(rng.usize(..3)));
             let now = Timestamp::from_millis(rng.u64(..20_000));
             let of = id(rng.u64(..4));
+            let before = Duration::from_millis(rng.u64(..5_000));
+            let reached_at = rng
+                .bool()
+                .then(|| Timestamp::ZERO.after(now.since(Timestamp::ZERO).saturating_sub(before)));
             let in_flight: Vec<Fingerprint> = (0..rng.u64(..4))
                 .map(|_| Fingerprint(rng.u64(..6)))
                 .collect();
-            told.extend(source.on_crash(now, &of, &in_flight, &mut journal));
+            told.extend(source.on_crash(now, &of, reached_at, &in_flight, &mut journal));
             source.on_survived(
                 now.after(Duration::from_millis(5)),
                 Fingerprint(rng.u64(..6)),
--- a/crates/laburnumstall-core/tests/quarantine_cases.rs
+++ b/crates/laburnumstall-core/tests/quarantine_cases.rs
@@ -37,7 +37,7 @@
     of: u64,
     in_flight: &[Fingerprint],
 ) -> Option<Suspicion> {
-    quarantine.on_crash(now, &endpoint(of), in_flight, &mut Journal::default())
+    quarantine.on_crash(now, &endpoint(of), None, in_flight, &mut Journal::default())
 }
 
 fn verdicts(quarantine: &Quarantine, now: Timestamp, of: &[Fingerprint], wanted: Verdict) {
