Let accepted requests without an endpoint wait in the fair queue

Cause: each looked for an endpoint by itself every 50 ms, in the order of names and the phase of its timer, so that a large customer's backlog went before a small customer's requests; `limits::FairQueue` was not used. A request whose deadline could not be met was held until then.

Change: `entry/queue.rs` queues requests that have not run, by weight, priority and deadline, and gives places to them when an answer ends, a load report comes, and every 50 ms. One that cannot meet its deadline is answered `no-endpoint` at once. `FairQueue` has `peek` and `services`.

What does not hold: the queue is fair on one entry; admission does not count those that wait.

--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -31,6 +31,7 @@
 mod peers;
 mod platform;
 mod progress;
+mod queue;
 mod registry;
 mod relay;
 mod replicate;
--- a/crates/laburnumstall-core/src/entry/dispatch.rs
+++ b/crates/laburnumstall-core/src/entry/dispatch.rs
@@ -70,8 +70,15 @@
         self.start(now, id, place, Some(resume), RETRY_PERIOD, resumes);
     }
 
-    /// Begins a new attempt, or waits if no endpoint can take it.
+    /// Begins a new attempt, or waits if no endpoint can take it or others wait already.
     pub(super) fn dispatch(&mut self, now: Timestamp, id: &RequestId) {
+        if !self.join_queue(now, id) {
+            self.try_dispatch(now, id);
+        }
+    }
+
+    /// Begins a new attempt, or waits if no endpoint can take it.
+    pub(super) fn try_dispatch(&mut self, now: Timestamp, id: &RequestId) {
         if self.stopping.is_some() && self.hand_over_unclaimed(now, id) {
             return;
         }
@@ -109,6 +116,7 @@
         };
         match self.router.choose(now, &query, &mut self.journal) {
             Ok(route) => self.begin(now, id, number, &route),
+            Err(refusal) if !isolated && self.enqueue(now, id, refusal.kind) => {}
             Err(refusal) => self.wait_for_endpoint(now, id, refusal.kind),
         }
     }
--- a/crates/laburnumstall-core/src/entry/finish.rs
+++ b/crates/laburnumstall-core/src/entry/finish.rs
@@ -40,6 +40,7 @@
             return;
         };
         owned.phase = Phase::Done { at: now };
+        self.queue_at = now;
         let fingerprint = owned.record.request.fingerprint();
         let reservation = owned.reservation.take();
         let has_unused_claim = owned.has_claim && !owned.is_dispatched;
@@ -148,7 +149,7 @@
         }
         let kind = match owned.phase {
             Phase::Claiming => ErrorKind::ClaimUnavailable,
-            Phase::Waiting { .. } if !owned.may_have_run => ErrorKind::NoEndpoint,
+            Phase::Waiting { .. } | Phase::Queued if !owned.may_have_run => ErrorKind::NoEndpoint,
             _ => ErrorKind::DeadlineExceeded,
         };
         let is_accepted = owned.is_accepted();
--- a/crates/laburnumstall-core/src/entry/owned.rs
+++ b/crates/laburnumstall-core/src/entry/owned.rs
@@ -35,6 +35,8 @@
     },
     /// The claim is not settled.
     Claiming,
+    /// It waits in the fair queue for a place on an endpoint.
+    Queued,
     /// An endpoint is looked for.
     Waiting {
         /// When the next try is made.
--- a/crates/laburnumstall-core/src/entry/platform.rs
+++ b/crates/laburnumstall-core/src/entry/platform.rs
@@ -147,6 +147,7 @@
         }
         let was_failed = self.router.is_failed(&report.endpoint);
         self.router.on_load(now, report);
+        self.queue_at = now;
         if was_failed && !self.router.is_failed(&report.endpoint) {
             self.quarantine
                 .on_returned(now, &report.endpoint, &mut self.journal);
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -23,7 +23,7 @@
 use crate::ids::{
     CallId, CallerId, CustomerId, DaemonId, EndpointId, IdempotencyKey, RequestId, ServiceName,
 };
-use crate::limits::{Limits, RetryBudget};
+use crate::limits::{FairQueue, Limits, RetryBudget};
 use crate::membership::{Member, Membership};
 use crate::message::{Message, RequestRecord};
 use crate::quarantine::Quarantine;
@@ -110,6 +110,10 @@
     pub(super) heartbeat_at: Timestamp,
     pub(super) share_at: Timestamp,
     pub(super) copies_at: Timestamp,
+    /// Requests that wait for a place on an endpoint.
+    pub(super) queue: FairQueue<RequestId>,
+    /// When the queue is looked at next.
+    pub(super) queue_at: Timestamp,
     pub(super) actions: Vec<Action>,
     pub(super) journal: Journal,
 }
@@ -150,6 +154,8 @@
             heartbeat_at: Timestamp::ZERO,
             share_at: Timestamp::ZERO,
             copies_at: Timestamp::ZERO,
+            queue: FairQueue::new(),
+            queue_at: Timestamp::ZERO,
             actions: Vec::new(),
             journal: Journal::default(),
             own,
@@ -165,6 +171,7 @@
         if may_change_members {
             self.follow_members(now);
         }
+        self.dispatch_queued(now);
         self.spread_suspicions();
         Output {
             actions: std::mem::take(&mut self.actions),
--- a/crates/laburnumstall-core/src/entry/timers.rs
+++ b/crates/laburnumstall-core/src/entry/timers.rs
@@ -80,6 +80,7 @@
             Phase::Accepting { until, .. } if *until <= now => self.accept_timeout(now, id),
             Phase::Withdrawing { .. } => self.finish_withdrawal(now, id),
             Phase::Recopying { until } if *until <= now => self.go_on(now, id),
+            Phase::Queued => self.check_queued(now, id),
             Phase::Waiting { retry_at } if *retry_at <= now => self.go_on(now, id),
             Phase::Probing { until, .. } if *until <= now => self.go_on(now, id),
             Phase::Running(_) => self.check_progress(now, id),
--- a/crates/laburnumstall-core/src/limits/fair_queue.rs
+++ b/crates/laburnumstall-core/src/limits/fair_queue.rs
@@ -116,14 +116,26 @@
         flow.waiting.insert(order, Waiting { cost, item });
     }
 
+    /// Returns the services that have had items.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.lanes.keys()
+    }
+
+    /// Returns the item that [`pop`](Self::pop) would take.
+    pub fn peek(&self, now: Timestamp, service: &ServiceName) -> Option<&T> {
+        let lane = self.lanes.get(service)?;
+        let (customer, _) = lane.next(now)?;
+        let flow = lane.flows.get(customer)?;
+        flow.waiting
+            .get(&flow.next(now)?)
+            .map(|waiting| &waiting.item)
+    }
+
     /// Takes the next item of a service whose deadline has not passed.
     pub fn pop(&mut self, now: Timestamp, service: &ServiceName) -> Option<T> {
         let lane = self.lanes.get_mut(service)?;
-        let (customer, finish) = lane
-            .flows
-            .iter()
-            .filter_map(|(customer, flow)| Some((customer.clone(), flow.finish(now)?)))
-            .min_by_key(|(_, finish)| *finish)?;
+        let (customer, finish) = lane.next(now)?;
+        let customer = customer.clone();
         let flow = lane.flows.get_mut(&customer)?;
         let order = flow.next(now)?;
         let waiting = flow.waiting.remove(&order)?;
@@ -170,6 +182,16 @@
     }
 }
 
+impl<T> Lane<T> {
+    /// Returns the customer whose next item goes first, with its virtual finish time.
+    fn next(&self, now: Timestamp) -> Option<(&CustomerId, u128)> {
+        self.flows
+            .iter()
+            .filter_map(|(customer, flow)| Some((customer, flow.finish(now)?)))
+            .min_by_key(|(_, finish)| *finish)
+    }
+}
+
 impl<T> Flow<T> {
     fn next(&self, now: Timestamp) -> Option<ItemOrder> {
         self.waiting
--- a/crates/laburnumstall-core/tests/limit_queue.rs
+++ b/crates/laburnumstall-core/tests/limit_queue.rs
@@ -152,3 +152,19 @@
         .tests(CASES)
         .quickcheck(holds as fn(u64) -> bool);
 }
+
+/// Fails if `peek` looks at the flows in another order than `pop`.
+#[test]
+fn peek_tells_what_pop_takes() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut queue = FairQueue::new();
+    for _ in 0..CASES {
+        if rng.bool() {
+            push(&mut queue, rng.usize(..5), rng.u32(1..9), rng.u64(1..1_000));
+        }
+        let next = queue.peek(Timestamp::ZERO, &service()).copied();
+        if rng.bool() {
+            assert_eq!(queue.pop(Timestamp::ZERO, &service()), next);
+        }
+    }
+}
