--- a/crates/laburnumstall-core/src/entry/owned.rs
+++ b/crates/laburnumstall-core/src/entry/owned.rs
@@ -35,6 +35,8 @@
     },
     /// The claim is not settled.
     Claiming,
+    /// It waits in the fair queue for a place on an endpoint.
+    Queued,
     /// An endpoint is looked for.
     Waiting {
         /// When the next try is made.
@@ -112,6 +114,8 @@
     pub(super) has_claim: bool,
     /// Whether a caller was given the whole answer.
     pub(super) was_delivered: bool,
+    /// When the last connection was begun that the attempt's endpoint accepted.
+    pub(super) reached_at: Option<Timestamp>,
     /// When the standby was last asked to take over.
     pub(super) handed_over_at: Option<Timestamp>,
 }
--- a/crates/laburnumstall-core/src/entry/watching.rs
+++ b/crates/laburnumstall-core/src/entry/watching.rs
@@ -156,7 +156,18 @@
             return;
         };
         let report = heard.load.to_report(known, heard.taken_at.max(at));
-        self.router.on_load(now, &report);
+        self.take_load(now, &report);
+    }
+
+    /// Gives a load to the router, and what waits for an endpoint another try.
+    fn take_load(&mut self, now: Timestamp, report: &LoadReport) {
+        let was_failed = self.router.is_failed(&report.endpoint);
+        self.router.on_load(now, report);
+        self.queue_at = now;
+        if was_failed && !self.router.is_failed(&report.endpoint) {
+            self.quarantine
+                .on_returned(now, &report.endpoint, &mut self.journal);
+        }
     }
 
     fn tell_loads(&mut self, now: Timestamp) {
@@ -203,7 +214,7 @@
             self.refresh_endpoints(now);
             self.watching.look_soon();
         }
-        self.router.on_load(now, &report);
+        self.take_load(now, &report);
         self.watching.reports.insert(endpoint, report);
     }
 
@@ -227,7 +238,7 @@
                 self.watching.look_soon();
             }
             if !self.router.is_failed(&endpoint) {
-                self.router.on_load(now, &report);
+                self.take_load(now, &report);
             }
             self.watching.view.on_report(now, &report);
             self.watching.reports.insert(endpoint, report);
