Raise the version of the streams between daemons

Cause: crash reports, pulls of configurations and load digests changed the messages; daemons of two builds would misread each other. Change: version 2, so that they refuse each other's streams.

--- a/crates/laburnumstall-peer/src/lib.rs
+++ b/crates/laburnumstall-peer/src/lib.rs
@@ -36,4 +36,4 @@
 pub const PROTOCOL: &[u8] = b"laburnumstall/1";
 
 /// Version byte that opens each stream and that the receiver sends back.
-pub const STREAM_VERSION: u8 = 1;
+pub const STREAM_VERSION: u8 = 2;
