--- a/crates/laburnumstall-core/src/entry/attach.rs
+++ b/crates/laburnumstall-core/src/entry/attach.rs
@@ -201,20 +201,6 @@
         self.send(owner, message);
     }
 
-    /// Lets a caller go on at the daemon that took its request over and knows of the caller.
-    pub(super) fn follow_owner(
-        &mut self,
-        now: Timestamp,
-        caller: CallerId,
-        id: &RequestId,
-        owner: &DaemonId,
-        customer: CustomerId,
-        position: Position,
-    ) {
-        let position = Some(position);
-        self.attach_at(now, caller, id.clone(), owner, customer, position);
-    }
-
     pub(super) fn on_caller_gone(&mut self, caller: CallerId) {
         self.questions
             .retain(|_, question| !question.is_for(&self.own, caller));
--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -191,8 +191,8 @@
                 continue;
             }
             let caller = subscriber.caller.caller;
-            let position = subscriber.position;
-            self.follow_owner(now, caller, id, owner, customer.clone(), position);
+            let position = Some(subscriber.position);
+            self.attach_at(now, caller, id.clone(), owner, customer.clone(), position);
         }
     }
 
