Know which record a write was made for

Cause: the reply to a record's write was taken for the first apply that was not accepted. If the time of the one that wrote it had ended, the next one counted as stored, and the head was swapped to a record that the store does not hold. Found by reading.

Change: the source remembers the name of the record whose write is under way, in place of a flag for it and one on each apply; whether a swap is under way follows from it.

--- a/crates/laburnumstall-core/src/entry/configuration.rs
+++ b/crates/laburnumstall-core/src/entry/configuration.rs
@@ -51,7 +51,8 @@
     fetch: Option<Fetch>,
     heard: BTreeMap<DaemonId, Revision>,
     pending: Vec<Pending>,
-    is_writing: bool,
+    /// Record whose write, or whose swap of the head, is under way.
+    writing: Option<ConfigurationId>,
 }
 
 impl ConfigurationSource {
--- a/crates/laburnumstall-core/src/entry/configuration/applying.rs
+++ b/crates/laburnumstall-core/src/entry/configuration/applying.rs
@@ -73,8 +73,6 @@
     token: u64,
     record: Arc<ConfigurationRecord>,
     stage: Stage,
-    /// A swap of the head is under way.
-    is_swapping: bool,
     /// The reply to a swap of the head was lost.
     is_doubtful: bool,
     until: Timestamp,
@@ -84,16 +82,6 @@
     fn revision(&self) -> Revision {
         self.record.configuration.revision
     }
-
-    fn may_be_accepted(&self) -> bool {
-        self.is_swapping || self.is_doubtful
-    }
-
-    /// Tells whether the head does not name the record and never will.
-    fn is_outdated(&self, current: Revision) -> bool {
-        let is_open = self.stage == Stage::Accepted || self.may_be_accepted();
-        !is_open && self.revision().0 != current.0 + 1
-    }
 }
 
 impl Entry {
@@ -126,7 +114,6 @@
             token: apply.token,
             record: Arc::new(record),
             stage: Stage::New,
-            is_swapping: false,
             is_doubtful: false,
             until: now.after(WRITE_TIME),
         });
@@ -135,10 +122,11 @@
 
     /// Goes on with the oldest apply that is not accepted, one write at a time.
     pub(super) fn write_pending(&mut self, now: Timestamp) {
-        if self.source.is_writing {
+        if self.source.writing.is_some() {
             return;
         }
-        let Some(pending) = self.next_unwritten() else {
+        let mut pending = self.source.pending.iter();
+        let Some(pending) = pending.find(|pending| pending.stage != Stage::Accepted) else {
             return;
         };
         let (stage, record) = (pending.stage, pending.record.clone());
@@ -160,9 +148,25 @@
         }
     }
 
-    fn next_unwritten(&mut self) -> Option<&mut Pending> {
+    /// Ends the write under way, and returns the apply that it was made for unless it is
+    /// answered.
+    fn end_write(&mut self) -> Option<&mut Pending> {
+        let written = self.source.writing.take()?;
         let mut pending = self.source.pending.iter_mut();
-        pending.find(|pending| pending.stage != Stage::Accepted)
+        pending.find(|pending| pending.record.id() == written)
+    }
+
+    /// Tells whether the head does not name the record and never will.
+    fn is_outdated(&self, pending: &Pending, current: Revision) -> bool {
+        let is_open = pending.stage == Stage::Accepted || self.may_be_accepted(pending);
+        !is_open && pending.revision().0 != current.0 + 1
+    }
+
+    /// Tells whether the head may come to name the record, or does so already.
+    fn may_be_accepted(&self, pending: &Pending) -> bool {
+        let is_offered = pending.stage == Stage::Offered;
+        let is_swapping = is_offered && self.source.writing == Some(pending.record.id());
+        pending.is_doubtful || is_swapping
     }
 
     fn write_record(&mut self, now: Timestamp, record: &ConfigurationRecord) {
@@ -174,7 +178,7 @@
             value: Some(value.expect("a configuration has no unencodable part")),
             lease: None,
         };
-        self.source.is_writing = true;
+        self.source.writing = Some(record.id());
         self.call_store(now, CallPurpose::ConfigurationOffer, call);
     }
 
@@ -202,11 +206,10 @@
         now: Timestamp,
         outcome: &StoreOutcome,
     ) {
-        self.source.is_writing = false;
+        let pending = self.end_write();
         // A conflict says that the record is there already: no other has its name.
         if outcome.is_ok() {
-            let next = self.next_unwritten();
-            if let Some(pending) = next.filter(|pending| pending.stage == Stage::New) {
+            if let Some(pending) = pending.filter(|pending| pending.stage == Stage::New) {
                 pending.stage = Stage::Offered;
             }
             self.refuse_outdated();
@@ -223,10 +226,7 @@
             value: Some(value.expect("a record's name has no unencodable part")),
             lease: None,
         };
-        if let Some(pending) = self.next_unwritten() {
-            pending.is_swapping = true;
-        }
-        self.source.is_writing = true;
+        self.source.writing = Some(id.clone());
         self.call_store(now, CallPurpose::ConfigurationWrite, call);
     }
 
@@ -235,8 +235,10 @@
         now: Timestamp,
         outcome: StoreOutcome,
     ) {
-        self.source.is_writing = false;
-        let swapped = self.end_swap(&outcome);
+        let swapped = self.end_write().map(|pending| {
+            pending.is_doubtful |= outcome == Err(StoreFailure::Unknown);
+            pending.record.clone()
+        });
         match outcome {
             Ok(StoreReply::Swapped { version }) => self.on_head_swapped(now, version, swapped),
             Ok(StoreReply::Conflict { current }) => match current {
@@ -249,15 +251,6 @@
         self.settle_pending(now);
     }
 
-    /// Returns the record whose swap was under way, if its apply is not answered yet.
-    fn end_swap(&mut self, outcome: &StoreOutcome) -> Option<Arc<ConfigurationRecord>> {
-        let mut pending = self.source.pending.iter_mut();
-        let pending = pending.find(|pending| pending.is_swapping)?;
-        pending.is_swapping = false;
-        pending.is_doubtful |= *outcome == Err(StoreFailure::Unknown);
-        Some(pending.record.clone())
-    }
-
     fn on_head_swapped(
         &mut self,
         now: Timestamp,
@@ -296,7 +289,7 @@
         let current = self.accepted_revision();
         let pending = std::mem::take(&mut self.source.pending);
         for item in pending {
-            match item.is_outdated(current) {
+            match self.is_outdated(&item, current) {
                 true => self.answer_apply(item.token, ApplyOutcome::Conflict { current }),
                 false => self.source.pending.push(item),
             }
@@ -320,7 +313,7 @@
         if pending.stage != Stage::Accepted {
             let outcome = ApplyOutcome::Unavailable {
                 known: self.adoption.revision(),
-                may_be_accepted: pending.may_be_accepted(),
+                may_be_accepted: self.may_be_accepted(pending),
             };
             return is_over.then_some(outcome);
         }
--- a/crates/laburnumstall-testkit/tests/configuration_sections.rs
+++ b/crates/laburnumstall-testkit/tests/configuration_sections.rs
@@ -241,6 +241,31 @@
     assert_eq!(in_force(&world).configuration.system, first);
 }
 
+/// The time of one apply ends while its record is being written; the reply is not taken for
+/// the next apply's record, which a head would then name without its being stored.
+///
+/// Fails without the search for the write's own apply in `Entry::end_write`.
+#[test]
+fn reply_after_timeout() {
+    let mut world = world();
+    let base = first_system(&world);
+    apply(&mut world, 0, 1, 1, &with_rate(base.clone(), 81));
+    world.pause_entry(0, Duration::from_secs(5));
+    world.run_for(Duration::from_millis(4_500));
+    let second = with_rate(base, 82);
+    apply(&mut world, 0, 2, 1, &second);
+    world.tell(0, Event::Tick);
+    world.run_for(IN_FORCE_TIME);
+    let refused = ApplyOutcome::Unavailable {
+        known: Revision(1),
+        may_be_accepted: false,
+    };
+    assert_eq!(*outcome(&world, 1), refused);
+    assert!(is_accepted_everywhere(outcome(&world, 2), 2));
+    assert_eq!(in_force(&world).configuration.system, second);
+    assert_eq!(history(&mut world), [in_force(&world)]);
+}
+
 fn push_of_stored_head(world: &mut World, system: &System) -> Event {
     let head = stored_head(world);
     let record = ConfigurationRecord {
