Call one piece where the same was written twice

Found by reading the change: a conflict between operators listed the whole history twice and read the head twice to compare two revisions; the region of a zone was looked up by hand in three more places; a request's ownership was written out field by field in two; loads that were read and loads that were told took note of an endpoint's services by the same lines.

Change: one reading of the history, System::region_of, Owned::new, Entry::take_services. Behaviour and golden files are the same.

--- a/crates/laburnumstall-core/src/entry/accept.rs
+++ b/crates/laburnumstall-core/src/entry/accept.rs
@@ -273,23 +273,13 @@
             position: Position::START,
             is_told: false,
         };
+        let phase = Phase::Accepting {
+            until: now.after(COPY_TIMEOUT),
+            tried: Vec::new(),
+        };
         Owned {
-            record,
-            phase: Phase::Accepting {
-                until: now.after(COPY_TIMEOUT),
-                tried: Vec::new(),
-            },
-            standby: None,
-            subscribers: vec![subscriber],
             reservation: Some(reservation),
-            excluded: Vec::new(),
-            may_have_run: false,
-            is_dispatched: false,
-            is_new_key: false,
-            has_claim: false,
-            was_delivered: false,
-            reached_at: None,
-            handed_over_at: None,
+            ..Owned::new(record, phase, vec![subscriber])
         }
     }
 
--- a/crates/laburnumstall-core/src/entry/owned.rs
+++ b/crates/laburnumstall-core/src/entry/owned.rs
@@ -121,6 +121,25 @@
 }
 
 impl Owned {
+    /// Begins the ownership of a request that this incarnation has not dispatched.
+    pub(super) fn new(record: RequestRecord, phase: Phase, subscribers: Vec<Subscriber>) -> Self {
+        Self {
+            record,
+            phase,
+            standby: None,
+            subscribers,
+            reservation: None,
+            excluded: Vec::new(),
+            may_have_run: false,
+            is_dispatched: false,
+            is_new_key: false,
+            has_claim: false,
+            was_delivered: false,
+            reached_at: None,
+            handed_over_at: None,
+        }
+    }
+
     /// Returns the number of events that callers may see.
     ///
     /// An event is given to a caller only after the standby holds it, so that no take-over
--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -72,19 +72,8 @@
             Phase::Recopying { until }
         };
         Owned {
-            record,
-            phase,
-            standby: None,
-            subscribers: subscribers.collect(),
-            reservation: None,
-            excluded: Vec::new(),
             may_have_run: true,
-            is_dispatched: false,
-            is_new_key: false,
-            has_claim: false,
-            was_delivered: false,
-            reached_at: None,
-            handed_over_at: None,
+            ..Owned::new(record, phase, subscribers.collect())
         }
     }
 
--- a/crates/laburnumstall-core/src/entry/watching.rs
+++ b/crates/laburnumstall-core/src/entry/watching.rs
@@ -210,12 +210,17 @@
             self.watching.sender.on_report(&report);
             self.tell_services(&report);
         }
-        if self.fleet.set_loaded(&endpoint, &report.services) {
+        self.take_services(now, &report);
+        self.take_load(now, &report);
+        self.watching.reports.insert(endpoint, report);
+    }
+
+    /// Takes note of what an endpoint has loaded.
+    fn take_services(&mut self, now: Timestamp, report: &LoadReport) {
+        if self.fleet.set_loaded(&report.endpoint, &report.services) {
             self.refresh_endpoints(now);
             self.watching.look_soon();
         }
-        self.take_load(now, &report);
-        self.watching.reports.insert(endpoint, report);
     }
 
     /// Tells every daemon what an endpoint has loaded now: also those that do not use it.
@@ -233,10 +238,7 @@
             let report = LoadReport { taken_at, ..report };
             let endpoint = report.endpoint.clone();
             self.watching.schedule.on_news(now, &endpoint);
-            if self.fleet.set_loaded(&endpoint, &report.services) {
-                self.refresh_endpoints(now);
-                self.watching.look_soon();
-            }
+            self.take_services(now, &report);
             if !self.router.is_failed(&endpoint) {
                 self.take_load(now, &report);
             }
--- a/crates/laburnumstall-core/src/placement/scope.rs
+++ b/crates/laburnumstall-core/src/placement/scope.rs
@@ -47,9 +47,8 @@
     /// Tells whether placement bought the VM for this region, and it serves no service
     /// that placement does not provide for.
     pub(super) fn is_own(&self, owned: &OwnedVm) -> bool {
-        let zone = self.system.zone(&owned.vm.zone);
         owned.vm.role == VmRole::Endpoint
-            && zone.is_some_and(|zone| zone.region == *self.region)
+            && self.system.region_of(&owned.vm.zone) == Some(self.region)
             && is_token_of(owned, self.region)
             && !self.serves_others(&owned.vm.id)
     }
--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -334,8 +334,11 @@
 
     /// Tells whether a zone is of this daemon's region; a zone that is not configured counts.
     fn is_near(&self, zone: &AvailabilityZone) -> bool {
-        match (self.system.zone(&self.zone), self.system.zone(zone)) {
-            (Some(own), Some(other)) => own.region == other.region,
+        match (
+            self.system.region_of(&self.zone),
+            self.system.region_of(zone),
+        ) {
+            (Some(own), Some(other)) => own == other,
             _ => true,
         }
     }
--- a/crates/laburnumstalld/src/admin/configuration.rs
+++ b/crates/laburnumstalld/src/admin/configuration.rs
@@ -94,9 +94,8 @@
 
 /// Returns what others changed; empty if a revision cannot be read.
 async fn changes_between(admin: &Admin, base: Revision, current: Revision) -> Vec<Change> {
-    let old = read_revision(admin, base).await;
-    let new = read_revision(admin, current).await;
-    match (old, new) {
+    let records = read_history(admin).await.unwrap_or_default();
+    match (find(&records, base), find(&records, current)) {
         (Some(old), Some(new)) => diff(&old.configuration.system, &new.configuration.system),
         (None, Some(new)) if base.0 == 0 => diff(&System::default(), &new.configuration.system),
         _ => Vec::new(),
@@ -166,8 +165,11 @@
 }
 
 async fn read_revision(admin: &Admin, revision: Revision) -> Option<ConfigurationRecord> {
-    let records = read_history(admin).await?;
-    let mut records = records.into_iter();
+    find(&read_history(admin).await?, revision).cloned()
+}
+
+fn find(records: &[ConfigurationRecord], revision: Revision) -> Option<&ConfigurationRecord> {
+    let mut records = records.iter();
     records.find(|record| record.configuration.revision == revision)
 }
 
--- a/crates/laburnumstalld/src/placement.rs
+++ b/crates/laburnumstalld/src/placement.rs
@@ -206,10 +206,7 @@
         }
         self.candidate_at = now.after(CANDIDATE_PERIOD);
         let system = entry.system();
-        let is_of_region = |member: &&Member| {
-            let zone = system.zone(&member.zone);
-            zone.is_some_and(|zone| zone.region == self.region)
-        };
+        let is_of_region = |member: &&Member| system.region_of(&member.zone) == Some(&self.region);
         let mut members = entry.directory();
         members.retain(is_of_region);
         let candidate = is_candidate(&self.own, &self.region, &members);
