--- a/crates/laburnumstall-bench/src/schedule.rs
+++ b/crates/laburnumstall-bench/src/schedule.rs
@@ -1,6 +1,4 @@
-//! What will happen, ordered by time and then by insertion.
-
-use std::collections::BTreeMap;
+//! What will happen in a measurement.
 
 use laburnumstall_core::entry::Event;
 use laburnumstall_core::ids::{CallId, DaemonId};
@@ -37,27 +35,3 @@
     /// A fault happens.
     Fault(Fault),
 }
-
-/// Items ordered by time.
-#[derive(Debug, Default)]
-pub(crate) struct Schedule {
-    items: BTreeMap<(Timestamp, u64), Item>,
-    inserted: u64,
-}
-
-impl Schedule {
-    pub(crate) fn add(&mut self, at: Timestamp, item: Item) {
-        self.inserted += 1;
-        self.items.insert((at, self.inserted), item);
-    }
-
-    /// Takes the next item if it is due by `until`.
-    pub(crate) fn next(&mut self, until: Timestamp) -> Option<(Timestamp, Item)> {
-        let (at, _) = self.items.first_key_value()?.0;
-        if *at > until {
-            return None;
-        }
-        let ((at, _), item) = self.items.pop_first()?;
-        Some((at, item))
-    }
-}
--- a/crates/laburnumstall-bench/src/world.rs
+++ b/crates/laburnumstall-bench/src/world.rs
@@ -8,7 +8,6 @@
 mod callers;
 mod daemons;
 mod engines;
-mod node;
 mod outside;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,7 +18,7 @@
 use laburnumstall_core::ids::{AttemptId, AvailabilityZone, CallerId, DaemonId, EndpointId};
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_core::world::{System, Vm, VmClassSpec};
-use laburnumstall_testkit::FakeStore;
+use laburnumstall_testkit::{FakeStore, Node, Schedule};
 
 use crate::caller::Caller;
 use crate::engine::Engine;
@@ -27,9 +26,8 @@
 use crate::figures::{Figures, RunSpec};
 use crate::ledger::Ledger;
 use crate::policy::Policy;
-use crate::schedule::{Item, Schedule};
+use crate::schedule::Item;
 use crate::workload::{self, Arrivals};
-use node::Node;
 use outside::PlainRun;
 
 /// When each run begins, so that idempotency keys carry a real time.
@@ -60,7 +58,7 @@
     policy: P,
     system: System,
     class: VmClassSpec,
-    schedule: Schedule,
+    schedule: Schedule<Item>,
     nodes: Vec<Node>,
     engines: Vec<Engine>,
     callers: Vec<Caller>,
--- a/crates/laburnumstall-bench/src/world/daemons.rs
+++ b/crates/laburnumstall-bench/src/world/daemons.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use laburnumstall_core::entry::{Action, Event, LinkEvent, TICK};
-use laburnumstall_core::ids::{DaemonId, Revision};
+use laburnumstall_core::ids::{DaemonId, Incarnation, Revision, VmId};
 use laburnumstall_core::message::{ConfigurationRecord, Message};
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_core::world::Configuration;
+use laburnumstall_testkit::Node;
 
 use super::World;
-use super::node::Node;
 use crate::policy::Policy;
 use crate::schedule::Item;
 
@@ -24,7 +24,14 @@
     pub(super) fn add_entry(&mut self) {
         let number = self.nodes.len();
         let zone = self.next_zone(number);
-        let node = Node::start(number, zone);
+        let vm: VmId = format!("entry-{number}")
+            .parse()
+            .expect("the name is valid");
+        let id = DaemonId {
+            vm: vm.clone(),
+            incarnation: Incarnation(number as u64 + 1),
+        };
+        let node = Node::start(vm, zone, id);
         let to = node.id.clone();
         self.nodes.push(node);
         let after = Duration::from_micros(1 + number as u64 * 1_000);
@@ -133,7 +140,7 @@
             return;
         };
         if self.nodes[target].entry.is_none() {
-            let is_gone = self.nodes[target].is_gone;
+            let is_gone = self.nodes[target].is_vm_gone;
             self.tell_link(&from, to, is_gone);
             return;
         }
@@ -160,7 +167,7 @@
         let from = self.nodes[number].id.clone();
         let target = self.nodes.iter().find(|node| node.id == *daemon);
         let is_running = target.is_some_and(|node| node.entry.is_some());
-        let is_gone = target.is_none_or(|node| node.is_gone);
+        let is_gone = target.is_none_or(|node| node.is_vm_gone);
         let (event, after) = match (is_running, is_gone) {
             (true, _) => (LinkEvent::ProbeAnswered, Duration::from_millis(2)),
             (false, false) => (LinkEvent::Refused, Duration::from_millis(2)),
--- a/crates/laburnumstall-bench/src/world/engines.rs
+++ b/crates/laburnumstall-bench/src/world/engines.rs
@@ -288,7 +288,7 @@
         self.announce_engines(&engines);
         for number in 0..self.nodes.len() {
             if self.nodes[number].zone == zone {
-                self.nodes[number].leaves_at = Some(deadline);
+                self.nodes[number].reclaim_at = Some(deadline);
                 let vm = self.nodes[number].vm.as_str().to_owned();
                 self.announce(&vm);
             }
@@ -311,9 +311,9 @@
             }
         }
         for number in 0..self.nodes.len() {
-            if is_due(self.nodes[number].leaves_at) && !self.nodes[number].is_gone {
+            if is_due(self.nodes[number].reclaim_at) && !self.nodes[number].is_vm_gone {
                 self.end_entry(number);
-                self.nodes[number].is_gone = true;
+                self.nodes[number].is_vm_gone = true;
                 self.add_entry();
             }
         }
--- a/crates/laburnumstall-bench/src/world/outside.rs
+++ b/crates/laburnumstall-bench/src/world/outside.rs
@@ -104,8 +104,8 @@
             vm.address = engine.address;
             vms.push(vm);
         }
-        for node in self.nodes.iter().filter(|node| !node.is_gone) {
-            let mut vm = self.vm(node.vm.as_str(), &node.zone, node.leaves_at);
+        for node in self.nodes.iter().filter(|node| !node.is_vm_gone) {
+            let mut vm = self.vm(node.vm.as_str(), &node.zone, node.reclaim_at);
             vm.role = VmRole::Entry;
             vms.push(vm);
         }
--- a/crates/laburnumstall-core/examples/configuration_bytes.rs
+++ b/crates/laburnumstall-core/examples/configuration_bytes.rs
@@ -5,17 +5,18 @@
 //! One customer of many changes. A record goes to the key-value service as JSON and to
 //! other daemons by postcard.
 
+#[path = "support/timing.rs"]
+mod timing;
+
 use std::hint::black_box;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use laburnumstall_core::adoption::ConfigurationChange;
 use laburnumstall_core::message::{ConfigurationRecord, Message};
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::world::{Configuration, Contract};
 use serde::Serialize;
-
-/// Time spent on each figure.
-const EFFORT: Duration = Duration::from_millis(200);
+use timing::micros;
 
 fn main() {
     println!(
@@ -97,14 +98,3 @@
         ..System::default()
     }
 }
-
-/// Returns the mean time of one call in microseconds.
-fn micros(mut call: impl FnMut()) -> f64 {
-    let started = Instant::now();
-    let mut calls = 0_u32;
-    while started.elapsed() < EFFORT {
-        call();
-        calls += 1;
-    }
-    started.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
-}
--- a/crates/laburnumstall-core/examples/control_slopes.rs
+++ b/crates/laburnumstall-core/examples/control_slopes.rs
@@ -4,19 +4,20 @@
 //!
 //! Each figure is the mean of many repetitions on one thread.
 
+#[path = "support/timing.rs"]
+mod timing;
+
 use std::hint::black_box;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use laburnumstall_core::membership::{CertificateFingerprint, Evidence, Member, Membership};
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::watch::WatchRing;
+use timing::micros;
 
 /// Endpoints of a region for each of its daemons at the target.
 const ENDPOINTS_PER_DAEMON: usize = 11;
 
-/// Time spent on each figure.
-const EFFORT: Duration = Duration::from_millis(200);
-
 fn main() {
     println!(
         "{:>8} {:>10} {:>10} {:>10} {:>10} {:>10} {:>12} {:>14}",
@@ -72,17 +73,6 @@
     })
 }
 
-/// Returns the mean time of one call in microseconds.
-fn micros(mut call: impl FnMut()) -> f64 {
-    let started = Instant::now();
-    let mut calls = 0_u32;
-    while started.elapsed() < EFFORT {
-        call();
-        calls += 1;
-    }
-    started.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
-}
-
 fn member(number: u16) -> Member {
     Member {
         id: DaemonId {
--- a/crates/laburnumstall-core/tests/quarantine_cases.rs
+++ b/crates/laburnumstall-core/tests/quarantine_cases.rs
@@ -1,26 +1,13 @@
 //! Named cases of quarantine: what convicts a request and what must not.
 
+#[path = "support/quarantine.rs"]
+mod support;
+
 use std::time::Duration;
 
 use laburnumstall_core::prelude::*;
-use laburnumstall_core::quarantine::{Quarantine, Suspicion, Trial, Verdict};
-
-const POISON: Fingerprint = Fingerprint(666);
-
-fn daemon(number: u64) -> DaemonId {
-    DaemonId {
-        vm: format!("vm-{number}").parse().unwrap(),
-        incarnation: Incarnation(1),
-    }
-}
-
-fn endpoint(number: u64) -> EndpointId {
-    format!("ep-{number}").parse().unwrap()
-}
-
-fn at(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
-}
+use laburnumstall_core::quarantine::{Quarantine, Trial, Verdict};
+use support::{POISON, at, crash, daemon, endpoint};
 
 fn innocents(first: u64) -> Vec<Fingerprint> {
     (first..first + 30).map(Fingerprint).collect()
@@ -31,15 +18,6 @@
     requests
 }
 
-fn crash(
-    quarantine: &mut Quarantine,
-    now: Timestamp,
-    of: u64,
-    in_flight: &[Fingerprint],
-) -> Option<Suspicion> {
-    quarantine.on_crash(now, &endpoint(of), None, in_flight, &mut Journal::default())
-}
-
 fn verdicts(quarantine: &Quarantine, now: Timestamp, of: &[Fingerprint], wanted: Verdict) {
     for f in of {
         assert_eq!(quarantine.verdict(now, *f), wanted, "{f}");
--- a/crates/laburnumstall-core/tests/quarantine_evidence.rs
+++ b/crates/laburnumstall-core/tests/quarantine_evidence.rs
@@ -1,33 +1,11 @@
 //! What counts as evidence against a request, and how it reaches the daemons that need it.
 
-use laburnumstall_core::prelude::*;
-use laburnumstall_core::quarantine::{Quarantine, Suspicion, Trial, Verdict};
-
-const POISON: Fingerprint = Fingerprint(666);
-
-fn daemon(number: u64) -> DaemonId {
-    DaemonId {
-        vm: format!("vm-{number}").parse().unwrap(),
-        incarnation: Incarnation(1),
-    }
-}
+#[path = "support/quarantine.rs"]
+mod support;
 
-fn endpoint(number: u64) -> EndpointId {
-    format!("ep-{number}").parse().unwrap()
-}
-
-fn at(millis: u64) -> Timestamp {
-    Timestamp::from_millis(millis)
-}
-
-fn crash(
-    quarantine: &mut Quarantine,
-    now: Timestamp,
-    of: u64,
-    in_flight: &[Fingerprint],
-) -> Option<Suspicion> {
-    quarantine.on_crash(now, &endpoint(of), None, in_flight, &mut Journal::default())
-}
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::quarantine::{Quarantine, Trial, Verdict};
+use support::{POISON, at, crash, daemon, endpoint};
 
 /// Fails without `was_alive` in `Crash::includes`: the second crash of a restarted endpoint
 /// would be folded into the first, which another daemon noticed.
--- /dev/null
+++ b/crates/laburnumstall-core/tests/support/quarantine.rs
@@ -0,0 +1,30 @@
+//! Names and a crash for the tests of quarantine.
+
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::quarantine::{Quarantine, Suspicion};
+
+pub(crate) const POISON: Fingerprint = Fingerprint(666);
+
+pub(crate) fn daemon(number: u64) -> DaemonId {
+    DaemonId {
+        vm: format!("vm-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+    }
+}
+
+pub(crate) fn endpoint(number: u64) -> EndpointId {
+    format!("ep-{number}").parse().unwrap()
+}
+
+pub(crate) fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+pub(crate) fn crash(
+    quarantine: &mut Quarantine,
+    now: Timestamp,
+    of: u64,
+    in_flight: &[Fingerprint],
+) -> Option<Suspicion> {
+    quarantine.on_crash(now, &endpoint(of), None, in_flight, &mut Journal::default())
+}
--- a/crates/laburnumstall-testkit/src/lib.rs
+++ b/crates/laburnumstall-testkit/src/lib.rs
@@ -27,7 +27,7 @@
 pub use network::Network;
 pub use node::Node;
 pub use operators::SettledApply;
-pub use schedule::Item;
+pub use schedule::{Item, Schedule};
 pub use store::FakeStore;
 pub use system::{
     CUSTOMER, MODEL, ORDERS, OTHER_CUSTOMER, STOCK, key_at, model_request, plain_request, system,
--- a/crates/laburnumstall-testkit/src/node.rs
+++ b/crates/laburnumstall-testkit/src/node.rs
@@ -29,7 +29,8 @@
 }
 
 impl Node {
-    pub(crate) fn start(vm: VmId, zone: AvailabilityZone, id: DaemonId) -> Self {
+    /// Starts a process on a VM.
+    pub fn start(vm: VmId, zone: AvailabilityZone, id: DaemonId) -> Self {
         let member = Member {
             id: id.clone(),
             zone: zone.clone(),
--- a/crates/laburnumstall-testkit/src/schedule.rs
+++ b/crates/laburnumstall-testkit/src/schedule.rs
@@ -43,18 +43,40 @@
 }
 
 /// Items ordered by time, and by order of insertion at the same time.
-#[derive(Debug, Default)]
-pub(crate) struct Schedule {
-    items: BTreeMap<(Timestamp, u64), Item>,
+#[derive(Debug)]
+pub struct Schedule<I> {
+    items: BTreeMap<(Timestamp, u64), I>,
     inserted: u64,
 }
 
-impl Schedule {
-    pub(crate) fn add(&mut self, at: Timestamp, item: Item) {
+impl<I> Default for Schedule<I> {
+    fn default() -> Self {
+        Self {
+            items: BTreeMap::new(),
+            inserted: 0,
+        }
+    }
+}
+
+impl<I> Schedule<I> {
+    /// Adds an item.
+    pub fn add(&mut self, at: Timestamp, item: I) {
         self.inserted += 1;
         self.items.insert((at, self.inserted), item);
     }
 
+    /// Takes the next item if it is due by `until`.
+    pub fn next(&mut self, until: Timestamp) -> Option<(Timestamp, I)> {
+        let ((at, _), _) = self.items.first_key_value()?;
+        if *at > until {
+            return None;
+        }
+        let ((at, _), item) = self.items.pop_first()?;
+        Some((at, item))
+    }
+}
+
+impl Schedule<Item> {
     /// Loses the messages of a daemon that are under way.
     pub(crate) fn lose_messages(&mut self, sender: &DaemonId) {
         let is_lost = |item: &Item| match item {
@@ -65,14 +87,4 @@
         };
         self.items.retain(|_, item| !is_lost(item));
     }
-
-    /// Takes the next item if it is due by `until`.
-    pub(crate) fn next(&mut self, until: Timestamp) -> Option<(Timestamp, Item)> {
-        let first = self.items.first_key_value()?;
-        if first.0.0 > until {
-            return None;
-        }
-        let ((at, _), item) = self.items.pop_first()?;
-        Some((at, item))
-    }
 }
--- a/crates/laburnumstall-testkit/src/world.rs
+++ b/crates/laburnumstall-testkit/src/world.rs
@@ -93,7 +93,7 @@
     /// What the daemons asked of endpoints and told each other.
     pub counts: Counts,
     counts_messages: bool,
-    pub(crate) schedule: Schedule,
+    pub(crate) schedule: Schedule<Item>,
     pub(crate) system: System,
     /// Endpoints that a request crashed.
     pub poisoned: u32,
