Hold calls back over the budget in one place

Cause: placement in the daemon had the waiting calls of the entry written again: ask the budget, write the delay down, keep the call until its time.

Change: HeldCalls in the core's budget serves both. The entry still makes the most important first, and placement still drops a call that the core counts as lost.

--- a/crates/laburnumstall-core/src/budget.rs
+++ b/crates/laburnumstall-core/src/budget.rs
@@ -5,11 +5,13 @@
 //! more: claims may empty it, placement gives way first.
 
 mod calls;
+mod held;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 pub use calls::{Admission, CallCount, CallKind, CallRates, Operation, Purpose};
+pub use held::{HeldCall, HeldCalls};
 
 use crate::units::{RequestRate, Timestamp};
 
--- a/crates/laburnumstall-core/src/entry/calls.rs
+++ b/crates/laburnumstall-core/src/entry/calls.rs
@@ -3,7 +3,7 @@
 //! A call over the rate waits here, so that the part that made it sees a slow service.
 //! What matters most goes first: claims, then membership, then the configuration.
 
-use crate::budget::{Admission, CallBudget, CallKind, CallRates, Purpose};
+use crate::budget::{CallBudget, CallKind, CallRates, Purpose};
 use crate::entry::Entry;
 use crate::entry::action::Action;
 use crate::entry::state::CallPurpose;
@@ -11,13 +11,11 @@
 use crate::store::StoreCall;
 use crate::units::Timestamp;
 
-/// A call that waits for the budget.
+/// A call that waits for the budget, with its number.
 #[derive(Debug)]
-pub(super) struct HeldCall {
+pub(super) struct NumberedCall {
     id: CallId,
     call: StoreCall,
-    kind: CallKind,
-    until: Timestamp,
 }
 
 impl CallPurpose {
@@ -47,43 +45,26 @@
         let id = CallId(self.next_call);
         let kind = CallKind::of(&call, purpose.rank());
         self.calls.insert(id, purpose);
-        self.make_or_hold(now, id, call, kind);
+        self.make_or_hold(now, kind, NumberedCall { id, call });
     }
 
-    fn make_or_hold(&mut self, now: Timestamp, id: CallId, call: StoreCall, kind: CallKind) {
-        let admission = match &mut self.budget {
-            Some(budget) => budget.admit(now, kind),
-            None => Admission::Now,
+    fn make_or_hold(&mut self, now: Timestamp, kind: CallKind, call: NumberedCall) {
+        let journal = &mut self.journal;
+        let admitted = match &mut self.budget {
+            Some(budget) => self.held_calls.admit(now, budget, kind, call, journal),
+            None => Some(call),
         };
-        match admission {
-            Admission::Now => self.actions.push(Action::Store { id, call }),
-            Admission::Wait(wait) => {
-                self.journal.record(kind.delay(now, wait));
-                self.held_calls.push(HeldCall {
-                    id,
-                    call,
-                    kind,
-                    until: now.after(wait),
-                });
-            }
+        if let Some(NumberedCall { id, call }) = admitted {
+            self.actions.push(Action::Store { id, call });
         }
     }
 
     /// Makes the held calls whose time has come, the most important first.
     pub(super) fn make_held_calls(&mut self, now: Timestamp) {
-        let mut due = Vec::new();
-        let mut later = Vec::new();
-        for held in std::mem::take(&mut self.held_calls) {
-            if held.until <= now {
-                due.push(held);
-            } else {
-                later.push(held);
-            }
-        }
-        self.held_calls = later;
-        due.sort_by_key(|held| (std::cmp::Reverse(held.kind.purpose), held.id));
+        let mut due = self.held_calls.take_due(now);
+        due.sort_by_key(|held| (std::cmp::Reverse(held.kind.purpose), held.call.id));
         for held in due {
-            self.make_or_hold(now, held.id, held.call, held.kind);
+            self.make_or_hold(now, held.kind, held.call);
         }
     }
 }
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use crate::adoption::Adoption;
-use crate::budget::CallBudget;
+use crate::budget::{CallBudget, HeldCalls};
 use crate::claims::{Claims, ShardId};
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::domain;
 use crate::entry::action::{Action, Output};
 use crate::entry::attach::LocalCaller;
-use crate::entry::calls::HeldCall;
+use crate::entry::calls::NumberedCall;
 use crate::entry::configuration::ConfigurationSource;
 use crate::entry::copies::HeldCopy;
 use crate::entry::event::Event;
@@ -108,7 +108,7 @@
     pub(super) calls: BTreeMap<CallId, CallPurpose>,
     pub(super) next_call: u64,
     pub(super) budget: Option<CallBudget>,
-    pub(super) held_calls: Vec<HeldCall>,
+    pub(super) held_calls: HeldCalls<NumberedCall>,
     pub(super) is_store_reachable: bool,
     pub(super) next_sequence: u64,
     pub(super) next_token: u64,
@@ -154,7 +154,7 @@
             calls: BTreeMap::new(),
             next_call: 0,
             budget: None,
-            held_calls: Vec::new(),
+            held_calls: HeldCalls::default(),
             is_store_reachable: true,
             next_sequence: 0,
             next_token: 0,
--- a/crates/laburnumstalld/src/placement.rs
+++ b/crates/laburnumstalld/src/placement.rs
@@ -9,7 +9,7 @@
 
 mod calls;
 mod event;
-mod held_calls;
+mod store_calls;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 use crate::clock::Clock;
 use crate::metrics::PlacementCounts;
 use crate::platform::Platform;
-use held_calls::HeldCalls;
+use store_calls::PlacementCalls;
 
 pub use calls::{CallCloud, CallPlacementStore, EndpointCalls, GiveOrder, ReadLoad};
 pub use event::PlacementEvent;
@@ -59,7 +59,7 @@
     clock: Clock,
     platform: Addr<Platform>,
     endpoints: Addr<EndpointCalls>,
-    held: HeldCalls,
+    calls: PlacementCalls,
     journal: Journal,
     addresses: BTreeMap<EndpointId, SocketAddr>,
     reading: BTreeSet<VmId>,
@@ -98,7 +98,7 @@
             clock: parts.clock,
             platform: parts.platform,
             endpoints: parts.endpoints,
-            held: HeldCalls::new(parts.rates),
+            calls: PlacementCalls::new(parts.rates),
             journal: Journal::default(),
             addresses: BTreeMap::new(),
             reading: BTreeSet::new(),
@@ -214,10 +214,7 @@
     }
 
     fn carry_out(&mut self, now: Timestamp, output: PlacementOutput, system: &System) {
-        for request in output.store {
-            self.held.add(now, request);
-        }
-        for request in self.held.take_due(now, &mut self.journal) {
+        for request in self.calls.admit(now, output.store, &mut self.journal) {
             self.platform.do_send(CallPlacementStore(request));
         }
         for request in output.cloud {
