--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/news.rs
@@ -0,0 +1,192 @@
+//! What the daemons tell each other, and which daemons there are.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::quota::Spent;
+use super::usage::UsageCount;
+use crate::ids::{DaemonId, ServiceName};
+use crate::membership::Member;
+use crate::units::Timestamp;
+use crate::{domain, domain_value};
+
+/// Time between two messages of news to each daemon.
+pub const NEWS_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time without news after which a daemon is not named to callers: several periods, so
+/// that a lost datagram and its repetition fit in.
+pub const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Time without news after which a daemon that is no longer registered is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(6);
+
+domain_value! {
+    /// Short name of an endpoint in news: a hash of its identifier.
+    pub struct EndpointKey(pub u32);
+}
+
+domain! {
+    /// Work that one daemon has under way on one endpoint.
+    #[derive(Copy, Eq)]
+    pub struct EndpointLoad {
+        /// The endpoint.
+        pub endpoint: EndpointKey,
+        /// Time to read the prompts that have not given a token, in microseconds.
+        pub reading_us: u32,
+        /// Calls that run or wait.
+        pub calls: u32,
+    }
+
+    /// Work that callers have asked a service for, since the daemon's process started.
+    #[derive(Eq)]
+    pub struct ServiceDemand {
+        /// The service.
+        pub service: ServiceName,
+        /// Time to read the prompts with the shared parts cached, in milliseconds.
+        pub reading_ms: u64,
+        /// Answer tokens.
+        pub answer_tokens: u64,
+        /// Calls.
+        pub calls: u64,
+        /// Calls refused or late for want of places.
+        pub short: u64,
+    }
+
+    /// What one daemon tells the others, every [`NEWS_PERIOD`].
+    pub struct News {
+        /// Number of the message; a process counts up.
+        pub sequence: u64,
+        /// Whether callers may be sent there.
+        pub is_ready: bool,
+        /// Work under way by endpoint.
+        pub loads: Vec<EndpointLoad>,
+        /// Units of quotas let through.
+        pub spent: Vec<Spent>,
+        /// Requests begun by window.
+        pub begun: Vec<UsageCount>,
+        /// Work asked for by service.
+        pub demand: Vec<ServiceDemand>,
+    }
+}
+
+/// What is known of another daemon.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// How it is reached.
+    pub member: Member,
+    /// Whether its registration stands in the key-value service.
+    pub is_registered: bool,
+    /// When its last news came.
+    pub heard_at: Option<Timestamp>,
+    /// When it was met.
+    met_at: Timestamp,
+    /// Its last news.
+    pub news: Option<News>,
+}
+
+/// The daemons that there are, beside the own one.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    peers: BTreeMap<DaemonId, Peer>,
+}
+
+impl Roster {
+    /// Returns the peers.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Takes in that a daemon is registered; returns the processes of the same VM that it
+    /// replaces.
+    pub fn on_registered(&mut self, now: Timestamp, member: Member) -> Vec<DaemonId> {
+        let is_older =
+            |id: &DaemonId| id.vm == member.id.vm && id.incarnation < member.id.incarnation;
+        let replaced: Vec<DaemonId> = self
+            .peers
+            .keys()
+            .filter(|id| is_older(id))
+            .cloned()
+            .collect();
+        for id in &replaced {
+            self.peers.remove(id);
+        }
+        let peer = self.peers.entry(member.id.clone()).or_insert_with(|| Peer {
+            member: member.clone(),
+            is_registered: true,
+            heard_at: None,
+            met_at: now,
+            news: None,
+        });
+        peer.member = member;
+        peer.is_registered = true;
+        replaced
+    }
+
+    /// Takes in that a daemon's registration has ended.
+    pub fn on_unregistered(&mut self, id: &DaemonId) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.is_registered = false;
+        }
+    }
+
+    /// Takes in news; returns whether they are later than the known ones.
+    pub fn on_news(&mut self, now: Timestamp, from: &DaemonId, news: News) -> bool {
+        let Some(peer) = self.peers.get_mut(from) else {
+            return false;
+        };
+        peer.heard_at = Some(now);
+        let is_later = peer
+            .news
+            .as_ref()
+            .is_none_or(|known| known.sequence < news.sequence);
+        if is_later {
+            peer.news = Some(news);
+        }
+        is_later
+    }
+
+    /// Forgets daemons that are neither registered nor heard; returns them.
+    pub fn forget_gone(&mut self, now: Timestamp) -> Vec<DaemonId> {
+        let is_gone = |peer: &Peer| {
+            let last = peer.heard_at.unwrap_or(peer.met_at);
+            !peer.is_registered && now.since(last) > FORGET_AFTER
+        };
+        let gone: Vec<DaemonId> = self
+            .peers
+            .values()
+            .filter(|peer| is_gone(peer))
+            .map(|peer| peer.member.id.clone())
+            .collect();
+        for id in &gone {
+            self.peers.remove(id);
+        }
+        gone
+    }
+
+    /// Returns the daemons from which news came lately.
+    pub fn heard(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| peer.is_heard(now))
+    }
+
+    /// Returns the number of daemons that are counted as there.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Tells whether no other daemon is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+}
+
+impl Peer {
+    /// Tells whether news came within [`SILENCE`].
+    pub fn is_heard(&self, now: Timestamp) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < SILENCE)
+    }
+
+    /// Tells whether callers may be sent there.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        self.is_heard(now) && self.news.as_ref().is_some_and(|news| news.is_ready)
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/quota.rs
@@ -0,0 +1,180 @@
+//! Customers' quotas over all daemons.
+//!
+//! Every daemon holds a bucket of each customer's whole quota, takes from it what it lets
+//! through, and takes from it again what the others tell that they let through. While all
+//! hear each other, a customer may spend its quota at any daemon, and the sum is over the
+//! quota by what is let through in the time that news need. A daemon that does not hear
+//! some of the others fills its buckets only with its part, so that groups that do not
+//! hear each other never add up to more than the whole.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::rules::{CustomerRule, Quota, QuotaUnit};
+use crate::domain;
+use crate::ids::{CustomerId, DaemonId};
+use crate::limits::bucket::{Bucket, MICRO};
+use crate::units::Timestamp;
+
+domain! {
+    /// Units of one customer's quota that a daemon's process has let through so far.
+    #[derive(Eq)]
+    pub struct Spent {
+        /// The customer.
+        pub customer: CustomerId,
+        /// Units since the process started.
+        pub units: u64,
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Account {
+    quota: Quota,
+    bucket: Bucket,
+    spent: u64,
+}
+
+/// The quotas of all customers at one daemon.
+#[derive(Debug, Clone, Default)]
+pub struct QuotaLedger {
+    accounts: BTreeMap<CustomerId, Account>,
+    heard: BTreeMap<DaemonId, BTreeMap<CustomerId, u64>>,
+    /// Daemons that are heard and that there are, with this one.
+    members: (u32, u32),
+}
+
+impl QuotaLedger {
+    /// Creates a ledger without customers.
+    pub fn new() -> Self {
+        Self {
+            members: (1, 1),
+            ..Self::default()
+        }
+    }
+
+    /// Takes over the customers of a configuration; a new bucket starts empty, since a
+    /// daemon that starts does not know what was let through before.
+    pub fn set_customers(&mut self, now: Timestamp, customers: &[CustomerRule]) {
+        let mut accounts = BTreeMap::new();
+        for customer in customers {
+            let Some(quota) = customer.quota.filter(|quota| quota.rate > 0) else {
+                continue;
+            };
+            let known = self.accounts.remove(&customer.name);
+            let account = match known {
+                Some(known) if known.quota == quota => known,
+                known => Account {
+                    bucket: bucket(now, quota, self.members, known.as_ref()),
+                    spent: known.map_or(0, |known| known.spent),
+                    quota,
+                },
+            };
+            accounts.insert(customer.name.clone(), account);
+        }
+        self.accounts = accounts;
+    }
+
+    /// Takes over how many daemons there are and how many of them are heard.
+    pub fn set_members(&mut self, now: Timestamp, heard: u32, all: u32) {
+        let members = (heard.max(1), all.max(heard).max(1));
+        if members == self.members {
+            return;
+        }
+        self.members = members;
+        for account in self.accounts.values_mut() {
+            account.bucket.set_rate(now, rate(account.quota, members));
+        }
+    }
+
+    /// Returns the units of a call of `tokens`; `None` means that it does not tell them.
+    pub fn cost(&self, customer: &CustomerId, tokens: Option<u64>) -> u64 {
+        match self.accounts.get(customer).map(|account| account.quota) {
+            None => 0,
+            Some(quota) if quota.unit == QuotaUnit::Calls => 1,
+            Some(quota) => tokens.unwrap_or(quota.plain_cost),
+        }
+    }
+
+    /// Takes `cost` units.
+    ///
+    /// # Errors
+    ///
+    /// The time after which they can be taken, if they cannot be now.
+    pub fn take(
+        &mut self,
+        now: Timestamp,
+        customer: &CustomerId,
+        cost: u64,
+    ) -> Result<(), Duration> {
+        let Some(account) = self.accounts.get_mut(customer) else {
+            return Ok(());
+        };
+        match account.bucket.wait(now, micro(cost)) {
+            Some(Duration::ZERO) => {
+                account.bucket.take(now, micro(cost));
+                account.spent += cost;
+                Ok(())
+            }
+            wait => Err(wait.unwrap_or(Duration::MAX)),
+        }
+    }
+
+    /// Gives back units of a call that did not run.
+    pub fn give_back(&mut self, now: Timestamp, customer: &CustomerId, cost: u64) {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.bucket.take(now, -micro(cost));
+            account.spent = account.spent.saturating_sub(cost);
+        }
+    }
+
+    /// Returns what this process has let through, for the others.
+    pub fn spent(&self) -> Vec<Spent> {
+        let spent = |(customer, account): (&CustomerId, &Account)| Spent {
+            customer: customer.clone(),
+            units: account.spent,
+        };
+        self.accounts.iter().map(spent).collect()
+    }
+
+    /// Takes in what another process has let through. Its first word is the base that
+    /// later ones are compared with.
+    pub fn on_spent(&mut self, now: Timestamp, from: &DaemonId, spent: &[Spent]) {
+        let is_known = self.heard.contains_key(from);
+        let known = self.heard.entry(from.clone()).or_default();
+        for Spent { customer, units } in spent {
+            let before = known.insert(customer.clone(), *units);
+            let before = before.unwrap_or(if is_known { 0 } else { *units });
+            let Some(account) = self.accounts.get_mut(customer) else {
+                continue;
+            };
+            let more =
+                i64::try_from(*units).unwrap_or(i64::MAX) - i64::try_from(before).unwrap_or(0);
+            account.bucket.take(now, more.saturating_mul(MICRO));
+        }
+    }
+
+    /// Forgets a process that is gone.
+    pub fn forget(&mut self, daemon: &DaemonId) {
+        self.heard.remove(daemon);
+    }
+}
+
+fn micro(units: u64) -> i64 {
+    i64::try_from(units)
+        .unwrap_or(i64::MAX)
+        .saturating_mul(MICRO)
+}
+
+/// Returns the part of a quota's rate that the daemons that hear each other may use.
+fn rate(quota: Quota, (heard, all): (u32, u32)) -> i64 {
+    let part = i128::from(micro(quota.rate)) * i128::from(heard) / i128::from(all);
+    i64::try_from(part).unwrap_or(i64::MAX)
+}
+
+fn bucket(now: Timestamp, quota: Quota, members: (u32, u32), known: Option<&Account>) -> Bucket {
+    let burst = Duration::from_secs_f64(quota.burst.max(1) as f64 / quota.rate as f64);
+    match known {
+        Some(known) => known.bucket.resized(now, rate(quota, members), burst),
+        None => Bucket::empty(now, rate(quota, members), burst),
+    }
+}
--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -0,0 +1,292 @@
+//! How many endpoints of which kind are ordered in which zone.
+//!
+//! Answers waves and bursts of load while reclaimable endpoints are taken away by zones.
+//! Reclaimable (spot) endpoints cost a fraction of lasting ones, so the plan holds many of
+//! them beside a base of lasting ones: the base alone carries the load at its limit while
+//! replacements boot, and the sum carries it with room. A zone that gives none is left
+//! alone for a time, and what is missing is ordered as lasting endpoints meanwhile.
+
+mod meter;
+mod targets;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::fleet::Fleet;
+use super::news::ServiceDemand;
+use super::rules::ScalingRule;
+use crate::decision::{Decision, DecisionKind, Journal};
+use crate::ids::{AvailabilityZone, DaemonId, ServiceName};
+use crate::units::Timestamp;
+use crate::{domain, domain_value};
+
+use meter::Meter;
+use targets::{Load, ZoneOffer, targets};
+
+/// Time after which an order that did not show in the fleet is repeated, beside the boot.
+const REPEAT_AFTER: Duration = Duration::from_secs(3);
+/// Time for which a kind is not ordered in a zone that had none.
+const NONE_AVAILABLE_PAUSE: Duration = Duration::from_secs(3);
+/// Time after which an order without a reply is sent again.
+const UNCLEAR_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time for which less must be needed before endpoints are given back: a trough between
+/// two bursts is shorter.
+const SHRINK_AFTER: Duration = Duration::from_secs(6);
+
+domain_value! {
+    /// What came of an order.
+    #[serde(rename_all = "kebab-case")]
+    pub enum ScaleOutcome {
+        /// The platform took it.
+        Accepted,
+        /// None are to be had there now.
+        NoneAvailable,
+        /// No reply came; it may be carried out later.
+        Unclear,
+        /// The platform did not take it.
+        Refused,
+    }
+}
+
+domain! {
+    /// An order for a number of endpoints of one kind in one zone.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct ScaleOrder {
+        /// Service.
+        pub service: ServiceName,
+        /// Zone.
+        pub zone: AvailabilityZone,
+        /// Whether reclaimable endpoints are ordered.
+        pub is_spot: bool,
+        /// Number wanted.
+        pub desired: u32,
+    }
+
+    /// Endpoints of one kind in one zone that take new work.
+    #[derive(Copy, Eq)]
+    pub struct Capacity {
+        /// Lasting ones.
+        pub lasting: u32,
+        /// Reclaimable ones.
+        pub spot: u32,
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Lane {
+    ordered: Option<u32>,
+    ordered_at: Timestamp,
+    blocked_until: Timestamp,
+    is_under_way: bool,
+    needs_repeat: bool,
+    /// Since when fewer would do.
+    shrink_since: Option<Timestamp>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct ServiceState {
+    meter: Meter,
+    lanes: BTreeMap<(AvailabilityZone, bool), Lane>,
+    /// Endpoints that were there when this daemon began to order.
+    initial: Option<u32>,
+}
+
+/// Plans the endpoints of all services; runs at the daemon that holds the duty.
+#[derive(Debug, Clone, Default)]
+pub struct Scaler {
+    services: BTreeMap<ServiceName, ServiceState>,
+}
+
+impl Scaler {
+    /// Returns the orders that are due for a service.
+    pub fn plan(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        rule: &ScalingRule,
+        fleet: &Fleet,
+        demand: &[(DaemonId, Vec<ServiceDemand>)],
+        journal: &mut Journal,
+    ) -> Vec<ScaleOrder> {
+        let present = capacities(service, rule, fleet);
+        let total: u32 = present.values().map(|c| c.lasting + c.spot).sum();
+        if total == 0 {
+            // The list of endpoints is not there yet.
+            return Vec::new();
+        }
+        let state = self.services.entry(service.clone()).or_default();
+        state.meter.on_demand(now, service, demand);
+        let initial = *state.initial.get_or_insert(total);
+        let load = Load::new(state.meter.rate(now), initial);
+        let offers = offers(now, rule, &state.lanes);
+        let wanted = targets(rule, &offers, load);
+        let mut orders = Vec::new();
+        for (zone, want) in &wanted {
+            let have = present.get(zone).copied().unwrap_or(Capacity {
+                lasting: 0,
+                spot: 0,
+            });
+            for (is_spot, want, have) in [
+                (false, want.lasting, have.lasting),
+                (true, want.spot, have.spot),
+            ] {
+                if is_spot && rule.spot_price.is_none() {
+                    continue;
+                }
+                let lane = state.lanes.entry((zone.clone(), is_spot)).or_default();
+                if let Some(desired) = lane.due(now, rule, want, have) {
+                    lane.is_under_way = true;
+                    orders.push(ScaleOrder {
+                        service: service.clone(),
+                        zone: zone.clone(),
+                        is_spot,
+                        desired,
+                    });
+                }
+            }
+        }
+        // What is added goes first: what is given back may only go when others serve.
+        orders.sort_by_key(|order| {
+            let have = present
+                .get(&order.zone)
+                .map_or(0, |c| if order.is_spot { c.spot } else { c.lasting });
+            order.desired < have
+        });
+        for order in &orders {
+            let have = present.get(&order.zone).copied();
+            journal.record(
+                Decision::new(now, DecisionKind::Placement, "order", "plan")
+                    .with("service", service)
+                    .with("zone", &order.zone)
+                    .with("spot", order.is_spot)
+                    .with("desired", order.desired)
+                    .with("lasting_there", have.map_or(0, |c| c.lasting))
+                    .with("spot_there", have.map_or(0, |c| c.spot))
+                    .with("load", format_args!("{:.2}", load.rate))
+                    .with("total", total),
+            );
+        }
+        orders
+    }
+
+    /// Takes in what came of an order.
+    pub fn on_outcome(
+        &mut self,
+        now: Timestamp,
+        order: &ScaleOrder,
+        outcome: ScaleOutcome,
+        journal: &mut Journal,
+    ) {
+        let Some(state) = self.services.get_mut(&order.service) else {
+            return;
+        };
+        let lane = state
+            .lanes
+            .entry((order.zone.clone(), order.is_spot))
+            .or_default();
+        lane.is_under_way = false;
+        lane.ordered_at = now;
+        match outcome {
+            ScaleOutcome::Accepted => {
+                lane.ordered = Some(order.desired);
+                lane.needs_repeat = false;
+            }
+            ScaleOutcome::NoneAvailable => {
+                lane.ordered = None;
+                lane.blocked_until = now.after(NONE_AVAILABLE_PAUSE);
+            }
+            ScaleOutcome::Unclear | ScaleOutcome::Refused => {
+                lane.ordered = None;
+                lane.needs_repeat = true;
+                lane.blocked_until = now.after(UNCLEAR_PAUSE);
+            }
+        }
+        let name = match outcome {
+            ScaleOutcome::Accepted => "accepted",
+            ScaleOutcome::NoneAvailable => "none-available",
+            ScaleOutcome::Unclear => "no-reply",
+            ScaleOutcome::Refused => "refused",
+        };
+        journal.record(
+            Decision::new(now, DecisionKind::Placement, "ordered", name)
+                .with("service", &order.service)
+                .with("zone", &order.zone)
+                .with("spot", order.is_spot)
+                .with("desired", order.desired),
+        );
+    }
+
+    /// Forgets all orders, when the duty is lost.
+    pub fn reset(&mut self) {
+        self.services.clear();
+    }
+}
+
+impl Lane {
+    /// Returns the number to order now, if one is due.
+    fn due(&mut self, now: Timestamp, rule: &ScalingRule, want: u32, have: u32) -> Option<u32> {
+        if self.is_under_way || now < self.blocked_until {
+            return None;
+        }
+        let standing = self.ordered.unwrap_or(have);
+        if want >= standing {
+            self.shrink_since = None;
+        }
+        if want < standing {
+            let since = *self.shrink_since.get_or_insert(now);
+            if now.since(since) < SHRINK_AFTER {
+                return None;
+            }
+        }
+        let is_overdue = self.ordered.is_some_and(|ordered| ordered != have)
+            && now.since(self.ordered_at) > rule.boot + REPEAT_AFTER;
+        (want != standing || self.needs_repeat || is_overdue).then_some(want)
+    }
+}
+
+/// Counts the endpoints of a service that take new work, by zone.
+fn capacities(
+    service: &ServiceName,
+    rule: &ScalingRule,
+    fleet: &Fleet,
+) -> BTreeMap<AvailabilityZone, Capacity> {
+    let none = Capacity {
+        lasting: 0,
+        spot: 0,
+    };
+    let mut counts: BTreeMap<AvailabilityZone, Capacity> = rule
+        .zone_prices
+        .keys()
+        .map(|zone| (zone.clone(), none))
+        .collect();
+    let listed = fleet.iter().map(|listed| &listed.record);
+    for record in listed.filter(|record| record.service == *service && !record.is_leaving) {
+        let count = counts.entry(record.zone.clone()).or_insert(none);
+        match record.is_spot {
+            true => count.spot += 1,
+            false => count.lasting += 1,
+        }
+    }
+    counts
+}
+
+fn offers(
+    now: Timestamp,
+    rule: &ScalingRule,
+    lanes: &BTreeMap<(AvailabilityZone, bool), Lane>,
+) -> Vec<ZoneOffer> {
+    let is_open = |zone: &AvailabilityZone, is_spot: bool| {
+        lanes
+            .get(&(zone.clone(), is_spot))
+            .is_none_or(|lane| now >= lane.blocked_until || lane.needs_repeat)
+    };
+    rule.zone_prices
+        .iter()
+        .map(|(zone, price)| ZoneOffer {
+            zone: zone.clone(),
+            price: *price,
+            has_lasting: is_open(zone, false),
+            has_spot: rule.spot_price.is_some() && is_open(zone, true),
+        })
+        .collect()
+}
--- a/crates/laburnumstall-core/src/lib.rs
+++ b/crates/laburnumstall-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod decision;
 pub mod entry;
 pub mod error;
+pub mod gateway;
 pub mod hash;
 pub mod ids;
 pub mod limits;
--- a/crates/laburnumstall-core/src/limits.rs
+++ b/crates/laburnumstall-core/src/limits.rs
@@ -6,10 +6,11 @@
 //! [`RetryBudget`] keeps retries and hedges to a fraction of the requests.
 
 mod account;
-mod bucket;
+pub(crate) mod bucket;
 mod fair_queue;
 mod part;
 mod retry_budget;
+mod retry_window;
 mod share;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 use account::Account;
 pub use fair_queue::FairQueue;
 pub use retry_budget::RetryBudget;
+pub use retry_window::RetryWindow;
 pub use share::{Demand, LimitShare, Loan};
 
 /// Time between two share messages, and the time that a bucket's burst covers.
--- a/crates/laburnumstall-core/src/limits/bucket.rs
+++ b/crates/laburnumstall-core/src/limits/bucket.rs
@@ -5,14 +5,14 @@
 use crate::units::Timestamp;
 
 /// Millionths in a unit, and microseconds in a second.
-pub(super) const MICRO: i64 = 1_000_000;
+pub(crate) const MICRO: i64 = 1_000_000;
 
 /// A token bucket whose rate can change and whose balance can be negative.
 ///
 /// Rates and costs are in millionths of a unit; the balance is in millionths of those, so
 /// that a rate times microseconds is exact.
 #[derive(Debug, Clone)]
-pub(super) struct Bucket {
+pub(crate) struct Bucket {
     balance: i128,
     rate: i64,
     filled_at: Timestamp,
@@ -21,7 +21,7 @@
 
 impl Bucket {
     /// Creates a full bucket that holds what `rate` gives in `burst`.
-    pub(super) fn new(rate: i64, burst: Duration) -> Self {
+    pub(crate) fn new(rate: i64, burst: Duration) -> Self {
         Self {
             balance: gain(rate, burst),
             rate,
@@ -30,13 +30,33 @@
         }
     }
 
+    /// Creates an empty bucket that can hold what `rate` gives in `burst`.
+    pub(crate) fn empty(now: Timestamp, rate: i64, burst: Duration) -> Self {
+        Self {
+            balance: 0,
+            rate,
+            filled_at: now,
+            burst,
+        }
+    }
+
+    /// Returns the bucket with another rate and capacity; its balance stays, within them.
+    pub(crate) fn resized(&self, now: Timestamp, rate: i64, burst: Duration) -> Self {
+        let mut resized = self.clone();
+        resized.fill(now);
+        resized.rate = rate;
+        resized.burst = burst;
+        resized.balance = resized.balance.min(resized.capacity());
+        resized
+    }
+
     /// Changes the rate from the last use on; the balance is cut to the new capacity.
-    pub(super) fn replace_rate(&mut self, rate: i64) {
+    pub(crate) fn replace_rate(&mut self, rate: i64) {
         self.set_rate(self.filled_at, rate);
     }
 
     /// Changes the rate from `now` on; the balance is cut to the new capacity.
-    pub(super) fn set_rate(&mut self, now: Timestamp, rate: i64) {
+    pub(crate) fn set_rate(&mut self, now: Timestamp, rate: i64) {
         self.fill(now);
         self.rate = rate;
         self.balance = self.balance.min(self.capacity());
@@ -46,7 +66,7 @@
     ///
     /// A cost above the capacity can be taken from a full bucket, which leaves a debt.
     /// Returns `None` if the bucket is never filled.
-    pub(super) fn wait(&mut self, now: Timestamp, cost: i64) -> Option<Duration> {
+    pub(crate) fn wait(&mut self, now: Timestamp, cost: i64) -> Option<Duration> {
         self.fill(now);
         if self.rate <= 0 {
             return None;
@@ -60,7 +80,7 @@
     }
 
     /// Takes `cost`; a negative cost gives back.
-    pub(super) fn take(&mut self, now: Timestamp, cost: i64) {
+    pub(crate) fn take(&mut self, now: Timestamp, cost: i64) {
         self.fill(now);
         self.balance = (self.balance - scaled(cost)).min(self.capacity());
     }
--- /dev/null
+++ b/crates/laburnumstall-core/src/limits/retry_window.rs
@@ -0,0 +1,86 @@
+//! A bound on retries over a sliding window.
+//!
+//! [`RetryBudget`](super::RetryBudget) saves up what is not used, which a bound over any
+//! window does not allow; here a retry is counted against the same window's requests.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::units::Timestamp;
+
+/// Parts of a window in which requests and retries are counted.
+const BINS: u32 = 20;
+/// Parts in a hundred of the bound that are used; other daemons' windows begin at other
+/// times, and retries arrive later than they are counted.
+const USED_PERCENT: f64 = 80.0;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Bin {
+    number: u64,
+    requests: u32,
+    retries: u32,
+}
+
+/// Keeps one daemon's retries within its part of a bound: a fraction of its requests in
+/// the window, and a part of a fixed allowance.
+#[derive(Debug, Clone)]
+pub struct RetryWindow {
+    bin: Duration,
+    ratio: f64,
+    allowance: f64,
+    bins: VecDeque<Bin>,
+}
+
+impl RetryWindow {
+    /// Creates a window of `length` that allows `ratio` retries for a request and
+    /// `allowance` at any load.
+    pub fn new(length: Duration, ratio: f64, allowance: f64) -> Self {
+        Self {
+            bin: (length / BINS).max(Duration::from_millis(1)),
+            ratio,
+            allowance,
+            bins: VecDeque::new(),
+        }
+    }
+
+    /// Changes the part of the fixed allowance.
+    pub fn set_allowance(&mut self, allowance: f64) {
+        self.allowance = allowance;
+    }
+
+    /// Counts one request.
+    pub fn on_request(&mut self, now: Timestamp) {
+        self.bin(now).requests += 1;
+    }
+
+    /// Counts one retry if it may be made; returns whether it may.
+    pub fn try_retry(&mut self, now: Timestamp) -> bool {
+        let number = self.bin(now).number;
+        let counted = self.bins.iter().filter(|bin| bin.number <= number);
+        let (requests, retries) = counted.fold((0, 0), |(requests, retries), bin| {
+            (requests + bin.requests, retries + bin.retries)
+        });
+        let bound = (f64::from(requests) * self.ratio + self.allowance) * USED_PERCENT / 100.0;
+        let is_allowed = f64::from(retries + 1) <= bound;
+        if is_allowed {
+            self.bin(now).retries += 1;
+        }
+        is_allowed
+    }
+
+    fn bin(&mut self, now: Timestamp) -> &mut Bin {
+        let number = now.0 / self.bin.as_micros() as u64;
+        let oldest = number.saturating_sub(u64::from(BINS));
+        while self.bins.front().is_some_and(|bin| bin.number < oldest) {
+            self.bins.pop_front();
+        }
+        if self.bins.back().is_none_or(|bin| bin.number < number) {
+            self.bins.push_back(Bin {
+                number,
+                ..Bin::default()
+            });
+        }
+        let last = self.bins.len() - 1;
+        &mut self.bins[last]
+    }
+}
--- a/crates/laburnumstall-core/src/placement.rs
+++ b/crates/laburnumstall-core/src/placement.rs
@@ -27,7 +27,8 @@
 pub use controller::{PLAN_PERIOD, Placement, PlacementInput, PlacementOutput};
 pub use endpoint_orders::{LOAD_TIMEOUT, REFUSED_PERIOD, SEND_WITHIN};
 pub use lease::{
-    CALL_TIMEOUT, LEASE_MARGIN, LEASE_TTL, LONGEST_ORDER, LeaseHolder, POLL_PERIOD, RENEW_PERIOD,
+    CALL_TIMEOUT, LEASE_MARGIN, LEASE_TTL, LONGEST_ORDER, LeaseHolder, LeaseTiming, POLL_PERIOD,
+    RENEW_PERIOD,
 };
 pub use observed::ObservedEndpoint;
 pub use plan::{Alternative, Choice, Offer, Plan, PlanInput, PlanRevision, PlanSlot, Shortfall};
--- a/crates/laburnumstall-core/src/placement/lease.rs
+++ b/crates/laburnumstall-core/src/placement/lease.rs
@@ -38,6 +38,37 @@
 /// Step of the counter after an endpoint knew a higher token: the service was restored.
 const TOKEN_JUMP: u64 = 1 << 20;
 
+/// Times of a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTiming {
+    /// Time that the lease lives without renewal.
+    pub ttl: Duration,
+    /// Time by which the holder stops before the service could end the lease.
+    pub margin: Duration,
+    /// Time between two renewals.
+    pub renew: Duration,
+    /// Time between two looks at a lease that another daemon holds.
+    pub poll: Duration,
+    /// Time after which a call without a reply counts as lost.
+    pub call_timeout: Duration,
+    /// Time for which a new holder gives no order to an endpoint that ignores the token,
+    /// beside the lease's.
+    pub longest_order: Duration,
+}
+
+impl Default for LeaseTiming {
+    fn default() -> Self {
+        Self {
+            ttl: LEASE_TTL,
+            margin: LEASE_MARGIN,
+            renew: RENEW_PERIOD,
+            poll: POLL_PERIOD,
+            call_timeout: CALL_TIMEOUT,
+            longest_order: LONGEST_ORDER,
+        }
+    }
+}
+
 /// What the holder does next; one call is under way at a time.
 #[derive(Debug, Clone, PartialEq)]
 enum Step {
@@ -61,6 +92,7 @@
 #[derive(Debug, Clone)]
 pub struct LeaseHolder {
     own: DaemonId,
+    timing: LeaseTiming,
     holder_key: StoreKey,
     token_key: StoreKey,
     candidate: bool,
@@ -83,9 +115,23 @@
     ///
     /// Returns an error if the region's name is too long for a key.
     pub fn new(own: DaemonId, region: &Region) -> Result<Self, crate::ids::ParseIdError> {
+        Self::with_timing(own, region, LeaseTiming::default())
+    }
+
+    /// Starts without the lease, with times of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the region's name is too long for a key.
+    pub fn with_timing(
+        own: DaemonId,
+        region: &Region,
+        timing: LeaseTiming,
+    ) -> Result<Self, crate::ids::ParseIdError> {
         let nonce = crate::hash::digest64(&[own.to_string().as_bytes()]);
         Ok(Self {
             own,
+            timing,
             holder_key: format!("placement/{region}/holder").parse()?,
             token_key: format!("placement/{region}/token").parse()?,
             candidate: true,
@@ -141,7 +187,7 @@
         }
         self.token = None;
         self.jump = TOKEN_JUMP;
-        self.quiet_until = self.quiet_until.max(now.after(LONGEST_ORDER));
+        self.quiet_until = self.quiet_until.max(now.after(self.timing.longest_order));
         if self.pending.is_none() {
             self.step = Step::ReadToken;
             self.due = now;
@@ -153,7 +199,7 @@
     pub fn tick(&mut self, now: Timestamp, journal: &mut Journal) -> Vec<StoreRequest> {
         self.drop_lapsed(now, journal);
         if let Some(pending) = &self.pending {
-            if now.since(pending.sent) < CALL_TIMEOUT {
+            if now.since(pending.sent) < self.timing.call_timeout {
                 return Vec::new();
             }
             self.pending = None;
@@ -216,7 +262,9 @@
             Step::Look => self.candidate.then(|| StoreCall::Get {
                 key: self.holder_key.clone(),
             }),
-            Step::Grant => Some(StoreCall::Grant { ttl: LEASE_TTL }),
+            Step::Grant => Some(StoreCall::Grant {
+                ttl: self.timing.ttl,
+            }),
             Step::Take => {
                 let record = HolderRecord {
                     holder: self.own.clone(),
@@ -262,7 +310,7 @@
             (Step::Look, StoreReply::Value(Some(stored))) if stored.value.is_none() => {
                 self.go(Step::Grant, now);
             }
-            (Step::Look, StoreReply::Value(_)) => self.go(Step::Look, now.after(POLL_PERIOD)),
+            (Step::Look, StoreReply::Value(_)) => self.go(Step::Look, now.after(self.timing.poll)),
             (Step::Grant, StoreReply::Lease { lease, ttl }) => {
                 self.nonce = crate::hash::rendezvous_weight(self.nonce, lease.get());
                 self.hold(sent, lease, ttl);
@@ -284,12 +332,12 @@
             (Step::Renew, StoreReply::Lease { lease, ttl }) => {
                 self.hold(sent, lease, ttl);
                 let due = match self.token {
-                    Some(_) => sent.after(RENEW_PERIOD),
+                    Some(_) => sent.after(self.timing.renew),
                     None => now,
                 };
                 self.go(Step::Held, due);
             }
-            (Step::Revoke(_), _) => self.go(Step::Look, now.after(POLL_PERIOD)),
+            (Step::Revoke(_), _) => self.go(Step::Look, now.after(self.timing.poll)),
             (_, StoreReply::LeaseGone) => self.give_up(now, "lease-gone", journal),
             _ => self.give_up(now, "unexpected-reply", journal),
         }
@@ -297,7 +345,7 @@
 
     /// Goes on after a failed call: the same step again, or a reading back.
     fn on_failure(&mut self, now: Timestamp, failure: StoreFailure, journal: &mut Journal) {
-        let later = now.after(CALL_TIMEOUT / 2);
+        let later = now.after(self.timing.call_timeout / 2);
         let step = match (&self.step, failure) {
             // A granted lease of unknown name expires by itself.
             (Step::Grant, _) => Step::Look,
@@ -311,7 +359,7 @@
     }
 
     fn on_taken(&mut self, now: Timestamp, journal: &mut Journal) {
-        self.quiet_until = now.after(LEASE_TTL).after(LONGEST_ORDER);
+        self.quiet_until = now.after(self.timing.ttl).after(self.timing.longest_order);
         journal.record(self.decision(now, "took", "absent"));
         self.go(Step::ReadToken, now);
     }
@@ -342,7 +390,7 @@
     fn hold(&mut self, sent: Timestamp, lease: LeaseId, ttl: Duration) {
         self.lease = Some(HeldLease {
             lease,
-            valid_until: sent.after(ttl.saturating_sub(LEASE_MARGIN)),
+            valid_until: sent.after(ttl.saturating_sub(self.timing.margin)),
         });
     }
 
--- a/crates/laburnumstall-platform/src/http.rs
+++ b/crates/laburnumstall-outside/src/http.rs
@@ -77,6 +77,16 @@
         /// HTTP status code.
         status: u16,
     },
+    /// The body could not be written as JSON, so nothing was sent.
+    #[snafu(display("{method} {url} was not sent: the body cannot be encoded"))]
+    Encode {
+        /// HTTP method.
+        method: Method,
+        /// Address and path.
+        url: String,
+        /// Cause.
+        source: serde_json::Error,
+    },
     /// The reply's body was not what the interface says.
     #[snafu(display("{method} {url}: the reply could not be read"))]
     Decode {
@@ -93,7 +103,7 @@
     /// Tells whether the call certainly had no effect.
     pub fn is_without_effect(&self) -> bool {
         match self {
-            Self::NotSent { .. } => true,
+            Self::NotSent { .. } | Self::Encode { .. } => true,
             Self::Status { status, .. } => matches!(status, 429 | 503),
             _ => false,
         }
@@ -154,6 +164,30 @@
     }
 }
 
+/// A message to a JSON service.
+#[derive(Debug, Clone)]
+pub struct HttpMessage<'a> {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Headers beside those of the body.
+    pub headers: &'a [(&'static str, String)],
+    /// Body in JSON.
+    pub body: Option<Vec<u8>>,
+    /// Time for which a long poll may be held open by the service.
+    pub wait: Duration,
+}
+
+/// A whole reply.
+#[derive(Debug, Clone)]
+pub struct HttpReply {
+    /// HTTP status code.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
 /// A caller of one JSON service.
 pub struct JsonClient {
     settings: HttpSettings,
@@ -184,61 +218,85 @@
         wait: Duration,
     ) -> Result<R, HttpFailure> {
         let url = format!("http://{}{path}", self.settings.address);
-        let timeout = self.settings.timeout + wait;
-        let exchange = self.exchange(method.clone(), &url, body);
-        let result = match tokio::time::timeout(timeout, exchange).await {
+        let encoded = body.map(serde_json::to_vec).transpose();
+        let body = encoded.context(EncodeSnafu {
+            method: method.clone(),
+            url: &url,
+        })?;
+        let reply = self
+            .exchange(HttpMessage {
+                method: method.clone(),
+                path,
+                headers: &[],
+                body,
+                wait,
+            })
+            .await?;
+        let status = reply.status;
+        let decoded = match status {
+            200..=299 => serde_json::from_slice(&reply.body).context(DecodeSnafu { method, url }),
+            _ => StatusSnafu {
+                method,
+                url,
+                status,
+            }
+            .fail(),
+        };
+        decoded.inspect_err(self.settings.on_failure)
+    }
+
+    /// Sends a message and reads the reply, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpFailure`] if there is no whole reply.
+    pub async fn exchange(&self, message: HttpMessage<'_>) -> Result<HttpReply, HttpFailure> {
+        let url = format!("http://{}{}", self.settings.address, message.path);
+        let timeout = self.settings.timeout + message.wait;
+        let method = message.method.clone();
+        let result = match tokio::time::timeout(timeout, self.send(&url, message)).await {
             Ok(result) => result,
             Err(_) => {
                 self.replace_pool();
-                let method = method.clone();
                 TimedOutSnafu {
                     method,
-                    url: &url,
+                    url,
                     timeout,
                 }
                 .fail()
             }
         };
-        let decoded = result
-            .and_then(|reply| serde_json::from_slice(&reply).context(DecodeSnafu { method, url }));
-        decoded.inspect_err(self.settings.on_failure)
+        result.inspect_err(self.settings.on_failure)
     }
 
-    /// Drops the idle connections, so that the next call opens a new one.
-    pub fn replace_pool(&self) {
-        self.client
-            .replace(new_client(self.settings.connect_timeout));
-    }
-
-    async fn exchange<B: Serialize>(
-        &self,
-        method: Method,
-        url: &str,
-        body: Option<&B>,
-    ) -> Result<Bytes, HttpFailure> {
+    async fn send(&self, url: &str, message: HttpMessage<'_>) -> Result<HttpReply, HttpFailure> {
+        let method = message.method;
         let client = self.client.borrow().clone();
-        let request = client
+        let mut request = client
             .request(method.clone(), url)
             .address(self.settings.address);
-        let sending = match body {
-            Some(body) => request.send_json(body),
+        for (name, value) in message.headers {
+            request = request.insert_header((*name, value.as_str()));
+        }
+        let sending = match message.body {
+            Some(body) => request
+                .insert_header(("Content-Type", "application/json"))
+                .send_body(body),
             None => request.send(),
         };
         let mut response = sending
             .await
             .map_err(|e| sort_send_error(method.clone(), url, e))?;
-        let status = response.status();
-        let reply = response.body().limit(MAX_REPLY_BYTES).await;
-        if !status.is_success() {
-            let status = status.as_u16();
-            return StatusSnafu {
-                method,
-                url,
-                status,
-            }
-            .fail();
-        }
-        reply.context(TruncatedSnafu { method, url })
+        let status = response.status().as_u16();
+        let body = response.body().limit(MAX_REPLY_BYTES).await;
+        let body = body.context(TruncatedSnafu { method, url })?;
+        Ok(HttpReply { status, body })
+    }
+
+    /// Drops the idle connections, so that the next call opens a new one.
+    pub fn replace_pool(&self) {
+        self.client
+            .replace(new_client(self.settings.connect_timeout));
     }
 }
 
--- a/crates/laburnumstall-platform/tests/json_decoding.rs
+++ b/crates/laburnumstall-outside/tests/json_decoding.rs
@@ -4,8 +4,8 @@
 use laburnumstall_core::request::{AnswerEvent, Dialect};
 use laburnumstall_core::store::StoreVersion;
 use laburnumstall_core::units::Tokens;
-use laburnumstall_platform::endpoint::{AttemptFailure, ChunkDecoder, engine_body, prompt_text};
-use laburnumstall_platform::key_value::wire::{WireReply, WireStored, WireValue};
+use laburnumstall_outside::endpoint::{AttemptFailure, ChunkDecoder, engine_body, prompt_text};
+use laburnumstall_outside::key_value::wire::{WireReply, WireStored, WireValue};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
 
--- a/crates/laburnumstall-platform/tests/sse_parsing.rs
+++ b/crates/laburnumstall-outside/tests/sse_parsing.rs
@@ -1,7 +1,7 @@
 //! The parser of event streams: the same events wherever the bytes are split, bounded
 //! memory, and a clear error for what cannot be read.
 
-use laburnumstall_platform::endpoint::sse::{MAX_EVENT_BYTES, SseError, SseEvent, SseParser};
+use laburnumstall_outside::endpoint::sse::{MAX_EVENT_BYTES, SseError, SseEvent, SseParser};
 use quickcheck::{Gen, QuickCheck};
 
 fn parse(pieces: &[&[u8]]) -> Result<Vec<SseEvent>, SseError> {
--- a/crates/laburnumstall-standins/src/engine/batch.rs
+++ b/crates/laburnumstall-standins/src/engine/batch.rs
@@ -10,7 +10,7 @@
 use laburnumstall_core::request::{BlockHash, PREFIX_BLOCK_BYTES, prefix_blocks};
 use laburnumstall_core::units::{Bytes, Priority, TokenRate, Tokens};
 use laburnumstall_core::world::LoadReport;
-use laburnumstall_platform::endpoint::KvExport;
+use laburnumstall_outside::endpoint::KvExport;
 
 use super::EngineSpec;
 use super::cache::PrefixCache;
--- a/crates/laburnumstall-standins/src/engine/cache.rs
+++ b/crates/laburnumstall-standins/src/engine/cache.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumstall_core::request::BlockHash;
-use laburnumstall_platform::endpoint::{CacheChange, CacheEvent, CachePage};
+use laburnumstall_outside::endpoint::{CacheChange, CacheEvent, CachePage};
 
 use crate::history::History;
 
--- a/crates/laburnumstall-standins/src/engine/http.rs
+++ b/crates/laburnumstall-standins/src/engine/http.rs
@@ -9,11 +9,11 @@
 use futures_util::stream;
 use laburnumstall_core::cloud::EndpointOrder;
 use laburnumstall_core::request::Dialect;
-use laburnumstall_platform::endpoint::{
+use laburnumstall_outside::endpoint::{
     EngineChoice, EngineChunk, EngineUsage, KvExport, KvImport, KvImported, KvOffer, engine_path,
     headers, paths,
 };
-use laburnumstall_platform::http::{HttpSettings, JsonClient};
+use laburnumstall_outside::http::{HttpSettings, JsonClient};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::watch;
--- a/crates/laburnumstall-standins/src/engine/text.rs
+++ b/crates/laburnumstall-standins/src/engine/text.rs
@@ -6,7 +6,7 @@
 
 use laburnumstall_core::hash::{digest64, rendezvous_weight};
 use laburnumstall_core::request::Dialect;
-use laburnumstall_platform::endpoint::prompt_text;
+use laburnumstall_outside::endpoint::prompt_text;
 use serde_json::Value;
 
 /// Tokens generated for a body that names no limit.
--- a/crates/laburnumstall-standins/src/key_value.rs
+++ b/crates/laburnumstall-standins/src/key_value.rs
@@ -10,7 +10,7 @@
 
 use actix_web::{HttpResponse, web};
 use laburnumstall_core::store::LeaseId;
-use laburnumstall_platform::key_value::wire::{STORE_PATH, WireCall, WireReply};
+use laburnumstall_outside::key_value::wire::{STORE_PATH, WireCall, WireReply};
 use tokio::sync::watch;
 
 use crate::server::{Server, StandIn, broken_response, count_down, lock};
--- a/crates/laburnumstall-standins/src/key_value/table.rs
+++ b/crates/laburnumstall-standins/src/key_value/table.rs
@@ -5,7 +5,7 @@
 
 use laburnumstall_core::domain_value;
 use laburnumstall_core::store::{LeaseId, StoreKey, StoreVersion};
-use laburnumstall_platform::key_value::wire::{WireCall, WireReply, WireStored, WireValue};
+use laburnumstall_outside::key_value::wire::{WireCall, WireReply, WireStored, WireValue};
 
 domain_value! {
     /// Calls so far by kind.
--- a/crates/laburnumstall-standins/src/plain.rs
+++ b/crates/laburnumstall-standins/src/plain.rs
@@ -8,7 +8,7 @@
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse, web};
 use compact_str::CompactString;
-use laburnumstall_platform::endpoint::{headers, paths};
+use laburnumstall_outside::endpoint::{headers, paths};
 
 use crate::engine::{header, healthy};
 use crate::server::{Server, StandIn, broken_response, count_down, lock};
--- a/crates/laburnumstall-standins/src/sample.rs
+++ b/crates/laburnumstall-standins/src/sample.rs
@@ -7,7 +7,7 @@
 use laburnumstall_core::ids::AttemptId;
 use laburnumstall_core::request::{AnswerForm, Dialect, Request};
 use laburnumstall_core::units::{Priority, Timestamp, Tokens};
-use laburnumstall_platform::endpoint::{EndpointCall, engine_path};
+use laburnumstall_outside::endpoint::{EndpointCall, engine_path};
 
 /// Time that a sample attempt has.
 const REMAINING: Duration = Duration::from_secs(20);
--- a/crates/laburnumstall-standins/src/weights.rs
+++ b/crates/laburnumstall-standins/src/weights.rs
@@ -8,7 +8,7 @@
 use actix_web::{HttpResponse, web};
 use laburnumstall_core::cloud::OrderId;
 use laburnumstall_core::units::Bytes;
-use laburnumstall_platform::weight_store::{
+use laburnumstall_outside::weight_store::{
     RATE_PATH, RESERVATIONS_PATH, Reservation, ReservedLoad, WeightRate,
 };
 
--- a/crates/laburnumstall-standins/tests/broken_answers.rs
+++ b/crates/laburnumstall-standins/tests/broken_answers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use laburnumstall_core::request::{AnswerEvent, Dialect, Request};
-use laburnumstall_platform::endpoint::{
+use laburnumstall_outside::endpoint::{
     EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient,
 };
 use laburnumstall_standins::sample;
--- a/crates/laburnumstall-standins/tests/cloud_calls.rs
+++ b/crates/laburnumstall-standins/tests/cloud_calls.rs
@@ -4,9 +4,9 @@
 
 use laburnumstall_core::cloud::{CallFailure, CloudCall, CloudReply, OwnedVm, VmRequest};
 use laburnumstall_core::world::{Market, VmRole, VmState};
-use laburnumstall_platform::cloud::{Cloud, HttpCloud};
-use laburnumstall_platform::http::HttpSettings;
-use laburnumstall_platform::vm_list::{HttpVmList, VmList};
+use laburnumstall_outside::cloud::{Cloud, HttpCloud};
+use laburnumstall_outside::http::HttpSettings;
+use laburnumstall_outside::vm_list::{HttpVmList, VmList};
 use laburnumstall_standins::cloud::{CloudStandIn, RefusalRule};
 
 fn request(token: &str, zone: &str) -> VmRequest {
--- a/crates/laburnumstall-standins/tests/engine_control.rs
+++ b/crates/laburnumstall-standins/tests/engine_control.rs
@@ -9,7 +9,7 @@
 use laburnumstall_core::ids::FencingToken;
 use laburnumstall_core::request::{Dialect, Request, prefix_blocks};
 use laburnumstall_core::units::{Priority, Tokens};
-use laburnumstall_platform::endpoint::{
+use laburnumstall_outside::endpoint::{
     CacheChange, EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient, KvImport,
     prompt_text,
 };
--- a/crates/laburnumstall-standins/tests/engine_streams.rs
+++ b/crates/laburnumstall-standins/tests/engine_streams.rs
@@ -6,7 +6,7 @@
 use laburnumstall_core::ids::EventIndex;
 use laburnumstall_core::request::{AnswerEvent, Dialect};
 use laburnumstall_core::units::Tokens;
-use laburnumstall_platform::endpoint::{
+use laburnumstall_outside::endpoint::{
     AttemptFailure, EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient, StreamAttach,
 };
 use laburnumstall_standins::engine::{
--- a/crates/laburnumstall-standins/tests/interface_examples.rs
+++ b/crates/laburnumstall-standins/tests/interface_examples.rs
@@ -2,12 +2,12 @@
 
 use laburnumstall_core::cloud::{EndpointOrder, OrderReply, OwnedVm, VmRequest};
 use laburnumstall_core::world::{LoadReport, Vm};
-use laburnumstall_platform::cloud::{NoticePage, VmAnswer};
-use laburnumstall_platform::endpoint::{
+use laburnumstall_outside::cloud::{NoticePage, VmAnswer};
+use laburnumstall_outside::endpoint::{
     CachePage, EngineChunk, KvExport, KvImport, KvImported, KvOffer,
 };
-use laburnumstall_platform::key_value::wire::{WireCall, WireReply};
-use laburnumstall_platform::weight_store::{Reservation, ReservedLoad, WeightRate};
+use laburnumstall_outside::key_value::wire::{WireCall, WireReply};
+use laburnumstall_outside::weight_store::{Reservation, ReservedLoad, WeightRate};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
--- a/crates/laburnumstall-standins/tests/plain_calls.rs
+++ b/crates/laburnumstall-standins/tests/plain_calls.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use laburnumstall_core::request::{AnswerEvent, Dialect, Request};
-use laburnumstall_platform::endpoint::{
+use laburnumstall_outside::endpoint::{
     AttemptFailure, EndpointCall, EndpointClient, EndpointEvent, HttpEndpointClient,
 };
 use laburnumstall_standins::plain::{PlainFaults, PlainStandIn, expected_plain_answer};
--- a/crates/laburnumstall-standins/tests/store_calls.rs
+++ b/crates/laburnumstall-standins/tests/store_calls.rs
@@ -5,8 +5,8 @@
 use laburnumstall_core::store::{
     StoreCall, StoreFailure, StoreKey, StoreOutcome, StoreReply, StoreVersion, StoredValue,
 };
-use laburnumstall_platform::http::HttpSettings;
-use laburnumstall_platform::key_value::{HttpKeyValue, KeyValue};
+use laburnumstall_outside::http::HttpSettings;
+use laburnumstall_outside::key_value::{HttpKeyValue, KeyValue};
 use laburnumstall_standins::key_value::KeyValueStandIn;
 
 const WAIT: Duration = Duration::from_secs(10);
--- a/crates/laburnumstall-standins/tests/weight_reservations.rs
+++ b/crates/laburnumstall-standins/tests/weight_reservations.rs
@@ -1,8 +1,8 @@
 //! The weight store's adapter against its stand-in: loads queue at the store's rate.
 
 use laburnumstall_core::units::Bytes;
-use laburnumstall_platform::http::HttpSettings;
-use laburnumstall_platform::weight_store::{HttpWeightStore, Reservation, WeightStore};
+use laburnumstall_outside::http::HttpSettings;
+use laburnumstall_outside::weight_store::{HttpWeightStore, Reservation, WeightStore};
 use laburnumstall_standins::weights::WeightStandIn;
 
 fn reservation(order: &str) -> Reservation {
--- a/crates/laburnumstall/src/admin_client.rs
+++ b/crates/laburnumstall/src/admin_client.rs
@@ -9,7 +9,7 @@
 use awc::error::{PayloadError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use laburnumstall_config::admin::AdminError;
-use laburnumstall_platform::http::is_not_sent;
+use laburnumstall_outside::http::is_not_sent;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, ensure};
--- a/crates/laburnumstall/src/load/caller.rs
+++ b/crates/laburnumstall/src/load/caller.rs
@@ -10,7 +10,7 @@
 use futures_util::{Stream, StreamExt};
 use laburnumstall_core::error::{ErrorBody, ErrorKind, Refusal};
 use laburnumstall_core::request::Dialect;
-use laburnumstall_platform::endpoint::sse::{SseEvent, SseParser};
+use laburnumstall_outside::endpoint::sse::{SseEvent, SseParser};
 use serde_json::Value;
 
 use super::check::{AnswerCheck, ReceivedAnswer};
--- a/crates/laburnumstalld/src/clock.rs
+++ b/crates/laburnumstalld/src/clock.rs
@@ -1,13 +1,17 @@
-//! The daemon's clock: wall time at the start, carried on by the monotonic clock.
+//! The daemon's clock: wall time at the start, carried on by the time since boot.
+//!
+//! The time since boot goes on while the machine is suspended, as leases and other
+//! promises to the outside do, and does not follow steps of the wall clock.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use laburnumstall_core::units::Timestamp;
+use rustix::time::{ClockId, clock_gettime};
 
 /// A clock that never goes back while the process runs.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    started: Instant,
+    started: Duration,
     started_at: Timestamp,
 }
 
@@ -17,13 +21,19 @@
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let micros = since_epoch.map_or(0, |time| time.as_micros() as u64);
         Self {
-            started: Instant::now(),
+            started: since_boot(),
             started_at: Timestamp(micros),
         }
     }
 
     /// Returns the present time.
     pub fn now(&self) -> Timestamp {
-        self.started_at.after(self.started.elapsed())
+        self.started_at
+            .after(since_boot().saturating_sub(self.started))
     }
 }
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
--- a/crates/laburnumstalld/src/front/model.rs
+++ b/crates/laburnumstalld/src/front/model.rs
@@ -11,7 +11,7 @@
 use laburnumstall_core::request::{AnswerForm, Dialect, Request, prefix_blocks};
 use laburnumstall_core::units::{Timestamp, Tokens};
 use laburnumstall_core::world::{Customer, Service, ServiceKind, System};
-use laburnumstall_platform::endpoint::prompt_text;
+use laburnumstall_outside::endpoint::prompt_text;
 use serde_json::Value;
 
 use crate::front::auth::customer_of;
--- /dev/null
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -0,0 +1,293 @@
+//! The daemon on a platform that tells it its place: a gateway for requests that live as
+//! long as their caller's connection.
+//!
+//! One thread does everything. [`front`] reads requests, [`call`] takes each from the
+//! core's decisions to the end of its answer, [`stream`] passes events on, [`upstream`]
+//! speaks to endpoints. Beside them [`sync`] follows the key-value service, [`news`] the
+//! other daemons, [`duties`] does what one daemon at a time does, and [`directory`]
+//! answers questions.
+
+mod call;
+mod directory;
+mod duties;
+mod front;
+mod log;
+pub mod metrics;
+mod news;
+mod shared;
+mod stream;
+mod sync;
+mod upstream;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use laburnumstall_core::gateway::Gateway;
+use laburnumstall_core::ids::{DaemonId, Incarnation, ParseIdError};
+use laburnumstall_core::membership::Member;
+use laburnumstall_outside::http::HttpSettings;
+use laburnumstall_peer::{Identity, PeerEndpoint, PeerError, PeerTimeouts, Pins};
+use laburnumstall_platform::duties::DutyClient;
+use laburnumstall_platform::settings::{HostSettings, HostSettingsError};
+use laburnumstall_platform::store::Store;
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::clock::Clock;
+use crate::logging::{EventLog, LogError};
+use duties::Duties;
+use log::DecisionLog;
+use metrics::GatewayMetrics;
+use shared::Shared;
+
+/// Port of the metrics, on the VM's own address.
+pub const METRICS_PORT: u16 = 9464;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Longest time for a call to the key-value service, beside its wait: many round trips,
+/// and short against the time after which keys are not relied on.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time to connect to the platform.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time for a call of a duty.
+const DUTY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after the request to stop for which callers are accepted: twice the time for which
+/// they keep a directory's answer, and some.
+const ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+/// Time after the request to stop at which unused connections are closed.
+const IDLE_TIME: Duration = Duration::from_millis(1_000);
+/// Time before the process would be killed at which it ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks whether all callers have gone.
+const STOP_TICK: Duration = Duration::from_millis(50);
+/// Time between two looks whether the machine was suspended.
+const SUSPEND_TICK: Duration = Duration::from_millis(100);
+/// Suspension above which connections are not trusted.
+const SUSPENDED: Duration = Duration::from_millis(800);
+
+/// A gateway that cannot start.
+#[derive(Debug, Snafu)]
+pub enum GatewayError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address} for {purpose}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What for.
+        purpose: &'static str,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("cannot receive signals"))]
+    Signals {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The log cannot be started.
+    #[snafu(display("cannot start the log"))]
+    Log {
+        /// What happened.
+        source: LogError,
+    },
+    /// The links to the other daemons cannot be opened.
+    #[snafu(display("cannot open the links to the other daemons"))]
+    Links {
+        /// What happened.
+        source: PeerError,
+    },
+    /// The metrics cannot be registered.
+    #[snafu(display("cannot register the metrics"))]
+    Metrics {
+        /// What the library said.
+        source: prometheus::Error,
+    },
+    /// A name does not fit into a key of the key-value service.
+    #[snafu(display("a name does not fit into a key"))]
+    Key {
+        /// What is wrong.
+        source: ParseIdError,
+    },
+}
+
+/// Runs a gateway until it is asked to stop and has stopped.
+///
+/// # Errors
+///
+/// [`GatewayError`] if it cannot start.
+pub async fn run(settings: HostSettings) -> Result<(), GatewayError> {
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    let hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let clock = Clock::start();
+    let own = DaemonId {
+        vm: settings.vm.clone(),
+        incarnation: Incarnation(clock.now().0),
+    };
+    let log = EventLog::start(&own, spdlog::Level::Info, std::io::stdout()).context(LogSnafu)?;
+    let front = listen(settings.front, "callers")?;
+    let readiness = listen(settings.readiness, "readiness")?;
+    let metrics_at = SocketAddr::new(settings.front.ip(), METRICS_PORT);
+    let metrics = listen(metrics_at, "metrics")?;
+    let questions = settings
+        .directory
+        .map(|at| listen(at, "the directory"))
+        .transpose()?;
+
+    let pins = Pins::default();
+    let identity = Identity::generate(&own).context(LinksSnafu)?;
+    let (tx, rx) = mpsc::channel(news::EVENT_QUEUE);
+    let timeouts = PeerTimeouts::default();
+    let links = PeerEndpoint::bind(identity, settings.peer, pins.clone(), timeouts, tx);
+    let links = Rc::new(links.context(LinksSnafu)?);
+    let member = Member {
+        id: own.clone(),
+        zone: settings.zone.clone(),
+        peer_address: links.local_address(),
+        caller_address: settings.front,
+        certificate: links.fingerprint(),
+        leaving: false,
+    };
+
+    let gateway = Gateway::new(
+        own.clone(),
+        settings.zone.clone(),
+        settings.front,
+        settings.bounds.clone(),
+    );
+    let registered = GatewayMetrics::register().context(MetricsSnafu)?;
+    let cx = Shared::new(settings, gateway, clock, DecisionLog::new(log), registered);
+    cx.event(
+        "start",
+        &[
+            ("version", &env!("CARGO_PKG_VERSION")),
+            ("zone", &cx.settings.zone),
+            ("front", &cx.settings.front),
+            ("store", &cx.settings.store),
+        ],
+    );
+
+    let store = Rc::new(Store::new(client_settings(
+        cx.settings.store,
+        STORE_TIMEOUT,
+    )));
+    actix_rt::spawn(sync::run(Rc::clone(&cx), Rc::clone(&store)));
+    let registration = actix_rt::spawn(sync::register(
+        Rc::clone(&cx),
+        Rc::clone(&store),
+        member.clone(),
+    ));
+    actix_rt::spawn(news::send(Rc::clone(&cx), Rc::clone(&links), pins));
+    actix_rt::spawn(news::receive(Rc::clone(&cx), rx));
+    for listener in [Some(readiness), Some(metrics), questions]
+        .into_iter()
+        .flatten()
+    {
+        actix_rt::spawn(directory::serve(Rc::clone(&cx), listener));
+    }
+    if let Some(address) = cx.settings.duties {
+        let client = DutyClient::new(client_settings(address, DUTY_TIMEOUT), own.vm);
+        let duties =
+            Duties::new(Rc::clone(&cx), Rc::clone(&store), client, member).context(KeySnafu)?;
+        actix_rt::spawn(duties.run());
+    }
+    actix_rt::spawn(watch_suspension(Rc::clone(&cx)));
+    actix_rt::spawn(reload(Rc::clone(&cx), hangup));
+    let accepting = actix_rt::spawn(front::accept(Rc::clone(&cx), front));
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&cx, accepting, registration).await;
+    Ok(())
+}
+
+/// Leaves the directory, lets callers finish, and ends before the process would be killed.
+async fn stop(
+    cx: &Shared,
+    accepting: actix_rt::task::JoinHandle<()>,
+    registration: actix_rt::task::JoinHandle<()>,
+) {
+    let asked = Instant::now();
+    cx.decide(|gateway, now| gateway.begin_stop(now));
+    cx.stopped.notify_waiters();
+    sleep_until(asked + IDLE_TIME).await;
+    cx.close_idle();
+    sleep_until(asked + ACCEPT_TIME).await;
+    accepting.abort();
+    let end = asked + cx.settings.stop_grace.saturating_sub(END_MARGIN);
+    while cx.callers() > 0 && Instant::now() < end {
+        sleep(STOP_TICK).await;
+    }
+    registration.abort();
+    cx.event(
+        "stop",
+        &[
+            ("callers_left", &cx.callers()),
+            ("took_ms", &asked.elapsed().as_millis()),
+        ],
+    );
+    cx.close_log();
+}
+
+/// Drops unused connections after a suspension: the other sides may have given them up.
+async fn watch_suspension(cx: Rc<Shared>) {
+    loop {
+        let (steady, boot) = (Instant::now(), cx.now());
+        sleep(SUSPEND_TICK).await;
+        let missing = cx.now().since(boot).saturating_sub(steady.elapsed());
+        if missing > SUSPENDED {
+            cx.event("suspended", &[("for_ms", &missing.as_millis())]);
+            cx.pool.clear();
+        }
+    }
+}
+
+/// Tells what a changed settings file asks for; addresses hold until the next start.
+async fn reload(cx: Rc<Shared>, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match HostSettings::load() {
+            Ok(settings) => {
+                let is_changed = settings != cx.settings;
+                cx.event("reload", &[("changed", &is_changed)]);
+                cx.decide(|gateway, _| gateway.set_bounds(settings.bounds));
+            }
+            Err(error) => cx.event("reload-failed", &[("cause", &full_message(&error))]),
+        }
+    }
+}
+
+/// Returns an error with its causes in one line.
+fn full_message(error: &HostSettingsError) -> String {
+    let mut message = error.to_string();
+    let mut cause = std::error::Error::source(error);
+    while let Some(next) = cause {
+        message.push_str(": ");
+        message.push_str(&next.to_string());
+        cause = next.source();
+    }
+    message
+}
+
+fn client_settings(address: SocketAddr, timeout: Duration) -> HttpSettings {
+    HttpSettings {
+        connect_timeout: CONNECT_TIMEOUT,
+        timeout,
+        ..HttpSettings::new(address)
+    }
+}
+
+fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, GatewayError> {
+    let open = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().context(ListenSnafu { address, purpose })
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/gateway/directory.rs
@@ -0,0 +1,131 @@
+//! Answers to callers that ask where to connect, to the platform that asks whether the
+//! daemon is ready, and to whoever reads the metrics.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use laburnumstall_platform::directory::{self, Question};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+use super::front::reason;
+use super::shared::Shared;
+use crate::http1::{Conn, Framing, RequestHead};
+
+/// Largest head of a question.
+const MAX_HEAD: usize = 16 << 10;
+/// Longest time to receive a question on an open connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest time to send an answer.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which callers keep an answer: callers leave a daemon that stops or died within
+/// it, and asking costs little.
+const MAX_AGE: Duration = Duration::from_secs(1);
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+struct Reply {
+    status: u16,
+    content_type: &'static str,
+    body: Vec<u8>,
+}
+
+/// Answers questions that arrive at `listener`.
+pub(super) async fn serve(cx: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((io, _)) => {
+                actix_rt::spawn(answer_all(Rc::clone(&cx), io));
+            }
+            Err(error) => {
+                cx.event("accept-failed", &[("cause", &error)]);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn answer_all(cx: Rc<Shared>, io: TcpStream) {
+    let mut conn = Conn::new(io);
+    while let Ok(Some(head)) = timeout(IDLE_TIMEOUT, read_head(&mut conn)).await {
+        let reply = answer(&cx, &head);
+        let is_last = head.is_last || head.framing != Framing::Empty;
+        let mut message = format!(
+            "HTTP/1.1 {} {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n{}\r\n",
+            reply.status,
+            reason(reply.status),
+            reply.content_type,
+            reply.body.len(),
+            if is_last { "connection: close\r\n" } else { "" },
+        )
+        .into_bytes();
+        message.extend_from_slice(&reply.body);
+        if conn.send(&message, SEND_TIMEOUT).await.is_err() {
+            return;
+        }
+        if is_last {
+            break;
+        }
+    }
+    conn.close().await;
+}
+
+async fn read_head(conn: &mut Conn) -> Option<RequestHead> {
+    loop {
+        match RequestHead::take(&mut conn.buf, MAX_HEAD) {
+            Ok(Some(head)) => return Some(head),
+            Ok(None) => {}
+            Err(_) => return None,
+        }
+        if !matches!(conn.fill().await, Ok(1..)) {
+            return None;
+        }
+    }
+}
+
+fn answer(cx: &Shared, head: &RequestHead) -> Reply {
+    match directory::question(&head.method, &head.target) {
+        Some(Question::Ready) => {
+            let is_ready = cx.decide(|gateway, now| gateway.is_ready(now));
+            Reply {
+                status: if is_ready { 200 } else { 503 },
+                content_type: "text/plain",
+                body: Vec::new(),
+            }
+        }
+        Some(Question::Addresses) => {
+            let addresses = cx.decide(|gateway, now| gateway.directory(now));
+            let max_age = MAX_AGE.min(cx.settings.directory_max_age);
+            match directory::reply(addresses, max_age) {
+                Ok(body) => Reply {
+                    status: 200,
+                    content_type: "application/json",
+                    body,
+                },
+                Err(error) => failed(cx, &error),
+            }
+        }
+        None if head.method == "GET" && head.target == METRICS_PATH => match cx.metrics.encode() {
+            Ok(text) => Reply {
+                status: 200,
+                content_type: "text/plain; version=0.0.4",
+                body: text.into_bytes(),
+            },
+            Err(error) => failed(cx, &error),
+        },
+        None => Reply {
+            status: 404,
+            content_type: "text/plain",
+            body: Vec::new(),
+        },
+    }
+}
+
+fn failed(cx: &Shared, error: &dyn std::error::Error) -> Reply {
+    cx.event("answer-failed", &[("cause", &error)]);
+    Reply {
+        status: 500,
+        content_type: "text/plain",
+        body: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/gateway/duties.rs
@@ -0,0 +1,307 @@
+//! Duties that one daemon at a time performs: reporting usage and ordering endpoints.
+//!
+//! Who performs them holds a lease with a fencing token. What is reported is written to
+//! the key-value service before it is sent, so that whoever repeats it repeats exactly it.
+//! A new holder waits until no call of an earlier one can be under way.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use laburnumstall_core::decision::Journal;
+use laburnumstall_core::gateway::{ScaleOrder, ScaleOutcome, Scaler, UsageReport};
+use laburnumstall_core::ids::{FencingToken, ParseIdError};
+use laburnumstall_core::membership::Member;
+use laburnumstall_core::placement::{LeaseHolder, LeaseTiming, is_candidate};
+use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply};
+use laburnumstall_core::units::Timestamp;
+use laburnumstall_outside::key_value::KeyValue;
+use laburnumstall_platform::duties::{DutyClient, DutyOutcome};
+use laburnumstall_platform::store::Store;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::shared::Shared;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(250);
+/// Time between two plans for endpoints.
+const PLAN_PERIOD: Duration = Duration::from_secs(1);
+/// Time after a window's end in which the last news of its counts arrive.
+const COUNTS_ARRIVE: Duration = Duration::from_millis(2_500);
+/// Part of the lease by which its holder stops early, as a divisor.
+const MARGIN_DIVISOR: u32 = 4;
+/// Part of the lease after which it is renewed, as a divisor.
+const RENEW_DIVISOR: u32 = 3;
+/// Longest time that a call of a former holder is under way when the next one begins.
+const LONGEST_CALL: Duration = Duration::from_millis(300);
+/// Beginning of the keys under which reports are fixed.
+const REPORTS_PREFIX: &str = "usage/";
+
+/// Performs the duties while this daemon holds them.
+pub(super) struct Duties {
+    cx: Rc<Shared>,
+    store: Rc<Store>,
+    client: DutyClient,
+    own: Member,
+    lease: RefCell<LeaseHolder>,
+    scaler: RefCell<Scaler>,
+    /// Windows that were reported or are being reported.
+    reported: RefCell<BTreeSet<u64>>,
+    under_way: RefCell<BTreeSet<u64>>,
+    planned_at: RefCell<Timestamp>,
+}
+
+impl Duties {
+    /// Prepares the duties of `own`.
+    ///
+    /// # Errors
+    ///
+    /// [`ParseIdError`] if the region's name does not fit into a key.
+    pub(super) fn new(
+        cx: Rc<Shared>,
+        store: Rc<Store>,
+        client: DutyClient,
+        own: Member,
+    ) -> Result<Rc<Self>, ParseIdError> {
+        let ttl = cx.settings.duty_lease;
+        let timing = LeaseTiming {
+            ttl,
+            margin: ttl / MARGIN_DIVISOR,
+            renew: ttl / RENEW_DIVISOR,
+            poll: ttl / 2,
+            call_timeout: ttl / 2,
+            longest_order: LONGEST_CALL,
+        };
+        let lease = LeaseHolder::with_timing(own.id.clone(), &cx.settings.region, timing)?;
+        Ok(Rc::new(Self {
+            cx,
+            store,
+            client,
+            own,
+            lease: RefCell::new(lease),
+            scaler: RefCell::default(),
+            reported: RefCell::default(),
+            under_way: RefCell::default(),
+            planned_at: RefCell::default(),
+        }))
+    }
+
+    /// Looks at what is due, for ever.
+    pub(super) async fn run(self: Rc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.tick_lease();
+            let now = self.cx.now();
+            if self.token(now).is_none() {
+                if self.is_idle(now) {
+                    self.scaler.borrow_mut().reset();
+                    self.reported.borrow_mut().clear();
+                }
+                continue;
+            }
+            if self.cx.settings.reports_usage {
+                self.report_due(now);
+            }
+            if self.cx.settings.orders_endpoints {
+                self.plan_endpoints(now);
+            }
+        }
+    }
+
+    fn is_idle(&self, now: Timestamp) -> bool {
+        !self.lease.borrow().may_order(now)
+    }
+
+    /// Returns the token if calls may be made now.
+    fn token(&self, now: Timestamp) -> Option<FencingToken> {
+        let lease = self.lease.borrow();
+        lease.token(now).filter(|_| lease.may_order_unchecked(now))
+    }
+
+    fn tick_lease(self: &Rc<Self>) {
+        let is_candidate = self.cx.decide(|gateway, now| {
+            let others = gateway.roster().heard(now).map(|peer| &peer.member);
+            let all: Vec<&Member> = others.chain([&self.own]).collect();
+            let region = &self.cx.settings.region;
+            !gateway.is_stopping() && is_candidate(&self.own.id, region, &all)
+        });
+        let mut journal = Journal::default();
+        let mut lease = self.lease.borrow_mut();
+        lease.set_candidate(is_candidate);
+        let requests = lease.tick(self.cx.now(), &mut journal);
+        drop(lease);
+        self.write(journal);
+        for request in requests {
+            let this = Rc::clone(self);
+            actix_rt::spawn(async move {
+                let outcome = this.store.call(request.call).await;
+                let mut journal = Journal::default();
+                let now = this.cx.now();
+                this.lease
+                    .borrow_mut()
+                    .on_store(now, request.id, outcome, &mut journal);
+                this.write(journal);
+            });
+        }
+    }
+
+    fn write(&self, journal: Journal) {
+        self.cx.record(journal);
+    }
+
+    // Usage.
+
+    fn report_due(self: &Rc<Self>, now: Timestamp) {
+        let (last, windows) = self.cx.decide(|gateway, now| {
+            let usage = gateway.usage();
+            let current = usage.window_at(now);
+            let is_due = |window: &u64| {
+                let end = usage.end_of(*window);
+                now >= end.after(COUNTS_ARRIVE) && now.since(end) < self.cx.settings.usage_delay
+            };
+            let windows: Vec<u64> = (current.saturating_sub(4)..current)
+                .filter(is_due)
+                .collect();
+            (current, windows)
+        });
+        self.reported
+            .borrow_mut()
+            .retain(|window| window + 8 > last);
+        for window in windows {
+            let is_known = self.reported.borrow().contains(&window);
+            if is_known || !self.under_way.borrow_mut().insert(window) {
+                continue;
+            }
+            let this = Rc::clone(self);
+            actix_rt::spawn(async move {
+                let outcome = this.report(window).await;
+                this.cx.event(
+                    "usage-report",
+                    &[
+                        ("window", &window),
+                        ("outcome", &outcome),
+                        ("age_ms", &this.cx.now().since(now).as_millis()),
+                    ],
+                );
+                this.under_way.borrow_mut().remove(&window);
+            });
+        }
+    }
+
+    /// Fixes the report of a window and sends it.
+    async fn report(&self, window: u64) -> &'static str {
+        let report = match self.fix_report(window).await {
+            Ok(report) => report,
+            Err(cause) => return cause,
+        };
+        let Some(token) = self.token(self.cx.now()) else {
+            return "not-holder";
+        };
+        match self.client.report(token, &report).await {
+            DutyOutcome::Accepted => {
+                self.reported.borrow_mut().insert(window);
+                "accepted"
+            }
+            DutyOutcome::Conflict => {
+                self.on_fenced();
+                "fenced"
+            }
+            DutyOutcome::NotDone => "not-done",
+            DutyOutcome::Unclear => "no-reply",
+            DutyOutcome::Rejected(_) => "rejected",
+        }
+    }
+
+    /// Returns what is reported of a window: what stands in the service, or else the counts
+    /// known now, written there.
+    async fn fix_report(&self, window: u64) -> Result<UsageReport, &'static str> {
+        let key = format!("{REPORTS_PREFIX}{window}")
+            .parse::<StoreKey>()
+            .map_err(|_| "no-key")?;
+        let report = self.cx.decide(|gateway, _| gateway.usage().report(window));
+        let value = serde_json::to_vec(&report).map_err(|_| "not-encoded")?;
+        let swap = StoreCall::Swap {
+            key: key.clone(),
+            expected: None,
+            value: Some(value),
+            lease: None,
+        };
+        let current = match self.store.call(swap).await {
+            Ok(StoreReply::Swapped { .. }) => return Ok(report),
+            Ok(StoreReply::Conflict {
+                current: Some(current),
+            }) => Some(current),
+            Ok(StoreReply::Conflict { current: None }) => {
+                match self.store.call(StoreCall::Get { key }).await {
+                    Ok(StoreReply::Value(current)) => current,
+                    _ => return Err("not-read"),
+                }
+            }
+            _ => return Err("not-written"),
+        };
+        let fixed = current.and_then(|stored| serde_json::from_slice(&stored.value?).ok());
+        fixed.ok_or("fixed-report-unreadable")
+    }
+
+    fn on_fenced(&self) {
+        let mut journal = Journal::default();
+        self.lease
+            .borrow_mut()
+            .on_fenced(self.cx.now(), &mut journal);
+        self.write(journal);
+    }
+
+    // Endpoints.
+
+    fn plan_endpoints(self: &Rc<Self>, now: Timestamp) {
+        if now.since(*self.planned_at.borrow()) < PLAN_PERIOD {
+            return;
+        }
+        *self.planned_at.borrow_mut() = now;
+        let mut journal = Journal::default();
+        let orders = self.cx.decide(|gateway, now| {
+            let demand = gateway.demand();
+            let Some(table) = gateway.table() else {
+                return Vec::new();
+            };
+            let mut scaler = self.scaler.borrow_mut();
+            let scaled = table.rules().services.iter();
+            scaled
+                .filter_map(|(service, rule)| Some((service, rule.scaling.as_ref()?)))
+                .flat_map(|(service, rule)| {
+                    scaler.plan(now, service, rule, gateway.fleet(), &demand, &mut journal)
+                })
+                .collect()
+        });
+        self.write(journal);
+        for order in orders {
+            let this = Rc::clone(self);
+            actix_rt::spawn(async move { this.order(order).await });
+        }
+    }
+
+    async fn order(&self, order: ScaleOrder) {
+        let Some(token) = self.token(self.cx.now()) else {
+            return self.on_order(&order, ScaleOutcome::Refused);
+        };
+        let outcome = match self.client.scale(token, &order).await {
+            DutyOutcome::Accepted => ScaleOutcome::Accepted,
+            DutyOutcome::Conflict => ScaleOutcome::NoneAvailable,
+            DutyOutcome::Unclear => ScaleOutcome::Unclear,
+            DutyOutcome::NotDone | DutyOutcome::Rejected(_) => ScaleOutcome::Refused,
+        };
+        self.on_order(&order, outcome);
+    }
+
+    fn on_order(&self, order: &ScaleOrder, outcome: ScaleOutcome) {
+        let mut journal = Journal::default();
+        let now = self.cx.now();
+        self.scaler
+            .borrow_mut()
+            .on_outcome(now, order, outcome, &mut journal);
+        self.write(journal);
+    }
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/gateway/front.rs
@@ -0,0 +1,212 @@
+//! Callers' connections: one request after the other.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use laburnumstall_core::error::{ErrorBody, ErrorKind, Refusal};
+use laburnumstall_core::gateway::CallerLimits;
+use laburnumstall_platform::headers;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+use super::call;
+use super::shared::Shared;
+use crate::http1::{BodyReader, Conn, HeadError, RequestHead};
+
+/// Longest time for a caller to take what is sent to it without taking anything.
+pub(super) const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a connection could not be accepted, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A request with its whole body.
+#[derive(Debug, Clone)]
+pub(super) struct Request {
+    /// Head.
+    pub head: RequestHead,
+    /// Body without its framing.
+    pub body: Bytes,
+}
+
+/// What becomes of a caller's connection after a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Flow {
+    /// It takes the next request.
+    Keep,
+    /// It is closed in order.
+    Close,
+    /// It is broken off, so that an answer that is not whole does not look so.
+    Break,
+}
+
+/// Accepts callers until the listener is dropped with the task.
+pub(super) async fn accept(cx: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((io, from)) => {
+                actix_rt::spawn(serve(Rc::clone(&cx), io, from));
+            }
+            Err(error) => {
+                cx.event("accept-failed", &[("cause", &error)]);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(cx: Rc<Shared>, io: TcpStream, from: SocketAddr) {
+    cx.count_callers(1);
+    let mut conn = Conn::new(io);
+    let flow = loop {
+        let request = match next_request(&cx, &mut conn).await {
+            Ok(Some(request)) => request,
+            Ok(None) => break Flow::Close,
+            Err(kind) => {
+                cx.event("request-unreadable", &[("from", &from), ("cause", &kind)]);
+                refuse(
+                    &cx,
+                    &mut conn,
+                    None,
+                    &Refusal::new(kind, "unreadable"),
+                    true,
+                )
+                .await;
+                break Flow::Close;
+            }
+        };
+        let flow = call::serve(&cx, &mut conn, &request).await;
+        if flow != Flow::Keep {
+            break flow;
+        }
+    };
+    if flow == Flow::Close {
+        conn.close().await;
+    }
+    cx.count_callers(-1);
+}
+
+/// Reads the next request; `None` if the caller is done or the connection is to be closed.
+///
+/// # Errors
+///
+/// The kind of the answer to a request that cannot be read.
+async fn next_request(cx: &Shared, conn: &mut Conn) -> Result<Option<Request>, ErrorKind> {
+    let limits = cx.limits();
+    if conn.buf.is_empty() && !wait_for_bytes(cx, conn, limits.idle_timeout).await {
+        return Ok(None);
+    }
+    let read = timeout(limits.head_timeout, read_head(conn, &limits)).await;
+    let Some(head) = read.map_err(|_| ErrorKind::Malformed)?? else {
+        return Ok(None);
+    };
+    if head.expects_continue {
+        let sent = conn
+            .send(b"HTTP/1.1 100 Continue\r\n\r\n", SEND_TIMEOUT)
+            .await;
+        if sent.is_err() {
+            return Ok(None);
+        }
+    }
+    let Some(body) = read_body(conn, &head, &limits).await? else {
+        return Ok(None);
+    };
+    Ok(Some(Request { head, body }))
+}
+
+/// Waits for the first byte of a request; returns whether it came.
+async fn wait_for_bytes(cx: &Shared, conn: &mut Conn, idle: Duration) -> bool {
+    loop {
+        let stopped = cx.stopped.notified();
+        if cx.is_closing_idle() {
+            return false;
+        }
+        tokio::select! {
+            filled = timeout(idle, conn.fill()) => return matches!(filled, Ok(Ok(1..))),
+            () = stopped => {}
+        }
+    }
+}
+
+async fn read_head(
+    conn: &mut Conn,
+    limits: &CallerLimits,
+) -> Result<Option<RequestHead>, ErrorKind> {
+    loop {
+        match RequestHead::take(&mut conn.buf, limits.head.get() as usize) {
+            Ok(Some(head)) => return Ok(Some(head)),
+            Ok(None) => {}
+            Err(HeadError::TooLarge) => return Err(ErrorKind::TooLarge),
+            Err(_) => return Err(ErrorKind::Malformed),
+        }
+        if !matches!(conn.fill().await, Ok(1..)) {
+            return Ok(None);
+        }
+    }
+}
+
+/// Reads a body; `None` if the caller left in the middle of it.
+async fn read_body(
+    conn: &mut Conn,
+    head: &RequestHead,
+    limits: &CallerLimits,
+) -> Result<Option<Bytes>, ErrorKind> {
+    let max = limits.body.get();
+    if matches!(head.framing, crate::http1::Framing::Length(length) if length > max) {
+        return Err(ErrorKind::TooLarge);
+    }
+    let mut reader = BodyReader::new(head.framing);
+    let mut body = BytesMut::new();
+    loop {
+        match reader.next(&mut conn.buf) {
+            Ok(Some(piece)) if body.len() as u64 + piece.len() as u64 > max => {
+                return Err(ErrorKind::TooLarge);
+            }
+            Ok(Some(piece)) => body.extend_from_slice(&piece),
+            Ok(None) if reader.is_done() => return Ok(Some(body.freeze())),
+            Ok(None) => match timeout(limits.idle_timeout, conn.fill()).await {
+                Ok(Ok(1..)) => {}
+                _ => return Ok(None),
+            },
+            Err(_) => return Err(ErrorKind::Malformed),
+        }
+    }
+}
+
+/// Sends the answer to a request that is not served; returns whether it was sent.
+pub(super) async fn refuse(
+    cx: &Shared,
+    conn: &mut Conn,
+    id: Option<&str>,
+    refusal: &Refusal,
+    is_last: bool,
+) -> bool {
+    let answer = refusal.kind.answer();
+    let body = serde_json::to_vec(&ErrorBody::from(refusal)).unwrap_or_default();
+    let mut head = format!("HTTP/1.1 {} {}\r\n", answer.status, reason(answer.status));
+    if let Some(id) = id {
+        head.push_str(&format!("{}: {id}\r\n", headers::CALL_ID));
+    }
+    if let Some(wait) = refusal.retry_after {
+        head.push_str(&format!("retry-after: {:.3}\r\n", wait.as_secs_f64()));
+    }
+    if is_last {
+        head.push_str("connection: close\r\n");
+    }
+    head.push_str(&format!(
+        "content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    ));
+    let mut message = head.into_bytes();
+    message.extend_from_slice(&body);
+    cx.metrics.refused(refusal.kind);
+    conn.send(&message, SEND_TIMEOUT).await.is_ok()
+}
+
+/// Returns the customary phrase of a status code.
+pub(super) fn reason(status: u16) -> &'static str {
+    let status = actix_web::http::StatusCode::from_u16(status).ok();
+    status
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or("Unknown")
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/gateway/log.rs
@@ -0,0 +1,92 @@
+//! The gateway's part of the log: bounded in lines a second, with a count of the rest.
+
+use laburnumstall_core::decision::{Decision, write_value};
+use laburnumstall_core::units::Timestamp;
+
+use crate::logging::EventLog;
+
+/// Lines of one daemon in a second: ten for each of thirty requests, and as many again.
+const LINES_PER_SECOND: u32 = 600;
+
+/// Writes decisions and events.
+pub(super) struct DecisionLog {
+    log: Option<EventLog>,
+    second: u64,
+    written: u32,
+    left_out: u64,
+}
+
+impl DecisionLog {
+    /// Writes to `log`.
+    pub(super) fn new(log: EventLog) -> Self {
+        Self {
+            log: Some(log),
+            second: 0,
+            written: 0,
+            left_out: 0,
+        }
+    }
+
+    /// Writes a decision.
+    pub(super) fn decision(&mut self, now: Timestamp, decision: &Decision) {
+        if !self.has_room(now) {
+            return;
+        }
+        if let Some(log) = &self.log {
+            log.decision(decision);
+        }
+    }
+
+    /// Writes an event.
+    pub(super) fn event(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        fields: &[(&str, &dyn std::fmt::Display)],
+    ) {
+        if !self.has_room(now) {
+            return;
+        }
+        let line = line(now, name, fields);
+        if let Some(log) = &self.log {
+            spdlog::info!(logger: log.logger(), "{line}");
+        }
+    }
+
+    /// Writes what is queued and stops.
+    pub(super) fn close(&mut self) {
+        if let Some(log) = self.log.take() {
+            log.close();
+        }
+    }
+
+    fn has_room(&mut self, now: Timestamp) -> bool {
+        let second = now.0 / 1_000_000;
+        if second != self.second {
+            self.second = second;
+            self.written = 0;
+            let left_out = std::mem::take(&mut self.left_out);
+            if left_out > 0 {
+                self.event(now, "log-lines-left-out", &[("lines", &left_out)]);
+            }
+        }
+        let has_room = self.written < LINES_PER_SECOND;
+        match has_room {
+            true => self.written += 1,
+            false => self.left_out += 1,
+        }
+        has_room
+    }
+}
+
+fn line(now: Timestamp, name: &str, fields: &[(&str, &dyn std::fmt::Display)]) -> String {
+    let mut line = format!("t={now} event={name}");
+    for (field, value) in fields {
+        line.push(' ');
+        line.push_str(field);
+        line.push('=');
+        // Writing to a string does not fail.
+        let _ = write_value(&mut line, &value.to_string());
+    }
+    line
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/gateway/news.rs
@@ -0,0 +1,64 @@
+//! Links to the other daemons: news go out, and come in.
+
+use std::rc::Rc;
+
+use laburnumstall_core::gateway::{NEWS_PERIOD, News};
+use laburnumstall_peer::{PeerEndpoint, PeerEvent, Pins};
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::shared::Shared;
+
+/// Events that wait before the network is held back.
+pub(super) const EVENT_QUEUE: usize = 1_024;
+
+/// Sends news to all daemons that are known, every period.
+pub(super) async fn send(cx: Rc<Shared>, links: Rc<PeerEndpoint<News>>, pins: Pins) {
+    let mut ticks = interval(NEWS_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let (news, members) = cx.decide(|gateway, now| {
+            gateway.tick(now);
+            let members: Vec<_> = gateway
+                .roster()
+                .peers()
+                .map(|peer| peer.member.clone())
+                .collect();
+            (gateway.news(now), members)
+        });
+        pins.set(
+            members
+                .iter()
+                .map(|member| (member.certificate, member.id.clone())),
+        );
+        for member in &members {
+            let sent = links.send(&member.id, member.peer_address, news.clone());
+            if let Err(error) = sent {
+                cx.event(
+                    "news-not-sent",
+                    &[("daemon", &member.id), ("cause", &error.fault)],
+                );
+            }
+        }
+    }
+}
+
+/// Takes in what the links report.
+pub(super) async fn receive(cx: Rc<Shared>, mut rx: mpsc::Receiver<PeerEvent<News>>) {
+    while let Some(event) = rx.recv().await {
+        match event {
+            PeerEvent::Message { from, message } => {
+                cx.decide(|gateway, now| gateway.on_news(now, &from, message));
+            }
+            PeerEvent::Connected { to } => cx.event("link-up", &[("daemon", &to)]),
+            PeerEvent::Lost { to, reason, .. } => {
+                cx.event("link-lost", &[("daemon", &to), ("cause", &reason)]);
+            }
+            PeerEvent::BadFrame { from, fault } => {
+                cx.event("link-bad-frame", &[("daemon", &from), ("cause", &fault)]);
+            }
+            PeerEvent::Probed { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/http1/body.rs
@@ -0,0 +1,177 @@
+//! Bodies, by length, in chunks or up to the end of the connection.
+
+use bytes::{Buf, Bytes, BytesMut};
+use snafu::Snafu;
+
+use super::head::Framing;
+
+/// Longest line that begins a chunk, and longest trailer.
+const MAX_CHUNK_LINE: usize = 1_024;
+
+/// A body that cannot be read on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum BodyError {
+    /// The connection ended before the body did.
+    #[snafu(display("the body broke off"))]
+    Truncated,
+    /// A chunk is not framed as it should be.
+    #[snafu(display("a chunk is malformed"))]
+    Chunk,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Done,
+    Length(u64),
+    UntilClose,
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer,
+}
+
+/// Takes a body piece by piece from what was received.
+#[derive(Debug, Clone)]
+pub struct BodyReader {
+    state: State,
+}
+
+impl BodyReader {
+    /// Begins a body that ends as `framing` says.
+    pub fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Empty | Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Tells whether the whole body was taken.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Takes the next piece; `None` if more has to be received, or the body is done.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::Chunk`] if a chunk is malformed.
+    pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
+        loop {
+            match self.state {
+                State::Done => return Ok(None),
+                State::UntilClose => return Ok(take(buf, u64::MAX)),
+                State::Length(left) => {
+                    let Some(piece) = take(buf, left) else {
+                        return Ok(None);
+                    };
+                    let left = left - piece.len() as u64;
+                    self.state = if left == 0 {
+                        State::Done
+                    } else {
+                        State::Length(left)
+                    };
+                    return Ok(Some(piece));
+                }
+                State::ChunkData(left) => {
+                    let Some(piece) = take(buf, left) else {
+                        return Ok(None);
+                    };
+                    let left = left - piece.len() as u64;
+                    self.state = if left == 0 {
+                        State::ChunkEnd
+                    } else {
+                        State::ChunkData(left)
+                    };
+                    return Ok(Some(piece));
+                }
+                State::ChunkSize => {
+                    let Some(line) = take_line(buf)? else {
+                        return Ok(None);
+                    };
+                    self.state = match chunk_size(&line)? {
+                        0 => State::Trailer,
+                        size => State::ChunkData(size),
+                    };
+                }
+                State::ChunkEnd => {
+                    let Some(line) = take_line(buf)? else {
+                        return Ok(None);
+                    };
+                    if !line.is_empty() {
+                        return Err(BodyError::Chunk);
+                    }
+                    self.state = State::ChunkSize;
+                }
+                State::Trailer => {
+                    let Some(line) = take_line(buf)? else {
+                        return Ok(None);
+                    };
+                    if line.is_empty() {
+                        self.state = State::Done;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes in that the connection ended in order.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::Truncated`] if the body does not end there.
+    pub fn on_end(&mut self) -> Result<(), BodyError> {
+        match self.state {
+            State::Done | State::UntilClose => {
+                self.state = State::Done;
+                Ok(())
+            }
+            _ => Err(BodyError::Truncated),
+        }
+    }
+}
+
+fn take(buf: &mut BytesMut, most: u64) -> Option<Bytes> {
+    if buf.is_empty() {
+        return None;
+    }
+    let len = usize::try_from(most).map_or(buf.len(), |most| most.min(buf.len()));
+    Some(buf.split_to(len).freeze())
+}
+
+fn take_line(buf: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
+    let Some(end) = buf.iter().position(|byte| *byte == b'\n') else {
+        return match buf.len() > MAX_CHUNK_LINE {
+            true => Err(BodyError::Chunk),
+            false => Ok(None),
+        };
+    };
+    if end == 0 || end > MAX_CHUNK_LINE || buf[end - 1] != b'\r' {
+        return Err(BodyError::Chunk);
+    }
+    let line = buf.split_to(end - 1).freeze();
+    buf.advance(2);
+    Ok(Some(line))
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, BodyError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = digits.trim_ascii_end();
+    let is_number =
+        !digits.is_empty() && digits.len() <= 15 && digits.iter().all(u8::is_ascii_hexdigit);
+    let text = std::str::from_utf8(digits).ok().filter(|_| is_number);
+    text.and_then(|text| u64::from_str_radix(text, 16).ok())
+        .ok_or(BodyError::Chunk)
+}
+
+/// Appends `data` as one chunk.
+pub fn chunk(data: &[u8], out: &mut Vec<u8>) {
+    if data.is_empty() {
+        return;
+    }
+    out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/laburnumstalld/src/http1/head.rs
@@ -0,0 +1,278 @@
+//! Heads of requests and answers.
+
+use std::mem::MaybeUninit;
+
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use laburnumstall_platform::headers::HeaderLines;
+use snafu::Snafu;
+
+/// Most header lines of a head.
+const MAX_LINES: usize = 96;
+
+/// A head that cannot be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum HeadError {
+    /// It is not HTTP/1.
+    #[snafu(display("the head cannot be parsed"))]
+    Malformed,
+    /// It is larger than allowed.
+    #[snafu(display("the head is too large"))]
+    TooLarge,
+    /// It is not clear where the body ends.
+    #[snafu(display("the length of the body is ambiguous"))]
+    Framing,
+    /// It names no host, or several.
+    #[snafu(display("the head does not name one host"))]
+    Host,
+}
+
+/// One header line.
+#[derive(Debug, Clone)]
+pub struct HeaderLine {
+    /// Name in lower case.
+    pub name: CompactString,
+    /// Value without surrounding spaces.
+    pub value: Bytes,
+}
+
+/// Where a body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// There is none.
+    Empty,
+    /// After a number of bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// Where the connection ends.
+    UntilClose,
+}
+
+/// Head of a request.
+#[derive(Debug, Clone)]
+pub struct RequestHead {
+    /// Method.
+    pub method: CompactString,
+    /// Path and query.
+    pub target: CompactString,
+    /// Host that the caller names.
+    pub host: CompactString,
+    /// Where the body ends.
+    pub framing: Framing,
+    /// Whether the caller ends the connection after this request.
+    pub is_last: bool,
+    /// Whether the caller waits for a word before it sends the body.
+    pub expects_continue: bool,
+    /// Header lines.
+    pub lines: Vec<HeaderLine>,
+}
+
+/// Head of an answer.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// Status code.
+    pub status: u16,
+    /// Where the body ends.
+    pub framing: Framing,
+    /// Whether the connection ends after this answer.
+    pub is_last: bool,
+    /// Header lines.
+    pub lines: Vec<HeaderLine>,
+}
+
+impl RequestHead {
+    /// Takes a head from the beginning of `buf`; `None` if it is not whole yet.
+    ///
+    /// # Errors
+    ///
+    /// [`HeadError`] if it cannot be used.
+    pub fn take(buf: &mut BytesMut, max: usize) -> Result<Option<Self>, HeadError> {
+        let mut space = [const { MaybeUninit::uninit() }; MAX_LINES];
+        let mut request = httparse::Request::new(&mut []);
+        let parsed = request.parse_with_uninit_headers(buf, &mut space);
+        let Some(len) = whole(parsed, buf.len(), max)? else {
+            return Ok(None);
+        };
+        let method = CompactString::from(request.method.unwrap_or_default());
+        let target = CompactString::from(request.path.unwrap_or_default());
+        let is_http10 = request.version == Some(0);
+        let lines = copy_lines(request.headers);
+        check_line_ends(&buf[..len])?;
+        drop(buf.split_to(len));
+        let host = only(&lines, "host").ok_or(HeadError::Host)?;
+        let host = std::str::from_utf8(host)
+            .map_err(|_| HeadError::Host)?
+            .into();
+        let framing = framing(&lines)?.unwrap_or(Framing::Empty);
+        if is_http10 && framing == Framing::Chunked {
+            return Err(HeadError::Framing);
+        }
+        Ok(Some(Self {
+            host,
+            framing,
+            is_last: is_http10 || has_token(&lines, "connection", "close"),
+            expects_continue: has_token(&lines, "expect", "100-continue"),
+            method,
+            target,
+            lines,
+        }))
+    }
+}
+
+impl AnswerHead {
+    /// Takes a head from the beginning of `buf`; `None` if it is not whole yet.
+    ///
+    /// # Errors
+    ///
+    /// [`HeadError`] if it cannot be used.
+    pub fn take(buf: &mut BytesMut, max: usize, method: &str) -> Result<Option<Self>, HeadError> {
+        let mut space = [const { MaybeUninit::uninit() }; MAX_LINES];
+        let mut answer = httparse::Response::new(&mut []);
+        let config = httparse::ParserConfig::default();
+        let parsed = config.parse_response_with_uninit_headers(&mut answer, buf, &mut space);
+        let Some(len) = whole(parsed, buf.len(), max)? else {
+            return Ok(None);
+        };
+        let status = answer.code.unwrap_or_default();
+        let is_http10 = answer.version == Some(0);
+        let lines = copy_lines(answer.headers);
+        drop(buf.split_to(len));
+        let framing = match status {
+            100..=199 | 204 | 304 => Framing::Empty,
+            _ if method == "HEAD" => Framing::Empty,
+            _ => framing(&lines)?.unwrap_or(Framing::UntilClose),
+        };
+        Ok(Some(Self {
+            status,
+            is_last: is_http10
+                || framing == Framing::UntilClose
+                || has_token(&lines, "connection", "close"),
+            framing,
+            lines,
+        }))
+    }
+
+    /// Tells whether the body is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        let value = self.value("content-type").unwrap_or_default();
+        value.starts_with("text/event-stream")
+    }
+
+    /// Returns how many seconds the other side keeps the connection when it is unused.
+    pub fn keep_alive_secs(&self) -> Option<u64> {
+        let value = self.value("keep-alive")?;
+        let timeout = value
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
+        timeout?.trim().parse().ok()
+    }
+}
+
+impl HeaderLines for RequestHead {
+    fn value(&self, name: &str) -> Option<&str> {
+        text(&self.lines, name)
+    }
+}
+
+impl HeaderLines for AnswerHead {
+    fn value(&self, name: &str) -> Option<&str> {
+        text(&self.lines, name)
+    }
+}
+
+/// Tells whether a header, named in lower case, concerns one connection alone.
+pub fn is_connection_header(lines: &[HeaderLine], name: &str) -> bool {
+    const OF_CONNECTION: [&str; 10] = [
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    OF_CONNECTION.contains(&name) || has_token(lines, "connection", name)
+}
+
+fn whole(
+    parsed: httparse::Result<usize>,
+    present: usize,
+    max: usize,
+) -> Result<Option<usize>, HeadError> {
+    match parsed {
+        Ok(httparse::Status::Complete(len)) if len > max => Err(HeadError::TooLarge),
+        Ok(httparse::Status::Complete(len)) => Ok(Some(len)),
+        Ok(httparse::Status::Partial) if present > max => Err(HeadError::TooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
+
+/// Refuses lines that end without a carriage return, which other programs read otherwise.
+fn check_line_ends(head: &[u8]) -> Result<(), HeadError> {
+    let mut before = b'\r';
+    for byte in head {
+        if *byte == b'\n' && before != b'\r' {
+            return Err(HeadError::Malformed);
+        }
+        before = *byte;
+    }
+    Ok(())
+}
+
+fn copy_lines(headers: &[httparse::Header<'_>]) -> Vec<HeaderLine> {
+    let copy = |header: &httparse::Header<'_>| HeaderLine {
+        name: header.name.to_ascii_lowercase().into(),
+        value: Bytes::copy_from_slice(header.value),
+    };
+    headers.iter().map(copy).collect()
+}
+
+fn only<'a>(lines: &'a [HeaderLine], name: &str) -> Option<&'a [u8]> {
+    let mut values = lines.iter().filter(|line| line.name == name);
+    let first = values.next()?;
+    values.next().is_none().then_some(first.value.as_ref())
+}
+
+fn text<'a>(lines: &'a [HeaderLine], name: &str) -> Option<&'a str> {
+    std::str::from_utf8(only(lines, name)?).ok()
+}
+
+fn has_token(lines: &[HeaderLine], name: &str, token: &str) -> bool {
+    lines
+        .iter()
+        .filter(|line| line.name == name)
+        .filter_map(|line| std::str::from_utf8(&line.value).ok())
+        .flat_map(|value| value.split(','))
+        .any(|part| part.trim().eq_ignore_ascii_case(token))
+}
+
+/// Reads where the body ends; `None` if the head does not say.
+fn framing(lines: &[HeaderLine]) -> Result<Option<Framing>, HeadError> {
+    let is_coded = lines.iter().any(|line| line.name == "transfer-encoding");
+    let has_length = lines.iter().any(|line| line.name == "content-length");
+    match (is_coded, has_length) {
+        (false, false) => Ok(None),
+        (true, true) => Err(HeadError::Framing),
+        (true, false) => {
+            let coding = text(lines, "transfer-encoding").unwrap_or_default();
+            match coding.eq_ignore_ascii_case("chunked") {
+                true => Ok(Some(Framing::Chunked)),
+                false => Err(HeadError::Framing),
+            }
+        }
+        (false, true) => {
+            let digits = text(lines, "content-length").unwrap_or_default();
+            let is_number = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
+            let length = digits.parse().ok().filter(|_| is_number);
+            length
+                .map(|length| Some(Framing::Length(length)))
+                .ok_or(HeadError::Framing)
+        }
+    }
+}
--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod control;
 pub mod daemon;
 pub mod front;
+pub mod gateway;
+pub mod http1;
 pub mod inbox;
 pub mod links;
 pub mod logging;
--- a/crates/laburnumstalld/src/main.rs
+++ b/crates/laburnumstalld/src/main.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use laburnumstall_core::decision::Decision;
+use laburnumstall_platform::settings::HostSettings;
 use laburnumstalld::control::{DecisionSink, End};
+use laburnumstalld::gateway;
 use laburnumstalld::logging::EventLog;
 use laburnumstalld::settings::{Invocation, ProcessEnvironment, SettingsError};
 use laburnumstalld::{Daemon, Settings};
@@ -27,8 +29,14 @@
     }
 }
 
+/// Word that starts the daemon by the settings file of a platform.
+const GATEWAY: &str = "gateway";
+
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == GATEWAY) {
+        return run_gateway();
+    }
     match Settings::from_args(&args, &ProcessEnvironment) {
         Ok(Invocation::Print(text)) => {
             println!("{text}");
@@ -42,6 +50,20 @@
     }
 }
 
+fn run_gateway() -> ExitCode {
+    let settings = match HostSettings::load() {
+        Ok(settings) => settings,
+        Err(error) => {
+            report(&error);
+            return ExitCode::from(SettingsError::EXIT_CODE);
+        }
+    };
+    match actix::System::new().block_on(gateway::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => report(&error),
+    }
+}
+
 async fn run(settings: Settings) -> ExitCode {
     let notice = settings.notice;
     let id = Daemon::identity(&settings.vm);
--- a/crates/laburnumstalld/src/metrics.rs
+++ b/crates/laburnumstalld/src/metrics.rs
@@ -5,7 +5,7 @@
 //! one. Labels come from closed lists or are bounded, so that the number of series is.
 
 mod label;
-mod register;
+pub(crate) mod register;
 mod service;
 pub mod spec;
 
--- a/crates/laburnumstalld/src/metrics/register.rs
+++ b/crates/laburnumstalld/src/metrics/register.rs
@@ -27,31 +27,31 @@
     Ok(metric)
 }
 
-pub(super) fn counter(registry: &Registry, spec: &MetricSpec) -> Result<IntCounter> {
+pub(crate) fn counter(registry: &Registry, spec: &MetricSpec) -> Result<IntCounter> {
     add(registry, IntCounter::with_opts(opts(spec))?)
 }
 
-pub(super) fn seconds_counter(registry: &Registry, spec: &MetricSpec) -> Result<Counter> {
+pub(crate) fn seconds_counter(registry: &Registry, spec: &MetricSpec) -> Result<Counter> {
     add(registry, Counter::with_opts(opts(spec))?)
 }
 
-pub(super) fn counters(registry: &Registry, spec: &MetricSpec) -> Result<IntCounterVec> {
+pub(crate) fn counters(registry: &Registry, spec: &MetricSpec) -> Result<IntCounterVec> {
     add(registry, IntCounterVec::new(opts(spec), spec.labels)?)
 }
 
-pub(super) fn gauge(registry: &Registry, spec: &MetricSpec) -> Result<IntGauge> {
+pub(crate) fn gauge(registry: &Registry, spec: &MetricSpec) -> Result<IntGauge> {
     add(registry, IntGauge::with_opts(opts(spec))?)
 }
 
-pub(super) fn gauges(registry: &Registry, spec: &MetricSpec) -> Result<IntGaugeVec> {
+pub(crate) fn gauges(registry: &Registry, spec: &MetricSpec) -> Result<IntGaugeVec> {
     add(registry, IntGaugeVec::new(opts(spec), spec.labels)?)
 }
 
-pub(super) fn histogram(registry: &Registry, spec: &MetricSpec) -> Result<Histogram> {
+pub(crate) fn histogram(registry: &Registry, spec: &MetricSpec) -> Result<Histogram> {
     add(registry, Histogram::with_opts(histogram_opts(spec))?)
 }
 
-pub(super) fn histograms(registry: &Registry, spec: &MetricSpec) -> Result<HistogramVec> {
+pub(crate) fn histograms(registry: &Registry, spec: &MetricSpec) -> Result<HistogramVec> {
     add(
         registry,
         HistogramVec::new(histogram_opts(spec), spec.labels)?,
--- a/crates/laburnumstalld/src/placement/calls.rs
+++ b/crates/laburnumstalld/src/placement/calls.rs
@@ -8,9 +8,9 @@
 use laburnumstall_core::cloud::{CallFailure, EndpointOrder};
 use laburnumstall_core::ids::VmId;
 use laburnumstall_core::placement::{CloudRequest, LONGEST_ORDER, SEND_WITHIN, StoreRequest};
-use laburnumstall_platform::cloud::Cloud;
-use laburnumstall_platform::endpoint::{EndpointClient, HttpEndpointClient};
-use laburnumstall_platform::key_value::KeyValue;
+use laburnumstall_outside::cloud::Cloud;
+use laburnumstall_outside::endpoint::{EndpointClient, HttpEndpointClient};
+use laburnumstall_outside::key_value::KeyValue;
 
 use crate::clock::Clock;
 use crate::inbox::{Inbox, Input};
--- a/crates/laburnumstalld/src/platform.rs
+++ b/crates/laburnumstalld/src/platform.rs
@@ -7,10 +7,10 @@
 use laburnumstall_core::entry::Event;
 use laburnumstall_core::ids::CallId;
 use laburnumstall_core::store::{StoreCall, StoreOutcome};
-use laburnumstall_platform::cloud::{Cloud, HttpCloud};
-use laburnumstall_platform::http::HttpSettings;
-use laburnumstall_platform::key_value::{HttpKeyValue, KeyValue};
-use laburnumstall_platform::vm_list::{HttpVmList, VmList};
+use laburnumstall_outside::cloud::{Cloud, HttpCloud};
+use laburnumstall_outside::http::HttpSettings;
+use laburnumstall_outside::key_value::{HttpKeyValue, KeyValue};
+use laburnumstall_outside::vm_list::{HttpVmList, VmList};
 
 use crate::inbox::Inbox;
 use crate::metrics::{Metrics, StoreCallKind};
--- a/crates/laburnumstalld/src/traffic.rs
+++ b/crates/laburnumstalld/src/traffic.rs
@@ -17,7 +17,7 @@
 use laburnumstall_core::hash::digest64;
 use laburnumstall_core::ids::{AttemptId, EndpointId, RequestId};
 use laburnumstall_core::world::LoadReport;
-use laburnumstall_platform::endpoint::{EndpointClient, HttpEndpointClient};
+use laburnumstall_outside::endpoint::{EndpointClient, HttpEndpointClient};
 
 use crate::inbox::Inbox;
 use crate::watching::CacheCursors;
--- a/crates/laburnumstalld/src/traffic/attempt.rs
+++ b/crates/laburnumstalld/src/traffic/attempt.rs
@@ -2,7 +2,7 @@
 
 use laburnumstall_core::entry::{AttemptEvent, AttemptFailure, DispatchOrder, Event, StreamResume};
 use laburnumstall_core::ids::{AttemptId, EventIndex};
-use laburnumstall_platform::endpoint::{
+use laburnumstall_outside::endpoint::{
     AttemptFailure as EndpointFailure, EndpointCall, EndpointClient, EndpointEvent, StreamAttach,
 };
 use tokio::sync::mpsc;
--- a/crates/laburnumstalld/src/watching.rs
+++ b/crates/laburnumstalld/src/watching.rs
@@ -11,7 +11,7 @@
 use laburnumstall_core::ids::EndpointId;
 use laburnumstall_core::routing::CacheReport;
 use laburnumstall_core::world::LoadReport;
-use laburnumstall_platform::endpoint::{CacheChange, CacheEvent, CachePage};
+use laburnumstall_outside::endpoint::{CacheChange, CacheEvent, CachePage};
 
 /// Bytes a second that a daemon spends on cache events while its endpoints allow it.
 pub const CACHE_BYTES_PER_SECOND: u64 = 1_024;
--- a/crates/laburnumstalld/tests/cache_events.rs
+++ b/crates/laburnumstalld/tests/cache_events.rs
@@ -8,7 +8,7 @@
 use laburnumstall_core::routing::CacheReport;
 use laburnumstall_core::units::{Timestamp, TokenRate, Tokens};
 use laburnumstall_core::world::LoadReport;
-use laburnumstall_platform::endpoint::{
+use laburnumstall_outside::endpoint::{
     CacheChange, CacheEvent, CachePage, EndpointCall, EndpointClient, HttpEndpointClient,
     prompt_text,
 };
