Hold many reclaimable endpoints and a small base of lasting ones

Change: reclaimable endpoints in such numbers in each zone that one zone's go a long way; a base of lasting ones in the cheapest zone; more only for what is missing. The load is taken as assumed until it was measured for 8 s.

--- a/crates/laburnumstall-core/src/gateway/scaling/meter.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/meter.rs
@@ -13,12 +13,16 @@
 /// endpoints.
 const HOLD_TIME: Duration = Duration::from_secs(25);
 
+/// Time after the first call until the average says anything.
+const LEARNING_TIME: Duration = Duration::from_secs(8);
+
 /// Adds up the counters of all daemons and follows their rate.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Meter {
     known: BTreeMap<DaemonId, u64>,
     average: f64,
     measured_at: Option<Timestamp>,
+    first_call_at: Option<Timestamp>,
     crests: Vec<(Timestamp, f64)>,
 }
 
@@ -41,6 +45,9 @@
                 .reading_ms
                 .saturating_sub(before.unwrap_or(count.reading_ms));
         }
+        if more > 0 {
+            self.first_call_at.get_or_insert(now);
+        }
         let Some(before) = self.measured_at.replace(now) else {
             return;
         };
@@ -57,12 +64,15 @@
     }
 
     /// Returns the highest rate of late, in seconds of reading a second: the number of
-    /// engines that would read all the time.
-    pub(super) fn rate(&self, now: Timestamp) -> f64 {
+    /// engines that would read all the time. `None` if there were calls for too short a
+    /// time.
+    pub(super) fn rate(&self, now: Timestamp) -> Option<f64> {
+        let first = self.first_call_at?;
         let held = self
             .crests
             .iter()
             .filter(|(at, _)| now.since(*at) < HOLD_TIME);
-        held.map(|(_, crest)| *crest).fold(0.0, f64::max)
+        let highest = held.map(|(_, crest)| *crest).fold(0.0, f64::max);
+        (now.since(first) > LEARNING_TIME).then_some(highest)
     }
 }
--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -1,4 +1,9 @@
 //! From a load to the numbers of endpoints in each zone.
+//!
+//! Reclaimable endpoints are held in every zone that has them, in such numbers that those
+//! of one zone go a long way when the others are taken. A base of lasting ones stands in
+//! the cheapest zone; more are added there only for what the reclaimable ones to be had
+//! do not carry.
 
 use std::collections::BTreeMap;
 
@@ -6,15 +11,16 @@
 use crate::gateway::rules::ScalingRule;
 use crate::ids::AvailabilityZone;
 
-/// Part of an engine's time that is spent reading at the load planned for: above it, first
-/// tokens wait for clumps of calls.
-const PLANNED_LOAD: f64 = 0.42;
-/// Part of the lasting endpoints' time that is spent reading when all reclaimable ones are
-/// gone.
-const LASTING_LOAD: f64 = 0.9;
-/// Part of the endpoints there at the start that is kept while no load is known.
-const INITIAL_PART: f64 = 1.0;
-/// Load of an endpoint that was there at the start, while none is known.
+/// Part of the endpoints' time that is spent reading while reclaimable ones are to be had
+/// everywhere. They are cheap, and the room they give is what is left when zones go.
+const ROOMY_LOAD: f64 = 0.25;
+/// Part of the endpoints' time that is spent reading at most in the long run: above it,
+/// first tokens wait for clumps of calls.
+const FULL_LOAD: f64 = 0.6;
+/// Load of the base of lasting endpoints if all others were gone: it bridges the boot of
+/// more at the price of late answers.
+const BASE_LOAD: f64 = 1.6;
+/// Load that the endpoints there at the start are taken to be meant for.
 const INITIAL_LOAD: f64 = 0.42;
 
 /// What a zone can give.
@@ -35,21 +41,18 @@
 }
 
 impl Load {
-    /// Takes the measured rate, or before any traffic one that the `initial` endpoints
+    /// Takes the measured rate; before it is known, the one that the `initial` endpoints
     /// were meant for.
-    pub(super) fn new(rate: f64, initial: u32) -> Self {
-        let assumed = f64::from(initial) * INITIAL_PART * INITIAL_LOAD;
+    pub(super) fn new(measured: Option<f64>, initial: u32) -> Self {
+        let assumed = f64::from(initial) * INITIAL_LOAD;
         Self {
-            rate: if rate > 0.0 { rate } else { assumed },
+            rate: measured.unwrap_or(assumed),
         }
     }
 
-    fn planned(self) -> u32 {
-        (self.rate / PLANNED_LOAD).ceil() as u32
-    }
-
-    fn lasting(self) -> u32 {
-        (self.rate / LASTING_LOAD).ceil() as u32
+    /// Returns the endpoints that carry the load when `part` of their time is used.
+    fn endpoints(self, part: f64) -> u32 {
+        (self.rate / part).ceil() as u32
     }
 }
 
@@ -59,91 +62,45 @@
     offers: &[ZoneOffer],
     load: Load,
 ) -> BTreeMap<AvailabilityZone, Capacity> {
-    let mut plan = Plan::new(rule, offers);
-    for _ in 0..load.lasting() {
-        plan.add_lasting();
-    }
-    while plan.total() < load.planned() {
-        if !plan.add_spot() && !plan.add_lasting() {
-            break;
-        }
-    }
-    plan.fill_minimum();
-    plan.counts
-}
-
-struct Plan<'a> {
-    rule: &'a ScalingRule,
-    offers: &'a [ZoneOffer],
-    counts: BTreeMap<AvailabilityZone, Capacity>,
-}
-
-impl<'a> Plan<'a> {
-    fn new(rule: &'a ScalingRule, offers: &'a [ZoneOffer]) -> Self {
-        let none = Capacity {
-            lasting: 0,
-            spot: 0,
+    let none = Capacity {
+        lasting: 0,
+        spot: 0,
+    };
+    let mut counts: BTreeMap<AvailabilityZone, Capacity> = offers
+        .iter()
+        .map(|offer| (offer.zone.clone(), none))
+        .collect();
+    let zones = offers.len().max(1) as u32;
+    let base = load.endpoints(BASE_LOAD);
+    let roomy = load.endpoints(ROOMY_LOAD).saturating_sub(base);
+    let spot_in_zone = roomy.div_ceil(zones).min(rule.max);
+    let spot_zones = offers.iter().filter(|offer| offer.has_spot).count() as u32;
+    let missing = load
+        .endpoints(FULL_LOAD)
+        .saturating_sub(spot_in_zone * spot_zones);
+    let mut lasting = base.max(missing);
+
+    let mut by_price: Vec<&ZoneOffer> = offers.iter().filter(|offer| offer.has_lasting).collect();
+    by_price.sort_by(|a, b| a.price.total_cmp(&b.price));
+    for offer in &by_price {
+        let Some(count) = counts.get_mut(&offer.zone) else {
+            continue;
         };
-        let counts = offers
-            .iter()
-            .map(|offer| (offer.zone.clone(), none))
-            .collect();
-        Self {
-            rule,
-            offers,
-            counts,
-        }
+        count.lasting = lasting.min(rule.max);
+        lasting -= count.lasting;
     }
-
-    fn total(&self) -> u32 {
-        self.counts.values().map(|c| c.lasting + c.spot).sum()
-    }
-
-    /// Adds a lasting endpoint where the fewest are, the cheapest zone first.
-    fn add_lasting(&mut self) -> bool {
-        self.add(|offer| offer.has_lasting, |count| &mut count.lasting)
-    }
-
-    /// Adds a reclaimable endpoint where the fewest are, the cheapest zone first.
-    fn add_spot(&mut self) -> bool {
-        self.add(|offer| offer.has_spot, |count| &mut count.spot)
-    }
-
-    fn add(
-        &mut self,
-        is_offered: impl Fn(&ZoneOffer) -> bool,
-        kind: impl Fn(&mut Capacity) -> &mut u32,
-    ) -> bool {
-        let max = self.rule.max;
-        let room = |count: &Capacity| count.lasting + count.spot < max;
-        let order = |offer: &&ZoneOffer| {
-            let mut count = self.counts[&offer.zone];
-            (*kind(&mut count), (offer.price * 1_000.0) as u64)
-        };
-        let best = self
-            .offers
-            .iter()
-            .filter(|offer| is_offered(offer) && room(&self.counts[&offer.zone]))
-            .min_by_key(order);
-        let Some(count) = best.and_then(|offer| self.counts.get_mut(&offer.zone)) else {
-            return false;
+    for offer in offers {
+        let Some(count) = counts.get_mut(&offer.zone) else {
+            continue;
         };
-        *kind(count) += 1;
-        true
-    }
-
-    /// Brings each zone to the least number allowed.
-    fn fill_minimum(&mut self) {
-        let min = self.rule.min;
-        for offer in self.offers {
-            let Some(count) = self.counts.get_mut(&offer.zone) else {
-                continue;
-            };
-            let missing = min.saturating_sub(count.lasting + count.spot);
-            match offer.has_spot {
-                true => count.spot += missing,
-                false => count.lasting += missing,
-            }
+        let room = rule.max.saturating_sub(count.lasting);
+        if offer.has_spot {
+            count.spot = spot_in_zone
+                .max(rule.min.saturating_sub(count.lasting))
+                .min(room);
+        } else {
+            count.lasting = count.lasting.max(rule.min);
         }
     }
+    counts
 }
--- a/crates/laburnumstalld/src/gateway/duties.rs
+++ b/crates/laburnumstalld/src/gateway/duties.rs
@@ -25,8 +25,6 @@
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
-/// Time between two plans for endpoints.
-const PLAN_PERIOD: Duration = Duration::from_secs(1);
 /// Time after a window's end in which the last news of its counts arrive.
 const COUNTS_ARRIVE: Duration = Duration::from_millis(2_500);
 /// Part of the lease by which its holder stops early, as a divisor.
@@ -49,7 +47,6 @@
     /// Windows that were reported or are being reported.
     reported: RefCell<BTreeSet<u64>>,
     under_way: RefCell<BTreeSet<u64>>,
-    planned_at: RefCell<Timestamp>,
 }
 
 impl Duties {
@@ -83,7 +80,6 @@
             scaler: RefCell::default(),
             reported: RefCell::default(),
             under_way: RefCell::default(),
-            planned_at: RefCell::default(),
         }))
     }
 
@@ -106,7 +102,7 @@
                 self.report_due(now);
             }
             if self.cx.settings.orders_endpoints {
-                self.plan_endpoints(now);
+                self.plan_endpoints();
             }
         }
     }
@@ -256,11 +252,7 @@
 
     // Endpoints.
 
-    fn plan_endpoints(self: &Rc<Self>, now: Timestamp) {
-        if now.since(*self.planned_at.borrow()) < PLAN_PERIOD {
-            return;
-        }
-        *self.planned_at.borrow_mut() = now;
+    fn plan_endpoints(self: &Rc<Self>) {
         let mut journal = Journal::default();
         let orders = self.cx.decide(|gateway, now| {
             let demand = gateway.demand();
