Order again at once after a loss, and let the first holder act at once

Cause: endpoints taken with a zone were ordered again only after the time in which an order may be late (7 s), and less was given back only 6 s after others could serve. A first holder also waited for calls of a predecessor that never was. Change: a drop below what was there is a new order; endpoints go back while enough others serve; no wait when there never was a token.

--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -29,9 +29,11 @@
 const NONE_AVAILABLE_PAUSE: Duration = Duration::from_secs(3);
 /// Time after which an order without a reply is sent again.
 const UNCLEAR_PAUSE: Duration = Duration::from_millis(1_500);
-/// Time for which less must be needed before endpoints are given back: a trough between
-/// two bursts is shorter.
-const SHRINK_AFTER: Duration = Duration::from_secs(6);
+/// Time for which fewer must do before endpoints are given back; the load is held at its
+/// crest for longer, so that this only bridges orders that fail at once.
+const SHRINK_AFTER: Duration = Duration::from_secs(2);
+/// Time from the first plan in which endpoints are still being listed.
+const LISTING_TIME: Duration = Duration::from_secs(3);
 
 domain_value! {
     /// What came of an order.
@@ -76,6 +78,8 @@
 struct Lane {
     ordered: Option<u32>,
     ordered_at: Timestamp,
+    /// Endpoints that were there at the last plan.
+    reached: u32,
     blocked_until: Timestamp,
     is_under_way: bool,
     needs_repeat: bool,
@@ -87,8 +91,9 @@
 struct ServiceState {
     meter: Meter,
     lanes: BTreeMap<(AvailabilityZone, bool), Lane>,
-    /// Endpoints that were there when this daemon began to order.
-    initial: Option<u32>,
+    /// Most endpoints that were there before any load was measured.
+    initial: u32,
+    planned_since: Option<Timestamp>,
 }
 
 /// Plans the endpoints of all services; runs at the daemon that holds the duty.
@@ -116,9 +121,16 @@
         }
         let state = self.services.entry(service.clone()).or_default();
         state.meter.on_demand(now, service, demand);
-        let initial = *state.initial.get_or_insert(total);
-        let load = Load::new(state.meter.rate(now), initial);
+        let since = *state.planned_since.get_or_insert(now);
+        let lasting: u32 = present.values().map(|c| c.lasting).sum();
+        state.initial = state.initial.max(lasting);
+        let load = Load::new(state.meter.rate(now), state.initial);
         let offers = offers(now, rule, &state.lanes);
+        // Endpoints are given back while enough others serve.
+        let mut spare = match now.since(since) > LISTING_TIME {
+            true => total.saturating_sub(load.least()),
+            false => 0,
+        };
         let wanted = targets(rule, &offers, load);
         let mut orders = Vec::new();
         for (zone, want) in &wanted {
@@ -134,7 +146,8 @@
                     continue;
                 }
                 let lane = state.lanes.entry((zone.clone(), is_spot)).or_default();
-                if let Some(desired) = lane.due(now, rule, want, have) {
+                if let Some(desired) = lane.due(now, rule, want, have, spare) {
+                    spare = spare.saturating_sub(have.saturating_sub(desired));
                     lane.is_under_way = true;
                     orders.push(ScaleOrder {
                         service: service.clone(),
@@ -223,24 +236,34 @@
 }
 
 impl Lane {
-    /// Returns the number to order now, if one is due.
-    fn due(&mut self, now: Timestamp, rule: &ScalingRule, want: u32, have: u32) -> Option<u32> {
+    /// Returns the number to order now, if one is due; at most `spare` are given back.
+    fn due(
+        &mut self,
+        now: Timestamp,
+        rule: &ScalingRule,
+        want: u32,
+        have: u32,
+        spare: u32,
+    ) -> Option<u32> {
         if self.is_under_way || now < self.blocked_until {
             return None;
         }
         let standing = self.ordered.unwrap_or(have);
+        let is_loss = have < self.reached.min(want);
+        self.reached = have;
         if want >= standing {
             self.shrink_since = None;
+            let is_overdue = self.ordered.is_some_and(|ordered| ordered != have)
+                && now.since(self.ordered_at) > rule.boot + REPEAT_AFTER;
+            let is_due = want > standing || self.needs_repeat || is_loss || is_overdue;
+            return is_due.then_some(want);
         }
-        if want < standing {
-            let since = *self.shrink_since.get_or_insert(now);
-            if now.since(since) < SHRINK_AFTER {
-                return None;
-            }
+        let since = *self.shrink_since.get_or_insert(now);
+        if now.since(since) < SHRINK_AFTER {
+            return None;
         }
-        let is_overdue = self.ordered.is_some_and(|ordered| ordered != have)
-            && now.since(self.ordered_at) > rule.boot + REPEAT_AFTER;
-        (want != standing || self.needs_repeat || is_overdue).then_some(want)
+        let desired = want.max(have.saturating_sub(spare));
+        (desired < standing).then_some(desired)
     }
 }
 
--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Returns the endpoints below which none are given back.
+    pub(super) fn least(self) -> u32 {
+        self.endpoints(FULL_LOAD)
+    }
+
     /// Returns the endpoints that carry the load when `part` of their time is used.
     fn endpoints(self, part: f64) -> u32 {
         (self.rate / part).ceil() as u32
--- a/crates/laburnumstall-core/src/placement/lease.rs
+++ b/crates/laburnumstall-core/src/placement/lease.rs
@@ -323,6 +323,10 @@
             },
             (Step::ReadToken, StoreReply::Value(current)) => self.on_token(now, current, journal),
             (Step::RaiseToken(before), StoreReply::Swapped { .. }) => {
+                if before.is_none() {
+                    // There never was a token, so no earlier holder's order is under way.
+                    self.quiet_until = now;
+                }
                 let token = FencingToken(token_in(&before).0.saturating_add(self.jump));
                 self.on_raised(now, token, journal);
             }
