Follow the load at every daemon, so that a new duty holder knows it

Cause: a new holder began with no measured load, took the endpoints of the moment for what was wanted, and gave back some in the middle of a crisis; before, the wait of a new holder hid it at the price of missed duties. Change: all daemons measure; without a measurement nothing is given back; holders act as soon as the fence allows, and stay while they can.

--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -96,13 +96,27 @@
     planned_since: Option<Timestamp>,
 }
 
-/// Plans the endpoints of all services; runs at the daemon that holds the duty.
+/// Plans the endpoints of all services.
+///
+/// Every daemon follows the load by [`Scaler::observe`], so that whoever takes the duty
+/// over knows it; the holder alone asks for a [`Scaler::plan`].
 #[derive(Debug, Clone, Default)]
 pub struct Scaler {
     services: BTreeMap<ServiceName, ServiceState>,
 }
 
 impl Scaler {
+    /// Follows the load of a service by the counters of all daemons.
+    pub fn observe(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        demand: &[(DaemonId, Vec<ServiceDemand>)],
+    ) {
+        let state = self.services.entry(service.clone()).or_default();
+        state.meter.on_demand(now, service, demand);
+    }
+
     /// Returns the orders that are due for a service.
     pub fn plan(
         &mut self,
@@ -110,7 +124,6 @@
         service: &ServiceName,
         rule: &ScalingRule,
         fleet: &Fleet,
-        demand: &[(DaemonId, Vec<ServiceDemand>)],
         journal: &mut Journal,
     ) -> Vec<ScaleOrder> {
         let present = capacities(service, rule, fleet);
@@ -120,14 +133,15 @@
             return Vec::new();
         }
         let state = self.services.entry(service.clone()).or_default();
-        state.meter.on_demand(now, service, demand);
         let since = *state.planned_since.get_or_insert(now);
         let lasting: u32 = present.values().map(|c| c.lasting).sum();
         state.initial = state.initial.max(lasting);
-        let load = Load::new(state.meter.rate(now), state.initial);
+        let measured = state.meter.rate(now);
+        let load = Load::new(measured, state.initial);
         let offers = offers(now, rule, &state.lanes);
         // Endpoints are given back while enough others serve.
-        let mut spare = match now.since(since) > LISTING_TIME {
+        let is_known = measured.is_some() || !state.meter.has_calls();
+        let mut spare = match is_known && now.since(since) > LISTING_TIME {
             true => total.saturating_sub(load.least()),
             false => 0,
         };
@@ -231,7 +245,10 @@
 
     /// Forgets all orders, when the duty is lost.
     pub fn reset(&mut self) {
-        self.services.clear();
+        for state in self.services.values_mut() {
+            state.lanes.clear();
+            state.planned_since = None;
+        }
     }
 }
 
--- a/crates/laburnumstall-core/src/gateway/scaling/meter.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/meter.rs
@@ -63,6 +63,11 @@
         self.crests.push((now, self.average));
     }
 
+    /// Tells whether there were any calls.
+    pub(super) fn has_calls(&self) -> bool {
+        self.first_call_at.is_some()
+    }
+
     /// Returns the highest rate of late, in seconds of reading a second: the number of
     /// engines that would read all the time. `None` if there were calls for too short a
     /// time.
--- a/crates/laburnumstall-core/src/placement/lease.rs
+++ b/crates/laburnumstall-core/src/placement/lease.rs
@@ -106,6 +106,8 @@
     jump: u64,
     /// When orders to endpoints that ignore the token may begin.
     quiet_until: Timestamp,
+    /// When this daemon last stopped holding the lease.
+    lost_at: Option<Timestamp>,
 }
 
 impl LeaseHolder {
@@ -144,6 +146,7 @@
             token: None,
             jump: 1,
             quiet_until: Timestamp::NEVER,
+            lost_at: None,
         })
     }
 
@@ -169,6 +172,15 @@
         is_valid && self.token.is_some()
     }
 
+    /// Tells whether an order may go out now to a receiver that checks the token and for
+    /// which holders must not alternate within the lease's time.
+    pub fn may_order_in_turn(&self, now: Timestamp) -> bool {
+        let is_in_turn = self
+            .lost_at
+            .is_none_or(|at| now.since(at) >= self.timing.ttl);
+        self.may_order(now) && is_in_turn
+    }
+
     /// Tells whether an order may go out now to an endpoint that ignores the token: every
     /// order of an earlier holder has arrived by then, or never will.
     pub fn may_order_unchecked(&self, now: Timestamp) -> bool {
@@ -413,6 +425,9 @@
             Some(held) => Step::Revoke(held.lease),
             None => Step::Look,
         };
+        if self.token.is_some() {
+            self.lost_at = Some(now);
+        }
         self.forget();
         self.go(step, now);
     }
--- a/crates/laburnumstalld/src/gateway/duties.rs
+++ b/crates/laburnumstalld/src/gateway/duties.rs
@@ -2,7 +2,8 @@
 //!
 //! Who performs them holds a lease with a fencing token. What is reported is written to
 //! the key-value service before it is sent, so that whoever repeats it repeats exactly it.
-//! A new holder waits until no call of an earlier one can be under way.
+//! Where the platform does not check the token, a new holder waits until no call of an
+//! earlier one can be under way.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -10,8 +11,8 @@
 use std::time::Duration;
 
 use laburnumstall_core::decision::Journal;
-use laburnumstall_core::gateway::{ScaleOrder, ScaleOutcome, Scaler, UsageReport};
-use laburnumstall_core::ids::{FencingToken, ParseIdError};
+use laburnumstall_core::gateway::{Gateway, ScaleOrder, ScaleOutcome, Scaler, UsageReport};
+use laburnumstall_core::ids::{FencingToken, ParseIdError, ServiceName};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::placement::{LeaseHolder, LeaseTiming, is_candidate};
 use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply};
@@ -90,6 +91,7 @@
         loop {
             ticks.tick().await;
             self.tick_lease();
+            self.observe_load();
             let now = self.cx.now();
             if self.token(now).is_none() {
                 if self.is_idle(now) {
@@ -114,15 +116,21 @@
     /// Returns the token if calls may be made now.
     fn token(&self, now: Timestamp) -> Option<FencingToken> {
         let lease = self.lease.borrow();
-        lease.token(now).filter(|_| lease.may_order_unchecked(now))
+        let may_order = match self.cx.settings.checks_fencing {
+            true => lease.may_order_in_turn(now),
+            false => lease.may_order_unchecked(now),
+        };
+        lease.token(now).filter(|_| may_order)
     }
 
     fn tick_lease(self: &Rc<Self>) {
+        let is_holder = !self.is_idle(self.cx.now());
         let is_candidate = self.cx.decide(|gateway, now| {
             let others = gateway.roster().heard(now).map(|peer| &peer.member);
             let all: Vec<&Member> = others.chain([&self.own]).collect();
             let region = &self.cx.settings.region;
-            !gateway.is_stopping() && is_candidate(&self.own.id, region, &all)
+            // A holder goes on when others rank before it: a change gains nothing.
+            !gateway.is_stopping() && (is_holder || is_candidate(&self.own.id, region, &all))
         });
         let mut journal = Journal::default();
         let mut lease = self.lease.borrow_mut();
@@ -252,10 +260,18 @@
 
     // Endpoints.
 
+    fn observe_load(&self) {
+        self.cx.decide(|gateway, now| {
+            let demand = gateway.demand();
+            for service in scaled_services(gateway) {
+                self.scaler.borrow_mut().observe(now, &service, &demand);
+            }
+        });
+    }
+
     fn plan_endpoints(self: &Rc<Self>) {
         let mut journal = Journal::default();
-        let orders = self.cx.decide(|gateway, now| {
-            let demand = gateway.demand();
+        let orders: Vec<ScaleOrder> = self.cx.decide(|gateway, now| {
             let Some(table) = gateway.table() else {
                 return Vec::new();
             };
@@ -264,7 +280,7 @@
             scaled
                 .filter_map(|(service, rule)| Some((service, rule.scaling.as_ref()?)))
                 .flat_map(|(service, rule)| {
-                    scaler.plan(now, service, rule, gateway.fleet(), &demand, &mut journal)
+                    scaler.plan(now, service, rule, gateway.fleet(), &mut journal)
                 })
                 .collect()
         });
@@ -297,3 +313,15 @@
         self.write(journal);
     }
 }
+
+/// Returns the services whose endpoints are ordered.
+fn scaled_services(gateway: &Gateway) -> Vec<ServiceName> {
+    let services = gateway
+        .table()
+        .into_iter()
+        .flat_map(|table| &table.rules().services);
+    services
+        .filter(|(_, rule)| rule.scaling.is_some())
+        .map(|(service, _)| service.clone())
+        .collect()
+}
