Take callers when ready, and name silent daemons for a shorter time

Change: the address for callers opens when the daemon is ready, registration follows; a registration counts as its first sign of life; silence 1.5 -> 0.9 s, answers kept 0.5 s.

--- a/crates/laburnumstall-core/src/gateway/news.rs
+++ b/crates/laburnumstall-core/src/gateway/news.rs
@@ -13,9 +13,9 @@
 /// Time between two messages of news to each daemon.
 pub const NEWS_PERIOD: Duration = Duration::from_millis(250);
 
-/// Time without news after which a daemon is not named to callers: several periods, so
-/// that a lost datagram and its repetition fit in.
-pub const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time without news after which a daemon is not named to callers: some periods, so that
+/// a lost datagram and its repetition fit in.
+pub const SILENCE: Duration = Duration::from_millis(900);
 
 /// Time without news after which a daemon that is no longer registered is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(6);
@@ -187,6 +187,10 @@
 
     /// Tells whether callers may be sent there.
     pub fn is_ready(&self, now: Timestamp) -> bool {
-        self.is_heard(now) && self.news.as_ref().is_some_and(|news| news.is_ready)
+        match &self.news {
+            Some(news) => self.is_heard(now) && news.is_ready,
+            // A daemon registers when it is ready; its first news are on their way.
+            None => self.is_registered && now.since(self.met_at) < SILENCE,
+        }
     }
 }
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -23,6 +23,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use laburnumstall_core::gateway::Gateway;
 use laburnumstall_core::ids::{DaemonId, Incarnation, ParseIdError};
 use laburnumstall_core::membership::Member;
@@ -62,6 +63,8 @@
 const IDLE_TIME: Duration = Duration::from_millis(1_000);
 /// Time before the process would be killed at which it ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks whether callers can be taken.
+const READY_TICK: Duration = Duration::from_millis(20);
 /// Time between two looks whether all callers have gone.
 const STOP_TICK: Duration = Duration::from_millis(50);
 /// Time between two looks whether the machine was suspended.
@@ -129,7 +132,6 @@
         incarnation: Incarnation(clock.now().0),
     };
     let log = EventLog::start(&own, spdlog::Level::Info, std::io::stdout()).context(LogSnafu)?;
-    let front = listen(settings.front, "callers")?;
     let readiness = listen(settings.readiness, "readiness")?;
     let metrics_at = SocketAddr::new(settings.front.ip(), METRICS_PORT);
     let metrics = listen(metrics_at, "metrics")?;
@@ -176,11 +178,6 @@
         STORE_TIMEOUT,
     )));
     actix_rt::spawn(sync::run(Rc::clone(&cx), Rc::clone(&store)));
-    let registration = actix_rt::spawn(sync::register(
-        Rc::clone(&cx),
-        Rc::clone(&store),
-        member.clone(),
-    ));
     actix_rt::spawn(news::send(Rc::clone(&cx), Rc::clone(&links), pins));
     actix_rt::spawn(news::receive(Rc::clone(&cx), rx));
     for listener in [Some(readiness), Some(metrics), questions]
@@ -191,40 +188,52 @@
     }
     if let Some(address) = cx.settings.duties {
         let client = DutyClient::new(client_settings(address, DUTY_TIMEOUT), own.vm);
-        let duties =
-            Duties::new(Rc::clone(&cx), Rc::clone(&store), client, member).context(KeySnafu)?;
+        let duties = Duties::new(Rc::clone(&cx), Rc::clone(&store), client, member.clone())
+            .context(KeySnafu)?;
         actix_rt::spawn(duties.run());
     }
     actix_rt::spawn(watch_suspension(Rc::clone(&cx)));
     actix_rt::spawn(reload(Rc::clone(&cx), hangup));
-    let accepting = actix_rt::spawn(front::accept(Rc::clone(&cx), front));
+    let mut serving = actix_rt::spawn(open(Rc::clone(&cx), store, member));
 
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        ended = &mut serving => {
+            cx.event("serving-ended", &[]);
+            return ended.unwrap_or(Ok(()));
+        }
+    }
+    stop(&cx, serving).await;
+    Ok(())
+}
+
+/// Takes callers as soon as it is known what to do with them: one that cannot connect
+/// tries another daemon at once, and one that is refused has lost a try.
+async fn open(cx: Rc<Shared>, store: Rc<Store>, member: Member) -> Result<(), GatewayError> {
+    while !cx.decide(|gateway, now| gateway.is_ready(now)) {
+        sleep(READY_TICK).await;
     }
-    stop(&cx, accepting, registration).await;
+    let registration = sync::register(Rc::clone(&cx), store, member);
+    let listener = listen(cx.settings.front, "callers")?;
+    cx.event("ready", &[("front", &cx.settings.front)]);
+    tokio::join!(registration, front::accept(Rc::clone(&cx), listener));
     Ok(())
 }
 
 /// Leaves the directory, lets callers finish, and ends before the process would be killed.
-async fn stop(
-    cx: &Shared,
-    accepting: actix_rt::task::JoinHandle<()>,
-    registration: actix_rt::task::JoinHandle<()>,
-) {
+async fn stop(cx: &Shared, serving: JoinHandle<Result<(), GatewayError>>) {
     let asked = Instant::now();
     cx.decide(|gateway, now| gateway.begin_stop(now));
     cx.stopped.notify_waiters();
     sleep_until(asked + IDLE_TIME).await;
     cx.close_idle();
     sleep_until(asked + ACCEPT_TIME).await;
-    accepting.abort();
+    serving.abort();
     let end = asked + cx.settings.stop_grace.saturating_sub(END_MARGIN);
     while cx.callers() > 0 && Instant::now() < end {
         sleep(STOP_TICK).await;
     }
-    registration.abort();
     cx.event(
         "stop",
         &[
--- a/crates/laburnumstalld/src/gateway/directory.rs
+++ b/crates/laburnumstalld/src/gateway/directory.rs
@@ -20,7 +20,7 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which callers keep an answer: callers leave a daemon that stops or died within
 /// it, and asking costs little.
-const MAX_AGE: Duration = Duration::from_secs(1);
+const MAX_AGE: Duration = Duration::from_millis(500);
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
