--- a/crates/laburnumstall-core/src/gateway/quota.rs
+++ b/crates/laburnumstall-core/src/gateway/quota.rs
@@ -109,7 +109,9 @@
         let Some(account) = self.accounts.get_mut(customer) else {
             return Ok(());
         };
-        match account.bucket.wait(now, micro(cost)) {
+        // A call may overdraw the bucket, which is filled before the next one is let
+        // through: otherwise a customer's largest calls would find it full too rarely.
+        match account.bucket.wait(now, micro(cost.min(1))) {
             Some(Duration::ZERO) => {
                 account.bucket.take(now, micro(cost));
                 account.spent += cost;
