Keep a part of each quota for more urgent routes, and pass the smallest calls

Change: calls of at most a fiftieth of the burst may overdraw it, each rank of a route leaves a tenth of the burst, and what others spend between their news is extrapolated.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -267,10 +267,12 @@
                 .as_ref()
                 .map(|prompt| u64::from(prompt.tokens) + u64::from(prompt.answer));
             let cost = self.quotas.cost(customer, tokens);
-            self.quotas.take(now, customer, cost).map_err(|wait| {
-                let wait = wait.max(LEAST_QUOTA_WAIT).min(self.bounds.retry_window);
-                Refusal::new(ErrorKind::LimitReached, "over the quota").with_retry_after(wait)
-            })?;
+            self.quotas
+                .take(now, customer, cost, route.rank)
+                .map_err(|wait| {
+                    let wait = wait.max(LEAST_QUOTA_WAIT).min(self.bounds.retry_window);
+                    Refusal::new(ErrorKind::LimitReached, "over the quota").with_retry_after(wait)
+                })?;
             ticket.charge = cost;
         }
         self.demand.on_call(&ticket);
--- a/crates/laburnumstall-core/src/gateway/quota.rs
+++ b/crates/laburnumstall-core/src/gateway/quota.rs
@@ -16,6 +16,18 @@
 use crate::limits::bucket::{Bucket, MICRO};
 use crate::units::Timestamp;
 
+/// Part of the burst that is kept for each rank that goes before a call's, in hundredths.
+const RESERVE_PERCENT: u64 = 10;
+/// Ranks for which more is kept.
+const MAX_RESERVE_RANKS: u64 = 5;
+/// Calls of at most this part of the burst, as a divisor, may overdraw the bucket by a
+/// whole burst: refusing them frees next to nothing.
+const SMALL_DIVISOR: u64 = 50;
+/// Time after the last news for which a daemon's spending is extrapolated.
+const EXTRAPOLATED: Duration = Duration::from_millis(600);
+/// Weight of the newest news in a daemon's rate of spending.
+const NEWEST_WEIGHT: f64 = 0.4;
+
 domain! {
     /// Units of one customer's quota that a daemon's process has let through so far.
     #[derive(Eq)]
@@ -34,11 +46,19 @@
     spent: u64,
 }
 
+/// What one other daemon's process has let through.
+#[derive(Debug, Clone)]
+struct Heard {
+    at: Timestamp,
+    /// Units so far, and units a second of late.
+    spent: BTreeMap<CustomerId, (u64, f64)>,
+}
+
 /// The quotas of all customers at one daemon.
 #[derive(Debug, Clone, Default)]
 pub struct QuotaLedger {
     accounts: BTreeMap<CustomerId, Account>,
-    heard: BTreeMap<DaemonId, BTreeMap<CustomerId, u64>>,
+    heard: BTreeMap<DaemonId, Heard>,
     /// Daemons that are heard and that there are, with this one.
     members: (u32, u32),
 }
@@ -95,7 +115,11 @@
         }
     }
 
-    /// Takes `cost` units.
+    /// Takes `cost` units for a call of `rank`.
+    ///
+    /// A call may overdraw the bucket, which is filled before the next one is let through:
+    /// otherwise a customer's largest calls would find it full too rarely. Less urgent
+    /// calls leave a part to more urgent ones, and the smallest are hardly ever refused.
     ///
     /// # Errors
     ///
@@ -105,13 +129,23 @@
         now: Timestamp,
         customer: &CustomerId,
         cost: u64,
+        rank: u8,
     ) -> Result<(), Duration> {
+        let unheard = self.unheard(now, customer);
         let Some(account) = self.accounts.get_mut(customer) else {
             return Ok(());
         };
-        // A call may overdraw the bucket, which is filled before the next one is let
-        // through: otherwise a customer's largest calls would find it full too rarely.
-        match account.bucket.wait(now, micro(cost.min(1))) {
+        let burst = account.quota.burst;
+        let needed = match cost <= burst / SMALL_DIVISOR {
+            true => -micro(burst),
+            false => {
+                micro(burst * RESERVE_PERCENT / 100 * u64::from(rank).min(MAX_RESERVE_RANKS) + 1)
+            }
+        };
+        match account
+            .bucket
+            .wait(now, needed.saturating_add(micro(unheard)))
+        {
             Some(Duration::ZERO) => {
                 account.bucket.take(now, micro(cost));
                 account.spent += cost;
@@ -121,6 +155,15 @@
         }
     }
 
+    /// Returns what the others have likely let through since their last news.
+    fn unheard(&self, now: Timestamp, customer: &CustomerId) -> u64 {
+        let of = |heard: &Heard| {
+            let (_, rate) = heard.spent.get(customer)?;
+            Some(rate * now.since(heard.at).min(EXTRAPOLATED).as_secs_f64())
+        };
+        self.heard.values().filter_map(of).sum::<f64>() as u64
+    }
+
     /// Gives back units of a call that did not run.
     pub fn give_back(&mut self, now: Timestamp, customer: &CustomerId, cost: u64) {
         if let Some(account) = self.accounts.get_mut(customer) {
@@ -141,18 +184,33 @@
     /// Takes in what another process has let through. Its first word is the base that
     /// later ones are compared with.
     pub fn on_spent(&mut self, now: Timestamp, from: &DaemonId, spent: &[Spent]) {
-        let is_known = self.heard.contains_key(from);
-        let known = self.heard.entry(from.clone()).or_default();
+        let known = self.heard.remove(from);
+        let span = known
+            .as_ref()
+            .map_or(0.0, |known| now.since(known.at).as_secs_f64());
+        let mut heard = Heard {
+            at: now,
+            spent: BTreeMap::new(),
+        };
         for Spent { customer, units } in spent {
-            let before = known.insert(customer.clone(), *units);
-            let before = before.unwrap_or(if is_known { 0 } else { *units });
-            let Some(account) = self.accounts.get_mut(customer) else {
-                continue;
-            };
+            let before = known
+                .as_ref()
+                .map(|known| known.spent.get(customer).copied().unwrap_or_default());
+            let (before, rate) = before.unwrap_or((*units, 0.0));
             let more =
                 i64::try_from(*units).unwrap_or(i64::MAX) - i64::try_from(before).unwrap_or(0);
-            account.bucket.take(now, more.saturating_mul(MICRO));
+            let newest = if span > 0.0 {
+                (more.max(0)) as f64 / span
+            } else {
+                rate
+            };
+            let rate = rate * (1.0 - NEWEST_WEIGHT) + newest * NEWEST_WEIGHT;
+            heard.spent.insert(customer.clone(), (*units, rate));
+            if let Some(account) = self.accounts.get_mut(customer) {
+                account.bucket.take(now, more.saturating_mul(MICRO));
+            }
         }
+        self.heard.insert(from.clone(), heard);
     }
 
     /// Forgets a process that is gone.
