--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -13,13 +13,13 @@
 
 /// Part of the endpoints' time that is spent reading while reclaimable ones are to be had
 /// everywhere. They are cheap, and the room they give is what is left when zones go.
-const ROOMY_LOAD: f64 = 0.25;
+const ROOMY_LOAD: f64 = 0.22;
 /// Part of the endpoints' time that is spent reading at most in the long run: above it,
 /// first tokens wait for clumps of calls.
 const FULL_LOAD: f64 = 0.6;
 /// Load of the base of lasting endpoints if all others were gone: it bridges the boot of
 /// more at the price of late answers.
-const BASE_LOAD: f64 = 1.6;
+const BASE_LOAD: f64 = 2.2;
 /// Load that the endpoints there at the start are taken to be meant for.
 const INITIAL_LOAD: f64 = 0.42;
 
