Order lasting endpoints for what reclaimable ones cannot carry

Change: a zone counts with what is there or to be had beside its lasting ones; what is missing goes to the cheapest zone with room. Only calls without a prompt overdraw.

--- a/crates/laburnumstall-core/src/gateway/quota.rs
+++ b/crates/laburnumstall-core/src/gateway/quota.rs
@@ -20,9 +20,6 @@
 const RESERVE_PERCENT: u64 = 10;
 /// Ranks for which more is kept.
 const MAX_RESERVE_RANKS: u64 = 5;
-/// Calls of at most this part of the burst, as a divisor, may overdraw the bucket by a
-/// whole burst: refusing them frees next to nothing.
-const SMALL_DIVISOR: u64 = 50;
 /// Time after the last news for which a daemon's spending is extrapolated.
 const EXTRAPOLATED: Duration = Duration::from_millis(600);
 /// Weight of the newest news in a daemon's rate of spending.
@@ -119,7 +116,8 @@
     ///
     /// A call may overdraw the bucket, which is filled before the next one is let through:
     /// otherwise a customer's largest calls would find it full too rarely. Less urgent
-    /// calls leave a part to more urgent ones, and the smallest are hardly ever refused.
+    /// calls leave a part to more urgent ones; those without a prompt may overdraw the bucket
+    /// by a whole burst.
     ///
     /// # Errors
     ///
@@ -136,7 +134,8 @@
             return Ok(());
         };
         let burst = account.quota.burst;
-        let needed = match cost <= burst / SMALL_DIVISOR {
+        // Refusing a call without a prompt frees next to nothing.
+        let needed = match cost <= account.quota.plain_cost {
             true => -micro(burst),
             false => {
                 micro(burst * RESERVE_PERCENT / 100 * u64::from(rank).min(MAX_RESERVE_RANKS) + 1)
--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -138,7 +138,7 @@
         state.initial = state.initial.max(lasting);
         let measured = state.meter.rate(now);
         let load = Load::new(measured, state.initial);
-        let offers = offers(now, rule, &state.lanes);
+        let offers = offers(now, rule, &state.lanes, &present);
         // Endpoints are given back while enough others serve.
         let is_known = measured.is_some() || !state.meter.has_calls();
         let mut spare = match is_known && now.since(since) > LISTING_TIME {
@@ -314,6 +314,7 @@
     now: Timestamp,
     rule: &ScalingRule,
     lanes: &BTreeMap<(AvailabilityZone, bool), Lane>,
+    present: &BTreeMap<AvailabilityZone, Capacity>,
 ) -> Vec<ZoneOffer> {
     let is_open = |zone: &AvailabilityZone, is_spot: bool| {
         lanes
@@ -327,6 +328,7 @@
             price: *price,
             has_lasting: is_open(zone, false),
             has_spot: rule.spot_price.is_some() && is_open(zone, true),
+            spot_there: present.get(zone).map_or(0, |count| count.spot),
         })
         .collect()
 }
--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -30,7 +30,10 @@
     /// Price of a lasting endpoint.
     pub(super) price: f64,
     pub(super) has_lasting: bool,
+    /// Whether more reclaimable endpoints are to be had.
     pub(super) has_spot: bool,
+    /// Reclaimable endpoints that are there.
+    pub(super) spot_there: u32,
 }
 
 /// The load to be carried.
@@ -61,51 +64,66 @@
     }
 }
 
+/// Most times that lasting endpoints are added for those that they push out of their zone.
+const ROUNDS: u32 = 4;
+
 /// Returns the numbers for each zone.
 pub(super) fn targets(
     rule: &ScalingRule,
     offers: &[ZoneOffer],
     load: Load,
 ) -> BTreeMap<AvailabilityZone, Capacity> {
-    let none = Capacity {
-        lasting: 0,
-        spot: 0,
-    };
-    let mut counts: BTreeMap<AvailabilityZone, Capacity> = offers
-        .iter()
-        .map(|offer| (offer.zone.clone(), none))
-        .collect();
+    let mut lasting = load.endpoints(BASE_LOAD);
+    let mut counts = divide(rule, offers, load, lasting);
+    for _ in 0..ROUNDS {
+        let total: u32 = counts
+            .values()
+            .map(|count| count.lasting + count.spot)
+            .sum();
+        let missing = load.endpoints(FULL_LOAD).saturating_sub(total);
+        if missing == 0 {
+            break;
+        }
+        lasting += missing;
+        counts = divide(rule, offers, load, lasting);
+    }
+    counts
+}
+
+/// Puts `lasting` endpoints into the cheapest zones and reclaimable ones beside them.
+fn divide(
+    rule: &ScalingRule,
+    offers: &[ZoneOffer],
+    load: Load,
+    mut lasting: u32,
+) -> BTreeMap<AvailabilityZone, Capacity> {
     let zones = offers.len().max(1) as u32;
-    let base = load.endpoints(BASE_LOAD);
-    let roomy = load.endpoints(ROOMY_LOAD).saturating_sub(base);
+    let roomy = load
+        .endpoints(ROOMY_LOAD)
+        .saturating_sub(load.endpoints(BASE_LOAD));
     let spot_in_zone = roomy.div_ceil(zones).min(rule.max);
-    let spot_zones = offers.iter().filter(|offer| offer.has_spot).count() as u32;
-    let missing = load
-        .endpoints(FULL_LOAD)
-        .saturating_sub(spot_in_zone * spot_zones);
-    let mut lasting = base.max(missing);
-
-    let mut by_price: Vec<&ZoneOffer> = offers.iter().filter(|offer| offer.has_lasting).collect();
+    let mut by_price: Vec<&ZoneOffer> = offers.iter().collect();
     by_price.sort_by(|a, b| a.price.total_cmp(&b.price));
-    for offer in &by_price {
-        let Some(count) = counts.get_mut(&offer.zone) else {
-            continue;
+    let mut counts = BTreeMap::new();
+    for offer in by_price {
+        let spot = match offer.has_spot {
+            true => spot_in_zone,
+            false => spot_in_zone.min(offer.spot_there),
         };
-        count.lasting = lasting.min(rule.max);
-        lasting -= count.lasting;
-    }
-    for offer in offers {
-        let Some(count) = counts.get_mut(&offer.zone) else {
-            continue;
-        };
-        let room = rule.max.saturating_sub(count.lasting);
-        if offer.has_spot {
-            count.spot = spot_in_zone
-                .max(rule.min.saturating_sub(count.lasting))
-                .min(room);
-        } else {
-            count.lasting = count.lasting.max(rule.min);
+        // Reclaimable ones that are only hoped for give way to lasting ones.
+        let kept = spot.min(offer.spot_there);
+        let mut count = Capacity { lasting: 0, spot };
+        if offer.has_lasting {
+            count.lasting = lasting.min(rule.max.saturating_sub(kept));
+            lasting -= count.lasting;
+        }
+        count.spot = spot.min(rule.max.saturating_sub(count.lasting));
+        let missing = rule.min.saturating_sub(count.lasting + count.spot);
+        match offer.has_spot {
+            true => count.spot += missing,
+            false => count.lasting += missing,
         }
+        counts.insert(offer.zone.clone(), count);
     }
     counts
 }
--- /dev/null
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! The gateway's decisions, one file a feature, in virtual time.
+
+mod call_admission;
+mod call_placing;
+mod endpoint_scaling;
+mod failed_calls;
+mod support;
+mod usage_counts;
--- /dev/null
+++ b/crates/laburnumstall-core/tests/gateway/usage_counts.rs
@@ -0,0 +1,84 @@
+//! Counts of begun requests, added up over daemons.
+
+use crate::support::{at, bounds, daemon, endpoint, facts, gateway, member};
+use laburnumstall_core::gateway::{News, UsageBook};
+use laburnumstall_core::prelude::*;
+
+fn customer() -> CustomerId {
+    "archive".parse().unwrap()
+}
+
+/// News that come twice or late change nothing. Fails if `on_counts` adds.
+#[test]
+fn repeated_counts_add_nothing() {
+    let mut here = UsageBook::new(bounds().usage_window);
+    let mut there = UsageBook::new(bounds().usage_window);
+    let window = here.window_at(at(0));
+    here.on_begun(at(0), &customer());
+    there.on_begun(at(0), &customer());
+    let early = there.own_counts();
+    there.on_begun(at(10), &customer());
+    for counts in [there.own_counts(), early.clone(), there.own_counts(), early] {
+        here.on_counts(&daemon(2), &counts);
+    }
+    assert_eq!(here.report(window).counts[&customer()], 3);
+}
+
+/// Counts of a process that restarted stand beside those of its earlier life. Fails if
+/// counts are kept by VM.
+#[test]
+fn earlier_life_counts() {
+    let mut book = UsageBook::new(bounds().usage_window);
+    let mut other = UsageBook::new(bounds().usage_window);
+    other.on_begun(at(0), &customer());
+    let later: DaemonId = "entry-2@9".parse().unwrap();
+    book.on_counts(&daemon(2), &other.own_counts());
+    book.on_counts(&later, &other.own_counts());
+    let window = book.window_at(at(0));
+    assert_eq!(book.report(window).counts[&customer()], 2);
+}
+
+/// A request counts once, in the window of its first event. Fails without `has_begun`.
+#[test]
+fn request_counts_once() {
+    let mut gateway = gateway(&[endpoint("app-1", "app", "north-a")]);
+    gateway.on_store_confirmed(at(1_000), at(1_000));
+    let mut ticket = gateway.admit(at(1_000), facts("a", "/read/1")).unwrap();
+    let mut run = gateway.place(at(1_000), &mut ticket).unwrap();
+    gateway.on_sent(&mut ticket);
+    gateway.on_begun(at(1_100), &mut ticket, &mut run);
+    gateway.on_begun(at(1_200), &mut ticket, &mut run);
+    gateway.succeed(at(1_300), run);
+    gateway.end(at(1_300), ticket, "answered", 200);
+    let window = gateway.usage().window_at(at(1_100));
+    assert_eq!(gateway.usage().report(window).counts[&customer()], 1);
+}
+
+/// Fails if the directory names daemons that stop or are silent.
+#[test]
+fn directory_names_the_ready() {
+    let mut gateway = gateway(&[]);
+    gateway.on_member(at(0), member(2));
+    gateway.on_member(at(0), member(3));
+    let news = |is_ready| News {
+        sequence: 1,
+        is_ready,
+        loads: Vec::new(),
+        spent: Vec::new(),
+        begun: Vec::new(),
+        demand: Vec::new(),
+    };
+    gateway.on_news(at(1_000), &daemon(2), news(true));
+    gateway.on_news(at(1_000), &daemon(3), news(false));
+    gateway.on_store_confirmed(at(1_000), at(1_000));
+    let named =
+        |gateway: &laburnumstall_core::gateway::Gateway, ms| gateway.directory(at(ms)).len();
+    assert_eq!(named(&gateway, 1_100), 2);
+    assert_eq!(named(&gateway, 2_500), 1);
+    gateway.begin_stop(at(2_500));
+    assert!(
+        !gateway
+            .directory(at(2_500))
+            .contains(&member(1).caller_address)
+    );
+}
--- a/crates/laburnumstalld/src/http1/conn.rs
+++ b/crates/laburnumstalld/src/http1/conn.rs
@@ -127,6 +127,12 @@
         }
     }
 
+    /// Breaks the connection off, so that the other side cannot take it for an end in order.
+    pub fn reset(&mut self) {
+        // The connection ends anyway when it is dropped.
+        let _ = SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
+    }
+
     /// Closes in order: what was sent still arrives.
     pub async fn close(mut self) {
         // The other side may be gone already.
