Keep entries that lapse in an outage only after an outage, and do not reuse what is unread

An outage now means a second without an answer, and an entry counts as lapsed in it within a second of its end.

A test without the bench found that a connection was used again whose endpoint had refused a long body without reading it: the next request waited behind the rest.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -59,8 +59,8 @@
 const NOT_READY_WAIT: Duration = Duration::from_millis(300);
 /// Shortest time that a caller over its quota is told to wait.
 const LEAST_QUOTA_WAIT: Duration = Duration::from_millis(100);
-/// Time without a failed call after which the key-value service counts as steady.
-const STEADY_AFTER: Duration = Duration::from_millis(2_500);
+/// Time after an outage in which an entry that is gone may have lapsed in it.
+const LAPSE_SEEN: Duration = Duration::from_secs(1);
 
 /// What the operators' platform asks of all daemons together.
 #[derive(Debug, Clone, PartialEq)]
@@ -478,7 +478,7 @@
 
     /// Takes in that a call sent at `sent` showed the key-value service's present state.
     pub fn on_store_confirmed(&mut self, now: Timestamp, sent: Timestamp) {
-        self.contact.on_confirmed(sent);
+        self.contact.on_confirmed(now, sent);
         if self.steady_since.is_none() {
             self.steady_since = Some(now);
             self.journal.record(
@@ -510,7 +510,7 @@
 
     /// Takes in that an endpoint's entry is gone.
     pub fn on_endpoint_removed(&mut self, now: Timestamp, id: &EndpointId) {
-        let is_unsteady = self.contact.was_troubled(now, STEADY_AFTER);
+        let is_unsteady = self.contact.had_outage(now, LAPSE_SEEN);
         if self
             .fleet
             .on_removed(now, id, is_unsteady, &mut self.journal)
@@ -521,7 +521,7 @@
 
     /// Takes over the list of all endpoints.
     pub fn on_endpoints(&mut self, now: Timestamp, records: Vec<EndpointRecord>) {
-        let is_unsteady = self.contact.was_troubled(now, STEADY_AFTER);
+        let is_unsteady = self.contact.had_outage(now, LAPSE_SEEN);
         if self
             .fleet
             .on_list(now, records, is_unsteady, &mut self.journal)
--- a/crates/laburnumstall-core/src/gateway/contact.rs
+++ b/crates/laburnumstall-core/src/gateway/contact.rs
@@ -12,11 +12,18 @@
 /// for the way to the endpoint and for clocks.
 const TRUST_PERCENT: u32 = 70;
 
+/// Shortest time without an answer that an endpoint's entry can lapse in: it takes some
+/// missed heartbeats, and a single call that fails is none.
+const OUTAGE: Duration = Duration::from_secs(1);
+
 /// What a daemon knows of its contact with the key-value service.
 #[derive(Debug, Clone)]
 pub struct StoreContact {
     confirmed: Option<Timestamp>,
-    troubled_at: Option<Timestamp>,
+    /// First failure since the last answer.
+    failing_since: Option<Timestamp>,
+    /// When the last outage ended.
+    outage_over: Option<Timestamp>,
     trust: Duration,
 }
 
@@ -26,7 +33,8 @@
     pub fn new(revocation: Option<Duration>) -> Self {
         Self {
             confirmed: None,
-            troubled_at: None,
+            failing_since: None,
+            outage_over: None,
             trust: trust(revocation),
         }
     }
@@ -37,13 +45,17 @@
     }
 
     /// Takes in that a call sent at `sent` has shown the service's present state.
-    pub fn on_confirmed(&mut self, sent: Timestamp) {
+    pub fn on_confirmed(&mut self, now: Timestamp, sent: Timestamp) {
+        let failing_since = self.failing_since.take();
+        if failing_since.is_some_and(|since| now.since(since) >= OUTAGE) {
+            self.outage_over = Some(now);
+        }
         self.confirmed = Some(self.confirmed.map_or(sent, |known| known.max(sent)));
     }
 
     /// Takes in that a call has failed.
     pub fn on_failure(&mut self, now: Timestamp) {
-        self.troubled_at = Some(now);
+        self.failing_since.get_or_insert(now);
     }
 
     /// Returns the age of the view; `None` if there is no view.
@@ -61,9 +73,9 @@
         self.age(now).is_some_and(|age| age < limit)
     }
 
-    /// Tells whether a call failed within the last `span`.
-    pub fn was_troubled(&self, now: Timestamp, span: Duration) -> bool {
-        self.troubled_at.is_some_and(|at| now.since(at) < span)
+    /// Tells whether an outage ended within the last `span`.
+    pub fn had_outage(&self, now: Timestamp, span: Duration) -> bool {
+        self.outage_over.is_some_and(|at| now.since(at) < span)
     }
 }
 
--- a/crates/laburnumstall-core/tests/gateway/call_placing.rs
+++ b/crates/laburnumstall-core/tests/gateway/call_placing.rs
@@ -132,6 +132,9 @@
     assert_eq!(known(&gateway), 2);
     gateway.tick(at(5_100));
     assert_eq!(known(&gateway), 1);
+    // A single call that fails is no outage.
+    gateway.on_store_failure(at(8_800), "reset");
+    gateway.on_store_confirmed(at(8_900), at(8_900));
     // In steady times an entry that goes is gone.
     gateway.on_endpoint_removed(at(9_000), &engines(2).remove(0).id);
     assert_eq!(known(&gateway), 0);
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -29,6 +29,9 @@
 const MAX_HEAD: usize = 32 << 10;
 /// Most answers to other requests that are passed over on one connection.
 const MAX_FOREIGN: u32 = 3;
+/// Largest request that is surely read when its answer comes; of a larger one the rest may
+/// wait in buffers, and hold up the next request on the connection.
+const SURELY_READ: usize = 64 << 10;
 /// Largest body of another request's answer that is read to get past it.
 const MAX_FOREIGN_BODY: u64 = 1 << 20;
 
@@ -83,7 +86,8 @@
     conn: Conn,
     body: BodyReader,
     address: SocketAddr,
-    is_sent_whole: bool,
+    /// Whether the endpoint has read the whole request.
+    is_read: bool,
 }
 
 /// A piece of an answer's body.
@@ -175,12 +179,12 @@
     };
     match read {
         Ok((head, verdict)) => Attempt::Answered(Box::new(Answer {
+            is_read: is_sent_whole && (message.len() <= SURELY_READ || verdict == Verdict::Success),
             body: BodyReader::new(head.framing),
             head,
             verdict,
             conn,
             address: run.address,
-            is_sent_whole,
         })),
         Err(failure) => Attempt::Failed(failure),
     }
@@ -282,7 +286,7 @@
 
     /// Keeps the connection for other calls if it can be.
     pub(super) fn release(self, pool: &Pool) {
-        let is_clean = self.body.is_done() && self.conn.buf.is_empty() && self.is_sent_whole;
+        let is_clean = self.body.is_done() && self.conn.buf.is_empty() && self.is_read;
         if !is_clean || self.head.is_last {
             return;
         }
