Weigh what is read again, space reads by the size of the fleet, split the gateway

A prompt that leaves its home is read again and holds up the calls behind it: its reading time counts beside the time to its first token.

Events of the log are built without trait objects.

--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/beliefs.rs
@@ -0,0 +1,167 @@
+//! What a gateway believes of the configuration, the endpoints and the other daemons.
+
+use std::time::Duration;
+
+use super::Gateway;
+use super::fleet::EndpointRecord;
+use super::news::News;
+use super::rules::{RoutingRules, RoutingTable};
+use crate::decision::{Decision, DecisionKind};
+use crate::ids::{DaemonId, EndpointId};
+use crate::membership::Member;
+use crate::units::Timestamp;
+
+/// Time after an outage in which an entry that is gone may have lapsed in it.
+const LAPSE_SEEN: Duration = Duration::from_secs(1);
+
+impl Gateway {
+    /// Takes over a configuration unless a later one is in force; returns whether it was.
+    pub fn on_rules(&mut self, now: Timestamp, rules: RoutingRules) -> bool {
+        let version = rules.version;
+        let is_later = self
+            .table
+            .as_ref()
+            .is_none_or(|table| table.rules().version < version);
+        let reason = if is_later { "later" } else { "not-later" };
+        let choice = if is_later { "adopt" } else { "ignore" };
+        self.journal.record(
+            Decision::new(now, DecisionKind::Configuration, choice, reason)
+                .with("version", version)
+                .with("in_force", self.version())
+                .with("routes", rules.routes.len())
+                .with("customers", rules.customers.len()),
+        );
+        if is_later {
+            self.quotas.set_customers(now, &rules.customers);
+            self.table = Some(RoutingTable::new(rules));
+        }
+        is_later
+    }
+
+    /// Takes in that a call sent at `sent` showed the key-value service's present state.
+    pub fn on_store_confirmed(&mut self, now: Timestamp, sent: Timestamp) {
+        self.contact.on_confirmed(now, sent);
+        if self.steady_since.is_none() {
+            self.steady_since = Some(now);
+            self.journal.record(
+                Decision::new(now, DecisionKind::Connection, "store", "answers")
+                    .with("sent_ms_ago", now.since(sent).as_millis()),
+            );
+        }
+    }
+
+    /// Takes in that a call to the key-value service failed.
+    pub fn on_store_failure(&mut self, now: Timestamp, reason: &str) {
+        self.contact.on_failure(now);
+        if self.steady_since.take().is_some() {
+            let age = self.contact.age(now).unwrap_or(Duration::MAX);
+            self.journal.record(
+                Decision::new(now, DecisionKind::Connection, "store", "fails")
+                    .with("cause", reason)
+                    .with("view_age_ms", age.as_millis()),
+            );
+        }
+    }
+
+    /// Takes in an endpoint's entry.
+    pub fn on_endpoint(&mut self, now: Timestamp, record: EndpointRecord) {
+        if self.fleet.on_entry(now, record, &mut self.journal) {
+            self.places.set_fleet(&self.fleet);
+        }
+    }
+
+    /// Takes in that an endpoint's entry is gone.
+    pub fn on_endpoint_removed(&mut self, now: Timestamp, id: &EndpointId) {
+        let is_unsteady = self.contact.had_outage(now, LAPSE_SEEN);
+        if self
+            .fleet
+            .on_removed(now, id, is_unsteady, &mut self.journal)
+        {
+            self.places.set_fleet(&self.fleet);
+        }
+    }
+
+    /// Takes over the list of all endpoints.
+    pub fn on_endpoints(&mut self, now: Timestamp, records: Vec<EndpointRecord>) {
+        let is_unsteady = self.contact.had_outage(now, LAPSE_SEEN);
+        if self
+            .fleet
+            .on_list(now, records, is_unsteady, &mut self.journal)
+        {
+            self.places.set_fleet(&self.fleet);
+        }
+    }
+
+    /// Takes in that a daemon is registered.
+    pub fn on_member(&mut self, now: Timestamp, member: Member) {
+        if member.id == self.own {
+            return;
+        }
+        for replaced in self.roster.on_registered(now, member) {
+            self.quotas.forget(&replaced);
+        }
+        self.count_members(now);
+    }
+
+    /// Takes in that a daemon's registration has ended.
+    pub fn on_member_removed(&mut self, id: &DaemonId) {
+        self.roster.on_unregistered(id);
+    }
+
+    /// Takes in what another daemon tells.
+    pub fn on_news(&mut self, now: Timestamp, from: &DaemonId, news: News) {
+        self.quotas.on_spent(now, from, &news.spent);
+        self.usage.on_counts(from, &news.begun);
+        if self.roster.on_news(now, from, news) {
+            self.places.set_peer_work(self.roster.heard(now));
+        }
+        self.count_members(now);
+    }
+
+    /// Returns the news for the others.
+    pub fn news(&mut self, now: Timestamp) -> News {
+        self.sequence += 1;
+        News {
+            sequence: self.sequence,
+            is_ready: self.is_ready(now),
+            loads: self.places.own_work(),
+            spent: self.quotas.spent(),
+            begun: self.usage.own_counts(),
+            demand: self.demand.all(),
+        }
+    }
+
+    /// Carries out what is due by time.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.usage.forget_old(now);
+        for gone in self.roster.forget_gone(now) {
+            self.quotas.forget(&gone);
+            self.journal.record(
+                Decision::new(
+                    now,
+                    DecisionKind::Membership,
+                    "forgotten",
+                    "silent-and-unregistered",
+                )
+                .with("daemon", gone),
+            );
+        }
+        self.places.set_peer_work(self.roster.heard(now));
+        self.count_members(now);
+        if let Some(steady_since) = self.steady_since
+            && self.fleet.drop_lapsed(now, steady_since, &mut self.journal)
+        {
+            self.places.set_fleet(&self.fleet);
+        }
+    }
+
+    fn count_members(&mut self, now: Timestamp) {
+        let heard = 1 + self.roster.heard(now).count() as u32;
+        let all = 1 + self.roster.len() as u32;
+        self.quotas.set_members(now, heard, all);
+        let allowance = self.bounds.retry_allowance / f64::from(all);
+        for window in self.retries.values_mut() {
+            window.set_allowance(allowance);
+        }
+    }
+}
--- a/crates/laburnumstall-core/src/gateway/placing.rs
+++ b/crates/laburnumstall-core/src/gateway/placing.rs
@@ -35,6 +35,9 @@
 const FIRST_STEP: Duration = Duration::from_millis(15);
 /// Cost of each running call, whose tokens come between the chunks of a prompt.
 const RUNNING_CALL_COST: Duration = Duration::from_micros(300);
+/// Weight of the time to read a prompt beside the time until its first token: what is read
+/// again holds up the calls behind it as well.
+const READING_WEIGHT: u32 = 1;
 /// Weight of a new measurement in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Bounds of an endpoint's pace.
@@ -298,7 +301,7 @@
             cached,
             reading,
             expected: expected + slot_wait,
-            cost: expected + slot_wait + zone + place.health.cost(now),
+            cost: expected + slot_wait + reading * READING_WEIGHT + zone + place.health.cost(now),
         }
     }
 }
--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -0,0 +1,313 @@
+//! A request's stations at the gateway: let in, placed, begun, failed, ended.
+
+use std::time::Duration;
+
+use super::call::{CallFacts, Ticket};
+use super::health::CallOutcome;
+use super::placing::{Run, Search};
+use super::recovery::{self, COME_BACK, CallFailure, Next};
+use super::{Bounds, Gateway};
+use crate::decision::{Decision, DecisionKind};
+use crate::error::{ErrorKind, Refusal};
+use crate::hash::digest64;
+use crate::ids::ServiceName;
+use crate::limits::RetryWindow;
+use crate::units::Timestamp;
+
+/// Age of the view of the key-value service above which an unknown host, path or key may
+/// just be one that was added since.
+const CERTAIN_AGE: Duration = Duration::from_millis(1_500);
+/// Time after which a caller comes back to a daemon that has no configuration or contact.
+const NOT_READY_WAIT: Duration = Duration::from_millis(300);
+/// Shortest time that a caller over its quota is told to wait.
+const LEAST_QUOTA_WAIT: Duration = Duration::from_millis(100);
+
+impl Gateway {
+    /// Decides whether a request may run.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] with the answer for the caller; nothing has run.
+    pub fn admit(&mut self, now: Timestamp, facts: CallFacts) -> Result<Ticket, Refusal> {
+        let admitted = self.try_admit(now, &facts);
+        let (choice, reason) = match &admitted {
+            Ok(_) => ("accept", "allowed"),
+            Err(refusal) => ("refuse", refusal.kind.name()),
+        };
+        let mut decision = Decision::new(now, DecisionKind::Admit, choice, reason)
+            .with("request", &facts.id)
+            .with("version", self.version());
+        match &admitted {
+            Ok(ticket) => {
+                decision = decision
+                    .with("route", &ticket.route.name)
+                    .with("left_ms", ticket.left(now).as_millis())
+                    .with("charge", ticket.charge);
+                if let Some(customer) = &ticket.customer {
+                    decision = decision.with("customer", customer);
+                }
+            }
+            Err(refusal) => {
+                let age = self.contact.age(now).unwrap_or(Duration::MAX);
+                decision = decision
+                    .with("detail", &refusal.detail)
+                    .with("host", &facts.host)
+                    .with("path", &facts.path)
+                    .with("view_age_ms", age.as_millis());
+                if let Some(wait) = refusal.retry_after {
+                    decision = decision.with("retry_after_ms", wait.as_millis());
+                }
+            }
+        }
+        self.journal.record(decision);
+        admitted
+    }
+
+    fn try_admit(&mut self, now: Timestamp, facts: &CallFacts) -> Result<Ticket, Refusal> {
+        let not_ready =
+            |detail| Refusal::new(ErrorKind::NotReady, detail).with_retry_after(NOT_READY_WAIT);
+        let table = self
+            .table
+            .as_ref()
+            .ok_or_else(|| not_ready("no configuration"))?;
+        let is_certain = self.contact.is_within(now, CERTAIN_AGE);
+        let unless_new = |kind, detail| match is_certain {
+            true => Refusal::new(kind, detail),
+            false => not_ready("configuration may be old"),
+        };
+        let route = table
+            .route(&facts.host, &facts.path)
+            .ok_or_else(|| unless_new(ErrorKind::UnknownService, "no route"))?;
+        let mut customer = None;
+        if table.needs_key(route) {
+            if !self.contact.may_trust_keys(now) {
+                return Err(not_ready("keys may have been withdrawn"));
+            }
+            let key = facts.key.as_deref().unwrap_or_default();
+            let known = table
+                .customer(key)
+                .ok_or_else(|| unless_new(ErrorKind::Unauthenticated, "unknown key"))?;
+            customer = Some(known);
+        }
+        let seed = digest64(&[facts.id.as_bytes()]);
+        let service = route
+            .target(seed)
+            .ok_or_else(|| Refusal::new(ErrorKind::NoEndpoint, "route without a service"))?;
+        let patience = facts.patience.unwrap_or(route.timeout).min(route.timeout);
+        let mut ticket = Ticket {
+            id: facts.id.clone(),
+            service: service.clone(),
+            customer: customer.map(|customer| customer.name.clone()),
+            rank: customer
+                .and_then(|customer| customer.rank)
+                .unwrap_or(route.rank),
+            route: route.clone(),
+            received_at: now,
+            deadline: now.after(patience),
+            prompt: facts.prompt.clone(),
+            charge: 0,
+            tried: Vec::new(),
+            sends: 0,
+            runs: 0,
+            has_begun: false,
+            events: 0,
+        };
+        if let Some(customer) = &ticket.customer {
+            let tokens = ticket
+                .prompt
+                .as_ref()
+                .map(|prompt| u64::from(prompt.tokens) + u64::from(prompt.answer));
+            let cost = self.quotas.cost(customer, tokens);
+            self.quotas
+                .take(now, customer, cost, route.rank)
+                .map_err(|wait| {
+                    let wait = wait.max(LEAST_QUOTA_WAIT).min(self.bounds.retry_window);
+                    Refusal::new(ErrorKind::LimitReached, "over the quota").with_retry_after(wait)
+                })?;
+            ticket.charge = cost;
+        }
+        self.demand.on_call(&ticket);
+        self.retry_window(&ticket.service).on_request(now);
+        Ok(ticket)
+    }
+
+    /// Chooses the endpoint for a ticket.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if there is none.
+    pub fn place(&mut self, now: Timestamp, ticket: &mut Ticket) -> Result<Run, Refusal> {
+        let search = Search {
+            service: &ticket.service,
+            prompt: ticket.prompt.as_ref(),
+            seed: digest64(&[ticket.id.as_bytes()]),
+            excluded: &ticket.tried,
+        };
+        let run = self.places.place(now, &search).or_else(|| {
+            // With few endpoints, one that failed before is better than none.
+            let anywhere = Search {
+                excluded: &[],
+                ..search
+            };
+            self.places.place(now, &anywhere)
+        });
+        let (calls, slots) = self.places.occupancy(&ticket.service);
+        let Some(run) = run else {
+            let refusal =
+                Refusal::new(ErrorKind::NoEndpoint, "no endpoint of the service is known")
+                    .with_retry_after(COME_BACK);
+            self.demand.on_short(&ticket.service);
+            self.journal.record(
+                Decision::new(now, DecisionKind::Route, "refuse", refusal.kind.name())
+                    .with("request", &ticket.id)
+                    .with("service", &ticket.service)
+                    .with("tried", ticket.tried.len())
+                    .with("slots", slots),
+            );
+            return Err(refusal);
+        };
+        let reason = if run.is_home { "home" } else { "least-wait" };
+        self.journal.record(
+            Decision::new(now, DecisionKind::Route, run.endpoint.as_str(), reason)
+                .with("request", &ticket.id)
+                .with("service", &ticket.service)
+                .with("expected_ms", run.expected.as_millis())
+                .with("cached", run.cached)
+                .with("calls", calls)
+                .with("slots", slots)
+                .with("send", ticket.sends + 1),
+        );
+        ticket.tried.push(run.endpoint.clone());
+        Ok(run)
+    }
+
+    /// Takes in that a call was written to its endpoint.
+    pub fn on_sent(&mut self, ticket: &mut Ticket) {
+        ticket.sends += 1;
+    }
+
+    /// Takes in that an endpoint has begun a call: its first event or its answer came.
+    pub fn on_begun(&mut self, now: Timestamp, ticket: &mut Ticket, run: &mut Run) {
+        self.places.on_first(now, run);
+        self.count_begun(now, ticket);
+    }
+
+    fn count_begun(&mut self, now: Timestamp, ticket: &mut Ticket) {
+        if std::mem::replace(&mut ticket.has_begun, true) {
+            return;
+        }
+        if let Some(customer) = &ticket.customer {
+            self.usage.on_begun(now, customer);
+        }
+        if now > ticket.on_time_until() {
+            self.demand.on_short(&ticket.service);
+        }
+    }
+
+    /// Decides what follows a failed call.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] with the answer for the caller if the call is given up and the
+    /// endpoint gave none.
+    pub fn after_failure(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut Ticket,
+        run: Run,
+        failure: CallFailure,
+    ) -> Result<Next, Refusal> {
+        if failure.may_have_run() {
+            ticket.runs += 1;
+            self.count_begun(now, ticket);
+        }
+        let endpoint = run.endpoint.clone();
+        let age = now.since(run.placed_at);
+        self.end_run(now, run, failure.outcome());
+        let retries = self
+            .retries
+            .entry(ticket.service.clone())
+            .or_insert_with(|| retry_window(&self.bounds, self.roster.len()));
+        let (next, reason) = recovery::after_failure(now, ticket, failure, retries);
+        let choice = match next {
+            Next::Again if ticket.events > 0 => "resume",
+            Next::Again => "again",
+            Next::PassOn => "pass-on",
+            Next::GiveUp => "give-up",
+        };
+        self.journal.record(
+            Decision::new(now, DecisionKind::Retry, choice, reason)
+                .with("request", &ticket.id)
+                .with("endpoint", &endpoint)
+                .with("failure", failure.name())
+                .with("after_ms", age.as_millis())
+                .with("sends", ticket.sends)
+                .with("runs", ticket.runs)
+                .with("events", ticket.events)
+                .with("left_ms", ticket.left(now).as_millis()),
+        );
+        match next {
+            Next::GiveUp => Err(recovery::refusal(now, ticket, failure)),
+            next => Ok(next),
+        }
+    }
+
+    /// Ends a call whose caller left or whose time is over while the endpoint worked.
+    pub fn abandon(&mut self, now: Timestamp, run: Run, outcome: Option<CallOutcome>) {
+        self.end_run(now, run, outcome);
+    }
+
+    /// Ends a call that went well.
+    pub fn succeed(&mut self, now: Timestamp, run: Run) {
+        self.end_run(now, run, Some(CallOutcome::Good));
+    }
+
+    fn end_run(&mut self, now: Timestamp, run: Run, outcome: Option<CallOutcome>) {
+        let endpoint = run.endpoint.clone();
+        if self.places.end(now, run, outcome) {
+            self.journal.record(
+                Decision::new(now, DecisionKind::Membership, "paused", "unreachable")
+                    .with("endpoint", endpoint),
+            );
+        }
+    }
+
+    /// Ends a request: records how, and gives back the quota of one that did not run.
+    pub fn end(&mut self, now: Timestamp, ticket: Ticket, result: &str, status: u16) {
+        let is_unused = !ticket.has_begun && ticket.runs == 0;
+        if let Some(customer) = ticket.customer.as_ref().filter(|_| is_unused) {
+            self.quotas.give_back(now, customer, ticket.charge);
+        }
+        self.journal.record(
+            Decision::new(
+                now,
+                DecisionKind::Finish,
+                result,
+                if is_unused { "not-run" } else { "ran" },
+            )
+            .with("request", &ticket.id)
+            .with("service", &ticket.service)
+            .with("status", status)
+            .with("events", ticket.events)
+            .with("sends", ticket.sends)
+            .with("runs", ticket.runs)
+            .with("took_ms", now.since(ticket.received_at).as_millis()),
+        );
+    }
+
+    fn retry_window(&mut self, service: &ServiceName) -> &mut RetryWindow {
+        let (bounds, others) = (&self.bounds, self.roster.len());
+        self.retries
+            .entry(service.clone())
+            .or_insert_with(|| retry_window(bounds, others))
+    }
+}
+
+fn retry_window(bounds: &Bounds, others: usize) -> RetryWindow {
+    let daemons = 1 + others;
+    RetryWindow::new(
+        bounds.retry_window,
+        bounds.retry_ratio,
+        bounds.retry_allowance / daemons as f64,
+    )
+}
--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -1,6 +1,6 @@
 //! How many endpoints of which kind are ordered in which zone.
 //!
-//! Answers waves and bursts of load while reclaimable endpoints are taken away by zones.
+//! Answers waves and bursts of load while reclaimable endpoints are lost by zones.
 //! Reclaimable (spot) endpoints cost a fraction of lasting ones, so the plan holds many of
 //! them beside a base of lasting ones: the base alone carries the load at its limit while
 //! replacements boot, and the sum carries it with room. A zone that gives none is left
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -41,7 +41,7 @@
 use crate::clock::Clock;
 use crate::logging::{EventLog, LogError};
 use duties::Duties;
-use log::DecisionLog;
+use log::{DecisionLog, Event};
 use metrics::GatewayMetrics;
 use shared::Shared;
 
@@ -164,13 +164,11 @@
     let registered = GatewayMetrics::register().context(MetricsSnafu)?;
     let cx = Shared::new(settings, gateway, clock, DecisionLog::new(log), registered);
     cx.event(
-        "start",
-        &[
-            ("version", &env!("CARGO_PKG_VERSION")),
-            ("zone", &cx.settings.zone),
-            ("front", &cx.settings.front),
-            ("store", &cx.settings.store),
-        ],
+        Event::new("start")
+            .with("version", &env!("CARGO_PKG_VERSION"))
+            .with("zone", &cx.settings.zone)
+            .with("front", &cx.settings.front)
+            .with("store", &cx.settings.store),
     );
 
     let store = Rc::new(Store::new(client_settings(
@@ -200,7 +198,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
         ended = &mut serving => {
-            cx.event("serving-ended", &[]);
+            cx.event(Event::new("serving-ended"));
             return ended.unwrap_or(Ok(()));
         }
     }
@@ -216,7 +214,7 @@
     }
     let registration = sync::register(Rc::clone(&cx), store, member);
     let listener = listen(cx.settings.front, "callers")?;
-    cx.event("ready", &[("front", &cx.settings.front)]);
+    cx.event(Event::new("ready").with("front", &cx.settings.front));
     tokio::join!(registration, front::accept(Rc::clone(&cx), listener));
     Ok(())
 }
@@ -235,11 +233,9 @@
         sleep(STOP_TICK).await;
     }
     cx.event(
-        "stop",
-        &[
-            ("callers_left", &cx.callers()),
-            ("took_ms", &asked.elapsed().as_millis()),
-        ],
+        Event::new("stop")
+            .with("callers_left", &cx.callers())
+            .with("took_ms", &asked.elapsed().as_millis()),
     );
     cx.close_log();
 }
@@ -251,7 +247,7 @@
         sleep(SUSPEND_TICK).await;
         let missing = cx.now().since(boot).saturating_sub(steady.elapsed());
         if missing > SUSPENDED {
-            cx.event("suspended", &[("for_ms", &missing.as_millis())]);
+            cx.event(Event::new("suspended").with("for_ms", &missing.as_millis()));
             cx.pool.clear();
         }
     }
@@ -263,10 +259,12 @@
         match HostSettings::load() {
             Ok(settings) => {
                 let is_changed = settings != cx.settings;
-                cx.event("reload", &[("changed", &is_changed)]);
+                cx.event(Event::new("reload").with("changed", &is_changed));
                 cx.decide(|gateway, _| gateway.set_bounds(settings.bounds));
             }
-            Err(error) => cx.event("reload-failed", &[("cause", &full_message(&error))]),
+            Err(error) => {
+                cx.event(Event::new("reload-failed").with("cause", &full_message(&error)))
+            }
         }
     }
 }
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use laburnumstall_platform::headers::{self, Verdict};
 
 use super::front::{Flow, Request, SEND_TIMEOUT, reason, refuse};
+use super::log::Event;
 use super::shared::Shared;
 use super::stream::{self, Relay};
 use super::upstream::{Answer, Attempt, Piece, attempt};
@@ -56,8 +57,9 @@
     let Some(facts) = headers::read_call(head, &head.host, &head.target) else {
         let refusal = Refusal::new(ErrorKind::Malformed, "no request id");
         cx.event(
-            "request-unreadable",
-            &[("cause", &"no request id"), ("path", &head.target)],
+            Event::new("request-unreadable")
+                .with("cause", &"no request id")
+                .with("path", &head.target),
         );
         return answer_refusal(cx, conn, request, None, &refusal).await;
     };
--- a/crates/laburnumstalld/src/gateway/directory.rs
+++ b/crates/laburnumstalld/src/gateway/directory.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use super::front::reason;
+use super::log::Event;
 use super::shared::Shared;
 use crate::http1::{Conn, Framing, RequestHead};
 
@@ -38,7 +39,7 @@
                 actix_rt::spawn(answer_all(Rc::clone(&cx), io));
             }
             Err(error) => {
-                cx.event("accept-failed", &[("cause", &error)]);
+                cx.event(Event::new("accept-failed").with("cause", &error));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -122,7 +123,7 @@
 }
 
 fn failed(cx: &Shared, error: &dyn std::error::Error) -> Reply {
-    cx.event("answer-failed", &[("cause", &error)]);
+    cx.event(Event::new("answer-failed").with("cause", &error));
     Reply {
         status: 500,
         content_type: "text/plain",
--- a/crates/laburnumstalld/src/gateway/duties.rs
+++ b/crates/laburnumstalld/src/gateway/duties.rs
@@ -22,6 +22,7 @@
 use laburnumstall_platform::store::Store;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::log::Event;
 use super::shared::Shared;
 
 /// Time between two looks at what is due.
@@ -183,12 +184,10 @@
             actix_rt::spawn(async move {
                 let outcome = this.report(window).await;
                 this.cx.event(
-                    "usage-report",
-                    &[
-                        ("window", &window),
-                        ("outcome", &outcome),
-                        ("age_ms", &this.cx.now().since(now).as_millis()),
-                    ],
+                    Event::new("usage-report")
+                        .with("window", &window)
+                        .with("outcome", &outcome)
+                        .with("age_ms", &this.cx.now().since(now).as_millis()),
                 );
                 this.under_way.borrow_mut().remove(&window);
             });
--- a/crates/laburnumstalld/src/gateway/front.rs
+++ b/crates/laburnumstalld/src/gateway/front.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::call;
+use super::log::Event;
 use super::shared::Shared;
 use crate::http1::{BodyReader, Conn, HeadError, RequestHead};
 
@@ -48,7 +49,7 @@
                 actix_rt::spawn(serve(Rc::clone(&cx), io, from));
             }
             Err(error) => {
-                cx.event("accept-failed", &[("cause", &error)]);
+                cx.event(Event::new("accept-failed").with("cause", &error));
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -63,7 +64,11 @@
             Ok(Some(request)) => request,
             Ok(None) => break Flow::Close,
             Err(kind) => {
-                cx.event("request-unreadable", &[("from", &from), ("cause", &kind)]);
+                cx.event(
+                    Event::new("request-unreadable")
+                        .with("from", &from)
+                        .with("cause", &kind),
+                );
                 refuse(
                     &cx,
                     &mut conn,
--- a/crates/laburnumstalld/src/gateway/log.rs
+++ b/crates/laburnumstalld/src/gateway/log.rs
@@ -1,5 +1,7 @@
 //! The gateway's part of the log: bounded in lines a second, with a count of the rest.
 
+use std::fmt;
+
 use laburnumstall_core::decision::{Decision, write_value};
 use laburnumstall_core::units::Timestamp;
 
@@ -8,6 +10,31 @@
 /// Lines of one daemon in a second: ten for each of thirty requests, and as many again.
 const LINES_PER_SECOND: u32 = 600;
 
+/// One event that is not a decision.
+#[derive(Debug)]
+pub(crate) struct Event {
+    text: String,
+}
+
+impl Event {
+    /// Starts an event of this name.
+    pub(crate) fn new(name: &str) -> Self {
+        Self {
+            text: format!("event={name}"),
+        }
+    }
+
+    /// Adds a field.
+    pub(crate) fn with(mut self, field: &str, value: impl fmt::Display) -> Self {
+        self.text.push(' ');
+        self.text.push_str(field);
+        self.text.push('=');
+        // Writing to a string does not fail.
+        let _ = write_value(&mut self.text, &value.to_string());
+        self
+    }
+}
+
 /// Writes decisions and events.
 pub(super) struct DecisionLog {
     log: Option<EventLog>,
@@ -38,18 +65,12 @@
     }
 
     /// Writes an event.
-    pub(super) fn event(
-        &mut self,
-        now: Timestamp,
-        name: &str,
-        fields: &[(&str, &dyn std::fmt::Display)],
-    ) {
+    pub(super) fn event(&mut self, now: Timestamp, event: &Event) {
         if !self.has_room(now) {
             return;
         }
-        let line = line(now, name, fields);
         if let Some(log) = &self.log {
-            spdlog::info!(logger: log.logger(), "{line}");
+            spdlog::info!(logger: log.logger(), "t={now} {}", event.text);
         }
     }
 
@@ -67,7 +88,10 @@
             self.written = 0;
             let left_out = std::mem::take(&mut self.left_out);
             if left_out > 0 {
-                self.event(now, "log-lines-left-out", &[("lines", &left_out)]);
+                self.event(
+                    now,
+                    &Event::new("log-lines-left-out").with("lines", left_out),
+                );
             }
         }
         let has_room = self.written < LINES_PER_SECOND;
@@ -78,15 +102,3 @@
         has_room
     }
 }
-
-fn line(now: Timestamp, name: &str, fields: &[(&str, &dyn std::fmt::Display)]) -> String {
-    let mut line = format!("t={now} event={name}");
-    for (field, value) in fields {
-        line.push(' ');
-        line.push_str(field);
-        line.push('=');
-        // Writing to a string does not fail.
-        let _ = write_value(&mut line, &value.to_string());
-    }
-    line
-}
--- a/crates/laburnumstalld/src/gateway/news.rs
+++ b/crates/laburnumstalld/src/gateway/news.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::log::Event;
 use super::shared::Shared;
 
 /// Events that wait before the network is held back.
@@ -36,8 +37,9 @@
             let sent = links.send(&member.id, member.peer_address, news.clone());
             if let Err(error) = sent {
                 cx.event(
-                    "news-not-sent",
-                    &[("daemon", &member.id), ("cause", &error.fault)],
+                    Event::new("news-not-sent")
+                        .with("daemon", &member.id)
+                        .with("cause", &error.fault),
                 );
             }
         }
@@ -51,12 +53,20 @@
             PeerEvent::Message { from, message } => {
                 cx.decide(|gateway, now| gateway.on_news(now, &from, message));
             }
-            PeerEvent::Connected { to } => cx.event("link-up", &[("daemon", &to)]),
+            PeerEvent::Connected { to } => cx.event(Event::new("link-up").with("daemon", &to)),
             PeerEvent::Lost { to, reason, .. } => {
-                cx.event("link-lost", &[("daemon", &to), ("cause", &reason)]);
+                cx.event(
+                    Event::new("link-lost")
+                        .with("daemon", &to)
+                        .with("cause", &reason),
+                );
             }
             PeerEvent::BadFrame { from, fault } => {
-                cx.event("link-bad-frame", &[("daemon", &from), ("cause", &fault)]);
+                cx.event(
+                    Event::new("link-bad-frame")
+                        .with("daemon", &from)
+                        .with("cause", &fault),
+                );
             }
             PeerEvent::Probed { .. } => {}
         }
--- a/crates/laburnumstalld/src/gateway/shared.rs
+++ b/crates/laburnumstalld/src/gateway/shared.rs
@@ -9,7 +9,7 @@
 use laburnumstall_platform::settings::HostSettings;
 use tokio::sync::Notify;
 
-use super::log::DecisionLog;
+use super::log::{DecisionLog, Event};
 use super::metrics::GatewayMetrics;
 use super::upstream::Pool;
 use crate::clock::Clock;
@@ -91,8 +91,8 @@
     }
 
     /// Writes one event that is not a decision.
-    pub(super) fn event(&self, name: &str, fields: &[(&str, &dyn std::fmt::Display)]) {
-        self.log.borrow_mut().event(self.now(), name, fields);
+    pub(super) fn event(&self, event: Event) {
+        self.log.borrow_mut().event(self.now(), &event);
     }
 
     /// Writes what is queued of the log.
--- a/crates/laburnumstalld/src/gateway/sync.rs
+++ b/crates/laburnumstalld/src/gateway/sync.rs
@@ -14,12 +14,17 @@
 use laburnumstall_platform::store::{Change, Changes, ReadFailure, Store};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::log::Event;
 use super::shared::Shared;
 
-/// Least time between two reads of changes. Heartbeats of endpoints wake a watch many
-/// times a second; a change has to be known within a small part of the two seconds after
-/// which a leaving endpoint takes no more work.
+/// Least time between two reads of changes in a small fleet. Heartbeats of endpoints wake
+/// a watch many times a second; a change has to be known within a part of the two seconds
+/// after which a leaving endpoint takes no more work.
 const READ_PERIOD: Duration = Duration::from_millis(500);
+/// Longest time between two reads of changes in a large fleet.
+const LONGEST_READ_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between the reads of two daemons that a fleet aims at: each read is paid.
+const READ_SPACING: Duration = Duration::from_millis(32);
 /// Longest wait of a read for changes, so that the view is confirmed about once a second.
 const READ_WAIT: Duration = Duration::from_millis(600);
 /// Age of the view above which a read does not wait but confirms it at once.
@@ -58,7 +63,11 @@
     loop {
         let began = Instant::now();
         let sent = cx.now();
-        let is_stale = cx.decide(|gateway, now| !gateway.contact().is_within(now, STALE_AGE));
+        let (is_stale, daemons) = cx.decide(|gateway, now| {
+            let is_stale = !gateway.contact().is_within(now, STALE_AGE);
+            (is_stale, 1 + gateway.roster().len() as u32)
+        });
+        let period = (READ_SPACING * daemons).clamp(READ_PERIOD, LONGEST_READ_PERIOD);
         let wait = if is_stale {
             Duration::from_millis(1)
         } else {
@@ -72,11 +81,11 @@
                     take_change(cx, change);
                 }
                 if !is_stale {
-                    sleep_until(began + READ_PERIOD).await;
+                    sleep_until(began + period).await;
                 }
             }
             Err(ReadFailure::HistoryGone) => {
-                cx.event("store-history-gone", &[("version", &version)]);
+                cx.event(Event::new("store-history-gone").with("version", &version));
                 return;
             }
             Err(error) => {
@@ -117,12 +126,10 @@
         }
     }
     cx.event(
-        "store-listed",
-        &[
-            ("endpoints", &endpoints.len()),
-            ("daemons", &members.len()),
-            ("version", &snapshot.version),
-        ],
+        Event::new("store-listed")
+            .with("endpoints", &endpoints.len())
+            .with("daemons", &members.len())
+            .with("version", &snapshot.version),
     );
     cx.decide(|gateway, now| {
         gateway.on_endpoints(now, endpoints);
@@ -154,8 +161,9 @@
         }
         Change::Unreadable { key, fault } => {
             cx.event(
-                "store-value-unreadable",
-                &[("key", &key), ("cause", &fault)],
+                Event::new("store-value-unreadable")
+                    .with("key", &key)
+                    .with("cause", &fault),
             );
         }
     }
@@ -170,8 +178,9 @@
         Ok(member) => Some(member),
         Err(error) => {
             cx.event(
-                "store-value-unreadable",
-                &[("key", &value.key), ("cause", &error)],
+                Event::new("store-value-unreadable")
+                    .with("key", &value.key)
+                    .with("cause", &error),
             );
             None
         }
@@ -200,15 +209,14 @@
 pub(super) async fn register(cx: Rc<Shared>, store: Rc<Store>, member: Member) {
     let Ok(key) = format!("{MEMBERS_PREFIX}{}", member.id.vm).parse::<StoreKey>() else {
         cx.event(
-            "register-failed",
-            &[("cause", &"the name of the VM does not fit into a key")],
+            Event::new("register-failed")
+                .with("cause", &"the name of the VM does not fit into a key"),
         );
         return;
     };
     let Ok(value) = serde_json::to_vec(&member) else {
         cx.event(
-            "register-failed",
-            &[("cause", &"the registration cannot be encoded")],
+            Event::new("register-failed").with("cause", &"the registration cannot be encoded"),
         );
         return;
     };
@@ -221,13 +229,17 @@
         let pause = match keep(&store, &key, &value, lease).await {
             Ok(kept) => {
                 if lease != Some(kept) {
-                    cx.event("registered", &[("key", &key), ("lease", &kept)]);
+                    cx.event(
+                        Event::new("registered")
+                            .with("key", &key)
+                            .with("lease", &kept),
+                    );
                 }
                 lease = Some(kept);
                 RENEW_PERIOD
             }
             Err(cause) => {
-                cx.event("register-failed", &[("cause", &cause)]);
+                cx.event(Event::new("register-failed").with("cause", &cause));
                 if cause != "unavailable" {
                     lease = None;
                 }
@@ -241,7 +253,7 @@
     }
     if let Some(lease) = lease {
         let ended = store.call(StoreCall::Revoke { lease }).await;
-        cx.event("unregistered", &[("done", &ended.is_ok())]);
+        cx.event(Event::new("unregistered").with("done", &ended.is_ok()));
     }
 }
 
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep_until;
 
 use super::front::Request;
+use super::log::Event;
 use super::shared::Shared;
 use crate::http1::{AnswerHead, BodyReader, Conn, Framing};
 
@@ -136,12 +137,10 @@
                 Ok(conn) => conn,
                 Err(error) => {
                     cx.event(
-                        "connect-failed",
-                        &[
-                            ("request", &ticket.id),
-                            ("endpoint", &run.endpoint),
-                            ("cause", &error),
-                        ],
+                        Event::new("connect-failed")
+                            .with("request", &ticket.id)
+                            .with("endpoint", &run.endpoint)
+                            .with("cause", &error),
                     );
                     return Attempt::Failed(CallFailure::NotSent);
                 }
