--- a/crates/laburnumstall-core/src/gateway/news.rs
+++ b/crates/laburnumstall-core/src/gateway/news.rs
@@ -190,7 +190,10 @@
         match &self.news {
             Some(news) => self.is_heard(now) && news.is_ready,
             // A daemon registers when it is ready; its first news are on their way.
-            None => self.is_registered && now.since(self.met_at) < SILENCE,
+            None => {
+                let is_new = now.since(self.met_at) < SILENCE;
+                self.is_registered && !self.member.leaving && is_new
+            }
         }
     }
 }
--- a/crates/laburnumstall-core/tests/gateway/usage_counts.rs
+++ b/crates/laburnumstall-core/tests/gateway/usage_counts.rs
@@ -82,3 +82,27 @@
             .contains(&member(1).caller_address)
     );
 }
+
+/// A daemon that stops is known to daemons that start meanwhile, and not named to callers.
+/// Fails without `leaving` in `Peer::is_ready`, or if leaving members are not met.
+#[test]
+fn leaving_daemon_still_counts() {
+    let mut gateway = gateway(&[]);
+    let mut leaving = member(2);
+    leaving.leaving = true;
+    gateway.on_member(at(0), leaving.clone());
+    assert!(!gateway.directory(at(10)).contains(&leaving.caller_address));
+    let mut book = UsageBook::new(bounds().usage_window);
+    book.on_begun(at(100), &customer());
+    let news = News {
+        sequence: 1,
+        is_ready: false,
+        loads: Vec::new(),
+        spent: Vec::new(),
+        begun: book.own_counts(),
+        demand: Vec::new(),
+    };
+    gateway.on_news(at(200), &daemon(2), news);
+    let window = gateway.usage().window_at(at(100));
+    assert_eq!(gateway.usage().report(window).counts[&customer()], 1);
+}
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -212,10 +212,10 @@
     while !cx.decide(|gateway, now| gateway.is_ready(now)) {
         sleep(READY_TICK).await;
     }
-    let registration = sync::register(Rc::clone(&cx), store, member);
     let listener = listen(cx.settings.front, "callers")?;
     cx.event(Event::new("ready").with("front", &cx.settings.front));
-    tokio::join!(registration, front::accept(Rc::clone(&cx), listener));
+    actix_rt::spawn(sync::register(Rc::clone(&cx), store, member));
+    front::accept(cx, listener).await;
     Ok(())
 }
 
@@ -232,6 +232,9 @@
     while cx.callers() > 0 && Instant::now() < end {
         sleep(STOP_TICK).await;
     }
+    // The last news and the end of the registration are on their way for a moment.
+    cx.end();
+    sleep(STOP_TICK).await;
     cx.event(
         Event::new("stop")
             .with("callers_left", &cx.callers())
--- a/crates/laburnumstalld/src/gateway/news.rs
+++ b/crates/laburnumstalld/src/gateway/news.rs
@@ -1,5 +1,6 @@
 //! Links to the other daemons: news go out, and come in.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use laburnumstall_core::gateway::{NEWS_PERIOD, News};
@@ -48,17 +49,22 @@
 
 /// Takes in what the links report.
 pub(super) async fn receive(cx: Rc<Shared>, mut rx: mpsc::Receiver<PeerEvent<News>>) {
+    let mut lost = BTreeSet::new();
     while let Some(event) = rx.recv().await {
         match event {
             PeerEvent::Message { from, message } => {
                 cx.decide(|gateway, now| gateway.on_news(now, &from, message));
             }
-            PeerEvent::Connected { to } => cx.event(Event::new("link-up").with("daemon", &to)),
-            PeerEvent::Lost { to, reason, .. } => {
+            PeerEvent::Connected { to } => {
+                lost.remove(&to);
+                cx.event(Event::new("link-up").with("daemon", &to));
+            }
+            // Each try to connect is lost anew; the first one tells.
+            PeerEvent::Lost { to, reason, .. } if lost.insert(to.clone()) => {
                 cx.event(
                     Event::new("link-lost")
                         .with("daemon", &to)
-                        .with("cause", &reason),
+                        .with("cause", reason),
                 );
             }
             PeerEvent::BadFrame { from, fault } => {
@@ -68,7 +74,7 @@
                         .with("cause", &fault),
                 );
             }
-            PeerEvent::Probed { .. } => {}
+            PeerEvent::Lost { .. } | PeerEvent::Probed { .. } => {}
         }
     }
 }
--- a/crates/laburnumstalld/src/gateway/shared.rs
+++ b/crates/laburnumstalld/src/gateway/shared.rs
@@ -36,6 +36,7 @@
     gateway: RefCell<Gateway>,
     log: RefCell<DecisionLog>,
     is_closing_idle: Cell<bool>,
+    is_ended: Cell<bool>,
     callers: Cell<usize>,
 }
 
@@ -57,6 +58,7 @@
             gateway: RefCell::new(gateway),
             log: RefCell::new(log),
             is_closing_idle: Cell::new(false),
+            is_ended: Cell::new(false),
             callers: Cell::new(0),
         })
     }
@@ -119,6 +121,17 @@
         self.stopped.notify_waiters();
     }
 
+    /// Tells whether all callers have gone and the process is about to end.
+    pub(super) fn is_ended(&self) -> bool {
+        self.is_ended.get()
+    }
+
+    /// Ends what goes on until the process does.
+    pub(super) fn end(&self) {
+        self.is_ended.set(true);
+        self.stopped.notify_waiters();
+    }
+
     /// Returns the number of callers' connections.
     pub(super) fn callers(&self) -> usize {
         self.callers.get()
--- a/crates/laburnumstalld/src/gateway/sync.rs
+++ b/crates/laburnumstalld/src/gateway/sync.rs
@@ -205,92 +205,106 @@
     });
 }
 
-/// Keeps this daemon registered under a lease until the gateway stops.
-pub(super) async fn register(cx: Rc<Shared>, store: Rc<Store>, member: Member) {
+/// Keeps this daemon registered under a lease until the process ends. A daemon that stops
+/// stays registered as leaving: it still works, and the others need its news.
+pub(super) async fn register(cx: Rc<Shared>, store: Rc<Store>, mut member: Member) {
     let Ok(key) = format!("{MEMBERS_PREFIX}{}", member.id.vm).parse::<StoreKey>() else {
-        cx.event(
-            Event::new("register-failed")
-                .with("cause", &"the name of the VM does not fit into a key"),
-        );
+        let cause = "the name of the VM does not fit into a key";
+        cx.event(Event::new("register-failed").with("cause", cause));
         return;
     };
-    let Ok(value) = serde_json::to_vec(&member) else {
-        cx.event(
-            Event::new("register-failed").with("cause", &"the registration cannot be encoded"),
-        );
-        return;
+    let mut registration = Registration {
+        store,
+        key,
+        lease: None,
     };
-    let mut lease = None;
-    loop {
-        let stopped = cx.stopped.notified();
-        if cx.decide(|gateway, _| gateway.is_stopping()) {
-            break;
-        }
-        let pause = match keep(&store, &key, &value, lease).await {
-            Ok(kept) => {
-                if lease != Some(kept) {
-                    cx.event(
-                        Event::new("registered")
-                            .with("key", &key)
-                            .with("lease", &kept),
-                    );
+    while !cx.is_ended() {
+        let changed = cx.stopped.notified();
+        let is_leaving = cx.decide(|gateway, _| gateway.is_stopping());
+        let is_news = is_leaving != member.leaving;
+        member.leaving = is_leaving;
+        let pause = match registration.keep(&member, is_news).await {
+            Ok(is_new) => {
+                if is_new {
+                    let event = Event::new("registered").with("key", &registration.key);
+                    cx.event(event.with("leaving", is_leaving));
                 }
-                lease = Some(kept);
                 RENEW_PERIOD
             }
             Err(cause) => {
-                cx.event(Event::new("register-failed").with("cause", &cause));
-                if cause != "unavailable" {
-                    lease = None;
-                }
+                cx.event(Event::new("register-failed").with("cause", cause));
                 FAILURE_PAUSE * 2
             }
         };
         tokio::select! {
             () = sleep(pause) => {}
-            () = stopped => {}
+            () = changed => {}
         }
     }
-    if let Some(lease) = lease {
-        let ended = store.call(StoreCall::Revoke { lease }).await;
-        cx.event(Event::new("unregistered").with("done", &ended.is_ok()));
-    }
+    let is_done = registration.close().await;
+    cx.event(Event::new("unregistered").with("done", is_done));
 }
 
-/// Renews the lease, or takes a new one and registers under it.
-async fn keep(
-    store: &Store,
-    key: &StoreKey,
-    value: &[u8],
+/// This daemon's key in the service, and the lease that it is bound to.
+struct Registration {
+    store: Rc<Store>,
+    key: StoreKey,
     lease: Option<LeaseId>,
-) -> Result<LeaseId, &'static str> {
-    if let Some(lease) = lease {
-        return match store.call(StoreCall::Renew { lease }).await {
-            Ok(StoreReply::Lease { .. }) => Ok(lease),
-            Ok(_) => Err("lease-gone"),
-            Err(_) => Err("unavailable"),
+}
+
+impl Registration {
+    /// Renews the lease, or takes a new one, and writes the member if it is new there;
+    /// returns whether it was written.
+    async fn keep(&mut self, member: &Member, is_changed: bool) -> Result<bool, &'static str> {
+        if let Some(lease) = self.lease {
+            match self.store.call(StoreCall::Renew { lease }).await {
+                Ok(StoreReply::Lease { .. }) if !is_changed => return Ok(false),
+                Ok(StoreReply::Lease { .. }) => {}
+                Ok(_) => self.lease = None,
+                Err(_) => return Err("unavailable"),
+            }
+        }
+        let lease = match self.lease {
+            Some(lease) => lease,
+            None => self.grant().await?,
         };
+        self.write(member, lease).await?;
+        self.lease = Some(lease);
+        Ok(true)
     }
-    let granted = store
-        .call(StoreCall::Grant {
-            ttl: REGISTRATION_TTL,
-        })
-        .await;
-    let Ok(StoreReply::Lease { lease, .. }) = granted else {
-        return Err("no-lease");
-    };
-    let current = store.call(StoreCall::Get { key: key.clone() }).await;
-    let Ok(StoreReply::Value(current)) = current else {
-        return Err("not-read");
-    };
-    let swap = StoreCall::Swap {
-        key: key.clone(),
-        expected: current.map(|stored| stored.version),
-        value: Some(value.to_vec()),
-        lease: Some(lease),
-    };
-    match store.call(swap).await {
-        Ok(StoreReply::Swapped { .. }) => Ok(lease),
-        _ => Err("not-written"),
+
+    async fn grant(&self) -> Result<LeaseId, &'static str> {
+        let ttl = REGISTRATION_TTL;
+        match self.store.call(StoreCall::Grant { ttl }).await {
+            Ok(StoreReply::Lease { lease, .. }) => Ok(lease),
+            _ => Err("no-lease"),
+        }
+    }
+
+    async fn write(&self, member: &Member, lease: LeaseId) -> Result<(), &'static str> {
+        let value = serde_json::to_vec(member).map_err(|_| "not-encoded")?;
+        let key = self.key.clone();
+        let current = self.store.call(StoreCall::Get { key: key.clone() }).await;
+        let Ok(StoreReply::Value(current)) = current else {
+            return Err("not-read");
+        };
+        let swap = StoreCall::Swap {
+            key,
+            expected: current.map(|stored| stored.version),
+            value: Some(value),
+            lease: Some(lease),
+        };
+        match self.store.call(swap).await {
+            Ok(StoreReply::Swapped { .. }) => Ok(()),
+            _ => Err("not-written"),
+        }
+    }
+
+    /// Ends the lease, and the key with it; returns whether the service took it.
+    async fn close(self) -> bool {
+        match self.lease {
+            Some(lease) => self.store.call(StoreCall::Revoke { lease }).await.is_ok(),
+            None => true,
+        }
     }
 }
--- a/crates/laburnumstalld/tests/metrics_page.rs
+++ b/crates/laburnumstalld/tests/metrics_page.rs
@@ -8,6 +8,7 @@
 use laburnumstall_core::store::{StoreFailure, StoreReply};
 use laburnumstall_core::units::{HourlyPrice, Timestamp, Tokens};
 use laburnumstall_peer::{LostReason, Traffic};
+use laburnumstalld::gateway;
 use laburnumstalld::metrics::spec::{MetricKind, SPECS};
 use laburnumstalld::metrics::{
     AttemptReason, Direction, HeldCounts, MemberCounts, Metrics, PlacementCounts, RequestOutcome,
@@ -95,6 +96,7 @@
         .collect();
     let expected: Vec<_> = SPECS
         .iter()
+        .chain(&gateway::metrics::ALL)
         .map(|spec| {
             let labels: Vec<_> = spec.labels.iter().map(|l| format!("`{l}`")).collect();
             let labels = labels.join(", ");
@@ -109,7 +111,7 @@
 
 #[test]
 fn names_follow_the_conventions() {
-    for spec in SPECS {
+    for spec in SPECS.iter().chain(&gateway::metrics::ALL) {
         let is_counter = spec.kind == MetricKind::Counter;
         assert_eq!(spec.name.ends_with("_total"), is_counter, "{}", spec.name);
         let is_duration = spec.kind == MetricKind::Histogram;
