--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -46,8 +46,8 @@
 pub use reading::reading_time;
 pub use recovery::{COME_BACK, CallFailure, Next};
 pub use rules::{
-    CallKind, CallerLimits, CustomerRule, EngineRule, Quota, QuotaUnit, RouteRule, RouteTarget,
-    RoutingRules, RoutingTable, ScalingRule, ServiceRule,
+    CallKind, CallerLimits, CustomerRule, Quota, QuotaUnit, RouteRule, RouteTarget, RoutingRules,
+    RoutingTable, ScalingRule, ServiceRule,
 };
 pub use scaling::{Capacity, ScaleOrder, ScaleOutcome, Scaler};
 pub use usage::{UsageBook, UsageCount, UsageReport};
--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -103,9 +103,4 @@
     pub fn left(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
     }
-
-    /// Returns the time until which an answer is on time.
-    pub fn on_time_until(&self) -> Timestamp {
-        self.received_at.after(self.route.target_latency)
-    }
 }
--- a/crates/laburnumstall-core/src/gateway/demand.rs
+++ b/crates/laburnumstall-core/src/gateway/demand.rs
@@ -17,19 +17,12 @@
     /// Counts a call that was let in.
     pub fn on_call(&mut self, ticket: &Ticket) {
         let demand = self.of(&ticket.service);
-        demand.calls += 1;
         if let Some(prompt) = &ticket.prompt {
             let shared = prompt.shared().iter().map(|part| part.tokens).sum();
             demand.reading_ms += reading_time(prompt.tokens, shared).as_millis() as u64;
-            demand.answer_tokens += u64::from(prompt.answer);
         }
     }
 
-    /// Counts a call that came late or was refused for want of places.
-    pub fn on_short(&mut self, service: &ServiceName) {
-        self.of(service).short += 1;
-    }
-
     /// Returns the counts of all services.
     pub fn all(&self) -> Vec<ServiceDemand> {
         self.services.values().cloned().collect()
@@ -41,9 +34,6 @@
             .or_insert_with(|| ServiceDemand {
                 service: service.clone(),
                 reading_ms: 0,
-                answer_tokens: 0,
-                calls: 0,
-                short: 0,
             })
     }
 }
--- a/crates/laburnumstall-core/src/gateway/fleet.rs
+++ b/crates/laburnumstall-core/src/gateway/fleet.rs
@@ -43,8 +43,6 @@
 pub struct Listed {
     /// What it says of itself.
     pub record: EndpointRecord,
-    /// When it was first listed with its present start.
-    pub since: Timestamp,
     /// When its entry lapsed beside an outage.
     lapsed_at: Option<Timestamp>,
 }
@@ -77,8 +75,6 @@
         if known.is_some_and(|known| known.record == record && known.lapsed_at.is_none()) {
             return false;
         }
-        let is_same_life = |known: &&Listed| known.record.born == record.born;
-        let since = known.filter(is_same_life).map_or(now, |known| known.since);
         let choice = match known {
             _ if record.is_leaving => "leaving",
             None => "listed",
@@ -89,7 +85,6 @@
             record.id.clone(),
             Listed {
                 record,
-                since,
                 lapsed_at: None,
             },
         );
--- a/crates/laburnumstall-core/src/gateway/news.rs
+++ b/crates/laburnumstall-core/src/gateway/news.rs
@@ -44,12 +44,6 @@
         pub service: ServiceName,
         /// Time to read the prompts with the shared parts cached, in milliseconds.
         pub reading_ms: u64,
-        /// Answer tokens.
-        pub answer_tokens: u64,
-        /// Calls.
-        pub calls: u64,
-        /// Calls refused or late for want of places.
-        pub short: u64,
     }
 
     /// What one daemon tells the others, every [`NEWS_PERIOD`].
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -156,7 +156,6 @@
             let refusal =
                 Refusal::new(ErrorKind::NoEndpoint, "no endpoint of the service is known")
                     .with_retry_after(COME_BACK);
-            self.demand.on_short(&ticket.service);
             self.journal.record(
                 Decision::new(now, DecisionKind::Route, "refuse", refusal.kind.name())
                     .with("request", &ticket.id)
@@ -199,9 +198,6 @@
         if let Some(customer) = &ticket.customer {
             self.usage.on_begun(now, customer);
         }
-        if now > ticket.on_time_until() {
-            self.demand.on_short(&ticket.service);
-        }
     }
 
     /// Decides what follows a failed call.
--- a/crates/laburnumstall-core/src/gateway/rules.rs
+++ b/crates/laburnumstall-core/src/gateway/rules.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 
 use crate::ids::{AvailabilityZone, CustomerId, Revision, ServiceName};
-use crate::units::{Bytes, Tokens};
+use crate::units::Bytes;
 use crate::{domain, domain_value};
 
 domain_value! {
@@ -93,16 +93,6 @@
         pub is_resumable: bool,
     }
 
-    /// Batch engine behind a service.
-    pub struct EngineRule {
-        /// Calls that run at once on one endpoint.
-        pub slots: u32,
-        /// Tokens that fit into one endpoint's memory.
-        pub memory: Tokens,
-        /// Tokens in one event of a stream.
-        pub tokens_per_event: u32,
-    }
-
     /// How many endpoints of a service may be ordered, and at what price.
     pub struct ScalingRule {
         /// Least endpoints in each zone.
@@ -122,10 +112,6 @@
     pub struct ServiceRule {
         /// Name of the service.
         pub name: ServiceName,
-        /// Most connections that one endpoint takes from all daemons.
-        pub max_connections: u32,
-        /// Engine, for services that generate.
-        pub engine: Option<EngineRule>,
         /// Scaling, for services whose endpoints are ordered.
         pub scaling: Option<ScalingRule>,
     }
--- a/crates/laburnumstall-core/tests/gateway/endpoint_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_scaling.rs
@@ -72,9 +72,6 @@
         let demand = ServiceDemand {
             service: "model".parse().unwrap(),
             reading_ms: self.read_ms,
-            answer_tokens: 0,
-            calls: 0,
-            short: 0,
         };
         let service = demand.service.clone();
         self.list();
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use laburnumstall_core::gateway::{
-    Bounds, CallFacts, CallKind, CallerLimits, CustomerRule, EndpointRecord, EngineRule, Gateway,
-    Prompt, PromptPart, Quota, QuotaUnit, RouteRule, RouteTarget, RoutingRules, ScalingRule,
-    ServiceRule,
+    Bounds, CallFacts, CallKind, CallerLimits, CustomerRule, EndpointRecord, Gateway, Prompt,
+    PromptPart, Quota, QuotaUnit, RouteRule, RouteTarget, RoutingRules, ScalingRule, ServiceRule,
 };
 use laburnumstall_core::membership::{CertificateFingerprint, Member};
 use laburnumstall_core::prelude::*;
@@ -92,25 +91,18 @@
         route("/read/", CallKind::Idempotent, "app"),
         public,
     ];
-    let service = |name: &str, engine: Option<EngineRule>| {
+    let service = |name: &str, scaling: Option<ScalingRule>| {
         let name: ServiceName = name.parse().unwrap();
         let rule = ServiceRule {
             name: name.clone(),
-            max_connections: 100,
-            scaling: engine.as_ref().map(|_| scaling()),
-            engine,
+            scaling,
         };
         (name, rule)
     };
-    let engine = EngineRule {
-        slots: 64,
-        memory: Tokens(700_000),
-        tokens_per_event: 5,
-    };
     RoutingRules {
         version: Revision(version),
         routes: routes.into_iter().map(Arc::new).collect(),
-        services: BTreeMap::from([service("model", Some(engine)), service("app", None)]),
+        services: BTreeMap::from([service("model", Some(scaling())), service("app", None)]),
         customers: vec![CustomerRule {
             name: "archive".parse().unwrap(),
             keys: vec![KEY.into()],
