Expect waves of reclaims

The load measured a little below what had been assumed, so lasting endpoints were given back a second before the last zone went, and the base was ordered anew a boot too late. Change: while a zone has no reclaimable endpoints nothing is given back, and the base carries the load at 1.3 of its time. Test: waves_of_reclaims_are_expected.

--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -32,6 +32,9 @@
 /// Time for which fewer must do before endpoints are given back; the load is held at its
 /// crest for longer, so that this only bridges orders that fail at once.
 const SHRINK_AFTER: Duration = Duration::from_secs(2);
+/// Time after a zone had none in which the plan is wary: longer than the pause between two
+/// tries.
+const WARY_TIME: Duration = Duration::from_secs(6);
 /// Time from the first plan in which endpoints are still being listed.
 const LISTING_TIME: Duration = Duration::from_secs(3);
 
@@ -94,6 +97,8 @@
     /// Most endpoints that were there before any load was measured.
     initial: u32,
     planned_since: Option<Timestamp>,
+    /// Until when other zones may lose their reclaimable endpoints as well.
+    wary_until: Timestamp,
 }
 
 /// Plans the endpoints of all services.
@@ -141,11 +146,13 @@
         let offers = offers(now, rule, &state.lanes, &present);
         // Endpoints are given back while enough others serve.
         let is_known = measured.is_some() || !state.meter.has_calls();
-        let mut spare = match is_known && now.since(since) > LISTING_TIME {
+        let is_wary = now < state.wary_until;
+        let may_shrink = is_known && !is_wary && now.since(since) > LISTING_TIME;
+        let mut spare = match may_shrink {
             true => total.saturating_sub(load.least()),
             false => 0,
         };
-        let wanted = targets(rule, &offers, load);
+        let wanted = targets(rule, &offers, load, is_wary);
         let mut orders = Vec::new();
         for (zone, want) in &wanted {
             let have = present.get(zone).copied().unwrap_or(Capacity {
@@ -221,6 +228,7 @@
             ScaleOutcome::NoneAvailable => {
                 lane.ordered = None;
                 lane.blocked_until = now.after(NONE_AVAILABLE_PAUSE);
+                state.wary_until = now.after(WARY_TIME);
             }
             ScaleOutcome::Unclear | ScaleOutcome::Refused => {
                 lane.ordered = None;
@@ -276,7 +284,7 @@
             return is_due.then_some(want);
         }
         let since = *self.shrink_since.get_or_insert(now);
-        if now.since(since) < SHRINK_AFTER {
+        if now.since(since) < SHRINK_AFTER || spare == 0 {
             return None;
         }
         let desired = want.max(have.saturating_sub(spare));
--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -20,6 +20,9 @@
 /// Load of the base of lasting endpoints if all others were gone: it bridges the boot of
 /// more at the price of late answers.
 const BASE_LOAD: f64 = 2.2;
+/// Load of the base while some zone has no reclaimable endpoints: reclaims come in waves, and
+/// lasting ones that are ordered after the last zone's loss come a boot too late.
+const WARY_LOAD: f64 = 1.3;
 /// Load that the endpoints there at the start are taken to be meant for.
 const INITIAL_LOAD: f64 = 0.42;
 
@@ -67,13 +70,14 @@
 /// Most times that lasting endpoints are added for those that they push out of their zone.
 const ROUNDS: u32 = 4;
 
-/// Returns the numbers for each zone.
+/// Returns the numbers for each zone; `is_wary` tells that reclaims are under way.
 pub(super) fn targets(
     rule: &ScalingRule,
     offers: &[ZoneOffer],
     load: Load,
+    is_wary: bool,
 ) -> BTreeMap<AvailabilityZone, Capacity> {
-    let mut lasting = load.endpoints(BASE_LOAD);
+    let mut lasting = load.endpoints(if is_wary { WARY_LOAD } else { BASE_LOAD });
     let mut counts = divide(rule, offers, load, lasting);
     for _ in 0..ROUNDS {
         let total: u32 = counts
--- a/crates/laburnumstall-core/tests/gateway/endpoint_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_scaling.rs
@@ -225,3 +225,23 @@
         world.serving()
     );
 }
+
+/// After the first zone's loss the plan expects the others': when the last one goes, the
+/// lasting endpoints carry the load at its limit. Fails with `BASE_LOAD` for `WARY_LOAD`,
+/// or if endpoints are given back between two losses.
+#[test]
+fn waves_of_reclaims_are_expected() {
+    let mut world = World::new();
+    world.run(10, 0.0);
+    world.run(30, 6.0);
+    for zone in ZONES {
+        world.take_zone(zone, Duration::from_secs(14));
+        // The load is a little lower meanwhile.
+        world.run(6, 5.0);
+        assert!(
+            world.serving() >= 6,
+            "{} serve after {zone}",
+            world.serving()
+        );
+    }
+}
