--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -1,10 +1,10 @@
 //! The daemon on a platform that tells it its place: a gateway for requests that live as
 //! long as their caller's connection.
 //!
-//! One thread does everything. [`front`] reads requests, [`call`] takes each from the
-//! core's decisions to the end of its answer, [`stream`] passes events on, [`upstream`]
-//! speaks to endpoints. Beside them [`sync`] follows the key-value service, [`news`] the
-//! other daemons, [`duties`] does what one daemon at a time does, and [`directory`]
+//! One thread does everything. `front` reads requests, `call` takes each from the
+//! core's decisions to the end of its answer, `stream` passes events on, `upstream`
+//! speaks to endpoints. Beside them `sync` follows the key-value service, `news` the
+//! other daemons, `duties` does what one daemon at a time does, and `directory`
 //! answers questions.
 
 mod call;
@@ -165,10 +165,10 @@
     let cx = Shared::new(settings, gateway, clock, DecisionLog::new(log), registered);
     cx.event(
         Event::new("start")
-            .with("version", &env!("CARGO_PKG_VERSION"))
+            .with("version", env!("CARGO_PKG_VERSION"))
             .with("zone", &cx.settings.zone)
-            .with("front", &cx.settings.front)
-            .with("store", &cx.settings.store),
+            .with("front", cx.settings.front)
+            .with("store", cx.settings.store),
     );
 
     let store = Rc::new(Store::new(client_settings(
@@ -213,7 +213,7 @@
         sleep(READY_TICK).await;
     }
     let listener = listen(cx.settings.front, "callers")?;
-    cx.event(Event::new("ready").with("front", &cx.settings.front));
+    cx.event(Event::new("ready").with("front", cx.settings.front));
     actix_rt::spawn(sync::register(Rc::clone(&cx), store, member));
     front::accept(cx, listener).await;
     Ok(())
@@ -237,8 +237,8 @@
     sleep(STOP_TICK).await;
     cx.event(
         Event::new("stop")
-            .with("callers_left", &cx.callers())
-            .with("took_ms", &asked.elapsed().as_millis()),
+            .with("callers_left", cx.callers())
+            .with("took_ms", asked.elapsed().as_millis()),
     );
     cx.close_log();
 }
@@ -250,7 +250,7 @@
         sleep(SUSPEND_TICK).await;
         let missing = cx.now().since(boot).saturating_sub(steady.elapsed());
         if missing > SUSPENDED {
-            cx.event(Event::new("suspended").with("for_ms", &missing.as_millis()));
+            cx.event(Event::new("suspended").with("for_ms", missing.as_millis()));
             cx.pool.clear();
         }
     }
@@ -262,12 +262,10 @@
         match HostSettings::load() {
             Ok(settings) => {
                 let is_changed = settings != cx.settings;
-                cx.event(Event::new("reload").with("changed", &is_changed));
+                cx.event(Event::new("reload").with("changed", is_changed));
                 cx.decide(|gateway, _| gateway.set_bounds(settings.bounds));
             }
-            Err(error) => {
-                cx.event(Event::new("reload-failed").with("cause", &full_message(&error)))
-            }
+            Err(error) => cx.event(Event::new("reload-failed").with("cause", full_message(&error))),
         }
     }
 }
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -58,7 +58,7 @@
         let refusal = Refusal::new(ErrorKind::Malformed, "no request id");
         cx.event(
             Event::new("request-unreadable")
-                .with("cause", &"no request id")
+                .with("cause", "no request id")
                 .with("path", &head.target),
         );
         return answer_refusal(cx, conn, request, None, &refusal).await;
--- a/crates/laburnumstalld/src/gateway/directory.rs
+++ b/crates/laburnumstalld/src/gateway/directory.rs
@@ -123,7 +123,7 @@
 }
 
 fn failed(cx: &Shared, error: &dyn std::error::Error) -> Reply {
-    cx.event(Event::new("answer-failed").with("cause", &error));
+    cx.event(Event::new("answer-failed").with("cause", error));
     Reply {
         status: 500,
         content_type: "text/plain",
--- a/crates/laburnumstalld/src/gateway/duties.rs
+++ b/crates/laburnumstalld/src/gateway/duties.rs
@@ -185,9 +185,9 @@
                 let outcome = this.report(window).await;
                 this.cx.event(
                     Event::new("usage-report")
-                        .with("window", &window)
-                        .with("outcome", &outcome)
-                        .with("age_ms", &this.cx.now().since(now).as_millis()),
+                        .with("window", window)
+                        .with("outcome", outcome)
+                        .with("age_ms", this.cx.now().since(now).as_millis()),
                 );
                 this.under_way.borrow_mut().remove(&window);
             });
--- a/crates/laburnumstalld/src/gateway/front.rs
+++ b/crates/laburnumstalld/src/gateway/front.rs
@@ -66,8 +66,8 @@
             Err(kind) => {
                 cx.event(
                     Event::new("request-unreadable")
-                        .with("from", &from)
-                        .with("cause", &kind),
+                        .with("from", from)
+                        .with("cause", kind),
                 );
                 refuse(
                     &cx,
--- a/crates/laburnumstalld/src/gateway/news.rs
+++ b/crates/laburnumstalld/src/gateway/news.rs
@@ -40,7 +40,7 @@
                 cx.event(
                     Event::new("news-not-sent")
                         .with("daemon", &member.id)
-                        .with("cause", &error.fault),
+                        .with("cause", error.fault),
                 );
             }
         }
--- a/crates/laburnumstalld/src/gateway/sync.rs
+++ b/crates/laburnumstalld/src/gateway/sync.rs
@@ -85,7 +85,7 @@
                 }
             }
             Err(ReadFailure::HistoryGone) => {
-                cx.event(Event::new("store-history-gone").with("version", &version));
+                cx.event(Event::new("store-history-gone").with("version", version));
                 return;
             }
             Err(error) => {
@@ -127,9 +127,9 @@
     }
     cx.event(
         Event::new("store-listed")
-            .with("endpoints", &endpoints.len())
-            .with("daemons", &members.len())
-            .with("version", &snapshot.version),
+            .with("endpoints", endpoints.len())
+            .with("daemons", members.len())
+            .with("version", snapshot.version),
     );
     cx.decide(|gateway, now| {
         gateway.on_endpoints(now, endpoints);
