--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -22,7 +22,7 @@
 const BASE_LOAD: f64 = 2.2;
 /// Load of the base while some zone has no reclaimable endpoints: reclaims come in waves, and
 /// lasting ones that are ordered after the last zone's loss come a boot too late.
-const WARY_LOAD: f64 = 1.3;
+const WARY_LOAD: f64 = 1.0;
 /// Load that the endpoints there at the start are taken to be meant for.
 const INITIAL_LOAD: f64 = 0.42;
 
