Trust an absent token only where the key-value service is never restored

golden_placement showed that the product's own lease no longer waited after a restored store without a token. The wait is left out on the platform alone, whose service loses nothing that it has acknowledged.

--- a/crates/laburnumstall-core/src/placement/lease.rs
+++ b/crates/laburnumstall-core/src/placement/lease.rs
@@ -54,6 +54,9 @@
     /// Time for which a new holder gives no order to an endpoint that ignores the token,
     /// beside the lease's.
     pub longest_order: Duration,
+    /// Whether an absent token proves that there never was a holder: the service is never
+    /// restored to an earlier state.
+    pub trusts_absence: bool,
 }
 
 impl Default for LeaseTiming {
@@ -65,6 +68,7 @@
             poll: POLL_PERIOD,
             call_timeout: CALL_TIMEOUT,
             longest_order: LONGEST_ORDER,
+            trusts_absence: false,
         }
     }
 }
@@ -335,7 +339,7 @@
             },
             (Step::ReadToken, StoreReply::Value(current)) => self.on_token(now, current, journal),
             (Step::RaiseToken(before), StoreReply::Swapped { .. }) => {
-                if before.is_none() {
+                if before.is_none() && self.timing.trusts_absence {
                     // There never was a token, so no earlier holder's order is under way.
                     self.quiet_until = now;
                 }
--- a/crates/laburnumstalld/src/gateway/duties.rs
+++ b/crates/laburnumstalld/src/gateway/duties.rs
@@ -71,6 +71,8 @@
             poll: ttl / 2,
             call_timeout: ttl / 2,
             longest_order: LONGEST_CALL,
+            // The platform's service loses nothing that it has acknowledged.
+            trusts_absence: true,
         };
         let lease = LeaseHolder::with_timing(own.id.clone(), &cx.settings.region, timing)?;
         Ok(Rc::new(Self {
