--- a/crates/laburnumstall-core/src/gateway/fleet.rs
+++ b/crates/laburnumstall-core/src/gateway/fleet.rs
@@ -148,14 +148,11 @@
         steady_since: Timestamp,
         journal: &mut Journal,
     ) -> bool {
-        let due = |listed: &Listed| {
-            let since = listed.lapsed_at?.max(steady_since);
-            (now.since(since) >= RETURN_TIME).then_some(())
-        };
+        let is_due = |at: Timestamp| now.since(at.max(steady_since)) >= RETURN_TIME;
         let gone: Vec<EndpointId> = self
             .endpoints
             .values()
-            .filter(|listed| due(listed).is_some())
+            .filter(|listed| listed.lapsed_at.is_some_and(is_due))
             .map(|listed| listed.record.id.clone())
             .collect();
         for id in &gone {
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use super::Gateway;
 use super::call::{CallFacts, Ticket};
 use super::health::CallOutcome;
 use super::placing::{Run, Search};
 use super::recovery::{self, COME_BACK, CallFailure, Next};
-use super::{Bounds, Gateway};
 use crate::decision::{Decision, DecisionKind};
 use crate::error::{ErrorKind, Refusal};
 use crate::hash::digest64;
@@ -220,10 +220,7 @@
         let endpoint = run.endpoint.clone();
         let age = now.since(run.placed_at);
         self.end_run(now, run, failure.outcome());
-        let retries = self
-            .retries
-            .entry(ticket.service.clone())
-            .or_insert_with(|| retry_window(&self.bounds, self.roster.len()));
+        let retries = self.retry_window(&ticket.service);
         let (next, reason) = recovery::after_failure(now, ticket, failure, retries);
         let choice = match next {
             Next::Again if ticket.events > 0 => "resume",
@@ -292,18 +289,10 @@
     }
 
     fn retry_window(&mut self, service: &ServiceName) -> &mut RetryWindow {
-        let (bounds, others) = (&self.bounds, self.roster.len());
-        self.retries
-            .entry(service.clone())
-            .or_insert_with(|| retry_window(bounds, others))
+        let (bounds, daemons) = (&self.bounds, 1 + self.roster.len());
+        self.retries.entry(service.clone()).or_insert_with(|| {
+            let allowance = bounds.retry_allowance / daemons as f64;
+            RetryWindow::new(bounds.retry_window, bounds.retry_ratio, allowance)
+        })
     }
 }
-
-fn retry_window(bounds: &Bounds, others: usize) -> RetryWindow {
-    let daemons = 1 + others;
-    RetryWindow::new(
-        bounds.retry_window,
-        bounds.retry_ratio,
-        bounds.retry_allowance / daemons as f64,
-    )
-}
--- a/crates/laburnumstalld/src/gateway/directory.rs
+++ b/crates/laburnumstalld/src/gateway/directory.rs
@@ -48,7 +48,7 @@
 
 async fn answer_all(cx: Rc<Shared>, io: TcpStream) {
     let mut conn = Conn::new(io);
-    while let Ok(Some(head)) = timeout(IDLE_TIMEOUT, read_head(&mut conn)).await {
+    while let Ok(Ok(Some(head))) = timeout(IDLE_TIMEOUT, conn.request_head(MAX_HEAD)).await {
         let reply = answer(&cx, &head);
         let is_last = head.is_last || head.framing != Framing::Empty;
         let mut message = format!(
@@ -71,19 +71,6 @@
     conn.close().await;
 }
 
-async fn read_head(conn: &mut Conn) -> Option<RequestHead> {
-    loop {
-        match RequestHead::take(&mut conn.buf, MAX_HEAD) {
-            Ok(Some(head)) => return Some(head),
-            Ok(None) => {}
-            Err(_) => return None,
-        }
-        if !matches!(conn.fill().await, Ok(1..)) {
-            return None;
-        }
-    }
-}
-
 fn answer(cx: &Shared, head: &RequestHead) -> Reply {
     match directory::question(&head.method, &head.target) {
         Some(Question::Ready) => {
--- a/crates/laburnumstalld/src/gateway/duties.rs
+++ b/crates/laburnumstalld/src/gateway/duties.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use laburnumstall_core::decision::Journal;
-use laburnumstall_core::gateway::{Gateway, ScaleOrder, ScaleOutcome, Scaler, UsageReport};
+use laburnumstall_core::gateway::{
+    Gateway, ScaleOrder, ScaleOutcome, Scaler, ScalingRule, UsageReport,
+};
 use laburnumstall_core::ids::{FencingToken, ParseIdError, ServiceName};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::placement::{LeaseHolder, LeaseTiming, is_candidate};
@@ -94,7 +96,9 @@
         loop {
             ticks.tick().await;
             self.tick_lease();
-            self.observe_load();
+            if self.cx.settings.orders_endpoints {
+                self.observe_load();
+            }
             let now = self.cx.now();
             if self.token(now).is_none() {
                 if self.is_idle(now) {
@@ -264,8 +268,8 @@
     fn observe_load(&self) {
         self.cx.decide(|gateway, now| {
             let demand = gateway.demand();
-            for service in scaled_services(gateway) {
-                self.scaler.borrow_mut().observe(now, &service, &demand);
+            for (service, _) in scaled_services(gateway) {
+                self.scaler.borrow_mut().observe(now, service, &demand);
             }
         });
     }
@@ -273,13 +277,8 @@
     fn plan_endpoints(self: &Rc<Self>) {
         let mut journal = Journal::default();
         let orders: Vec<ScaleOrder> = self.cx.decide(|gateway, now| {
-            let Some(table) = gateway.table() else {
-                return Vec::new();
-            };
             let mut scaler = self.scaler.borrow_mut();
-            let scaled = table.rules().services.iter();
-            scaled
-                .filter_map(|(service, rule)| Some((service, rule.scaling.as_ref()?)))
+            scaled_services(gateway)
                 .flat_map(|(service, rule)| {
                     scaler.plan(now, service, rule, gateway.fleet(), &mut journal)
                 })
@@ -315,14 +314,10 @@
     }
 }
 
-/// Returns the services whose endpoints are ordered.
-fn scaled_services(gateway: &Gateway) -> Vec<ServiceName> {
-    let services = gateway
-        .table()
-        .into_iter()
-        .flat_map(|table| &table.rules().services);
-    services
-        .filter(|(_, rule)| rule.scaling.is_some())
-        .map(|(service, _)| service.clone())
-        .collect()
+/// Returns the services whose endpoints are ordered, with how they may be.
+fn scaled_services(gateway: &Gateway) -> impl Iterator<Item = (&ServiceName, &ScalingRule)> {
+    let table = gateway.table().into_iter();
+    table
+        .flat_map(|table| &table.rules().services)
+        .filter_map(|(service, rule)| Some((service, rule.scaling.as_ref()?)))
 }
--- a/crates/laburnumstalld/src/gateway/front.rs
+++ b/crates/laburnumstalld/src/gateway/front.rs
@@ -101,8 +101,10 @@
     if conn.buf.is_empty() && !wait_for_bytes(cx, conn, limits.idle_timeout).await {
         return Ok(None);
     }
-    let read = timeout(limits.head_timeout, read_head(conn, &limits)).await;
-    let Some(head) = read.map_err(|_| ErrorKind::Malformed)?? else {
+    let reading = conn.request_head(limits.head.get() as usize);
+    let read = timeout(limits.head_timeout, reading).await;
+    let read = read.map_err(|_| ErrorKind::Malformed)?;
+    let Some(head) = read.map_err(kind_of)? else {
         return Ok(None);
     };
     if head.expects_continue {
@@ -133,20 +135,11 @@
     }
 }
 
-async fn read_head(
-    conn: &mut Conn,
-    limits: &CallerLimits,
-) -> Result<Option<RequestHead>, ErrorKind> {
-    loop {
-        match RequestHead::take(&mut conn.buf, limits.head.get() as usize) {
-            Ok(Some(head)) => return Ok(Some(head)),
-            Ok(None) => {}
-            Err(HeadError::TooLarge) => return Err(ErrorKind::TooLarge),
-            Err(_) => return Err(ErrorKind::Malformed),
-        }
-        if !matches!(conn.fill().await, Ok(1..)) {
-            return Ok(None);
-        }
+/// Returns the kind of the answer to a head that cannot be used.
+fn kind_of(error: HeadError) -> ErrorKind {
+    match error {
+        HeadError::TooLarge => ErrorKind::TooLarge,
+        _ => ErrorKind::Malformed,
     }
 }
 
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -11,21 +11,7 @@
 };
 
 use crate::metrics::register;
-use crate::metrics::spec::{MetricKind, MetricSpec};
-
-const fn spec(
-    name: &'static str,
-    kind: MetricKind,
-    labels: &'static [&'static str],
-    help: &'static str,
-) -> MetricSpec {
-    MetricSpec {
-        name,
-        kind,
-        labels,
-        help,
-    }
-}
+use crate::metrics::spec::{MetricKind, MetricSpec, spec};
 
 /// Requests by service and how they ended.
 pub const REQUESTS: MetricSpec = spec(
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -61,6 +61,8 @@
     let is_last = is_last(cx, request);
     let pause = ticket.route.longest_pause.unwrap_or(DEFAULT_PAUSE) * STUCK_PAUSES;
     let mut pending = BytesMut::new();
+    // The core is told of this endpoint's first event alone.
+    let mut has_begun = false;
     loop {
         let left = ticket.left(cx.now());
         let is_waiting_first = !relay.has_begun();
@@ -89,13 +91,13 @@
         let events = take_events(&mut pending);
         let mut message = Vec::new();
         if let Some(events) = events {
-            if !relay.has_head {
+            if !std::mem::replace(&mut has_begun, true) {
                 cx.decide(|gateway, now| gateway.on_begun(now, ticket, run));
+            }
+            if !relay.has_head {
                 cx.metrics.first_event(ticket, cx.now());
                 message = answer_head(&answer.head, None, is_last);
                 relay.has_head = true;
-            } else {
-                cx.decide(|gateway, now| gateway.on_begun(now, ticket, run));
             }
             if let Some(id) = last_id(&events) {
                 relay.after = Some(id);
--- a/crates/laburnumstalld/src/http1/conn.rs
+++ b/crates/laburnumstalld/src/http1/conn.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::head::{HeadError, RequestHead};
 use bytes::BytesMut;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -59,6 +60,22 @@
         self.io.read_buf(&mut self.buf).await
     }
 
+    /// Receives the head of a request; `None` if the other side ends before it is whole.
+    ///
+    /// # Errors
+    ///
+    /// [`HeadError`] if it cannot be used.
+    pub async fn request_head(&mut self, max: usize) -> Result<Option<RequestHead>, HeadError> {
+        loop {
+            if let Some(head) = RequestHead::take(&mut self.buf, max)? {
+                return Ok(Some(head));
+            }
+            if !matches!(self.fill().await, Ok(1..)) {
+                return Ok(None);
+            }
+        }
+    }
+
     /// Waits until the other side has closed or broken the connection.
     pub async fn closed(&mut self) {
         while self.buf.len() <= MAX_AHEAD {
--- a/crates/laburnumstalld/src/metrics/spec.rs
+++ b/crates/laburnumstalld/src/metrics/spec.rs
@@ -38,7 +38,7 @@
     pub help: &'static str,
 }
 
-const fn spec(
+pub(crate) const fn spec(
     name: &'static str,
     kind: MetricKind,
     labels: &'static [&'static str],
