Call nothing not run that ran, and keep the retry window over a reload

A read that one endpoint may have run was answered 503, which says that it did not run, when no endpoint was left for another try: it is 502 now. Reading the same settings again gave the whole allowance of retries once more. Both tests failed before.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -112,8 +112,11 @@
         }
     }
 
-    /// Takes over changed bounds.
+    /// Takes over changed bounds; the retry windows begin anew only if there are any.
     pub fn set_bounds(&mut self, bounds: Bounds) {
+        if bounds == self.bounds {
+            return;
+        }
         self.contact.set_revocation(bounds.revocation);
         self.bounds = bounds;
         self.retries.clear();
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -153,9 +153,11 @@
         });
         let (calls, slots) = self.places.occupancy(&ticket.service);
         let Some(run) = run else {
-            let refusal =
-                Refusal::new(ErrorKind::NoEndpoint, "no endpoint of the service is known")
-                    .with_retry_after(COME_BACK);
+            let detail = "no endpoint of the service is known";
+            let refusal = match ticket.runs {
+                0 => Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(COME_BACK),
+                _ => Refusal::new(ErrorKind::EndpointFailed, detail),
+            };
             self.journal.record(
                 Decision::new(now, DecisionKind::Route, "refuse", refusal.kind.name())
                     .with("request", &ticket.id)
--- a/crates/laburnumstall-core/tests/gateway/failed_calls.rs
+++ b/crates/laburnumstall-core/tests/gateway/failed_calls.rs
@@ -126,3 +126,38 @@
     let (_, next) = fail(&mut world(), "/order/1", CallFailure::Failed);
     assert_eq!(next, Ok(Next::PassOn));
 }
+
+/// A call that ran somewhere is not called "not run" when no endpoint is left for another
+/// try. Fails if `Gateway::place` refuses without a look at `runs`.
+#[test]
+fn not_run_is_true_without_endpoints() {
+    let mut gateway = world();
+    let (mut ticket, next) = fail(&mut gateway, "/read/1", CallFailure::Lost);
+    assert_eq!(next, Ok(Next::Again));
+    gateway.on_endpoints(at(2_060), Vec::new());
+    let refusal = gateway.place(at(2_070), &mut ticket).unwrap_err();
+    assert_eq!(refusal.kind, ErrorKind::EndpointFailed);
+    assert!(!matches!(
+        refusal.kind.answer().status,
+        408 | 421 | 429 | 503
+    ));
+}
+
+/// Reading unchanged settings again gives no second allowance. Fails if
+/// `Gateway::set_bounds` always starts the retry windows anew.
+#[test]
+fn reload_keeps_the_retry_window() {
+    let mut gateway = world();
+    let tries = |gateway: &mut Gateway| {
+        (0..100)
+            .filter(|_| {
+                let (_, next) = fail(gateway, "/read/1", CallFailure::Lost);
+                matches!(next, Ok(Next::Again))
+            })
+            .count()
+    };
+    let first = tries(&mut gateway);
+    gateway.set_bounds(crate::support::bounds());
+    let both = first + tries(&mut gateway);
+    assert!(both <= 200 / 5 + 58, "{both} retries of 200 requests");
+}
