Give way to the later copy, and dispatch under an old claim once

Change: dropping a standby adds to the epoch, an append to an older owner is answered so that the whole copy follows, callers that are ahead wait for the owner that has their events, dispatches of a former ownership are remembered until the deadline, and a claim held elsewhere leaves the outcome open.

--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -21,6 +21,7 @@
 mod copies;
 mod deliver;
 mod dispatch;
+mod early;
 mod event;
 mod failure;
 mod finish;
--- a/crates/laburnumstall-core/src/entry/attach.rs
+++ b/crates/laburnumstall-core/src/entry/attach.rs
@@ -70,6 +70,20 @@
         id: RequestId,
         customer: CustomerId,
         position: Option<Position>,
+    ) {
+        if !self.wait_as_early(now, &from, &id, &customer, position) {
+            self.attach_known(now, from, id, customer, position);
+        }
+    }
+
+    /// Attaches a caller by what is known here now.
+    pub(super) fn attach_known(
+        &mut self,
+        now: Timestamp,
+        from: CallerRef,
+        id: RequestId,
+        customer: CustomerId,
+        position: Option<Position>,
     ) {
         if self.owned.contains_key(&id) {
             if let Err(refusal) = self.subscribe(&from, &id, &customer, position) {
@@ -217,6 +231,7 @@
 
     /// Removes a caller from its request, or from all if that is not known.
     pub(super) fn unsubscribe(&mut self, from: &CallerRef, id: Option<&RequestId>) {
+        self.forget_early(from);
         let detach = |owned: &mut Owned| {
             owned
                 .subscribers
--- a/crates/laburnumstall-core/src/entry/claiming.rs
+++ b/crates/laburnumstall-core/src/entry/claiming.rs
@@ -13,7 +13,15 @@
 
 impl Entry {
     /// Asks for the claim of a request.
+    ///
+    /// The claim of a request that was dispatched here before is this incarnation's already
+    /// and does not permit a second dispatch, unless its service checks keys.
     pub(super) fn claim(&mut self, now: Timestamp, id: &RequestId) {
+        if self.dispatched.contains_key(id) && !self.checks_keys(id) {
+            let detail = "it was dispatched before another entry owned it";
+            self.fail(now, id, Refusal::new(ErrorKind::ConnectionLost, detail));
+            return;
+        }
         self.wish(now, id, Wanted::Hold);
         if let Some(owned) = self.owned.get_mut(id) {
             owned.phase = Phase::Claiming;
@@ -130,11 +138,7 @@
             self.wait_for_holder(now, id);
             return;
         }
-        let Some(owned) = self.owned.get(id) else {
-            return;
-        };
-        let service = self.system.service(&owned.record.request.service);
-        if service.is_some_and(|service| service.checks_keys) {
+        if self.checks_keys(id) {
             self.wish(now, id, Wanted::Seize(claim.holder.clone()));
             return;
         }
@@ -191,6 +195,12 @@
         );
     }
 
+    fn checks_keys(&self, id: &RequestId) -> bool {
+        let request = self.owned.get(id).map(|owned| &owned.record.request);
+        let service = request.and_then(|request| self.system.service(&request.service));
+        service.is_some_and(|service| service.checks_keys)
+    }
+
     pub(super) fn is_usable(&self, daemon: &DaemonId) -> bool {
         *daemon != self.own
             && matches!(
@@ -202,6 +212,8 @@
     fn wait_for_holder(&mut self, now: Timestamp, id: &RequestId) {
         if let Some(owned) = self.owned.get_mut(id) {
             let retry_at = now.after(crate::entry::dispatch::RETRY_PERIOD);
+            // The holder has the claim to dispatch the request.
+            owned.may_have_run = true;
             owned.phase = Phase::Waiting { retry_at };
         }
     }
--- a/crates/laburnumstall-core/src/entry/copies.rs
+++ b/crates/laburnumstall-core/src/entry/copies.rs
@@ -88,6 +88,10 @@
 
     fn append(&mut self, now: Timestamp, appended: Appended) -> Result<EventIndex, CopyRefusal> {
         if let Some(owned) = self.owned.get(&appended.id) {
+            if owned.record.epoch < appended.epoch {
+                // The whole copy makes this daemon give way.
+                return Err(CopyRefusal::Incomplete);
+            }
             return Err(CopyRefusal::Superseded {
                 owner: self.own.clone(),
                 epoch: owned.record.epoch,
@@ -141,6 +145,7 @@
 
     /// Takes over copies whose owner is gone and forgets old ones.
     pub(super) fn tick_copies(&mut self, now: Timestamp) {
+        self.dispatched.retain(|_, deadline| *deadline > now);
         let mut orphaned = Vec::new();
         let mut expired = Vec::new();
         for (id, copy) in &self.copies {
--- a/crates/laburnumstall-core/src/entry/replicate.rs
+++ b/crates/laburnumstall-core/src/entry/replicate.rs
@@ -16,6 +16,10 @@
 /// Time without an acknowledgement after which another standby is taken.
 const STANDBY_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Epochs by which an owner that drops a standby goes ahead: one more than a take-over adds,
+/// so that the dropped copy never counts as later than the owner or its next standby.
+const DROPPED_STANDBY_EPOCHS: u64 = 2;
+
 impl Entry {
     /// Sends the standby what it does not have yet.
     pub(super) fn replicate(&mut self, now: Timestamp, id: &RequestId) {
@@ -121,6 +125,7 @@
             _ => {}
         }
         let old = owned.standby.take().map(|standby| standby.daemon);
+        owned.record.epoch = Epoch(owned.record.epoch.0 + DROPPED_STANDBY_EPOCHS);
         let excluded: Vec<DaemonId> = old.clone().into_iter().collect();
         let next = self.membership.standby(id.home, &zone, &excluded);
         let next = next.map(|member| member.id.clone());
--- a/crates/laburnumstall-core/src/entry/state.rs
+++ b/crates/laburnumstall-core/src/entry/state.rs
@@ -14,6 +14,7 @@
 use crate::entry::calls::NumberedCall;
 use crate::entry::configuration::ConfigurationSource;
 use crate::entry::copies::HeldCopy;
+use crate::entry::early::EarlyCaller;
 use crate::entry::event::Event;
 use crate::entry::fleet::Fleet;
 use crate::entry::locate::Question;
@@ -98,6 +99,10 @@
     pub(super) copies: BTreeMap<RequestId, HeldCopy>,
     pub(super) keys: BTreeMap<KeyName, RequestId>,
     pub(super) callers: BTreeMap<CallerId, LocalCaller>,
+    pub(super) early: Vec<EarlyCaller>,
+    /// Non-idempotent requests that this incarnation dispatched before another daemon owned
+    /// them, until their deadline.
+    pub(super) dispatched: BTreeMap<RequestId, Timestamp>,
     pub(super) questions: BTreeMap<u64, Question>,
     pub(super) fleet: Fleet,
     pub(super) watching: Watching,
@@ -144,6 +149,8 @@
             copies: BTreeMap::new(),
             keys: BTreeMap::new(),
             callers: BTreeMap::new(),
+            early: Vec::new(),
+            dispatched: BTreeMap::new(),
             questions: BTreeMap::new(),
             fleet: Fleet::default(),
             watching: Watching::default(),
--- a/crates/laburnumstall-core/src/entry/takeover.rs
+++ b/crates/laburnumstall-core/src/entry/takeover.rs
@@ -133,7 +133,7 @@
         );
     }
 
-    /// The standby has taken the request over.
+    /// Another daemon says that it owns the request.
     pub(super) fn on_taken_over(
         &mut self,
         now: Timestamp,
@@ -141,12 +141,16 @@
         id: &RequestId,
         epoch: Epoch,
     ) {
-        let is_newer = self
-            .owned
-            .get(id)
-            .is_some_and(|owned| owned.record.epoch < epoch);
-        if is_newer {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        let own = owned.record.epoch;
+        if own < epoch {
             self.give_way(now, id, from, epoch);
+        } else if own > epoch {
+            // It went by a copy that was dropped, or by a hand-over from before that.
+            let id = id.clone();
+            self.send(from, Message::TakenOver { id, epoch: own });
         }
     }
 
@@ -162,6 +166,10 @@
         let Some(owned) = self.forget_owned(id) else {
             return;
         };
+        if owned.is_dispatched && !owned.record.request.idempotent {
+            let deadline = owned.record.request.deadline;
+            self.dispatched.insert(id.clone(), deadline);
+        }
         let decision = self
             .decision(now, DecisionKind::TakeOver, "give-way", "superseded")
             .with("request", id)
--- a/crates/laburnumstall-core/src/entry/timers.rs
+++ b/crates/laburnumstall-core/src/entry/timers.rs
@@ -35,6 +35,7 @@
             self.copies_at = now.after(COPIES_PERIOD);
             self.tick_copies(now);
         }
+        self.tick_early(now);
         self.tick_questions(now);
         self.tick_callers(now);
         self.tick_stop(now);
