Order a lost zone anew also when fewer are wanted than were ordered

The lane of the third zone lost all 39 and waited to give some back: no order, no refusal, and the plan counted 36 that were not there, for 22 s. 30 endpoints carried a load of 21 to 26.

Change: a loss and an order that did not show are looked at before what can be given back.

Test: loss_after_fall_is_seen, in which zones run dry one by one; it fails without the change.

--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -276,12 +276,17 @@
         let standing = self.ordered.unwrap_or(have);
         let is_loss = have < self.reached.min(want);
         self.reached = have;
+        let is_overdue = self.ordered.is_some_and(|ordered| ordered != have)
+            && now.since(self.ordered_at) > rule.boot + REPEAT_AFTER;
+        let needs_order = self.needs_repeat || is_loss || is_overdue;
+        // Also when fewer are wanted than were ordered: those may be gone.
+        if want > have && needs_order {
+            self.shrink_since = None;
+            return Some(want);
+        }
         if want >= standing {
             self.shrink_since = None;
-            let is_overdue = self.ordered.is_some_and(|ordered| ordered != have)
-                && now.since(self.ordered_at) > rule.boot + REPEAT_AFTER;
-            let is_due = want > standing || self.needs_repeat || is_loss || is_overdue;
-            return is_due.then_some(want);
+            return (want > standing || needs_order).then_some(want);
         }
         let since = *self.shrink_since.get_or_insert(now);
         if now.since(since) < SHRINK_AFTER || spare == 0 {
--- a/crates/laburnumstall-core/tests/gateway/endpoint_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_scaling.rs
@@ -5,7 +5,7 @@
 
 use crate::support::{at, daemon, endpoint, scaling};
 use laburnumstall_core::decision::Journal;
-use laburnumstall_core::gateway::{Fleet, ScaleOutcome, Scaler, ServiceDemand};
+use laburnumstall_core::gateway::{Fleet, ScaleOutcome, Scaler, ScalingRule, ServiceDemand};
 use laburnumstall_core::prelude::*;
 
 const ZONES: [&str; 3] = ["north-a", "north-b", "north-c"];
@@ -14,6 +14,7 @@
 
 /// A platform that boots what is ordered, and a load in engines that read all the time.
 struct World {
+    rule: ScalingRule,
     scaler: Scaler,
     fleet: Fleet,
     now_ms: u64,
@@ -21,8 +22,8 @@
     ordered: BTreeMap<(String, bool), u32>,
     /// Endpoints by zone and kind, with the time from which they serve.
     there: BTreeMap<(String, bool), Vec<u64>>,
-    /// Until when no reclaimable ones are to be had.
-    dry_until: u64,
+    /// Until when zones have no reclaimable ones.
+    dry_until: BTreeMap<String, u64>,
     cost: f64,
     orders: u32,
     next: u32,
@@ -31,17 +32,23 @@
 impl World {
     /// Starts with four lasting engines in each zone.
     fn new() -> Self {
+        Self::with(scaling(), 4)
+    }
+
+    /// Starts with `count` lasting engines in each zone.
+    fn with(rule: ScalingRule, count: usize) -> Self {
         let there = ZONES
             .iter()
-            .map(|zone| (((*zone).to_owned(), false), vec![0; 4]));
+            .map(|zone| (((*zone).to_owned(), false), vec![0; count]));
         Self {
+            rule,
             scaler: Scaler::default(),
             fleet: Fleet::default(),
             now_ms: 0,
             read_ms: 0,
             ordered: BTreeMap::new(),
             there: there.collect(),
-            dry_until: 0,
+            dry_until: BTreeMap::new(),
             cost: 0.0,
             orders: 0,
             next: 0,
@@ -58,10 +65,28 @@
         lasting.map(|(_, there)| there.len()).sum()
     }
 
+    /// Takes a zone's reclaimable endpoints; no zone has any for a time.
     fn take_zone(&mut self, zone: &str, dry: Duration) {
+        for other in ZONES {
+            self.dry_out(other, dry);
+        }
+        self.lose(zone);
+    }
+
+    /// Takes a zone's reclaimable endpoints; only that zone has none for a time.
+    fn take_zone_alone(&mut self, zone: &str, dry: Duration) {
+        self.dry_out(zone, dry);
+        self.lose(zone);
+    }
+
+    fn dry_out(&mut self, zone: &str, dry: Duration) {
+        let until = self.now_ms + dry.as_millis() as u64;
+        self.dry_until.insert(zone.to_owned(), until);
+    }
+
+    fn lose(&mut self, zone: &str) {
         self.there.remove(&(zone.to_owned(), true));
         self.ordered.remove(&(zone.to_owned(), true));
-        self.dry_until = self.now_ms + dry.as_millis() as u64;
     }
 
     /// Lets a quarter of a second pass at a load.
@@ -80,11 +105,15 @@
         let mut journal = Journal::default();
         let orders = self
             .scaler
-            .plan(now, &service, &scaling(), &self.fleet, &mut journal);
+            .plan(now, &service, &self.rule, &self.fleet, &mut journal);
         for order in orders {
             self.orders += 1;
             let key = (order.zone.to_string(), order.is_spot);
-            let is_dry = order.is_spot && self.now_ms < self.dry_until;
+            let is_dry = order.is_spot
+                && self
+                    .dry_until
+                    .get(&key.0)
+                    .is_some_and(|until| self.now_ms < *until);
             let have = self.there.entry(key.clone()).or_default();
             let outcome = match is_dry && order.desired as usize > have.len() {
                 true => ScaleOutcome::NoneAvailable,
@@ -245,3 +274,25 @@
         );
     }
 }
+
+/// A zone that is lost while fewer endpoints are wanted than were ordered is ordered anew.
+/// Fails if `Lane::due` looks for losses only where no fewer are wanted.
+#[test]
+fn loss_after_fall_is_seen() {
+    let rule = ScalingRule {
+        max: 60,
+        ..scaling()
+    };
+    // The plan assumes a load of 38 until one is measured, while the first zone is lost.
+    let mut world = World::with(rule, 30);
+    world.run(14, 0.0);
+    world.run(6, 21.0);
+    for zone in ["north-c", "north-b"] {
+        world.take_zone_alone(zone, Duration::from_secs(30));
+        world.run(3, 21.0);
+    }
+    world.take_zone_alone("north-a", Duration::from_secs(2));
+    world.run(10, 21.0);
+    let back = world.ordered.get(&("north-a".to_owned(), true));
+    assert!(back.is_some_and(|count| *count >= 20), "{back:?} ordered");
+}
