Let few daemons read the key-value service, and pass on what they find with the news

Change: in fleets of more than six daemons four read. Their news carry the endpoints' changes of the last 600 ms, the version of the last change, and the number of the other's news that they had when the confirming read was sent, so that the age of a view rests on the listener's own clock alone. Whoever lacks a change, hears no word or has not read for 6 s reads by itself. News tell the counts of windows that are over each fourth time only; above 32 daemons their period grows with the fleet.

Tests: store_view (who reads, how old a view is, a change that is missed, endpoints by news), fresh_counts_are_told.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -24,6 +24,7 @@
 mod rules;
 mod scaling;
 mod usage;
+mod view;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,9 +39,7 @@
 pub use demand::DemandCounter;
 pub use fleet::{EndpointRecord, Fleet, Listed, RETURN_TIME};
 pub use health::CallOutcome;
-pub use news::{
-    EndpointKey, EndpointLoad, NEWS_PERIOD, News, Peer, Roster, SILENCE, ServiceDemand,
-};
+pub use news::{EndpointKey, EndpointLoad, NEWS_PERIOD, News, Peer, Roster, ServiceDemand};
 pub use placing::{Places, Run, Search};
 pub use quota::{QuotaLedger, Spent};
 pub use reading::reading_time;
@@ -51,6 +50,7 @@
 };
 pub use scaling::{Capacity, ScaleOrder, ScaleOutcome, Scaler};
 pub use usage::{UsageBook, UsageCount, UsageReport};
+pub use view::{ViewBatch, ViewChange, ViewNews};
 
 /// What the operators' platform asks of all daemons together.
 #[derive(Debug, Clone, PartialEq)]
@@ -76,6 +76,7 @@
     bounds: Bounds,
     table: Option<RoutingTable>,
     contact: StoreContact,
+    view: view::StoreView,
     fleet: Fleet,
     places: Places,
     roster: Roster,
@@ -97,6 +98,7 @@
             front,
             table: None,
             contact: StoreContact::new(bounds.revocation),
+            view: view::StoreView::default(),
             fleet: Fleet::default(),
             places: Places::new(zone),
             roster: Roster::default(),
--- a/crates/laburnumstall-core/src/gateway/beliefs.rs
+++ b/crates/laburnumstall-core/src/gateway/beliefs.rs
@@ -6,6 +6,7 @@
 use super::fleet::EndpointRecord;
 use super::news::News;
 use super::rules::{RoutingRules, RoutingTable};
+use super::view::ViewNews;
 use crate::decision::{Decision, DecisionKind};
 use crate::ids::{DaemonId, EndpointId};
 use crate::membership::Member;
@@ -13,6 +14,9 @@
 
 /// Time after an outage in which an entry that is gone may have lapsed in it.
 const LAPSE_SEEN: Duration = Duration::from_secs(1);
+/// One message of news in so many tells the counts of all windows: several times before a
+/// report is due.
+const FULL_NEWS: u64 = 4;
 
 impl Gateway {
     /// Takes over a configuration unless a later one is in force; returns whether it was.
@@ -112,22 +116,35 @@
     pub fn on_news(&mut self, now: Timestamp, from: &DaemonId, news: News) {
         self.quotas.on_spent(now, from, &news.spent);
         self.usage.on_counts(from, &news.begun);
+        self.on_view(now, &news.view);
         if self.roster.on_news(now, from, news) {
             self.places.set_peer_work(self.roster.heard(now));
         }
         self.count_members(now);
     }
 
-    /// Returns the news for the others.
+    /// Returns the news for the others; [`Gateway::news_for`] completes them for each.
     pub fn news(&mut self, now: Timestamp) -> News {
         self.sequence += 1;
+        self.view.on_news_sent(now, self.sequence);
         News {
             sequence: self.sequence,
             is_ready: self.is_ready(now),
             loads: self.places.own_work(),
             spent: self.quotas.spent(),
-            begun: self.usage.own_counts(),
+            begun: self
+                .usage
+                .own_counts(now, self.sequence.is_multiple_of(FULL_NEWS)),
             demand: self.demand.all(),
+            view: ViewNews::default(),
+        }
+    }
+
+    /// Completes news for the daemon that they are sent to.
+    pub fn news_for(&self, to: &DaemonId, news: &News) -> News {
+        News {
+            view: self.view.news(self.roster.echo(to)),
+            ..news.clone()
         }
     }
 
--- a/crates/laburnumstall-core/src/gateway/contact.rs
+++ b/crates/laburnumstall-core/src/gateway/contact.rs
@@ -53,6 +53,12 @@
         self.confirmed = Some(self.confirmed.map_or(sent, |known| known.max(sent)));
     }
 
+    /// Takes in that another daemon has confirmed the state as of `as_of`; calls of this daemon
+    /// may fail meanwhile.
+    pub(super) fn on_told(&mut self, as_of: Timestamp) {
+        self.confirmed = Some(self.confirmed.map_or(as_of, |known| known.max(as_of)));
+    }
+
     /// Takes in that a call has failed.
     pub fn on_failure(&mut self, now: Timestamp) {
         self.failing_since.get_or_insert(now);
--- a/crates/laburnumstall-core/src/gateway/directory.rs
+++ b/crates/laburnumstall-core/src/gateway/directory.rs
@@ -29,7 +29,7 @@
     /// all that are registered.
     pub fn directory(&self, now: Timestamp) -> Vec<SocketAddr> {
         let own = self.is_ready(now).then_some(self.front);
-        let ready = self.roster.peers().filter(|peer| peer.is_ready(now));
+        let ready = self.roster.ready(now);
         let addresses: Vec<SocketAddr> = own
             .into_iter()
             .chain(ready.map(|peer| peer.member.caller_address))
--- a/crates/laburnumstall-core/src/gateway/news.rs
+++ b/crates/laburnumstall-core/src/gateway/news.rs
@@ -5,17 +5,22 @@
 
 use super::quota::Spent;
 use super::usage::UsageCount;
+use super::view::ViewNews;
 use crate::ids::{DaemonId, ServiceName};
 use crate::membership::Member;
 use crate::units::Timestamp;
 use crate::{domain, domain_value};
 
-/// Time between two messages of news to each daemon.
+/// Time between two messages of news to each daemon, in fleets of up to [`FULL_PACE`].
 pub const NEWS_PERIOD: Duration = Duration::from_millis(250);
 
+/// Daemons up to which news go out each [`NEWS_PERIOD`]; above, the period grows with the
+/// fleet, so that each daemon sends and receives as many messages as at this size.
+const FULL_PACE: usize = 32;
+
 /// Time without news after which a daemon is not named to callers: some periods, so that
 /// a lost datagram and its repetition fit in.
-pub const SILENCE: Duration = Duration::from_millis(900);
+const SILENCE: Duration = Duration::from_millis(900);
 
 /// Time without news after which a daemon that is no longer registered is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(6);
@@ -46,7 +51,7 @@
         pub reading_ms: u64,
     }
 
-    /// What one daemon tells the others, every [`NEWS_PERIOD`].
+    /// What one daemon tells the others, every [`Roster::news_period`].
     pub struct News {
         /// Number of the message; a process counts up.
         pub sequence: u64,
@@ -60,6 +65,8 @@
         pub begun: Vec<UsageCount>,
         /// Work asked for by service.
         pub demand: Vec<ServiceDemand>,
+        /// What the key-value service showed; differs by the daemon that it is sent to.
+        pub view: ViewNews,
     }
 }
 
@@ -76,6 +83,10 @@
     met_at: Timestamp,
     /// Its last news.
     pub news: Option<News>,
+    /// Its latest news when the last read of the key-value service was sent.
+    marked: u64,
+    /// Its latest news when the last good read was sent.
+    confirmed: u64,
 }
 
 /// The daemons that there are, beside the own one.
@@ -110,6 +121,8 @@
             heard_at: None,
             met_at: now,
             news: None,
+            marked: 0,
+            confirmed: 0,
         });
         peer.member = member;
         peer.is_registered = true;
@@ -159,7 +172,51 @@
 
     /// Returns the daemons from which news came lately.
     pub fn heard(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |peer| peer.is_heard(now))
+        let silence = self.silence();
+        self.peers
+            .values()
+            .filter(move |peer| peer.is_heard(now, silence))
+    }
+
+    /// Returns the daemons that callers may be sent to.
+    pub fn ready(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
+        let silence = self.silence();
+        self.peers
+            .values()
+            .filter(move |peer| peer.is_ready(now, silence))
+    }
+
+    /// Returns the time between two messages of news in a fleet of this size.
+    pub fn news_period(&self) -> Duration {
+        self.scaled(NEWS_PERIOD)
+    }
+
+    fn silence(&self) -> Duration {
+        self.scaled(SILENCE)
+    }
+
+    fn scaled(&self, time: Duration) -> Duration {
+        let daemons = 1 + self.peers.len();
+        time.mul_f64((daemons as f64 / FULL_PACE as f64).max(1.0))
+    }
+
+    /// Marks which news of each daemon have come when a read of the key-value service is sent.
+    pub(super) fn mark_heard(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.marked = peer.news.as_ref().map_or(0, |news| news.sequence);
+        }
+    }
+
+    /// Takes in that the read which was marked has gone well.
+    pub(super) fn confirm_marked(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.confirmed = peer.marked;
+        }
+    }
+
+    /// Returns the number of a daemon's latest news when the last good read was sent.
+    pub(super) fn echo(&self, id: &DaemonId) -> u64 {
+        self.peers.get(id).map_or(0, |peer| peer.confirmed)
     }
 
     /// Returns the number of daemons that are counted as there.
@@ -174,18 +231,16 @@
 }
 
 impl Peer {
-    /// Tells whether news came within [`SILENCE`].
-    pub fn is_heard(&self, now: Timestamp) -> bool {
-        self.heard_at.is_some_and(|at| now.since(at) < SILENCE)
+    fn is_heard(&self, now: Timestamp, silence: Duration) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < silence)
     }
 
-    /// Tells whether callers may be sent there.
-    pub fn is_ready(&self, now: Timestamp) -> bool {
+    fn is_ready(&self, now: Timestamp, silence: Duration) -> bool {
         match &self.news {
-            Some(news) => self.is_heard(now) && news.is_ready,
+            Some(news) => self.is_heard(now, silence) && news.is_ready,
             // A daemon registers when it is ready; its first news are on their way.
             None => {
-                let is_new = now.since(self.met_at) < SILENCE;
+                let is_new = now.since(self.met_at) < silence;
                 self.is_registered && !self.member.leaving && is_new
             }
         }
--- a/crates/laburnumstall-core/src/gateway/usage.rs
+++ b/crates/laburnumstall-core/src/gateway/usage.rs
@@ -12,6 +12,9 @@
 
 /// Windows for which counts are kept: enough for the report of the oldest one due.
 const KEPT_WINDOWS: u64 = 6;
+/// Windows, with the current one, whose counts all news tell: those of older ones change no
+/// more, and are told again from time to time.
+const FRESH_WINDOWS: u64 = 2;
 
 domain! {
     /// Requests of one customer that began in one window.
@@ -69,14 +72,20 @@
         *self.own.entry(key).or_default() += 1;
     }
 
-    /// Returns the own counts of the windows that may still be reported.
-    pub fn own_counts(&self) -> Vec<UsageCount> {
+    /// Returns the own counts of the windows that may still be reported, or of those that may
+    /// still change alone.
+    pub fn own_counts(&self, now: Timestamp, is_all: bool) -> Vec<UsageCount> {
+        let oldest = match is_all {
+            true => 0,
+            false => (self.window_at(now) + 1).saturating_sub(FRESH_WINDOWS),
+        };
         let count = |((window, customer), begun): (&(u64, CustomerId), &u64)| UsageCount {
             window: *window,
             customer: customer.clone(),
             begun: *begun,
         };
-        self.own.iter().map(count).collect()
+        let told = self.own.iter().filter(|((window, _), _)| *window >= oldest);
+        told.map(count).collect()
     }
 
     /// Takes in the counts of another daemon's process.
--- a/crates/laburnumstall-core/tests/gateway/call_admission.rs
+++ b/crates/laburnumstall-core/tests/gateway/call_admission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::support::{at, daemon, endpoint, facts, gateway, member, prompt, rules};
-use laburnumstall_core::gateway::{Gateway, News, Spent};
+use laburnumstall_core::gateway::{Gateway, News, Spent, ViewNews};
 use laburnumstall_core::prelude::*;
 
 fn kind(gateway: &mut Gateway, now: Timestamp, path: &str, key: Option<&str>) -> Option<ErrorKind> {
@@ -136,6 +136,7 @@
         }],
         begun: Vec::new(),
         demand: Vec::new(),
+        view: ViewNews::default(),
     };
     gateway.on_news(at(1_900), &daemon(2), news(1, 0));
     gateway.on_news(at(2_150), &daemon(2), news(2, 400_000));
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -5,5 +5,6 @@
 mod endpoint_scaling;
 mod failed_calls;
 mod quota_sharing;
+mod store_view;
 mod support;
 mod usage_counts;
--- /dev/null
+++ b/crates/laburnumstall-core/tests/gateway/store_view.rs
@@ -0,0 +1,207 @@
+//! Who reads the key-value service, and when another daemon's word is enough.
+
+use std::time::Duration;
+
+use crate::support::{at, daemon, endpoint, facts, gateway, member};
+use laburnumstall_core::gateway::{Gateway, News, ViewBatch, ViewChange, ViewNews};
+use laburnumstall_core::prelude::*;
+use laburnumstall_core::store::StoreVersion;
+
+/// Daemons of a fleet in which few read.
+const DAEMONS: u32 = 32;
+
+fn news(sequence: u64, changed: u64, echo: u64) -> News {
+    News {
+        sequence,
+        is_ready: true,
+        loads: Vec::new(),
+        spent: Vec::new(),
+        begun: Vec::new(),
+        demand: Vec::new(),
+        view: ViewNews {
+            batches: Vec::new(),
+            changed: StoreVersion(changed),
+            echo,
+        },
+    }
+}
+
+/// Returns a gateway in a large fleet that has read up to version 9 at `at(0)`.
+fn listener() -> Gateway {
+    let mut gateway = gateway(&[endpoint("engine-1", "model", "north-a")]);
+    for number in 2..=DAEMONS {
+        gateway.on_member(at(0), member(number));
+        gateway.on_news(at(0), &daemon(number), news(1, 0, 0));
+    }
+    gateway.on_read(at(0), at(0), StoreVersion(9), vec![ViewChange::Other]);
+    gateway
+}
+
+fn hear_all(gateway: &mut Gateway, now: Timestamp, sequence: u64) {
+    for number in 3..=DAEMONS {
+        gateway.on_news(now, &daemon(number), news(sequence, 0, 0));
+    }
+}
+
+fn is_refused(gateway: &mut Gateway, now: Timestamp) -> bool {
+    gateway.admit(now, facts("call", "/order/1")).is_err()
+}
+
+/// The word of a reader that nothing has changed keeps the view fresh as of the news that
+/// the reader had. Fails without `StoreContact::on_told`.
+#[test]
+fn word_keeps_view_fresh() {
+    let mut gateway = listener();
+    for step in 1..=20 {
+        let now = at(step * 250);
+        let sequence = gateway.news(now).sequence;
+        gateway.on_news(
+            now.after(Duration::from_millis(100)),
+            &daemon(2),
+            news(step + 1, 9, sequence),
+        );
+        hear_all(&mut gateway, now, step + 1);
+    }
+    assert!(!is_refused(&mut gateway, at(5_200)));
+    let age = gateway.contact().age(at(5_200)).unwrap();
+    assert_eq!(age, Duration::from_millis(200));
+}
+
+/// A view is as old as the news that were echoed, however late the word comes. Fails if
+/// `StoreView::on_told` takes the time at which the word came.
+#[test]
+fn late_word_is_old() {
+    let mut gateway = listener();
+    let sequence = gateway.news(at(100)).sequence;
+    gateway.on_news(at(4_000), &daemon(2), news(2, 9, sequence));
+    assert_eq!(
+        gateway.contact().age(at(4_000)),
+        Some(Duration::from_millis(3_900))
+    );
+    assert!(
+        is_refused(&mut gateway, at(4_000)),
+        "keys may have been withdrawn"
+    );
+}
+
+/// A daemon that has not read a change is told of it, reads, and trusts no key meanwhile.
+/// Fails if `StoreView::on_told` does not compare versions.
+#[test]
+fn change_is_read() {
+    let mut gateway = listener();
+    assert!(gateway.read_wish(at(1_000)).is_none() || is_reader(&mut gateway, at(1_000)));
+    for step in 1..=16 {
+        let now = at(step * 250);
+        let sequence = gateway.news(now).sequence;
+        gateway.on_news(now, &daemon(2), news(step + 1, 10, sequence));
+    }
+    assert_eq!(
+        gateway.read_wish(at(1_000)),
+        Some(is_reader(&mut gateway, at(1_000)))
+    );
+    assert!(is_refused(&mut gateway, at(4_000)));
+    gateway.on_read(
+        at(4_100),
+        at(4_050),
+        StoreVersion(10),
+        vec![ViewChange::Other],
+    );
+    assert!(!is_refused(&mut gateway, at(4_100)));
+}
+
+fn is_reader(gateway: &mut Gateway, now: Timestamp) -> bool {
+    gateway.read_wish(now) == Some(true)
+}
+
+/// Of a large fleet four read, of a small one all. Fails if `is_reader` goes by what
+/// differs between daemons.
+#[test]
+fn few_read() {
+    for (daemons, expected) in [(4, 4), (DAEMONS, 4)] {
+        let mut readers = 0;
+        for own in 1..=daemons {
+            let own = member(own);
+            let bounds = crate::support::bounds();
+            let mut gateway = Gateway::new(own.id.clone(), own.zone, own.caller_address, bounds);
+            for number in (1..=daemons).filter(|number| daemon(*number) != own.id) {
+                gateway.on_member(at(0), member(number));
+                gateway.on_news(at(0), &daemon(number), news(1, 0, 0));
+            }
+            gateway.on_read(at(0), at(0), StoreVersion(9), vec![ViewChange::Other]);
+            readers += u32::from(is_reader(&mut gateway, at(100)));
+        }
+        assert_eq!(readers, expected, "of {daemons}");
+    }
+}
+
+/// Nobody's word for a while, or no own read for long, makes a daemon read. Fails without
+/// `UNCONFIRMED` or `OWN_READ_PERIOD` in `Gateway::read_wish`.
+#[test]
+fn silence_makes_read() {
+    let mut gateway = listener();
+    assert!(gateway.read_wish(at(1_600)).is_some(), "nobody confirms");
+    for step in 1..=25 {
+        let now = at(step * 250);
+        let sequence = gateway.news(now).sequence;
+        gateway.on_news(now, &daemon(2), news(step + 1, 9, sequence));
+        hear_all(&mut gateway, now, step + 1);
+    }
+    assert!(
+        gateway.read_wish(at(6_250)).is_some(),
+        "the history may be dropped"
+    );
+}
+
+/// An endpoint that appears, leaves or goes is told with the news, and needs no own read; a
+/// configuration is read by each daemon. Fails if `StoreView::missing` skips a gap, or takes
+/// `ViewChange::Other` for nothing.
+#[test]
+fn endpoints_come_by_news() {
+    let mut gateway = listener();
+    let told = |sequence: u64, echo: u64, batches: Vec<ViewBatch>| {
+        let changed = batches.last().map_or(0, |batch| batch.to.0);
+        let mut news = news(sequence, changed, echo);
+        news.view.batches = batches;
+        news
+    };
+    let batch = |from, to, changes| ViewBatch {
+        from: StoreVersion(from),
+        to: StoreVersion(to),
+        changes,
+    };
+    let listed = ViewChange::Endpoint(endpoint("engine-2", "model", "north-b"));
+    let gone = ViewChange::EndpointRemoved("engine-1".parse().unwrap());
+    let knows = |gateway: &Gateway, id: &str| gateway.fleet().get(&id.parse().unwrap()).is_some();
+
+    let first = batch(9, 12, vec![listed]);
+    let echo = gateway.news(at(300)).sequence;
+    gateway.on_news(at(400), &daemon(2), told(2, echo, vec![first.clone()]));
+    assert!(knows(&gateway, "engine-2"));
+    assert_eq!(
+        gateway.contact().age(at(400)),
+        Some(Duration::from_millis(100))
+    );
+
+    // The second batch was lost; the third one follows it.
+    let third = batch(15, 17, vec![gone.clone()]);
+    gateway.on_news(at(600), &daemon(2), told(3, echo, vec![third.clone()]));
+    assert!(knows(&gateway, "engine-1"));
+    assert!(gateway.read_wish(at(600)).is_some());
+    let second = batch(
+        12,
+        15,
+        vec![ViewChange::Endpoint(endpoint(
+            "engine-3", "model", "north-a",
+        ))],
+    );
+    gateway.on_news(
+        at(800),
+        &daemon(2),
+        told(4, echo, vec![first, second, third]),
+    );
+    assert!(knows(&gateway, "engine-3") && !knows(&gateway, "engine-1"));
+
+    let rules = batch(17, 20, vec![ViewChange::Other]);
+    gateway.on_news(at(900), &daemon(2), told(5, echo, vec![rules]));
+    assert!(gateway.read_wish(at(900)).is_some());
+}
--- a/crates/laburnumstall-core/tests/gateway/usage_counts.rs
+++ b/crates/laburnumstall-core/tests/gateway/usage_counts.rs
@@ -1,7 +1,7 @@
 //! Counts of begun requests, added up over daemons.
 
 use crate::support::{at, bounds, daemon, endpoint, facts, gateway, member};
-use laburnumstall_core::gateway::{News, UsageBook};
+use laburnumstall_core::gateway::{News, UsageBook, ViewNews};
 use laburnumstall_core::prelude::*;
 
 fn customer() -> CustomerId {
@@ -16,9 +16,14 @@
     let window = here.window_at(at(0));
     here.on_begun(at(0), &customer());
     there.on_begun(at(0), &customer());
-    let early = there.own_counts();
+    let early = there.own_counts(at(0), true);
     there.on_begun(at(10), &customer());
-    for counts in [there.own_counts(), early.clone(), there.own_counts(), early] {
+    for counts in [
+        there.own_counts(at(0), true),
+        early.clone(),
+        there.own_counts(at(0), true),
+        early,
+    ] {
         here.on_counts(&daemon(2), &counts);
     }
     assert_eq!(here.report(window).counts[&customer()], 3);
@@ -32,8 +37,8 @@
     let mut other = UsageBook::new(bounds().usage_window);
     other.on_begun(at(0), &customer());
     let later: DaemonId = "entry-2@9".parse().unwrap();
-    book.on_counts(&daemon(2), &other.own_counts());
-    book.on_counts(&later, &other.own_counts());
+    book.on_counts(&daemon(2), &other.own_counts(at(0), true));
+    book.on_counts(&later, &other.own_counts(at(0), true));
     let window = book.window_at(at(0));
     assert_eq!(book.report(window).counts[&customer()], 2);
 }
@@ -67,6 +72,7 @@
         spent: Vec::new(),
         begun: Vec::new(),
         demand: Vec::new(),
+        view: ViewNews::default(),
     };
     gateway.on_news(at(1_000), &daemon(2), news(true));
     gateway.on_news(at(1_000), &daemon(3), news(false));
@@ -99,10 +105,29 @@
         is_ready: false,
         loads: Vec::new(),
         spent: Vec::new(),
-        begun: book.own_counts(),
+        begun: book.own_counts(at(0), true),
         demand: Vec::new(),
+        view: ViewNews::default(),
     };
     gateway.on_news(at(200), &daemon(2), news);
     let window = gateway.usage().window_at(at(100));
     assert_eq!(gateway.usage().report(window).counts[&customer()], 1);
 }
+
+/// Counts of windows that are over are told now and then, those that may grow always. Fails
+/// if `UsageBook::own_counts` leaves out the window before the current one.
+#[test]
+fn fresh_counts_are_told() {
+    let mut book = UsageBook::new(bounds().usage_window);
+    for window in 0..4 {
+        book.on_begun(at(window * 5_000), &"archive".parse().unwrap());
+    }
+    let now = at(3 * 5_000);
+    let windows = |is_all| -> Vec<u64> {
+        let counts = book.own_counts(now, is_all);
+        counts.iter().map(|count| count.window).collect()
+    };
+    let current = book.window_at(now);
+    assert_eq!(windows(false), [current - 1, current]);
+    assert_eq!(windows(true).len(), 4);
+}
--- a/crates/laburnumstall-soak/src/report.rs
+++ b/crates/laburnumstall-soak/src/report.rs
@@ -18,6 +18,8 @@
     pub runs: usize,
     /// Reports of usage.
     pub reports: usize,
+    /// Calls to the key-value service that read, and that wrote or renewed.
+    pub store_calls: (u64, u64),
     /// Time from which faults happened, and from which the system had to serve again.
     pub faults: (Duration, Duration),
 }
@@ -48,6 +50,7 @@
             outcomes,
             runs: world.runs.borrow().all.len(),
             reports: world.duties.reports().len(),
+            store_calls: world.store_calls(),
             faults: (from, until),
         }
     }
@@ -89,6 +92,8 @@
             " runs {runs}, reports {reports}, faults {}",
             self.faults.len()
         )?;
+        let (reads, writes) = self.figures.store_calls;
+        write!(f, ", store reads {reads}, writes and renewals {writes}")?;
         for violation in &self.violations {
             write!(f, "\n  {violation}")?;
         }
--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -260,6 +260,11 @@
         self.disturbances.borrow().clone()
     }
 
+    /// Returns the calls to the key-value service so far, those that read and the others.
+    pub(crate) fn store_calls(&self) -> (u64, u64) {
+        self.store.calls()
+    }
+
     /// Returns the number of daemons.
     pub(crate) fn daemon_count(&self) -> usize {
         self.daemons.len()
--- a/crates/laburnumstalld/src/gateway/duties.rs
+++ b/crates/laburnumstalld/src/gateway/duties.rs
@@ -12,7 +12,7 @@
 
 use laburnumstall_core::decision::Journal;
 use laburnumstall_core::gateway::{
-    Gateway, ScaleOrder, ScaleOutcome, Scaler, ScalingRule, UsageReport,
+    Gateway, NEWS_PERIOD, ScaleOrder, ScaleOutcome, Scaler, ScalingRule, UsageReport,
 };
 use laburnumstall_core::ids::{FencingToken, ParseIdError, ServiceName};
 use laburnumstall_core::membership::Member;
@@ -31,6 +31,8 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Time after a window's end in which the last news of its counts arrive.
 const COUNTS_ARRIVE: Duration = Duration::from_millis(2_500);
+/// Periods of news in which counts certainly arrive: one may be lost.
+const NEWS_IN_FLIGHT: u32 = 2;
 /// Part of the lease by which its holder stops early, as a divisor.
 const MARGIN_DIVISOR: u32 = 4;
 /// Part of the lease after which it is renewed, as a divisor.
@@ -169,9 +171,12 @@
         let (last, windows) = self.cx.decide(|gateway, now| {
             let usage = gateway.usage();
             let current = usage.window_at(now);
+            // In a large fleet news are longer under way.
+            let longer = gateway.roster().news_period().saturating_sub(NEWS_PERIOD);
+            let arrive = COUNTS_ARRIVE + longer * NEWS_IN_FLIGHT;
             let is_due = |window: &u64| {
                 let end = usage.end_of(*window);
-                now >= end.after(COUNTS_ARRIVE) && now.since(end) < self.cx.settings.usage_delay
+                now >= end.after(arrive) && now.since(end) < self.cx.settings.usage_delay
             };
             let windows: Vec<u64> = (current.saturating_sub(4)..current)
                 .filter(is_due)
--- a/crates/laburnumstalld/src/gateway/news.rs
+++ b/crates/laburnumstalld/src/gateway/news.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use laburnumstall_core::gateway::{NEWS_PERIOD, News};
+use laburnumstall_core::gateway::News;
 use laburnumstall_peer::{PeerEndpoint, PeerEvent, Pins};
 use tokio::sync::mpsc;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::sleep;
 
 use super::log::Event;
 use super::shared::Shared;
@@ -16,10 +16,9 @@
 
 /// Sends news to all daemons that are known, every period.
 pub(super) async fn send(cx: Rc<Shared>, links: Rc<PeerEndpoint<News>>, pins: Pins) {
-    let mut ticks = interval(NEWS_PERIOD);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        let period = cx.decide(|gateway, _| gateway.roster().news_period());
+        sleep(period).await;
         let (news, members) = cx.decide(|gateway, now| {
             gateway.tick(now);
             let members: Vec<_> = gateway
@@ -35,7 +34,8 @@
                 .map(|member| (member.certificate, member.id.clone())),
         );
         for member in &members {
-            let sent = links.send(&member.id, member.peer_address, news.clone());
+            let told = cx.decide(|gateway, _| gateway.news_for(&member.id, &news));
+            let sent = links.send(&member.id, member.peer_address, told);
             if let Err(error) = sent {
                 cx.event(
                     Event::new("news-not-sent")
--- a/crates/laburnumstalld/src/gateway/sync.rs
+++ b/crates/laburnumstalld/src/gateway/sync.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumstall_core::gateway::EndpointRecord;
+use laburnumstall_core::gateway::{EndpointRecord, Gateway, ViewChange};
 use laburnumstall_core::ids::{DaemonId, VmId};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::store::{
     LeaseId, StoreCall, StoreKey, StoreReply, StoreVersion, StoredValue,
 };
+use laburnumstall_core::units::Timestamp;
 use laburnumstall_outside::key_value::KeyValue;
 use laburnumstall_platform::store::{Change, Changes, ReadFailure, Store};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -17,18 +18,16 @@
 use super::log::Event;
 use super::shared::Shared;
 
-/// Least time between two reads of changes in a small fleet. Heartbeats of endpoints wake
-/// a watch many times a second; a change has to be known within a part of the two seconds
-/// after which a leaving endpoint takes no more work.
+/// Least time between two reads of changes. Heartbeats of endpoints wake a watch many times
+/// a second; a change has to be known within a part of the two seconds after which a
+/// leaving endpoint takes no more work.
 const READ_PERIOD: Duration = Duration::from_millis(500);
-/// Longest time between two reads of changes in a large fleet.
-const LONGEST_READ_PERIOD: Duration = Duration::from_millis(1_000);
-/// Time between the reads of two daemons that a fleet aims at: each read is paid.
-const READ_SPACING: Duration = Duration::from_millis(32);
+/// Time between two looks whether to read, for a daemon that leaves it to others.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// Longest wait of a read for changes, so that the view is confirmed about once a second.
 const READ_WAIT: Duration = Duration::from_millis(600);
-/// Age of the view above which a read does not wait but confirms it at once.
-const STALE_AGE: Duration = Duration::from_millis(1_500);
+/// Wait of a read that confirms the view or fetches known changes at once.
+const NO_WAIT: Duration = Duration::from_millis(1);
 /// Pause after a failed read.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 /// Life of this daemon's registration: longer than a short outage, since news tell sooner
@@ -42,12 +41,12 @@
 /// Reads the service's state, then its changes, for ever.
 pub(super) async fn run(cx: Rc<Shared>, store: Rc<Store>) {
     loop {
-        let sent = cx.now();
+        let sent = send_read(&cx);
         match store.snapshot().await {
             Ok(snapshot) => {
-                confirm(&cx, sent);
                 let version = snapshot.version;
                 take_snapshot(&cx, snapshot);
+                confirm(&cx, sent, version, vec![ViewChange::Other]);
                 follow(&cx, &store, version).await;
             }
             Err(error) => {
@@ -61,28 +60,23 @@
 /// Reads changes until the service no longer has the history.
 async fn follow(cx: &Shared, store: &Store, mut version: StoreVersion) {
     loop {
-        let began = Instant::now();
-        let sent = cx.now();
-        let (is_stale, daemons) = cx.decide(|gateway, now| {
-            let is_stale = !gateway.contact().is_within(now, STALE_AGE);
-            (is_stale, 1 + gateway.roster().len() as u32)
-        });
-        let period = (READ_SPACING * daemons).clamp(READ_PERIOD, LONGEST_READ_PERIOD);
-        let wait = if is_stale {
-            Duration::from_millis(1)
-        } else {
-            READ_WAIT
+        let Some(may_wait) = cx.decide(Gateway::read_wish) else {
+            sleep(LOOK_PERIOD).await;
+            continue;
         };
+        let began = Instant::now();
+        let sent = send_read(cx);
+        let wait = if may_wait { READ_WAIT } else { NO_WAIT };
         match store.changes(version, wait).await {
             Ok(changes) => {
-                confirm(cx, sent);
                 version = version.max(changes.version);
+                let mut told = Vec::new();
                 for change in changes.changes {
+                    told.extend(cx.decide(|gateway, _| change_to_tell(gateway, &change)));
                     take_change(cx, change);
                 }
-                if !is_stale {
-                    sleep_until(began + period).await;
-                }
+                confirm(cx, sent, version, told);
+                sleep_until(began + READ_PERIOD).await;
             }
             Err(ReadFailure::HistoryGone) => {
                 cx.event(Event::new("store-history-gone").with("version", version));
@@ -96,9 +90,35 @@
     }
 }
 
-fn confirm(cx: &Shared, sent: laburnumstall_core::units::Timestamp) {
+/// Notes that a read is being sent; returns when.
+fn send_read(cx: &Shared) -> Timestamp {
+    cx.decide(|gateway, now| {
+        gateway.on_read_sent();
+        now
+    })
+}
+
+fn confirm(cx: &Shared, sent: Timestamp, version: StoreVersion, changes: Vec<ViewChange>) {
     cx.metrics.store_call(true);
-    cx.decide(|gateway, now| gateway.on_store_confirmed(now, sent));
+    cx.decide(|gateway, now| gateway.on_read(now, sent, version, changes));
+}
+
+/// Returns what other daemons have to know of a change: a heartbeat alone changes nothing,
+/// and the keys of duties concern their holder.
+fn change_to_tell(gateway: &Gateway, change: &Change) -> Option<ViewChange> {
+    match change {
+        Change::Rules(_) => Some(ViewChange::Other),
+        Change::EndpointRemoved(id) => Some(ViewChange::EndpointRemoved(id.clone())),
+        Change::Endpoint(record) => {
+            let known = gateway.fleet().get(&record.id);
+            let is_new = known.is_none_or(|known| known.record != *record);
+            is_new.then(|| ViewChange::Endpoint(record.clone()))
+        }
+        Change::Own(value) if value.key.as_str().starts_with(MEMBERS_PREFIX) => {
+            Some(ViewChange::Other)
+        }
+        Change::Own(_) | Change::Unreadable { .. } => None,
+    }
 }
 
 fn on_failure(cx: &Shared, error: &ReadFailure) {
