Give each soak a net of its own, and split its world

Cause: two soaks whose process id and seed had the same sum used the same loopback addresses (seed 102 beside the short test: 'entry-0 ended by itself', requests of one counted at the other). A guard holds a free net now.

--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -1,9 +1,12 @@
 //! The processes, the stand-ins and the relays of one soak, and what happens to them.
 
+mod faults;
+mod keys;
+
 use std::cell::{Cell, RefCell};
 use std::fs;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,8 +14,7 @@
 use laburnumstall_platform_standins::caller::{self, CallKind, Outcome};
 use laburnumstall_platform_standins::host::Host;
 use laburnumstall_platform_standins::{
-    DutyStandIn, EndpointFaults, EndpointSpec, EndpointStandIn, RuleSet, ServiceRoutes, SharedRuns,
-    StoreFault, StoreStandIn,
+    DutyStandIn, EndpointSpec, EndpointStandIn, RuleSet, SharedRuns, StoreStandIn,
 };
 use laburnumstall_standins::network::Relay;
 use rustix::process::Signal;
@@ -20,15 +22,14 @@
 use tokio::time::{Instant, sleep};
 
 use crate::options::SoakSettings;
-use crate::plan::{Fault, Planned};
 use crate::process::Process;
+pub(crate) use keys::KeyState;
+use keys::{first_keys, first_rules};
 
 /// Services; each has as many endpoints as the settings say.
 pub(crate) const SERVICES: [&str; 2] = ["model", "app"];
 /// Zones, over which daemons and endpoints are dealt.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-/// Customers, each with one key at first.
-const CUSTOMERS: [&str; 3] = ["chambers", "registry", "shipping"];
 /// Calls that an endpoint runs at once.
 const SLOTS: u32 = 16;
 /// Longest time that a caller is kept waiting by the first configuration.
@@ -43,10 +44,10 @@
 const RESTART_TIME: Duration = Duration::from_millis(300);
 /// Time from an endpoint's end to the start of its successor.
 const ENDPOINT_BACK: Duration = Duration::from_millis(1_500);
-/// Time that an endpoint serves on after it has said that it is leaving.
-const DRAIN_TIME: Duration = Duration::from_secs(4);
 /// Time between two looks at a process or the service.
 const POLL: Duration = Duration::from_millis(50);
+/// Port that guards a net.
+const GUARD_PORT: u16 = 8_360;
 /// Longest time for the daemons to start.
 const START_TIME: Duration = Duration::from_secs(20);
 
@@ -128,17 +129,6 @@
     pub(crate) outcome: Outcome,
 }
 
-/// A customer's key, in time since the start.
-#[derive(Debug, Clone)]
-pub(crate) struct KeyState {
-    pub(crate) customer: String,
-    pub(crate) key: String,
-    /// When the service took the configuration that has it.
-    pub(crate) added_at: Option<Duration>,
-    /// When the configuration without it was sent, and when the service took it.
-    pub(crate) withdrawn: Option<(Duration, Option<Duration>)>,
-}
-
 struct DaemonSlot {
     host: Host,
     settings: PathBuf,
@@ -171,6 +161,33 @@
     disturbances: RefCell<Vec<Disturbance>>,
     pub(crate) own_ends: RefCell<Vec<String>>,
     is_over: Cell<bool>,
+    _net: OwnNet,
+}
+
+/// Loopback addresses that no other soak uses while this one lives.
+struct OwnNet {
+    number: u8,
+    /// Holds an address in the net that no daemon has.
+    _guard: TcpListener,
+}
+
+impl OwnNet {
+    /// Takes a net that is free.
+    fn take() -> io::Result<Self> {
+        let mut failed = io::ErrorKind::AddrInUse.into();
+        for number in 1..u8::MAX {
+            match TcpListener::bind((Ipv4Addr::new(127, 9, number, u8::MAX - 1), GUARD_PORT)) {
+                Ok(guard) => {
+                    return Ok(Self {
+                        number,
+                        _guard: guard,
+                    });
+                }
+                Err(error) => failed = error,
+            }
+        }
+        Err(failed)
+    }
 }
 
 impl World {
@@ -182,11 +199,14 @@
         let store = Rc::new(store.context(StandInSnafu { what: "the store" })?);
         let duties = DutyStandIn::start().await;
         let duties = duties.context(StandInSnafu { what: "duties" })?;
-        // Each soak has a net of its own, so that several can run side by side.
-        let net = 1 + (std::process::id() as u64 + settings.seed) % 250;
+        let net = OwnNet::take().context(StandInSnafu {
+            what: "the network",
+        })?;
         let mut daemons = Vec::new();
         for number in 0..settings.daemons {
-            daemons.push(DaemonSlot::new(settings, net, number, &store, &duties)?);
+            daemons.push(DaemonSlot::new(
+                settings, net.number, number, &store, &duties,
+            )?);
         }
         let world = Rc::new(Self {
             program: settings.program.clone(),
@@ -203,6 +223,7 @@
             disturbances: RefCell::default(),
             own_ends: RefCell::default(),
             is_over: Cell::new(false),
+            _net: net,
         });
         world.keys.replace(first_keys());
         let (key, value) = world.rules.borrow().stored();
@@ -284,145 +305,6 @@
         Some((index, self.daemons[index].callers.address()))
     }
 
-    /// Lets the faults happen.
-    pub(crate) async fn play(self: &Rc<Self>, plan: &[Planned]) {
-        let from = Instant::now();
-        for planned in plan {
-            tokio::time::sleep_until(from + planned.at).await;
-            let (world, fault) = (Rc::clone(self), planned.fault.clone());
-            actix_rt::spawn(async move { world.apply(fault).await });
-        }
-    }
-
-    async fn apply(self: Rc<Self>, fault: Fault) {
-        let name = fault.to_string();
-        match fault {
-            Fault::KillDaemon(index) => self.kill(index, name).await,
-            Fault::KillAll => {
-                let all = (0..self.daemons.len()).map(|index| {
-                    let (world, name) = (Rc::clone(&self), name.clone());
-                    actix_rt::spawn(async move { world.kill(index, name).await })
-                });
-                for kill in all.collect::<Vec<_>>() {
-                    // The task does not panic.
-                    let _ = kill.await;
-                }
-            }
-            Fault::StopDaemon(index) => self.stop(index, name).await,
-            Fault::PauseDaemon(index, time) => {
-                let noted = self.note(Target::Daemon(index), false, name);
-                self.signal(index, Signal::STOP);
-                sleep(time).await;
-                self.signal(index, Signal::CONT);
-                self.ended(noted);
-            }
-            Fault::Hangup(index) => {
-                let noted = self.note(Target::Daemon(index), true, name);
-                self.signal(index, Signal::HUP);
-                self.ended(noted);
-            }
-            Fault::Store(fault, time) => {
-                let noted = self.note(Target::Store, false, name);
-                self.store.set_fault(fault);
-                sleep(time).await;
-                self.store.set_fault(StoreFault::None);
-                self.ended(noted);
-            }
-            Fault::Compact => {
-                let noted = self.note(Target::Store, false, name);
-                self.store.compact();
-                self.ended(noted);
-            }
-            Fault::CutStore(index, time) => {
-                self.cut(
-                    Target::Daemon(index),
-                    name,
-                    &self.daemons[index].store,
-                    time,
-                )
-                .await;
-            }
-            Fault::SilenceStore(index) => {
-                let noted = self.note(Target::Daemon(index), false, name);
-                self.daemons[index].store.silence_existing();
-                self.ended(noted);
-            }
-            Fault::CutCallers(index, time) => {
-                self.cut(
-                    Target::Daemon(index),
-                    name,
-                    &self.daemons[index].callers,
-                    time,
-                )
-                .await;
-            }
-            Fault::SilenceCallers(index) => {
-                let noted = self.note(Target::Daemon(index), false, name);
-                self.daemons[index].callers.silence_existing();
-                self.ended(noted);
-            }
-            Fault::DelayCallers(index, time) => {
-                let noted = self.note(Target::Daemon(index), false, name);
-                self.daemons[index].callers.set_delay(time / 20);
-                sleep(time).await;
-                self.daemons[index].callers.set_delay(Duration::ZERO);
-                self.ended(noted);
-            }
-            Fault::DutiesDown(time) => {
-                let noted = self.note(Target::Operators, false, name);
-                self.duties.set_down(true);
-                sleep(time).await;
-                self.duties.set_down(false);
-                self.ended(noted);
-            }
-            Fault::ChangeTimeout | Fault::AddKey | Fault::RevokeKey => {
-                self.change_rules(&fault, name).await;
-            }
-            fault => self.apply_to_endpoint(fault, name).await,
-        }
-    }
-
-    async fn apply_to_endpoint(self: &Rc<Self>, fault: Fault, name: String) {
-        let noted = self.note(Target::Endpoint, false, name);
-        match fault {
-            Fault::CrashEndpoint(index) => self.replace_endpoint(index).await,
-            Fault::DrainEndpoint(index) => {
-                if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-                    slot.stand_in.drain();
-                }
-                sleep(DRAIN_TIME).await;
-                self.replace_endpoint(index).await;
-            }
-            Fault::SpoilEndpoint(index, faults, time) => {
-                self.spoil(index, faults);
-                sleep(time).await;
-                self.spoil(index, EndpointFaults::default());
-            }
-            Fault::SilenceEndpoint(index) => {
-                if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-                    slot.relay.silence_existing();
-                }
-            }
-            Fault::CutEndpoint(index, time) => {
-                if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-                    slot.relay.cut();
-                }
-                sleep(time).await;
-                if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-                    slot.relay.mend();
-                }
-            }
-            _ => {}
-        }
-        self.ended(noted);
-    }
-
-    fn spoil(&self, index: usize, faults: EndpointFaults) {
-        if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-            slot.stand_in.set_faults(faults);
-        }
-    }
-
     async fn replace_endpoint(&self, index: usize) {
         let slot = self
             .endpoints
@@ -459,45 +341,6 @@
         Ok(())
     }
 
-    async fn cut(&self, on: Target, name: String, relay: &Relay, time: Duration) {
-        let noted = self.note(on, false, name);
-        relay.cut();
-        sleep(time).await;
-        relay.mend();
-        self.ended(noted);
-    }
-
-    async fn kill(&self, index: usize, name: String) {
-        let slot = &self.daemons[index];
-        if slot.is_restarting.replace(true) {
-            return;
-        }
-        let noted = self.note(Target::Daemon(index), false, name);
-        if let Some(process) = slot.process.borrow_mut().take() {
-            process.close();
-        }
-        self.restart(index).await;
-        self.ended(noted);
-    }
-
-    async fn stop(&self, index: usize, name: String) {
-        let slot = &self.daemons[index];
-        if slot.is_restarting.replace(true) {
-            return;
-        }
-        let noted = self.note(Target::Daemon(index), true, name);
-        self.signal(index, Signal::TERM);
-        let until = Instant::now() + STOP_GRACE;
-        while Instant::now() < until && !self.has_ended(index) {
-            sleep(POLL).await;
-        }
-        if let Some(process) = slot.process.borrow_mut().take() {
-            process.close();
-        }
-        self.restart(index).await;
-        self.ended(noted);
-    }
-
     async fn restart(&self, index: usize) {
         sleep(RESTART_TIME).await;
         if let Err(error) = self.start_daemon(index) {
@@ -526,78 +369,6 @@
         process.as_mut().is_none_or(Process::has_ended)
     }
 
-    async fn change_rules(&self, fault: &Fault, name: String) {
-        let noted = self.note(Target::Operators, true, name);
-        let index = match fault {
-            Fault::ChangeTimeout => {
-                let mut rules = self.rules.borrow_mut();
-                for service in &mut rules.services {
-                    // Never above the first one, which the checks go by.
-                    service.timeout_ms = fastrand::u64(1_500..=ROUTE_TIMEOUT.as_millis() as u64);
-                }
-                None
-            }
-            Fault::AddKey => Some(self.add_key()),
-            _ => self.withdraw_key(),
-        };
-        let (key, value) = {
-            let mut rules = self.rules.borrow_mut();
-            rules.version += fastrand::u64(1..4);
-            rules.customers = self.customers();
-            rules.stored()
-        };
-        while !self.store.write(key, value.clone()) {
-            sleep(POLL).await;
-        }
-        let acknowledged = Some(self.elapsed());
-        if let Some(index) = index {
-            let state = &mut self.keys.borrow_mut()[index];
-            match &mut state.withdrawn {
-                Some((_, at)) => *at = acknowledged,
-                None => state.added_at = acknowledged,
-            }
-        }
-        self.ended(noted);
-    }
-
-    fn add_key(&self) -> usize {
-        let mut keys = self.keys.borrow_mut();
-        let customer = CUSTOMERS[keys.len() % CUSTOMERS.len()];
-        let number = keys.len();
-        keys.push(KeyState {
-            customer: customer.to_owned(),
-            key: format!("key-{number}-of-{customer}"),
-            added_at: None,
-            withdrawn: None,
-        });
-        number
-    }
-
-    /// Withdraws a key of a customer that has another one.
-    fn withdraw_key(&self) -> Option<usize> {
-        let customers = self.customers();
-        let mut keys = self.keys.borrow_mut();
-        let index = keys.iter().position(|state| {
-            let of_customer = customers.iter().find(|(name, _)| *name == state.customer);
-            let has_more = of_customer.is_some_and(|(_, keys)| keys.len() > 1);
-            state.withdrawn.is_none() && state.added_at.is_some() && has_more
-        })?;
-        keys[index].withdrawn = Some((self.elapsed(), None));
-        Some(index)
-    }
-
-    fn customers(&self) -> Vec<(String, Vec<String>)> {
-        let keys = self.keys.borrow();
-        let of = |customer: &&str| {
-            let in_force = keys
-                .iter()
-                .filter(|state| state.customer == *customer && state.withdrawn.is_none());
-            let keys = in_force.map(|state| state.key.clone()).collect();
-            ((*customer).to_owned(), keys)
-        };
-        CUSTOMERS.iter().map(of).collect()
-    }
-
     fn note(&self, on: Target, is_planned: bool, name: String) -> usize {
         let mut disturbances = self.disturbances.borrow_mut();
         disturbances.push(Disturbance {
@@ -614,29 +385,6 @@
         self.disturbances.borrow_mut()[noted].until = self.elapsed();
     }
 
-    /// Ends all faults and starts what is missing.
-    pub(crate) async fn heal(&self) {
-        while self.daemons.iter().any(|slot| slot.is_restarting.get()) {
-            sleep(POLL).await;
-        }
-        self.store.set_fault(StoreFault::None);
-        self.duties.set_down(false);
-        for (index, slot) in self.daemons.iter().enumerate() {
-            self.signal(index, Signal::CONT);
-            slot.store.mend();
-            slot.callers.mend();
-            slot.callers.set_delay(Duration::ZERO);
-        }
-        while self
-            .disturbances
-            .borrow()
-            .iter()
-            .any(|one| one.until == Duration::MAX)
-        {
-            sleep(POLL).await;
-        }
-    }
-
     /// Ends everything that the soak has started.
     pub(crate) async fn close(&self) {
         for slot in &self.daemons {
@@ -656,7 +404,7 @@
 impl DaemonSlot {
     fn new(
         settings: &SoakSettings,
-        net: u64,
+        net: u8,
         number: u8,
         store: &StoreStandIn,
         duties: &DutyStandIn,
@@ -666,7 +414,7 @@
         let relay = Relay::tcp(store.address()).context(StandInSnafu { what })?;
         let host = Host {
             vm: format!("entry-{number}"),
-            ip: [127, 9, net as u8, number + 1].into(),
+            ip: [127, 9, net, number + 1].into(),
             zone: zone.to_owned(),
             store: relay.address(),
             duties: duties.address(),
@@ -702,28 +450,3 @@
         }
     }
 }
-
-fn first_rules() -> RuleSet {
-    let routes = |service: &&str| ServiceRoutes {
-        service: (*service).to_owned(),
-        timeout_ms: ROUTE_TIMEOUT.as_millis() as u64,
-    };
-    RuleSet {
-        version: 1,
-        services: SERVICES.iter().map(routes).collect(),
-        customers: first_keys()
-            .into_iter()
-            .map(|state| (state.customer, vec![state.key]))
-            .collect(),
-    }
-}
-
-fn first_keys() -> Vec<KeyState> {
-    let key = |customer: &&str| KeyState {
-        customer: (*customer).to_owned(),
-        key: format!("key-of-{customer}"),
-        added_at: Some(Duration::ZERO),
-        withdrawn: None,
-    };
-    CUSTOMERS.iter().map(key).collect()
-}
--- a/crates/laburnumstall-soak/tests/short_soak.rs
+++ b/crates/laburnumstall-soak/tests/short_soak.rs
@@ -9,8 +9,8 @@
 /// Time with faults of each soak.
 const LENGTH: Duration = Duration::from_secs(8);
 
-fn soak(seed: u64, length: Duration) {
-    let args = ["--callers", "8"].map(str::to_owned);
+fn soak(seed: u64, length: Duration, processes: &str) {
+    let args = ["--callers", "8", "--processes", processes].map(str::to_owned);
     let options: Options =
         laburnumstall_soak::options::parse(&args).expect("the options are right");
     let mut settings = SoakSettings::new(&options, seed);
@@ -26,5 +26,11 @@
 
 #[test]
 fn short_soak_holds() {
-    soak(1, LENGTH);
+    soak(1, LENGTH, "4");
+}
+
+/// In a fleet of this size four daemons read the key-value service for the others.
+#[test]
+fn larger_fleet_holds() {
+    soak(2, LENGTH, "8");
 }
