--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -99,9 +99,9 @@
         16 => Fault::CutCallers(daemon, lasts),
         17 => Fault::SilenceCallers(daemon),
         18 => Fault::DelayCallers(daemon, lasts),
-        19..=20 => Fault::CrashEndpoint(endpoint),
-        21..=22 => Fault::DrainEndpoint(endpoint),
-        23..=24 => Fault::SpoilEndpoint(endpoint, endpoint_faults(rng), lasts),
+        19 => Fault::CrashEndpoint(endpoint),
+        20..=21 => Fault::DrainEndpoint(endpoint),
+        22..=24 => Fault::SpoilEndpoint(endpoint, endpoint_faults(rng), lasts),
         25 => Fault::SilenceEndpoint(endpoint),
         26 => Fault::CutEndpoint(endpoint, lasts),
         27 => Fault::DutiesDown(lasts),
@@ -123,22 +123,22 @@
 }
 
 fn endpoint_faults(rng: &mut Rng) -> EndpointFaults {
-    let part = rng.f64() * 0.5;
+    let part = 0.1 + rng.f64() * 0.4;
     let none = EndpointFaults::default();
-    match rng.u32(0..5) {
+    match rng.u32(0..6) {
         0 => EndpointFaults {
             loses_answer: part,
             ..none
         },
-        1 => EndpointFaults {
+        1..=2 => EndpointFaults {
             garbles: part,
             ..none
         },
-        2 => EndpointFaults {
+        3 => EndpointFaults {
             refuses: part,
             ..none
         },
-        3 => EndpointFaults {
+        4 => EndpointFaults {
             fails: part,
             ..none
         },
