--- a/crates/laburnumstall-core/src/gateway/news.rs
+++ b/crates/laburnumstall-core/src/gateway/news.rs
@@ -11,7 +11,7 @@
 use crate::units::Timestamp;
 use crate::{domain, domain_value};
 
-/// Time between two messages of news to each daemon, in fleets of up to [`FULL_PACE`].
+/// Time between two messages of news to each daemon, in fleets of up to 32 daemons.
 pub const NEWS_PERIOD: Duration = Duration::from_millis(250);
 
 /// Daemons up to which news go out each [`NEWS_PERIOD`]; above, the period grows with the
--- a/crates/laburnumstall-soak/src/lib.rs
+++ b/crates/laburnumstall-soak/src/lib.rs
@@ -1,7 +1,7 @@
 //! A randomized soak: the real daemons as processes of their own, with faults from outside.
 //!
-//! [`plan`] draws faults from a seed, [`run`] starts the processes and stand-ins, lets
-//! callers work while the faults happen, and waits for calm; [`checks`] compares what
+//! `plan` draws faults from a seed, [`run`] starts the processes and stand-ins, lets
+//! callers work while the faults happen, and waits for calm; `checks` compares what
 //! callers were told with what endpoints ran. Faults reach the processes only from outside:
 //! by signals, and by relays on loopback before callers, endpoints and the key-value service.
 
