--- a/crates/laburnumstall-core/src/entry/claiming.rs
+++ b/crates/laburnumstall-core/src/entry/claiming.rs
@@ -9,6 +9,7 @@
 use crate::ids::{DaemonId, RequestId};
 use crate::membership::MemberState;
 use crate::message::{LocateTarget, RequestRecord};
+use crate::request::Request;
 use crate::units::{Timestamp, Tokens};
 
 impl Entry {
@@ -17,7 +18,9 @@
     /// The claim of a request that was dispatched here before is this incarnation's already
     /// and does not permit a second dispatch, unless its service checks keys.
     pub(super) fn claim(&mut self, now: Timestamp, id: &RequestId) {
-        if self.dispatched.contains_key(id) && !self.checks_keys(id) {
+        let request = self.owned.get(id).map(|owned| &owned.record.request);
+        let may_repeat = request.is_some_and(|request| self.may_repeat(request));
+        if self.dispatched.contains_key(id) && !may_repeat {
             let detail = "it was dispatched before another entry owned it";
             self.fail(now, id, Refusal::new(ErrorKind::ConnectionLost, detail));
             return;
@@ -138,7 +141,10 @@
             self.wait_for_holder(now, id);
             return;
         }
-        if self.checks_keys(id) {
+        let Some(owned) = self.owned.get(id) else {
+            return;
+        };
+        if self.may_repeat(&owned.record.request) {
             self.wish(now, id, Wanted::Seize(claim.holder.clone()));
             return;
         }
@@ -195,10 +201,11 @@
         );
     }
 
-    fn checks_keys(&self, id: &RequestId) -> bool {
-        let request = self.owned.get(id).map(|owned| &owned.record.request);
-        let service = request.and_then(|request| self.system.service(&request.service));
-        service.is_some_and(|service| service.checks_keys)
+    /// Tells whether a request may be sent again though it may have run: it is idempotent, or
+    /// its service knows a repetition by its key.
+    pub(super) fn may_repeat(&self, request: &Request) -> bool {
+        let service = self.system.service(&request.service);
+        request.idempotent || service.is_some_and(|service| service.checks_keys)
     }
 
     pub(super) fn is_usable(&self, daemon: &DaemonId) -> bool {
--- a/crates/laburnumstall-core/src/entry/copies.rs
+++ b/crates/laburnumstall-core/src/entry/copies.rs
@@ -145,7 +145,6 @@
 
     /// Takes over copies whose owner is gone and forgets old ones.
     pub(super) fn tick_copies(&mut self, now: Timestamp) {
-        self.dispatched.retain(|_, deadline| *deadline > now);
         let mut orphaned = Vec::new();
         let mut expired = Vec::new();
         for (id, copy) in &self.copies {
--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -80,10 +80,7 @@
     }
 
     fn recovery_of(&self, owned: &Owned, running: &Running, failure: &AttemptFailure) -> Recovery {
-        let request = &owned.record.request;
-        let service = self.system.service(&request.service);
-        let checks_keys = service.is_some_and(|service| service.checks_keys);
-        let is_repeatable = request.idempotent || checks_keys;
+        let is_repeatable = self.may_repeat(&owned.record.request);
         match failure {
             AttemptFailure::NotSent if running.resumes == 0 => Recovery::Elsewhere,
             AttemptFailure::NotSent if is_repeatable => Recovery::Elsewhere,
@@ -255,10 +252,7 @@
         let Some(owned) = self.owned.get(id) else {
             return;
         };
-        let request = &owned.record.request;
-        let service = self.system.service(&request.service);
-        let checks_keys = service.is_some_and(|service| service.checks_keys);
-        if request.idempotent || checks_keys || !owned.may_have_run {
+        if self.may_repeat(&owned.record.request) || !owned.may_have_run {
             self.dispatch(now, id);
             return;
         }
--- a/crates/laburnumstall-core/src/entry/stop.rs
+++ b/crates/laburnumstall-core/src/entry/stop.rs
@@ -122,10 +122,7 @@
         let Some(owned) = self.owned.get(id) else {
             return;
         };
-        let request = &owned.record.request;
-        let service = self.system.service(&request.service);
-        let checks_keys = service.is_some_and(|service| service.checks_keys);
-        let must_stay = !request.idempotent && !checks_keys && !owned.is_done();
+        let must_stay = !self.may_repeat(&owned.record.request) && !owned.is_done();
         if must_stay && !self.is_last_moment(now) {
             return;
         }
--- a/crates/laburnumstall-core/src/entry/timers.rs
+++ b/crates/laburnumstall-core/src/entry/timers.rs
@@ -34,6 +34,7 @@
         if self.copies_at <= now {
             self.copies_at = now.after(COPIES_PERIOD);
             self.tick_copies(now);
+            self.dispatched.retain(|_, deadline| *deadline > now);
         }
         self.tick_early(now);
         self.tick_questions(now);
