End the processes of a soak that cannot start, and note its faults in one place

Found by reading: World::start returned its error with the daemons it had started left running; the new test fails on that (process left) and passes now. What a fault touches is said by the fault, so that noting its beginning and end stands once; a wrapper of one list, a getter and a pair of times that nothing read are gone.

--- a/crates/laburnumstall-soak/src/checks.rs
+++ b/crates/laburnumstall-soak/src/checks.rs
@@ -33,7 +33,7 @@
             .iter()
             .map(|record| (record.id.as_str(), record))
             .collect(),
-        runs: by_request(&runs.all),
+        runs: by_request(&runs),
         disturbances: world.disturbances(),
         keys: world.keys.borrow().clone(),
     };
@@ -42,10 +42,10 @@
         view.executions(),
         view.denials(),
         view.withdrawals(),
-        view.requests_of_callers(&runs.all),
+        view.requests_of_callers(&runs),
         view.deadlines(),
         view.planned_work(),
-        view.drains(&runs.all),
+        view.drains(&runs),
         view.reports(),
         view.recovery(calm_from, calm_until),
         world.own_ends.borrow().clone(),
--- a/crates/laburnumstall-soak/src/lib.rs
+++ b/crates/laburnumstall-soak/src/lib.rs
@@ -43,7 +43,6 @@
     let world = World::start(settings).await?;
     clients::start(&world, settings);
     sleep(WARM_UP).await;
-    let faults_from = world.elapsed();
     world.play(&plan).await;
     world.heal().await;
     sleep(RECOVERY).await;
@@ -53,7 +52,7 @@
     let calm_until = world.elapsed();
     sleep(LAST_ANSWERS).await;
     let violations = checks::all(&world, calm_from, calm_until);
-    let figures = Figures::of(&world, faults_from, calm_from);
+    let figures = Figures::of(&world);
     let report = Report {
         seed: settings.seed,
         faults: world.disturbances(),
--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -8,6 +8,8 @@
 use fastrand::Rng;
 use laburnumstall_platform_standins::{EndpointFaults, StoreFault};
 
+use crate::world::Target;
+
 /// Longest time between the faults of one series.
 const WITHIN_SERIES: Duration = Duration::from_millis(900);
 /// Longest pause between two series.
@@ -52,6 +54,45 @@
     RevokeKey,
 }
 
+impl Fault {
+    /// Returns what it touches; of several daemons the first.
+    pub(crate) fn target(&self) -> Target {
+        match *self {
+            Self::KillDaemon(index)
+            | Self::StopDaemon(index)
+            | Self::PauseDaemon(index, _)
+            | Self::Hangup(index)
+            | Self::CutStore(index, _)
+            | Self::SilenceStore(index)
+            | Self::CutCallers(index, _)
+            | Self::SilenceCallers(index)
+            | Self::DelayCallers(index, _) => Target::Daemon(index),
+            Self::KillAll => Target::Daemon(0),
+            Self::Store(..) | Self::Compact => Target::Store,
+            Self::CrashEndpoint(_)
+            | Self::DrainEndpoint(_)
+            | Self::SpoilEndpoint(..)
+            | Self::SilenceEndpoint(_)
+            | Self::CutEndpoint(..) => Target::Endpoint,
+            Self::DutiesDown(_) | Self::ChangeTimeout | Self::AddKey | Self::RevokeKey => {
+                Target::Operators
+            }
+        }
+    }
+
+    /// Tells whether it is planned work, which excuses less.
+    pub(crate) fn is_planned(&self) -> bool {
+        matches!(
+            self,
+            Self::StopDaemon(_)
+                | Self::Hangup(_)
+                | Self::ChangeTimeout
+                | Self::AddKey
+                | Self::RevokeKey
+        )
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{self:?}")
--- a/crates/laburnumstall-soak/src/report.rs
+++ b/crates/laburnumstall-soak/src/report.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::time::Duration;
 
 use laburnumstall_platform_standins::caller::Outcome;
 
@@ -20,8 +19,6 @@
     pub reports: usize,
     /// Calls to the key-value service that read, and that wrote or renewed.
     pub store_calls: (u64, u64),
-    /// Time from which faults happened, and from which the system had to serve again.
-    pub faults: (Duration, Duration),
 }
 
 /// The outcome of one soak.
@@ -41,17 +38,16 @@
 
 impl Figures {
     /// Adds up what callers and endpoints saw.
-    pub(crate) fn of(world: &World, from: Duration, until: Duration) -> Self {
+    pub(crate) fn of(world: &World) -> Self {
         let mut outcomes = BTreeMap::new();
         for record in world.ledger.borrow().iter() {
             *outcomes.entry(name(&record.outcome)).or_default() += 1;
         }
         Self {
             outcomes,
-            runs: world.runs.borrow().all.len(),
+            runs: world.runs.borrow().len(),
             reports: world.duties.reports().len(),
             store_calls: world.store_calls(),
-            faults: (from, until),
         }
     }
 }
--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -7,7 +7,7 @@
 use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::options::SoakSettings;
+use crate::plan::Fault;
 use crate::process::Process;
 pub(crate) use keys::KeyState;
 use keys::{first_keys, first_rules};
@@ -215,34 +216,39 @@
             store,
             duties,
             daemons,
-            endpoints: RefCell::default(),
+            endpoints: RefCell::new((0..settings.shape().endpoints).map(|_| None).collect()),
             next_endpoint: Cell::new(0),
             ledger: RefCell::default(),
-            keys: RefCell::default(),
+            keys: RefCell::new(first_keys()),
             rules: RefCell::new(first_rules()),
             disturbances: RefCell::default(),
             own_ends: RefCell::default(),
             is_over: Cell::new(false),
             _net: net,
         });
-        world.keys.replace(first_keys());
-        let (key, value) = world.rules.borrow().stored();
-        world.store.write(key, value);
-        for _ in 0..settings.shape().endpoints {
-            world.endpoints.borrow_mut().push(None);
+        if let Err(error) = world.launch(folder).await {
+            world.close().await;
+            return Err(error);
         }
-        for index in 0..settings.shape().endpoints {
-            world.start_endpoint(index).await?;
-        }
-        for index in 0..world.daemons.len() {
-            world.start_daemon(index)?;
-        }
-        world.wait_ready(folder).await?;
         actix_rt::spawn(watch_ends(Rc::clone(&world)));
         Ok(world)
     }
 
-    async fn wait_ready(&self, folder: &std::path::Path) -> Result<(), SoakError> {
+    /// Starts the endpoints and the daemons, and waits until those are ready.
+    async fn launch(&self, folder: &Path) -> Result<(), SoakError> {
+        let (key, value) = self.rules.borrow().stored();
+        self.store.write(key, value);
+        let endpoints = self.endpoints.borrow().len();
+        for index in 0..endpoints {
+            self.start_endpoint(index).await?;
+        }
+        for index in 0..self.daemons.len() {
+            self.start_daemon(index)?;
+        }
+        self.wait_ready(folder).await
+    }
+
+    async fn wait_ready(&self, folder: &Path) -> Result<(), SoakError> {
         let until = Instant::now() + START_TIME;
         for slot in &self.daemons {
             while !caller::is_ready(slot.host.readiness()).await {
@@ -369,14 +375,19 @@
         process.as_mut().is_none_or(Process::has_ended)
     }
 
-    fn note(&self, on: Target, is_planned: bool, name: String) -> usize {
+    fn note(&self, fault: &Fault) -> usize {
+        self.note_on(fault.target(), fault)
+    }
+
+    /// Notes a fault, with what it touches where that is not for itself to say.
+    fn note_on(&self, on: Target, fault: &Fault) -> usize {
         let mut disturbances = self.disturbances.borrow_mut();
         disturbances.push(Disturbance {
             from: self.elapsed(),
             until: Duration::MAX,
             on,
-            is_planned,
-            name,
+            is_planned: fault.is_planned(),
+            name: fault.to_string(),
         });
         disturbances.len() - 1
     }
--- a/crates/laburnumstall-soak/src/world/faults.rs
+++ b/crates/laburnumstall-soak/src/world/faults.rs
@@ -8,7 +8,7 @@
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep};
 
-use super::{POLL, STOP_GRACE, Target, World};
+use super::{EndpointSlot, POLL, STOP_GRACE, Target, World};
 use crate::plan::{Fault, Planned};
 
 /// Time that an endpoint serves on after it has said that it is leaving.
@@ -26,148 +26,96 @@
     }
 
     async fn apply(self: Rc<Self>, fault: Fault) {
-        let name = fault.to_string();
         match fault {
-            Fault::KillDaemon(index) => self.kill(index, name).await,
+            // A daemon that another fault restarts now is left alone, and nothing is noted.
+            Fault::KillDaemon(index) => self.kill(index, &fault).await,
             Fault::KillAll => {
                 let all = (0..self.daemons.len()).map(|index| {
-                    let (world, name) = (Rc::clone(&self), name.clone());
-                    actix_rt::spawn(async move { world.kill(index, name).await })
+                    let (world, fault) = (Rc::clone(&self), fault.clone());
+                    actix_rt::spawn(async move { world.kill(index, &fault).await })
                 });
                 for kill in all.collect::<Vec<_>>() {
                     // The task does not panic.
                     let _ = kill.await;
                 }
             }
-            Fault::StopDaemon(index) => self.stop(index, name).await,
+            Fault::StopDaemon(index) => self.stop(index, &fault).await,
+            _ => {
+                let noted = self.note(&fault);
+                self.carry_out(&fault).await;
+                self.ended(noted);
+            }
+        }
+    }
+
+    async fn carry_out(&self, fault: &Fault) {
+        match *fault {
             Fault::PauseDaemon(index, time) => {
-                let noted = self.note(Target::Daemon(index), false, name);
                 self.signal(index, Signal::STOP);
                 sleep(time).await;
                 self.signal(index, Signal::CONT);
-                self.ended(noted);
-            }
-            Fault::Hangup(index) => {
-                let noted = self.note(Target::Daemon(index), true, name);
-                self.signal(index, Signal::HUP);
-                self.ended(noted);
             }
+            Fault::Hangup(index) => self.signal(index, Signal::HUP),
             Fault::Store(fault, time) => {
-                let noted = self.note(Target::Store, false, name);
                 self.store.set_fault(fault);
                 sleep(time).await;
                 self.store.set_fault(StoreFault::None);
-                self.ended(noted);
-            }
-            Fault::Compact => {
-                let noted = self.note(Target::Store, false, name);
-                self.store.compact();
-                self.ended(noted);
-            }
-            Fault::CutStore(index, time) => {
-                self.cut(
-                    Target::Daemon(index),
-                    name,
-                    &self.daemons[index].store,
-                    time,
-                )
-                .await;
-            }
-            Fault::SilenceStore(index) => {
-                let noted = self.note(Target::Daemon(index), false, name);
-                self.daemons[index].store.silence_existing();
-                self.ended(noted);
-            }
-            Fault::CutCallers(index, time) => {
-                self.cut(
-                    Target::Daemon(index),
-                    name,
-                    &self.daemons[index].callers,
-                    time,
-                )
-                .await;
-            }
-            Fault::SilenceCallers(index) => {
-                let noted = self.note(Target::Daemon(index), false, name);
-                self.daemons[index].callers.silence_existing();
-                self.ended(noted);
             }
+            Fault::Compact => self.store.compact(),
+            Fault::CutStore(index, time) => cut(&self.daemons[index].store, time).await,
+            Fault::SilenceStore(index) => self.daemons[index].store.silence_existing(),
+            Fault::CutCallers(index, time) => cut(&self.daemons[index].callers, time).await,
+            Fault::SilenceCallers(index) => self.daemons[index].callers.silence_existing(),
             Fault::DelayCallers(index, time) => {
-                let noted = self.note(Target::Daemon(index), false, name);
                 self.daemons[index].callers.set_delay(time / 20);
                 sleep(time).await;
                 self.daemons[index].callers.set_delay(Duration::ZERO);
-                self.ended(noted);
             }
             Fault::DutiesDown(time) => {
-                let noted = self.note(Target::Operators, false, name);
                 self.duties.set_down(true);
                 sleep(time).await;
                 self.duties.set_down(false);
-                self.ended(noted);
             }
             Fault::ChangeTimeout | Fault::AddKey | Fault::RevokeKey => {
-                self.change_rules(&fault, name).await;
+                self.change_rules(fault).await;
             }
-            fault => self.apply_to_endpoint(fault, name).await,
-        }
-    }
-
-    async fn apply_to_endpoint(self: &Rc<Self>, fault: Fault, name: String) {
-        let noted = self.note(Target::Endpoint, false, name);
-        match fault {
             Fault::CrashEndpoint(index) => self.replace_endpoint(index).await,
             Fault::DrainEndpoint(index) => {
-                if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-                    slot.stand_in.drain();
-                }
+                self.at_endpoint(index, |slot| slot.stand_in.drain());
                 sleep(DRAIN_TIME).await;
                 self.replace_endpoint(index).await;
             }
             Fault::SpoilEndpoint(index, faults, time) => {
-                self.spoil(index, faults);
+                self.at_endpoint(index, |slot| slot.stand_in.set_faults(faults));
                 sleep(time).await;
-                self.spoil(index, EndpointFaults::default());
+                let none = EndpointFaults::default();
+                self.at_endpoint(index, |slot| slot.stand_in.set_faults(none));
             }
             Fault::SilenceEndpoint(index) => {
-                if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-                    slot.relay.silence_existing();
-                }
+                self.at_endpoint(index, |slot| slot.relay.silence_existing());
             }
             Fault::CutEndpoint(index, time) => {
-                if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-                    slot.relay.cut();
-                }
+                self.at_endpoint(index, |slot| slot.relay.cut());
                 sleep(time).await;
-                if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-                    slot.relay.mend();
-                }
+                self.at_endpoint(index, |slot| slot.relay.mend());
             }
-            _ => {}
+            Fault::KillDaemon(_) | Fault::KillAll | Fault::StopDaemon(_) => {}
         }
-        self.ended(noted);
     }
 
-    fn spoil(&self, index: usize, faults: EndpointFaults) {
+    /// Does something to an endpoint, unless it is being replaced.
+    fn at_endpoint(&self, index: usize, act: impl FnOnce(&EndpointSlot)) {
         if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-            slot.stand_in.set_faults(faults);
+            act(slot);
         }
     }
 
-    async fn cut(&self, on: Target, name: String, relay: &Relay, time: Duration) {
-        let noted = self.note(on, false, name);
-        relay.cut();
-        sleep(time).await;
-        relay.mend();
-        self.ended(noted);
-    }
-
-    async fn kill(&self, index: usize, name: String) {
+    async fn kill(&self, index: usize, fault: &Fault) {
         let slot = &self.daemons[index];
         if slot.is_restarting.replace(true) {
             return;
         }
-        let noted = self.note(Target::Daemon(index), false, name);
+        let noted = self.note_on(Target::Daemon(index), fault);
         if let Some(process) = slot.process.borrow_mut().take() {
             process.close();
         }
@@ -175,12 +123,12 @@
         self.ended(noted);
     }
 
-    async fn stop(&self, index: usize, name: String) {
+    async fn stop(&self, index: usize, fault: &Fault) {
         let slot = &self.daemons[index];
         if slot.is_restarting.replace(true) {
             return;
         }
-        let noted = self.note(Target::Daemon(index), true, name);
+        let noted = self.note_on(Target::Daemon(index), fault);
         self.signal(index, Signal::TERM);
         let until = Instant::now() + STOP_GRACE;
         while Instant::now() < until && !self.has_ended(index) {
@@ -216,3 +164,10 @@
         }
     }
 }
+
+/// Cuts a relay for a time.
+async fn cut(relay: &Relay, time: Duration) {
+    relay.cut();
+    sleep(time).await;
+    relay.mend();
+}
--- a/crates/laburnumstall-soak/src/world/keys.rs
+++ b/crates/laburnumstall-soak/src/world/keys.rs
@@ -5,7 +5,7 @@
 use laburnumstall_platform_standins::{RuleSet, ServiceRoutes};
 use tokio::time::sleep;
 
-use super::{POLL, ROUTE_TIMEOUT, SERVICES, Target, World};
+use super::{POLL, ROUTE_TIMEOUT, SERVICES, World};
 use crate::plan::Fault;
 
 /// Customers, each with one key at first.
@@ -23,8 +23,7 @@
 }
 
 impl World {
-    pub(super) async fn change_rules(&self, fault: &Fault, name: String) {
-        let noted = self.note(Target::Operators, true, name);
+    pub(super) async fn change_rules(&self, fault: &Fault) {
         let index = match fault {
             Fault::ChangeTimeout => {
                 let mut rules = self.rules.borrow_mut();
@@ -54,7 +53,6 @@
                 None => state.added_at = acknowledged,
             }
         }
-        self.ended(noted);
     }
 
     fn add_key(&self) -> usize {
--- a/crates/laburnumstall-soak/tests/short_soak.rs
+++ b/crates/laburnumstall-soak/tests/short_soak.rs
@@ -2,6 +2,8 @@
 //!
 //! The daemon's program is built with the workspace's tests.
 
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
 use std::time::Duration;
 
 use laburnumstall_soak::{Options, SoakSettings, run};
@@ -34,3 +36,34 @@
 fn larger_fleet_holds() {
     soak(2, LENGTH, "8");
 }
+
+/// A soak whose daemons never get ready ends them all the same. Fails if `World::start`
+/// returns its error without `World::close`.
+#[test]
+fn failed_start_ends_processes() {
+    let folder = std::env::temp_dir().join(format!("soak-start-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let program = folder.join("idle");
+    let text = format!(
+        "#!/bin/sh\necho $$ >> {}/ids\nexec sleep 60\n",
+        folder.display()
+    );
+    std::fs::write(&program, text).expect("a program");
+    std::fs::set_permissions(&program, std::fs::Permissions::from_mode(0o755)).expect("a mode");
+
+    let args: Vec<String> = Vec::new();
+    let options = laburnumstall_soak::options::parse(&args).expect("the options are right");
+    let mut settings = SoakSettings::new(&options, 3);
+    settings.program = program;
+    settings.folder = folder.join("soak");
+    let ended = actix_rt::System::new().block_on(run(&settings));
+    assert!(ended.is_err());
+    let ids = std::fs::read_to_string(folder.join("ids")).expect("the daemons were started");
+    assert_eq!(ids.lines().count(), usize::from(settings.daemons));
+    for id in ids.lines() {
+        assert!(
+            !Path::new("/proc").join(id).exists(),
+            "process {id} is left"
+        );
+    }
+}
