Log how a cut stream failed, and connections that are closed without an answer

Change: event=finish has the failure of the newest failed attempt; event=caller-closed and the counter laburnumstall_gateway_caller_closes_total say why a connection was closed without an answer. No behaviour changes.

--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 
+use super::recovery::CallFailure;
 use super::rules::RouteRule;
 use crate::domain;
 use crate::ids::{CustomerId, EndpointId, ServiceName};
@@ -101,6 +102,8 @@
     pub has_started: bool,
     /// Number of events sent to the caller.
     pub events: u32,
+    /// How the newest failed attempt failed.
+    pub last_failure: Option<CallFailure>,
 }
 
 impl AdmittedCall {
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -124,6 +124,7 @@
             executions: 0,
             has_started: false,
             events: 0,
+            last_failure: None,
         };
         if let Some(customer) = &call.customer {
             let tokens = call
@@ -243,6 +244,7 @@
         failure: CallFailure,
     ) -> Result<FailureAction, Refusal> {
         call.is_outstanding = false;
+        call.last_failure = Some(failure);
         if failure.may_have_run() {
             call.executions += 1;
             self.count_started(now, call);
@@ -309,16 +311,18 @@
         if let Some(customer) = call.customer.as_ref().filter(|_| is_unused) {
             self.quotas.refund(now, customer, call.charge);
         }
-        self.journal.record(
-            Decision::new(now, DecisionKind::Finish, result, execution)
-                .with("request", &call.id)
-                .with("service", &call.service)
-                .with("status", status)
-                .with("events", call.events)
-                .with("sends", call.sends)
-                .with("runs", call.executions)
-                .with("took_ms", now.since(call.received_at).as_millis()),
-        );
+        let mut decision = Decision::new(now, DecisionKind::Finish, result, execution)
+            .with("request", &call.id)
+            .with("service", &call.service)
+            .with("status", status)
+            .with("events", call.events)
+            .with("sends", call.sends)
+            .with("runs", call.executions)
+            .with("took_ms", now.since(call.received_at).as_millis());
+        if let Some(failure) = call.last_failure {
+            decision = decision.with("failure", failure.name());
+        }
+        self.journal.record(decision);
     }
 
     fn retry_window(&mut self, service: &ServiceName) -> &mut RetryWindow {
--- a/crates/laburnumstalld/src/gateway/listener.rs
+++ b/crates/laburnumstalld/src/gateway/listener.rs
@@ -98,8 +98,19 @@
 /// The kind of error response for a request that cannot be read.
 async fn next_request(cx: &Context, conn: &mut Conn) -> Result<Option<Request>, ErrorKind> {
     let limits = cx.limits();
-    if conn.buf.is_empty() && !wait_for_bytes(cx, conn, limits.idle_timeout).await {
-        return Ok(None);
+    if conn.buf.is_empty() {
+        match wait_for_bytes(cx, conn, limits.idle_timeout).await {
+            IdleEnd::Request => {}
+            IdleEnd::CallerClosed => return Ok(None),
+            IdleEnd::TimedOut => {
+                report_close(cx, "idle", limits.idle_timeout);
+                return Ok(None);
+            }
+            IdleEnd::Stopping => {
+                report_close(cx, "stopping", limits.idle_timeout);
+                return Ok(None);
+            }
+        }
     }
     let reading = conn.request_head(limits.head.get() as usize);
     let read = timeout(limits.head_timeout, reading).await;
@@ -115,26 +126,53 @@
             return Ok(None);
         }
     }
-    let Some(body) = read_body(conn, &head, &limits).await? else {
+    let Some(body) = read_body(cx, conn, &head, &limits).await? else {
         return Ok(None);
     };
     Ok(Some(Request { head, body }))
 }
 
-/// Waits for the first byte of a request; returns whether it arrived.
-async fn wait_for_bytes(cx: &Context, conn: &mut Conn, idle: Duration) -> bool {
+/// How the wait for a request ended.
+enum IdleEnd {
+    /// The first bytes of a request arrived.
+    Request,
+    /// The caller disconnected.
+    CallerClosed,
+    /// No request arrived within the idle time-out.
+    TimedOut,
+    /// The daemon stops and closes idle connections.
+    Stopping,
+}
+
+/// Waits for the first byte of a request.
+async fn wait_for_bytes(cx: &Context, conn: &mut Conn, idle: Duration) -> IdleEnd {
     loop {
         let stopped = cx.stop_signal.notified();
         if cx.closes_idle() {
-            return false;
+            return IdleEnd::Stopping;
         }
         tokio::select! {
-            filled = timeout(idle, conn.fill()) => return matches!(filled, Ok(Ok(1..))),
+            filled = timeout(idle, conn.fill()) => return match filled {
+                Ok(Ok(1..)) => IdleEnd::Request,
+                Ok(_) => IdleEnd::CallerClosed,
+                Err(_) => IdleEnd::TimedOut,
+            },
             () = stopped => {}
         }
     }
 }
 
+/// Reports that the daemon closes a caller's connection without a response, after a wait of
+/// up to `limit`.
+fn report_close(cx: &Context, cause: &str, limit: Duration) {
+    cx.metrics.closed_unanswered(cause);
+    cx.event(
+        Event::new("caller-closed")
+            .with("cause", cause)
+            .with("limit_ms", limit.as_millis()),
+    );
+}
+
 /// Maps a head error to the kind of the error response.
 fn error_kind(error: HeadError) -> ErrorKind {
     match error {
@@ -145,6 +183,7 @@
 
 /// Reads a body; `None` if the caller disconnected or stalled before its end.
 async fn read_body(
+    cx: &Context,
     conn: &mut Conn,
     head: &RequestHead,
     limits: &CallerLimits,
@@ -164,7 +203,11 @@
             Ok(None) if reader.is_done() => return Ok(Some(body.freeze())),
             Ok(None) => match timeout(limits.idle_timeout, conn.fill()).await {
                 Ok(Ok(1..)) => {}
-                _ => return Ok(None),
+                Ok(_) => return Ok(None),
+                Err(_) => {
+                    report_close(cx, "body-stalled", limits.idle_timeout);
+                    return Ok(None);
+                }
             },
             Err(_) => return Err(ErrorKind::Malformed),
         }
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -70,8 +70,16 @@
     "Callers that are connected.",
 );
 
+/// Callers' connections that the daemon closed without a response, by cause.
+pub const CLOSES: MetricSpec = spec(
+    "laburnumstall_gateway_caller_closes_total",
+    MetricKind::Counter,
+    &["cause"],
+    "Callers' connections that the daemon closed without an answer, by cause.",
+);
+
 /// All gateway metrics, in the order of the reference page.
-pub const ALL: [MetricSpec; 8] = [
+pub const ALL: [MetricSpec; 9] = [
     REQUESTS,
     REFUSALS,
     DURATION,
@@ -80,6 +88,7 @@
     STORE_READS,
     CONNECTIONS,
     CALLERS,
+    CLOSES,
 ];
 
 /// Registry and metrics of one gateway.
@@ -94,6 +103,7 @@
     store_reads: IntCounterVec,
     connections: IntCounter,
     callers: IntGauge,
+    closes: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -113,6 +123,7 @@
             store_reads: register::counters(&registry, &STORE_READS)?,
             connections: register::counter(&registry, &CONNECTIONS)?,
             callers: register::gauge(&registry, &CALLERS)?,
+            closes: register::counters(&registry, &CLOSES)?,
             registry,
         })
     }
@@ -167,6 +178,11 @@
         self.callers.set(i64::try_from(callers).unwrap_or(i64::MAX));
     }
 
+    /// Counts a caller's connection that the daemon closed without a response.
+    pub fn closed_unanswered(&self, cause: &str) {
+        self.closes.with_label_values(&[cause]).inc();
+    }
+
     fn observe(&self, histogram: &HistogramVec, service: &str, elapsed: Duration) {
         histogram
             .with_label_values(&[service])
