Keep a silent attempt until its replacement has started

Cause: silence was taken for failure. Class: an irrevocable step on a suspicion, before its replacement is secured.

Change: Gateway::replace_silent selects a second attempt beside the silent one only if the route, the retry window and the endpoints allow it; otherwise the call waits, up to its deadline. The attempts race: whichever sends a whole event (or a response) first serves the call, and the other one is dropped then. A replacement that refuses or fails costs nothing but a retry. The silent endpoint gets no new calls meanwhile. Why this works: an attempt now ends by its own failure, its caller or the deadline, or since another one has started, and never by silence alone.

--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -256,6 +256,13 @@
         }
     }
 
+    /// Records an outcome of an attempt that goes on; returns whether its endpoint enters
+    /// backoff.
+    pub fn record(&mut self, now: Timestamp, attempt: &CallAttempt, outcome: CallOutcome) -> bool {
+        self.find(attempt)
+            .is_some_and(|endpoint| endpoint.health.on_outcome(now, outcome))
+    }
+
     /// Ends an attempt; returns whether its endpoint enters backoff.
     pub fn end(
         &mut self,
--- a/crates/laburnumstall-core/src/gateway/recovery.rs
+++ b/crates/laburnumstall-core/src/gateway/recovery.rs
@@ -117,6 +117,26 @@
     (FailureAction::Retry, "retry")
 }
 
+/// Checks whether a second attempt may start beside a silent one; the error is the reason for
+/// the log.
+pub(super) fn may_replace(now: Timestamp, call: &AdmittedCall) -> Result<(), &'static str> {
+    let route = &call.route;
+    if !route.is_retryable() {
+        return Err("may-have-run");
+    }
+    // The silent attempt counts as one that runs.
+    if call.executions + 1 >= route.max_endpoints {
+        return Err("attempts-used");
+    }
+    if call.sends >= route.max_endpoints + EXTRA_SENDS {
+        return Err("sends-used");
+    }
+    if call.remaining(now) < MIN_REMAINING {
+        return Err("deadline");
+    }
+    Ok(())
+}
+
 /// Returns the refusal for the caller of an abandoned call.
 pub(super) fn refusal(now: Timestamp, call: &AdmittedCall, failure: CallFailure) -> Refusal {
     let is_late = call.remaining(now) < MIN_REMAINING;
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -10,7 +10,7 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::error::{ErrorKind, Refusal};
 use crate::hash::digest64;
-use crate::ids::ServiceName;
+use crate::ids::{EndpointId, ServiceName};
 use crate::limits::RetryWindow;
 use crate::units::Timestamp;
 
@@ -155,20 +155,7 @@
         now: Timestamp,
         call: &mut AdmittedCall,
     ) -> Result<CallAttempt, Refusal> {
-        let query = EndpointQuery {
-            service: &call.service,
-            prompt: call.prompt.as_ref(),
-            seed: digest64(&[call.id.as_bytes()]),
-            excluded: &call.tried,
-        };
-        let attempt = self.load_balancer.select(now, &query).or_else(|| {
-            // With few endpoints, one that failed before is better than none.
-            let any_endpoint = EndpointQuery {
-                excluded: &[],
-                ..query
-            };
-            self.load_balancer.select(now, &any_endpoint)
-        });
+        let attempt = self.find_endpoint(now, call);
         let (calls, slots) = self.load_balancer.occupancy(&call.service);
         let Some(attempt) = attempt else {
             let detail = "no endpoint of the service is known";
@@ -204,6 +191,23 @@
         Ok(attempt)
     }
 
+    fn find_endpoint(&mut self, now: Timestamp, call: &AdmittedCall) -> Option<CallAttempt> {
+        let query = EndpointQuery {
+            service: &call.service,
+            prompt: call.prompt.as_ref(),
+            seed: digest64(&[call.id.as_bytes()]),
+            excluded: &call.tried,
+        };
+        self.load_balancer.select(now, &query).or_else(|| {
+            // With few endpoints, one that failed before is better than none.
+            let any_endpoint = EndpointQuery {
+                excluded: &[],
+                ..query
+            };
+            self.load_balancer.select(now, &any_endpoint)
+        })
+    }
+
     /// Records that a call was written to its endpoint.
     pub fn on_sent(&mut self, call: &mut AdmittedCall) {
         call.sends += 1;
@@ -277,6 +281,100 @@
         }
     }
 
+    /// Selects an endpoint for a second attempt beside one that is silent; `None` if the call
+    /// has to wait for the silent one.
+    ///
+    /// The silent endpoint may be sound and go on, so its attempt ends only once the second one
+    /// has started: see [`Gateway::on_replaced`] and [`Gateway::on_replacement_failed`].
+    pub fn replace_silent(
+        &mut self,
+        now: Timestamp,
+        call: &mut AdmittedCall,
+        silent: &CallAttempt,
+    ) -> Option<CallAttempt> {
+        if self
+            .load_balancer
+            .record(now, silent, CallOutcome::Unreachable)
+        {
+            self.record_backoff(now, silent.endpoint.clone());
+        }
+        let selected = self.select_replacement(now, call);
+        let (choice, reason) = match &selected {
+            Ok(attempt) => (attempt.endpoint.as_str(), "replace"),
+            Err(reason) => ("wait", *reason),
+        };
+        self.journal.record(
+            Decision::new(now, DecisionKind::Retry, choice, reason)
+                .with("request", &call.id)
+                .with("endpoint", &silent.endpoint)
+                .with("failure", CallFailure::Silent.name())
+                .with("after_ms", now.since(silent.started_at).as_millis())
+                .with("sends", call.sends)
+                .with("runs", call.executions)
+                .with("events", call.events)
+                .with("left_ms", call.remaining(now).as_millis()),
+        );
+        let attempt = selected.ok()?;
+        call.tried.push(attempt.endpoint.clone());
+        Some(attempt)
+    }
+
+    fn select_replacement(
+        &mut self,
+        now: Timestamp,
+        call: &AdmittedCall,
+    ) -> Result<CallAttempt, &'static str> {
+        recovery::may_replace(now, call)?;
+        let attempt = self.find_endpoint(now, call).ok_or("no-endpoint")?;
+        if self.retry_window(&call.service).try_retry(now) {
+            return Ok(attempt);
+        }
+        self.end_attempt(now, attempt, None);
+        Err("retry-window-full")
+    }
+
+    /// Ends an attempt whose replacement has started.
+    pub fn on_replaced(
+        &mut self,
+        now: Timestamp,
+        call: &mut AdmittedCall,
+        replaced: CallAttempt,
+        failure: CallFailure,
+    ) {
+        if failure.may_have_run() {
+            call.executions += 1;
+            self.count_started(now, call);
+        }
+        call.last_failure = Some(failure);
+        let decision = Decision::new(now, DecisionKind::Retry, "replaced", failure.name())
+            .with("request", &call.id)
+            .with("endpoint", &replaced.endpoint)
+            .with("events", call.events);
+        self.journal.record(decision);
+        self.end_attempt(now, replaced, failure.outcome());
+    }
+
+    /// Ends a replacement that failed before it started; the attempt that it was to replace
+    /// goes on.
+    pub fn on_replacement_failed(
+        &mut self,
+        now: Timestamp,
+        call: &mut AdmittedCall,
+        replacement: CallAttempt,
+        failure: CallFailure,
+    ) {
+        if failure.may_have_run() {
+            call.executions += 1;
+            self.count_started(now, call);
+        }
+        let decision = Decision::new(now, DecisionKind::Retry, "not-replaced", failure.name())
+            .with("request", &call.id)
+            .with("endpoint", &replacement.endpoint)
+            .with("events", call.events);
+        self.journal.record(decision);
+        self.end_attempt(now, replacement, failure.outcome());
+    }
+
     /// Ends an attempt whose caller disconnected or whose deadline passed while the endpoint
     /// was working.
     pub fn abandon(&mut self, now: Timestamp, attempt: CallAttempt, outcome: Option<CallOutcome>) {
@@ -291,13 +389,17 @@
     fn end_attempt(&mut self, now: Timestamp, attempt: CallAttempt, outcome: Option<CallOutcome>) {
         let endpoint = attempt.endpoint.clone();
         if self.load_balancer.end(now, attempt, outcome) {
-            self.journal.record(
-                Decision::new(now, DecisionKind::Membership, "paused", "unreachable")
-                    .with("endpoint", endpoint),
-            );
+            self.record_backoff(now, endpoint);
         }
     }
 
+    fn record_backoff(&mut self, now: Timestamp, endpoint: EndpointId) {
+        self.journal.record(
+            Decision::new(now, DecisionKind::Membership, "paused", "unreachable")
+                .with("endpoint", endpoint),
+        );
+    }
+
     /// Ends a call: records the result, and refunds the quota of a call that did not run. A
     /// call whose caller disconnected before the response may have run.
     pub fn end(&mut self, now: Timestamp, call: AdmittedCall, result: &str, status: u16) {
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod endpoint_selection;
 mod failed_calls;
 mod quota_sharing;
+mod silent_attempts;
 mod store_view;
 mod support;
 mod usage_counts;
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -15,6 +15,7 @@
 mod listener;
 mod log;
 pub mod metrics;
+mod replacement;
 mod store_sync;
 mod stream;
 mod upstream;
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -1,5 +1,6 @@
 //! Serves one request, from its head to the end of the response.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -8,12 +9,14 @@
     AdmittedCall, CallAttempt, CallFailure, CallKind, CallOutcome, FailureAction,
 };
 use laburnumstall_platform::headers::{self, ResponseClass};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::context::Context;
 use super::listener::{ConnectionAction, Request, SEND_TIMEOUT, reason_phrase, refuse};
 use super::log::Event;
+use super::replacement::{Attempts, RaceResult, race};
 use super::stream::{self, StreamProgress};
-use super::upstream::{BodyFrame, Response, SendOutcome, send_request};
+use super::upstream::{BodyFrame, Response, SendFailure, send_request};
 use crate::http1::{Conn, Framing, ResponseHead, is_hop_by_hop, write_chunk};
 
 /// Maximum size of a response body that is buffered before it is forwarded, so that the call
@@ -89,11 +92,13 @@
     progress: &mut StreamProgress,
 ) -> (&'static str, u16, ConnectionAction) {
     loop {
-        let mut attempt = match cx.with_gateway(|gateway, now| gateway.select_endpoint(now, call)) {
-            Ok(attempt) => attempt,
+        let selected = cx.with_gateway(|gateway, now| gateway.select_endpoint(now, call));
+        let mut attempts = match selected {
+            Ok(attempt) => Attempts::new(attempt),
             Err(refusal) => return fail_call(cx, conn, request, call, progress, &refusal).await,
         };
-        let ended = try_endpoint(cx, conn, request, call, &mut attempt, progress).await;
+        let ended = try_endpoint(cx, conn, request, call, &mut attempts, progress).await;
+        let attempt = attempts.close(cx);
         match ended {
             AttemptResult::Answered { status, action } => {
                 cx.with_gateway(|gateway, now| gateway.succeed(now, attempt));
@@ -191,21 +196,20 @@
     conn: &mut Conn,
     request: &Request,
     call: &mut AdmittedCall,
-    attempt: &mut CallAttempt,
+    attempts: &mut Attempts,
     progress: &mut StreamProgress,
 ) -> AttemptResult {
-    let silence = silence(call, attempt);
     let outcome = {
         let resume_after = progress.resume_after();
         tokio::select! {
-            outcome = send_request(cx, call, attempt, request, resume_after, silence) => outcome,
+            outcome = first_response(cx, call, attempts, request, resume_after) => outcome,
             () = conn.closed() => return AttemptResult::CallerGone,
         }
     };
     let response = match outcome {
-        SendOutcome::Answered(response) => *response,
-        SendOutcome::Failed(failure) => return AttemptResult::Failed(failure, None),
-        SendOutcome::TimedOut { is_sent } => return AttemptResult::TimedOut { is_sent },
+        Ok(response) => response,
+        Err(SendFailure::Failed(failure)) => return AttemptResult::Failed(failure, None),
+        Err(SendFailure::TimedOut { is_sent }) => return AttemptResult::TimedOut { is_sent },
     };
     match response.class {
         ResponseClass::NotRun => {
@@ -217,20 +221,71 @@
         ResponseClass::Success
             if call.route.kind == CallKind::Stream && response.head.is_event_stream() =>
         {
-            stream::forward(cx, conn, request, call, attempt, response, progress).await
+            stream::forward(cx, conn, request, call, attempts, response, progress).await
         }
         ResponseClass::Success | ResponseClass::Failure => {
             if progress.has_started() {
                 return AttemptResult::Failed(CallFailure::Failed, None);
             }
             if response.class == ResponseClass::Success {
-                cx.with_gateway(|gateway, now| gateway.on_started(now, call, attempt));
+                cx.with_gateway(|gateway, now| {
+                    gateway.on_started(now, call, &mut attempts.current)
+                });
             }
             forward_plain(cx, conn, request, call, response).await
         }
     }
 }
 
+/// Sends a request and waits for a response, from a second endpoint as well if the first one is
+/// silent for too long.
+async fn first_response(
+    cx: &Context,
+    call: &mut AdmittedCall,
+    attempts: &mut Attempts,
+    request: &Request,
+    resume_after: Option<&str>,
+) -> Result<Response, SendFailure> {
+    let deadline = Instant::now() + call.remaining(cx.now());
+    let silence = silence(call, &attempts.current);
+    let sent = send_request(cx, call, &attempts.current, request, resume_after).await?;
+    let mut response = pin!(sent.response());
+    loop {
+        let silent_at = silence.map_or(deadline, |silence| Instant::now() + silence);
+        tokio::select! {
+            biased;
+            result = &mut response => return result.map_err(SendFailure::Failed),
+            () = sleep_until(silent_at.min(deadline)) => {}
+        }
+        if silent_at >= deadline {
+            return Err(SendFailure::TimedOut { is_sent: true });
+        }
+        if !attempts.replace_silent(cx, call) {
+            continue;
+        }
+        let replacement = attempts.open_replacement(cx, call, request, resume_after);
+        let result = timeout_at(deadline, race(&mut response, replacement)).await;
+        match result.map_err(|_| SendFailure::TimedOut { is_sent: true })? {
+            RaceResult::Resumed(response) => {
+                attempts.abandon_replacement(cx);
+                return Ok(response);
+            }
+            RaceResult::Replaced(response, failure) => {
+                attempts.promote(cx, call, failure);
+                return Ok(response);
+            }
+            RaceResult::StillSilent(failure) => attempts.fail_replacement(cx, call, failure),
+            RaceResult::BothFailed {
+                silent,
+                replacement,
+            } => {
+                attempts.fail_replacement(cx, call, replacement);
+                return Err(SendFailure::Failed(silent));
+            }
+        }
+    }
+}
+
 /// Returns the silence after which a retryable call is tried on another endpoint.
 fn silence(call: &AdmittedCall, attempt: &CallAttempt) -> Option<Duration> {
     if !call.route.is_retryable() || call.executions + 1 >= call.route.max_endpoints {
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -4,16 +4,18 @@
 
 use bytes::BytesMut;
 use compact_str::CompactString;
-use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure};
-use tokio::time::sleep;
+use laburnumstall_core::gateway::{AdmittedCall, CallFailure};
+use tokio::time::{sleep, timeout};
 
 use super::call::{AttemptResult, connection_action, response_head, should_close};
 use super::context::Context;
 use super::listener::{Request, SEND_TIMEOUT};
+use super::replacement::{Attempts, RaceResult, race};
 use super::upstream::{BodyFrame, Response};
 use crate::http1::{Conn, write_chunk};
 
-/// Stall timeout of a resumable stream, as a multiple of its target for the longest pause.
+/// Silence after which a second endpoint is asked to go on with a resumable stream, as a multiple
+/// of its target for the longest pause.
 const STALL_FACTOR: u32 = 4;
 /// Target for the longest pause of a stream whose route does not set one.
 const DEFAULT_LONGEST_PAUSE: Duration = Duration::from_millis(300);
@@ -48,55 +50,65 @@
     }
 }
 
-/// Forwards a stream until it ends, stalls or fails.
+/// Response that a stream comes from, and the received bytes that are not forwarded yet.
+struct Source {
+    response: Response,
+    pending: BytesMut,
+}
+
+/// What was received from the source of a stream.
+enum Input {
+    Data,
+    End,
+    /// Another endpoint goes on with the stream.
+    Replaced {
+        is_end: bool,
+    },
+}
+
+/// Forwards a stream until it ends or fails.
 pub(super) async fn forward(
     cx: &Context,
     conn: &mut Conn,
     request: &Request,
     call: &mut AdmittedCall,
-    attempt: &mut CallAttempt,
-    mut response: Response,
+    attempts: &mut Attempts,
+    response: Response,
     progress: &mut StreamProgress,
 ) -> AttemptResult {
     let should_close = should_close(cx, request);
-    let pause = call.route.longest_pause.unwrap_or(DEFAULT_LONGEST_PAUSE) * STALL_FACTOR;
-    let mut pending = BytesMut::new();
-    // Only this attempt's first event is reported to the core.
+    let mut source = Source {
+        response,
+        pending: BytesMut::new(),
+    };
+    // Only an attempt's first event is reported to the core.
     let mut is_start_reported = false;
     loop {
         let remaining = call.remaining(cx.now());
-        let awaits_first_event = !progress.has_started();
-        let stall_timeout = match call.route.is_retryable() && !awaits_first_event {
-            true => pause.min(remaining),
-            false => remaining,
-        };
-        let frame = tokio::select! {
-            frame = response.next_frame() => frame,
+        let input = tokio::select! {
+            input = next_input(cx, request, call, attempts, &mut source, progress) => input,
             () = conn.closed() => return AttemptResult::CallerGone,
-            () = sleep(stall_timeout) => {
-                return match stall_timeout < remaining {
-                    true => AttemptResult::Failed(CallFailure::Silent, None),
-                    false => AttemptResult::TimedOut { is_sent: true },
-                };
-            }
+            () = sleep(remaining) => return AttemptResult::TimedOut { is_sent: true },
         };
-        let is_end = match frame {
-            Ok(BodyFrame::Data(data)) => {
-                pending.extend_from_slice(&data);
-                false
+        let is_end = match input {
+            Ok(Input::Data) => false,
+            Ok(Input::End) => true,
+            Ok(Input::Replaced { is_end }) => {
+                is_start_reported = false;
+                is_end
             }
-            Ok(BodyFrame::End) => true,
-            Err(_) => return AttemptResult::Failed(CallFailure::Broken, None),
+            Err(failure) => return AttemptResult::Failed(failure, None),
         };
-        let events = take_events(&mut pending);
+        let events = take_events(&mut source.pending);
         let mut message = Vec::new();
         if let Some(events) = events {
             if !std::mem::replace(&mut is_start_reported, true) {
+                let attempt = &mut attempts.current;
                 cx.with_gateway(|gateway, now| gateway.on_started(now, call, attempt));
             }
             if !progress.has_head {
                 cx.metrics.first_event(call, cx.now());
-                message = response_head(&response.head, None, should_close);
+                message = response_head(&source.response.head, None, should_close);
                 progress.has_head = true;
             }
             if let Some(id) = last_id(&events) {
@@ -106,19 +118,19 @@
             write_chunk(&events, &mut message);
         }
         if is_end {
-            if !pending.is_empty() || !progress.has_head {
+            if !source.pending.is_empty() || !progress.has_head {
                 return AttemptResult::Failed(CallFailure::Broken, None);
             }
             message.extend_from_slice(b"0\r\n\r\n");
-        } else if pending.len() > MAX_EVENT_BYTES {
+        } else if source.pending.len() > MAX_EVENT_BYTES {
             return AttemptResult::Failed(CallFailure::BadAnswer, None);
         }
         if !message.is_empty() && conn.send(&message, SEND_TIMEOUT).await.is_err() {
             return AttemptResult::CallerGone;
         }
         if is_end {
-            let status = response.head.status;
-            response.release(&cx.pool);
+            let status = source.response.head.status;
+            source.response.release(&cx.pool);
             return AttemptResult::Answered {
                 status,
                 action: connection_action(true, should_close),
@@ -127,15 +139,108 @@
     }
 }
 
+/// Receives more of a stream. If its endpoint is silent for too long, waits for a second one as
+/// well, which goes on after the last event that the caller received.
+async fn next_input(
+    cx: &Context,
+    request: &Request,
+    call: &mut AdmittedCall,
+    attempts: &mut Attempts,
+    source: &mut Source,
+    progress: &StreamProgress,
+) -> Result<Input, CallFailure> {
+    if !call.route.is_retryable() || !progress.has_started() {
+        let frame = source.response.next_frame().await;
+        let frame = frame.map_err(|_| CallFailure::Broken)?;
+        return Ok(source.receive(frame));
+    }
+    let stall_timeout = call.route.longest_pause.unwrap_or(DEFAULT_LONGEST_PAUSE) * STALL_FACTOR;
+    loop {
+        if let Ok(frame) = timeout(stall_timeout, source.response.next_frame()).await {
+            let frame = frame.map_err(|_| CallFailure::Broken)?;
+            return Ok(source.receive(frame));
+        }
+        if !attempts.replace_silent(cx, call) {
+            continue;
+        }
+        let replacement = async {
+            let resume_after = progress.resume_after();
+            let opening = attempts.open_replacement(cx, call, request, resume_after);
+            first_events(opening.await?).await
+        };
+        match race(source.response.next_frame(), replacement).await {
+            RaceResult::Resumed(frame) => {
+                attempts.abandon_replacement(cx);
+                return Ok(source.receive(frame));
+            }
+            RaceResult::Replaced((started, is_end), failure) => {
+                attempts.promote(cx, call, failure);
+                *source = started;
+                return Ok(Input::Replaced { is_end });
+            }
+            RaceResult::StillSilent(failure) => attempts.fail_replacement(cx, call, failure),
+            RaceResult::BothFailed { replacement, .. } => {
+                attempts.fail_replacement(cx, call, replacement);
+                return Err(CallFailure::Broken);
+            }
+        }
+    }
+}
+
+/// Receives the first whole event of a resumed stream, or its end.
+async fn first_events(mut response: Response) -> Result<(Source, bool), CallFailure> {
+    if !response.head.is_event_stream() {
+        return Err(CallFailure::BadAnswer);
+    }
+    let mut pending = BytesMut::new();
+    loop {
+        match response.next_frame().await? {
+            BodyFrame::Data(data) => pending.extend_from_slice(&data),
+            BodyFrame::End if pending.is_empty() || has_event(&pending) => {
+                return Ok((Source { response, pending }, true));
+            }
+            BodyFrame::End => return Err(CallFailure::Broken),
+        }
+        if has_event(&pending) {
+            return Ok((Source { response, pending }, false));
+        }
+        if pending.len() > MAX_EVENT_BYTES {
+            return Err(CallFailure::BadAnswer);
+        }
+    }
+}
+
+impl Source {
+    fn receive(&mut self, frame: BodyFrame) -> Input {
+        match frame {
+            BodyFrame::Data(data) => {
+                self.pending.extend_from_slice(&data);
+                Input::Data
+            }
+            BodyFrame::End => Input::End,
+        }
+    }
+}
+
 /// Splits off all complete events; bytes after the last blank line stay in `pending`.
 fn take_events(pending: &mut BytesMut) -> Option<BytesMut> {
-    let end = [&b"\n\n"[..], &b"\r\n\r\n"[..]]
-        .iter()
-        .filter_map(|blank| find_last(pending, blank).map(|at| at + blank.len()))
-        .max()?;
+    let end = events_end(pending)?;
     Some(pending.split_to(end))
 }
 
+/// Returns whether there is a complete event.
+fn has_event(data: &[u8]) -> bool {
+    events_end(data).is_some()
+}
+
+/// Returns the end of the last complete event.
+fn events_end(data: &[u8]) -> Option<usize> {
+    [&b"\n\n"[..], &b"\r\n\r\n"[..]]
+        .iter()
+        .filter_map(|blank| find_last(data, blank).map(|at| at + blank.len()))
+        .max()
+}
+
 fn find_last(data: &[u8], pattern: &[u8]) -> Option<usize> {
     data.windows(pattern.len())
         .rposition(|window| window == pattern)
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure};
 use laburnumstall_platform::headers::{self, ResponseClass};
-use tokio::time::sleep_until;
 
 use super::context::Context;
 use super::listener::Request;
@@ -102,10 +102,18 @@
     End,
 }
 
-/// Outcome of sending a request and waiting for the response head.
-pub(super) enum SendOutcome {
-    /// The endpoint responded to this call.
-    Answered(Box<Response>),
+/// A request that was written to its endpoint.
+pub(super) struct SentRequest {
+    conn: Conn,
+    id: CompactString,
+    method: CompactString,
+    address: SocketAddr,
+    len: usize,
+    is_sent_whole: bool,
+}
+
+/// Reason why a request was not written to its endpoint, or gets no response.
+pub(super) enum SendFailure {
     /// The endpoint could not be reached or gave no usable response.
     Failed(CallFailure),
     /// The deadline of the request passed.
@@ -115,18 +123,18 @@
     },
 }
 
-/// Sends a request to the endpoint of `attempt` and waits for the response head.
+/// Sends a request to the endpoint of `attempt`.
+///
+/// # Errors
 ///
-/// The attempt fails if no response head arrives within `silence` after the request was
-/// written.
+/// [`SendFailure`] if no connection is made, nothing is written, or the deadline passes.
 pub(super) async fn send_request(
     cx: &Context,
     call: &mut AdmittedCall,
     attempt: &CallAttempt,
     request: &Request,
     resume_after: Option<&str>,
-    silence: Option<Duration>,
-) -> SendOutcome {
+) -> Result<SentRequest, SendFailure> {
     let deadline = tokio::time::Instant::now() + call.remaining(cx.now());
     let max_age = match call.route.is_retryable() {
         true => Duration::MAX,
@@ -146,7 +154,7 @@
                             .with("endpoint", &attempt.endpoint)
                             .with("cause", &error),
                     );
-                    return SendOutcome::Failed(CallFailure::NotSent);
+                    return Err(SendFailure::Failed(CallFailure::NotSent));
                 }
             }
         }
@@ -159,38 +167,43 @@
             Ok(Ok(is_whole)) => is_whole,
             Ok(Err(_)) => false,
             Err(_) => {
-                return SendOutcome::TimedOut {
+                return Err(SendFailure::TimedOut {
                     is_sent: written > 0,
-                };
+                });
             }
         }
     };
     if written == 0 {
-        return SendOutcome::Failed(CallFailure::NotSent);
+        return Err(SendFailure::Failed(CallFailure::NotSent));
     }
     cx.with_gateway(|gateway, _| gateway.on_sent(call));
-    let silent_at = silence.map_or(deadline, |silence| tokio::time::Instant::now() + silence);
-    let head = read_head(&mut conn, &request.head.method, &call.id);
-    let read = tokio::select! {
-        read = head => read,
-        () = sleep_until(silent_at.min(deadline)) => {
-            return match silent_at < deadline {
-                true => SendOutcome::Failed(CallFailure::Silent),
-                false => SendOutcome::TimedOut { is_sent: true },
-            };
-        }
-    };
-    match read {
-        Ok((head, class)) => SendOutcome::Answered(Box::new(Response {
-            is_request_read: is_sent_whole
-                && (message.len() <= MAX_SURELY_READ || class == ResponseClass::Success),
+    Ok(SentRequest {
+        conn,
+        id: call.id.clone(),
+        method: request.head.method.clone(),
+        address: attempt.address,
+        len: message.len(),
+        is_sent_whole,
+    })
+}
+
+impl SentRequest {
+    /// Waits for the response head.
+    ///
+    /// # Errors
+    ///
+    /// [`CallFailure::Lost`] or [`CallFailure::BadAnswer`] if there is no usable response.
+    pub(super) async fn response(mut self) -> Result<Response, CallFailure> {
+        let (head, class) = read_head(&mut self.conn, &self.method, &self.id).await?;
+        let is_surely_read = self.len <= MAX_SURELY_READ || class == ResponseClass::Success;
+        Ok(Response {
+            is_request_read: self.is_sent_whole && is_surely_read,
             body: BodyReader::new(head.framing),
             head,
             class,
-            conn,
-            address: attempt.address,
-        })),
-        Err(failure) => SendOutcome::Failed(failure),
+            conn: self.conn,
+            address: self.address,
+        })
     }
 }
 
