Let sound endpoints fall silent in the soak

Cause: on the users' platform a sound endpoint may send nothing for about a second and then go on. The endpoints of the soak could only stay mute until their fault was over, and every fault of an endpoint excused a request that was lost.

Change: an endpoint stand-in can be silent for a given time on all its connections; calls and streams then continue where they stopped. The soak draws silences of 0.7 to 1.6 s of one endpoint, or of all endpoints of a service with a lag of up to 0.3 s from one to the next. One series of faults in three has only planned work and silences, 5 s after the others. A request that was cut while nothing else happened counts as lost; a request that a silence held until the route's timeout does not. Requests cut near planned work alone are judged as before.

--- a/crates/laburnumstall-soak/src/checks.rs
+++ b/crates/laburnumstall-soak/src/checks.rs
@@ -6,7 +6,9 @@
 use laburnumstall_platform_standins::ExecutedRequest;
 use laburnumstall_platform_standins::caller::{CallKind, Outcome};
 
-use crate::world::{Disturbance, KeyState, REVOCATION, ROUTE_TIMEOUT, Record, Target, World};
+use crate::world::{
+    Disturbance, KeyState, REVOCATION, ROUTE_TIMEOUT, Record, SHORTEST_TIMEOUT, Target, World,
+};
 
 /// Time after a disturbance in which it may still show.
 const AFTERMATH: Duration = Duration::from_secs(3);
@@ -232,12 +234,21 @@
         .collect()
     }
 
-    /// Planned work loses nothing that was passed on to an endpoint.
+    /// Tells whether a sound endpoint's silence may have held a request until the route's timeout.
+    fn is_held_to_timeout(&self, record: &Record) -> bool {
+        let mut silences = self.disturbances.iter().filter(|one| one.is_silence);
+        record.ended_at - record.sent_at >= SHORTEST_TIMEOUT
+            && silences.any(|one| one.from <= record.ended_at && one.until >= record.sent_at)
+    }
+
+    /// Planned work and silences of sound endpoints lose nothing that was passed on to an
+    /// endpoint. A silence may only hold a request until its route's timeout.
     fn planned_work(&self) -> Vec<String> {
         let lost = self.records.iter().filter(|record| {
             record.outcome == Outcome::Cut
                 && self.run_count(&record.id) > 0
-                && !self.is_disturbed(record.sent_at, record.ended_at, |one| one.is_planned)
+                && !self.is_disturbed(record.sent_at, record.ended_at, |one| !one.excuses_loss)
+                && !self.is_held_to_timeout(record)
         });
         lost.map(|record| format!("request {} was lost without a fault", tell(record)))
             .collect()
--- a/crates/laburnumstall-soak/src/options.rs
+++ b/crates/laburnumstall-soak/src/options.rs
@@ -83,6 +83,7 @@
         Shape {
             daemons: usize::from(self.daemons),
             endpoints: usize::from(self.endpoints) * crate::world::SERVICES.len(),
+            services: crate::world::SERVICES.len(),
         }
     }
 }
--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -1,6 +1,7 @@
 //! Which faults happen when.
 //!
-//! Faults come in series that overlap: a few of them within a second or two, then a pause.
+//! Faults come in series that overlap: a few of them within a second or two, then a pause. Some
+//! series hold only faults that excuse no lost request, and keep a distance from the others.
 
 use std::fmt;
 use std::time::Duration;
@@ -16,6 +17,14 @@
 const BETWEEN_SERIES: Duration = Duration::from_millis(4_000);
 /// Most faults of one series.
 const MOST_IN_SERIES: usize = 4;
+/// One series in so many has only faults that excuse no lost request.
+const MILD_ONE_IN: u32 = 3;
+/// Pause before such a series, in which the faults before it end and cease to show.
+const BEFORE_MILD: Duration = Duration::from_millis(5_000);
+/// Shortest and longest silence of a sound endpoint.
+const SILENCE: [Duration; 2] = [Duration::from_millis(700), Duration::from_millis(1_600)];
+/// Longest time between the beginnings of the silences of a service's endpoints.
+const LONGEST_LAG: Duration = Duration::from_millis(300);
 /// Longest time that a fault lasts.
 const LONGEST: Duration = Duration::from_millis(5_000);
 /// Shortest time that a fault lasts.
@@ -26,6 +35,7 @@
 pub(crate) struct Shape {
     pub(crate) daemons: usize,
     pub(crate) endpoints: usize,
+    pub(crate) services: usize,
 }
 
 /// One fault.
@@ -48,6 +58,10 @@
     SpoilEndpoint(usize, EndpointFaults, Duration),
     SilenceEndpoint(usize),
     CutEndpoint(usize, Duration),
+    SilenceForOne(usize, Duration),
+    /// Hits all endpoints of one service, each after the one before by the second time. A stream
+    /// that moves may meet the next silence.
+    SilenceForService(usize, Duration, Duration),
     DutiesDown(Duration),
     ChangeTimeout,
     AddKey,
@@ -73,23 +87,32 @@
             | Self::DrainEndpoint(_)
             | Self::SpoilEndpoint(..)
             | Self::SilenceEndpoint(_)
-            | Self::CutEndpoint(..) => Target::Endpoint,
+            | Self::CutEndpoint(..)
+            | Self::SilenceForOne(..)
+            | Self::SilenceForService(..) => Target::Endpoint,
             Self::DutiesDown(_) | Self::ChangeTimeout | Self::AddKey | Self::RevokeKey => {
                 Target::Operators
             }
         }
     }
 
-    /// Tells whether it is planned work, which excuses less.
-    pub(crate) fn is_planned(&self) -> bool {
-        matches!(
+    /// Tells whether it excuses a lost request. Planned work and the silence of a sound endpoint
+    /// do not.
+    pub(crate) fn excuses_loss(&self) -> bool {
+        let is_planned = matches!(
             self,
             Self::StopDaemon(_)
                 | Self::Hangup(_)
                 | Self::ChangeTimeout
                 | Self::AddKey
                 | Self::RevokeKey
-        )
+        );
+        !is_planned && !self.is_silence()
+    }
+
+    /// Tells whether sound endpoints fall silent for a time.
+    pub(crate) fn is_silence(&self) -> bool {
+        matches!(self, Self::SilenceForOne(..) | Self::SilenceForService(..))
     }
 }
 
@@ -112,8 +135,15 @@
     let mut plan = Vec::new();
     let mut at = Duration::ZERO;
     while at < length {
+        let is_mild = rng.u32(0..MILD_ONE_IN) == 0;
+        if is_mild {
+            at += BEFORE_MILD;
+        }
         for _ in 0..rng.usize(1..=MOST_IN_SERIES) {
-            let fault = fault(&mut rng, shape);
+            let fault = match is_mild {
+                true => mild_fault(&mut rng, shape),
+                false => fault(&mut rng, shape),
+            };
             plan.push(Planned { at, fault });
             at += between(&mut rng, Duration::ZERO, WITHIN_SERIES);
         }
@@ -127,7 +157,7 @@
     let lasts = between(rng, SHORTEST, LONGEST);
     let daemon = rng.usize(0..shape.daemons);
     let endpoint = rng.usize(0..shape.endpoints);
-    match rng.u32(0..30) {
+    match rng.u32(0..32) {
         0..=1 => Fault::KillDaemon(daemon),
         2 => Fault::KillAll,
         3..=6 => Fault::StopDaemon(daemon),
@@ -150,10 +180,33 @@
             true => Fault::ChangeTimeout,
             false => Fault::AddKey,
         },
-        _ => Fault::RevokeKey,
+        29 => Fault::RevokeKey,
+        30 => Fault::SilenceForOne(endpoint, silence(rng)),
+        _ => silence_of_service(rng, shape),
+    }
+}
+
+/// Draws a fault that excuses no lost request.
+fn mild_fault(rng: &mut Rng, shape: Shape) -> Fault {
+    match rng.u32(0..8) {
+        0..=1 => Fault::SilenceForOne(rng.usize(0..shape.endpoints), silence(rng)),
+        2..=4 => silence_of_service(rng, shape),
+        5 => Fault::StopDaemon(rng.usize(0..shape.daemons)),
+        6 => Fault::Hangup(rng.usize(0..shape.daemons)),
+        _ => Fault::ChangeTimeout,
     }
 }
 
+fn silence_of_service(rng: &mut Rng, shape: Shape) -> Fault {
+    let lag = between(rng, Duration::ZERO, LONGEST_LAG);
+    Fault::SilenceForService(rng.usize(0..shape.services), silence(rng), lag)
+}
+
+fn silence(rng: &mut Rng) -> Duration {
+    let [shortest, longest] = SILENCE;
+    between(rng, shortest, longest)
+}
+
 fn store_fault(rng: &mut Rng) -> StoreFault {
     match rng.u32(0..4) {
         0 => StoreFault::Busy,
--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -35,6 +35,8 @@
 const SLOTS: u32 = 16;
 /// Longest time that a caller is kept waiting by the first configuration.
 pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Shortest time-out that a configuration sets.
+pub(crate) const SHORTEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time within which a withdrawn key must be refused.
 pub(crate) const REVOCATION: Duration = Duration::from_secs(5);
 /// Time from the request to stop until the kill.
@@ -111,8 +113,10 @@
     pub until: Duration,
     /// What it touches.
     pub on: Target,
-    /// Whether it is planned work, which excuses less.
-    pub is_planned: bool,
+    /// Whether it excuses a lost request; planned work and silences of sound endpoints do not.
+    pub excuses_loss: bool,
+    /// Whether sound endpoints fall silent for a time.
+    pub is_silence: bool,
     /// The fault.
     pub name: String,
 }
@@ -386,7 +390,8 @@
             from: self.elapsed(),
             until: Duration::MAX,
             on,
-            is_planned: fault.is_planned(),
+            excuses_loss: fault.excuses_loss(),
+            is_silence: fault.is_silence(),
             name: fault.to_string(),
         });
         disturbances.len() - 1
--- a/crates/laburnumstall-soak/src/world/faults.rs
+++ b/crates/laburnumstall-soak/src/world/faults.rs
@@ -8,7 +8,7 @@
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep};
 
-use super::{EndpointSlot, POLL, STOP_GRACE, Target, World};
+use super::{EndpointSlot, POLL, SERVICES, STOP_GRACE, Target, World};
 use crate::plan::{Fault, Planned};
 
 /// Time that an endpoint serves on after it has said that it is leaving.
@@ -94,6 +94,18 @@
             Fault::SilenceEndpoint(index) => {
                 self.at_endpoint(index, |slot| slot.relay.silence_existing());
             }
+            Fault::SilenceForOne(index, time) => {
+                self.at_endpoint(index, |slot| slot.stand_in.silence(time));
+                sleep(time).await;
+            }
+            Fault::SilenceForService(service, time, lag) => {
+                let count = self.endpoints.borrow().len();
+                for index in (service..count).step_by(SERVICES.len()) {
+                    self.at_endpoint(index, |slot| slot.stand_in.silence(time));
+                    sleep(lag).await;
+                }
+                sleep(time).await;
+            }
             Fault::CutEndpoint(index, time) => {
                 self.at_endpoint(index, |slot| slot.relay.cut());
                 sleep(time).await;
--- a/crates/laburnumstall-soak/src/world/keys.rs
+++ b/crates/laburnumstall-soak/src/world/keys.rs
@@ -5,7 +5,7 @@
 use laburnumstall_platform_standins::{RuleSet, ServiceRoutes};
 use tokio::time::sleep;
 
-use super::{POLL, ROUTE_TIMEOUT, SERVICES, World};
+use super::{POLL, ROUTE_TIMEOUT, SERVICES, SHORTEST_TIMEOUT, World};
 use crate::plan::Fault;
 
 /// Customers, each with one key at first.
@@ -26,10 +26,12 @@
     pub(super) async fn change_rules(&self, fault: &Fault) {
         let index = match fault {
             Fault::ChangeTimeout => {
+                let [least, most] =
+                    [SHORTEST_TIMEOUT, ROUTE_TIMEOUT].map(|timeout| timeout.as_millis() as u64);
                 let mut rules = self.rules.borrow_mut();
                 for service in &mut rules.services {
                     // Never above the first one, which the checks go by.
-                    service.timeout_ms = fastrand::u64(1_500..=ROUTE_TIMEOUT.as_millis() as u64);
+                    service.timeout_ms = fastrand::u64(least..=most);
                 }
                 None
             }
