End a large response at the deadline and with its caller

Cause: forward_unbuffered waited for the next frame alone. Change: it also waits for the deadline and for the caller, as forward_plain does. Why it works: the wait ends with whichever comes first, and the connection to the endpoint is dropped with it.

--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -9,7 +9,7 @@
     AdmittedCall, CallFailure, CallKind, CallOutcome, FailureAction,
 };
 use laburnumstall_platform::headers::{self, ResponseClass};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::context::Context;
 use super::listener::{ConnectionAction, Request, SEND_TIMEOUT, reason_phrase, refuse};
@@ -337,7 +337,7 @@
             response.release(&cx.pool);
             AttemptResult::Answered { status, action }
         }
-        Ok(false) => forward_unbuffered(cx, conn, request, response, body).await,
+        Ok(false) => forward_unbuffered(cx, conn, request, call, response, body).await,
     }
 }
 
@@ -346,6 +346,7 @@
     cx: &Context,
     conn: &mut Conn,
     request: &Request,
+    call: &AdmittedCall,
     mut response: Response,
     first: Vec<u8>,
 ) -> AttemptResult {
@@ -358,7 +359,15 @@
             return AttemptResult::CallerGone;
         }
         message.clear();
-        match response.next_frame().await {
+        let remaining = call.remaining(cx.now());
+        let frame = tokio::select! {
+            // Otherwise frames that are always ready would keep the deadline from being seen.
+            biased;
+            () = sleep(remaining) => return AttemptResult::Truncated,
+            () = conn.closed() => return AttemptResult::CallerGone,
+            frame = response.next_frame() => frame,
+        };
+        match frame {
             Ok(BodyFrame::Data(data)) => write_chunk(&data, &mut message),
             Ok(BodyFrame::End) => break,
             Err(_) => return AttemptResult::Truncated,
