Log the software version of endpoints, and which stream a call takes up

Change: event=route and event=membership lines of endpoints have `software`, and event=admit of a call with Last-Event-Id has `resumes` and `after`. The version is not part of gossip, whose layout older daemons decode. No behaviour changes.

--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -50,6 +50,8 @@
         pub prompt: Option<Prompt>,
         /// Event after which the caller asks to resume a stream.
         pub resume_after: Option<CompactString>,
+        /// Identifier of the caller's attempt that brought the first event of the stream.
+        pub resumed_attempt: Option<CompactString>,
     }
 }
 
--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -10,7 +10,7 @@
 
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::domain;
-use crate::ids::{AvailabilityZone, EndpointId, ServiceName};
+use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 
 /// Time after an outage within which a live endpoint registers again.
@@ -36,6 +36,10 @@
         /// Start of its process, in milliseconds since the Unix epoch.
         #[serde(rename = "born")]
         pub started_at_ms: u64,
+        /// Version of its software; `None` if unknown. The layout of this type in gossip
+        /// messages precedes the field, so it is not encoded.
+        #[serde(skip)]
+        pub version: Option<SoftwareVersion>,
     }
 }
 
@@ -192,6 +196,7 @@
     Decision::new(now, DecisionKind::Membership, choice, reason)
         .with("endpoint", &record.id)
         .with("service", &record.service)
+        .with("software", SoftwareVersion::text(record.version.as_ref()))
         .with("zone", &record.zone)
         .with("address", record.address)
         .with("spot", record.is_spot)
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -19,7 +19,7 @@
 use super::health::{CallOutcome, Health};
 use super::prefill::prefill_time;
 use crate::hash::{digest64, rendezvous_weight};
-use crate::ids::{AvailabilityZone, EndpointId, ServiceName};
+use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
@@ -57,6 +57,8 @@
     pub address: SocketAddr,
     /// Service that is called.
     pub service: ServiceName,
+    /// Version of the endpoint's software; `None` if unknown.
+    pub version: Option<SoftwareVersion>,
     /// When the endpoint was selected.
     pub started_at: Timestamp,
     /// Expected time to the first token or to the response.
@@ -83,6 +85,7 @@
     slots: u32,
     is_leaving: bool,
     started_at_ms: u64,
+    version: Option<SoftwareVersion>,
     key: EndpointKey,
     hash: u64,
     own_work: Work,
@@ -154,6 +157,7 @@
             endpoint.zone = record.zone.clone();
             endpoint.slots = record.slots.max(1);
             endpoint.is_leaving = record.is_leaving;
+            endpoint.version.clone_from(&record.version);
             self.services
                 .entry(record.service.clone())
                 .or_default()
@@ -224,6 +228,7 @@
             endpoint: endpoint.id.clone(),
             address: endpoint.address,
             service: query.service.clone(),
+            version: endpoint.version.clone(),
             started_at: now,
             expected: best.expected,
             cached: best.cached,
@@ -352,6 +357,7 @@
             slots: record.slots.max(1),
             is_leaving: record.is_leaving,
             started_at_ms: record.started_at_ms,
+            version: record.version.clone(),
             key: EndpointKey(hash as u32),
             hash,
             own_work: Work::default(),
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -10,7 +10,7 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::error::{ErrorKind, Refusal};
 use crate::hash::digest64;
-use crate::ids::{EndpointId, ServiceName};
+use crate::ids::{EndpointId, ServiceName, SoftwareVersion};
 use crate::limits::RetryWindow;
 use crate::units::Timestamp;
 
@@ -63,6 +63,12 @@
                 }
             }
         }
+        if let Some(event) = &attributes.resume_after {
+            let attempt = attributes.resumed_attempt.as_deref();
+            decision = decision
+                .with("resumes", attempt.unwrap_or("unnamed"))
+                .with("after", event);
+        }
         self.journal.record(decision);
         admitted
     }
@@ -181,6 +187,7 @@
             Decision::new(now, DecisionKind::Route, attempt.endpoint.as_str(), reason)
                 .with("request", &call.id)
                 .with("service", &call.service)
+                .with("software", SoftwareVersion::text(attempt.version.as_ref()))
                 .with("expected_ms", attempt.expected.as_millis())
                 .with("cached", attempt.cached)
                 .with("calls", calls)
--- a/crates/laburnumstall-core/src/ids.rs
+++ b/crates/laburnumstall-core/src/ids.rs
@@ -81,6 +81,8 @@
     AdapterName;
     /// Version of a model, an adapter or an application.
     VersionName;
+    /// Version of the software that an endpoint runs; versions have no order.
+    SoftwareVersion;
     /// Name of an endpoint: one backend process on one VM.
     EndpointId;
     /// Key that a caller repeats when it resends a request.
@@ -91,6 +93,13 @@
     SectionName;
 }
 
+impl SoftwareVersion {
+    /// Returns the text of a version for logs: `unknown` if there is none.
+    pub fn text(version: Option<&Self>) -> &str {
+        version.map_or("unknown", Self::as_str)
+    }
+}
+
 quantity! {
     /// Incarnation number of a daemon process; increases with each restart.
     Incarnation, "";
--- a/crates/laburnumstall-core/src/prelude.rs
+++ b/crates/laburnumstall-core/src/prelude.rs
@@ -5,7 +5,7 @@
 pub use crate::ids::{
     AttemptId, AvailabilityZone, CallId, CallerId, CustomerId, DaemonId, EndpointId, EventIndex,
     FencingToken, Fingerprint, IdempotencyKey, Incarnation, LookupHash, RequestId, Revision,
-    ServiceName, VmId,
+    ServiceName, SoftwareVersion, VmId,
 };
 pub use crate::request::{AnswerEvent, AnswerForm, BlockHash, Request};
 pub use crate::resources::{
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -136,6 +136,7 @@
         is_leaving: false,
         is_spot: false,
         started_at_ms: 1,
+        version: Some("v1".parse().unwrap()),
     }
 }
 
@@ -163,6 +164,7 @@
         caller_timeout: Some(Duration::from_secs(3)),
         prompt: None,
         resume_after: None,
+        resumed_attempt: None,
     }
 }
 
