Keep a stream at the software version that began it

Cause: the choice of an endpoint did not know versions, and nobody knew which version had begun a stream. A stream that lost its endpoint went on at the endpoint with the shortest wait, and a caller that took its stream up got any endpoint of whatever service its new attempt's id selected. Class: state that outlives its connection, kept only where the connection was.

Change: the first event pins a call to the service and version of its endpoint (EndpointQuery::version). Each daemon keeps the origins of its streams by the digest of the first attempt; while a service has several versions, they go to three peers, chosen by rendezvous hashing. A daemon that does not know a stream asks its peers; if nobody knows it, it goes on only if the service had a single version for as long as any stream can be taken up, and is refused otherwise ("not run"). For daemons that have just started, marks under a lease in the key-value store tell of versions that are gone. Entries without a version name no endpoint. Gossip is encoded as before; the new messages go only to peers whose registration announces them.

Why it works: no path selects an endpoint for a stream with events but through the pinned version, and a version is never guessed. event=resume and laburnumstall_gateway_resumptions_total say what each decision rests on.

--- a/crates/laburnumstall-core/src/decision.rs
+++ b/crates/laburnumstall-core/src/decision.rs
@@ -46,6 +46,8 @@
         Finish,
         /// Next step of a daemon's shutdown.
         Stop,
+        /// At which software version a stream goes on that a caller takes up.
+        Resume,
     }
 }
 
@@ -68,6 +70,7 @@
             Self::Budget => "budget",
             Self::Finish => "finish",
             Self::Stop => "stop",
+            Self::Resume => "resume",
         }
     }
 }
--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -16,14 +16,18 @@
 mod gossip;
 mod health;
 mod load_balancer;
+mod peer_message;
 mod prefill;
 mod quota;
 mod recovery;
 mod requests;
+mod resumption;
 mod rules;
 mod scaling;
 mod state;
+mod stream_origin;
 mod usage;
+mod version_history;
 mod view;
 
 use std::net::SocketAddr;
@@ -43,15 +47,21 @@
 };
 pub use health::CallOutcome;
 pub use load_balancer::{CallAttempt, EndpointQuery, LoadBalancer};
+pub use peer_message::PeerMessage;
 pub use prefill::prefill_time;
 pub use quota::{QuotaLedger, QuotaUsage};
 pub use recovery::{CallFailure, FailureAction, RETRY_AFTER};
+pub use resumption::{COPIES, OriginAnswer, OriginLookup, OriginQuery, OriginReply};
 pub use rules::{
     CallKind, CallerLimits, CustomerRule, Quota, QuotaUnit, RouteRule, RouteTarget, RoutingRules,
     RoutingTable, ScalingRule, ServiceRule,
 };
 pub use scaling::{Capacity, ScaleOrder, ScaleOutcome, Scaler};
+pub use stream_origin::{
+    AttemptDigest, MAX_ORIGINS, OriginGroup, OriginTable, RETURN_TIME, StreamOrigin,
+};
 pub use usage::{UsageCount, UsageCounter, UsageReport};
+pub use version_history::VersionHistory;
 pub use view::{ViewBatch, ViewChange, ViewUpdate};
 
 /// Limits that the platform sets for all daemons together.
@@ -86,6 +96,10 @@
     retry_windows: std::collections::BTreeMap<ServiceName, RetryWindow>,
     usage: UsageCounter,
     demand: DemandCounter,
+    origins: OriginTable,
+    versions: VersionHistory,
+    send_budget: resumption::SendBudget,
+    has_origins_to_send: bool,
     is_stopping: bool,
     gossip_sequence: u64,
     store_ok_since: Option<Timestamp>,
@@ -113,6 +127,10 @@
             retry_windows: std::collections::BTreeMap::new(),
             usage: UsageCounter::new(bounds.usage_window),
             demand: DemandCounter::default(),
+            origins: OriginTable::default(),
+            versions: VersionHistory::default(),
+            send_budget: resumption::SendBudget::default(),
+            has_origins_to_send: false,
             is_stopping: false,
             gossip_sequence: 0,
             store_ok_since: None,
--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -7,6 +7,7 @@
 
 use super::recovery::CallFailure;
 use super::rules::RouteRule;
+use super::stream_origin::{AttemptDigest, StreamOrigin};
 use crate::domain;
 use crate::ids::{CustomerId, EndpointId, ServiceName};
 use crate::units::Timestamp;
@@ -80,6 +81,12 @@
     pub route: Arc<RouteRule>,
     /// Service that runs it.
     pub service: ServiceName,
+    /// Attempt that brought, or will bring, the first event of the stream.
+    pub stream: AttemptDigest,
+    /// Whether the caller takes up a stream that another endpoint can resume.
+    pub is_resumed: bool,
+    /// Where the stream began, once that is known; it goes on only there.
+    pub origin: Option<Arc<StreamOrigin>>,
     /// Customer that its key belongs to.
     pub customer: Option<CustomerId>,
     /// Priority rank of the customer or else of the route; 0 is the most urgent.
@@ -109,6 +116,13 @@
 }
 
 impl AdmittedCall {
+    /// Returns the version that the stream may go on at, for logs.
+    pub(super) fn pinned_version(&self) -> &str {
+        self.origin
+            .as_ref()
+            .map_or("any", |origin| origin.version.as_str())
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
--- a/crates/laburnumstall-core/src/gateway/gossip.rs
+++ b/crates/laburnumstall-core/src/gateway/gossip.rs
@@ -82,6 +82,8 @@
     pub member: Member,
     /// Whether it is registered in the key-value store.
     pub is_registered: bool,
+    /// Whether it decodes all variants of [`PeerMessage`](super::PeerMessage).
+    pub supports_extensions: bool,
     /// When the last gossip message was received.
     pub last_gossip_at: Option<Timestamp>,
     /// When it was added to the table.
@@ -123,6 +125,7 @@
         let peer = self.peers.entry(member.id.clone()).or_insert_with(|| Peer {
             member: member.clone(),
             is_registered: true,
+            supports_extensions: false,
             last_gossip_at: None,
             added_at: now,
             last_message: None,
@@ -134,6 +137,20 @@
         replaced
     }
 
+    /// Records whether a daemon decodes all variants of [`PeerMessage`](super::PeerMessage).
+    pub(super) fn set_extension_support(&mut self, id: &DaemonId, is_supported: bool) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.supports_extensions = is_supported;
+        }
+    }
+
+    /// Returns whether a daemon decodes all variants of [`PeerMessage`](super::PeerMessage).
+    pub(super) fn supports_extensions(&self, id: &DaemonId) -> bool {
+        self.peers
+            .get(id)
+            .is_some_and(|peer| peer.supports_extensions)
+    }
+
     /// Records that a daemon is no longer registered.
     pub fn on_unregistered(&mut self, id: &DaemonId) {
         if let Some(peer) = self.peers.get_mut(id) {
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -114,6 +114,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Seed that spreads calls without shared parts.
     pub seed: u64,
+    /// Only version that may be selected.
+    pub version: Option<&'a SoftwareVersion>,
     /// Endpoints that must not be selected.
     pub excluded: &'a [EndpointId],
 }
@@ -402,8 +404,12 @@
     endpoints: &[EndpointState],
     query: &EndpointQuery<'_>,
 ) -> Vec<usize> {
-    let is_eligible =
-        |endpoint: &EndpointState| !endpoint.is_leaving && !query.excluded.contains(&endpoint.id);
+    let is_version = |endpoint: &EndpointState| {
+        query.version.is_none() || query.version == endpoint.version.as_ref()
+    };
+    let is_eligible = |endpoint: &EndpointState| {
+        !endpoint.is_leaving && is_version(endpoint) && !query.excluded.contains(&endpoint.id)
+    };
     let mut usable: Vec<usize> = (0..endpoints.len())
         .filter(|index| {
             is_eligible(&endpoints[*index]) && !endpoints[*index].health.is_in_backoff(now)
--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -0,0 +1,126 @@
+//! Messages between the gateways of a fleet.
+//!
+//! Daemons of two builds serve side by side during an upgrade, and a daemon closes a link on
+//! a message that it cannot decode. So a gossip message is encoded as it always was, and any
+//! other message follows the sequence number 0, which no gossip message has. Only peers that
+//! announce that they decode these messages receive them.
+
+use std::borrow::Cow;
+use std::fmt;
+
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use super::gossip::GossipMessage;
+use super::resumption::{OriginQuery, OriginReply};
+use super::stream_origin::OriginGroup;
+use super::view::ViewChange;
+use crate::ids::SoftwareVersion;
+
+/// Sequence number in place of a gossip message's own, before any other message.
+const EXTENSION: u64 = 0;
+
+/// Message to a peer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerMessage {
+    /// Gossip message, which any build decodes; software versions are not encoded.
+    Gossip(GossipMessage),
+    /// Gossip message with the software versions of the endpoints in it.
+    VersionedGossip(GossipMessage),
+    /// Origins of streams, for the recipient to keep.
+    Origins(Vec<OriginGroup>),
+    /// Question about the origin of a stream.
+    Lookup(OriginQuery),
+    /// Answer to such a question.
+    Answer(OriginReply),
+}
+
+/// Encoding of what follows [`EXTENSION`]; variants are added at the end.
+#[derive(Serialize, Deserialize)]
+enum Extension<'a> {
+    Gossip(Cow<'a, GossipMessage>, Vec<Option<SoftwareVersion>>),
+    Origins(Cow<'a, [OriginGroup]>),
+    Lookup(Cow<'a, OriginQuery>),
+    Answer(Cow<'a, OriginReply>),
+}
+
+impl Serialize for PeerMessage {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let extension = match self {
+            Self::Gossip(message) => return message.serialize(serializer),
+            Self::VersionedGossip(message) => {
+                let versions = endpoint_versions(&mut message.clone())
+                    .map(|version| version.take())
+                    .collect();
+                Extension::Gossip(Cow::Borrowed(message), versions)
+            }
+            Self::Origins(groups) => Extension::Origins(Cow::Borrowed(groups)),
+            Self::Lookup(query) => Extension::Lookup(Cow::Borrowed(query)),
+            Self::Answer(reply) => Extension::Answer(Cow::Borrowed(reply)),
+        };
+        (EXTENSION, extension).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for PeerMessage {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        /// Number of fields of [`GossipMessage`], the longer form.
+        const FIELDS: usize = 7;
+        deserializer.deserialize_tuple(FIELDS, MessageVisitor)
+    }
+}
+
+struct MessageVisitor;
+
+impl<'de> Visitor<'de> for MessageVisitor {
+    type Value = PeerMessage;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a message between gateways")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let sequence = next(&mut seq)?;
+        if sequence == EXTENSION {
+            return Ok(match next::<Extension<'static>, _>(&mut seq)? {
+                Extension::Gossip(message, versions) => {
+                    let mut message = message.into_owned();
+                    for (slot, version) in endpoint_versions(&mut message).zip(versions) {
+                        *slot = version;
+                    }
+                    PeerMessage::VersionedGossip(message)
+                }
+                Extension::Origins(groups) => PeerMessage::Origins(groups.into_owned()),
+                Extension::Lookup(query) => PeerMessage::Lookup(query.into_owned()),
+                Extension::Answer(reply) => PeerMessage::Answer(reply.into_owned()),
+            });
+        }
+        Ok(PeerMessage::Gossip(GossipMessage {
+            sequence,
+            is_ready: next(&mut seq)?,
+            loads: next(&mut seq)?,
+            quota_usage: next(&mut seq)?,
+            started_requests: next(&mut seq)?,
+            demand: next(&mut seq)?,
+            view: next(&mut seq)?,
+        }))
+    }
+}
+
+fn next<'de, T: Deserialize<'de>, A: SeqAccess<'de>>(seq: &mut A) -> Result<T, A::Error> {
+    seq.next_element()?
+        .ok_or_else(|| A::Error::custom("the message is too short"))
+}
+
+/// Returns the versions of the endpoints in a gossip message, in its order.
+fn endpoint_versions(
+    message: &mut GossipMessage,
+) -> impl Iterator<Item = &mut Option<SoftwareVersion>> {
+    let batches = message.view.batches.iter_mut();
+    batches
+        .flat_map(|batch| &mut batch.changes)
+        .filter_map(|change| match change {
+            ViewChange::Endpoint(record) => Some(&mut record.version),
+            _ => None,
+        })
+}
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -7,6 +7,8 @@
 use super::health::CallOutcome;
 use super::load_balancer::{CallAttempt, EndpointQuery};
 use super::recovery::{self, CallFailure, FailureAction, RETRY_AFTER};
+use super::rules::CallKind;
+use super::stream_origin::AttemptDigest;
 use crate::decision::{Decision, DecisionKind};
 use crate::error::{ErrorKind, Refusal};
 use crate::hash::digest64;
@@ -16,7 +18,7 @@
 
 /// Age of the view of the key-value store above which an unknown host, path or key may be a
 /// recent addition.
-const MAX_CERTAIN_AGE: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_CERTAIN_AGE: Duration = Duration::from_millis(1_500);
 /// Retry delay for callers of a daemon without a configuration or contact to the store.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Shortest retry delay for a caller over its quota.
@@ -104,9 +106,15 @@
                 .ok_or_else(|| unless_stale(ErrorKind::Unauthenticated, "unknown key"))?;
             customer = Some(known);
         }
-        let seed = digest64(&[attributes.id.as_bytes()]);
+        let is_resumable = route.kind == CallKind::Stream && route.is_resumable;
+        let is_resumed = is_resumable && attributes.resume_after.is_some();
+        let first_attempt = match &attributes.resumed_attempt {
+            Some(attempt) if is_resumed => attempt,
+            _ => &attributes.id,
+        };
+        let stream = AttemptDigest::of(first_attempt);
         let service = route
-            .target(seed)
+            .target(stream.0)
             .ok_or_else(|| Refusal::new(ErrorKind::NoEndpoint, "route without a service"))?;
         let timeout = attributes
             .caller_timeout
@@ -115,6 +123,9 @@
         let mut call = AdmittedCall {
             id: attributes.id.clone(),
             service: service.clone(),
+            stream,
+            is_resumed,
+            origin: None,
             customer: customer.map(|customer| customer.name.clone()),
             rank: customer
                 .and_then(|customer| customer.rank)
@@ -164,7 +175,11 @@
         let attempt = self.find_endpoint(now, call, true);
         let (calls, slots) = self.load_balancer.occupancy(&call.service);
         let Some(attempt) = attempt else {
-            let detail = "no endpoint of the service is known";
+            self.record_version_gone(now, call);
+            let detail = match &call.origin {
+                None => "no endpoint of the service is known",
+                Some(_) => "no endpoint of the stream's version is known",
+            };
             let refusal = match call.executions {
                 0 => Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(RETRY_AFTER),
                 _ => Refusal::new(ErrorKind::EndpointFailed, detail),
@@ -173,6 +188,7 @@
                 Decision::new(now, DecisionKind::Route, "refuse", refusal.kind.name())
                     .with("request", &call.id)
                     .with("service", &call.service)
+                    .with("software", call.pinned_version())
                     .with("tried", call.tried.len())
                     .with("slots", slots),
             );
@@ -209,6 +225,7 @@
             service: &call.service,
             prompt: call.prompt.as_ref(),
             seed: digest64(&[call.id.as_bytes()]),
+            version: call.origin.as_ref().map(|origin| &origin.version),
             excluded: &call.tried,
         };
         let untried = self.load_balancer.select(now, &query);
@@ -237,6 +254,7 @@
         attempt: &mut CallAttempt,
     ) {
         self.load_balancer.on_first_output(now, attempt);
+        self.record_origin(now, call, attempt);
         self.count_started(now, call);
     }
 
--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -0,0 +1,499 @@
+//! Resumes streams that callers take up at the software version that began them.
+//!
+//! The daemon that began a stream may be gone, so while a service has several versions the
+//! origin of each of its streams is sent to a few peers, chosen by rendezvous hashing of the
+//! caller's attempt. A daemon that does not know a stream asks those peers, or all in a small
+//! fleet. A stream whose origin nobody knows goes on only if a single version was there all
+//! the time; otherwise it is refused.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Gateway;
+use super::call::AdmittedCall;
+use super::gossip::{GossipMessage, Peer};
+use super::load_balancer::CallAttempt;
+use super::peer_message::PeerMessage;
+use super::recovery::RETRY_AFTER;
+use super::requests::MAX_CERTAIN_AGE;
+use super::rules::CallKind;
+use super::stream_origin::{AttemptDigest, OriginGroup, RETURN_TIME, StreamOrigin};
+use super::version_history::VersionHistory;
+use super::view::{ViewBatch, ViewChange};
+use crate::decision::{Decision, DecisionKind};
+use crate::domain;
+use crate::error::{ErrorKind, Refusal};
+use crate::hash::{digest64, rendezvous_weight};
+use crate::ids::{DaemonId, ServiceName, SoftwareVersion};
+use crate::units::Timestamp;
+
+/// Number of peers that keep the origin of a stream: two may fail at once.
+pub const COPIES: usize = 3;
+/// Fleet size up to which all peers are asked, and origins are sent at the full rate. Above it
+/// the rate shrinks with the fleet, since each message has fewer origins.
+const FULL_RATE_DAEMONS: usize = 32;
+/// Bytes of origins that a daemon sends per second in fleets of up to [`FULL_RATE_DAEMONS`].
+const SENT_BYTES_PER_SECOND: f64 = 32_768.0;
+/// Time for which unused bytes may be saved up, for a service that turns to several versions.
+const SENT_BYTES_BURST: Duration = Duration::from_secs(4);
+/// Bytes of a message with its headers, without its origins.
+const MESSAGE_BYTES: f64 = 96.0;
+/// Bytes of one origin in a message.
+const ORIGIN_BYTES: f64 = 9.0;
+
+domain! {
+    /// Question to a peer: which version began a stream.
+    #[derive(Eq)]
+    pub struct OriginQuery {
+        /// Number that matches the answer to the question.
+        pub id: u64,
+        /// Attempt that brought the first event.
+        pub attempt: AttemptDigest,
+        /// Service that the route selects for it.
+        pub service: ServiceName,
+    }
+
+    /// Answer to an [`OriginQuery`].
+    #[derive(Eq)]
+    pub struct OriginReply {
+        /// Number of the question.
+        pub id: u64,
+        /// What the peer knows.
+        pub answer: OriginAnswer,
+    }
+
+    /// What a daemon knows about the origin of a stream.
+    #[derive(Eq)]
+    pub enum OriginAnswer {
+        /// The stream began there.
+        Known(StreamOrigin),
+        /// The stream is unknown; the service had only this version as long as streams last.
+        Sole(SoftwareVersion),
+        /// The stream is unknown; the service had several versions.
+        Mixed,
+        /// Neither the stream nor the versions are known.
+        Unknown,
+    }
+}
+
+/// Lookup of a stream's origin among peers.
+#[derive(Debug)]
+pub struct OriginLookup {
+    /// Peers to ask, with their addresses.
+    pub peers: Vec<(DaemonId, SocketAddr)>,
+    /// Attempt that brought the first event.
+    pub attempt: AttemptDigest,
+    /// Service that the route selects for it.
+    pub service: ServiceName,
+    started_at: Timestamp,
+    answers: Vec<OriginAnswer>,
+}
+
+impl OriginLookup {
+    /// Records the answer of a peer.
+    pub fn on_answer(&mut self, answer: OriginAnswer) {
+        self.answers.push(answer);
+    }
+
+    /// Returns whether no further answer is needed.
+    pub fn is_decided(&self) -> bool {
+        self.answers.len() >= self.peers.len() || self.known().is_some()
+    }
+
+    fn known(&self) -> Option<&StreamOrigin> {
+        self.answers.iter().find_map(|answer| match answer {
+            OriginAnswer::Known(origin) => Some(origin),
+            _ => None,
+        })
+    }
+
+    fn has_mixed(&self) -> bool {
+        self.answers.contains(&OriginAnswer::Mixed)
+    }
+
+    fn soles(&self) -> impl Iterator<Item = &SoftwareVersion> {
+        self.answers.iter().filter_map(|answer| match answer {
+            OriginAnswer::Sole(version) => Some(version),
+            _ => None,
+        })
+    }
+}
+
+/// Token bucket for the bytes of sent origins.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SendBudget {
+    spent: f64,
+    updated_at: Timestamp,
+}
+
+impl SendBudget {
+    fn left(&mut self, now: Timestamp, rate: f64) -> f64 {
+        let refilled = now.since(self.updated_at).as_secs_f64() * rate;
+        self.spent = (self.spent - refilled).max(0.0);
+        self.updated_at = now;
+        rate * SENT_BYTES_BURST.as_secs_f64() - self.spent
+    }
+}
+
+impl Gateway {
+    /// Finds the origin of a stream that the caller takes up; returns a lookup if peers have to
+    /// be asked, which [`Gateway::end_resumption`] ends.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if the stream cannot go on; nothing has run.
+    pub fn begin_resumption(
+        &mut self,
+        now: Timestamp,
+        call: &mut AdmittedCall,
+    ) -> Result<Option<OriginLookup>, Refusal> {
+        if !call.is_resumed {
+            return Ok(None);
+        }
+        let lookup = OriginLookup {
+            peers: Vec::new(),
+            attempt: call.stream,
+            service: call.service.clone(),
+            started_at: now,
+            answers: Vec::new(),
+        };
+        if let Some(origin) = self.origins.get(now, call.stream).cloned() {
+            self.pin(now, call, origin, "own", &lookup)?;
+            return Ok(None);
+        }
+        let asked = match self.peer_table.len() < FULL_RATE_DAEMONS {
+            // The daemon that began the stream may not have sent its origin.
+            true => usize::MAX,
+            false => COPIES + 1,
+        };
+        let peers = self.holders(now, call.stream, asked);
+        Ok(Some(OriginLookup { peers, ..lookup }))
+    }
+
+    /// Decides about a stream that the caller takes up, by the answers so far.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if the stream cannot go on; nothing has run.
+    pub fn end_resumption(
+        &mut self,
+        now: Timestamp,
+        call: &mut AdmittedCall,
+        lookup: &OriginLookup,
+    ) -> Result<(), Refusal> {
+        if let Some(origin) = lookup.known() {
+            return self.pin(now, call, Arc::new(origin.clone()), "peer", lookup);
+        }
+        let is_mixed = lookup.has_mixed() || self.versions.is_mixed(now, &lookup.service);
+        let own = self.sole_version(now, &lookup.service).cloned();
+        let mut soles = own.iter().chain(lookup.soles());
+        if let Some(version) = soles.next().filter(|_| !is_mixed)
+            && soles.all(|other| other == version)
+        {
+            let origin = StreamOrigin {
+                service: lookup.service.clone(),
+                version: version.clone(),
+            };
+            return self.pin(now, call, Arc::new(origin), "sole", lookup);
+        }
+        self.record_resumption(now, call, "refuse", "unknown", lookup);
+        let refusal = Refusal::new(ErrorKind::NoEndpoint, "the stream's version is unknown");
+        let may_be_known_later = lookup.answers.len() < lookup.peers.len();
+        Err(Refusal {
+            retry_after: may_be_known_later.then_some(RETRY_AFTER),
+            ..refusal
+        })
+    }
+
+    fn pin(
+        &mut self,
+        now: Timestamp,
+        call: &mut AdmittedCall,
+        origin: Arc<StreamOrigin>,
+        reason: &str,
+        lookup: &OriginLookup,
+    ) -> Result<(), Refusal> {
+        let mut targets = call.route.targets.iter();
+        if !targets.any(|target| target.service == origin.service) {
+            self.record_resumption(now, call, "refuse", "moved", lookup);
+            let detail = "the route has left the stream's service";
+            return Err(Refusal {
+                retry_after: None,
+                ..Refusal::new(ErrorKind::NoEndpoint, detail)
+            });
+        }
+        call.service.clone_from(&origin.service);
+        self.record_resumption(now, call, origin.version.as_str(), reason, lookup);
+        call.origin = Some(origin);
+        Ok(())
+    }
+
+    fn record_resumption(
+        &mut self,
+        now: Timestamp,
+        call: &AdmittedCall,
+        choice: &str,
+        reason: &str,
+        lookup: &OriginLookup,
+    ) {
+        self.journal.record(
+            Decision::new(now, DecisionKind::Resume, choice, reason)
+                .with("request", &call.id)
+                .with("service", &call.service)
+                .with("asked", lookup.peers.len())
+                .with("answered", lookup.answers.len())
+                .with("took_ms", now.since(lookup.started_at).as_millis()),
+        );
+    }
+
+    /// Records that no endpoint of its version is left for a stream that the caller takes up.
+    pub(super) fn record_version_gone(&mut self, now: Timestamp, call: &AdmittedCall) {
+        if !call.is_resumed || call.sends > 0 {
+            return;
+        }
+        self.journal.record(
+            Decision::new(now, DecisionKind::Resume, "refuse", "no-endpoint")
+                .with("request", &call.id)
+                .with("service", &call.service)
+                .with("software", call.pinned_version()),
+        );
+    }
+
+    /// Records the origin of a stream whose first event arrived.
+    pub(super) fn record_origin(
+        &mut self,
+        now: Timestamp,
+        call: &mut AdmittedCall,
+        attempt: &CallAttempt,
+    ) {
+        if call.route.kind != CallKind::Stream || !call.route.is_resumable {
+            return;
+        }
+        if call.origin.is_none() {
+            let Some(version) = attempt.version.clone() else {
+                return;
+            };
+            let service = attempt.service.clone();
+            call.origin = Some(Arc::new(StreamOrigin { service, version }));
+        }
+        let Some(origin) = &call.origin else {
+            return;
+        };
+        let expires_at = call.deadline.after(RETURN_TIME);
+        self.origins.record_own(call.stream, origin, expires_at);
+        self.has_origins_to_send |= self.versions.is_mixed(now, &origin.service);
+    }
+
+    /// Returns whether origins wait to be sent to peers.
+    pub fn has_origins_to_send(&self) -> bool {
+        self.has_origins_to_send
+    }
+
+    /// Returns the origins to send to each peer. Origins beyond the budget stay with this
+    /// daemon alone.
+    pub fn take_origins(
+        &mut self,
+        now: Timestamp,
+    ) -> Vec<(DaemonId, SocketAddr, Vec<OriginGroup>)> {
+        self.has_origins_to_send = false;
+        let mixed: Vec<ServiceName> = self
+            .origins
+            .unsent_services()
+            .filter(|service| self.versions.is_mixed(now, service))
+            .cloned()
+            .collect();
+        if mixed.is_empty() || self.supporting_peers(now).next().is_none() {
+            return Vec::new();
+        }
+        let daemons = 1 + self.peer_table.len();
+        let share = (FULL_RATE_DAEMONS as f64 / daemons as f64).min(1.0);
+        let mut left = self.send_budget.left(now, SENT_BYTES_PER_SECOND * share);
+        type Groups = BTreeMap<Arc<StreamOrigin>, Vec<(AttemptDigest, u8)>>;
+        let mut messages: BTreeMap<(DaemonId, SocketAddr), Groups> = BTreeMap::new();
+        let mut skipped = 0;
+        for (attempt, origin, kept) in mixed
+            .iter()
+            .flat_map(|service| self.origins.take_unsent(now, service))
+            .collect::<Vec<_>>()
+        {
+            if left <= 0.0 {
+                skipped += 1;
+                continue;
+            }
+            let seconds = u8::try_from(kept.as_secs() + 1).unwrap_or(u8::MAX);
+            for peer in self.holders(now, attempt, COPIES) {
+                let groups = messages.entry(peer).or_insert_with(|| {
+                    self.send_budget.spent += MESSAGE_BYTES;
+                    left -= MESSAGE_BYTES;
+                    Groups::new()
+                });
+                let streams = groups.entry(Arc::clone(&origin)).or_default();
+                streams.push((attempt, seconds));
+                self.send_budget.spent += ORIGIN_BYTES;
+                left -= ORIGIN_BYTES;
+            }
+        }
+        if skipped > 0 {
+            self.journal.record(
+                Decision::new(now, DecisionKind::Budget, "not-sent", "stream-origins")
+                    .with("streams", skipped),
+            );
+        }
+        let to_group = |(origin, streams): (Arc<StreamOrigin>, _)| OriginGroup {
+            origin: (*origin).clone(),
+            streams,
+        };
+        messages
+            .into_iter()
+            .map(|((id, address), groups)| {
+                (id, address, groups.into_iter().map(to_group).collect())
+            })
+            .collect()
+    }
+
+    /// Applies origins from a peer.
+    pub fn on_origins(&mut self, now: Timestamp, groups: Vec<OriginGroup>) {
+        for group in groups {
+            let origin = Arc::new(group.origin);
+            for (attempt, seconds) in group.streams {
+                let expires_at = now.after(Duration::from_secs(seconds.into()));
+                self.origins.record(attempt, &origin, expires_at);
+            }
+        }
+    }
+
+    /// Answers a peer's question about the origin of a stream.
+    pub fn on_origin_query(&mut self, now: Timestamp, query: &OriginQuery) -> OriginReply {
+        let answer = if let Some(origin) = self.origins.get(now, query.attempt) {
+            OriginAnswer::Known((**origin).clone())
+        } else if self.versions.is_mixed(now, &query.service) {
+            OriginAnswer::Mixed
+        } else {
+            match self.sole_version(now, &query.service) {
+                Some(version) => OriginAnswer::Sole(version.clone()),
+                None => OriginAnswer::Unknown,
+            }
+        };
+        OriginReply {
+            id: query.id,
+            answer,
+        }
+    }
+
+    /// Records whether a peer decodes all variants of [`PeerMessage`].
+    pub fn set_extension_support(&mut self, id: &DaemonId, is_supported: bool) {
+        self.peer_table.set_extension_support(id, is_supported);
+    }
+
+    /// Completes a gossip message for one peer, in the form that the peer decodes.
+    pub fn peer_gossip(&self, to: &DaemonId, message: &GossipMessage) -> PeerMessage {
+        let message = self.gossip_for(to, message);
+        match self.peer_table.supports_extensions(to) && !message.view.batches.is_empty() {
+            true => PeerMessage::VersionedGossip(message),
+            false => PeerMessage::Gossip(message),
+        }
+    }
+
+    /// Records whether the key-value store marks a service as having several versions.
+    pub fn on_version_mark(&mut self, service: ServiceName, is_marked: bool) {
+        self.versions.on_mark(service, is_marked);
+        self.has_origins_to_send |= is_marked;
+    }
+
+    /// Returns the software versions of all services, and the marks.
+    pub fn version_history(&self) -> &VersionHistory {
+        &self.versions
+    }
+
+    /// Returns the services that this daemon has to mark: all with several versions, at the
+    /// ready daemon that ranks first.
+    pub fn services_to_mark(&self, now: Timestamp) -> Vec<ServiceName> {
+        let own = daemon_hash(&self.own);
+        let ranks_before =
+            |peer: &Peer| peer.supports_extensions && daemon_hash(&peer.member.id) < own;
+        if !self.is_ready(now) || self.peer_table.ready(now).any(ranks_before) {
+            return Vec::new();
+        }
+        self.versions.mixed_services(now).cloned().collect()
+    }
+
+    /// Records the software versions that are listed now.
+    pub(super) fn observe_versions(&mut self, now: Timestamp) {
+        self.versions.observe(now, &self.endpoints);
+        self.has_origins_to_send |= self
+            .origins
+            .unsent_services()
+            .any(|service| self.versions.is_mixed(now, service));
+    }
+
+    /// Returns batches from a peer with the software version of each endpoint. A build that
+    /// does not send versions leaves those of known processes as they were; any other endpoint
+    /// without a version has to be read from the store.
+    pub(super) fn with_versions(&self, batches: &[ViewBatch]) -> Vec<ViewBatch> {
+        let mut batches = batches.to_vec();
+        let changes = batches.iter_mut().flat_map(|batch| &mut batch.changes);
+        for change in changes {
+            let ViewChange::Endpoint(record) = change else {
+                continue;
+            };
+            if record.version.is_some() {
+                continue;
+            }
+            let known = self.endpoints.get(&record.id).map(|known| &known.record);
+            let same = known.filter(|known| {
+                known.started_at_ms == record.started_at_ms && known.address == record.address
+            });
+            match same.and_then(|known| known.version.clone()) {
+                Some(version) => record.version = Some(version),
+                None => *change = ViewChange::Other,
+            }
+        }
+        batches
+    }
+
+    /// Returns whether all known daemons mark services with several versions.
+    pub(super) fn are_marks_complete(&self) -> bool {
+        let mut peers = self.peer_table.peers();
+        peers.all(|peer| peer.supports_extensions)
+    }
+
+    fn sole_version(&self, now: Timestamp, service: &ServiceName) -> Option<&SoftwareVersion> {
+        let is_fresh = self.freshness.is_within(now, MAX_CERTAIN_AGE);
+        self.versions.sole(now, service).filter(|_| is_fresh)
+    }
+
+    fn supporting_peers(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
+        let peers = self.peer_table.reachable(now);
+        peers.filter(|peer| peer.supports_extensions)
+    }
+
+    /// Returns the reachable peers that rank first for a stream.
+    fn holders(
+        &self,
+        now: Timestamp,
+        stream: AttemptDigest,
+        count: usize,
+    ) -> Vec<(DaemonId, SocketAddr)> {
+        let mut ranked: Vec<(Reverse<u64>, &Peer)> = self
+            .supporting_peers(now)
+            .map(|peer| {
+                let weight = rendezvous_weight(stream.0, daemon_hash(&peer.member.id));
+                (Reverse(weight), peer)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, _)| *weight);
+        ranked
+            .into_iter()
+            .take(count)
+            .map(|(_, peer)| (peer.member.id.clone(), peer.member.peer_address))
+            .collect()
+    }
+}
+
+/// Hash of a daemon for rendezvous hashing; a restarted process ranks as before.
+fn daemon_hash(id: &DaemonId) -> u64 {
+    digest64(&[id.vm.as_str().as_bytes()])
+}
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -38,6 +38,10 @@
         );
         if is_newer {
             self.quotas.set_customers(now, &rules.customers);
+            let resumable = rules.routes.iter().filter(|route| route.is_resumable);
+            let longest_stream = resumable.map(|route| route.timeout).max();
+            self.versions
+                .set_longest_stream(longest_stream.unwrap_or_default());
             self.routing_table = Some(RoutingTable::new(rules));
         }
         is_newer
@@ -72,6 +76,7 @@
     pub fn on_endpoint(&mut self, now: Timestamp, record: EndpointRecord) {
         if self.endpoints.on_entry(now, record, &mut self.journal) {
             self.load_balancer.set_endpoints(&self.endpoints);
+            self.observe_versions(now);
         }
     }
 
@@ -83,6 +88,7 @@
             .on_removed(now, id, is_after_outage, &mut self.journal)
         {
             self.load_balancer.set_endpoints(&self.endpoints);
+            self.observe_versions(now);
         }
     }
 
@@ -94,7 +100,10 @@
             .on_list(now, records, is_after_outage, &mut self.journal)
         {
             self.load_balancer.set_endpoints(&self.endpoints);
+            self.observe_versions(now);
         }
+        let are_marks_complete = self.are_marks_complete();
+        self.versions.on_snapshot(now, are_marks_complete);
     }
 
     /// Applies the registration of a daemon.
@@ -155,6 +164,7 @@
     /// time.
     pub fn tick(&mut self, now: Timestamp) {
         self.usage.remove_expired(now);
+        self.origins.remove_expired(now);
         for expired in self.peer_table.remove_expired(now) {
             self.quotas.remove_peer(&expired);
             self.journal.record(
@@ -176,6 +186,7 @@
                 .remove_expired(now, store_ok_since, &mut self.journal)
         {
             self.load_balancer.set_endpoints(&self.endpoints);
+            self.observe_versions(now);
         }
     }
 
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -200,7 +200,8 @@
 
     /// Applies a peer's update of the view.
     pub(super) fn on_view_update(&mut self, now: Timestamp, update: &ViewUpdate) {
-        for change in self.view.missing(&update.batches) {
+        let batches = self.with_versions(&update.batches);
+        for change in self.view.missing(&batches) {
             match change {
                 ViewChange::Endpoint(record) => self.on_endpoint(now, record),
                 ViewChange::EndpointRemoved(id) => self.on_endpoint_removed(now, &id),
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -4,6 +4,8 @@
 //! All tasks run on one thread. `listener` reads requests, `call` serves each one as the
 //! core decides, `stream` forwards event streams and `upstream` calls endpoints.
 //! `store_sync` follows the key-value store, `gossip` exchanges messages with peers,
+//! `origins` finds out at which software version a stream goes on that a caller takes up,
+//! `marks` marks services with several versions in the key-value store,
 //! `leader` performs the duties of the lease holder, and `directory` answers address lookups,
 //! readiness probes and metrics scrapes.
 
@@ -14,7 +16,9 @@
 mod leader;
 mod listener;
 mod log;
+mod marks;
 pub mod metrics;
+mod origins;
 mod replacement;
 mod store_sync;
 mod stream;
@@ -146,7 +150,7 @@
     let (tx, rx) = mpsc::channel(gossip::EVENT_QUEUE_LEN);
     let timeouts = PeerTimeouts::default();
     let links = PeerEndpoint::bind(identity, settings.peer, pins.clone(), timeouts, tx);
-    let links = Rc::new(links.context(LinksSnafu)?);
+    let links = links.context(LinksSnafu)?;
     let member = Member {
         id: own.clone(),
         zone: settings.zone.clone(),
@@ -165,6 +169,7 @@
     let metrics_registry = GatewayMetrics::register().context(MetricsSnafu)?;
     let cx = Context::new(
         settings,
+        links,
         gateway,
         clock,
         DecisionLog::new(log),
@@ -183,8 +188,10 @@
         STORE_TIMEOUT,
     )));
     actix_rt::spawn(store_sync::run(Rc::clone(&cx), Rc::clone(&store)));
-    actix_rt::spawn(gossip::send(Rc::clone(&cx), Rc::clone(&links), pins));
+    actix_rt::spawn(gossip::send(Rc::clone(&cx), pins));
     actix_rt::spawn(gossip::receive(Rc::clone(&cx), rx));
+    actix_rt::spawn(origins::replicate(Rc::clone(&cx)));
+    actix_rt::spawn(marks::write(Rc::clone(&cx), Rc::clone(&store)));
     for listener in [Some(readiness), Some(metrics), directory]
         .into_iter()
         .flatten()
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -14,6 +14,7 @@
 use super::context::Context;
 use super::listener::{ConnectionAction, Request, SEND_TIMEOUT, reason_phrase, refuse};
 use super::log::Event;
+use super::origins;
 use super::replacement::{Attempts, RaceResult, SilentEnd, Start, race, silence, start};
 use super::stream::{self, StreamProgress};
 use super::upstream::{BodyFrame, Response, SendFailure, send_request};
@@ -70,7 +71,10 @@
         Err(refusal) => return send_refusal(cx, conn, request, Some(&id), &refusal).await,
     };
     let mut progress = StreamProgress::new(resume_after);
-    let (result, status, action) = run_attempts(cx, conn, request, &mut call, &mut progress).await;
+    let (result, status, action) = match origins::resume(cx, &mut call).await {
+        Ok(()) => run_attempts(cx, conn, request, &mut call, &mut progress).await,
+        Err(refusal) => fail_call(cx, conn, request, &call, &progress, &refusal).await,
+    };
     cx.metrics.finished(&call, cx.now(), result);
     cx.with_gateway(|gateway, now| gateway.end(now, call, result, status));
     action
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -1,16 +1,20 @@
 //! State shared by the tasks of a gateway: the core, the clock, the log and the metrics.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use laburnumstall_core::decision::{Decision, Journal};
-use laburnumstall_core::gateway::{CallerLimits, Gateway};
+use laburnumstall_core::gateway::{CallerLimits, Gateway, PeerMessage};
+use laburnumstall_core::ids::DaemonId;
 use laburnumstall_core::units::{Bytes, Timestamp};
+use laburnumstall_peer::PeerEndpoint;
 use laburnumstall_platform::settings::HostSettings;
 use tokio::sync::Notify;
 
 use super::log::{DecisionLog, Event};
 use super::metrics::GatewayMetrics;
+use super::origins::PendingLookups;
 use super::upstream::Pool;
 use crate::clock::Clock;
 
@@ -28,10 +32,15 @@
     pub settings: HostSettings,
     /// Idle connections to endpoints.
     pub pool: Pool,
+    /// Lookups of stream origins that wait for answers.
+    pub lookups: PendingLookups,
+    /// Wakes the task that sends stream origins to peers.
+    pub origin_signal: Notify,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Wakes tasks when a stop begins, idle connections close or the gateway ends.
     pub stop_signal: Notify,
+    links: PeerEndpoint<PeerMessage>,
     clock: Clock,
     gateway: RefCell<Gateway>,
     log: RefCell<DecisionLog>,
@@ -44,6 +53,7 @@
     /// Creates the state; no connection or caller exists yet.
     pub(super) fn new(
         settings: HostSettings,
+        links: PeerEndpoint<PeerMessage>,
         gateway: Gateway,
         clock: Clock,
         log: DecisionLog,
@@ -52,8 +62,11 @@
         Rc::new(Self {
             settings,
             pool: Pool::default(),
+            lookups: PendingLookups::default(),
+            origin_signal: Notify::new(),
             metrics,
             stop_signal: Notify::new(),
+            links,
             clock,
             gateway: RefCell::new(gateway),
             log: RefCell::new(log),
@@ -74,11 +87,26 @@
         let mut gateway = self.gateway.borrow_mut();
         let result = f(&mut gateway, now);
         let decisions = gateway.take_decisions();
+        let has_origins_to_send = gateway.has_origins_to_send();
         drop(gateway);
+        if has_origins_to_send {
+            self.origin_signal.notify_one();
+        }
         self.write(now, &decisions);
         result
     }
 
+    /// Queues a message to a peer; a failure is logged.
+    pub(super) fn send_to_peer(&self, peer: &DaemonId, address: SocketAddr, message: PeerMessage) {
+        if let Err(error) = self.links.send(peer, address, message) {
+            self.event(
+                Event::new("news-not-sent")
+                    .with("daemon", peer)
+                    .with("cause", error.fault),
+            );
+        }
+    }
+
     /// Logs decisions that were made outside the gateway core.
     pub(super) fn record(&self, mut journal: Journal) {
         self.write(self.now(), &journal.take());
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use laburnumstall_core::gateway::GossipMessage;
-use laburnumstall_peer::{PeerEndpoint, PeerEvent, Pins};
+use laburnumstall_core::gateway::PeerMessage;
+use laburnumstall_core::ids::DaemonId;
+use laburnumstall_peer::{PeerEvent, Pins};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -15,7 +16,7 @@
 pub(super) const EVENT_QUEUE_LEN: usize = 1_024;
 
 /// Sends a gossip message to every known peer, once per gossip period.
-pub(super) async fn send(cx: Rc<Context>, links: Rc<PeerEndpoint<GossipMessage>>, pins: Pins) {
+pub(super) async fn send(cx: Rc<Context>, pins: Pins) {
     loop {
         let period = cx.with_gateway(|gateway, _| gateway.peer_table().gossip_period());
         sleep(period).await;
@@ -34,27 +35,18 @@
                 .map(|member| (member.certificate, member.id.clone())),
         );
         for member in &members {
-            let message = cx.with_gateway(|gateway, _| gateway.gossip_for(&member.id, &gossip));
-            let sent = links.send(&member.id, member.peer_address, message);
-            if let Err(error) = sent {
-                cx.event(
-                    Event::new("news-not-sent")
-                        .with("daemon", &member.id)
-                        .with("cause", error.fault),
-                );
-            }
+            let message = cx.with_gateway(|gateway, _| gateway.peer_gossip(&member.id, &gossip));
+            cx.send_to_peer(&member.id, member.peer_address, message);
         }
     }
 }
 
-/// Applies gossip messages from peers and logs changes of the links.
-pub(super) async fn receive(cx: Rc<Context>, mut rx: mpsc::Receiver<PeerEvent<GossipMessage>>) {
+/// Applies messages from peers and logs changes of the links.
+pub(super) async fn receive(cx: Rc<Context>, mut rx: mpsc::Receiver<PeerEvent<PeerMessage>>) {
     let mut lost = BTreeSet::new();
     while let Some(event) = rx.recv().await {
         match event {
-            PeerEvent::Message { from, message } => {
-                cx.with_gateway(|gateway, now| gateway.on_gossip(now, &from, message));
-            }
+            PeerEvent::Message { from, message } => apply(&cx, &from, message),
             PeerEvent::Connected { to } => {
                 lost.remove(&to);
                 cx.event(Event::new("link-up").with("daemon", &to));
@@ -78,3 +70,26 @@
         }
     }
 }
+
+fn apply(cx: &Context, from: &DaemonId, message: PeerMessage) {
+    match message {
+        PeerMessage::Gossip(message) | PeerMessage::VersionedGossip(message) => {
+            cx.with_gateway(|gateway, now| gateway.on_gossip(now, from, message));
+        }
+        PeerMessage::Origins(groups) => {
+            cx.with_gateway(|gateway, now| gateway.on_origins(now, groups));
+        }
+        PeerMessage::Lookup(query) => {
+            let (reply, address) = cx.with_gateway(|gateway, now| {
+                let reply = gateway.on_origin_query(now, &query);
+                let mut peers = gateway.peer_table().peers();
+                let peer = peers.find(|peer| peer.member.id == *from);
+                (reply, peer.map(|peer| peer.member.peer_address))
+            });
+            if let Some(address) = address {
+                cx.send_to_peer(from, address, PeerMessage::Answer(reply));
+            }
+        }
+        PeerMessage::Answer(reply) => cx.lookups.on_reply(reply),
+    }
+}
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use laburnumstall_core::decision::Decision;
+use laburnumstall_core::decision::{Decision, DecisionKind};
 use laburnumstall_core::error::ErrorKind;
 use laburnumstall_core::gateway::AdmittedCall;
 use laburnumstall_core::units::Timestamp;
@@ -78,8 +78,16 @@
     "Callers' connections that the daemon closed without an answer, by cause.",
 );
 
+/// Streams that callers take up, by what their origin is known from or why they are refused.
+pub const RESUMPTIONS: MetricSpec = spec(
+    "laburnumstall_gateway_resumptions_total",
+    MetricKind::Counter,
+    &["outcome"],
+    "Streams that callers took up, by what their software version was known from, or why they were refused.",
+);
+
 /// All gateway metrics, in the order of the reference page.
-pub const ALL: [MetricSpec; 9] = [
+pub const ALL: [MetricSpec; 10] = [
     REQUESTS,
     REFUSALS,
     DURATION,
@@ -89,6 +97,7 @@
     CONNECTIONS,
     CALLERS,
     CLOSES,
+    RESUMPTIONS,
 ];
 
 /// Registry and metrics of one gateway.
@@ -104,6 +113,7 @@
     connections: IntCounter,
     callers: IntGauge,
     closes: IntCounterVec,
+    resumptions: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -124,6 +134,7 @@
             connections: register::counter(&registry, &CONNECTIONS)?,
             callers: register::gauge(&registry, &CALLERS)?,
             closes: register::counters(&registry, &CLOSES)?,
+            resumptions: register::counters(&registry, &RESUMPTIONS)?,
             registry,
         })
     }
@@ -160,6 +171,10 @@
     pub fn decision(&self, decision: &Decision) {
         let labels = [decision.kind.name(), decision.reason.as_str()];
         self.decisions.with_label_values(&labels).inc();
+        if decision.kind == DecisionKind::Resume {
+            let outcome = [decision.reason.as_str()];
+            self.resumptions.with_label_values(&outcome).inc();
+        }
     }
 
     /// Counts a read of the key-value store.
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use laburnumstall_core::gateway::{EndpointRecord, Gateway, ViewChange};
-use laburnumstall_core::ids::{DaemonId, VmId};
+use laburnumstall_core::ids::{DaemonId, ServiceName, VmId};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::store::{
     LeaseId, StoreCall, StoreKey, StoreReply, StoreVersion, StoredValue,
@@ -13,10 +13,12 @@
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_outside::key_value::KeyValue;
 use laburnumstall_platform::store::{Change, Changes, ReadFailure, Store};
+use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::context::Context;
 use super::log::Event;
+use super::marks;
 
 /// Minimum interval between reads of changes. Endpoint heartbeats wake a watch many times a
 /// second, while a change must be seen well within the two seconds after which a leaving
@@ -38,6 +40,17 @@
 /// Prefix of the keys under which daemons register.
 const MEMBERS_PREFIX: &str = "daemons/";
 
+/// Registration of a daemon, as stored.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredMember {
+    #[serde(flatten)]
+    member: Member,
+    /// Whether the daemon decodes all variants of `PeerMessage`, and marks services with
+    /// several versions.
+    #[serde(default)]
+    stream_origins: bool,
+}
+
 /// Reads a snapshot of the store, then its changes, forever.
 pub(super) async fn run(cx: Rc<Context>, store: Rc<Store>) {
     loop {
@@ -134,13 +147,16 @@
 fn apply_snapshot(cx: &Context, snapshot: Changes) {
     let mut endpoints: Vec<EndpointRecord> = Vec::new();
     let mut members: BTreeSet<DaemonId> = BTreeSet::new();
+    let mut marked: BTreeSet<ServiceName> = BTreeSet::new();
     for change in snapshot.changes {
         match change {
             Change::Endpoint(record) => endpoints.push(record),
             Change::Own(value) => {
-                if let Some(member) = parse_member(cx, &value) {
-                    members.insert(member.id.clone());
-                    cx.with_gateway(|gateway, now| gateway.on_member(now, member));
+                if let Some(service) = marks::marked_service(&value) {
+                    marked.insert(service);
+                } else if let Some(stored) = parse_member(cx, &value) {
+                    members.insert(stored.member.id.clone());
+                    apply_member(cx, stored);
                 }
             }
             other => apply_change(cx, other),
@@ -153,6 +169,18 @@
             .with("version", snapshot.version),
     );
     cx.with_gateway(|gateway, now| {
+        let ended: Vec<ServiceName> = gateway
+            .version_history()
+            .marks()
+            .filter(|service| !marked.contains(*service))
+            .cloned()
+            .collect();
+        for service in ended {
+            gateway.on_version_mark(service, false);
+        }
+        for service in marked {
+            gateway.on_version_mark(service, true);
+        }
         gateway.on_endpoints(now, endpoints);
         let known: Vec<DaemonId> = gateway
             .peer_table()
@@ -176,10 +204,14 @@
         Change::EndpointRemoved(id) => {
             cx.with_gateway(|gateway, now| gateway.on_endpoint_removed(now, &id));
         }
-        Change::Own(value) if value.value.is_none() => remove_member(cx, &value),
         Change::Own(value) => {
-            if let Some(member) = parse_member(cx, &value) {
-                cx.with_gateway(|gateway, now| gateway.on_member(now, member));
+            if let Some(service) = marks::marked_service(&value) {
+                let is_marked = value.value.is_some();
+                cx.with_gateway(|gateway, _| gateway.on_version_mark(service, is_marked));
+            } else if value.value.is_none() {
+                remove_member(cx, &value);
+            } else if let Some(stored) = parse_member(cx, &value) {
+                apply_member(cx, stored);
             }
         }
         Change::Unreadable { key, fault } => {
@@ -192,8 +224,16 @@
     }
 }
 
+fn apply_member(cx: &Context, stored: StoredMember) {
+    cx.with_gateway(|gateway, now| {
+        let id = stored.member.id.clone();
+        gateway.on_member(now, stored.member);
+        gateway.set_extension_support(&id, stored.stream_origins);
+    });
+}
+
 /// Parses a daemon's registration; `None` for other keys and unreadable values.
-fn parse_member(cx: &Context, value: &StoredValue) -> Option<Member> {
+fn parse_member(cx: &Context, value: &StoredValue) -> Option<StoredMember> {
     if !value.key.as_str().starts_with(MEMBERS_PREFIX) {
         return None;
     }
@@ -305,7 +345,11 @@
     }
 
     async fn write(&self, member: &Member, lease: LeaseId) -> Result<(), &'static str> {
-        let value = serde_json::to_vec(member).map_err(|_| "not-encoded")?;
+        let stored = StoredMember {
+            member: member.clone(),
+            stream_origins: true,
+        };
+        let value = serde_json::to_vec(&stored).map_err(|_| "not-encoded")?;
         let key = self.key.clone();
         let current = self.store.call(StoreCall::Get { key: key.clone() }).await;
         let Ok(StoreReply::Value(current)) = current else {
