Play endpoints of two software versions and streams resumed by callers

Cause: endpoints of several software versions may serve side by side on the users' platform, and a stream may go on only at the version that began it. The stand-ins registered one fixed version, and no caller resumed a stream, so that neither the soak nor its tests could see a stream joined from two versions.

Change: an endpoint stand-in has a version, writes it into each event of a stream and notes it with each request that ran. A caller whose stream was cut after an event resumes it at a daemon from the directory, at most three times, with a new attempt id, Last-Event-Id and Resumes. The content of a stream comes from its path, which all attempts share. An event of another version than the first makes the answer wrong, in one answer or over the attempts. The soak starts endpoints of two versions of each service; a release replaces half of a service's endpoints by the next version, and a successor of a crashed endpoint has a version that is in service. Of 12 or more resumed streams, while two endpoints of their version serve, the share that goes on has to be half the share of new ones that begin.

--- a/crates/laburnumstall-soak/src/checks.rs
+++ b/crates/laburnumstall-soak/src/checks.rs
@@ -7,7 +7,8 @@
 use laburnumstall_platform_standins::caller::{CallKind, Outcome};
 
 use crate::world::{
-    Disturbance, KeyState, REVOCATION, ROUTE_TIMEOUT, Record, SHORTEST_TIMEOUT, Target, World,
+    Disturbance, KeyState, REVOCATION, ROUTE_TIMEOUT, Record, SERVICES, SHORTEST_TIMEOUT, Target,
+    World,
 };
 
 /// Time after a disturbance in which it may still show.
@@ -21,6 +22,8 @@
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Part of the requests that has to be served once all faults are over, in hundredths.
 const SERVED_PERCENT: usize = 90;
+/// Streams taken up again from which on the share that goes on is judged.
+const LEAST_RESUMED: usize = 12;
 /// Violations of one kind that are told; the rest is counted.
 const TOLD: usize = 5;
 
@@ -47,6 +50,7 @@
         view.requests_of_callers(&runs),
         view.deadlines(),
         view.planned_work(),
+        view.resumed_streams(),
         view.drains(&runs),
         view.reports(),
         view.recovery(calm_from, calm_until),
@@ -110,7 +114,10 @@
             .records
             .iter()
             .filter_map(|record| match &record.outcome {
-                Outcome::Wrong(what) => Some(format!("request {}: {what}", tell(record))),
+                Outcome::Wrong(_) => {
+                    let runs = self.tell_runs(&record.name);
+                    Some(format!("request {} ran at {runs}", tell(record)))
+                }
                 _ => None,
             });
         wrong.collect()
@@ -156,7 +163,7 @@
             // A daemon without the service may not know a new key for longer.
             let is_excused = status == 401
                 && self.is_disturbed(record.sent_at, record.ended_at, |one| {
-                    one.on == Target::Endpoint
+                    matches!(one.on, Target::Endpoint(_) | Target::Service(_))
                 })
                 && key.added_at != Some(Duration::ZERO);
             (is_due && !is_excused)
@@ -191,7 +198,7 @@
                     tell(record),
                     run.customer
                 )),
-                Some(record) if !run.target.ends_with(&record.id) => {
+                Some(record) if !run.target.ends_with(&record.name) => {
                     Some(format!("request {} ran as {}", tell(record), run.target))
                 }
                 _ => None,
@@ -254,6 +261,70 @@
             .collect()
     }
 
+    /// Streams that callers take up again go on at least half as often as new ones begin, while
+    /// two endpoints of their software version serve.
+    fn resumed_streams(&self) -> Vec<String> {
+        let streams = self.records.iter().filter(|record| {
+            let is_in_touch = !self.is_disturbed(record.sent_at, record.ended_at, |one| {
+                one.on != Target::Daemon(record.daemon)
+            });
+            let is_withdrawn = self.key(record).is_some_and(|key| key.withdrawn.is_some());
+            record.kind == CallKind::Stream && is_in_touch && !is_withdrawn
+        });
+        let (mut new, mut begun) = (0, 0);
+        let mut resumed: BTreeMap<&str, bool> = BTreeMap::new();
+        for record in streams {
+            match &record.received_before {
+                None => {
+                    new += 1;
+                    begun += usize::from(record.received.is_some());
+                }
+                Some(before) if self.serving(record, &before.version) >= 2 => {
+                    let goes_on = record.received != record.received_before;
+                    *resumed.entry(&record.name).or_default() |= goes_on;
+                }
+                Some(_) => {}
+            }
+        }
+        let gone_on = resumed.values().filter(|goes_on| **goes_on).count();
+        let is_judged = resumed.len() >= LEAST_RESUMED;
+        let is_broken = is_judged && gone_on * new * 2 < begun * resumed.len();
+        let violation = format!(
+            "{gone_on} of {} resumed streams went on, while {begun} of {new} new ones began",
+            resumed.len()
+        );
+        is_broken.then_some(violation).into_iter().collect()
+    }
+
+    /// Returns how many endpoints of `version` serve without a fault during a request.
+    fn serving(&self, record: &Record, version: &str) -> usize {
+        let starts = self.world.endpoint_starts.borrow();
+        let mut last_starts = BTreeMap::new();
+        for start in starts.iter().filter(|start| start.at <= record.sent_at) {
+            last_starts.insert(start.index, start);
+        }
+        let serving = last_starts.values().filter(|start| {
+            SERVICES[start.index % SERVICES.len()] == record.service
+                && start.version == version
+                && start.at + APPLY_TIME <= record.sent_at
+                && !self.is_disturbed(record.sent_at, record.ended_at, |one| {
+                    one.is_silence || one.on != Target::Endpoint(start.index)
+                })
+        });
+        serving.count()
+    }
+
+    /// Returns where the attempts of a request ran, with the event after which each resumed.
+    fn tell_runs(&self, name: &str) -> String {
+        let attempts = self.records.iter().filter(|record| record.name == name);
+        let runs = attempts.filter_map(|record| self.runs.get(record.id.as_str()));
+        let told = runs.flatten().map(|run| {
+            let after = run.resume_after.unwrap_or(0);
+            format!("{} ({}, after event {after})", run.endpoint, run.version)
+        });
+        told.collect::<Vec<_>>().join(", ")
+    }
+
     /// A leaving endpoint gets no new work, as long as everybody can know that it leaves.
     fn drains(&self, runs: &[ExecutedRequest]) -> Vec<String> {
         let late = runs.iter().filter(|run| {
@@ -261,7 +332,10 @@
             let drained_for = run.drained_for.unwrap_or_default();
             drained_for > DRAIN_TIME + ANSWER_SLACK
                 && !self.is_disturbed(at.saturating_sub(drained_for), at, |one| {
-                    matches!(one.on, Target::Endpoint | Target::Operators)
+                    matches!(
+                        one.on,
+                        Target::Endpoint(_) | Target::Service(_) | Target::Operators
+                    )
                 })
         });
         late.map(|run| {
--- a/crates/laburnumstall-soak/src/clients.rs
+++ b/crates/laburnumstall-soak/src/clients.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use laburnumstall_platform_standins::caller::{self, Call, CallKind, Outcome};
+use laburnumstall_platform_standins::caller::{self, Call, CallKind, Outcome, Reply};
 use laburnumstalld::http1::Conn;
 use tokio::time::sleep;
 
@@ -17,6 +17,8 @@
 const PATIENCE: Duration = Duration::from_millis(3_000);
 /// Time after which a caller looks no longer for an answer: long after it is due.
 const GIVE_UP: Duration = Duration::from_millis(6_000);
+/// Most attempts of one stream.
+const MOST_ATTEMPTS: u32 = 4;
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause of a caller that finds no daemon.
@@ -41,6 +43,7 @@
             number,
             rng,
             sent: 0,
+            unfinished: None,
         };
         actix_rt::spawn(caller.run());
     }
@@ -51,6 +54,14 @@
     number: u16,
     rng: Rng,
     sent: u32,
+    unfinished: Option<Unfinished>,
+}
+
+/// Stream that was cut and is to be resumed.
+struct Unfinished {
+    customer: String,
+    call: Call,
+    attempts: u32,
 }
 
 impl Caller {
@@ -81,23 +92,32 @@
             if self.world.is_over() {
                 return;
             }
-            let Some((customer, call)) = self.draw() else {
-                return;
+            let (customer, call, attempts) = match self.unfinished.take() {
+                Some(stream) => (stream.customer, stream.call, stream.attempts + 1),
+                None => match self.draw() {
+                    Some((customer, call)) => (customer, call, 1),
+                    None => return,
+                },
             };
             let sent_at = self.world.elapsed();
-            let (outcome, is_kept) = caller::send(&mut conn, &call, GIVE_UP).await;
-            let is_refused = outcome == Outcome::Refused;
+            let reply = caller::send(&mut conn, &call, GIVE_UP).await;
+            let is_refused = reply.outcome == Outcome::Refused;
+            self.unfinished = self.cut_stream(&customer, &call, &reply, attempts);
             self.world.ledger.borrow_mut().push(Record {
                 id: call.id,
+                name: call.name,
+                service: call.service,
                 kind: call.kind,
                 customer,
                 key: call.key,
                 daemon,
                 sent_at,
                 ended_at: self.world.elapsed(),
-                outcome,
+                outcome: reply.outcome,
+                received_before: call.received,
+                received: reply.received,
             });
-            if !is_kept {
+            if !reply.is_kept_open {
                 return;
             }
             let pause = match is_refused {
@@ -105,9 +125,41 @@
                 false => Duration::from_millis(self.rng.u64(0..MOST_PAUSE_MS)),
             };
             sleep(pause).await;
+            if self.unfinished.is_some() {
+                return;
+            }
         }
     }
 
+    /// Returns the stream to resume on a new connection, if one was cut.
+    fn cut_stream(
+        &mut self,
+        customer: &str,
+        call: &Call,
+        reply: &Reply,
+        attempts: u32,
+    ) -> Option<Unfinished> {
+        let is_cut = match reply.outcome {
+            Outcome::Cut => true,
+            Outcome::Refused | Outcome::Failed(_) => call.received.is_some(),
+            _ => false,
+        };
+        if !is_cut || attempts == MOST_ATTEMPTS {
+            return None;
+        }
+        let id = self.next_id();
+        Some(Unfinished {
+            customer: customer.to_owned(),
+            call: reply.resumed(call, id)?,
+            attempts,
+        })
+    }
+
+    fn next_id(&mut self) -> String {
+        self.sent += 1;
+        format!("{:04x}{:08x}", self.number, self.sent)
+    }
+
     fn draw(&mut self) -> Option<(String, Call)> {
         let (customer, key) = {
             let keys = self.world.keys.borrow();
@@ -123,18 +175,20 @@
             };
             (state.customer.clone(), state.key.clone())
         };
-        self.sent += 1;
+        let id = self.next_id();
         let size = match self.rng.u32(0..LARGE_ONE_IN) {
             0 => LARGE_BODY,
             _ => self.rng.usize(0..400),
         };
         let call = Call {
-            id: format!("{:04x}{:08x}", self.number, self.sent),
+            name: id.clone(),
+            id,
             kind: *self.rng.choice(&CallKind::ALL)?,
             service: (*self.rng.choice(&SERVICES)?).to_owned(),
             key,
             timeout: PATIENCE,
             body: vec![b'a' + (self.sent % 26) as u8; size],
+            received: None,
         };
         Some((customer, call))
     }
--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -58,6 +58,8 @@
     SpoilEndpoint(usize, EndpointFaults, Duration),
     SilenceEndpoint(usize),
     CutEndpoint(usize, Duration),
+    /// Replaces endpoints of a service by ones of its next software version.
+    Release(usize),
     SilenceForOne(usize, Duration),
     /// Hits all endpoints of one service, each after the one before by the second time. A stream
     /// that moves may meet the next silence.
@@ -83,13 +85,15 @@
             | Self::DelayCallers(index, _) => Target::Daemon(index),
             Self::KillAll => Target::Daemon(0),
             Self::Store(..) | Self::Compact => Target::Store,
-            Self::CrashEndpoint(_)
-            | Self::DrainEndpoint(_)
-            | Self::SpoilEndpoint(..)
-            | Self::SilenceEndpoint(_)
-            | Self::CutEndpoint(..)
-            | Self::SilenceForOne(..)
-            | Self::SilenceForService(..) => Target::Endpoint,
+            Self::CrashEndpoint(index)
+            | Self::DrainEndpoint(index)
+            | Self::SpoilEndpoint(index, ..)
+            | Self::SilenceEndpoint(index)
+            | Self::CutEndpoint(index, _)
+            | Self::SilenceForOne(index, _) => Target::Endpoint(index),
+            Self::Release(service) | Self::SilenceForService(service, ..) => {
+                Target::Service(service)
+            }
             Self::DutiesDown(_) | Self::ChangeTimeout | Self::AddKey | Self::RevokeKey => {
                 Target::Operators
             }
@@ -157,7 +161,7 @@
     let lasts = between(rng, SHORTEST, LONGEST);
     let daemon = rng.usize(0..shape.daemons);
     let endpoint = rng.usize(0..shape.endpoints);
-    match rng.u32(0..32) {
+    match rng.u32(0..34) {
         0..=1 => Fault::KillDaemon(daemon),
         2 => Fault::KillAll,
         3..=6 => Fault::StopDaemon(daemon),
@@ -182,7 +186,8 @@
         },
         29 => Fault::RevokeKey,
         30 => Fault::SilenceForOne(endpoint, silence(rng)),
-        _ => silence_of_service(rng, shape),
+        31 => silence_of_service(rng, shape),
+        _ => Fault::Release(rng.usize(0..shape.services)),
     }
 }
 
--- a/crates/laburnumstall-soak/src/report.rs
+++ b/crates/laburnumstall-soak/src/report.rs
@@ -1,6 +1,6 @@
 //! What a soak saw.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use laburnumstall_platform_standins::caller::Outcome;
@@ -13,6 +13,8 @@
 pub struct Figures {
     /// Requests by what came of them.
     pub outcomes: BTreeMap<&'static str, usize>,
+    /// Streams that callers resumed.
+    pub resumed: usize,
     /// Runs at endpoints.
     pub runs: usize,
     /// Reports of usage.
@@ -40,11 +42,16 @@
     /// Adds up what callers and endpoints saw.
     pub(crate) fn of(world: &World) -> Self {
         let mut outcomes = BTreeMap::new();
+        let mut resumed = BTreeSet::new();
         for record in world.ledger.borrow().iter() {
+            if record.received_before.is_some() {
+                resumed.insert(record.name.clone());
+            }
             *outcomes.entry(name(&record.outcome)).or_default() += 1;
         }
         Self {
             outcomes,
+            resumed: resumed.len(),
             runs: world.runs.borrow().len(),
             reports: world.duties.reports().len(),
             store_calls: world.store_calls(),
@@ -83,6 +90,7 @@
             write!(f, " {outcome} {count},")?;
         }
         let (runs, reports) = (self.figures.runs, self.figures.reports);
+        write!(f, " streams resumed {},", self.figures.resumed)?;
         write!(
             f,
             " runs {runs}, reports {reports}, faults {}",
--- a/crates/laburnumstall-soak/src/timeline.rs
+++ b/crates/laburnumstall-soak/src/timeline.rs
@@ -97,7 +97,7 @@
     let color = match on {
         Target::Daemon(_) => RGBColor(220, 160, 60),
         Target::Store => RGBColor(140, 100, 200),
-        Target::Endpoint => RGBColor(90, 170, 110),
+        Target::Endpoint(_) | Target::Service(_) => RGBColor(90, 170, 110),
         Target::Operators => RGBColor(120, 120, 120),
     };
     color.mix(0.35).filled()
--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -1,5 +1,6 @@
 //! The processes, the stand-ins and the relays of one soak, and what happens to them.
 
+mod endpoints;
 mod faults;
 mod keys;
 
@@ -11,11 +12,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumstall_platform_standins::caller::{self, CallKind, Outcome};
+use laburnumstall_platform_standins::caller::{self, CallKind, Outcome, StreamPart};
 use laburnumstall_platform_standins::host::Host;
-use laburnumstall_platform_standins::{
-    DutyStandIn, EndpointSpec, EndpointStandIn, ExecutionLog, RuleSet, StoreStandIn,
-};
+use laburnumstall_platform_standins::{DutyStandIn, ExecutionLog, RuleSet, StoreStandIn};
 use laburnumstall_standins::network::Relay;
 use rustix::process::Signal;
 use snafu::{ResultExt, Snafu};
@@ -24,6 +23,8 @@
 use crate::options::SoakSettings;
 use crate::plan::Fault;
 use crate::process::Process;
+use endpoints::EndpointSlot;
+pub(crate) use endpoints::EndpointStart;
 pub(crate) use keys::KeyState;
 use keys::{first_keys, first_rules};
 
@@ -31,8 +32,6 @@
 pub(crate) const SERVICES: [&str; 2] = ["model", "app"];
 /// Zones, over which daemons and endpoints are dealt.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-/// Calls that an endpoint runs at once.
-const SLOTS: u32 = 16;
 /// Longest time that a caller is kept waiting by the first configuration.
 pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Shortest time-out that a configuration sets.
@@ -45,8 +44,6 @@
 const USAGE_WINDOW: Duration = Duration::from_secs(5);
 /// Time from a process's end to its next start.
 const RESTART_TIME: Duration = Duration::from_millis(300);
-/// Time from an endpoint's end to the start of its successor.
-const ENDPOINT_BACK: Duration = Duration::from_millis(1_500);
 /// Time between two looks at a process or the service.
 const POLL: Duration = Duration::from_millis(50);
 /// Port that guards a net.
@@ -99,7 +96,9 @@
     /// The key-value service, for all daemons.
     Store,
     /// An endpoint.
-    Endpoint,
+    Endpoint(usize),
+    /// All endpoints of a service.
+    Service(usize),
     /// The configuration or the duties.
     Operators,
 }
@@ -125,6 +124,9 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Record {
     pub(crate) id: String,
+    /// What all attempts of a stream have in common.
+    pub(crate) name: String,
+    pub(crate) service: String,
     pub(crate) kind: CallKind,
     pub(crate) customer: String,
     pub(crate) key: String,
@@ -132,6 +134,10 @@
     pub(crate) sent_at: Duration,
     pub(crate) ended_at: Duration,
     pub(crate) outcome: Outcome,
+    /// What earlier attempts received of the stream.
+    pub(crate) received_before: Option<StreamPart>,
+    /// What this attempt and earlier ones received of it.
+    pub(crate) received: Option<StreamPart>,
 }
 
 struct DaemonSlot {
@@ -145,11 +151,6 @@
     is_restarting: Cell<bool>,
 }
 
-struct EndpointSlot {
-    stand_in: EndpointStandIn,
-    relay: Relay,
-}
-
 /// All that takes part in one soak.
 pub(crate) struct World {
     program: PathBuf,
@@ -160,6 +161,7 @@
     daemons: Vec<DaemonSlot>,
     endpoints: RefCell<Vec<Option<EndpointSlot>>>,
     next_endpoint: Cell<u32>,
+    pub(crate) endpoint_starts: RefCell<Vec<EndpointStart>>,
     pub(crate) ledger: RefCell<Vec<Record>>,
     pub(crate) keys: RefCell<Vec<KeyState>>,
     rules: RefCell<RuleSet>,
@@ -222,6 +224,7 @@
             daemons,
             endpoints: RefCell::new((0..settings.shape().endpoints).map(|_| None).collect()),
             next_endpoint: Cell::new(0),
+            endpoint_starts: RefCell::default(),
             ledger: RefCell::default(),
             keys: RefCell::new(first_keys()),
             rules: RefCell::new(first_rules()),
@@ -244,7 +247,8 @@
         self.store.write(key, value);
         let endpoints = self.endpoints.borrow().len();
         for index in 0..endpoints {
-            self.start_endpoint(index).await?;
+            self.start_endpoint(index, endpoints::first_version(index))
+                .await?;
         }
         for index in 0..self.daemons.len() {
             self.start_daemon(index)?;
@@ -315,42 +319,6 @@
         Some((index, self.daemons[index].callers.address()))
     }
 
-    async fn replace_endpoint(&self, index: usize) {
-        let slot = self
-            .endpoints
-            .borrow_mut()
-            .get_mut(index)
-            .and_then(Option::take);
-        let Some(slot) = slot else {
-            return;
-        };
-        slot.stand_in.crash();
-        // A relay that failed has no connections left to end.
-        let _ = slot.relay.close();
-        sleep(ENDPOINT_BACK).await;
-        if let Err(error) = self.start_endpoint(index).await {
-            self.own_ends.borrow_mut().push(error.to_string());
-        }
-    }
-
-    async fn start_endpoint(&self, index: usize) -> Result<(), SoakError> {
-        let number = self.next_endpoint.replace(self.next_endpoint.get() + 1);
-        let spec = EndpointSpec {
-            id: format!("i-{number}"),
-            service: SERVICES[index % SERVICES.len()].to_owned(),
-            zone: ZONES[index % ZONES.len()].to_owned(),
-            slots: SLOTS,
-        };
-        let (store, runs) = (Rc::clone(&self.store), Rc::clone(&self.runs));
-        let what = "an endpoint";
-        let stand_in = EndpointStandIn::start(spec, store, runs).await;
-        let stand_in = stand_in.context(StandInSnafu { what })?;
-        let relay = Relay::tcp(stand_in.address()).context(StandInSnafu { what })?;
-        stand_in.register(relay.address());
-        self.endpoints.borrow_mut()[index] = Some(EndpointSlot { stand_in, relay });
-        Ok(())
-    }
-
     async fn restart(&self, index: usize) {
         sleep(RESTART_TIME).await;
         if let Err(error) = self.start_daemon(index) {
--- a/crates/laburnumstall-soak/src/world/faults.rs
+++ b/crates/laburnumstall-soak/src/world/faults.rs
@@ -8,12 +8,9 @@
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep};
 
-use super::{EndpointSlot, POLL, SERVICES, STOP_GRACE, Target, World};
+use super::{POLL, STOP_GRACE, Target, World};
 use crate::plan::{Fault, Planned};
 
-/// Time that an endpoint serves on after it has said that it is leaving.
-const DRAIN_TIME: Duration = Duration::from_secs(4);
-
 impl World {
     /// Lets the faults happen.
     pub(crate) async fn play(self: &Rc<Self>, plan: &[Planned]) {
@@ -80,11 +77,8 @@
                 self.change_rules(fault).await;
             }
             Fault::CrashEndpoint(index) => self.replace_endpoint(index).await,
-            Fault::DrainEndpoint(index) => {
-                self.at_endpoint(index, |slot| slot.stand_in.drain());
-                sleep(DRAIN_TIME).await;
-                self.replace_endpoint(index).await;
-            }
+            Fault::DrainEndpoint(index) => self.drain_endpoint(index).await,
+            Fault::Release(service) => self.release(service).await,
             Fault::SpoilEndpoint(index, faults, time) => {
                 self.at_endpoint(index, |slot| slot.stand_in.set_faults(faults));
                 sleep(time).await;
@@ -99,8 +93,7 @@
                 sleep(time).await;
             }
             Fault::SilenceForService(service, time, lag) => {
-                let count = self.endpoints.borrow().len();
-                for index in (service..count).step_by(SERVICES.len()) {
+                for index in self.of_service(service) {
                     self.at_endpoint(index, |slot| slot.stand_in.silence(time));
                     sleep(lag).await;
                 }
@@ -115,13 +108,6 @@
         }
     }
 
-    /// Does something to an endpoint, unless it is being replaced.
-    fn at_endpoint(&self, index: usize, act: impl FnOnce(&EndpointSlot)) {
-        if let Some(Some(slot)) = self.endpoints.borrow().get(index) {
-            act(slot);
-        }
-    }
-
     async fn kill(&self, index: usize, fault: &Fault) {
         let slot = &self.daemons[index];
         if slot.is_restarting.replace(true) {
