--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -20,6 +20,7 @@
 mod prefill;
 mod quota;
 mod recovery;
+mod replacement;
 mod requests;
 mod resumption;
 mod rules;
