Show what a silent endpoint costs callers of a plain service

What callers see: all endpoints of a plain service send nothing for 1.7 s and go on. Calls that must not be repeated, with 18 s left, fail with connection-lost; reads that may be repeated are dropped although no endpoint can take them, and miss their deadline; and 8 s after the silence the daemon still refuses every call of the service with no-endpoint.

Cause: the daemon probes the endpoint of a read after a quarter of its time limit. A probe without an answer within 1 s ends every attempt on that endpoint, before anything can replace it, and takes the endpoint out of service until an idempotent call that already waits tries it. If none waits, no later one is admitted.

The fourth test passes: when the process of a silent endpoint exits, calls that must not be repeated end at once.

The testkit's frozen endpoint now goes on with its runs when it thaws; its answers of the time before were never sent. No test or walk used the condition.

--- a/crates/laburnumstall-testkit/src/endpoint.rs
+++ b/crates/laburnumstall-testkit/src/endpoint.rs
@@ -26,7 +26,7 @@
     Down,
     /// Its VM is gone: nothing answers.
     Gone,
-    /// Its connections are silent, new ones too.
+    /// Its process is stopped: nothing answers on new connections either, and runs go on later.
     Frozen,
 }
 
--- a/crates/laburnumstall-testkit/src/outside.rs
+++ b/crates/laburnumstall-testkit/src/outside.rs
@@ -194,7 +194,10 @@
         if self.endpoints[index].life != life {
             return;
         }
-        let is_frozen = self.endpoints[index].condition == Condition::Frozen;
+        if self.endpoints[index].condition == Condition::Frozen {
+            self.produce_later(index, attempt, TOKEN_PERIOD);
+            return;
+        }
         let Some(stream) = self.endpoints[index].streams.get_mut(attempt) else {
             return;
         };
@@ -211,7 +214,6 @@
         let mut out = None;
         if let Some(reader) = &mut stream.reader
             && !reader.is_silent
-            && !is_frozen
         {
             let events = stream.events[reader.sent..produced].to_vec();
             out = Some((reader.daemon.clone(), reader.sent as u64, events));
--- /dev/null
+++ b/crates/laburnumstall-testkit/tests/silent_endpoints.rs
@@ -0,0 +1,113 @@
+//! Endpoints that send nothing for a moment and then go on.
+
+use std::time::Duration;
+
+use laburnumstall_testkit::{Condition, Outcome, STOCK, World, WorldSpec, key_at, plain_request};
+
+/// Time limit of the idempotent calls; their endpoint is probed after a quarter of it.
+const READ_LIMIT: Duration = Duration::from_millis(2_400);
+
+/// Time limit of the calls that must not be repeated.
+const WRITE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Calls of each kind.
+const CALLS: u64 = 4;
+
+/// Outcomes of calls whose endpoints fall silent while they run.
+struct Outcomes {
+    world: World,
+    reads: Vec<usize>,
+    writes: Vec<usize>,
+}
+
+fn stock_endpoints(world: &World) -> Vec<usize> {
+    let is_stock = |index: &usize| world.endpoints[*index].service.as_str() == STOCK;
+    (0..world.endpoints.len()).filter(is_stock).collect()
+}
+
+fn set_condition(world: &mut World, condition: Condition) {
+    for index in stock_endpoints(world) {
+        world.endpoints[index].condition = condition;
+    }
+}
+
+fn call(world: &mut World, number: u64, idempotent: bool) -> usize {
+    let limit = if idempotent { READ_LIMIT } else { WRITE_LIMIT };
+    let key = (!idempotent).then(|| key_at(world.now, number));
+    let mut request = plain_request(world.now, STOCK, &format!("call {number}"), key, limit);
+    request.idempotent = idempotent;
+    world.call(request, Some(0))
+}
+
+fn play_silence(silence: Duration) -> Outcomes {
+    let mut world = World::new(&WorldSpec::default());
+    world.run_for(Duration::from_secs(1));
+    let reads = (0..CALLS).map(|n| call(&mut world, n, true)).collect();
+    let writes = (CALLS..CALLS * 2)
+        .map(|n| call(&mut world, n, false))
+        .collect();
+    world.run_for(Duration::from_millis(100));
+    set_condition(&mut world, Condition::Frozen);
+    world.run_for(silence);
+    set_condition(&mut world, Condition::Up);
+    world.run_for(Duration::from_secs(8));
+    Outcomes {
+        world,
+        reads,
+        writes,
+    }
+}
+
+fn assert_whole(world: &World, callers: &[usize]) {
+    let outcomes: Vec<_> = callers
+        .iter()
+        .map(|c| world.callers[*c].outcome())
+        .collect();
+    let is_whole = |outcome: &Option<&Outcome>| *outcome == Some(&Outcome::Whole);
+    assert!(outcomes.iter().all(is_whole), "{outcomes:?}");
+}
+
+/// A probe without an answer ended calls whose endpoint went on a moment later.
+#[test]
+fn silent_endpoint_keeps_unrepeatable_calls() {
+    let played = play_silence(Duration::from_millis(1_700));
+    assert_whole(&played.world, &played.writes);
+}
+
+/// Calls were dropped for a retry that no endpoint could take.
+#[test]
+fn silent_service_keeps_repeatable_calls() {
+    let played = play_silence(Duration::from_millis(1_700));
+    assert_whole(&played.world, &played.reads);
+}
+
+/// A probe without an answer left the endpoints without new calls after they went on.
+#[test]
+fn silent_service_serves_again() {
+    let mut played = play_silence(Duration::from_millis(1_700));
+    let later =
+        [true, false].map(|is_read| call(&mut played.world, 100 + u64::from(is_read), is_read));
+    played.world.run_for(Duration::from_secs(5));
+    assert_whole(&played.world, &later);
+}
+
+/// A silent endpoint whose process then exits still ends its calls at once.
+#[test]
+fn exit_after_silence_ends_unrepeatable_calls() {
+    let mut world = World::new(&WorldSpec::default());
+    world.run_for(Duration::from_secs(1));
+    call(&mut world, 0, true);
+    let writes: Vec<usize> = (1..=CALLS).map(|n| call(&mut world, n, false)).collect();
+    world.run_for(Duration::from_millis(100));
+    set_condition(&mut world, Condition::Frozen);
+    world.run_for(Duration::from_millis(1_700));
+    for index in stock_endpoints(&world) {
+        world.crash_endpoint(index, Condition::Down);
+    }
+    world.run_for(Duration::from_millis(500));
+    let is_failed = |caller: &usize| {
+        matches!(world.callers[*caller].outcome(), Some(Outcome::Refused(refusal))
+            if refusal.kind.name() == "connection-lost")
+    };
+    assert!(writes.iter().all(is_failed));
+}
