Keep attempts on an endpoint that does not answer a probe

What callers saw: one read of a plain service whose endpoint sent nothing for a quarter of its limit and one more second ended all calls on that endpoint. Calls that must not be repeated failed with connection-lost, "the endpoint is gone", with 18 s left, though the endpoint went on a moment later.

Cause: the entry handled an unanswered probe like a refused one (`on_endpoint_lost`): it ended every attempt on a suspicion and only then looked for a replacement.

Change: an unanswered probe marks the endpoint failed for new attempts. An attempt that must not be repeated runs until its connection fails, a probe is refused, or its deadline passes; a later answer is delivered. An attempt that may be repeated or resumed moves if another endpoint takes it, else it is kept, looks for one each 50 ms, and probes again. A refused probe, and an unanswered one of an endpoint that is no longer listed, end attempts as before, as does an interrupted attempt's unanswered probe. New decision line: event=retry choice=keep reason=silent.

Why it works: nothing that only shows silence ends an attempt any more, unless another endpoint is known to take the request.

--- a/crates/laburnumstall-core/src/entry.rs
+++ b/crates/laburnumstall-core/src/entry.rs
@@ -36,6 +36,7 @@
 mod registry;
 mod relay;
 mod replicate;
+mod silence;
 mod state;
 mod status;
 mod stop;
--- a/crates/laburnumstall-core/src/entry/dispatch.rs
+++ b/crates/laburnumstall-core/src/entry/dispatch.rs
@@ -184,6 +184,7 @@
             expected_first_token,
             buffered: Vec::new(),
             is_probing: false,
+            move_at: None,
             resumes,
         });
         self.actions.push(Action::Dispatch(order));
--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -196,7 +196,7 @@
         match outcome {
             ProbeOutcome::Alive => self.on_endpoint_alive(now, endpoint, interrupted),
             ProbeOutcome::Refused => self.on_endpoint_lost(now, endpoint, true),
-            ProbeOutcome::Silent => self.on_endpoint_lost(now, endpoint, false),
+            ProbeOutcome::Silent => self.on_endpoint_silent(now, endpoint),
         }
     }
 
@@ -245,7 +245,7 @@
         }
     }
 
-    fn lost_on(&self, endpoint: &EndpointId) -> Vec<RequestId> {
+    pub(super) fn lost_on(&self, endpoint: &EndpointId) -> Vec<RequestId> {
         let is_lost = |owned: &OwnedRequest| match &owned.phase {
             Phase::Probing {
                 endpoint: probed, ..
@@ -267,7 +267,7 @@
         running.is_none_or(|running| running.is_sent)
     }
 
-    fn retry_or_fail(&mut self, now: Timestamp, id: &RequestId) {
+    pub(super) fn retry_or_fail(&mut self, now: Timestamp, id: &RequestId) {
         let Some(owned) = self.owned.get(id) else {
             return;
         };
@@ -316,7 +316,7 @@
 
     /// Ends an attempt whose endpoint is lost. The stream of an exited process is lost with it
     /// and is not resumed.
-    fn end_lost(
+    pub(super) fn end_lost(
         &mut self,
         now: Timestamp,
         id: &RequestId,
--- a/crates/laburnumstall-core/src/entry/owned.rs
+++ b/crates/laburnumstall-core/src/entry/owned.rs
@@ -70,6 +70,8 @@
     pub(super) buffered: Vec<AnswerEvent>,
     /// Whether a probe of the endpoint is in flight.
     pub(super) is_probing: bool,
+    /// When to look again for an endpoint that takes the request of a silent attempt.
+    pub(super) move_at: Option<Timestamp>,
     /// How often the endpoint's stream was resumed on a new connection.
     pub(super) resumes: u32,
 }
--- a/crates/laburnumstall-core/src/entry/progress.rs
+++ b/crates/laburnumstall-core/src/entry/progress.rs
@@ -140,6 +140,7 @@
     running.progress_at = now;
     running.is_sent = true;
     running.is_probing = false;
+    running.move_at = None;
     owned.reached_at = Some(running.started_at);
     owned.may_have_run = true;
     if let Some(end) = events.iter().position(AnswerEvent::is_last) {
--- a/crates/laburnumstall-core/src/entry/watchdog.rs
+++ b/crates/laburnumstall-core/src/entry/watchdog.rs
@@ -38,6 +38,11 @@
         let Some(owned) = self.owned.get_mut(id) else {
             return;
         };
+        let move_at = owned.running().and_then(|running| running.move_at);
+        if move_at.is_some_and(|move_at| move_at <= now) {
+            self.retry_silent_attempt(now, id);
+            return;
+        }
         let stall_timeout = stall_timeout(owned);
         let Phase::Running(running) = &mut owned.phase else {
             return;
--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -139,6 +139,17 @@
         state.is_some_and(|state| matches!(state.health, Health::Failed { .. }))
     }
 
+    /// Returns whether an endpoint is listed, and not only known by attempts that have not ended.
+    pub fn is_listed(&self, id: &EndpointId) -> bool {
+        let state = self.state(id);
+        state.is_some_and(|state| state.health != Health::Removed)
+    }
+
+    /// Returns whether [`choose`](Self::choose) would find an endpoint.
+    pub fn can_route(&self, now: Timestamp, query: &RouteQuery<'_>) -> bool {
+        !self.usable(now, query).is_empty()
+    }
+
     /// Returns the endpoints of a service that this daemon uses.
     pub fn subset(&self, service: &ServiceName) -> impl Iterator<Item = &EndpointId> {
         let indices = self.pools.get(service).map_or(&[][..], |pool| &pool.subset);
