Serve again after all endpoints of a plain service were silent

What callers saw: 8 s after a silence of 1.7 s of all its endpoints, a daemon still refused each call of a plain service with no-endpoint, though the endpoints had gone on; nothing would have ended that but a new list of endpoints.

Cause: a failed plain endpoint, which reports no load, becomes usable only by the first token of a probe request: an idempotent call that is dispatched to it once the backoff is over. Admission counts usable endpoints alone. If all are failed and no admitted call waits, no call can become the probe request.

Change: the first token of any attempt that an endpoint runs ends its failed state, so also that of an attempt from before the failure. Without a usable endpoint, admission counts those whose probe request is due, for idempotent requests.

Why it works: the answer of a kept attempt shows that its endpoint goes on; if none is left, the first idempotent call after the backoff finds out. Other calls are refused until then, as before.

--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -308,18 +308,25 @@
 
     /// Returns the expected time to the first token of a request.
     ///
-    /// Returns `None` if the service has no usable endpoint.
+    /// Returns `None` if the service has no usable endpoint, and none that the request may probe.
     pub fn expected_first_token(&self, now: Timestamp, request: &Request) -> Option<Duration> {
         let pool = self.pools.get(&request.service)?;
         let is_plain = self.is_plain(&request.service);
-        let among = |group: &[usize]| {
+        let among = |group: &[usize], is_candidate: &dyn Fn(&Health) -> bool| {
             let states = group.iter().map(|index| &self.states[*index]);
             states
-                .filter(|state| state.health == Health::Usable)
+                .filter(|state| is_candidate(&state.health))
                 .map(|state| state.expected_first_token(now, request, is_plain))
                 .min()
         };
-        pool.groups().into_iter().find_map(among)
+        let first_among = |is_candidate: &dyn Fn(&Health) -> bool| {
+            let mut groups = pool.groups().into_iter();
+            groups.find_map(|group| among(group, is_candidate))
+        };
+        let is_usable = |health: &Health| *health == Health::Usable;
+        // Without usable endpoints, only an admitted request can find that one has recovered.
+        let may_probe = |health: &Health| request.idempotent && health.is_probe_due(now);
+        first_among(&is_usable).or_else(|| first_among(&may_probe))
     }
 
     fn is_plain(&self, service: &ServiceName) -> bool {
--- a/crates/laburnumstall-core/src/routing/endpoint_state.rs
+++ b/crates/laburnumstall-core/src/routing/endpoint_state.rs
@@ -115,12 +115,12 @@
         true
     }
 
-    /// Records the first token of an attempt; a probe request's first token ends the failed state.
+    /// Records the first token of an attempt, which ends the failed state.
     pub(super) fn on_first_token(&mut self, attempt: &AttemptId) {
         if let Some(in_flight) = self.in_flight.get_mut(attempt) {
             in_flight.has_first_token = true;
+            self.health.on_first_token();
         }
-        self.health.on_first_token(attempt);
     }
 
     /// Records that an attempt was routed to the endpoint.
--- a/crates/laburnumstall-core/src/routing/health.rs
+++ b/crates/laburnumstall-core/src/routing/health.rs
@@ -77,9 +77,9 @@
         }
     }
 
-    /// Records an attempt's first token; a probe request's first token makes the endpoint usable.
-    pub(super) fn on_first_token(&mut self, attempt: &AttemptId) {
-        if self.is_probe(attempt) {
+    /// Records the first token of a probe request, or of an attempt from before the failure.
+    pub(super) fn on_first_token(&mut self) {
+        if matches!(self, Self::Failed { .. }) {
             *self = Self::Usable;
         }
     }
--- a/crates/laburnumstall-testkit/tests/silent_endpoints.rs
+++ b/crates/laburnumstall-testkit/tests/silent_endpoints.rs
@@ -91,6 +91,24 @@
     assert_whole(&played.world, &later);
 }
 
+/// After a silence that outlasts all calls, none was admitted to find that the service went on.
+#[test]
+fn long_silence_does_not_bar_later_calls() {
+    let mut world = World::new(&WorldSpec::default());
+    world.run_for(Duration::from_secs(1));
+    (0..CALLS).for_each(|n| {
+        call(&mut world, n, true);
+    });
+    world.run_for(Duration::from_millis(100));
+    set_condition(&mut world, Condition::Frozen);
+    world.run_for(READ_LIMIT * 2);
+    set_condition(&mut world, Condition::Up);
+    world.run_for(Duration::from_secs(2));
+    let later = call(&mut world, CALLS, true);
+    world.run_for(Duration::from_secs(3));
+    assert_whole(&world, &[later]);
+}
+
 /// A silent endpoint whose process then exits still ends its calls at once.
 #[test]
 fn exit_after_silence_ends_unrepeatable_calls() {
