Do not move a silent attempt to an endpoint that has failed

What callers saw: a read of a plain service was lost after a silence of 1.7 s of its endpoint, though the endpoint went on 0.6 s before the deadline: the attempt had been dropped to probe another endpoint, whose process was down.

Cause: an endpoint whose backoff is over counts as one that takes an idempotent request. A probe request finds out whether it does, so it replaces nothing.

Change: a silent attempt moves only if an endpoint that has not failed takes the request.

--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -145,9 +145,11 @@
         state.is_some_and(|state| state.health != Health::Removed)
     }
 
-    /// Returns whether [`choose`](Self::choose) would find an endpoint.
+    /// Returns whether [`choose`](Self::choose) would find an endpoint that has not failed.
     pub fn can_route(&self, now: Timestamp, query: &RouteQuery<'_>) -> bool {
-        !self.usable(now, query).is_empty()
+        let usable = self.usable(now, query);
+        let mut healths = usable.iter().map(|index| &self.states[*index].health);
+        healths.any(|health| *health == Health::Usable)
     }
 
     /// Returns the endpoints of a service that this daemon uses.
--- a/crates/laburnumstall-testkit/tests/silent_endpoints.rs
+++ b/crates/laburnumstall-testkit/tests/silent_endpoints.rs
@@ -109,6 +109,49 @@
     assert_whole(&world, &[later]);
 }
 
+/// Plays a silence of the only endpoint that has not failed; returns a read's outcome.
+fn outcome_without_replacement(silence: Duration) -> Option<Outcome> {
+    let mut world = World::new(&WorldSpec::default());
+    world.run_for(Duration::from_secs(1));
+    let others = stock_endpoints(&world).split_off(1);
+    for index in &others {
+        world.crash_endpoint(*index, Condition::Down);
+    }
+    (0..CALLS * 2).for_each(|n| {
+        call(&mut world, n, true);
+    });
+    world.run_for(Duration::from_millis(500));
+    let read = call(&mut world, CALLS * 2, true);
+    world.run_for(Duration::from_millis(100));
+    set_condition(&mut world, Condition::Frozen);
+    for index in &others {
+        world.endpoints[*index].condition = Condition::Down;
+    }
+    world.run_for(silence);
+    let first = stock_endpoints(&world)[0];
+    world.endpoints[first].condition = Condition::Up;
+    world.run_for(Duration::from_secs(3));
+    world.callers[read].outcome().cloned()
+}
+
+/// A silent attempt was dropped to probe an endpoint that had failed before.
+#[test]
+fn silent_attempt_does_not_move_to_failed_endpoint() {
+    let outcome = outcome_without_replacement(Duration::from_millis(1_700));
+    assert_eq!(outcome, Some(Outcome::Whole));
+}
+
+/// A probe that was answered just after a silence cancelled a call that no endpoint could take.
+#[test]
+fn answered_probe_keeps_call_without_replacement() {
+    let silences = (1_400..1_700).step_by(5).map(Duration::from_millis);
+    let outcomes = silences.map(|silence| (silence, outcome_without_replacement(silence)));
+    let lost: Vec<_> = outcomes
+        .filter(|(_, outcome)| *outcome != Some(Outcome::Whole))
+        .collect();
+    assert!(lost.is_empty(), "{lost:?}");
+}
+
 /// A silent endpoint whose process then exits still ends its calls at once.
 #[test]
 fn exit_after_silence_ends_unrepeatable_calls() {
