Keep a call whose endpoint answers a probe again until one takes it

What callers saw: a read was lost although its only endpoint was silent for 1.505 to 1.515 s and then answered.

Cause: when an endpoint answers a probe, the watchdog cancels the silent attempts of plain calls there and dispatches them anew. If the endpoint still counts as failed and no other takes the call, the answer that is on its way is cancelled and nothing replaces it.

Change: without an endpoint that takes the call, the attempt is kept and looks for one each 50 ms, like one whose probe is not answered. It is probed again once its endpoint is usable.

--- a/crates/laburnumstall-core/src/entry/silence.rs
+++ b/crates/laburnumstall-core/src/entry/silence.rs
@@ -51,10 +51,9 @@
         if let Some(owned) = self.owned.get_mut(id)
             && let Phase::Running(running) = &mut owned.phase
         {
-            running.move_at = self
-                .router
-                .is_failed(&endpoint)
-                .then(|| now.after(RETRY_PERIOD));
+            let is_failed = self.router.is_failed(&endpoint);
+            running.move_at = is_failed.then(|| now.after(RETRY_PERIOD));
+            running.is_probing &= is_failed;
         }
     }
 
@@ -103,8 +102,23 @@
         self.journal.record(decision);
     }
 
+    /// Returns whether any endpoint, also the current one, could start a new attempt now.
+    pub(super) fn can_restart(&self, now: Timestamp, id: &RequestId) -> bool {
+        let owned = self.owned.get(id);
+        owned.is_some_and(|owned| self.can_start(now, owned, None))
+    }
+
+    /// Keeps an attempt whose endpoint answered a probe while no endpoint takes a new one.
+    pub(super) fn wait_for_replacement(&mut self, now: Timestamp, id: &RequestId) {
+        if let Some(owned) = self.owned.get_mut(id)
+            && let Phase::Running(running) = &mut owned.phase
+        {
+            running.move_at = Some(now.after(RETRY_PERIOD));
+        }
+    }
+
     /// Returns whether an endpoint other than `avoided` could start a new attempt now.
-    pub(super) fn can_start(
+    fn can_start(
         &self,
         now: Timestamp,
         owned: &OwnedRequest,
--- a/crates/laburnumstall-core/src/entry/watchdog.rs
+++ b/crates/laburnumstall-core/src/entry/watchdog.rs
@@ -103,6 +103,10 @@
             .owned
             .get(id)
             .is_some_and(|owned| !owned.is_resumable());
+        if is_plain && !self.can_restart(now, id) {
+            self.wait_for_replacement(now, id);
+            return;
+        }
         if is_plain {
             self.cancel_attempt(id);
             self.attempt_ended(now, id, &location);
