--- a/crates/laburnumstall-core/src/routing.rs
+++ b/crates/laburnumstall-core/src/routing.rs
@@ -312,23 +312,31 @@
     ///
     /// Returns `None` if the service has no usable endpoint, and none that the request may probe.
     pub fn expected_first_token(&self, now: Timestamp, request: &Request) -> Option<Duration> {
+        let usable = self.first_token_at(now, request, |health| *health == Health::Usable);
+        // Without usable endpoints, only an admitted request can find that one has recovered.
+        usable.or_else(|| {
+            let may_probe = |health: &Health| request.idempotent && health.is_probe_due(now);
+            self.first_token_at(now, request, may_probe)
+        })
+    }
+
+    /// Returns the shortest expected time among the first group with candidates.
+    fn first_token_at(
+        &self,
+        now: Timestamp,
+        request: &Request,
+        is_candidate: impl Fn(&Health) -> bool,
+    ) -> Option<Duration> {
         let pool = self.pools.get(&request.service)?;
         let is_plain = self.is_plain(&request.service);
-        let among = |group: &[usize], is_candidate: &dyn Fn(&Health) -> bool| {
+        let among = |group: &[usize]| {
             let states = group.iter().map(|index| &self.states[*index]);
             states
                 .filter(|state| is_candidate(&state.health))
                 .map(|state| state.expected_first_token(now, request, is_plain))
                 .min()
         };
-        let first_among = |is_candidate: &dyn Fn(&Health) -> bool| {
-            let mut groups = pool.groups().into_iter();
-            groups.find_map(|group| among(group, is_candidate))
-        };
-        let is_usable = |health: &Health| *health == Health::Usable;
-        // Without usable endpoints, only an admitted request can find that one has recovered.
-        let may_probe = |health: &Health| request.idempotent && health.is_probe_due(now);
-        first_among(&is_usable).or_else(|| first_among(&may_probe))
+        pool.groups().into_iter().find_map(among)
     }
 
     fn is_plain(&self, service: &ServiceName) -> bool {
