--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -1,7 +1,7 @@
 //! Resumes streams that callers take up at the software version that began them.
 //!
 //! The daemon that began a stream may be gone, so while a service has several versions the
-//! origin of each of its streams is sent to a few peers, chosen by rendezvous hashing of the
+//! origin of each of its streams is sent to a few peers, ranked by rendezvous hashing of the
 //! caller's attempt. A daemon that does not know a stream asks those peers, or all in a small
 //! fleet. A stream whose origin nobody knows goes on only if a single version was there all
 //! the time; otherwise it is refused.
