Log the fingerprint of each request that the gateway admits

event=admit has fingerprint=, a digest of customer, service, path and body; the identifier of the attempt is no part of it.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -39,7 +39,7 @@
 use crate::limits::RetryWindow;
 use crate::units::Timestamp;
 
-pub use call::{AdmittedCall, CallAttributes, Prompt, PromptPart};
+pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
 pub use demand::DemandCounter;
 pub use endpoint_table::{EndpointEntry, EndpointRecord, EndpointTable, REREGISTER_TIME};
 pub use freshness::StoreFreshness;
--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -8,9 +8,15 @@
 use super::recovery::CallFailure;
 use super::rules::RouteRule;
 use super::stream_origin::{AttemptDigest, StreamOrigin};
-use crate::domain;
-use crate::ids::{CustomerId, EndpointId, ServiceName};
+use crate::hash::digest64;
+use crate::ids::{CustomerId, EndpointId, Fingerprint, ServiceName};
 use crate::units::Timestamp;
+use crate::{domain, domain_value};
+
+domain_value! {
+    /// Digest of a request's body.
+    pub struct BodyDigest(pub u64);
+}
 
 domain! {
     /// Part of a prompt that other prompts may share.
@@ -42,6 +48,8 @@
         pub host: CompactString,
         /// Path and query.
         pub path: CompactString,
+        /// Digest of the body.
+        pub body: BodyDigest,
         /// Bearer key.
         pub key: Option<CompactString>,
         /// Time that the caller waits for an answer.
@@ -56,6 +64,32 @@
     }
 }
 
+impl BodyDigest {
+    /// Computes the digest of a body.
+    pub fn of(body: &[u8]) -> Self {
+        Self(digest64(&[body]))
+    }
+}
+
+impl CallAttributes {
+    /// Returns the fingerprint of the call: equal for a repeat of the same request, whatever
+    /// the identifier of its attempt.
+    pub(super) fn fingerprint(
+        &self,
+        customer: Option<&CustomerId>,
+        service: &ServiceName,
+    ) -> Fingerprint {
+        let customer = customer.map_or("", CustomerId::as_str);
+        let parts = [
+            customer.as_bytes(),
+            service.as_str().as_bytes(),
+            self.path.as_bytes(),
+            &self.body.0.to_le_bytes(),
+        ];
+        Fingerprint(digest64(&parts))
+    }
+}
+
 impl Prompt {
     /// Returns the parts that other prompts may share.
     pub fn shared(&self) -> &[PromptPart] {
@@ -87,6 +121,8 @@
     pub is_resumed: bool,
     /// Where the stream began, once that is known; it goes on only there.
     pub origin: Option<Arc<StreamOrigin>>,
+    /// Equal for all repeats of the same request.
+    pub fingerprint: Fingerprint,
     /// Customer that its key belongs to.
     pub customer: Option<CustomerId>,
     /// Priority rank of the customer or else of the route; 0 is the most urgent.
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -47,6 +47,7 @@
             Ok(call) => {
                 decision = decision
                     .with("route", &call.route.name)
+                    .with("fingerprint", call.fingerprint)
                     .with("left_ms", call.remaining(now).as_millis())
                     .with("charge", call.charge);
                 if let Some(customer) = &call.customer {
@@ -126,6 +127,7 @@
             stream,
             is_resumed,
             origin: None,
+            fingerprint: attributes.fingerprint(customer.map(|known| &known.name), service),
             customer: customer.map(|customer| customer.name.clone()),
             rank: customer
                 .and_then(|customer| customer.rank)
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use laburnumstall_core::gateway::{
-    Bounds, CallAttributes, CallKind, CallerLimits, CustomerRule, EndpointRecord, Gateway, Prompt,
-    PromptPart, Quota, QuotaUnit, RouteRule, RouteTarget, RoutingRules, ScalingRule, ServiceRule,
+    BodyDigest, Bounds, CallAttributes, CallKind, CallerLimits, CustomerRule, EndpointRecord,
+    Gateway, Prompt, PromptPart, Quota, QuotaUnit, RouteRule, RouteTarget, RoutingRules,
+    ScalingRule, ServiceRule,
 };
 use laburnumstall_core::membership::{CertificateFingerprint, Member};
 use laburnumstall_core::prelude::*;
@@ -160,6 +161,7 @@
         id: id.into(),
         host: "app.example".into(),
         path: path.into(),
+        body: BodyDigest::of(id.as_bytes()),
         key: Some(KEY.into()),
         caller_timeout: Some(Duration::from_secs(3)),
         prompt: None,
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -55,7 +55,7 @@
 /// Serves one request and returns what to do with the caller's connection.
 pub(super) async fn serve(cx: &Context, conn: &mut Conn, request: &Request) -> ConnectionAction {
     let head = &request.head;
-    let Some(attributes) = headers::read_call(head, &head.host, &head.target) else {
+    let Some(attributes) = headers::read_call(head, &head.host, &head.target, &request.body) else {
         let refusal = Refusal::new(ErrorKind::Malformed, "no request id");
         cx.event(
             Event::new("request-unreadable")
