Refuse requests that have crashed three endpoints, at all daemons

Cause: the gateway counted failures within a call and by endpoint, and kept nothing of a request across calls or daemons. The class: a limit on retries that is held by the call, while the cause of the failures outlives it.

The change: when connections end, the daemon checks whether the endpoint refuses new ones. Requests that were in flight are counted by fingerprint, at the peers that rendezvous hashing selects (all in a small fleet). Three separate crashes without a completed copy quarantine a request: all daemons are told, and the key-value service keeps it for those that start later. A completed copy clears it everywhere. The answer is 503, not run; a call that has run gets 502.

Why it works: a copy is refused by whichever daemon it reaches as soon as the third crash is noticed, some milliseconds later; a sound request completes.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -9,6 +9,7 @@
 //! Like the rest of this crate, the gateway reads no clock and opens no socket.
 
 mod call;
+mod crash_evidence;
 mod demand;
 mod directory;
 mod endpoint_table;
@@ -26,6 +27,7 @@
 mod rules;
 mod scaling;
 mod state;
+mod stored_holds;
 mod stream_origin;
 mod usage;
 mod version_history;
@@ -37,9 +39,13 @@
 use crate::decision::{Decision, Journal};
 use crate::ids::{AvailabilityZone, DaemonId, ServiceName};
 use crate::limits::RetryWindow;
+use crate::quarantine::CrashTally;
 use crate::units::Timestamp;
 
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
+pub use crash_evidence::{
+    EndpointCheck, ProcessCrash, QuarantineUpdate, RequestClearance, RequestHold,
+};
 pub use demand::DemandCounter;
 pub use endpoint_table::{EndpointEntry, EndpointRecord, EndpointTable, REREGISTER_TIME};
 pub use freshness::StoreFreshness;
@@ -58,6 +64,7 @@
     RoutingTable, ScalingRule, ServiceRule,
 };
 pub use scaling::{Capacity, ScaleOrder, ScaleOutcome, Scaler};
+pub use stored_holds::{HoldWrite, StoredHold};
 pub use stream_origin::{
     AttemptDigest, MAX_ORIGINS, OriginGroup, OriginTable, RETURN_TIME, StreamOrigin,
 };
@@ -101,6 +108,10 @@
     versions: VersionHistory,
     send_budget: resumption::SendBudget,
     has_origins_to_send: bool,
+    quarantine: CrashTally,
+    lost_calls: crash_evidence::LostCalls,
+    quarantine_outbox: crash_evidence::Outbox,
+    stored_holds: stored_holds::StoredHolds,
     is_stopping: bool,
     gossip_sequence: u64,
     store_ok_since: Option<Timestamp>,
@@ -132,6 +143,10 @@
             versions: VersionHistory::default(),
             send_budget: resumption::SendBudget::default(),
             has_origins_to_send: false,
+            quarantine: CrashTally::default(),
+            lost_calls: crash_evidence::LostCalls::default(),
+            quarantine_outbox: crash_evidence::Outbox::default(),
+            stored_holds: stored_holds::StoredHolds::default(),
             is_stopping: false,
             gossip_sequence: 0,
             store_ok_since: None,
--- a/crates/laburnumstall-core/src/gateway/gossip.rs
+++ b/crates/laburnumstall-core/src/gateway/gossip.rs
@@ -82,8 +82,11 @@
     pub member: Member,
     /// Whether it is registered in the key-value store.
     pub is_registered: bool,
-    /// Whether it decodes all variants of [`PeerMessage`](super::PeerMessage).
+    /// Whether it decodes the variants of [`PeerMessage`](super::PeerMessage) up to the answer to a
+    /// lookup.
     pub supports_extensions: bool,
+    /// Whether it decodes quarantine updates.
+    pub supports_quarantine: bool,
     /// When the last gossip message was received.
     pub last_gossip_at: Option<Timestamp>,
     /// When it was added to the table.
@@ -126,6 +129,7 @@
             member: member.clone(),
             is_registered: true,
             supports_extensions: false,
+            supports_quarantine: false,
             last_gossip_at: None,
             added_at: now,
             last_message: None,
@@ -144,6 +148,13 @@
         }
     }
 
+    /// Records whether a daemon decodes quarantine updates.
+    pub(super) fn set_quarantine_support(&mut self, id: &DaemonId, is_supported: bool) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.supports_quarantine = is_supported;
+        }
+    }
+
     /// Returns whether a daemon decodes all variants of [`PeerMessage`](super::PeerMessage).
     pub(super) fn supports_extensions(&self, id: &DaemonId) -> bool {
         self.peers
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -67,8 +67,9 @@
     pub cached: u32,
     /// Whether the endpoint is the first owner of the prompt's shared parts.
     pub is_owner: bool,
+    /// When the first token or the response arrived.
+    pub first_output_at: Option<Timestamp>,
     prefill: Duration,
-    has_first_output: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -236,15 +237,16 @@
             cached: best.cached,
             is_owner: best.is_owner,
             prefill: best.prefill,
-            has_first_output: false,
+            first_output_at: None,
         })
     }
 
     /// Records that an attempt has returned its first token or its whole response.
     pub fn on_first_output(&mut self, now: Timestamp, attempt: &mut CallAttempt) {
-        if std::mem::replace(&mut attempt.has_first_output, true) {
+        if attempt.first_output_at.is_some() {
             return;
         }
+        attempt.first_output_at = Some(now);
         let elapsed = now.since(attempt.started_at);
         let Some(endpoint) = self.find(attempt) else {
             return;
@@ -288,7 +290,7 @@
             return false;
         };
         endpoint.own_work.calls = endpoint.own_work.calls.saturating_sub(1);
-        if !attempt.has_first_output {
+        if attempt.first_output_at.is_none() {
             endpoint.own_work.prefill = endpoint.own_work.prefill.saturating_sub(attempt.prefill);
         }
         outcome.is_some_and(|outcome| endpoint.health.on_outcome(now, outcome))
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -11,6 +11,7 @@
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use super::crash_evidence::QuarantineUpdate;
 use super::gossip::GossipMessage;
 use super::resumption::{OriginQuery, OriginReply};
 use super::stream_origin::OriginGroup;
@@ -33,6 +34,8 @@
     Lookup(OriginQuery),
     /// Answer to such a question.
     Answer(OriginReply),
+    /// Crashes of endpoints, and requests that are quarantined or cleared.
+    Quarantine(QuarantineUpdate),
 }
 
 /// Encoding of what follows [`EXTENSION`]; variants are added at the end.
@@ -42,6 +45,7 @@
     Origins(Cow<'a, [OriginGroup]>),
     Lookup(Cow<'a, OriginQuery>),
     Answer(Cow<'a, OriginReply>),
+    Quarantine(Cow<'a, QuarantineUpdate>),
 }
 
 impl Serialize for PeerMessage {
@@ -57,6 +61,7 @@
             Self::Origins(groups) => Extension::Origins(Cow::Borrowed(groups)),
             Self::Lookup(query) => Extension::Lookup(Cow::Borrowed(query)),
             Self::Answer(reply) => Extension::Answer(Cow::Borrowed(reply)),
+            Self::Quarantine(update) => Extension::Quarantine(Cow::Borrowed(update)),
         };
         (EXTENSION, extension).serialize(serializer)
     }
@@ -93,6 +98,7 @@
                 Extension::Origins(groups) => PeerMessage::Origins(groups.into_owned()),
                 Extension::Lookup(query) => PeerMessage::Lookup(query.into_owned()),
                 Extension::Answer(reply) => PeerMessage::Answer(reply.into_owned()),
+                Extension::Quarantine(update) => PeerMessage::Quarantine(update.into_owned()),
             });
         }
         Ok(PeerMessage::Gossip(GossipMessage {
--- a/crates/laburnumstall-core/src/gateway/recovery.rs
+++ b/crates/laburnumstall-core/src/gateway/recovery.rs
@@ -77,6 +77,11 @@
         !matches!(self, Self::NotSent | Self::NotRun | Self::WrongEndpoint)
     }
 
+    /// Returns whether the endpoint may have crashed while it ran the call.
+    pub(super) fn may_be_crash(self) -> bool {
+        matches!(self, Self::Lost | Self::BadAnswer | Self::Broken)
+    }
+
     /// Returns the outcome to record in the endpoint's health, if any.
     pub fn outcome(self) -> Option<CallOutcome> {
         match self {
--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -9,6 +9,7 @@
 use super::load_balancer::CallAttempt;
 use super::recovery::{self, CallFailure};
 use crate::decision::{Decision, DecisionKind};
+use crate::error::ErrorKind;
 use crate::units::Timestamp;
 
 impl Gateway {
@@ -59,6 +60,9 @@
         may_repeat: bool,
     ) -> Result<CallAttempt, &'static str> {
         recovery::may_replace(now, call)?;
+        if self.check_quarantine(now, call.fingerprint).is_err() {
+            return Err(ErrorKind::Quarantined.name());
+        }
         let attempt = self
             .find_endpoint(now, call, may_repeat)
             .ok_or("no-endpoint")?;
@@ -82,6 +86,9 @@
             self.count_started(now, call);
         }
         call.last_failure = Some(failure);
+        if failure.may_be_crash() {
+            self.on_attempt_lost(now, call, &replaced);
+        }
         let decision = Decision::new(now, DecisionKind::Retry, "replaced", failure.name())
             .with("request", &call.id)
             .with("endpoint", &replaced.endpoint)
@@ -130,6 +137,9 @@
             call.executions += 1;
             self.count_started(now, call);
         }
+        if failure.may_be_crash() {
+            self.on_attempt_lost(now, call, &replacement);
+        }
         let decision = Decision::new(now, DecisionKind::Retry, "not-replaced", failure.name())
             .with("request", &call.id)
             .with("endpoint", &replacement.endpoint)
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -117,6 +117,8 @@
         let service = route
             .target(stream.0)
             .ok_or_else(|| Refusal::new(ErrorKind::NoEndpoint, "route without a service"))?;
+        let fingerprint = attributes.fingerprint(customer.map(|known| &known.name), service);
+        self.check_quarantine(now, fingerprint)?;
         let timeout = attributes
             .caller_timeout
             .unwrap_or(route.timeout)
@@ -127,7 +129,7 @@
             stream,
             is_resumed,
             origin: None,
-            fingerprint: attributes.fingerprint(customer.map(|known| &known.name), service),
+            fingerprint,
             customer: customer.map(|customer| customer.name.clone()),
             rank: customer
                 .and_then(|customer| customer.rank)
@@ -174,6 +176,7 @@
         now: Timestamp,
         call: &mut AdmittedCall,
     ) -> Result<CallAttempt, Refusal> {
+        self.check_retry(now, call)?;
         let attempt = self.find_endpoint(now, call, true);
         let (calls, slots) = self.load_balancer.occupancy(&call.service);
         let Some(attempt) = attempt else {
@@ -288,6 +291,9 @@
             call.executions += 1;
             self.count_started(now, call);
         }
+        if failure.may_be_crash() {
+            self.on_attempt_lost(now, call, &attempt);
+        }
         let endpoint = attempt.endpoint.clone();
         let age = now.since(attempt.started_at);
         self.end_attempt(now, attempt, failure.outcome());
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -34,7 +34,7 @@
 pub const COPIES: usize = 3;
 /// Fleet size up to which all peers are asked, and origins are sent at the full rate. Above it
 /// the rate shrinks with the fleet, since each message has fewer origins.
-const FULL_RATE_DAEMONS: usize = 32;
+pub(super) const FULL_RATE_DAEMONS: usize = 32;
 /// Bytes of origins that a daemon sends per second in fleets of up to [`FULL_RATE_DAEMONS`].
 const SENT_BYTES_PER_SECOND: f64 = 32_768.0;
 /// Time for which unused bytes may be saved up, for a service that turns to several versions.
@@ -477,22 +477,30 @@
         stream: AttemptDigest,
         count: usize,
     ) -> Vec<(DaemonId, SocketAddr)> {
-        let mut ranked: Vec<(Reverse<u64>, &Peer)> = self
-            .supporting_peers(now)
-            .map(|peer| {
-                let weight = rendezvous_weight(stream.0, daemon_hash(&peer.member.id));
-                (Reverse(weight), peer)
-            })
-            .collect();
-        ranked.sort_unstable_by_key(|(weight, _)| *weight);
-        ranked
-            .into_iter()
-            .take(count)
-            .map(|(_, peer)| (peer.member.id.clone(), peer.member.peer_address))
-            .collect()
+        rank_peers(self.supporting_peers(now), stream.0, count)
     }
 }
 
+/// Returns the `count` peers that rank first for a key.
+pub(super) fn rank_peers<'a>(
+    peers: impl Iterator<Item = &'a Peer>,
+    key: u64,
+    count: usize,
+) -> Vec<(DaemonId, SocketAddr)> {
+    let mut ranked: Vec<(Reverse<u64>, &Peer)> = peers
+        .map(|peer| {
+            let weight = rendezvous_weight(key, daemon_hash(&peer.member.id));
+            (Reverse(weight), peer)
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(weight, _)| *weight);
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, peer)| (peer.member.id.clone(), peer.member.peer_address))
+        .collect()
+}
+
 /// Hash of a daemon for rendezvous hashing; a restarted process ranks as before.
 fn daemon_hash(id: &DaemonId) -> u64 {
     digest64(&[id.vm.as_str().as_bytes()])
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -165,6 +165,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.usage.remove_expired(now);
         self.origins.remove_expired(now);
+        self.tick_quarantine(now);
         for expired in self.peer_table.remove_expired(now) {
             self.quotas.remove_peer(&expired);
             self.journal.record(
--- a/crates/laburnumstall-core/src/quarantine.rs
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -9,11 +9,14 @@
 //!
 //! Crashes of several endpoints at nearly the same time are treated as a reclaim and are
 //! no evidence against requests that were not in flight on all of them.
+//!
+//! [`CrashTally`] serves paths that cannot order the retries of a request.
 
 mod crash;
 mod evidence;
 mod retention;
 mod suspicion;
+mod tally;
 mod trial;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +28,10 @@
 pub use suspicion::{
     Clearance, CrashReport, QuarantineRecord, Reclaim, Return, Suspicion, TrialClaim,
 };
+pub use tally::{
+    CRASH_TTL, CountedCrash, CrashTally, HOLD_TIME, MAX_RECORDS, MIN_CRASHES, ProcessKey,
+    SAME_CAUSE, SOUND_TIME,
+};
 use trial::{Trials, Turn};
 
 /// Maximum time between reports of one crash by different daemons.
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of the gateway, one file per feature, in virtual time.
 
 mod call_admission;
+mod crash_evidence;
 mod endpoint_scaling;
 mod endpoint_selection;
 mod failed_calls;
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -11,6 +11,7 @@
 
 mod call;
 mod context;
+mod crash_checks;
 mod directory;
 mod gossip;
 mod leader;
@@ -192,6 +193,8 @@
     actix_rt::spawn(gossip::receive(Rc::clone(&cx), rx));
     actix_rt::spawn(origins::replicate(Rc::clone(&cx)));
     actix_rt::spawn(marks::write(Rc::clone(&cx), Rc::clone(&store)));
+    actix_rt::spawn(crash_checks::run(Rc::clone(&cx)));
+    actix_rt::spawn(crash_checks::write(Rc::clone(&cx), Rc::clone(&store)));
     for listener in [Some(readiness), Some(metrics), directory]
         .into_iter()
         .flatten()
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -32,6 +32,9 @@
         status: u16,
         /// What to do with the caller's connection.
         action: ConnectionAction,
+        /// Whether the response marks its own end, so that the endpoint has certainly run the
+        /// request to completion.
+        is_delimited: bool,
     },
     /// The attempt failed; holds the endpoint's error response, if there is one.
     Failed(CallFailure, Option<Box<ErrorResponse>>),
@@ -99,8 +102,17 @@
         let ended = try_endpoint(cx, conn, request, call, &mut attempts, progress).await;
         let attempt = attempts.close(cx);
         match ended {
-            AttemptResult::Answered { status, action } => {
-                cx.with_gateway(|gateway, now| gateway.succeed(now, attempt));
+            AttemptResult::Answered {
+                status,
+                action,
+                is_delimited,
+            } => {
+                cx.with_gateway(|gateway, now| {
+                    gateway.succeed(now, attempt);
+                    if is_delimited {
+                        gateway.on_completed(now, call);
+                    }
+                });
                 return ("answered", status, action);
             }
             AttemptResult::CallerGone => {
@@ -168,7 +180,11 @@
         return ("cut", 0, ConnectionAction::Abort);
     }
     let action = send_refusal(cx, conn, request, Some(&call.id), refusal).await;
-    (refusal.kind.name(), refusal.kind.response().status, action)
+    (
+        refusal.kind.name(),
+        headers::refusal_status(refusal.kind),
+        action,
+    )
 }
 
 async fn send_refusal(
@@ -337,9 +353,14 @@
         }
         Ok(true) => {
             let status = response.head.status;
+            let is_delimited = response.is_delimited();
             let action = forward_buffered(conn, request, cx, &response.head, &body).await;
             response.release(&cx.pool);
-            AttemptResult::Answered { status, action }
+            AttemptResult::Answered {
+                status,
+                action,
+                is_delimited,
+            }
         }
         Ok(false) => forward_unbuffered(cx, conn, request, call, response, body).await,
     }
@@ -378,9 +399,11 @@
         }
     }
     let sent = conn.send(b"0\r\n\r\n", SEND_TIMEOUT).await.is_ok();
+    let is_delimited = response.is_delimited();
     response.release(&cx.pool);
     AttemptResult::Answered {
         status,
+        is_delimited,
         action: connection_action(sent, should_close),
     }
 }
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -36,6 +36,8 @@
     pub lookups: PendingLookups,
     /// Wakes the task that sends stream origins to peers.
     pub origin_signal: Notify,
+    /// Wakes the task that checks endpoints.
+    pub check_signal: Notify,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Wakes tasks when a stop begins, idle connections close or the gateway ends.
@@ -64,6 +66,7 @@
             pool: Pool::default(),
             lookups: PendingLookups::default(),
             origin_signal: Notify::new(),
+            check_signal: Notify::new(),
             metrics,
             stop_signal: Notify::new(),
             links,
@@ -88,7 +91,15 @@
         let result = f(&mut gateway, now);
         let decisions = gateway.take_decisions();
         let has_origins_to_send = gateway.has_origins_to_send();
+        let has_endpoint_checks = gateway.has_endpoint_checks();
+        let updates = gateway.take_quarantine_updates();
         drop(gateway);
+        for (peer, address, update) in updates {
+            self.send_to_peer(&peer, address, PeerMessage::Quarantine(update));
+        }
+        if has_endpoint_checks {
+            self.check_signal.notify_one();
+        }
         if has_origins_to_send {
             self.origin_signal.notify_one();
         }
--- /dev/null
+++ b/crates/laburnumstalld/src/gateway/crash_checks.rs
@@ -0,0 +1,112 @@
+//! Checks whether endpoints have crashed, and stores the requests that are quarantined for it.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use laburnumstall_core::gateway::{EndpointCheck, HoldWrite, StoredHold};
+use laburnumstall_core::ids::Fingerprint;
+use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply, StoredValue};
+use laburnumstall_outside::key_value::KeyValue;
+use laburnumstall_platform::store::Store;
+use tokio::time::sleep;
+
+use super::context::Context;
+use super::log::Event;
+use crate::http1::Conn;
+
+/// Time to collect the calls that a crash ends before the endpoint is checked.
+const CHECK_DELAY: Duration = Duration::from_millis(5);
+/// Time in which an endpoint accepts or refuses a connection, with one retransmission.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval at which quarantines that are due are written.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay before a failed write is repeated.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Prefix of the keys of quarantined requests.
+const PREFIX: &str = "quarantine/";
+
+/// Checks the endpoints whose connections ended.
+pub(super) async fn run(cx: Rc<Context>) {
+    loop {
+        cx.check_signal.notified().await;
+        for check in cx.with_gateway(|gateway, _| gateway.take_endpoint_checks()) {
+            actix_rt::spawn(check_endpoint(Rc::clone(&cx), check));
+        }
+    }
+}
+
+async fn check_endpoint(cx: Rc<Context>, check: EndpointCheck) {
+    sleep(CHECK_DELAY).await;
+    cx.metrics.connection();
+    let connected = Conn::connect(check.address, CHECK_TIMEOUT).await;
+    let is_refused =
+        matches!(&connected, Err(error) if error.kind() == io::ErrorKind::ConnectionRefused);
+    if let Ok(conn) = connected {
+        cx.pool.put_new(check.address, conn);
+    }
+    cx.with_gateway(|gateway, now| gateway.on_endpoint_checked(now, &check.endpoint, is_refused));
+}
+
+/// Returns the quarantined request that a value describes, and its value; `None` for other keys.
+pub(super) fn stored_hold(value: &StoredValue) -> Option<(Fingerprint, Option<StoredHold>)> {
+    let request = value.key.as_str().strip_prefix(PREFIX)?.parse().ok()?;
+    let hold = value.value.as_deref();
+    Some((
+        request,
+        hold.and_then(|hold| serde_json::from_slice(hold).ok()),
+    ))
+}
+
+/// Writes quarantines to the key-value store until the gateway ends.
+pub(super) async fn write(cx: Rc<Context>, store: Rc<Store>) {
+    while !cx.is_ended() {
+        sleep(WRITE_INTERVAL).await;
+        for hold in cx.with_gateway(|gateway, now| gateway.hold_writes(now)) {
+            match write_hold(&store, &hold).await {
+                Ok(()) => cx.with_gateway(|gateway, _| gateway.on_hold_written(&hold)),
+                Err(cause) => {
+                    cx.event(
+                        Event::new("quarantine-not-stored")
+                            .with("fingerprint", hold.request)
+                            .with("cause", cause),
+                    );
+                    sleep(WRITE_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+}
+
+async fn write_hold(store: &Store, hold: &HoldWrite) -> Result<(), &'static str> {
+    let key: StoreKey = format!("{PREFIX}{}", hold.request)
+        .parse()
+        .map_err(|_| "invalid-key")?;
+    let Ok(StoreReply::Value(current)) = store.call(StoreCall::Get { key: key.clone() }).await
+    else {
+        return Err("not-read");
+    };
+    let current = current.filter(|stored| stored.value.is_some());
+    if current.is_some() == hold.value.is_some() {
+        return Ok(());
+    }
+    let lease = match &hold.value {
+        None => None,
+        Some(_) => match store.call(StoreCall::Grant { ttl: hold.ttl }).await {
+            Ok(StoreReply::Lease { lease, .. }) => Some(lease),
+            _ => return Err("no-lease"),
+        },
+    };
+    let value = hold.value.as_ref().map(serde_json::to_vec).transpose();
+    let swap = StoreCall::Swap {
+        key,
+        expected: current.map(|stored| stored.version),
+        value: value.map_err(|_| "not-encoded")?,
+        lease,
+    };
+    match store.call(swap).await {
+        // On a conflict another daemon has written the same.
+        Ok(StoreReply::Swapped { .. } | StoreReply::Conflict { .. }) => Ok(()),
+        _ => Err("not-written"),
+    }
+}
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -91,5 +91,8 @@
             }
         }
         PeerMessage::Answer(reply) => cx.lookups.on_reply(reply),
+        PeerMessage::Quarantine(update) => {
+            cx.with_gateway(|gateway, now| gateway.on_quarantine_update(now, update));
+        }
     }
 }
--- a/crates/laburnumstalld/src/gateway/listener.rs
+++ b/crates/laburnumstalld/src/gateway/listener.rs
@@ -222,13 +222,9 @@
     refusal: &Refusal,
     should_close: bool,
 ) -> bool {
-    let response = refusal.kind.response();
+    let status = headers::refusal_status(refusal.kind);
     let body = serde_json::to_vec(&ErrorBody::from(refusal)).unwrap_or_default();
-    let mut head = format!(
-        "HTTP/1.1 {} {}\r\n",
-        response.status,
-        reason_phrase(response.status)
-    );
+    let mut head = format!("HTTP/1.1 {} {}\r\n", status, reason_phrase(status));
     if let Some(id) = id {
         head.push_str(&format!("{}: {id}\r\n", headers::CALL_ID));
     }
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::context::Context;
+use super::crash_checks;
 use super::log::Event;
 use super::marks;
 
@@ -45,10 +46,13 @@
 struct StoredMember {
     #[serde(flatten)]
     member: Member,
-    /// Whether the daemon decodes all variants of `PeerMessage`, and marks services with
-    /// several versions.
+    /// Whether the daemon decodes messages about the origins of streams, and marks services
+    /// with several versions.
     #[serde(default)]
     stream_origins: bool,
+    /// Whether the daemon decodes quarantine updates.
+    #[serde(default)]
+    quarantine: bool,
 }
 
 /// Reads a snapshot of the store, then its changes, forever.
@@ -148,12 +152,15 @@
     let mut endpoints: Vec<EndpointRecord> = Vec::new();
     let mut members: BTreeSet<DaemonId> = BTreeSet::new();
     let mut marked: BTreeSet<ServiceName> = BTreeSet::new();
+    let mut holds = Vec::new();
     for change in snapshot.changes {
         match change {
             Change::Endpoint(record) => endpoints.push(record),
             Change::Own(value) => {
                 if let Some(service) = marks::marked_service(&value) {
                     marked.insert(service);
+                } else if let Some((request, hold)) = crash_checks::stored_hold(&value) {
+                    holds.extend(hold.map(|hold| (request, hold)));
                 } else if let Some(stored) = parse_member(cx, &value) {
                     members.insert(stored.member.id.clone());
                     apply_member(cx, stored);
@@ -182,6 +189,7 @@
             gateway.on_version_mark(service, true);
         }
         gateway.on_endpoints(now, endpoints);
+        gateway.on_stored_holds(now, holds);
         let known: Vec<DaemonId> = gateway
             .peer_table()
             .peers()
@@ -208,6 +216,11 @@
             if let Some(service) = marks::marked_service(&value) {
                 let is_marked = value.value.is_some();
                 cx.with_gateway(|gateway, _| gateway.on_version_mark(service, is_marked));
+            } else if let Some((request, hold)) = crash_checks::stored_hold(&value) {
+                cx.with_gateway(|gateway, now| match hold {
+                    Some(hold) => gateway.on_stored_hold(now, request, hold),
+                    None => gateway.on_stored_hold_removed(now, request),
+                });
             } else if value.value.is_none() {
                 remove_member(cx, &value);
             } else if let Some(stored) = parse_member(cx, &value) {
@@ -229,6 +242,7 @@
         let id = stored.member.id.clone();
         gateway.on_member(now, stored.member);
         gateway.set_extension_support(&id, stored.stream_origins);
+        gateway.set_quarantine_support(&id, stored.quarantine);
     });
 }
 
@@ -348,6 +362,7 @@
         let stored = StoredMember {
             member: member.clone(),
             stream_origins: true,
+            quarantine: true,
         };
         let value = serde_json::to_vec(&stored).map_err(|_| "not-encoded")?;
         let key = self.key.clone();
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -120,8 +120,10 @@
         }
         if is_end {
             let status = source.response.head.status;
+            let is_delimited = source.response.is_delimited();
             source.response.release(&cx.pool);
             return AttemptResult::Answered {
+                is_delimited,
                 status,
                 action: connection_action(true, should_close),
             };
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -61,6 +61,11 @@
         None
     }
 
+    /// Adds a connection on which nothing was sent.
+    pub(super) fn put_new(&self, address: SocketAddr, conn: Conn) {
+        self.put(address, conn, DEFAULT_KEEP_ALIVE);
+    }
+
     fn put(&self, address: SocketAddr, conn: Conn, keep_alive: Duration) {
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(address).or_default();
@@ -301,6 +306,11 @@
         Ok(false)
     }
 
+    /// Returns whether the body marks its own end, so that a crash cannot look like it.
+    pub(super) fn is_delimited(&self) -> bool {
+        self.head.framing != Framing::UntilClose
+    }
+
     /// Returns the connection to `pool` if it can be reused.
     pub(super) fn release(self, pool: &Pool) {
         let is_reusable = self.body.is_done() && self.conn.buf.is_empty() && self.is_request_read;
