Send requests that crash endpoints in the soak

In soaks with an even seed, three callers send copies of one request for 6.5 to 9 s. Two checks are new: daemons in touch run it at most three times later than 3 s after the third crash, and no sound request is refused as quarantined. The faults of each seed so far stay as they were; the new ones are drawn apart.

--- a/crates/laburnumstall-soak/src/checks.rs
+++ b/crates/laburnumstall-soak/src/checks.rs
@@ -1,5 +1,7 @@
 //! What was promised, compared with what callers were told and what endpoints ran.
 
+mod crashing;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -51,6 +53,8 @@
         view.deadlines(),
         view.planned_work(),
         view.resumed_streams(),
+        view.crashing_requests(),
+        view.sound_requests(),
         view.drains(&runs),
         view.reports(),
         view.recovery(calm_from, calm_until),
@@ -137,7 +141,7 @@
                         tell(record),
                         self.run_count(&record.id)
                     )),
-                    (1, Outcome::Refused) => {
+                    (1, Outcome::Refused | Outcome::Quarantined) => {
                         Some(format!("request {} was refused and ran", tell(record)))
                     }
                     _ => None,
@@ -269,7 +273,8 @@
                 one.on != Target::Daemon(record.daemon)
             });
             let is_withdrawn = self.key(record).is_some_and(|key| key.withdrawn.is_some());
-            record.kind == CallKind::Stream && is_in_touch && !is_withdrawn
+            let is_sound = record.episode.is_none();
+            is_sound && record.kind == CallKind::Stream && is_in_touch && !is_withdrawn
         });
         let (mut new, mut begun) = (0, 0);
         let mut resumed: BTreeMap<&str, bool> = BTreeMap::new();
@@ -378,7 +383,11 @@
         for kind in CallKind::ALL {
             let asked = self.records.iter().filter(|record| {
                 let is_withdrawn = self.key(record).is_some_and(|key| key.withdrawn.is_some());
-                record.kind == kind && (from..until).contains(&record.sent_at) && !is_withdrawn
+                let is_sound = record.episode.is_none();
+                is_sound
+                    && record.kind == kind
+                    && (from..until).contains(&record.sent_at)
+                    && !is_withdrawn
             });
             let asked: Vec<&Record> = asked.collect();
             let served = asked
--- a/crates/laburnumstall-soak/src/clients.rs
+++ b/crates/laburnumstall-soak/src/clients.rs
@@ -116,6 +116,7 @@
                 outcome: reply.outcome,
                 received_before: call.received,
                 received: reply.received,
+                episode: None,
             });
             if !reply.is_kept_open {
                 return;
@@ -141,7 +142,7 @@
     ) -> Option<Unfinished> {
         let is_cut = match reply.outcome {
             Outcome::Cut => true,
-            Outcome::Refused | Outcome::Failed(_) => call.received.is_some(),
+            Outcome::Refused | Outcome::Quarantined | Outcome::Failed(_) => call.received.is_some(),
             _ => false,
         };
         if !is_cut || attempts == MOST_ATTEMPTS {
--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fastrand::Rng;
+use laburnumstall_platform_standins::caller::CallKind;
 use laburnumstall_platform_standins::{EndpointFaults, StoreFault};
 
 use crate::world::Target;
@@ -27,6 +28,12 @@
 const LONGEST_LAG: Duration = Duration::from_millis(300);
 /// Longest time that a fault lasts.
 const LONGEST: Duration = Duration::from_millis(5_000);
+/// Shortest and longest time for which requests that crash endpoints come: some seconds more than
+/// all daemons have to know of them.
+const SHORTEST_EPISODE: Duration = Duration::from_millis(6_500);
+const LONGEST_EPISODE: Duration = Duration::from_millis(9_000);
+/// Separates the draws of these requests from those of the other faults.
+const CRASHING_SEED: u64 = 0x63;
 /// Shortest time that a fault lasts.
 const SHORTEST: Duration = Duration::from_millis(300);
 
@@ -64,6 +71,8 @@
     /// Hits all endpoints of one service, each after the one before by the second time. A stream
     /// that moves may meet the next silence.
     SilenceForService(usize, Duration, Duration),
+    /// Callers of a service send copies of a request that crashes each endpoint that begins it.
+    SendCrashing(usize, CallKind, Duration),
     DutiesDown(Duration),
     ChangeTimeout,
     AddKey,
@@ -91,9 +100,9 @@
             | Self::SilenceEndpoint(index)
             | Self::CutEndpoint(index, _)
             | Self::SilenceForOne(index, _) => Target::Endpoint(index),
-            Self::Release(service) | Self::SilenceForService(service, ..) => {
-                Target::Service(service)
-            }
+            Self::Release(service)
+            | Self::SilenceForService(service, ..)
+            | Self::SendCrashing(service, ..) => Target::Service(service),
             Self::DutiesDown(_) | Self::ChangeTimeout | Self::AddKey | Self::RevokeKey => {
                 Target::Operators
             }
@@ -110,6 +119,8 @@
                 | Self::ChangeTimeout
                 | Self::AddKey
                 | Self::RevokeKey
+                // Each crash that follows is noted by itself.
+                | Self::SendCrashing(..)
         );
         !is_planned && !self.is_silence()
     }
@@ -154,6 +165,25 @@
         at += between(&mut rng, Duration::ZERO, BETWEEN_SERIES);
     }
     plan.retain(|planned| planned.at < length);
+    plan.extend(crashing_requests(seed, length, shape));
+    plan.sort_by_key(|planned| planned.at);
+    plan
+}
+
+/// Draws when callers send requests that crash endpoints, apart from the other faults: in every
+/// second soak, since their crashes excuse lost requests.
+fn crashing_requests(seed: u64, length: Duration, shape: Shape) -> Vec<Planned> {
+    let mut rng = Rng::with_seed(seed ^ CRASHING_SEED);
+    let mut plan = Vec::new();
+    let mut at = between(&mut rng, Duration::ZERO, SHORTEST_EPISODE / 4);
+    while seed.is_multiple_of(2) && at < length {
+        let lasts = between(&mut rng, SHORTEST_EPISODE, LONGEST_EPISODE);
+        let service = rng.usize(0..shape.services);
+        let kind = CallKind::ALL[rng.usize(0..CallKind::ALL.len())];
+        let fault = Fault::SendCrashing(service, kind, lasts);
+        plan.push(Planned { at, fault });
+        at += lasts + between(&mut rng, Duration::ZERO, LONGEST_EPISODE);
+    }
     plan
 }
 
--- a/crates/laburnumstall-soak/src/report.rs
+++ b/crates/laburnumstall-soak/src/report.rs
@@ -64,6 +64,7 @@
     match outcome {
         Outcome::Served => "served",
         Outcome::Refused => "refused",
+        Outcome::Quarantined => "quarantined",
         Outcome::Denied(_) => "denied",
         Outcome::Failed(_) => "failed",
         Outcome::Cut => "cut",
--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -1,5 +1,6 @@
 //! The processes, the stand-ins and the relays of one soak, and what happens to them.
 
+mod crashing;
 mod endpoints;
 mod faults;
 mod keys;
@@ -18,6 +19,7 @@
 use laburnumstall_standins::network::Relay;
 use rustix::process::Signal;
 use snafu::{ResultExt, Snafu};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
 use crate::options::SoakSettings;
@@ -138,6 +140,8 @@
     pub(crate) received_before: Option<StreamPart>,
     /// What this attempt and earlier ones received of it.
     pub(crate) received: Option<StreamPart>,
+    /// Number of the episode whose requests crash endpoints, if it is one of them.
+    pub(crate) episode: Option<u32>,
 }
 
 struct DaemonSlot {
@@ -161,6 +165,9 @@
     daemons: Vec<DaemonSlot>,
     endpoints: RefCell<Vec<Option<EndpointSlot>>>,
     next_endpoint: Cell<u32>,
+    /// Receives the endpoints that requests have crashed.
+    crashed: mpsc::UnboundedSender<(usize, u32)>,
+    next_episode: Cell<u32>,
     pub(crate) endpoint_starts: RefCell<Vec<EndpointStart>>,
     pub(crate) ledger: RefCell<Vec<Record>>,
     pub(crate) keys: RefCell<Vec<KeyState>>,
@@ -215,6 +222,7 @@
                 settings, net.number, number, &store, &duties,
             )?);
         }
+        let (tx, rx) = mpsc::unbounded_channel();
         let world = Rc::new(Self {
             program: settings.program.clone(),
             started: Instant::now(),
@@ -224,6 +232,8 @@
             daemons,
             endpoints: RefCell::new((0..settings.shape().endpoints).map(|_| None).collect()),
             next_endpoint: Cell::new(0),
+            crashed: tx,
+            next_episode: Cell::new(0),
             endpoint_starts: RefCell::default(),
             ledger: RefCell::default(),
             keys: RefCell::new(first_keys()),
@@ -238,6 +248,7 @@
             return Err(error);
         }
         actix_rt::spawn(watch_ends(Rc::clone(&world)));
+        actix_rt::spawn(crashing::replace_crashed(Rc::clone(&world), rx));
         Ok(world)
     }
 
@@ -378,9 +389,7 @@
             }
         }
         for slot in self.endpoints.take().into_iter().flatten() {
-            slot.stand_in.crash();
-            // Nothing is left to relay.
-            let _ = slot.relay.close();
+            slot.crash();
         }
     }
 }
--- a/crates/laburnumstall-soak/src/world/endpoints.rs
+++ b/crates/laburnumstall-soak/src/world/endpoints.rs
@@ -23,7 +23,8 @@
 
 pub(super) struct EndpointSlot {
     pub(super) stand_in: EndpointStandIn,
-    pub(super) relay: Relay,
+    pub(super) relay: Rc<Relay>,
+    pub(super) number: u32,
     version: usize,
 }
 
@@ -41,10 +42,12 @@
 }
 
 impl EndpointSlot {
-    fn crash(self) {
+    pub(super) fn crash(self) {
         self.stand_in.crash();
-        // A relay that failed has no connections left to end.
-        let _ = self.relay.close();
+        if let Some(relay) = Rc::into_inner(self.relay) {
+            // A relay that failed has no connections left to end.
+            let _ = relay.close();
+        }
     }
 }
 
@@ -141,10 +144,22 @@
         let stand_in = EndpointStandIn::start(spec, store, runs).await;
         let stand_in = stand_in.context(StandInSnafu { what })?;
         let relay = Relay::tcp(stand_in.address()).context(StandInSnafu { what })?;
+        let relay = Rc::new(relay);
         stand_in.register(relay.address());
+        let (crashed, relay_of_crashed) = (stand_in.crashed(), Rc::downgrade(&relay));
+        let tx = self.crashed.clone();
+        actix_rt::spawn(async move {
+            crashed.await;
+            if let Some(relay) = relay_of_crashed.upgrade() {
+                relay.cut();
+            }
+            // The soak may be over.
+            let _ = tx.send((index, number));
+        });
         self.endpoints.borrow_mut()[index] = Some(EndpointSlot {
             stand_in,
             relay,
+            number,
             version,
         });
         Ok(())
--- a/crates/laburnumstall-soak/src/world/faults.rs
+++ b/crates/laburnumstall-soak/src/world/faults.rs
@@ -37,6 +37,11 @@
                 }
             }
             Fault::StopDaemon(index) => self.stop(index, &fault).await,
+            Fault::SendCrashing(service, kind, time) => {
+                let noted = self.note(&fault);
+                Rc::clone(&self).send_crashing(service, kind, time).await;
+                self.ended(noted);
+            }
             _ => {
                 let noted = self.note(&fault);
                 self.carry_out(&fault).await;
@@ -104,7 +109,10 @@
                 sleep(time).await;
                 self.at_endpoint(index, |slot| slot.relay.mend());
             }
-            Fault::KillDaemon(_) | Fault::KillAll | Fault::StopDaemon(_) => {}
+            Fault::KillDaemon(_)
+            | Fault::KillAll
+            | Fault::StopDaemon(_)
+            | Fault::SendCrashing(..) => {}
         }
     }
 
