--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 
 use super::recovery::CallFailure;
 use super::rules::RouteRule;
@@ -99,6 +99,17 @@
         }
     }
 
+    /// Returns the identifiers of the first shared parts, for logs.
+    pub(super) fn shared_text(&self) -> CompactString {
+        const MAX_LOGGED: usize = 8;
+        let mut text = CompactString::default();
+        for (index, part) in self.shared().iter().take(MAX_LOGGED).enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            text.push_str(&format_compact!("{separator}{:x}", part.id));
+        }
+        text
+    }
+
     /// Returns the consistent-hash key, which is the same for calls with the same shared
     /// parts.
     pub fn hash_key(&self) -> Option<u64> {
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -53,6 +53,9 @@
                 if let Some(customer) = &call.customer {
                     decision = decision.with("customer", customer);
                 }
+                if let Some(prompt) = call.prompt.as_ref().filter(|p| !p.shared().is_empty()) {
+                    decision = decision.with("parts", prompt.shared_text());
+                }
             }
             Err(refusal) => {
                 let age = self.freshness.age(now).unwrap_or(Duration::MAX);
