--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -1,34 +1,36 @@
-//! Evidence of requests that crash the endpoints that run them.
+//! Evidence of requests, and of parts of prompts, that crash the endpoints that run them.
 //!
 //! The end of a connection does not show that an endpoint has crashed, so the daemon then
 //! checks whether the endpoint still accepts connections: a process that has ended refuses
-//! them, while a lost VM does not answer. The calls that were in flight at a crash are
-//! reported to the peers that count for them: all peers in a small fleet, otherwise a few by
-//! rendezvous hashing. Whoever counts enough crashes tells all daemons, and writes the
-//! quarantine to the key-value store for those that start later.
+//! them, while a lost VM does not answer. What was in flight at a crash is reported to the
+//! peers that count for it: all peers in a small fleet, otherwise a few by rendezvous hashing.
+//! Whoever counts enough crashes tells all daemons, and writes the quarantine to the key-value
+//! store for those that start later.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Gateway;
-use super::call::AdmittedCall;
+use super::call::{AdmittedCall, Prompt};
 use super::gossip::Peer;
 use super::load_balancer::CallAttempt;
-use super::resumption::{COPIES, FULL_RATE_DAEMONS, rank_peers};
+use super::resumption::{COPIES, FULL_RATE_DAEMONS, daemon_hash, rank_peers};
 use crate::decision::{Decision, DecisionKind};
 use crate::domain;
 use crate::error::{ErrorKind, Refusal};
-use crate::hash::digest64;
-use crate::ids::{DaemonId, EndpointId, Fingerprint};
-use crate::quarantine::{CountedCrash, ProcessKey};
+use crate::hash::{digest64, rendezvous_weight};
+use crate::ids::{DaemonId, EndpointId, Fingerprint, ServiceName};
+use crate::quarantine::{CountedCrash, MIN_CRASHES_OF_KNOWN, ProcessKey, Suspect, SuspectNote};
 use crate::units::Timestamp;
 
 /// Time after the first output from which on a crash does not count against a call: it has
 /// begun without crashing the endpoint.
 const BEGIN_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of requests in one report of a crash.
+/// Maximum number of suspects in one report of a crash.
 const MAX_IN_FLIGHT: usize = 1_024;
+/// Maximum number of processes in a message about a quarantine.
+const MAX_PROCESSES: usize = 8;
 
 domain! {
     /// Crash of an endpoint process, as one daemon noticed it.
@@ -38,25 +40,29 @@
         pub process: ProcessKey,
         /// Time since the crash in milliseconds; clocks of daemons differ.
         pub age_ms: u32,
-        /// Requests that were in flight.
-        pub requests: Vec<Fingerprint>,
+        /// What was in flight, the most specific first.
+        pub suspects: Vec<SuspectNote>,
     }
 
-    /// A quarantined request.
+    /// Quarantine of a suspect.
     #[derive(Eq)]
-    pub struct RequestHold {
-        /// The request.
-        pub request: Fingerprint,
+    pub struct SuspectHold {
+        /// The suspect.
+        pub suspect: Suspect,
+        /// Its depth, see [`SuspectNote`].
+        pub depth: u8,
         /// Time until the quarantine ends, in seconds.
         pub remaining_s: u32,
+        /// Processes whose crashes it explains.
+        pub processes: Vec<ProcessKey>,
     }
 
-    /// A request of which a copy ran to completion.
+    /// Suspect that was in a request that ran to completion.
     #[derive(Eq)]
-    pub struct RequestClearance {
-        /// The request.
-        pub request: Fingerprint,
-        /// Time since its completion in milliseconds.
+    pub struct SuspectClearance {
+        /// The suspect.
+        pub suspect: Suspect,
+        /// Time since the completion in milliseconds.
         pub age_ms: u32,
     }
 
@@ -65,10 +71,10 @@
     pub struct QuarantineUpdate {
         /// Crashes.
         pub crashes: Vec<ProcessCrash>,
-        /// Requests that are quarantined.
-        pub holds: Vec<RequestHold>,
-        /// Requests that are cleared.
-        pub clearances: Vec<RequestClearance>,
+        /// Quarantines.
+        pub holds: Vec<SuspectHold>,
+        /// Suspects that are cleared.
+        pub clearances: Vec<SuspectClearance>,
     }
 }
 
@@ -92,7 +98,14 @@
 struct LostProcess {
     process: ProcessKey,
     at: Timestamp,
-    requests: BTreeSet<Fingerprint>,
+    suspects: BTreeMap<Suspect, InFlight>,
+}
+
+/// Request in flight on a process.
+#[derive(Debug, Clone, Copy)]
+struct InFlight {
+    request: Fingerprint,
+    depth: u8,
 }
 
 /// Messages that wait to be sent.
@@ -103,26 +116,68 @@
     reached: BTreeSet<DaemonId>,
 }
 
+/// Returns what a crash may be attributed to while a request is in flight, with the depth: the
+/// request, and the shared parts of its prompt, the last one first.
+pub(super) fn suspects(
+    fingerprint: Fingerprint,
+    service: &ServiceName,
+    prompt: Option<&Prompt>,
+) -> impl Iterator<Item = (Suspect, u8)> {
+    let service = service.as_str().as_bytes();
+    let parts = prompt.map_or(&[][..], Prompt::shared).iter().rev();
+    let parts = parts.map(|part| digest64(&[service, &part.id.to_le_bytes()]));
+    let request = std::iter::once(Suspect::Request(fingerprint));
+    request
+        .chain(parts.map(|part| Suspect::Part(Fingerprint(part))))
+        .zip(0..)
+}
+
+impl AdmittedCall {
+    fn suspects(&self) -> impl Iterator<Item = (Suspect, u8)> {
+        suspects(self.fingerprint, &self.service, self.prompt.as_ref())
+    }
+}
+
 impl Gateway {
-    /// Refuses a request that is quarantined.
+    /// Refuses a request that is quarantined, or has a part that is.
     pub(super) fn check_quarantine(
         &self,
         now: Timestamp,
-        request: Fingerprint,
+        fingerprint: Fingerprint,
+        service: &ServiceName,
+        prompt: Option<&Prompt>,
     ) -> Result<(), Refusal> {
-        match self.quarantine.held_until(now, request) {
-            Some(_) => Err(Refusal::new(ErrorKind::Quarantined, "crashed endpoints")),
+        if !self.quarantine.has_holds() {
+            return Ok(());
+        }
+        let is_held = |suspect: &Suspect| self.quarantine.held_until(now, *suspect).is_some();
+        let mut suspects = suspects(fingerprint, service, prompt).map(|(suspect, _)| suspect);
+        match suspects.find(is_held) {
+            Some(Suspect::Request(_)) => {
+                Err(Refusal::new(ErrorKind::Quarantined, "crashed endpoints"))
+            }
+            Some(Suspect::Part(_)) => {
+                let detail = "a part of the prompt crashed endpoints";
+                Err(Refusal::new(ErrorKind::Quarantined, detail))
+            }
             None => Ok(()),
         }
     }
 
+    /// Checks whether a call may be sent to an endpoint once more; the refusal is that of a call
+    /// that has not run.
+    pub(super) fn check_call(&self, now: Timestamp, call: &AdmittedCall) -> Result<(), Refusal> {
+        let prompt = call.prompt.as_ref();
+        self.check_quarantine(now, call.fingerprint, &call.service, prompt)
+    }
+
     /// Refuses a call whose request has been quarantined since it was admitted.
     pub(super) fn check_retry(
         &mut self,
         now: Timestamp,
         call: &AdmittedCall,
     ) -> Result<(), Refusal> {
-        let refusal = match self.check_quarantine(now, call.fingerprint) {
+        let refusal = match self.check_call(now, call) {
             Err(refusal) if call.executions == 0 => refusal,
             Err(refusal) => Refusal::new(ErrorKind::EndpointCrashed, refusal.detail),
             Ok(()) => return Ok(()),
@@ -165,11 +220,18 @@
                 LostProcess {
                     process: ProcessKey(process),
                     at: now,
-                    requests: BTreeSet::new(),
+                    suspects: BTreeMap::new(),
                 }
             });
-        if lost.requests.len() < MAX_IN_FLIGHT {
-            lost.requests.insert(call.fingerprint);
+        for (suspect, depth) in call.suspects() {
+            if lost.suspects.len() < MAX_IN_FLIGHT {
+                let new = InFlight {
+                    request: call.fingerprint,
+                    depth,
+                };
+                let known = lost.suspects.entry(suspect).or_insert(new);
+                known.depth = known.depth.min(depth);
+            }
         }
     }
 
@@ -196,33 +258,29 @@
         if !refuses_connections {
             return;
         }
-        let is_suspect = |request: &Fingerprint| !self.quarantine.is_sound(now, *request);
-        let requests: Vec<Fingerprint> = lost.requests.into_iter().filter(is_suspect).collect();
+        let notes = self.notes(now, &lost);
         self.journal.record(
             Decision::new(now, DecisionKind::Quarantine, "suspect", "endpoint-crash")
                 .with("endpoint", endpoint)
-                .with("in_flight", requests.len()),
+                .with("in_flight", lost.suspects.len())
+                .with("suspects", notes.len()),
         );
         let crash = CountedCrash {
             process: lost.process,
             at: lost.at,
         };
-        let mut by_peer: BTreeMap<(DaemonId, SocketAddr), Vec<Fingerprint>> = BTreeMap::new();
-        for request in &requests {
-            for peer in self.counting_peers(now, *request) {
-                by_peer.entry(peer).or_default().push(*request);
+        let mut by_peer: BTreeMap<(DaemonId, SocketAddr), Vec<SuspectNote>> = BTreeMap::new();
+        for note in &notes {
+            for peer in self.counting_peers(now, note.suspect) {
+                by_peer.entry(peer).or_default().push(*note);
             }
         }
-        for (peer, requests) in by_peer {
-            let crash = ProcessCrash {
-                process: crash.process,
-                age_ms: millis(now.since(crash.at)),
-                requests,
-            };
+        for (peer, suspects) in by_peer {
+            let crash = to_process_crash(now, crash, suspects);
             self.outbox_of(peer).crashes.push(crash);
         }
-        for request in requests {
-            self.count_crash(now, request, crash);
+        for note in notes {
+            self.count_crash(now, note, crash);
         }
     }
 
@@ -230,27 +288,29 @@
     pub fn on_quarantine_update(&mut self, now: Timestamp, update: QuarantineUpdate) {
         for clearance in update.clearances {
             let at = now.before(Duration::from_millis(clearance.age_ms.into()));
-            self.clear(now, clearance.request, at, "peer");
+            self.clear(now, clearance.suspect, at, "peer");
         }
         for hold in update.holds {
-            let until = now.after(Duration::from_secs(hold.remaining_s.into()));
-            self.adopt_hold(now, hold.request, until, "peer");
+            self.on_peer_hold(now, hold);
         }
         for crash in update.crashes {
             let counted = CountedCrash {
                 process: crash.process,
                 at: now.before(Duration::from_millis(crash.age_ms.into())),
             };
-            for request in crash.requests.into_iter().take(MAX_IN_FLIGHT) {
-                self.count_crash(now, request, counted);
+            for note in crash.suspects.into_iter().take(MAX_IN_FLIGHT) {
+                self.count_crash(now, note, counted);
             }
         }
     }
 
-    /// Records that a call ran to completion, which clears its request.
+    /// Records that a call ran to completion, which clears its request and the parts of its
+    /// prompt.
     pub fn on_completed(&mut self, now: Timestamp, call: &AdmittedCall) {
-        if self.quarantine.on_completed(now, call.fingerprint) {
-            self.report_clearance(now, call.fingerprint, "completed");
+        for (suspect, _) in call.suspects() {
+            if self.quarantine.on_completed(now, suspect) {
+                self.report_clearance(now, suspect, now);
+            }
         }
     }
 
@@ -271,10 +331,8 @@
     /// Removes expired records, and sends the others to peers that have become reachable.
     pub(super) fn tick_quarantine(&mut self, now: Timestamp) {
         self.quarantine.tick(now);
-        let reachable: BTreeMap<DaemonId, SocketAddr> = self
-            .quarantine_peers(now)
-            .map(|peer| (peer.member.id.clone(), peer.member.peer_address))
-            .collect();
+        let reachable: BTreeMap<DaemonId, SocketAddr> =
+            self.all_quarantine_peers(now).into_iter().collect();
         let outbox = &mut self.quarantine_outbox;
         outbox.reached.retain(|peer| reachable.contains_key(peer));
         for (peer, address) in reachable {
@@ -288,48 +346,118 @@
     pub(super) fn adopt_hold(
         &mut self,
         now: Timestamp,
-        request: Fingerprint,
+        suspect: Suspect,
         until: Timestamp,
         source: &str,
     ) {
-        if self.quarantine.is_sound(now, request) {
-            self.report_clearance(now, request, "completed");
-        } else if self.quarantine.on_held(now, request, until) {
-            self.record_hold(now, request, until, source);
+        if self.quarantine.on_held(now, suspect, until) {
+            self.record_hold(now, suspect, until, source);
+        }
+    }
+
+    pub(super) fn record_release(&mut self, now: Timestamp, suspect: Suspect, source: &str) {
+        self.journal.record(
+            Decision::new(now, DecisionKind::Quarantine, "release", source)
+                .with("suspect", suspect),
+        );
+    }
+
+    /// Returns what was in flight at the crash of a process, the most specific first.
+    fn notes(&self, now: Timestamp, lost: &LostProcess) -> Vec<SuspectNote> {
+        let mut notes: Vec<SuspectNote> = lost
+            .suspects
+            .iter()
+            .map(|(suspect, in_flight)| SuspectNote {
+                suspect: *suspect,
+                request: in_flight.request,
+                depth: in_flight.depth,
+                has_completed: self.quarantine.completed_at(now, *suspect).is_some(),
+            })
+            .filter(|note| !matches!(note.suspect, Suspect::Request(_)) || !note.has_completed)
+            .collect();
+        notes.sort_unstable_by_key(|note| (note.depth, note.suspect));
+        notes
+    }
+
+    fn on_peer_hold(&mut self, now: Timestamp, hold: SuspectHold) {
+        let SuspectHold {
+            suspect, processes, ..
+        } = hold;
+        let is_certain =
+            matches!(suspect, Suspect::Part(_)) && processes.len() >= MIN_CRASHES_OF_KNOWN;
+        if let Some(at) = self.quarantine.completed_at(now, suspect)
+            && !is_certain
+        {
+            self.report_clearance(now, suspect, at);
+            return;
         }
+        let until = now.after(Duration::from_secs(hold.remaining_s.into()));
+        self.adopt_hold(now, suspect, until, "peer");
+        self.explain(now, suspect, hold.depth, &processes);
     }
 
-    /// Ends the quarantine of a request of which a copy ran to completion at `at`.
-    fn clear(&mut self, now: Timestamp, request: Fingerprint, at: Timestamp, source: &str) {
-        if self.quarantine.on_cleared(now, request, at) {
-            self.stored_holds.on_cleared(request);
-            self.record_release(now, request, source);
+    /// Clears a suspect that was in a request that ran to completion at `at`.
+    fn clear(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp, source: &str) {
+        if self.quarantine.on_cleared(now, suspect, at) {
+            self.stored_holds.on_cleared(suspect);
+            self.record_release(now, suspect, source);
         }
     }
 
-    fn report_clearance(&mut self, now: Timestamp, request: Fingerprint, source: &str) {
-        let was_held = self.quarantine.held_until(now, request).is_some();
-        self.clear(now, request, now, source);
-        let peers = match was_held {
+    fn report_clearance(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp) {
+        let was_held = self.quarantine.held_until(now, suspect).is_some();
+        self.clear(now, suspect, at, "completed");
+        let has_few_peers = self.counts_everywhere();
+        let peers = match was_held || at < now || has_few_peers {
             true => self.all_quarantine_peers(now),
-            false => self.counting_peers(now, request),
+            false => self.counting_peers(now, suspect),
         };
+        let age_ms = millis(now.since(at));
         for peer in peers {
-            let clearance = RequestClearance { request, age_ms: 0 };
+            let clearance = SuspectClearance { suspect, age_ms };
             self.outbox_of(peer).clearances.push(clearance);
         }
     }
 
-    fn count_crash(&mut self, now: Timestamp, request: Fingerprint, crash: CountedCrash) {
-        let Some(until) = self.quarantine.on_crash(now, request, crash) else {
+    fn count_crash(&mut self, now: Timestamp, note: SuspectNote, crash: CountedCrash) {
+        let suspect = note.suspect;
+        let decided = self.quarantine.on_crash(now, note, crash);
+        if decided.is_none() && self.quarantine.held_until(now, suspect).is_none() {
+            return;
+        }
+        let (mut processes, depth) = self.quarantine.crashes(suspect);
+        if let Some(until) = decided {
+            self.record_hold(now, suspect, until, "crashes");
+            self.stored_holds.on_decided(suspect);
+            processes.truncate(MAX_PROCESSES);
+            let hold = SuspectHold {
+                suspect,
+                depth,
+                remaining_s: seconds(until.since(now)),
+                processes: processes.clone(),
+            };
+            for peer in self.all_quarantine_peers(now) {
+                self.outbox_of(peer).holds.push(hold.clone());
+            }
+        }
+        self.explain(now, suspect, depth, &processes);
+    }
+
+    /// Attributes crashes to a quarantined part.
+    fn explain(&mut self, now: Timestamp, suspect: Suspect, depth: u8, processes: &[ProcessKey]) {
+        if !matches!(suspect, Suspect::Part(_)) || processes.is_empty() {
             return;
-        };
-        self.record_hold(now, request, until, "crashes");
-        self.stored_holds.on_decided(request);
-        for peer in self.all_quarantine_peers(now) {
-            self.outbox_of(peer)
-                .holds
-                .push(to_message(now, request, until));
+        }
+        for released in self.quarantine.explain(now, suspect, depth, processes) {
+            self.stored_holds.on_cleared(released);
+            self.record_release(now, released, "explained");
+            for peer in self.all_quarantine_peers(now) {
+                let clearance = SuspectClearance {
+                    suspect: released,
+                    age_ms: 0,
+                };
+                self.outbox_of(peer).clearances.push(clearance);
+            }
         }
     }
 
@@ -338,27 +466,30 @@
         if self.is_informant(now, peer) {
             let held = self.quarantine.held(now);
             update.holds = held
-                .map(|(request, until)| to_message(now, request, until))
+                .map(|(suspect, until)| {
+                    let (mut processes, depth) = self.quarantine.crashes(suspect);
+                    processes.truncate(MAX_PROCESSES);
+                    SuspectHold {
+                        suspect,
+                        depth,
+                        remaining_s: seconds(until.since(now)),
+                        processes,
+                    }
+                })
                 .collect();
         }
-        let mut crashes: BTreeMap<CountedCrash, Vec<Fingerprint>> = BTreeMap::new();
-        for (request, counted) in self.quarantine.suspects() {
-            if self
-                .counting_peers(now, request)
-                .iter()
-                .any(|(counting, _)| counting == peer)
-            {
-                for crash in counted {
-                    crashes.entry(*crash).or_default().push(request);
-                }
+        let mut crashes: BTreeMap<CountedCrash, Vec<SuspectNote>> = BTreeMap::new();
+        for (note, crash) in self.quarantine.suspects() {
+            let mut counting = self.counting_peers(now, note.suspect).into_iter();
+            if counting.any(|(counting, _)| counting == *peer) {
+                crashes.entry(crash).or_default().push(note);
             }
         }
         update.crashes = crashes
             .into_iter()
-            .map(|(crash, requests)| ProcessCrash {
-                process: crash.process,
-                age_ms: millis(now.since(crash.at)),
-                requests,
+            .map(|(crash, mut notes)| {
+                notes.sort_unstable_by_key(|note| (note.depth, note.suspect));
+                to_process_crash(now, crash, notes)
             })
             .collect();
         if update != QuarantineUpdate::default() {
@@ -370,30 +501,30 @@
 
     /// Returns whether this daemon is one of those that tell a new peer what is quarantined.
     fn is_informant(&self, now: Timestamp, peer: &DaemonId) -> bool {
-        if self.peer_table.len() < FULL_RATE_DAEMONS {
+        if self.counts_everywhere() {
             return true;
         }
-        let key = digest64(&[peer.vm.as_str().as_bytes()]);
-        let others = self
+        let key = daemon_hash(peer);
+        let own = rendezvous_weight(key, daemon_hash(&self.own));
+        let ranked_before = self
             .quarantine_peers(now)
-            .filter(|other| other.member.id != *peer);
-        let weight = |id: &DaemonId| {
-            crate::hash::rendezvous_weight(key, digest64(&[id.vm.as_str().as_bytes()]))
-        };
-        let own = weight(&self.own);
-        others
-            .filter(|other| weight(&other.member.id) > own)
-            .count()
-            < COPIES
-    }
-
-    /// Returns the peers that count the crashes of a request.
-    fn counting_peers(&self, now: Timestamp, request: Fingerprint) -> Vec<(DaemonId, SocketAddr)> {
-        let count = match self.peer_table.len() < FULL_RATE_DAEMONS {
-            true => usize::MAX,
-            false => COPIES,
-        };
-        rank_peers(self.quarantine_peers(now), request.0, count)
+            .filter(|other| other.member.id != *peer)
+            .filter(|other| rendezvous_weight(key, daemon_hash(&other.member.id)) > own);
+        ranked_before.count() < COPIES
+    }
+
+    /// Returns whether all daemons count all crashes.
+    fn counts_everywhere(&self) -> bool {
+        self.peer_table.len() < FULL_RATE_DAEMONS
+    }
+
+    /// Returns the peers that count the crashes of a suspect.
+    fn counting_peers(&self, now: Timestamp, suspect: Suspect) -> Vec<(DaemonId, SocketAddr)> {
+        let (Suspect::Request(key) | Suspect::Part(key)) = suspect;
+        match self.counts_everywhere() {
+            true => self.all_quarantine_peers(now),
+            false => rank_peers(self.quarantine_peers(now), key.0, COPIES),
+        }
     }
 
     fn all_quarantine_peers(&self, now: Timestamp) -> Vec<(DaemonId, SocketAddr)> {
@@ -411,37 +542,33 @@
         self.quarantine_outbox.messages.entry(peer).or_default()
     }
 
-    fn record_hold(
-        &mut self,
-        now: Timestamp,
-        request: Fingerprint,
-        until: Timestamp,
-        source: &str,
-    ) {
-        self.stored_holds.on_hold(now, request);
+    fn record_hold(&mut self, now: Timestamp, suspect: Suspect, until: Timestamp, source: &str) {
+        self.stored_holds.on_hold(now, suspect);
         self.journal.record(
             Decision::new(now, DecisionKind::Quarantine, "quarantine", source)
-                .with("fingerprint", request)
+                .with("suspect", suspect)
                 .with("for_s", until.since(now).as_secs()),
         );
     }
-
-    pub(super) fn record_release(&mut self, now: Timestamp, request: Fingerprint, source: &str) {
-        self.journal.record(
-            Decision::new(now, DecisionKind::Quarantine, "release", source)
-                .with("fingerprint", request),
-        );
-    }
 }
 
-fn to_message(now: Timestamp, request: Fingerprint, until: Timestamp) -> RequestHold {
-    let remaining = until.since(now).as_secs() + 1;
-    RequestHold {
-        request,
-        remaining_s: u32::try_from(remaining).unwrap_or(u32::MAX),
+fn to_process_crash(
+    now: Timestamp,
+    crash: CountedCrash,
+    suspects: Vec<SuspectNote>,
+) -> ProcessCrash {
+    ProcessCrash {
+        process: crash.process,
+        age_ms: millis(now.since(crash.at)),
+        suspects,
     }
 }
 
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
+
+/// Rounds up to whole seconds.
+fn seconds(time: Duration) -> u32 {
+    u32::try_from(time.as_secs() + 1).unwrap_or(u32::MAX)
+}
--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -60,7 +60,7 @@
         may_repeat: bool,
     ) -> Result<CallAttempt, &'static str> {
         recovery::may_replace(now, call)?;
-        if self.check_quarantine(now, call.fingerprint).is_err() {
+        if self.check_call(now, call).is_err() {
             return Err(ErrorKind::Quarantined.name());
         }
         let attempt = self
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -121,7 +121,7 @@
             .target(stream.0)
             .ok_or_else(|| Refusal::new(ErrorKind::NoEndpoint, "route without a service"))?;
         let fingerprint = attributes.fingerprint(customer.map(|known| &known.name), service);
-        self.check_quarantine(now, fingerprint)?;
+        self.check_quarantine(now, fingerprint, service, attributes.prompt.as_ref())?;
         let timeout = attributes
             .caller_timeout
             .unwrap_or(route.timeout)
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -502,6 +502,6 @@
 }
 
 /// Hash of a daemon for rendezvous hashing; a restarted process ranks as before.
-fn daemon_hash(id: &DaemonId) -> u64 {
+pub(super) fn daemon_hash(id: &DaemonId) -> u64 {
     digest64(&[id.vm.as_str().as_bytes()])
 }
--- a/crates/laburnumstall-core/src/gateway/stored_holds.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_holds.rs
@@ -9,7 +9,7 @@
 
 use super::Gateway;
 use crate::domain;
-use crate::ids::Fingerprint;
+use crate::quarantine::Suspect;
 use crate::units::Timestamp;
 
 /// Time after which a daemon that did not decide a quarantine writes it to the store.
@@ -27,8 +27,8 @@
 /// Write to the store that is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HoldWrite {
-    /// The request.
-    pub request: Fingerprint,
+    /// The suspect.
+    pub suspect: Suspect,
     /// Value to write; `None` to delete the key.
     pub value: Option<StoredHold>,
     /// Time until the quarantine ends.
@@ -38,31 +38,31 @@
 /// What is known of the quarantines in the store.
 #[derive(Debug, Default)]
 pub(super) struct StoredHolds {
-    stored: BTreeSet<Fingerprint>,
+    stored: BTreeSet<Suspect>,
     /// Quarantines that are not known to be stored, with the time at which they are written.
-    unwritten: BTreeMap<Fingerprint, Timestamp>,
-    to_delete: BTreeSet<Fingerprint>,
+    unwritten: BTreeMap<Suspect, Timestamp>,
+    to_delete: BTreeSet<Suspect>,
 }
 
 impl StoredHolds {
     /// Records a quarantine.
-    pub(super) fn on_hold(&mut self, now: Timestamp, request: Fingerprint) {
-        if !self.stored.contains(&request) {
+    pub(super) fn on_hold(&mut self, now: Timestamp, suspect: Suspect) {
+        if !self.stored.contains(&suspect) {
             let write_at = now.after(WRITE_DELAY);
-            self.unwritten.entry(request).or_insert(write_at);
+            self.unwritten.entry(suspect).or_insert(write_at);
         }
     }
 
     /// Records that this daemon decided a quarantine.
-    pub(super) fn on_decided(&mut self, request: Fingerprint) {
-        self.unwritten.insert(request, Timestamp::ZERO);
+    pub(super) fn on_decided(&mut self, suspect: Suspect) {
+        self.unwritten.insert(suspect, Timestamp::ZERO);
     }
 
     /// Records that a quarantine has ended before its time.
-    pub(super) fn on_cleared(&mut self, request: Fingerprint) {
-        self.unwritten.remove(&request);
-        if self.stored.remove(&request) {
-            self.to_delete.insert(request);
+    pub(super) fn on_cleared(&mut self, suspect: Suspect) {
+        self.unwritten.remove(&suspect);
+        if self.stored.remove(&suspect) {
+            self.to_delete.insert(suspect);
         }
     }
 }
@@ -73,19 +73,19 @@
     pub fn hold_writes(&mut self, now: Timestamp) -> Vec<HoldWrite> {
         let quarantine = &self.quarantine;
         let unwritten = &mut self.stored_holds.unwritten;
-        unwritten.retain(|request, _| quarantine.held_until(now, *request).is_some());
+        unwritten.retain(|suspect, _| quarantine.held_until(now, *suspect).is_some());
         let due = unwritten.iter().filter(|(_, at)| **at <= now);
-        let writes = due.filter_map(|(request, _)| {
-            let until = quarantine.held_until(now, *request)?;
+        let writes = due.filter_map(|(suspect, _)| {
+            let until = quarantine.held_until(now, *suspect)?;
             let until_ms = until.0 / 1_000;
             Some(HoldWrite {
-                request: *request,
+                suspect: *suspect,
                 value: Some(StoredHold { until_ms }),
                 ttl: until.since(now),
             })
         });
-        let deletes = self.stored_holds.to_delete.iter().map(|request| HoldWrite {
-            request: *request,
+        let deletes = self.stored_holds.to_delete.iter().map(|suspect| HoldWrite {
+            suspect: *suspect,
             value: None,
             ttl: Duration::ZERO,
         });
@@ -97,45 +97,45 @@
         let holds = &mut self.stored_holds;
         match write.value {
             Some(_) => {
-                holds.unwritten.remove(&write.request);
-                holds.stored.insert(write.request);
+                holds.unwritten.remove(&write.suspect);
+                holds.stored.insert(write.suspect);
             }
             None => {
-                holds.to_delete.remove(&write.request);
+                holds.to_delete.remove(&write.suspect);
             }
         }
     }
 
     /// Applies a quarantine that the key-value store has.
-    pub fn on_stored_hold(&mut self, now: Timestamp, request: Fingerprint, stored: StoredHold) {
-        self.stored_holds.unwritten.remove(&request);
-        self.stored_holds.stored.insert(request);
+    pub fn on_stored_hold(&mut self, now: Timestamp, suspect: Suspect, stored: StoredHold) {
+        self.stored_holds.unwritten.remove(&suspect);
+        self.stored_holds.stored.insert(suspect);
         let until = Timestamp::from_millis(stored.until_ms);
-        self.adopt_hold(now, request, until, "store");
+        self.adopt_hold(now, suspect, until, "store");
     }
 
     /// Applies the removal of a quarantine from the key-value store, which ends it: it has
     /// expired, was cleared, or an operator has deleted it.
-    pub fn on_stored_hold_removed(&mut self, now: Timestamp, request: Fingerprint) {
-        if !self.stored_holds.stored.remove(&request) {
+    pub fn on_stored_hold_removed(&mut self, now: Timestamp, suspect: Suspect) {
+        if !self.stored_holds.stored.remove(&suspect) {
             return;
         }
-        self.stored_holds.to_delete.remove(&request);
-        if self.quarantine.release(now, request) {
-            self.record_release(now, request, "store");
+        self.stored_holds.to_delete.remove(&suspect);
+        if self.quarantine.release(now, suspect) {
+            self.record_release(now, suspect, "store");
         }
     }
 
     /// Applies the complete list of stored quarantines. One that is missing was lost with the
     /// store's newest state, and is written again.
-    pub fn on_stored_holds(&mut self, now: Timestamp, stored: Vec<(Fingerprint, StoredHold)>) {
-        let listed: BTreeSet<Fingerprint> = stored.iter().map(|(request, _)| *request).collect();
+    pub fn on_stored_holds(&mut self, now: Timestamp, stored: Vec<(Suspect, StoredHold)>) {
+        let listed: BTreeSet<Suspect> = stored.iter().map(|(suspect, _)| *suspect).collect();
         let known = std::mem::take(&mut self.stored_holds.stored);
-        for request in known.difference(&listed) {
-            self.stored_holds.on_hold(now, *request);
+        for suspect in known.difference(&listed) {
+            self.stored_holds.on_hold(now, *suspect);
         }
-        for (request, value) in stored {
-            self.on_stored_hold(now, request, value);
+        for (suspect, value) in stored {
+            self.on_stored_hold(now, suspect, value);
         }
     }
 }
--- a/crates/laburnumstall-core/src/quarantine.rs
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod evidence;
 mod retention;
+mod suspect;
 mod suspicion;
 mod tally;
 mod trial;
@@ -25,12 +26,13 @@
 use crate::prelude::*;
 use crash::{EndpointOutcomes, ReportKey, Reports, RequestState, RequestTimes};
 use retention::{MAX_REPORTS, REPORT_TTL};
+pub use suspect::{CountedCrash, ProcessKey, Suspect, SuspectNote};
 pub use suspicion::{
     Clearance, CrashReport, QuarantineRecord, Reclaim, Return, Suspicion, TrialClaim,
 };
 pub use tally::{
-    CRASH_TTL, CountedCrash, CrashTally, HOLD_TIME, MAX_RECORDS, MIN_CRASHES, ProcessKey,
-    SAME_CAUSE, SOUND_TIME,
+    COMPLETION_TTL, CRASH_TTL, CrashTally, FIRST_PART_HOLD, HOLD_TIME, MAX_RECORDS, MIN_CRASHES,
+    MIN_CRASHES_OF_KNOWN, SAME_CAUSE, SOUND_TIME,
 };
 use trial::{Trials, Turn};
 
--- a/crates/laburnumstall-core/src/quarantine/tally.rs
+++ b/crates/laburnumstall-core/src/quarantine/tally.rs
@@ -1,235 +1,398 @@
-//! Counts the crashes of endpoints by the request that was in flight.
+//! Counts the crashes of endpoints by what was in flight: requests, and the shared parts of
+//! their prompts.
 //!
 //! For request paths that keep no copy of a request and cannot order its retries: nothing is
-//! agreed on before a request is sent. A request that was in flight at the crashes of
-//! [`MIN_CRASHES`] endpoint processes, not all at the same moment, and has not run to completion
-//! since the first of them, is quarantined. A sound request is in flight at one crash by chance, and is cleared as soon
-//! as a copy of it runs to completion anywhere, while one that crashes endpoints never does.
+//! agreed on before a request is sent. A suspect that was in flight at several separate crashes,
+//! and has not been in a request that ran to completion since the first of them, is
+//! quarantined. A sound one is in flight at a crash by chance, and is cleared as soon as a
+//! request with it completes anywhere, while one that crashes endpoints never does.
+//!
+//! Repeats of one request count once against the parts of its prompt. Parts are in flight
+//! together: the quarantine of one explains the crashes that led to it, and they no longer
+//! count against earlier parts, which more prompts have.
 //!
 //! Crashes are counted by process, so reports may arrive repeatedly, in any order and from
 //! any number of daemons.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use crate::domain_value;
+use super::suspect::{CountedCrash, ProcessKey, Suspect, SuspectNote};
 use crate::ids::Fingerprint;
 use crate::units::Timestamp;
 
-/// Number of endpoint processes whose crashes quarantine a request.
+/// Number of separate crashes that quarantine a suspect.
 pub const MIN_CRASHES: usize = 3;
-/// Time for which a crash counts against a request.
+/// The same for a part that was in a completed request within [`COMPLETION_TTL`].
+pub const MIN_CRASHES_OF_KNOWN: usize = 5;
+/// Time within which crashes of several processes have one cause and count as one: copies of a
+/// sound request may be in flight on all of them.
+pub const SAME_CAUSE: Duration = Duration::from_millis(20);
+/// Time for which a crash counts against a suspect.
 pub const CRASH_TTL: Duration = Duration::from_secs(600);
-/// Time for which a request is quarantined: the longest lease of the key-value services that
-/// daemons use.
+/// Time for which a request is quarantined, and the longest time for a part: the longest lease
+/// of the key-value services that daemons use.
 pub const HOLD_TIME: Duration = Duration::from_secs(600);
-/// Time after a quarantine in which a single crash quarantines the request again.
+/// Time for which a part is quarantined at first, since sound requests may have it as well; each
+/// further time lasts twice as long.
+pub const FIRST_PART_HOLD: Duration = Duration::from_secs(60);
+/// Time after a quarantine in which a single crash quarantines the suspect again.
 const PROBATION: Duration = Duration::from_secs(24 * 3600);
-/// Maximum number of requests with records.
+/// Time after a completion in which a crash does not count against a request: other copies of
+/// it may be in flight on several endpoints that crash together.
+pub const SOUND_TIME: Duration = Duration::from_secs(2);
+/// Time for which the completion of a request with a part shows that the part is sound.
+pub const COMPLETION_TTL: Duration = Duration::from_secs(600);
+/// Interval at which old completions are removed.
+const COMPLETION_SCAN_INTERVAL: Duration = Duration::from_secs(10);
+/// Maximum number of suspects with crashes, and of quarantined ones.
 pub const MAX_RECORDS: usize = 4_096;
-/// Maximum number of crashes recorded for a request.
+/// Maximum number of crashes recorded for a suspect.
 const MAX_CRASHES: usize = 32;
-/// Time within which crashes of several processes have one cause and count as one: copies of a
-/// sound request may be in flight on all of them.
-pub const SAME_CAUSE: Duration = Duration::from_millis(20);
-/// Time after a completion in which a crash does not count against the request: other copies
-/// of a sound request may be in flight on several endpoints that crash together.
-pub const SOUND_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of recent completions.
+/// Maximum number of completions.
 const MAX_COMPLETIONS: usize = 65_536;
 
-domain_value! {
-    /// Hash of an endpoint's identifier and the start of its process.
-    pub struct ProcessKey(pub u64);
-
-    /// Crash of an endpoint process while a request was in flight.
-    pub struct CountedCrash {
-        /// The process.
-        pub process: ProcessKey,
-        /// When the crash was noticed.
-        pub at: Timestamp,
-    }
+/// Crash that counts against a suspect.
+#[derive(Debug, Clone, Copy)]
+struct RecordedCrash {
+    crash: CountedCrash,
+    /// Request that was in flight.
+    request: Fingerprint,
 }
 
-/// Records of one request.
+/// Crashes that count against a suspect.
 #[derive(Debug, Clone, Default)]
 struct SuspectRecord {
-    crashes: Vec<CountedCrash>,
-    /// End of the last quarantine.
-    held_until: Option<Timestamp>,
-    /// When a copy of the request last ran to completion after a crash.
+    crashes: Vec<RecordedCrash>,
+    depth: u8,
+    /// When a request with the suspect last ran to completion, as far as that is known.
     completed_at: Option<Timestamp>,
     updated_at: Timestamp,
 }
 
-/// Crashes and quarantines by request, up to [`MAX_RECORDS`] requests.
+/// Quarantine of a suspect, kept for a while after its end.
+#[derive(Debug, Clone, Copy)]
+struct Hold {
+    until: Timestamp,
+    count: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Explanation {
+    by: Suspect,
+    depth: u8,
+    at: Timestamp,
+}
+
+/// Crashes and quarantines by suspect, up to [`MAX_RECORDS`] of each.
 #[derive(Debug, Clone, Default)]
 pub struct CrashTally {
-    records: HashMap<Fingerprint, SuspectRecord>,
-    /// When requests last ran to completion at this daemon, for [`SOUND_TIME`].
-    completions: HashMap<Fingerprint, Timestamp>,
+    records: HashMap<Suspect, SuspectRecord>,
+    holds: HashMap<Suspect, Hold>,
+    /// Processes whose crashes are explained by a quarantined suspect.
+    explained: HashMap<ProcessKey, Explanation>,
+    /// When requests with a suspect last ran to completion at this daemon.
+    completions: HashMap<Suspect, Timestamp>,
+    scanned_at: Timestamp,
 }
 
 impl CrashTally {
-    /// Records that a copy of a request ran to completion at this daemon; returns whether there
-    /// are records that this clears, see [`CrashTally::on_cleared`].
-    pub fn on_completed(&mut self, now: Timestamp, request: Fingerprint) -> bool {
-        if self.completions.len() < MAX_COMPLETIONS {
-            self.completions.insert(request, now);
-        }
-        self.records
-            .get(&request)
-            .is_some_and(|record| !record.crashes.is_empty() || record.held_until.is_some())
+    /// Returns whether anything may be quarantined now.
+    pub fn has_holds(&self) -> bool {
+        !self.holds.is_empty()
     }
 
-    /// Returns whether a copy of a request has just run to completion at this daemon.
-    pub fn is_sound(&self, now: Timestamp, request: Fingerprint) -> bool {
-        self.completions
-            .get(&request)
-            .is_some_and(|at| now.since(*at) < SOUND_TIME)
+    /// Returns when the quarantine of a suspect ends, if it is quarantined now.
+    pub fn held_until(&self, now: Timestamp, suspect: Suspect) -> Option<Timestamp> {
+        let hold = self.holds.get(&suspect)?;
+        (now < hold.until).then_some(hold.until)
     }
 
-    /// Returns when the quarantine of a request ends, if it is quarantined now.
-    pub fn held_until(&self, now: Timestamp, request: Fingerprint) -> Option<Timestamp> {
-        let until = self.records.get(&request)?.held_until;
-        until.filter(|until| now < *until)
+    /// Records that a request with a suspect ran to completion at this daemon; returns whether
+    /// there are records that this clears, see [`CrashTally::on_cleared`].
+    pub fn on_completed(&mut self, now: Timestamp, suspect: Suspect) -> bool {
+        let is_full = self.completions.len() >= MAX_COMPLETIONS;
+        if !is_full || self.completions.contains_key(&suspect) {
+            self.completions.insert(suspect, now);
+        }
+        let has_crashes = self
+            .records
+            .get(&suspect)
+            .is_some_and(|record| !record.crashes.is_empty());
+        has_crashes || self.holds.contains_key(&suspect)
+    }
+
+    /// Returns when a request with a suspect last ran to completion at this daemon, if that
+    /// still shows that it is sound.
+    pub fn completed_at(&self, now: Timestamp, suspect: Suspect) -> Option<Timestamp> {
+        let at = *self.completions.get(&suspect)?;
+        (now.since(at) < completion_ttl(suspect)).then_some(at)
     }
 
-    /// Counts a crash against a request; returns the end of its quarantine if the crash decides
-    /// that.
+    /// Counts a crash against a suspect; returns the end of its quarantine if the crash decides
+    /// that. [`CrashTally::explain`] must follow.
     pub fn on_crash(
         &mut self,
         now: Timestamp,
-        request: Fingerprint,
+        note: SuspectNote,
         crash: CountedCrash,
     ) -> Option<Timestamp> {
-        if now.since(crash.at) >= CRASH_TTL {
+        let suspect = note.suspect;
+        let is_explained = self.explained.get(&crash.process).is_some_and(|known| {
+            let is_part = matches!(suspect, Suspect::Part(_));
+            is_part && known.by != suspect && known.depth <= note.depth
+        });
+        if is_explained || now.since(crash.at) >= CRASH_TTL {
             return None;
         }
-        let record = self.record(now, request);
+        let own_completion = self.completed_at(now, suspect);
+        if matches!(suspect, Suspect::Request(_)) && own_completion.is_some() {
+            return None;
+        }
+        let hold = self.holds.get(&suspect).copied();
+        let record = self.record(now, note);
+        if note.has_completed {
+            record.completed_at = record.completed_at.max(Some(Timestamp::ZERO));
+        }
+        record.completed_at = record.completed_at.max(own_completion);
         if record.completed_at.is_some_and(|at| crash.at <= at) {
             return None;
         }
-        let is_known = |known: &CountedCrash| known.process == crash.process;
+        let is_known = |known: &RecordedCrash| known.crash.process == crash.process;
         if record.crashes.iter().any(is_known) || record.crashes.len() >= MAX_CRASHES {
             return None;
         }
-        record.crashes.push(crash);
-        let min_crashes = match record.held_until {
-            Some(until) if now < until => return None,
-            Some(until) if now.since(until) < PROBATION => 1,
-            _ => MIN_CRASHES,
+        record.crashes.push(RecordedCrash {
+            crash,
+            request: note.request,
+        });
+        let min_crashes = match hold {
+            Some(hold) if now < hold.until => return None,
+            Some(hold) if now.since(hold.until) < PROBATION => 1,
+            _ => record.min_crashes(suspect),
         };
-        if record.separate_crashes() < min_crashes {
+        if record.separate_crashes(suspect) < min_crashes {
             return None;
         }
-        record.held_until = Some(now.after(HOLD_TIME));
-        record.held_until
+        let count = hold.map_or(0, |hold| hold.count) + 1;
+        let until = now.after(hold_time(suspect, count));
+        self.set_hold(suspect, Hold { until, count });
+        Some(until)
     }
 
     /// Applies a quarantine that another daemon decided; returns whether it is new.
-    pub fn on_held(&mut self, now: Timestamp, request: Fingerprint, until: Timestamp) -> bool {
+    pub fn on_held(&mut self, now: Timestamp, suspect: Suspect, until: Timestamp) -> bool {
         let until = until.min(now.after(HOLD_TIME));
         if until <= now {
             return false;
         }
-        let record = self.record(now, request);
-        let known = record.held_until.replace(until);
-        known.is_none_or(|known| known <= now)
+        let known = self.holds.get(&suspect).copied();
+        let is_new = known.is_none_or(|known| known.until <= now);
+        let count = known.map_or(0, |known| known.count) + u32::from(is_new);
+        self.set_hold(suspect, Hold { until, count });
+        is_new
     }
 
-    /// Clears a request of which a copy ran to completion at `at`; returns whether the request
-    /// was quarantined.
-    pub fn on_cleared(&mut self, now: Timestamp, request: Fingerprint, at: Timestamp) -> bool {
-        let Some(record) = self.records.get_mut(&request) else {
-            return false;
-        };
-        record.completed_at = record.completed_at.max(Some(at));
-        record.crashes.retain(|crash| crash.at > at);
-        let held_until = record.held_until.take();
-        held_until.is_some_and(|until| now < until)
+    /// Attributes the crashes of processes to a quarantined part: they no longer count against
+    /// parts that are not deeper. Returns those whose quarantine is based on nothing else, which
+    /// ends.
+    pub fn explain(
+        &mut self,
+        now: Timestamp,
+        by: Suspect,
+        depth: u8,
+        processes: &[ProcessKey],
+    ) -> Vec<Suspect> {
+        let explanation = Explanation { by, depth, at: now };
+        self.explained
+            .extend(processes.iter().map(|process| (*process, explanation)));
+        let mut released = Vec::new();
+        for (suspect, record) in &mut self.records {
+            let is_part = matches!(suspect, Suspect::Part(_));
+            if !is_part || *suspect == by || record.depth < depth {
+                continue;
+            }
+            let before = record.crashes.len();
+            record
+                .crashes
+                .retain(|known| !processes.contains(&known.crash.process));
+            if record.crashes.is_empty() && before > 0 && self.holds.contains_key(suspect) {
+                released.push(*suspect);
+            }
+        }
+        released.retain(|suspect| {
+            let hold = self.holds.remove(suspect);
+            hold.is_some_and(|hold| now < hold.until)
+        });
+        released
+    }
+
+    /// Clears a suspect that was in a request that ran to completion at `at`; returns whether
+    /// that ends a quarantine.
+    pub fn on_cleared(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp) -> bool {
+        if let Some(record) = self.records.get_mut(&suspect) {
+            record.completed_at = record.completed_at.max(Some(at));
+            record.crashes.retain(|known| known.crash.at > at);
+            if record.separate_crashes(suspect) >= record.min_crashes(suspect) {
+                return false;
+            }
+        }
+        let hold = self.holds.remove(&suspect);
+        hold.is_some_and(|hold| now < hold.until)
     }
 
-    /// Ends the quarantine of a request, and forgets its crashes; returns whether it was
+    /// Ends the quarantine of a suspect, and forgets its crashes; returns whether it was
     /// quarantined.
-    pub fn release(&mut self, now: Timestamp, request: Fingerprint) -> bool {
-        let was_held = self.held_until(now, request).is_some();
+    pub fn release(&mut self, now: Timestamp, suspect: Suspect) -> bool {
+        let was_held = self.held_until(now, suspect).is_some();
         if was_held {
-            self.records.remove(&request);
+            self.holds.remove(&suspect);
+            self.records.remove(&suspect);
         }
         was_held
     }
 
-    /// Returns the requests with crashes that count against them.
-    pub fn suspects(&self) -> impl Iterator<Item = (Fingerprint, &[CountedCrash])> {
-        let suspects = self.records.iter();
-        suspects
-            .filter(|(_, record)| !record.crashes.is_empty())
-            .map(|(request, record)| (*request, record.crashes.as_slice()))
+    /// Returns the crashes that count against a suspect, and its depth.
+    pub fn crashes(&self, suspect: Suspect) -> (Vec<ProcessKey>, u8) {
+        let Some(record) = self.records.get(&suspect) else {
+            return (Vec::new(), 0);
+        };
+        let processes = record.crashes.iter().map(|known| known.crash.process);
+        (processes.collect(), record.depth)
+    }
+
+    /// Returns the crashes that count against suspects.
+    pub fn suspects(&self) -> impl Iterator<Item = (SuspectNote, CountedCrash)> {
+        self.records.iter().flat_map(|(suspect, record)| {
+            record.crashes.iter().map(|known| {
+                let note = SuspectNote {
+                    suspect: *suspect,
+                    request: known.request,
+                    depth: record.depth,
+                    has_completed: record.completed_at.is_some(),
+                };
+                (note, known.crash)
+            })
+        })
     }
 
-    /// Returns the requests that are quarantined now, with the end of each quarantine.
-    pub fn held(&self, now: Timestamp) -> impl Iterator<Item = (Fingerprint, Timestamp)> {
-        let held = self.records.iter();
-        held.filter_map(|(request, record)| Some((*request, record.held_until?)))
-            .filter(move |(_, until)| now < *until)
+    /// Returns the suspects that are quarantined now, with the end of each quarantine.
+    pub fn held(&self, now: Timestamp) -> impl Iterator<Item = (Suspect, Timestamp)> {
+        let holds = self.holds.iter();
+        holds
+            .filter(move |(_, hold)| now < hold.until)
+            .map(|(suspect, hold)| (*suspect, hold.until))
     }
 
     /// Removes expired records.
     pub fn tick(&mut self, now: Timestamp) {
-        self.completions.retain(|_, at| now.since(*at) < SOUND_TIME);
+        if now.since(self.scanned_at) >= COMPLETION_SCAN_INTERVAL {
+            self.scanned_at = now;
+            self.completions
+                .retain(|suspect, at| now.since(*at) < completion_ttl(*suspect));
+        }
         self.records.retain(|_, record| {
             record
                 .crashes
-                .retain(|crash| now.since(crash.at) < CRASH_TTL);
-            let is_on_probation = record
-                .held_until
-                .is_some_and(|until| now.since(until) < PROBATION);
-            let is_recent = now.since(record.updated_at) < CRASH_TTL;
-            !record.crashes.is_empty() || is_on_probation || is_recent
+                .retain(|known| now.since(known.crash.at) < CRASH_TTL);
+            !record.crashes.is_empty() || now.since(record.updated_at) < CRASH_TTL
         });
+        self.holds
+            .retain(|_, hold| now.since(hold.until) < PROBATION);
+        self.explained
+            .retain(|_, known| now.since(known.at) < CRASH_TTL);
     }
 
-    /// Returns the number of requests with records.
+    /// Returns the number of suspects with records of crashes.
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// Returns whether there are no records.
+    /// Returns whether there are no records of crashes.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Returns the records of a request; evicts those that show the least if there are too many.
-    fn record(&mut self, now: Timestamp, request: Fingerprint) -> &mut SuspectRecord {
-        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&request) {
-            let weakest = self.records.iter().min_by_key(|(_, record)| {
-                let is_held = record.held_until.is_some_and(|until| now < until);
-                (is_held, record.crashes.len(), record.updated_at)
-            });
-            if let Some(weakest) = weakest.map(|(request, _)| *request) {
+    fn set_hold(&mut self, suspect: Suspect, hold: Hold) {
+        self.holds.insert(suspect, hold);
+        if self.holds.len() > MAX_RECORDS
+            && let Some(first) = self.holds.iter().min_by_key(|(_, hold)| hold.until)
+        {
+            let first = *first.0;
+            self.holds.remove(&first);
+        }
+    }
+
+    /// Returns the record of a suspect; evicts the one that shows the least if there are too
+    /// many.
+    fn record(&mut self, now: Timestamp, note: SuspectNote) -> &mut SuspectRecord {
+        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&note.suspect) {
+            let weakest = self
+                .records
+                .iter()
+                .min_by_key(|(_, record)| (record.crashes.len(), record.updated_at));
+            if let Some(weakest) = weakest.map(|(suspect, _)| *suspect) {
                 self.records.remove(&weakest);
             }
         }
-        let record = self.records.entry(request).or_default();
+        let record = self
+            .records
+            .entry(note.suspect)
+            .or_insert_with(|| SuspectRecord {
+                depth: note.depth,
+                ..SuspectRecord::default()
+            });
+        record.depth = record.depth.min(note.depth);
         record.updated_at = now;
         record
     }
 }
 
 impl SuspectRecord {
-    /// Returns the number of crashes, of which those at the same moment count as one.
-    fn separate_crashes(&self) -> usize {
-        let mut times: Vec<Timestamp> = self.crashes.iter().map(|crash| crash.at).collect();
-        times.sort_unstable();
-        let mut last = None;
-        times.retain(|at| {
-            let is_separate = last.is_none_or(|last| at.since(last) >= SAME_CAUSE);
-            if is_separate {
-                last = Some(*at);
+    /// Returns the number of separate crashes that quarantine the suspect.
+    fn min_crashes(&self, suspect: Suspect) -> usize {
+        match (suspect, self.completed_at) {
+            (Suspect::Part(_), Some(_)) => MIN_CRASHES_OF_KNOWN,
+            _ => MIN_CRASHES,
+        }
+    }
+
+    /// Returns the number of crashes, of which those at the same moment count as one, and of
+    /// a part those with the same request.
+    fn separate_crashes(&self, suspect: Suspect) -> usize {
+        let mut crashes: Vec<_> = self.crashes.iter().collect();
+        crashes.sort_unstable_by_key(|known| known.crash.at);
+        let mut last: Option<Timestamp> = None;
+        let mut requests = BTreeSet::new();
+        let mut count = 0;
+        for known in crashes {
+            let at = known.crash.at;
+            let is_same_cause = last.is_some_and(|last| at.since(last) < SAME_CAUSE);
+            let is_repeat =
+                matches!(suspect, Suspect::Part(_)) && requests.contains(&known.request);
+            if !is_same_cause && !is_repeat {
+                requests.insert(known.request);
+                last = Some(at);
+                count += 1;
             }
-            is_separate
-        });
-        times.len()
+        }
+        count
+    }
+}
+
+fn completion_ttl(suspect: Suspect) -> Duration {
+    match suspect {
+        Suspect::Request(_) => SOUND_TIME,
+        Suspect::Part(_) => COMPLETION_TTL,
+    }
+}
+
+fn hold_time(suspect: Suspect, count: u32) -> Duration {
+    match suspect {
+        Suspect::Request(_) => HOLD_TIME,
+        Suspect::Part(_) => {
+            let doublings = count.saturating_sub(1).min(8);
+            (FIRST_PART_HOLD * 2_u32.pow(doublings)).min(HOLD_TIME)
+        }
     }
 }
--- a/crates/laburnumstall-core/tests/crash_tally.rs
+++ b/crates/laburnumstall-core/tests/crash_tally.rs
@@ -4,11 +4,35 @@
 
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::quarantine::{
-    CRASH_TTL, CountedCrash, CrashTally, HOLD_TIME, MAX_RECORDS, MIN_CRASHES, ProcessKey,
-    SAME_CAUSE,
+    CRASH_TTL, CountedCrash, CrashTally, FIRST_PART_HOLD, HOLD_TIME, MAX_RECORDS, MIN_CRASHES,
+    MIN_CRASHES_OF_KNOWN, ProcessKey, SAME_CAUSE, Suspect, SuspectNote,
 };
 
-const BAD: Fingerprint = Fingerprint(7);
+const BAD: Suspect = request(7);
+const BAD_PART: Suspect = Suspect::Part(Fingerprint(8));
+const FIRST_PART: Suspect = Suspect::Part(Fingerprint(9));
+
+const fn request(number: u64) -> Suspect {
+    Suspect::Request(Fingerprint(number))
+}
+
+fn note(suspect: Suspect) -> SuspectNote {
+    SuspectNote {
+        suspect,
+        request: Fingerprint(7),
+        depth: 0,
+        has_completed: false,
+    }
+}
+
+/// Note of a part of the prompt of a request.
+fn part(suspect: Suspect, depth: u8, request: u64) -> SuspectNote {
+    SuspectNote {
+        request: Fingerprint(request),
+        depth,
+        ..note(suspect)
+    }
+}
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(1_000_000 + ms)
@@ -22,10 +46,10 @@
 }
 
 /// Counts crashes 100 ms apart; returns whether one of them decided a quarantine.
-fn count(tally: &mut CrashTally, request: Fingerprint, crashes: &[CountedCrash]) -> bool {
+fn count(tally: &mut CrashTally, suspect: Suspect, crashes: &[CountedCrash]) -> bool {
     let decided = crashes
         .iter()
-        .filter(|crash| tally.on_crash(crash.at, request, **crash).is_some());
+        .filter(|crash| tally.on_crash(crash.at, note(suspect), **crash).is_some());
     decided.count() > 0
 }
 
@@ -65,7 +89,8 @@
     assert!(tally.on_completed(at(150), BAD));
     assert!(!tally.on_cleared(at(150), BAD, at(150)));
     assert!(!count(&mut tally, BAD, &[crash(3, 140), crash(4, 200)]));
-    assert!(tally.is_sound(at(200), BAD) && !tally.is_sound(at(9_000), BAD));
+    assert!(tally.completed_at(at(200), BAD).is_some());
+    assert!(tally.completed_at(at(9_000), BAD).is_none());
 }
 
 #[test]
@@ -105,12 +130,12 @@
 #[test]
 fn many_suspects_evict_no_evidence() {
     let mut tally = CrashTally::default();
-    let held = Fingerprint(8);
+    let held = request(8);
     tally.on_held(at(0), held, at(500_000));
     count(&mut tally, BAD, &[crash(1, 0), crash(2, 100)]);
     for number in 0..2 * MAX_RECORDS as u64 {
         let now = at(200 + number);
-        tally.on_crash(now, Fingerprint(1_000 + number), crash(3, 200 + number));
+        tally.on_crash(now, note(request(1_000 + number)), crash(3, 200 + number));
     }
     assert_eq!(tally.len(), MAX_RECORDS);
     let end = 300 + 2 * MAX_RECORDS as u64;
@@ -129,17 +154,113 @@
             let now = at(round * 400 + rng.u64(0..200));
             let process = ProcessKey(round);
             let crash = CountedCrash { process, at: now };
-            tally.on_crash(now, BAD, crash);
+            tally.on_crash(now, note(BAD), crash);
             for sound in 100..130 {
                 if rng.bool() {
                     continue;
                 }
-                tally.on_crash(now, Fingerprint(sound), crash);
+                tally.on_crash(now, note(request(sound)), crash);
                 let end = now.after(Duration::from_millis(rng.u64(1..200)));
-                tally.on_cleared(end, Fingerprint(sound), end);
+                tally.on_cleared(end, request(sound), end);
             }
         }
         let held: Vec<_> = tally.held(at(2_000)).map(|(request, _)| request).collect();
         assert_eq!(held, [BAD], "seed {seed}");
     }
 }
+
+/// Counts one crash by each request, 100 ms apart; returns the number that decided a quarantine.
+fn count_requests(tally: &mut CrashTally, note: SuspectNote, requests: &[u64]) -> Option<usize> {
+    requests.iter().position(|request| {
+        let crash = crash(*request, request * 100);
+        let note = SuspectNote {
+            request: Fingerprint(*request),
+            ..note
+        };
+        tally.on_crash(crash.at, note, crash).is_some()
+    })
+}
+
+#[test]
+fn crashes_by_different_requests_quarantine_a_part() {
+    let mut tally = CrashTally::default();
+    let decided = count_requests(&mut tally, part(BAD_PART, 1, 0), &[1, 2, 3, 4]);
+    assert_eq!(decided, Some(MIN_CRASHES - 1));
+}
+
+#[test]
+fn repeats_of_one_request_count_once_against_a_part() {
+    let mut tally = CrashTally::default();
+    for number in 1..8 {
+        let crash = crash(number, number * 100);
+        let decided = tally.on_crash(crash.at, part(BAD_PART, 1, 77), crash);
+        assert!(decided.is_none());
+    }
+}
+
+/// A part that was sound needs more evidence, so that one beside it that never was is found first.
+#[test]
+fn completed_part_needs_more_crashes() {
+    let mut tally = CrashTally::default();
+    let known = SuspectNote {
+        has_completed: true,
+        ..part(BAD_PART, 1, 0)
+    };
+    let decided = count_requests(&mut tally, known, &[1, 2, 3, 4, 5, 6]);
+    assert_eq!(decided, Some(MIN_CRASHES_OF_KNOWN - 1));
+}
+
+#[test]
+fn quarantined_part_explains_the_crashes_of_earlier_parts() {
+    let mut tally = CrashTally::default();
+    for number in 1..=3 {
+        let crash = crash(number, number * 100);
+        let decided = tally.on_crash(crash.at, part(BAD_PART, 1, number), crash);
+        if decided.is_some() {
+            let (processes, depth) = tally.crashes(BAD_PART);
+            assert!(
+                tally
+                    .explain(crash.at, BAD_PART, depth, &processes)
+                    .is_empty()
+            );
+        }
+        let first = tally.on_crash(crash.at, part(FIRST_PART, 2, number), crash);
+        assert!(first.is_none());
+    }
+    assert!(tally.held_until(at(400), BAD_PART).is_some());
+    let later = tally.on_crash(at(400), part(FIRST_PART, 2, 4), crash(4, 400));
+    assert!(later.is_none(), "earlier crashes count no longer");
+}
+
+#[test]
+fn first_part_that_was_blamed_for_a_later_one_is_released() {
+    let mut tally = CrashTally::default();
+    count_requests(&mut tally, part(FIRST_PART, 2, 0), &[1, 2, 3]);
+    assert!(tally.held_until(at(300), FIRST_PART).is_some());
+    let processes = [1, 2, 3].map(ProcessKey);
+    let released = tally.explain(at(310), BAD_PART, 1, &processes);
+    assert_eq!(released, [FIRST_PART]);
+    assert!(tally.held_until(at(310), FIRST_PART).is_none());
+}
+
+#[test]
+fn part_is_quarantined_for_longer_each_time() {
+    let mut tally = CrashTally::default();
+    count_requests(&mut tally, part(BAD_PART, 1, 0), &[1, 2, 3]);
+    let first_end = tally.held_until(at(300), BAD_PART).unwrap();
+    assert_eq!(first_end, at(300).after(FIRST_PART_HOLD));
+    let again = CountedCrash {
+        process: ProcessKey(9),
+        at: first_end.after(Duration::from_secs(1)),
+    };
+    let second_end = tally.on_crash(again.at, part(BAD_PART, 1, 9), again);
+    assert_eq!(second_end, Some(again.at.after(FIRST_PART_HOLD * 2)));
+}
+
+#[test]
+fn suspects_have_a_text_form() {
+    for suspect in [BAD, BAD_PART] {
+        assert_eq!(suspect.to_string().parse(), Ok(suspect));
+    }
+    assert!("request".parse::<Suspect>().is_err());
+}
--- a/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
@@ -5,16 +5,17 @@
 use crate::stream_origins::gossip;
 use crate::support::{at, bounds, call_attributes, daemon, endpoint, member, rules};
 use laburnumstall_core::gateway::{
-    AdmittedCall, BodyDigest, CallAttempt, CallFailure, EndpointRecord, Gateway, PeerMessage,
-    StoredHold,
+    AdmittedCall, BodyDigest, CallAttempt, CallAttributes, CallFailure, EndpointRecord, Gateway,
+    PeerMessage, StoredHold,
 };
 use laburnumstall_core::prelude::*;
+use laburnumstall_core::quarantine::Suspect;
 
 const PATH: &str = "/read/1";
 const BAD: &[u8] = b"crashes endpoints";
 
 /// Gateways that receive each other's messages at once.
-struct Fleet {
+pub(crate) struct Fleet {
     gateways: BTreeMap<DaemonId, Gateway>,
     endpoints: Vec<EndpointRecord>,
     /// Daemons that neither send nor receive.
@@ -24,10 +25,10 @@
 }
 
 impl Fleet {
-    fn new(daemons: u32) -> Self {
-        let endpoints: Vec<EndpointRecord> = ["a", "b", "c", "d", "e", "f"]
-            .map(|id| endpoint(id, "app", "north-a"))
-            .to_vec();
+    pub(crate) fn new(daemons: u32) -> Self {
+        let plain = ["a", "b", "c", "d", "e", "f"].map(|id| endpoint(id, "app", "north-a"));
+        let models = ["u", "v", "w", "x", "y", "z"].map(|id| endpoint(id, "model", "north-a"));
+        let endpoints: Vec<EndpointRecord> = plain.into_iter().chain(models).collect();
         let gateways = (1..=daemons).map(|own| {
             let gateway = start(own, daemons, &endpoints);
             (daemon(own), gateway)
@@ -43,11 +44,11 @@
         fleet
     }
 
-    fn at(&mut self, number: u32) -> &mut Gateway {
+    pub(crate) fn at(&mut self, number: u32) -> &mut Gateway {
         self.gateways.get_mut(&daemon(number)).unwrap()
     }
 
-    fn deliver(&mut self, now: Timestamp) {
+    pub(crate) fn deliver(&mut self, now: Timestamp) {
         loop {
             let mut updates = Vec::new();
             for (from, gateway) in &mut self.gateways {
@@ -74,7 +75,7 @@
     }
 
     /// Lets daemons that are not cut off hear from each other.
-    fn tick(&mut self, now: Timestamp) {
+    pub(crate) fn tick(&mut self, now: Timestamp) {
         let connected: Vec<DaemonId> = self
             .gateways
             .keys()
@@ -95,7 +96,12 @@
 
     /// Crashes the endpoint that a daemon sends a request to; a new process takes its place.
     fn crash(&mut self, now: Timestamp, number: u32, body: &[u8]) {
-        let (mut call, attempt) = begin(self.at(number), now, body).unwrap();
+        self.crash_by(now, number, with_body(now, body));
+    }
+
+    /// Like `crash`, by any call.
+    pub(crate) fn crash_by(&mut self, now: Timestamp, number: u32, attributes: CallAttributes) {
+        let (mut call, attempt) = begin_call(self.at(number), now, attributes).unwrap();
         let endpoint = attempt.endpoint.clone();
         fail(self.at(number), now, &mut call, attempt);
         check_endpoints(self.at(number), now, true);
@@ -111,8 +117,13 @@
 
     /// Returns how many daemons refuse a request as quarantined.
     fn refusing(&mut self, now: Timestamp, body: &[u8]) -> usize {
+        self.refusing_call(now, &with_body(now, body))
+    }
+
+    /// Like `refusing`, for any call.
+    pub(crate) fn refusing_call(&mut self, now: Timestamp, attributes: &CallAttributes) -> usize {
         let refused = self.gateways.values_mut().filter_map(|gateway| {
-            let refusal = begin(gateway, now, body).err()?;
+            let refusal = begin_call(gateway, now, attributes.clone()).err()?;
             assert_eq!(refusal.kind, ErrorKind::Quarantined);
             Some(refusal)
         });
@@ -138,9 +149,21 @@
     now: Timestamp,
     body: &[u8],
 ) -> Result<(AdmittedCall, CallAttempt), Refusal> {
-    gateway.on_store_confirmed(now, now);
+    begin_call(gateway, now, with_body(now, body))
+}
+
+fn with_body(now: Timestamp, body: &[u8]) -> CallAttributes {
     let mut attributes = call_attributes(&format!("call-{}", now.0), PATH);
     attributes.body = BodyDigest::of(body);
+    attributes
+}
+
+pub(crate) fn begin_call(
+    gateway: &mut Gateway,
+    now: Timestamp,
+    attributes: CallAttributes,
+) -> Result<(AdmittedCall, CallAttempt), Refusal> {
+    gateway.on_store_confirmed(now, now);
     let mut call = gateway.admit(now, attributes)?;
     let attempt = gateway.select_endpoint(now, &mut call)?;
     gateway.on_sent(&mut call);
@@ -283,11 +306,11 @@
 
     let endpoints = fleet.endpoints.clone();
     let mut restarted = start(1, 2, &endpoints);
-    let stored: (Fingerprint, StoredHold) = (write.request, write.value.unwrap());
+    let stored: (Suspect, StoredHold) = (write.suspect, write.value.unwrap());
     restarted.on_stored_holds(at(600), vec![stored]);
     let refusal = begin(&mut restarted, at(610), BAD).map(|_| ()).unwrap_err();
     assert_eq!(refusal.kind, ErrorKind::Quarantined);
-    restarted.on_stored_hold_removed(at(700), write.request);
+    restarted.on_stored_hold_removed(at(700), write.suspect);
     assert!(begin(&mut restarted, at(710), BAD).is_ok());
 }
 
--- a/crates/laburnumstalld/src/gateway/crash_checks.rs
+++ b/crates/laburnumstalld/src/gateway/crash_checks.rs
@@ -1,11 +1,11 @@
-//! Checks whether endpoints have crashed, and stores the requests that are quarantined for it.
+//! Checks whether endpoints have crashed, and stores what is quarantined for it.
 
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use laburnumstall_core::gateway::{EndpointCheck, HoldWrite, StoredHold};
-use laburnumstall_core::ids::Fingerprint;
+use laburnumstall_core::quarantine::Suspect;
 use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply, StoredValue};
 use laburnumstall_outside::key_value::KeyValue;
 use laburnumstall_platform::store::Store;
@@ -23,7 +23,7 @@
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay before a failed write is repeated.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Prefix of the keys of quarantined requests.
+/// Prefix of the keys of what is quarantined.
 const PREFIX: &str = "quarantine/";
 
 /// Checks the endpoints whose connections ended.
@@ -48,12 +48,12 @@
     cx.with_gateway(|gateway, now| gateway.on_endpoint_checked(now, &check.endpoint, is_refused));
 }
 
-/// Returns the quarantined request that a value describes, and its value; `None` for other keys.
-pub(super) fn stored_hold(value: &StoredValue) -> Option<(Fingerprint, Option<StoredHold>)> {
-    let request = value.key.as_str().strip_prefix(PREFIX)?.parse().ok()?;
+/// Returns the quarantined suspect that a value describes, and its value; `None` for other keys.
+pub(super) fn stored_hold(value: &StoredValue) -> Option<(Suspect, Option<StoredHold>)> {
+    let suspect = value.key.as_str().strip_prefix(PREFIX)?.parse().ok()?;
     let hold = value.value.as_deref();
     Some((
-        request,
+        suspect,
         hold.and_then(|hold| serde_json::from_slice(hold).ok()),
     ))
 }
@@ -68,7 +68,7 @@
                 Err(cause) => {
                     cx.event(
                         Event::new("quarantine-not-stored")
-                            .with("fingerprint", hold.request)
+                            .with("suspect", hold.suspect)
                             .with("cause", cause),
                     );
                     sleep(WRITE_RETRY_DELAY).await;
@@ -79,7 +79,7 @@
 }
 
 async fn write_hold(store: &Store, hold: &HoldWrite) -> Result<(), &'static str> {
-    let key: StoreKey = format!("{PREFIX}{}", hold.request)
+    let key: StoreKey = format!("{PREFIX}{}", hold.suspect)
         .parse()
         .map_err(|_| "invalid-key")?;
     let Ok(StoreReply::Value(current)) = store.call(StoreCall::Get { key: key.clone() }).await
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -159,8 +159,8 @@
             Change::Own(value) => {
                 if let Some(service) = marks::marked_service(&value) {
                     marked.insert(service);
-                } else if let Some((request, hold)) = crash_checks::stored_hold(&value) {
-                    holds.extend(hold.map(|hold| (request, hold)));
+                } else if let Some((suspect, hold)) = crash_checks::stored_hold(&value) {
+                    holds.extend(hold.map(|hold| (suspect, hold)));
                 } else if let Some(stored) = parse_member(cx, &value) {
                     members.insert(stored.member.id.clone());
                     apply_member(cx, stored);
@@ -216,10 +216,10 @@
             if let Some(service) = marks::marked_service(&value) {
                 let is_marked = value.value.is_some();
                 cx.with_gateway(|gateway, _| gateway.on_version_mark(service, is_marked));
-            } else if let Some((request, hold)) = crash_checks::stored_hold(&value) {
+            } else if let Some((suspect, hold)) = crash_checks::stored_hold(&value) {
                 cx.with_gateway(|gateway, now| match hold {
-                    Some(hold) => gateway.on_stored_hold(now, request, hold),
-                    None => gateway.on_stored_hold_removed(now, request),
+                    Some(hold) => gateway.on_stored_hold(now, suspect, hold),
+                    None => gateway.on_stored_hold_removed(now, suspect),
                 });
             } else if value.value.is_none() {
                 remove_member(cx, &value);
