Count crashes by attempts that follow each other, however quickly

What callers would see: after a restart of all daemons a request that crashes endpoints ran four times more, where three are allowed.

Cause: crashes within 20 ms counted as one, since copies of a sound request may be in flight on several endpoints that end together. A retry whose attempt begins after the first crash and ends within 20 ms was merged as well, so that the third crash convicted nobody, and the restart lost the evidence so far.

The change: a suspect's note has the time that its attempt ran, and a crash of an attempt that began after the last counted one counts.

Why it works: what began after a crash was not hit by its cause.

--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -101,11 +101,12 @@
     suspects: BTreeMap<Suspect, InFlight>,
 }
 
-/// Request in flight on a process.
+/// Request in flight on a process, of those with a suspect the one that began last.
 #[derive(Debug, Clone, Copy)]
 struct InFlight {
     request: Fingerprint,
     depth: u8,
+    ran: Duration,
 }
 
 /// Messages that wait to be sent.
@@ -228,9 +229,14 @@
                 let new = InFlight {
                     request: call.fingerprint,
                     depth,
+                    ran: now.since(attempt.started_at),
                 };
                 let known = lost.suspects.entry(suspect).or_insert(new);
-                known.depth = known.depth.min(depth);
+                let depth = depth.min(known.depth);
+                if new.ran < known.ran {
+                    *known = new;
+                }
+                known.depth = depth;
             }
         }
     }
@@ -370,6 +376,7 @@
             .map(|(suspect, in_flight)| SuspectNote {
                 suspect: *suspect,
                 request: in_flight.request,
+                ran_ms: millis(in_flight.ran),
                 depth: in_flight.depth,
                 has_completed: self.quarantine.completed_at(now, *suspect).is_some(),
             })
--- a/crates/laburnumstall-core/src/quarantine/suspect.rs
+++ b/crates/laburnumstall-core/src/quarantine/suspect.rs
@@ -26,6 +26,8 @@
         pub suspect: Suspect,
         /// The request that was in flight: the suspect itself, or one with the part.
         pub request: Fingerprint,
+        /// Time from the start of the request's attempt to the crash, in milliseconds.
+        pub ran_ms: u32,
         /// 0 for a request; for a part of its prompt, its number from the end, from 1 on.
         pub depth: u8,
         /// Whether a request with the part has recently run to completion.
--- a/crates/laburnumstall-core/src/quarantine/tally.rs
+++ b/crates/laburnumstall-core/src/quarantine/tally.rs
@@ -25,8 +25,9 @@
 pub const MIN_CRASHES: usize = 3;
 /// The same for a part that was in a completed request within [`COMPLETION_TTL`].
 pub const MIN_CRASHES_OF_KNOWN: usize = 5;
-/// Time within which crashes of several processes have one cause and count as one: copies of a
-/// sound request may be in flight on all of them.
+/// Time within which crashes of several processes may have one cause: copies of a sound request
+/// may be in flight on all of them. They count as one, unless the attempt at the later one began
+/// after the earlier one.
 pub const SAME_CAUSE: Duration = Duration::from_millis(20);
 /// Time for which a crash counts against a suspect.
 pub const CRASH_TTL: Duration = Duration::from_secs(600);
@@ -58,6 +59,7 @@
     crash: CountedCrash,
     /// Request that was in flight.
     request: Fingerprint,
+    ran_ms: u32,
 }
 
 /// Crashes that count against a suspect.
@@ -165,6 +167,7 @@
         record.crashes.push(RecordedCrash {
             crash,
             request: note.request,
+            ran_ms: note.ran_ms,
         });
         let min_crashes = match hold {
             Some(hold) if now < hold.until => return None,
@@ -268,6 +271,7 @@
                 let note = SuspectNote {
                     suspect: *suspect,
                     request: known.request,
+                    ran_ms: known.ran_ms,
                     depth: record.depth,
                     has_completed: record.completed_at.is_some(),
                 };
@@ -367,7 +371,9 @@
         let mut count = 0;
         for known in crashes {
             let at = known.crash.at;
-            let is_same_cause = last.is_some_and(|last| at.since(last) < SAME_CAUSE);
+            let began_at = at.before(Duration::from_millis(known.ran_ms.into()));
+            let is_same_cause =
+                last.is_some_and(|last| at.since(last) < SAME_CAUSE && began_at < last);
             let is_repeat =
                 matches!(suspect, Suspect::Part(_)) && requests.contains(&known.request);
             if !is_same_cause && !is_repeat {
--- a/crates/laburnumstall-core/tests/crash_tally.rs
+++ b/crates/laburnumstall-core/tests/crash_tally.rs
@@ -20,6 +20,7 @@
     SuspectNote {
         suspect,
         request: Fingerprint(7),
+        ran_ms: 1_000,
         depth: 0,
         has_completed: false,
     }
@@ -82,6 +83,19 @@
     assert!(count(&mut tally, BAD, &[crash(51, 900)]));
 }
 
+/// A retry may crash the next endpoint within a few milliseconds.
+#[test]
+fn attempts_one_after_another_count_each() {
+    let mut tally = CrashTally::default();
+    let quick = SuspectNote {
+        ran_ms: 5,
+        ..note(BAD)
+    };
+    let crashes = [crash(1, 0), crash(2, 6), crash(3, 12)];
+    let decided = crashes.map(|crash| tally.on_crash(crash.at, quick, crash).is_some());
+    assert_eq!(decided, [false, false, true]);
+}
+
 #[test]
 fn completion_clears_earlier_crashes() {
     let mut tally = CrashTally::default();
