Send prompts with a part that crashes endpoints in the soak

Streams of the soak have prompts of three parts: their customer's, one of eight documents', and their own. After the fifth crash the same bounds hold as for one request after the third.

--- a/crates/laburnumstall-soak/src/checks/crashing.rs
+++ b/crates/laburnumstall-soak/src/checks/crashing.rs
@@ -7,10 +7,12 @@
 use laburnumstall_platform_standins::caller::Outcome;
 
 use super::{View, tell};
-use crate::world::{Record, Target};
+use crate::plan::CrashCause;
+use crate::world::{Episode, Record, Target};
 
-/// Endpoints after whose crashes a request is known to crash them.
+/// Endpoints after whose crashes a request, and a part of prompts, is known to crash them.
 const DECIDING_CRASH: usize = 3;
+const DECIDING_CRASH_BY_PART: usize = 5;
 /// Time after the deciding crash within which all daemons in touch know of it.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Longest time from the start of such a request until its endpoint has crashed.
@@ -21,7 +23,7 @@
 impl View<'_> {
     /// Daemons in touch send a request that is known to crash endpoints to no more of them.
     pub(super) fn crashing_requests(&self) -> Vec<String> {
-        let mut episodes: BTreeMap<u32, Vec<&ExecutedRequest>> = BTreeMap::new();
+        let mut episodes: BTreeMap<Episode, Vec<&ExecutedRequest>> = BTreeMap::new();
         for record in self.records {
             if let Some(episode) = record.episode {
                 let runs = self.runs.get(record.id.as_str()).into_iter().flatten();
@@ -30,7 +32,7 @@
         }
         let broken = episodes.into_iter().filter_map(|(episode, mut runs)| {
             runs.sort_by_key(|run| run.at);
-            let known_at = self.known_at(&runs)?;
+            let known_at = self.known_at(episode, &runs)?;
             let late: Vec<String> = runs
                 .iter()
                 .filter_map(|run| self.by_id.get(run.id.as_str()).copied())
@@ -39,7 +41,7 @@
                 .collect();
             (late.len() > MAX_LATE_RUNS).then(|| {
                 format!(
-                    "requests of episode {episode} that crash endpoints ran {} times later \
+                    "requests of {episode:?} that crash endpoints ran {} times later \
                      than {:.3} s, the first as {}",
                     late.len(),
                     known_at.as_secs_f64(),
@@ -50,12 +52,16 @@
         broken.collect()
     }
 
-    /// Returns when all daemons in touch know that a request crashes endpoints.
-    fn known_at(&self, runs: &[&ExecutedRequest]) -> Option<Duration> {
+    /// Returns when all daemons in touch know what crashes endpoints.
+    fn known_at(&self, episode: Episode, runs: &[&ExecutedRequest]) -> Option<Duration> {
+        let deciding_crash = match episode.cause {
+            CrashCause::Request(_) => DECIDING_CRASH,
+            CrashCause::Part => DECIDING_CRASH_BY_PART,
+        };
         let mut endpoints = BTreeSet::new();
         let deciding = runs.iter().find(|run| {
             endpoints.insert(run.endpoint.as_str());
-            endpoints.len() == DECIDING_CRASH
+            endpoints.len() == deciding_crash
         })?;
         Some(self.world.time_of(deciding.at) + CRASH_TIME + CONTACT_TIME)
     }
--- a/crates/laburnumstall-soak/src/clients.rs
+++ b/crates/laburnumstall-soak/src/clients.rs
@@ -31,6 +31,8 @@
 const LARGE_ONE_IN: u32 = 40;
 /// Size of a large body, in bytes.
 const LARGE_BODY: usize = 200 << 10;
+/// Documents of each customer, whose parts several prompts share.
+const DOCUMENTS: u32 = 8;
 /// One request in so many bears a withdrawn key, if there is one.
 const WITHDRAWN_ONE_IN: u32 = 8;
 
@@ -181,10 +183,15 @@
             0 => LARGE_BODY,
             _ => self.rng.usize(0..400),
         };
+        let kind = *self.rng.choice(&CallKind::ALL)?;
         let call = Call {
+            parts: match kind {
+                CallKind::Stream => prompt(&customer, self.sent, &id),
+                _ => Vec::new(),
+            },
             name: id.clone(),
             id,
-            kind: *self.rng.choice(&CallKind::ALL)?,
+            kind,
             service: (*self.rng.choice(&SERVICES)?).to_owned(),
             key,
             timeout: PATIENCE,
@@ -194,3 +201,22 @@
         Some((customer, call))
     }
 }
+
+/// Returns the parts of a prompt: one that the customer's prompts share, one that some of them
+/// share, and the last one of its own.
+fn prompt(customer: &str, number: u32, id: &str) -> Vec<(String, u32)> {
+    let document = format!("{}{:x}", customer_part(customer), number % DOCUMENTS);
+    vec![
+        (customer_part(customer), 400),
+        (document, 200),
+        (id.to_owned(), 20),
+    ]
+}
+
+/// Returns the identifier of the part that all prompts of a customer begin with.
+pub(crate) fn customer_part(customer: &str) -> String {
+    let sum = customer.bytes().fold(0_u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    });
+    format!("a{:06x}", sum & 0xff_ffff)
+}
--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -45,6 +45,15 @@
     pub(crate) services: usize,
 }
 
+/// What crashes endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum CrashCause {
+    /// One request of a kind, in copies.
+    Request(CallKind),
+    /// A part of prompts, in streams of which no two are alike.
+    Part,
+}
+
 /// One fault.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Fault {
@@ -71,8 +80,8 @@
     /// Hits all endpoints of one service, each after the one before by the second time. A stream
     /// that moves may meet the next silence.
     SilenceForService(usize, Duration, Duration),
-    /// Callers of a service send copies of a request that crashes each endpoint that begins it.
-    SendCrashing(usize, CallKind, Duration),
+    /// Callers of a service send requests that crash each endpoint that begins them.
+    SendCrashing(usize, CrashCause, Duration),
     DutiesDown(Duration),
     ChangeTimeout,
     AddKey,
@@ -180,7 +189,11 @@
         let lasts = between(&mut rng, SHORTEST_EPISODE, LONGEST_EPISODE);
         let service = rng.usize(0..shape.services);
         let kind = CallKind::ALL[rng.usize(0..CallKind::ALL.len())];
-        let fault = Fault::SendCrashing(service, kind, lasts);
+        let cause = match rng.bool() {
+            true => CrashCause::Part,
+            false => CrashCause::Request(kind),
+        };
+        let fault = Fault::SendCrashing(service, cause, lasts);
         plan.push(Planned { at, fault });
         at += lasts + between(&mut rng, Duration::ZERO, LONGEST_EPISODE);
     }
--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -23,7 +23,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::options::SoakSettings;
-use crate::plan::Fault;
+use crate::plan::{CrashCause, Fault};
 use crate::process::Process;
 use endpoints::EndpointSlot;
 pub(crate) use endpoints::EndpointStart;
@@ -140,8 +140,15 @@
     pub(crate) received_before: Option<StreamPart>,
     /// What this attempt and earlier ones received of it.
     pub(crate) received: Option<StreamPart>,
-    /// Number of the episode whose requests crash endpoints, if it is one of them.
-    pub(crate) episode: Option<u32>,
+    /// Episode whose requests crash endpoints, if it is one of them.
+    pub(crate) episode: Option<Episode>,
+}
+
+/// Time in which callers send requests that crash endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Episode {
+    pub(crate) number: u32,
+    pub(crate) cause: CrashCause,
 }
 
 struct DaemonSlot {
--- a/crates/laburnumstall-soak/src/world/crashing.rs
+++ b/crates/laburnumstall-soak/src/world/crashing.rs
@@ -1,17 +1,18 @@
-//! Episodes in which one request, sent again and again by several callers, crashes each
-//! endpoint that begins it.
+//! Episodes in which several callers send requests that crash each endpoint that begins them:
+//! copies of one, or different ones with a part of the prompt in common.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use laburnumstall_platform_standins::caller::{self, Call, CallKind};
-use laburnumstall_platform_standins::crashing::CRASHING_BODY;
+use laburnumstall_platform_standins::crashing::{CRASHING_BODY, CRASHING_PART};
 use laburnumstalld::http1::Conn;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
-use super::{Record, SERVICES, World};
-use crate::plan::Fault;
+use super::{Episode, Record, SERVICES, World};
+use crate::clients::customer_part;
+use crate::plan::{CrashCause, Fault};
 
 /// Customer that the callers belong to.
 const CUSTOMER: &str = "registry";
@@ -48,22 +49,22 @@
 }
 
 impl World {
-    /// Lets several callers send copies of one request for `time`.
+    /// Lets several callers send such requests for `time`.
     pub(super) async fn send_crashing(
         self: Rc<Self>,
         service: usize,
-        kind: CallKind,
+        cause: CrashCause,
         time: Duration,
     ) {
-        let episode = self.next_episode.replace(self.next_episode.get() + 1);
+        let number = self.next_episode.replace(self.next_episode.get() + 1);
+        let episode = Episode { number, cause };
         let until = Instant::now() + time;
         let callers = (0..CALLERS).map(|number| {
             let sender = Sender {
                 world: Rc::clone(&self),
                 episode,
-                number: FIRST_CALLER + (episode as u16) * CALLERS + number,
+                number: FIRST_CALLER + (episode.number as u16) * CALLERS + number,
                 service: SERVICES[service],
-                kind,
                 sent: 0,
             };
             actix_rt::spawn(sender.run(until))
@@ -77,10 +78,9 @@
 
 struct Sender {
     world: Rc<World>,
-    episode: u32,
+    episode: Episode,
     number: u16,
     service: &'static str,
-    kind: CallKind,
     sent: u32,
 }
 
@@ -115,14 +115,31 @@
 
     async fn send(&mut self, daemon: usize, mut conn: Conn, key: String) {
         self.sent += 1;
+        let id = format!("{:04x}{:08x}", self.number, self.sent);
+        let number = self.episode.number;
+        let (name, kind, body, parts) = match self.episode.cause {
+            CrashCause::Request(kind) => {
+                let name = format!("episode-{number}");
+                (name, kind, CRASHING_BODY.to_vec(), Vec::new())
+            }
+            CrashCause::Part => {
+                let parts = vec![
+                    (customer_part(CUSTOMER), 400),
+                    (format!("{CRASHING_PART}{number}"), 200),
+                    (id.clone(), 20),
+                ];
+                (id.clone(), CallKind::Stream, Vec::new(), parts)
+            }
+        };
         let call = Call {
-            id: format!("{:04x}{:08x}", self.number, self.sent),
-            name: format!("episode-{}", self.episode),
-            kind: self.kind,
+            id,
+            name,
+            kind,
             service: self.service.to_owned(),
             key,
             timeout: PATIENCE,
-            body: CRASHING_BODY.to_vec(),
+            body,
+            parts,
             received: None,
         };
         let sent_at = self.world.elapsed();
--- a/crates/laburnumstall-soak/src/world/faults.rs
+++ b/crates/laburnumstall-soak/src/world/faults.rs
@@ -37,9 +37,9 @@
                 }
             }
             Fault::StopDaemon(index) => self.stop(index, &fault).await,
-            Fault::SendCrashing(service, kind, time) => {
+            Fault::SendCrashing(service, cause, time) => {
                 let noted = self.note(&fault);
-                Rc::clone(&self).send_crashing(service, kind, time).await;
+                Rc::clone(&self).send_crashing(service, cause, time).await;
                 self.ended(noted);
             }
             _ => {
