Keep the stored quarantines in step with those in force

What callers would see: a request that was cleared is refused again for 10 minutes, or one that crashes endpoints is run again.

Cause: a quarantine that ended while its write was under way stayed in the key-value service, from where all daemons took it again. The end of the lease of an earlier quarantine ended a later one of the same suspect, whose write found the old key and did nothing. In a large fleet all daemons would write a missing quarantine at the same moment. Found by reading.

Evidence: two tests of the new behaviour; quarantine_that_ends_while_it_is_ written_is_deleted and end_of_an_earlier_lease_ends_no_later_quarantine.

The change: a write that is confirmed for an ended quarantine is followed by a delete; a stored one that ends sooner is replaced; the removal of a key at the end of its lease does not end a quarantine that lasts on. Daemons of a large fleet take turns to write. A daemon that has seen a suspect in a completed request does not take its quarantine from the store either.

Why it works: what is stored follows what is in force, in both directions.

--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -390,12 +390,9 @@
         let SuspectHold {
             suspect, processes, ..
         } = hold;
-        let is_certain =
-            matches!(suspect, Suspect::Part(_)) && processes.len() >= MIN_CRASHES_OF_KNOWN;
-        if let Some(at) = self.quarantine.completed_at(now, suspect)
-            && !is_certain
-        {
-            self.report_clearance(now, suspect, at);
+        if self.objects(now, suspect, processes.len()) {
+            let at = self.quarantine.completed_at(now, suspect);
+            self.report_clearance(now, suspect, at.unwrap_or(now));
             return;
         }
         let until = now.after(Duration::from_secs(hold.remaining_s.into()));
@@ -403,6 +400,13 @@
         self.explain(now, suspect, hold.depth, &processes);
     }
 
+    /// Returns whether this daemon has seen a suspect in a completed request, and too few crashes
+    /// speak against it.
+    pub(super) fn objects(&self, now: Timestamp, suspect: Suspect, crashes: usize) -> bool {
+        let is_certain = matches!(suspect, Suspect::Part(_)) && crashes >= MIN_CRASHES_OF_KNOWN;
+        !is_certain && self.quarantine.completed_at(now, suspect).is_some()
+    }
+
     /// Clears a suspect that was in a request that ran to completion at `at`.
     fn clear(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp, source: &str) {
         if self.quarantine.on_cleared(now, suspect, at) {
@@ -550,7 +554,7 @@
     }
 
     fn record_hold(&mut self, now: Timestamp, suspect: Suspect, until: Timestamp, source: &str) {
-        self.stored_holds.on_hold(now, suspect);
+        self.store_later(now, suspect);
         self.journal.record(
             Decision::new(now, DecisionKind::Quarantine, "quarantine", source)
                 .with("suspect", suspect)
--- a/crates/laburnumstall-core/src/gateway/stored_holds.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_holds.rs
@@ -8,12 +8,17 @@
 use std::time::Duration;
 
 use super::Gateway;
+use super::gossip::GOSSIP_PERIOD;
 use crate::domain;
+use crate::hash::digest64;
 use crate::quarantine::Suspect;
 use crate::units::Timestamp;
 
 /// Time after which a daemon that did not decide a quarantine writes it to the store.
 const WRITE_DELAY: Duration = Duration::from_secs(2);
+/// Time before the end of a quarantine in which the removal of its key is the end of its lease;
+/// clocks of daemons and of the store differ.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(5);
 
 domain! {
     /// Value of a stored quarantine.
@@ -21,6 +26,8 @@
     pub struct StoredHold {
         /// End of the quarantine in milliseconds since the Unix epoch.
         pub until_ms: u64,
+        /// Number of crashes that it is based on.
+        pub crashes: u32,
     }
 }
 
@@ -38,21 +45,25 @@
 /// What is known of the quarantines in the store.
 #[derive(Debug, Default)]
 pub(super) struct StoredHolds {
-    stored: BTreeSet<Suspect>,
+    /// Stored quarantines with the end of each.
+    stored: BTreeMap<Suspect, Timestamp>,
     /// Quarantines that are not known to be stored, with the time at which they are written.
     unwritten: BTreeMap<Suspect, Timestamp>,
     to_delete: BTreeSet<Suspect>,
 }
 
-impl StoredHolds {
-    /// Records a quarantine.
-    pub(super) fn on_hold(&mut self, now: Timestamp, suspect: Suspect) {
-        if !self.stored.contains(&suspect) {
-            let write_at = now.after(WRITE_DELAY);
-            self.unwritten.entry(suspect).or_insert(write_at);
-        }
+impl StoredHold {
+    fn until(&self) -> Timestamp {
+        Timestamp::from_millis(self.until_ms)
     }
 
+    /// Returns whether a stored quarantine lasts as long as this one.
+    pub fn is_covered_by(&self, stored: &Self) -> bool {
+        self.until() <= stored.until().after(EXPIRY_MARGIN)
+    }
+}
+
+impl StoredHolds {
     /// Records that this daemon decided a quarantine.
     pub(super) fn on_decided(&mut self, suspect: Suspect) {
         self.unwritten.insert(suspect, Timestamp::ZERO);
@@ -61,13 +72,30 @@
     /// Records that a quarantine has ended before its time.
     pub(super) fn on_cleared(&mut self, suspect: Suspect) {
         self.unwritten.remove(&suspect);
-        if self.stored.remove(&suspect) {
+        if self.stored.remove(&suspect).is_some() {
             self.to_delete.insert(suspect);
         }
     }
 }
 
 impl Gateway {
+    /// Writes a quarantine to the store later, unless it is there by then.
+    pub(super) fn store_later(&mut self, now: Timestamp, suspect: Suspect) {
+        if self.stored_holds.stored.contains_key(&suspect) {
+            return;
+        }
+        // In a large fleet the daemons take turns.
+        let turn = digest64(&[self.own.vm.as_str().as_bytes()]) % 1_000;
+        let spread =
+            self.peer_table.gossip_period().as_secs_f64() / GOSSIP_PERIOD.as_secs_f64() - 1.0;
+        let delay = WRITE_DELAY.mul_f64(1.0 + spread * turn as f64 / 1_000.0);
+        let write_at = now.after(delay);
+        self.stored_holds
+            .unwritten
+            .entry(suspect)
+            .or_insert(write_at);
+    }
+
     /// Returns the writes to the key-value store that are due. A failed one is due again until
     /// [`Gateway::on_hold_written`].
     pub fn hold_writes(&mut self, now: Timestamp) -> Vec<HoldWrite> {
@@ -77,10 +105,14 @@
         let due = unwritten.iter().filter(|(_, at)| **at <= now);
         let writes = due.filter_map(|(suspect, _)| {
             let until = quarantine.held_until(now, *suspect)?;
-            let until_ms = until.0 / 1_000;
+            let crashes = quarantine.crashes(*suspect).0.len();
+            let value = StoredHold {
+                until_ms: until.0 / 1_000,
+                crashes: u32::try_from(crashes).unwrap_or(u32::MAX),
+            };
             Some(HoldWrite {
                 suspect: *suspect,
-                value: Some(StoredHold { until_ms }),
+                value: Some(value),
                 ttl: until.since(now),
             })
         });
@@ -93,35 +125,49 @@
     }
 
     /// Records that a write succeeded, or was found to be done.
-    pub fn on_hold_written(&mut self, write: &HoldWrite) {
+    pub fn on_hold_written(&mut self, now: Timestamp, write: &HoldWrite) {
         let holds = &mut self.stored_holds;
-        match write.value {
-            Some(_) => {
-                holds.unwritten.remove(&write.suspect);
-                holds.stored.insert(write.suspect);
-            }
-            None => {
-                holds.to_delete.remove(&write.suspect);
-            }
+        let Some(value) = &write.value else {
+            holds.to_delete.remove(&write.suspect);
+            return;
+        };
+        holds.unwritten.remove(&write.suspect);
+        holds.stored.insert(write.suspect, value.until());
+        // It may have ended while it was written.
+        if self.quarantine.held_until(now, write.suspect).is_none() {
+            holds.on_cleared(write.suspect);
         }
     }
 
     /// Applies a quarantine that the key-value store has.
     pub fn on_stored_hold(&mut self, now: Timestamp, suspect: Suspect, stored: StoredHold) {
-        self.stored_holds.unwritten.remove(&suspect);
-        self.stored_holds.stored.insert(suspect);
-        let until = Timestamp::from_millis(stored.until_ms);
-        self.adopt_hold(now, suspect, until, "store");
+        let until = stored.until();
+        self.stored_holds.stored.insert(suspect, until);
+        if self
+            .quarantine
+            .held_until(now, suspect)
+            .is_none_or(|known| known <= until.after(EXPIRY_MARGIN))
+        {
+            self.stored_holds.unwritten.remove(&suspect);
+        }
+        if !self.objects(now, suspect, stored.crashes as usize) {
+            self.adopt_hold(now, suspect, until, "store");
+        }
     }
 
-    /// Applies the removal of a quarantine from the key-value store, which ends it: it has
-    /// expired, was cleared, or an operator has deleted it.
+    /// Applies the removal of a quarantine from the key-value store: it has expired, was cleared,
+    /// or an operator has deleted it, which ends it.
     pub fn on_stored_hold_removed(&mut self, now: Timestamp, suspect: Suspect) {
-        if !self.stored_holds.stored.remove(&suspect) {
+        let Some(until) = self.stored_holds.stored.remove(&suspect) else {
             return;
-        }
+        };
         self.stored_holds.to_delete.remove(&suspect);
-        if self.quarantine.release(now, suspect) {
+        if now.after(EXPIRY_MARGIN) >= until {
+            // A later quarantine of the same suspect lasts on.
+            if self.quarantine.held_until(now, suspect).is_some() {
+                self.store_later(now, suspect);
+            }
+        } else if self.quarantine.release(now, suspect) {
             self.record_release(now, suspect, "store");
         }
     }
@@ -131,8 +177,11 @@
     pub fn on_stored_holds(&mut self, now: Timestamp, stored: Vec<(Suspect, StoredHold)>) {
         let listed: BTreeSet<Suspect> = stored.iter().map(|(suspect, _)| *suspect).collect();
         let known = std::mem::take(&mut self.stored_holds.stored);
-        for suspect in known.difference(&listed) {
-            self.stored_holds.on_hold(now, *suspect);
+        for suspect in known
+            .into_keys()
+            .filter(|suspect| !listed.contains(suspect))
+        {
+            self.store_later(now, suspect);
         }
         for (suspect, value) in stored {
             self.on_stored_hold(now, suspect, value);
--- a/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
@@ -9,7 +9,7 @@
     PeerMessage, StoredHold,
 };
 use laburnumstall_core::prelude::*;
-use laburnumstall_core::quarantine::Suspect;
+use laburnumstall_core::quarantine::{HOLD_TIME, Suspect};
 
 const PATH: &str = "/read/1";
 const BAD: &[u8] = b"crashes endpoints";
@@ -321,7 +321,7 @@
         fleet.crash(at(ms), 1, BAD);
     }
     for write in fleet.at(1).hold_writes(at(510)) {
-        fleet.at(1).on_hold_written(&write);
+        fleet.at(1).on_hold_written(at(520), &write);
     }
     assert!(fleet.at(1).hold_writes(at(9_000)).is_empty());
     fleet.at(1).on_stored_holds(at(9_000), Vec::new());
@@ -329,6 +329,42 @@
     assert_eq!(fleet.refusing(at(12_000), BAD), 1);
 }
 
+#[test]
+fn quarantine_that_ends_while_it_is_written_is_deleted() {
+    let mut fleet = Fleet::new(1);
+    let begun = begin(fleet.at(1), at(50), BAD).unwrap();
+    for ms in [100, 300, 500] {
+        fleet.crash(at(ms), 1, BAD);
+    }
+    let writes = fleet.at(1).hold_writes(at(510));
+    fleet.at(1).on_completed(at(520), &begun.0);
+    fleet.at(1).on_hold_written(at(530), &writes[0]);
+    let deletes = fleet.at(1).hold_writes(at(540));
+    assert_eq!(deletes.len(), 1);
+    assert!(deletes[0].value.is_none());
+    fleet.at(1).on_hold_written(at(550), &deletes[0]);
+    assert!(fleet.at(1).hold_writes(at(560)).is_empty());
+}
+
+/// The lease of an earlier quarantine ends after the request was quarantined again.
+#[test]
+fn end_of_an_earlier_lease_ends_no_later_quarantine() {
+    let mut fleet = Fleet::new(1);
+    for ms in [100, 300, 500] {
+        fleet.crash(at(ms), 1, BAD);
+    }
+    let first = fleet.at(1).hold_writes(at(510))[0];
+    fleet.at(1).on_hold_written(at(520), &first);
+    let end = 500 + HOLD_TIME.as_millis() as u64;
+    fleet.tick(at(end + 10));
+    fleet.crash(at(end + 20), 1, BAD);
+    fleet
+        .at(1)
+        .on_stored_hold_removed(at(end + 500), first.suspect);
+    assert_eq!(fleet.refusing(at(end + 600), BAD), 1);
+    assert_eq!(fleet.at(1).hold_writes(at(end + 3_000)).len(), 1);
+}
+
 /// In a large fleet a crash is reported to the few peers that count for each request, and a
 /// quarantine to all.
 #[test]
--- a/crates/laburnumstalld/src/gateway/crash_checks.rs
+++ b/crates/laburnumstalld/src/gateway/crash_checks.rs
@@ -64,7 +64,7 @@
         sleep(WRITE_INTERVAL).await;
         for hold in cx.with_gateway(|gateway, now| gateway.hold_writes(now)) {
             match write_hold(&store, &hold).await {
-                Ok(()) => cx.with_gateway(|gateway, _| gateway.on_hold_written(&hold)),
+                Ok(()) => cx.with_gateway(|gateway, now| gateway.on_hold_written(now, &hold)),
                 Err(cause) => {
                     cx.event(
                         Event::new("quarantine-not-stored")
@@ -87,7 +87,13 @@
         return Err("not-read");
     };
     let current = current.filter(|stored| stored.value.is_some());
-    if current.is_some() == hold.value.is_some() {
+    let stored = current.as_ref().and_then(stored_hold);
+    let is_done = match (&hold.value, stored.and_then(|(_, stored)| stored)) {
+        (Some(value), Some(stored)) => value.is_covered_by(&stored),
+        (Some(_), None) => false,
+        (None, _) => current.is_none(),
+    };
+    if is_done {
         return Ok(());
     }
     let lease = match &hold.value {
