Take a response that ends with its connection as complete on a live endpoint

What callers would see: where endpoints answer without a length, ordinary crashes get sound parts of prompts quarantined.

Cause: such a response may end by a crash, so it cleared nothing; then nothing ever clears what is in use. Found by reading.

The change: the endpoint is checked as after a lost connection. If it accepts, the response was complete and clears its request and parts; if it refuses, the call was in flight at a crash. The connection of the check serves the next call.

Why it works: a process that crashed refuses connections.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -44,7 +44,7 @@
 
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
 pub use crash_evidence::{
-    EndpointCheck, ProcessCrash, QuarantineUpdate, SuspectClearance, SuspectHold,
+    EndpointCheck, EndpointState, ProcessCrash, QuarantineUpdate, SuspectClearance, SuspectHold,
 };
 pub use demand::DemandCounter;
 pub use endpoint_table::{EndpointEntry, EndpointRecord, EndpointTable, REREGISTER_TIME};
--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// Result of a connection attempt to an endpoint that may have crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointState {
+    /// It accepts connections.
+    Accepting,
+    /// It refuses them: its process has ended.
+    Refusing,
+    /// It does not answer, or cannot be reached.
+    Unknown,
+}
+
 /// Endpoint that may have crashed; see [`Gateway::on_endpoint_checked`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointCheck {
@@ -101,6 +112,8 @@
     process: ProcessKey,
     at: Timestamp,
     suspects: BTreeMap<Suspect, InFlight>,
+    /// Suspects of responses that ended with their connection: complete if the process lives.
+    ended: BTreeSet<Suspect>,
 }
 
 /// Request in flight on a process, of those with a suspect the one that began last.
@@ -202,14 +215,36 @@
         call: &AdmittedCall,
         attempt: &CallAttempt,
     ) {
+        self.check_later(now, call, attempt);
+    }
+
+    /// Records that the response of an attempt ended with its connection, which a crash may look
+    /// like.
+    pub fn on_ended_by_close(
+        &mut self,
+        now: Timestamp,
+        call: &AdmittedCall,
+        attempt: &CallAttempt,
+    ) {
+        if let Some(lost) = self.check_later(now, call, attempt) {
+            lost.ended
+                .extend(call.suspects().map(|(suspect, _)| suspect));
+        }
+    }
+
+    /// Has the endpoint of an attempt checked, with the call as a suspect if it has crashed.
+    fn check_later(
+        &mut self,
+        now: Timestamp,
+        call: &AdmittedCall,
+        attempt: &CallAttempt,
+    ) -> Option<&mut LostProcess> {
         let has_begun = attempt
             .first_output_at
             .is_some_and(|at| now.since(at) >= BEGIN_TIME);
-        let Some(known) = self.endpoints.get(&attempt.endpoint) else {
-            return;
-        };
+        let known = self.endpoints.get(&attempt.endpoint)?;
         if has_begun || known.record.is_leaving {
-            return;
+            return None;
         }
         let started_at = known.record.started_at_ms.to_le_bytes();
         let process = digest64(&[attempt.endpoint.as_str().as_bytes(), &started_at]);
@@ -226,6 +261,7 @@
                     process: ProcessKey(process),
                     at: now,
                     suspects: BTreeMap::new(),
+                    ended: BTreeSet::new(),
                 }
             });
         for (suspect, depth) in call.suspects() {
@@ -243,6 +279,7 @@
                 known.depth = depth;
             }
         }
+        Some(lost)
     }
 
     /// Returns whether endpoints have to be checked.
@@ -250,7 +287,7 @@
         !self.lost_calls.to_check.is_empty()
     }
 
-    /// Returns the endpoints to be checked: whether they refuse a connection.
+    /// Returns the endpoints to be checked, by connecting to them.
     pub fn take_endpoint_checks(&mut self) -> Vec<EndpointCheck> {
         std::mem::take(&mut self.lost_calls.to_check)
     }
@@ -260,13 +297,20 @@
         &mut self,
         now: Timestamp,
         endpoint: &EndpointId,
-        refuses_connections: bool,
+        state: EndpointState,
     ) {
         let Some(lost) = self.lost_calls.by_endpoint.remove(endpoint) else {
             return;
         };
-        if !refuses_connections {
-            return;
+        match state {
+            EndpointState::Refusing => {}
+            EndpointState::Accepting => {
+                for suspect in lost.ended {
+                    self.complete(now, suspect);
+                }
+                return;
+            }
+            EndpointState::Unknown => return,
         }
         let notes = self.notes(now, &lost);
         self.journal.record(
@@ -318,9 +362,7 @@
     /// prompt.
     pub fn on_completed(&mut self, now: Timestamp, call: &AdmittedCall) {
         for (suspect, _) in call.suspects() {
-            if self.quarantine.on_completed(now, suspect) {
-                self.report_clearance(now, suspect, now);
-            }
+            self.complete(now, suspect);
         }
     }
 
@@ -423,6 +465,12 @@
         }
     }
 
+    fn complete(&mut self, now: Timestamp, suspect: Suspect) {
+        if self.quarantine.on_completed(now, suspect) {
+            self.report_clearance(now, suspect, now);
+        }
+    }
+
     fn report_clearance(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp) {
         self.clear(now, suspect, at, "completed");
         self.send_clearance(now, suspect, at, self.counting_peers(now, suspect));
--- a/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
@@ -5,8 +5,8 @@
 use crate::stream_origins::gossip;
 use crate::support::{at, bounds, call_attributes, daemon, endpoint, member, rules};
 use laburnumstall_core::gateway::{
-    AdmittedCall, BodyDigest, CallAttempt, CallAttributes, CallFailure, EndpointRecord, Gateway,
-    PeerMessage, StoredHold,
+    AdmittedCall, BodyDigest, CallAttempt, CallAttributes, CallFailure, EndpointRecord,
+    EndpointState, Gateway, PeerMessage, StoredHold,
 };
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::quarantine::{HOLD_TIME, Suspect};
@@ -104,7 +104,7 @@
         let (mut call, attempt) = begin_call(self.at(number), now, attributes).unwrap();
         let endpoint = attempt.endpoint.clone();
         fail(self.at(number), now, &mut call, attempt);
-        check_endpoints(self.at(number), now, true);
+        check_endpoints(self.at(number), now, EndpointState::Refusing);
         self.deliver(now);
         let known = self.endpoints.iter_mut().find(|known| known.id == endpoint);
         let record = known.unwrap();
@@ -175,9 +175,9 @@
     let _ = gateway.after_failure(now, call, attempt, CallFailure::Lost);
 }
 
-fn check_endpoints(gateway: &mut Gateway, now: Timestamp, refuses_connections: bool) {
+fn check_endpoints(gateway: &mut Gateway, now: Timestamp, state: EndpointState) {
     for check in gateway.take_endpoint_checks() {
-        gateway.on_endpoint_checked(now, &check.endpoint, refuses_connections);
+        gateway.on_endpoint_checked(now, &check.endpoint, state);
     }
 }
 
@@ -234,11 +234,30 @@
     for ms in [100, 300, 500, 700, 900] {
         let (mut call, attempt) = begin(fleet.at(1), at(ms), BAD).unwrap();
         fail(fleet.at(1), at(ms), &mut call, attempt);
-        check_endpoints(fleet.at(1), at(ms + 1), false);
+        check_endpoints(fleet.at(1), at(ms + 1), EndpointState::Accepting);
     }
     assert_eq!(fleet.refusing(at(1_000), BAD), 0);
 }
 
+/// A response without a length ends with its connection, as one that a crash has cut off does.
+#[test]
+fn response_that_ends_by_close_completes_on_a_live_endpoint() {
+    let mut fleet = Fleet::new(1);
+    fleet.crash(at(100), 1, BAD);
+    fleet.crash(at(300), 1, BAD);
+    let (call, attempt) = begin(fleet.at(1), at(400), BAD).unwrap();
+    fleet.at(1).on_ended_by_close(at(450), &call, &attempt);
+    check_endpoints(fleet.at(1), at(455), EndpointState::Accepting);
+    fleet.crash(at(5_000), 1, BAD);
+    fleet.crash(at(5_300), 1, BAD);
+    assert_eq!(fleet.refusing(at(5_310), BAD), 0);
+
+    let (call, attempt) = begin(fleet.at(1), at(5_400), BAD).unwrap();
+    fleet.at(1).on_ended_by_close(at(5_450), &call, &attempt);
+    check_endpoints(fleet.at(1), at(5_455), EndpointState::Refusing);
+    assert_eq!(fleet.refusing(at(5_460), BAD), 1);
+}
+
 #[test]
 fn ends_of_leaving_endpoints_are_no_crashes() {
     let mut fleet = Fleet::new(1);
@@ -253,7 +272,7 @@
         record.is_leaving = true;
         fleet.at(1).on_endpoint(at(ms), record);
         fail(fleet.at(1), at(ms), &mut call, attempt);
-        check_endpoints(fleet.at(1), at(ms), true);
+        check_endpoints(fleet.at(1), at(ms), EndpointState::Refusing);
         assert!(index < fleet.endpoints.len());
     }
     assert_eq!(fleet.refusing(at(1_000), BAD), 0);
@@ -285,7 +304,7 @@
     fleet.crash(at(100), 1, BAD);
     let (mut call, attempt) = begin(fleet.at(1), at(200), BAD).unwrap();
     fail(fleet.at(1), at(210), &mut call, attempt);
-    check_endpoints(fleet.at(1), at(220), true);
+    check_endpoints(fleet.at(1), at(220), EndpointState::Refusing);
     let updates = fleet.at(1).take_quarantine_updates();
     let recipients: Vec<DaemonId> = updates.into_iter().map(|(to, _, _)| to).collect();
     assert_eq!(recipients, [daemon(2)]);
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -108,10 +108,11 @@
                 is_delimited,
             } => {
                 cx.with_gateway(|gateway, now| {
-                    gateway.succeed(now, attempt);
-                    if is_delimited {
-                        gateway.on_completed(now, call);
+                    match is_delimited {
+                        true => gateway.on_completed(now, call),
+                        false => gateway.on_ended_by_close(now, call, &attempt),
                     }
+                    gateway.succeed(now, attempt);
                 });
                 return ("answered", status, action);
             }
--- a/crates/laburnumstalld/src/gateway/crash_checks.rs
+++ b/crates/laburnumstalld/src/gateway/crash_checks.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumstall_core::gateway::{EndpointCheck, HoldWrite, StoredHold};
+use laburnumstall_core::gateway::{EndpointCheck, EndpointState, HoldWrite, StoredHold};
 use laburnumstall_core::quarantine::Suspect;
 use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply, StoredValue};
 use laburnumstall_outside::key_value::KeyValue;
@@ -40,12 +40,15 @@
     sleep(CHECK_DELAY).await;
     cx.metrics.connection();
     let connected = Conn::connect(check.address, CHECK_TIMEOUT).await;
-    let is_refused =
-        matches!(&connected, Err(error) if error.kind() == io::ErrorKind::ConnectionRefused);
-    if let Ok(conn) = connected {
-        cx.pool.put_new(check.address, conn);
-    }
-    cx.with_gateway(|gateway, now| gateway.on_endpoint_checked(now, &check.endpoint, is_refused));
+    let state = match connected {
+        Ok(conn) => {
+            cx.pool.put_new(check.address, conn);
+            EndpointState::Accepting
+        }
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => EndpointState::Refusing,
+        Err(_) => EndpointState::Unknown,
+    };
+    cx.with_gateway(|gateway, now| gateway.on_endpoint_checked(now, &check.endpoint, state));
 }
 
 /// Returns the quarantined suspect that a value describes, and its value; `None` for other keys.
