Split the crash evidence of the gateway into three files

lost_calls.rs has the calls whose connections ended until their endpoint is checked, quarantine_update.rs the messages and who gets them, crash_evidence.rs what counts. Ranking of peers moves beside the table of peers.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -17,8 +17,10 @@
 mod gossip;
 mod health;
 mod load_balancer;
+mod lost_calls;
 mod peer_message;
 mod prefill;
+mod quarantine_update;
 mod quota;
 mod recovery;
 mod replacement;
@@ -43,9 +45,6 @@
 use crate::units::Timestamp;
 
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
-pub use crash_evidence::{
-    EndpointCheck, EndpointState, ProcessCrash, QuarantineUpdate, SuspectClearance, SuspectHold,
-};
 pub use demand::DemandCounter;
 pub use endpoint_table::{EndpointEntry, EndpointRecord, EndpointTable, REREGISTER_TIME};
 pub use freshness::StoreFreshness;
@@ -54,8 +53,10 @@
 };
 pub use health::CallOutcome;
 pub use load_balancer::{CallAttempt, EndpointQuery, LoadBalancer};
+pub use lost_calls::{EndpointCheck, EndpointState};
 pub use peer_message::PeerMessage;
 pub use prefill::prefill_time;
+pub use quarantine_update::{ProcessCrash, QuarantineUpdate, SuspectClearance, SuspectHold};
 pub use quota::{QuotaLedger, QuotaUsage};
 pub use recovery::{CallFailure, FailureAction, RETRY_AFTER};
 pub use resumption::{COPIES, OriginAnswer, OriginLookup, OriginQuery, OriginReply};
@@ -109,8 +110,8 @@
     send_budget: resumption::SendBudget,
     has_origins_to_send: bool,
     quarantine: CrashTally,
-    lost_calls: crash_evidence::LostCalls,
-    quarantine_outbox: crash_evidence::Outbox,
+    lost_calls: lost_calls::LostCalls,
+    quarantine_outbox: quarantine_update::Outbox,
     stored_holds: stored_holds::StoredHolds,
     is_stopping: bool,
     gossip_sequence: u64,
@@ -144,8 +145,8 @@
             send_budget: resumption::SendBudget::default(),
             has_origins_to_send: false,
             quarantine: CrashTally::default(),
-            lost_calls: crash_evidence::LostCalls::default(),
-            quarantine_outbox: crash_evidence::Outbox::default(),
+            lost_calls: lost_calls::LostCalls::default(),
+            quarantine_outbox: quarantine_update::Outbox::default(),
             stored_holds: stored_holds::StoredHolds::default(),
             is_stopping: false,
             gossip_sequence: 0,
--- a/crates/laburnumstall-core/src/gateway/gossip.rs
+++ b/crates/laburnumstall-core/src/gateway/gossip.rs
@@ -1,11 +1,14 @@
 //! Gossip messages between daemons, and the table of known peers.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::quota::QuotaUsage;
 use super::usage::UsageCount;
 use super::view::ViewUpdate;
+use crate::hash::{digest64, rendezvous_weight};
 use crate::ids::{DaemonId, ServiceName};
 use crate::membership::Member;
 use crate::units::Timestamp;
@@ -284,3 +287,28 @@
         }
     }
 }
+
+/// Returns the `count` peers that rank first for a key.
+pub(super) fn rank_peers<'a>(
+    peers: impl Iterator<Item = &'a Peer>,
+    key: u64,
+    count: usize,
+) -> Vec<(DaemonId, SocketAddr)> {
+    let mut ranked: Vec<(Reverse<u64>, &Peer)> = peers
+        .map(|peer| {
+            let weight = rendezvous_weight(key, daemon_hash(&peer.member.id));
+            (Reverse(weight), peer)
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(weight, _)| *weight);
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, peer)| (peer.member.id.clone(), peer.member.peer_address))
+        .collect()
+}
+
+/// Hash of a daemon for rendezvous hashing; a restarted process ranks as before.
+pub(super) fn daemon_hash(id: &DaemonId) -> u64 {
+    digest64(&[id.vm.as_str().as_bytes()])
+}
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -11,8 +11,8 @@
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use super::crash_evidence::QuarantineUpdate;
 use super::gossip::GossipMessage;
+use super::quarantine_update::QuarantineUpdate;
 use super::resumption::{OriginQuery, OriginReply};
 use super::stream_origin::OriginGroup;
 use super::view::ViewChange;
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -6,7 +6,6 @@
 //! fleet. A stream whose origin nobody knows goes on only if a single version was there all
 //! the time; otherwise it is refused.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,7 +13,7 @@
 
 use super::Gateway;
 use super::call::AdmittedCall;
-use super::gossip::{GossipMessage, Peer};
+use super::gossip::{GossipMessage, Peer, daemon_hash, rank_peers};
 use super::load_balancer::CallAttempt;
 use super::peer_message::PeerMessage;
 use super::recovery::RETRY_AFTER;
@@ -26,7 +25,6 @@
 use crate::decision::{Decision, DecisionKind};
 use crate::domain;
 use crate::error::{ErrorKind, Refusal};
-use crate::hash::{digest64, rendezvous_weight};
 use crate::ids::{DaemonId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 
@@ -480,28 +478,3 @@
         rank_peers(self.supporting_peers(now), stream.0, count)
     }
 }
-
-/// Returns the `count` peers that rank first for a key.
-pub(super) fn rank_peers<'a>(
-    peers: impl Iterator<Item = &'a Peer>,
-    key: u64,
-    count: usize,
-) -> Vec<(DaemonId, SocketAddr)> {
-    let mut ranked: Vec<(Reverse<u64>, &Peer)> = peers
-        .map(|peer| {
-            let weight = rendezvous_weight(key, daemon_hash(&peer.member.id));
-            (Reverse(weight), peer)
-        })
-        .collect();
-    ranked.sort_unstable_by_key(|(weight, _)| *weight);
-    ranked
-        .into_iter()
-        .take(count)
-        .map(|(_, peer)| (peer.member.id.clone(), peer.member.peer_address))
-        .collect()
-}
-
-/// Hash of a daemon for rendezvous hashing; a restarted process ranks as before.
-pub(super) fn daemon_hash(id: &DaemonId) -> u64 {
-    digest64(&[id.vm.as_str().as_bytes()])
-}
--- a/crates/laburnumstall-core/src/gateway/stored_holds.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_holds.rs
@@ -150,7 +150,7 @@
         {
             self.stored_holds.unwritten.remove(&suspect);
         }
-        if !self.objects(now, suspect, stored.crashes as usize) {
+        if !self.disputes_hold(now, suspect, stored.crashes as usize) {
             self.adopt_hold(now, suspect, until, "store");
         }
     }
