Bound the evidence of crashes that a daemon sends in a large fleet

What callers would see: nothing yet. At 880 daemons a hundred crashes a second would have each daemon send 40 KB/s of evidence, ten times its 4 KB/s for control.

Cause: every crash with own calls in flight was reported at once, however many endpoints crash together.

The change: reports, and clearances that end no quarantine, have a token bucket like that of stream origins: 32 KB/s in fleets of up to 32 daemons, less above. What is left out stays with its daemon. Quarantines are always sent.

Why it works: a wave speaks against few of the requests in flight, and what crashes endpoints again is reported with the next crash.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -28,6 +28,7 @@
 mod resumption;
 mod rules;
 mod scaling;
+mod send_budget;
 mod state;
 mod stored_holds;
 mod stream_origin;
@@ -107,10 +108,11 @@
     demand: DemandCounter,
     origins: OriginTable,
     versions: VersionHistory,
-    send_budget: resumption::SendBudget,
+    send_budget: send_budget::SendBudget,
     has_origins_to_send: bool,
     quarantine: CrashTally,
     lost_calls: lost_calls::LostCalls,
+    crash_budget: send_budget::SendBudget,
     quarantine_outbox: quarantine_update::Outbox,
     stored_holds: stored_holds::StoredHolds,
     is_stopping: bool,
@@ -142,10 +144,11 @@
             demand: DemandCounter::default(),
             origins: OriginTable::default(),
             versions: VersionHistory::default(),
-            send_budget: resumption::SendBudget::default(),
+            send_budget: send_budget::SendBudget::default(),
             has_origins_to_send: false,
             quarantine: CrashTally::default(),
             lost_calls: lost_calls::LostCalls::default(),
+            crash_budget: send_budget::SendBudget::default(),
             quarantine_outbox: quarantine_update::Outbox::default(),
             stored_holds: stored_holds::StoredHolds::default(),
             is_stopping: false,
--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -176,15 +176,18 @@
     }
 
     /// Clears a suspect that was in a request that ran to completion at `at`.
-    fn clear(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp, source: &str) {
-        if self.quarantine.on_cleared(now, suspect, at) {
-            self.stored_holds.on_cleared(suspect);
-            self.record_release(now, suspect, source);
-            let (Suspect::Request(key) | Suspect::Part(key)) = suspect;
-            if !self.counts_everywhere() && self.ranks_first(now, key.0, None) {
-                self.send_clearance(now, suspect, at, self.all_quarantine_peers(now));
-            }
+    /// Returns whether that ends a quarantine.
+    fn clear(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp, source: &str) -> bool {
+        if !self.quarantine.on_cleared(now, suspect, at) {
+            return false;
+        }
+        self.stored_holds.on_cleared(suspect);
+        self.record_release(now, suspect, source);
+        let (Suspect::Request(key) | Suspect::Part(key)) = suspect;
+        if !self.counts_everywhere() && self.ranks_first(now, key.0, None) {
+            self.send_clearance(now, suspect, at, self.all_quarantine_peers(now));
         }
+        true
     }
 
     pub(super) fn record_completion(&mut self, now: Timestamp, suspect: Suspect) {
@@ -194,8 +197,13 @@
     }
 
     fn report_clearance(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp) {
-        self.clear(now, suspect, at, "completed");
-        self.send_clearance(now, suspect, at, self.counting_peers(now, suspect));
+        let ends_quarantine = self.clear(now, suspect, at, "completed");
+        // What is not sent leaves single crashes at the peers that count, until they expire.
+        let peers = self.counting_peers(now, suspect);
+        let must_send = ends_quarantine || at < now;
+        if must_send || self.may_send_evidence(now, peers.len(), peers.len()) {
+            self.send_clearance(now, suspect, at, peers);
+        }
     }
 
     /// Counts a crash against a suspect, which may quarantine it.
--- a/crates/laburnumstall-core/src/gateway/quarantine_update.rs
+++ b/crates/laburnumstall-core/src/gateway/quarantine_update.rs
@@ -6,13 +6,17 @@
 
 use super::Gateway;
 use super::gossip::{Peer, daemon_hash, rank_peers};
-use super::resumption::{COPIES, FULL_RATE_DAEMONS};
+use super::resumption::COPIES;
+use super::send_budget::{FULL_RATE_DAEMONS, MESSAGE_BYTES};
+use crate::decision::{Decision, DecisionKind};
 use crate::domain;
 use crate::hash::rendezvous_weight;
 use crate::ids::DaemonId;
 use crate::quarantine::{CountedCrash, ProcessKey, Suspect, SuspectNote};
 use crate::units::Timestamp;
 
+/// Bytes of one suspect in a message.
+const NOTE_BYTES: f64 = 24.0;
 /// Maximum number of processes in a message about a quarantine.
 const MAX_PROCESSES: usize = 8;
 
@@ -85,6 +89,17 @@
         self.peer_table.set_quarantine_support(id, is_supported);
     }
 
+    /// Spends the budget on messages to some peers that may be left out; returns whether they may
+    /// be sent.
+    pub(super) fn may_send_evidence(&mut self, now: Timestamp, peers: usize, notes: usize) -> bool {
+        let may_send = self.crash_budget.left(now, 1 + self.peer_table.len()) > 0.0;
+        if may_send {
+            let bytes = MESSAGE_BYTES * peers as f64 + NOTE_BYTES * notes as f64;
+            self.crash_budget.spend(bytes);
+        }
+        may_send
+    }
+
     /// Tells peers that a suspect was in a request that ran to completion at `at`.
     pub(super) fn send_clearance(
         &mut self,
@@ -108,7 +123,9 @@
         }
     }
 
-    /// Tells the peers that count for suspects that they were in flight at a crash.
+    /// Tells the peers that count for suspects that they were in flight at a crash. Beyond the
+    /// budget a crash is known to this daemon alone: in a large fleet many endpoints may crash at
+    /// once, which speaks against few of the requests that are in flight.
     pub(super) fn send_crash(
         &mut self,
         now: Timestamp,
@@ -121,6 +138,14 @@
                 by_peer.entry(peer).or_default().push(*note);
             }
         }
+        let sent_notes = by_peer.values().map(Vec::len).sum();
+        if !self.may_send_evidence(now, by_peer.len(), sent_notes) {
+            self.journal.record(
+                Decision::new(now, DecisionKind::Budget, "not-sent", "endpoint-crash")
+                    .with("suspects", notes.len()),
+            );
+            return;
+        }
         for (peer, suspects) in by_peer {
             let crash = to_process_crash(now, crash, suspects);
             self.outbox_of(peer).crashes.push(crash);
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -19,6 +19,7 @@
 use super::recovery::RETRY_AFTER;
 use super::requests::MAX_CERTAIN_AGE;
 use super::rules::CallKind;
+use super::send_budget::{FULL_RATE_DAEMONS, MESSAGE_BYTES};
 use super::stream_origin::{AttemptDigest, OriginGroup, RETURN_TIME, StreamOrigin};
 use super::version_history::VersionHistory;
 use super::view::{ViewBatch, ViewChange};
@@ -30,15 +31,6 @@
 
 /// Number of peers that keep the origin of a stream: two may fail at once.
 pub const COPIES: usize = 3;
-/// Fleet size up to which all peers are asked, and origins are sent at the full rate. Above it
-/// the rate shrinks with the fleet, since each message has fewer origins.
-pub(super) const FULL_RATE_DAEMONS: usize = 32;
-/// Bytes of origins that a daemon sends per second in fleets of up to [`FULL_RATE_DAEMONS`].
-const SENT_BYTES_PER_SECOND: f64 = 32_768.0;
-/// Time for which unused bytes may be saved up, for a service that turns to several versions.
-const SENT_BYTES_BURST: Duration = Duration::from_secs(4);
-/// Bytes of a message with its headers, without its origins.
-const MESSAGE_BYTES: f64 = 96.0;
 /// Bytes of one origin in a message.
 const ORIGIN_BYTES: f64 = 9.0;
 
@@ -120,22 +112,6 @@
     }
 }
 
-/// Token bucket for the bytes of sent origins.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct SendBudget {
-    spent: f64,
-    updated_at: Timestamp,
-}
-
-impl SendBudget {
-    fn left(&mut self, now: Timestamp, rate: f64) -> f64 {
-        let refilled = now.since(self.updated_at).as_secs_f64() * rate;
-        self.spent = (self.spent - refilled).max(0.0);
-        self.updated_at = now;
-        rate * SENT_BYTES_BURST.as_secs_f64() - self.spent
-    }
-}
-
 impl Gateway {
     /// Finds the origin of a stream that the caller takes up; returns a lookup if peers have to
     /// be asked, which [`Gateway::end_resumption`] ends.
@@ -306,9 +282,7 @@
         if mixed.is_empty() || self.supporting_peers(now).next().is_none() {
             return Vec::new();
         }
-        let daemons = 1 + self.peer_table.len();
-        let share = (FULL_RATE_DAEMONS as f64 / daemons as f64).min(1.0);
-        let mut left = self.send_budget.left(now, SENT_BYTES_PER_SECOND * share);
+        let mut left = self.send_budget.left(now, 1 + self.peer_table.len());
         type Groups = BTreeMap<Arc<StreamOrigin>, Vec<(AttemptDigest, u8)>>;
         let mut messages: BTreeMap<(DaemonId, SocketAddr), Groups> = BTreeMap::new();
         let mut skipped = 0;
@@ -324,13 +298,13 @@
             let seconds = u8::try_from(kept.as_secs() + 1).unwrap_or(u8::MAX);
             for peer in self.holders(now, attempt, COPIES) {
                 let groups = messages.entry(peer).or_insert_with(|| {
-                    self.send_budget.spent += MESSAGE_BYTES;
+                    self.send_budget.spend(MESSAGE_BYTES);
                     left -= MESSAGE_BYTES;
                     Groups::new()
                 });
                 let streams = groups.entry(Arc::clone(&origin)).or_default();
                 streams.push((attempt, seconds));
-                self.send_budget.spent += ORIGIN_BYTES;
+                self.send_budget.spend(ORIGIN_BYTES);
                 left -= ORIGIN_BYTES;
             }
         }
--- a/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
@@ -412,3 +412,35 @@
     fleet.crash(at(500), 40, BAD);
     assert_eq!(fleet.refusing(at(510), BAD), 60);
 }
+
+/// Thousands of endpoints that crash at once do not fill the links of a large fleet.
+#[test]
+fn wave_of_crashes_stays_within_the_budget() {
+    const DAEMONS: u32 = 880;
+    const BUDGET_PER_SECOND: usize = 4_096;
+    let endpoints: Vec<EndpointRecord> = (0..400)
+        .map(|number| endpoint(&format!("e-{number}"), "app", "north-a"))
+        .collect();
+    let mut gateway = start(1, DAEMONS, &endpoints);
+    for number in 2..=DAEMONS {
+        gateway.on_gossip(at(0), &daemon(number), gossip(1));
+    }
+    let mut bytes = 0;
+    for second in 0..10 {
+        for number in 0..100 {
+            let now = at(second * 1_000 + number * 5);
+            let body = now.0.to_le_bytes();
+            let (mut call, attempt) = begin(&mut gateway, now, &body).unwrap();
+            fail(&mut gateway, now, &mut call, attempt);
+            check_endpoints(&mut gateway, now, EndpointState::Refusing);
+            for (_, _, update) in gateway.take_quarantine_updates() {
+                let message = PeerMessage::Quarantine(update);
+                bytes += 96 + postcard::to_allocvec(&message).unwrap().len();
+            }
+        }
+    }
+    assert!(
+        bytes > 0 && bytes <= 10 * BUDGET_PER_SECOND,
+        "{bytes} bytes in 10 s"
+    );
+}
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -28,8 +28,12 @@
     Member {
         id: daemon(number),
         zone: "north-a".parse().unwrap(),
-        peer_address: format!("10.0.0.{number}:7000").parse().unwrap(),
-        caller_address: format!("10.0.0.{number}:8000").parse().unwrap(),
+        peer_address: format!("10.0.{}.{}:7000", number / 250, number % 250)
+            .parse()
+            .unwrap(),
+        caller_address: format!("10.0.{}.{}:8000", number / 250, number % 250)
+            .parse()
+            .unwrap(),
         certificate: CertificateFingerprint([number as u8; 32]),
         leaving: false,
     }
