Do not blame what was in flight beside the cause of a burst of crashes

What callers would see: where one request, or a part of a prompt, crashes all endpoints of a service within some 150 ms, sound streams that are retried are in flight at three of the crashes as well and were refused for 10 minutes; after a restart of all daemons so were all prompts of a customer.

Cause: each suspect was judged by itself. Crashes by copies in flight at the same time count as one, so the cause could have fewer than what was beside it.

The change: a suspect is not quarantined while a likelier one was in flight at all of its crashes, and goes free once such a one is found. A lost call goes on, or is answered, when its endpoint has been checked, so that peers know of the crash first. A request that was in flight at two crashes waits 200 to 800 ms, by its fingerprint, before it is sent again. An attempt that has had output for 150 ms does not count, and its prompt's parts are sound after 300 ms. Crashes count as one within 8 ms, no longer 20.

Why it works: the cause is in flight at all of its crashes, and what is beside it at some; suspects no longer meet again at the next endpoint.

--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -81,6 +81,13 @@
         self.check_quarantine(now, call.fingerprint, &call.service, prompt)
     }
 
+    /// Returns the time for which a call waits before it is sent, since its request was in flight at
+    /// several crashes.
+    pub fn settle_time(&self, now: Timestamp, call: &AdmittedCall) -> Duration {
+        let settles_at = self.quarantine.settles_at(call.fingerprint);
+        settles_at.map_or(Duration::ZERO, |at| at.since(now))
+    }
+
     /// Refuses a call whose request has been quarantined since it was admitted.
     pub(super) fn check_retry(
         &mut self,
@@ -208,23 +215,22 @@
 
     /// Counts a crash against a suspect, which may quarantine it.
     pub(super) fn count_crash(&mut self, now: Timestamp, note: SuspectNote, crash: CountedCrash) {
-        let suspect = note.suspect;
         let decided = self.quarantine.on_crash(now, note, crash);
-        if decided.is_none() && self.quarantine.held_until(now, suspect).is_none() {
-            return;
-        }
-        if let Some(until) = decided {
+        let suspect = decided.map_or(note.suspect, |(suspect, _)| suspect);
+        if let Some((_, until)) = decided {
             self.record_hold(now, suspect, until, "crashes");
             self.stored_holds.on_decided(suspect);
             self.send_hold(now, suspect, until);
+        } else if self.quarantine.held_until(now, suspect).is_none() {
+            return;
         }
         let (processes, depth) = self.quarantine.crashes(suspect);
         self.explain(now, suspect, depth, &processes);
     }
 
-    /// Attributes crashes to a quarantined part.
+    /// Attributes crashes to a quarantined suspect.
     fn explain(&mut self, now: Timestamp, suspect: Suspect, depth: u8, processes: &[ProcessKey]) {
-        if !matches!(suspect, Suspect::Part(_)) || processes.is_empty() {
+        if processes.is_empty() {
             return;
         }
         for released in self.quarantine.explain(now, suspect, depth, processes) {
--- a/crates/laburnumstall-core/src/gateway/lost_calls.rs
+++ b/crates/laburnumstall-core/src/gateway/lost_calls.rs
@@ -14,8 +14,11 @@
 use crate::quarantine::{CountedCrash, ProcessKey, Suspect, SuspectNote};
 use crate::units::Timestamp;
 
-/// Time after the first output from which on a crash does not count against a call.
-const BEGIN_TIME: Duration = Duration::from_secs(2);
+/// Time after the first output from which on a crash does not count against a call: it has begun
+/// without crashing its endpoint.
+const BEGIN_TIME: Duration = Duration::from_millis(150);
+/// Time after the first output from which on the parts of a prompt are sound.
+const SURVIVAL_TIME: Duration = Duration::from_millis(300);
 /// Maximum number of suspects in one report of a crash.
 pub(super) const MAX_IN_FLIGHT: usize = 1_024;
 
@@ -71,7 +74,13 @@
         call: &AdmittedCall,
         attempt: &CallAttempt,
     ) {
-        if !has_begun(now, attempt) {
+        if has_output_for(now, attempt, SURVIVAL_TIME) {
+            for (suspect, _) in call.suspects() {
+                if matches!(suspect, Suspect::Part(_)) {
+                    self.record_completion(now, suspect);
+                }
+            }
+        } else if !has_output_for(now, attempt, BEGIN_TIME) {
             self.schedule_check(now, call, attempt);
         }
     }
@@ -84,7 +93,8 @@
         call: &AdmittedCall,
         attempt: &CallAttempt,
     ) {
-        if has_begun(now, attempt) {
+        // A crash would not count against the call either.
+        if has_output_for(now, attempt, BEGIN_TIME) {
             self.on_completed(now, call);
         } else if let Some(lost) = self.schedule_check(now, call, attempt) {
             let suspects = call.suspects().map(|(suspect, _)| suspect);
@@ -145,6 +155,11 @@
         !self.lost_calls.to_check.is_empty()
     }
 
+    /// Returns whether the check of an endpoint has no result yet.
+    pub fn is_check_pending(&self, endpoint: &EndpointId) -> bool {
+        self.lost_calls.by_endpoint.contains_key(endpoint)
+    }
+
     /// Returns the endpoints to be checked, by connecting to them.
     pub fn take_endpoint_checks(&mut self) -> Vec<EndpointCheck> {
         std::mem::take(&mut self.lost_calls.to_check)
@@ -206,10 +221,9 @@
     }
 }
 
-/// Returns whether an attempt has had output for so long that it did not crash its endpoint by
-/// beginning.
-fn has_begun(now: Timestamp, attempt: &CallAttempt) -> bool {
+/// Returns whether the first output of an attempt is at least `time` ago.
+fn has_output_for(now: Timestamp, attempt: &CallAttempt, time: Duration) -> bool {
     attempt
         .first_output_at
-        .is_some_and(|at| now.since(at) >= BEGIN_TIME)
+        .is_some_and(|at| now.since(at) >= time)
 }
--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -60,6 +60,9 @@
         may_repeat: bool,
     ) -> Result<CallAttempt, &'static str> {
         recovery::may_replace(now, call)?;
+        if !self.settle_time(now, call).is_zero() {
+            return Err("endpoint-crash");
+        }
         if self.check_call(now, call).is_err() {
             return Err(ErrorKind::Quarantined.name());
         }
--- a/crates/laburnumstall-core/src/quarantine/tally.rs
+++ b/crates/laburnumstall-core/src/quarantine/tally.rs
@@ -7,13 +7,19 @@
 //! quarantined. A sound one is in flight at a crash by chance, and is cleared as soon as a
 //! request with it completes anywhere, while one that crashes endpoints never does.
 //!
+//! Sound requests are in flight beside the one that crashes endpoints, and a retry may be so
+//! several times in a row. So a suspect is not quarantined while a likelier one was in flight at
+//! all of its crashes, see `dominant`. A request that was in flight at several crashes
+//! waits before it is sent again, see [`CrashTally::settles_at`].
+//!
 //! Repeats of one request count once against the parts of its prompt. Parts are in flight
 //! together: the quarantine of one explains the crashes that led to it, and they no longer
-//! count against earlier parts, which more prompts have.
+//! count against requests, nor against earlier parts, which more prompts have.
 //!
 //! Crashes are counted by process, so reports may arrive repeatedly, in any order and from
 //! any number of daemons.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -28,7 +34,7 @@
 /// Time within which crashes of several processes may have one cause: copies of a sound request
 /// may be in flight on all of them. They count as one, unless the attempt at the later one began
 /// after the earlier one.
-pub const SAME_CAUSE: Duration = Duration::from_millis(20);
+pub const SAME_CAUSE: Duration = Duration::from_millis(8);
 /// Time for which a crash counts against a suspect.
 pub const CRASH_TTL: Duration = Duration::from_secs(600);
 /// Time for which a request is quarantined, and the longest time for a part: the longest lease
@@ -46,6 +52,11 @@
 pub const COMPLETION_TTL: Duration = Duration::from_secs(600);
 /// Interval at which old completions are removed.
 const COMPLETION_SCAN_INTERVAL: Duration = Duration::from_secs(10);
+/// Shortest time after the latest of several crashes in which a request is not sent again: others
+/// that were in flight may be found to be the cause, and their copies crash endpoints meanwhile.
+const MIN_SETTLE_TIME: Duration = Duration::from_millis(200);
+/// Range of what is added to it, which differs by request so that suspects do not meet again.
+const SETTLE_SPREAD_MS: u64 = 600;
 /// Maximum number of suspects with crashes, and of quarantined ones.
 pub const MAX_RECORDS: usize = 4_096;
 /// Maximum number of crashes recorded for a suspect.
@@ -131,18 +142,26 @@
         (now.since(at) < completion_ttl(suspect)).then_some(at)
     }
 
-    /// Counts a crash against a suspect; returns the end of its quarantine if the crash decides
-    /// that. [`CrashTally::explain`] must follow.
+    /// Returns when a request that was in flight at several crashes may be sent again.
+    pub fn settles_at(&self, request: Fingerprint) -> Option<Timestamp> {
+        let crashes = &self.records.get(&Suspect::Request(request))?.crashes;
+        let last = crashes.iter().map(|known| known.crash.at).max()?;
+        let spread = Duration::from_millis(request.0 % SETTLE_SPREAD_MS);
+        (crashes.len() + 1 >= MIN_CRASHES).then(|| last.after(MIN_SETTLE_TIME + spread))
+    }
+
+    /// Counts a crash against a suspect; returns the suspect that the crash quarantines, with the
+    /// end of the quarantine. [`CrashTally::explain`] must follow.
     pub fn on_crash(
         &mut self,
         now: Timestamp,
         note: SuspectNote,
         crash: CountedCrash,
-    ) -> Option<Timestamp> {
+    ) -> Option<(Suspect, Timestamp)> {
         let suspect = note.suspect;
         let is_explained = self.explained.get(&crash.process).is_some_and(|known| {
-            let is_part = matches!(suspect, Suspect::Part(_));
-            is_part && known.by != suspect && known.depth <= note.depth
+            let is_request = matches!(suspect, Suspect::Request(_));
+            known.by != suspect && (is_request || known.depth <= note.depth)
         });
         if is_explained || now.since(crash.at) >= CRASH_TTL {
             return None;
@@ -177,10 +196,50 @@
         if record.separate_crashes(suspect) < min_crashes {
             return None;
         }
+        let suspect = self.dominant(suspect);
+        let hold = self.holds.get(&suspect).copied();
+        if hold.is_some_and(|hold| now < hold.until) {
+            return None;
+        }
         let count = hold.map_or(0, |hold| hold.count) + 1;
         let until = now.after(hold_time(suspect, count));
         self.set_hold(suspect, Hold { until, count });
-        Some(until)
+        Some((suspect, until))
+    }
+
+    /// Returns the suspect that was in flight at all crashes of `suspect` and is more likely the
+    /// cause, or `suspect` itself: one of its kind with more crashes, a later part with as many,
+    /// or, for a part, a request that was sent that often.
+    fn dominant(&self, suspect: Suspect) -> Suspect {
+        let Some(record) = self.records.get(&suspect) else {
+            return suspect;
+        };
+        let crashes = record.crashes.len();
+        let is_dominant = |(other, known): &(&Suspect, &SuspectRecord)| {
+            let is_likelier = match (suspect, other) {
+                (Suspect::Part(_), Suspect::Request(_)) => true,
+                (Suspect::Request(_), Suspect::Part(_)) => false,
+                _ => {
+                    let is_later = known.depth < record.depth;
+                    known.depth <= record.depth && (known.crashes.len() > crashes || is_later)
+                }
+            };
+            is_likelier
+                && known.crashes.len() >= crashes.max(MIN_CRASHES)
+                && record.crashes.iter().all(|own| known.includes(own))
+        };
+        let others = self.records.iter().filter(is_dominant);
+        others
+            .max_by_key(|(other, known)| {
+                let is_request = matches!(other, Suspect::Request(_));
+                (
+                    is_request,
+                    known.crashes.len(),
+                    Reverse(known.depth),
+                    **other,
+                )
+            })
+            .map_or(suspect, |(other, _)| *other)
     }
 
     /// Applies a quarantine that another daemon decided; returns whether it is new.
@@ -196,9 +255,10 @@
         is_new
     }
 
-    /// Attributes the crashes of processes to a quarantined part: they no longer count against
-    /// parts that are not deeper. Returns those whose quarantine is based on nothing else, which
-    /// ends.
+    /// Attributes the crashes of processes to a quarantined suspect: those of a part no longer count
+    /// against requests, nor against parts that are not later; those of a request not against
+    /// requests that were in flight at some of them and no others. Returns those whose quarantine is
+    /// based on nothing else, which ends.
     pub fn explain(
         &mut self,
         now: Timestamp,
@@ -206,20 +266,28 @@
         depth: u8,
         processes: &[ProcessKey],
     ) -> Vec<Suspect> {
-        let explanation = Explanation { by, depth, at: now };
-        self.explained
-            .extend(processes.iter().map(|process| (*process, explanation)));
+        if matches!(by, Suspect::Part(_)) {
+            let explanation = Explanation { by, depth, at: now };
+            self.explained
+                .extend(processes.iter().map(|process| (*process, explanation)));
+        }
         let mut released = Vec::new();
         for (suspect, record) in &mut self.records {
-            let is_part = matches!(suspect, Suspect::Part(_));
-            if !is_part || *suspect == by || record.depth < depth {
+            let is_explained = match (by, suspect) {
+                (Suspect::Part(_), Suspect::Request(_)) => true,
+                (Suspect::Part(_), Suspect::Part(_)) => record.depth >= depth,
+                (Suspect::Request(_), Suspect::Request(_)) => {
+                    record.crashes.len() < processes.len() && record.is_within(processes)
+                }
+                (Suspect::Request(_), Suspect::Part(_)) => false,
+            };
+            if *suspect == by || !is_explained || record.crashes.is_empty() {
                 continue;
             }
-            let before = record.crashes.len();
             record
                 .crashes
                 .retain(|known| !processes.contains(&known.crash.process));
-            if record.crashes.is_empty() && before > 0 && self.holds.contains_key(suspect) {
+            if record.crashes.is_empty() && self.holds.contains_key(suspect) {
                 released.push(*suspect);
             }
         }
@@ -353,6 +421,18 @@
 }
 
 impl SuspectRecord {
+    fn includes(&self, crash: &RecordedCrash) -> bool {
+        let process = crash.crash.process;
+        self.crashes
+            .iter()
+            .any(|known| known.crash.process == process)
+    }
+
+    fn is_within(&self, processes: &[ProcessKey]) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.all(|known| processes.contains(&known.crash.process))
+    }
+
     /// Returns the number of separate crashes that quarantine the suspect.
     fn min_crashes(&self, suspect: Suspect) -> usize {
         match (suspect, self.completed_at) {
--- a/crates/laburnumstall-core/tests/crash_tally.rs
+++ b/crates/laburnumstall-core/tests/crash_tally.rs
@@ -268,7 +268,10 @@
         at: first_end.after(Duration::from_secs(1)),
     };
     let second_end = tally.on_crash(again.at, part(BAD_PART, 1, 9), again);
-    assert_eq!(second_end, Some(again.at.after(FIRST_PART_HOLD * 2)));
+    assert_eq!(
+        second_end,
+        Some((BAD_PART, again.at.after(FIRST_PART_HOLD * 2)))
+    );
 }
 
 #[test]
@@ -278,3 +281,99 @@
     }
     assert!("request".parse::<Suspect>().is_err());
 }
+
+/// Retries of a sound request are lost one after another while copies of the bad one crash
+/// endpoints at the same moment, which count as one crash.
+#[test]
+fn request_in_flight_at_more_crashes_is_blamed() {
+    let mut tally = CrashTally::default();
+    let sound = request(70);
+    let quick = SuspectNote {
+        ran_ms: 1,
+        ..note(sound)
+    };
+    let crashes = [crash(1, 0), crash(2, 2), crash(3, 5), crash(4, 7)];
+    for crash in crashes {
+        assert!(tally.on_crash(crash.at, note(BAD), crash).is_none());
+    }
+    let decided =
+        [crashes[0], crashes[2], crashes[3]].map(|crash| tally.on_crash(crash.at, quick, crash));
+    assert!(decided.iter().flatten().all(|(suspect, _)| *suspect == BAD));
+    assert!(tally.held_until(at(20), BAD).is_some());
+    assert!(tally.held_until(at(20), sound).is_none());
+}
+
+/// The later part's crashes come at the same moment and count as one, the first part's do not.
+#[test]
+fn later_part_of_the_same_prompts_is_blamed() {
+    let mut tally = CrashTally::default();
+    let mut decided = Vec::new();
+    for (number, ms) in [(1, 0), (2, 5), (3, 100)] {
+        let later = part(BAD_PART, 1, number);
+        let first = SuspectNote {
+            ran_ms: 1,
+            ..part(FIRST_PART, 2, 10 + number)
+        };
+        let crash = crash(number, ms);
+        decided.extend(tally.on_crash(crash.at, later, crash));
+        decided.extend(tally.on_crash(crash.at, first, crash));
+    }
+    assert_eq!(decided.len(), 1);
+    assert_eq!(decided[0].0, BAD_PART);
+}
+
+#[test]
+fn repeated_request_is_blamed_before_a_part() {
+    let mut tally = CrashTally::default();
+    let mut decided = Vec::new();
+    for number in 1..=3 {
+        let crash = crash(number, number * 4);
+        let beside = SuspectNote {
+            ran_ms: 1,
+            ..part(FIRST_PART, 1, 10 + number)
+        };
+        decided.extend(tally.on_crash(crash.at, note(BAD), crash));
+        decided.extend(tally.on_crash(crash.at, beside, crash));
+    }
+    assert_eq!(decided.len(), 1);
+    assert_eq!(decided[0].0, BAD);
+}
+
+#[test]
+fn quarantined_part_explains_the_crashes_of_requests() {
+    let mut tally = CrashTally::default();
+    count(
+        &mut tally,
+        request(70),
+        &[crash(1, 0), crash(2, 100), crash(3, 200)],
+    );
+    assert!(tally.held_until(at(200), request(70)).is_some());
+    let released = tally.explain(at(210), BAD_PART, 1, &[1, 2, 3].map(ProcessKey));
+    assert_eq!(released, [request(70)]);
+}
+
+/// A sound request that was blamed first goes free when the bad one was in flight at more crashes.
+#[test]
+fn request_that_was_blamed_for_another_is_released() {
+    let mut tally = CrashTally::default();
+    let sound = request(70);
+    count(
+        &mut tally,
+        sound,
+        &[crash(1, 0), crash(2, 100), crash(3, 200)],
+    );
+    assert!(tally.held_until(at(200), sound).is_some());
+    let all = [1, 2, 3, 4].map(ProcessKey);
+    assert!(tally.explain(at(300), BAD, 0, &all[..3]).is_empty());
+    assert_eq!(tally.explain(at(300), BAD, 0, &all), [sound]);
+}
+
+#[test]
+fn request_waits_after_its_second_crash() {
+    let mut tally = CrashTally::default();
+    count(&mut tally, BAD, &[crash(1, 0)]);
+    assert!(tally.settles_at(Fingerprint(7)).is_none());
+    count(&mut tally, BAD, &[crash(2, 100)]);
+    let settles_at = tally.settles_at(Fingerprint(7)).unwrap();
+    assert!((at(200)..at(1_100)).contains(&settles_at));
+}
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::context::Context;
+use super::crash_checks;
 use super::listener::{ConnectionAction, Request, SEND_TIMEOUT, reason_phrase, refuse};
 use super::log::Event;
 use super::origins;
@@ -94,6 +95,13 @@
     progress: &mut StreamProgress,
 ) -> (&'static str, u16, ConnectionAction) {
     loop {
+        let settle_time = cx.with_gateway(|gateway, now| gateway.settle_time(now, call));
+        if !settle_time.is_zero() {
+            tokio::select! {
+                () = sleep(settle_time.min(call.remaining(cx.now()))) => {}
+                () = conn.closed() => return ("caller-gone", 0, ConnectionAction::Abort),
+            }
+        }
         let selected = cx.with_gateway(|gateway, now| gateway.select_endpoint(now, call));
         let mut attempts = match selected {
             Ok(attempt) => Attempts::new(attempt),
@@ -138,9 +146,11 @@
                 return fail_call(cx, conn, request, call, progress, &refusal).await;
             }
             AttemptResult::Failed(failure, error_response) => {
+                let endpoint = attempt.endpoint.clone();
                 let next = cx.with_gateway(|gateway, now| {
                     gateway.after_failure(now, call, attempt, failure)
                 });
+                crash_checks::settle(cx, &endpoint).await;
                 match (next, error_response) {
                     (Ok(FailureAction::Retry), _) => {}
                     (Ok(FailureAction::Forward), Some(error_response)) => {
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -38,6 +38,8 @@
     pub origin_signal: Notify,
     /// Wakes the task that checks endpoints.
     pub check_signal: Notify,
+    /// Wakes the calls that wait for the check of an endpoint.
+    pub check_done: Notify,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Wakes tasks when a stop begins, idle connections close or the gateway ends.
@@ -67,6 +69,7 @@
             lookups: PendingLookups::default(),
             origin_signal: Notify::new(),
             check_signal: Notify::new(),
+            check_done: Notify::new(),
             metrics,
             stop_signal: Notify::new(),
             links,
--- a/crates/laburnumstalld/src/gateway/crash_checks.rs
+++ b/crates/laburnumstalld/src/gateway/crash_checks.rs
@@ -5,20 +5,23 @@
 use std::time::Duration;
 
 use laburnumstall_core::gateway::{EndpointCheck, EndpointState, HoldWrite, StoredHold};
+use laburnumstall_core::ids::EndpointId;
 use laburnumstall_core::quarantine::Suspect;
 use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply, StoredValue};
 use laburnumstall_outside::key_value::KeyValue;
 use laburnumstall_platform::store::Store;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::context::Context;
 use super::log::Event;
 use crate::http1::Conn;
 
 /// Time to collect the calls that a crash ends before the endpoint is checked.
-const CHECK_DELAY: Duration = Duration::from_millis(5);
+const CHECK_DELAY: Duration = Duration::from_millis(2);
 /// Time in which an endpoint accepts or refuses a connection, with one retransmission.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time that a call waits for a check.
+const MAX_SETTLE_TIME: Duration = Duration::from_millis(20);
 /// Interval at which quarantines that are due are written.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay before a failed write is repeated.
@@ -49,6 +52,23 @@
         Err(_) => EndpointState::Unknown,
     };
     cx.with_gateway(|gateway, now| gateway.on_endpoint_checked(now, &check.endpoint, state));
+    cx.check_done.notify_waiters();
+}
+
+/// Waits until an endpoint whose connection ended has been checked, so that peers are told of a
+/// crash before its calls go on or their callers repeat them.
+pub(super) async fn settle(cx: &Context, endpoint: &EndpointId) {
+    let checked = async {
+        loop {
+            let done = cx.check_done.notified();
+            if !cx.with_gateway(|gateway, _| gateway.is_check_pending(endpoint)) {
+                return;
+            }
+            done.await;
+        }
+    };
+    // The check of an endpoint that does not answer takes longer.
+    let _ = timeout(MAX_SETTLE_TIME, checked).await;
 }
 
 /// Returns the quarantined suspect that a value describes, and its value; `None` for other keys.
