Test that resumed streams and retried calls are checked for a quarantine

What callers would see without the check: a stream that is taken up, or a call that is sent again after its endpoint answered that it did not run it, crashes one more endpoint. Both pass the checks of admission and of endpoint selection; the test passes on the code as it is.

--- a/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
@@ -444,3 +444,31 @@
         "{bytes} bytes in 10 s"
     );
 }
+
+/// A stream that its caller takes up, and a retry after a refusal, are checked like a first try.
+#[test]
+fn resumed_and_retried_calls_are_refused_too() {
+    let mut fleet = Fleet::new(2);
+    let mut stream = call_attributes("first", "/digest/1");
+    stream.body = BodyDigest::of(BAD);
+    let mut waiting = fleet.at(1).admit(at(20), stream.clone()).unwrap();
+    let attempt = fleet.at(1).select_endpoint(at(20), &mut waiting).unwrap();
+    fleet.at(1).on_sent(&mut waiting);
+    for ms in [100, 300, 500] {
+        fleet.crash_by(at(ms), 2, stream.clone());
+    }
+    let _ = fleet
+        .at(1)
+        .after_failure(at(520), &mut waiting, attempt, CallFailure::NotRun);
+    let retried = fleet.at(1).select_endpoint(at(520), &mut waiting);
+    assert_eq!(
+        retried.map(|_| ()).unwrap_err().kind,
+        ErrorKind::Quarantined
+    );
+    let mut resumed = stream;
+    resumed.id = "second".into();
+    resumed.resumed_attempt = Some("first".into());
+    resumed.resume_after = Some("3".into());
+    let refused = fleet.at(1).admit(at(530), resumed).map(|_| ()).unwrap_err();
+    assert_eq!(refused.kind, ErrorKind::Quarantined);
+}
