--- a/crates/laburnumstall-soak/src/checks/crashing.rs
+++ b/crates/laburnumstall-soak/src/checks/crashing.rs
@@ -13,15 +13,15 @@
 /// Endpoints after whose crashes a request, and a part of prompts, is known to crash them.
 const DECIDING_CRASH: usize = 3;
 const DECIDING_CRASH_BY_PART: usize = 5;
-/// Time after the deciding crash within which all daemons in touch know of it.
+/// Time after the deciding crash within which all connected daemons know of it.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Longest time from the start of such a request until its endpoint has crashed.
 const CRASH_TIME: Duration = Duration::from_millis(100);
-/// Runs of such a request by daemons in touch that are allowed later.
+/// Maximum number of runs of such a request by connected daemons after that time.
 const MAX_LATE_RUNS: usize = 3;
 
 impl View<'_> {
-    /// Daemons in touch send a request that is known to crash endpoints to no more of them.
+    /// Connected daemons stop sending a request that is known to crash endpoints.
     pub(super) fn crashing_requests(&self) -> Vec<String> {
         let mut episodes: BTreeMap<Episode, Vec<&ExecutedRequest>> = BTreeMap::new();
         for record in self.records {
@@ -36,7 +36,7 @@
             let late: Vec<String> = runs
                 .iter()
                 .filter_map(|run| self.by_id.get(run.id.as_str()).copied())
-                .filter(|record| record.sent_at > known_at && self.is_in_touch(record))
+                .filter(|record| record.sent_at > known_at && self.is_connected(record))
                 .map(tell)
                 .collect();
             (late.len() > MAX_LATE_RUNS).then(|| {
@@ -52,7 +52,7 @@
         broken.collect()
     }
 
-    /// Returns when all daemons in touch know what crashes endpoints.
+    /// Returns when all connected daemons know what crashes endpoints.
     fn known_at(&self, episode: Episode, runs: &[&ExecutedRequest]) -> Option<Duration> {
         let deciding_crash = match episode.cause {
             CrashCause::Request(_) => DECIDING_CRASH,
@@ -67,7 +67,7 @@
     }
 
     /// Tells whether a record's daemon and the key-value service were undisturbed for long enough.
-    fn is_in_touch(&self, record: &Record) -> bool {
+    fn is_connected(&self, record: &Record) -> bool {
         !self.is_disturbed(record.sent_at, record.ended_at, |one| {
             one.on != Target::Daemon(record.daemon) && one.on != Target::Store
         })
