Show that a daemon that missed a clearance brings a quarantine back

Callers of a sound request that was quarantined by mistake, and cleared, are refused again for up to 10 minutes once a daemon returns that was cut off when the clearance was sent.

Cause: clearances are sent once, to peers that are reachable, while quarantines are sent again to every peer that becomes reachable. The class is that of a deletion without a record.

Evidence: the test fails on this code: 4 of 4 daemons refuse, 0 expected.

--- a/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
@@ -472,3 +472,24 @@
     let refused = fleet.at(1).admit(at(530), resumed).map(|_| ()).unwrap_err();
     assert_eq!(refused.kind, ErrorKind::Quarantined);
 }
+
+#[test]
+fn daemon_that_missed_a_clearance_does_not_bring_the_quarantine_back() {
+    let mut fleet = Fleet::new(4);
+    let begun = begin(fleet.at(1), at(50), BAD).unwrap();
+    for (number, ms) in [(1, 100), (2, 300), (3, 500)] {
+        fleet.crash(at(ms), number, BAD);
+    }
+    assert_eq!(fleet.refusing(at(510), BAD), 4);
+    fleet.cut.insert(daemon(4));
+    fleet.at(1).on_completed(at(600), &begun.0);
+    fleet.deliver(at(600));
+    fleet.tick(at(1_500));
+    fleet.tick(at(4_500));
+    fleet.cut.clear();
+    fleet.tick(at(5_000));
+    fleet.tick(at(5_100));
+    assert_eq!(fleet.refusing(at(5_110), BAD), 0);
+    let writes = fleet.at(4).hold_writes(at(9_000));
+    assert!(writes.iter().all(|write| write.value.is_none()), "{writes:?}");
+}
