--- a/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
@@ -491,5 +491,8 @@
     fleet.tick(at(5_100));
     assert_eq!(fleet.refusing(at(5_110), BAD), 0);
     let writes = fleet.at(4).hold_writes(at(9_000));
-    assert!(writes.iter().all(|write| write.value.is_none()), "{writes:?}");
+    assert!(
+        writes.iter().all(|write| write.value.is_none()),
+        "{writes:?}"
+    );
 }
