Keep the ports of refusing addresses in the tests of admin calls

Cause: `refused()` bound a port, closed the listener and returned the address. Another test of the process could be given the same port for its server, and the command then reached that server. Only the servers of other tests give the answer that was seen. Class: a port that is used after it was given back.

Change: the address is that of a socket that is bound, does not listen and is kept until the test ends: connections to it are refused, and no other socket gets it. `other_servers_get_no_refusing_address` guards that. The checks are as they were.

--- a/crates/laburnumstall/tests/admin_calls.rs
+++ b/crates/laburnumstall/tests/admin_calls.rs
@@ -1,7 +1,7 @@
 //! Commands that call daemons: conflicts, lost replies, outages and unreachable addresses.
 
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex};
 
@@ -14,6 +14,7 @@
 use laburnumstall_core::ids::Revision;
 use laburnumstall_core::units::{HourlyPrice, Timestamp};
 use serde::Serialize;
+use tokio::net::TcpSocket;
 
 const TEXT: &str = "tests/texts/changed.toml";
 const KEY: &str = "operator-key";
@@ -88,10 +89,13 @@
     (address, rx)
 }
 
-/// Returns an address at which nothing listens.
-fn refused() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("bind");
-    listener.local_addr().expect("address")
+/// Returns an address at which nothing listens, for as long as the socket is kept.
+fn start_refusing() -> (SocketAddr, TcpSocket) {
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket
+        .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .expect("bind");
+    (socket.local_addr().expect("address"), socket)
 }
 
 async fn show(words: &[&str], addresses: &[SocketAddr]) -> String {
@@ -179,7 +183,8 @@
     let first = FakeDaemon::default().answering(CONFIGURATION_PATH, 200, &accepted(&[]));
     let words = ["apply", TEXT, "--base", "12"];
     let (silent, seen) = start_silent();
-    let addresses = [refused(), silent, first.start()];
+    let (refusing, _socket) = start_refusing();
+    let addresses = [refusing, silent, first.start()];
     insta::assert_snapshot!(show(&words, &addresses).await);
     let applied = first.applied.lock().expect("lock");
     assert_eq!(applied.len(), 1);
@@ -187,14 +192,23 @@
     assert_eq!(lost.nonce, applied[0].nonce);
 }
 
+#[test]
+fn other_servers_get_no_refusing_address() {
+    let (address, _socket) = start_refusing();
+    assert!(TcpListener::bind(address).is_err());
+    assert!(TcpStream::connect(address).is_err());
+}
+
 /// Setting `was_sent` to false in `SendFailure::before_answer` makes this fail.
 #[actix_rt::test]
 async fn apply_may_have_acted_when_the_reply_is_lost() {
     let words = ["apply", TEXT, "--base", "12"];
-    let shown = show(&words, &[refused(), start_silent().0]).await;
+    let (refusing, _socket) = start_refusing();
+    let shown = show(&words, &[refusing, start_silent().0]).await;
     assert!(shown.starts_with("exit 4"), "{shown}");
     assert!(shown.contains("it may have taken effect"), "{shown}");
-    let shown = show(&words, &[refused(), refused()]).await;
+    let (other, _socket) = start_refusing();
+    let shown = show(&words, &[refusing, other]).await;
     assert!(shown.contains("nothing changed"), "{shown}");
 }
 
@@ -306,7 +320,8 @@
 
 #[actix_rt::test]
 async fn nobody_answers() {
-    let shown = show(&["status"], &[refused(), refused()]).await;
+    let [first, second] = [start_refusing(), start_refusing()];
+    let shown = show(&["status"], &[first.0, second.0]).await;
     insta::assert_snapshot!(shown);
 }
 
