Keep the port of a closed address in the test of probes

`probes_tell_alive_silent_and_refused` took the address of a socket that it had closed; a node of another test could be given the port and answer the probe. The same cause as in the tests of admin calls, found by reading; no failure was seen. The socket is now kept and connected to itself, so datagrams of others are refused.

--- a/crates/laburnumstall-peer/tests/links/process_gone.rs
+++ b/crates/laburnumstall-peer/tests/links/process_gone.rs
@@ -39,11 +39,14 @@
     let silent = UdpSocket::bind("127.0.0.1:0").expect("a socket");
     let silent = silent.local_addr().map(|address| (address, silent));
     let (silent_address, _socket) = silent.expect("an address");
-    let closed = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
+    let closed = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let closed_address = closed.local_addr().expect("an address");
+    // Datagrams from others are refused, while no other socket gets the port.
+    closed.connect(closed_address).expect("an own address");
     let cases = [
         (b.address(), true, false),
         (silent_address, false, false),
-        (closed.expect("an address"), false, true),
+        (closed_address, false, true),
     ];
     for (address, alive, refused) in cases {
         let to = b.daemon.clone();
