--- a/crates/laburnumstall-core/src/quarantine.rs
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -16,6 +16,7 @@
 mod evidence;
 mod retention;
 mod suspect;
+mod suspect_record;
 mod suspicion;
 mod tally;
 mod trial;
@@ -27,12 +28,12 @@
 use crash::{EndpointOutcomes, ReportKey, Reports, RequestState, RequestTimes};
 use retention::{MAX_REPORTS, REPORT_TTL};
 pub use suspect::{CountedCrash, ProcessKey, Suspect, SuspectNote};
+pub use suspect_record::{MIN_CRASHES, MIN_CRASHES_OF_KNOWN, SAME_CAUSE};
 pub use suspicion::{
     Clearance, CrashReport, QuarantineRecord, Reclaim, Return, Suspicion, TrialClaim,
 };
 pub use tally::{
-    COMPLETION_TTL, CRASH_TTL, CrashTally, FIRST_PART_HOLD, HOLD_TIME, MAX_RECORDS, MIN_CRASHES,
-    MIN_CRASHES_OF_KNOWN, SAME_CAUSE, SOUND_TIME,
+    COMPLETION_TTL, CRASH_TTL, CrashTally, FIRST_PART_HOLD, HOLD_TIME, MAX_RECORDS, SOUND_TIME,
 };
 use trial::{Trials, Turn};
 
