Do not adopt a quarantine that a later completion has ended

Callers saw: a sound request that had been quarantined and cleared was refused again at all four daemons, for up to 10 minutes, when a daemon that had been cut off during the clearance was back.

Cause: a quarantine carried no time of what it is based on, and a clearance was applied once and forgotten. The daemon that missed it sent the quarantine to all peers that it reached again, and wrote it to the store; nobody could tell it from a new one. Class: a deletion without a tombstone. The same in four more places: a daemon that starts after the clearance, an operator's deletion of the key, a store restored from an older copy, and a quarantine that arrives after its clearance.

Change: a quarantine carries its basis (`HoldBasis`): the time of the first of the latest crashes that are enough for it, and their number. A quarantine that a known completion refutes is not adopted, is answered with the clearance, and is deleted from the store. Crashes before a clearance no longer count. `event=quarantine choice=dispute` says so.

Why it works: times go between daemons as ages, so the order of completion and crashes is the same at each; a request that crashes endpoints has no completion. A quarantine is kept where enough crashes are later than the completion.

--- a/crates/laburnumstall-core/examples/crash_evidence.rs
+++ b/crates/laburnumstall-core/examples/crash_evidence.rs
@@ -53,6 +53,8 @@
         holds: vec![SuspectHold {
             suspect: Suspect::Part(hash(3)),
             depth: 1,
+            since_ms: 4_000,
+            crashes: 5,
             remaining_s: 600,
             processes: (0..5).map(|number| ProcessKey(hash(number).0)).collect(),
         }],
--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -17,7 +17,7 @@
 use crate::error::{ErrorKind, Refusal};
 use crate::hash::digest64;
 use crate::ids::{Fingerprint, ServiceName};
-use crate::quarantine::{CountedCrash, MIN_CRASHES_OF_KNOWN, ProcessKey, Suspect, SuspectNote};
+use crate::quarantine::{CountedCrash, HoldBasis, ProcessKey, Suspect, SuspectNote};
 use crate::units::Timestamp;
 
 /// Maximum number of parts of one prompt that are suspects, the last ones.
@@ -146,10 +146,11 @@
         &mut self,
         now: Timestamp,
         suspect: Suspect,
+        basis: HoldBasis,
         until: Timestamp,
         source: &str,
     ) {
-        if self.quarantine.on_held(now, suspect, until) {
+        if self.quarantine.on_held(now, suspect, basis, until) {
             self.record_hold(now, suspect, until, source);
         }
     }
@@ -165,21 +166,41 @@
         let SuspectHold {
             suspect, processes, ..
         } = hold;
-        if self.disputes_hold(now, suspect, processes.len()) {
-            let at = self.quarantine.completed_at(now, suspect);
-            self.report_clearance(now, suspect, at.unwrap_or(now));
+        let basis = HoldBasis {
+            since: now.before(Duration::from_millis(hold.since_ms.into())),
+            crashes: hold.crashes,
+        };
+        if let Some(at) = self.completion_against(now, suspect, basis) {
+            self.record_dispute(now, suspect, "peer");
+            self.report_clearance(now, suspect, at);
             return;
         }
         let until = now.after(Duration::from_secs(hold.remaining_s.into()));
-        self.adopt_hold(now, suspect, until, "peer");
+        self.adopt_hold(now, suspect, basis, until, "peer");
         self.explain(now, suspect, hold.depth, &processes);
     }
 
-    /// Returns whether this daemon has seen a suspect in a completed request, and too few crashes
-    /// speak against it.
-    pub(super) fn disputes_hold(&self, now: Timestamp, suspect: Suspect, crashes: usize) -> bool {
-        let is_certain = matches!(suspect, Suspect::Part(_)) && crashes >= MIN_CRASHES_OF_KNOWN;
-        !is_certain && self.quarantine.completed_at(now, suspect).is_some()
+    /// Returns when a request with a suspect ran to completion, if that speaks against a
+    /// quarantine.
+    pub(super) fn completion_against(
+        &self,
+        now: Timestamp,
+        suspect: Suspect,
+        basis: HoldBasis,
+    ) -> Option<Timestamp> {
+        let refutes = |at: &Timestamp| basis.is_refuted_by(suspect, *at);
+        let is_request = matches!(suspect, Suspect::Request(_));
+        let seen = self.quarantine.completed_at(now, suspect);
+        let seen = seen.filter(|at| is_request || refutes(at));
+        let cleared = self.quarantine.cleared_at(suspect).filter(refutes);
+        seen.max(cleared)
+    }
+
+    pub(super) fn record_dispute(&mut self, now: Timestamp, suspect: Suspect, source: &str) {
+        self.journal.record(
+            Decision::new(now, DecisionKind::Quarantine, "dispute", source)
+                .with("suspect", suspect),
+        );
     }
 
     /// Clears a suspect that was in a request that ran to completion at `at`.
--- a/crates/laburnumstall-core/src/gateway/quarantine_update.rs
+++ b/crates/laburnumstall-core/src/gateway/quarantine_update.rs
@@ -39,6 +39,10 @@
         pub suspect: Suspect,
         /// Its depth, see [`SuspectNote`].
         pub depth: u8,
+        /// Time since the first of the latest crashes that are enough for it, in milliseconds.
+        pub since_ms: u32,
+        /// Number of crashes that it is based on.
+        pub crashes: u32,
         /// Time until the quarantine ends, in seconds.
         pub remaining_s: u32,
         /// Processes whose crashes it explains.
@@ -168,9 +172,12 @@
     fn hold_message(&self, now: Timestamp, suspect: Suspect, until: Timestamp) -> SuspectHold {
         let (mut processes, depth) = self.quarantine.crashes(suspect);
         processes.truncate(MAX_PROCESSES);
+        let basis = self.quarantine.hold_basis(suspect).unwrap_or_default();
         SuspectHold {
             suspect,
             depth,
+            since_ms: millis(now.since(basis.since)),
+            crashes: basis.crashes,
             remaining_s: seconds(until.since(now)),
             processes,
         }
@@ -183,6 +190,13 @@
             update.holds = held
                 .map(|(suspect, until)| self.hold_message(now, suspect, until))
                 .collect();
+            let cleared = self.quarantine.clearances();
+            update.clearances = cleared
+                .map(|(suspect, at)| SuspectClearance {
+                    suspect,
+                    age_ms: millis(now.since(at)),
+                })
+                .collect();
         }
         let mut crashes: BTreeMap<CountedCrash, Vec<SuspectNote>> = BTreeMap::new();
         for (note, crash) in self.quarantine.suspects() {
@@ -201,11 +215,13 @@
         if update != QuarantineUpdate::default() {
             let known = self.outbox_of((peer.clone(), address));
             known.holds.extend(update.holds);
+            known.clearances.extend(update.clearances);
             known.crashes.extend(update.crashes);
         }
     }
 
-    /// Returns whether this daemon is one of those that tell a new peer what is quarantined.
+    /// Returns whether this daemon is one of those that tell a new peer what is quarantined, and
+    /// what no longer is.
     fn is_informant(&self, now: Timestamp, peer: &DaemonId) -> bool {
         self.counts_everywhere() || self.ranks_first(now, daemon_hash(peer), Some(peer))
     }
--- a/crates/laburnumstall-core/src/gateway/stored_holds.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_holds.rs
@@ -11,7 +11,7 @@
 use super::gossip::GOSSIP_PERIOD;
 use crate::domain;
 use crate::hash::digest64;
-use crate::quarantine::Suspect;
+use crate::quarantine::{HoldBasis, Suspect};
 use crate::units::Timestamp;
 
 /// Time after which a daemon that did not decide a quarantine writes it to the store.
@@ -24,6 +24,9 @@
     /// Value of a stored quarantine.
     #[derive(Copy, Eq)]
     pub struct StoredHold {
+        /// Time of the first of the latest crashes that are enough for it, in milliseconds since
+        /// the Unix epoch.
+        pub since_ms: u64,
         /// End of the quarantine in milliseconds since the Unix epoch.
         pub until_ms: u64,
         /// Number of crashes that it is based on.
@@ -53,6 +56,13 @@
 }
 
 impl StoredHold {
+    fn basis(&self) -> HoldBasis {
+        HoldBasis {
+            since: Timestamp::from_millis(self.since_ms),
+            crashes: self.crashes,
+        }
+    }
+
     fn until(&self) -> Timestamp {
         Timestamp::from_millis(self.until_ms)
     }
@@ -105,10 +115,11 @@
         let due = unwritten.iter().filter(|(_, at)| **at <= now);
         let writes = due.filter_map(|(suspect, _)| {
             let until = quarantine.held_until(now, *suspect)?;
-            let crashes = quarantine.crashes(*suspect).0.len();
+            let basis = quarantine.hold_basis(*suspect)?;
             let value = StoredHold {
+                since_ms: basis.since.0 / 1_000,
                 until_ms: until.0 / 1_000,
-                crashes: u32::try_from(crashes).unwrap_or(u32::MAX),
+                crashes: basis.crashes,
             };
             Some(HoldWrite {
                 suspect: *suspect,
@@ -142,6 +153,7 @@
     /// Applies a quarantine that the key-value store has.
     pub fn on_stored_hold(&mut self, now: Timestamp, suspect: Suspect, stored: StoredHold) {
         let until = stored.until();
+        let basis = stored.basis();
         self.stored_holds.stored.insert(suspect, until);
         if self
             .quarantine
@@ -150,8 +162,14 @@
         {
             self.stored_holds.unwritten.remove(&suspect);
         }
-        if !self.disputes_hold(now, suspect, stored.crashes as usize) {
-            self.adopt_hold(now, suspect, until, "store");
+        let Some(at) = self.completion_against(now, suspect, basis) else {
+            self.adopt_hold(now, suspect, basis, until, "store");
+            return;
+        };
+        self.record_dispute(now, suspect, "store");
+        let is_held = self.quarantine.held_until(now, suspect).is_some();
+        if basis.is_refuted_by(suspect, at) && !is_held {
+            self.stored_holds.on_cleared(suspect);
         }
     }
 
--- a/crates/laburnumstall-core/src/quarantine.rs
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -12,6 +12,7 @@
 //!
 //! [`CrashTally`] serves paths that cannot order the retries of a request.
 
+mod clearances;
 mod crash;
 mod evidence;
 mod retention;
@@ -28,7 +29,7 @@
 use crash::{EndpointOutcomes, ReportKey, Reports, RequestState, RequestTimes};
 use retention::{MAX_REPORTS, REPORT_TTL};
 pub use suspect::{CountedCrash, ProcessKey, Suspect, SuspectNote};
-pub use suspect_record::{MIN_CRASHES, MIN_CRASHES_OF_KNOWN, SAME_CAUSE};
+pub use suspect_record::{HoldBasis, MIN_CRASHES, MIN_CRASHES_OF_KNOWN, SAME_CAUSE};
 pub use suspicion::{
     Clearance, CrashReport, QuarantineRecord, Reclaim, Return, Suspicion, TrialClaim,
 };
--- a/crates/laburnumstall-core/src/quarantine/suspect_record.rs
+++ b/crates/laburnumstall-core/src/quarantine/suspect_record.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::suspect::{CountedCrash, ProcessKey, Suspect};
+use crate::domain_value;
 use crate::ids::Fingerprint;
 use crate::units::Timestamp;
 
@@ -16,6 +17,17 @@
 /// after the earlier one.
 pub const SAME_CAUSE: Duration = Duration::from_millis(8);
 
+domain_value! {
+    /// What a quarantine is based on.
+    #[derive(Default)]
+    pub struct HoldBasis {
+        /// Time of the first of the latest crashes that are enough for it.
+        pub since: Timestamp,
+        /// Number of crashes.
+        pub crashes: u32,
+    }
+}
+
 /// Crash that counts against a suspect.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RecordedCrash {
@@ -35,6 +47,15 @@
     pub(super) updated_at: Timestamp,
 }
 
+impl HoldBasis {
+    /// Returns whether a completed request with the suspect speaks against the quarantine: it ended
+    /// after the crashes, or shows a part to be known, which needs more of them.
+    pub fn is_refuted_by(&self, suspect: Suspect, completed_at: Timestamp) -> bool {
+        let is_part = matches!(suspect, Suspect::Part(_));
+        completed_at >= self.since || (is_part && (self.crashes as usize) < MIN_CRASHES_OF_KNOWN)
+    }
+}
+
 impl SuspectRecord {
     pub(super) fn includes(&self, crash: &RecordedCrash) -> bool {
         let process = crash.crash.process;
@@ -59,7 +80,24 @@
     /// Returns the number of crashes, of which those at the same moment count as one, and of
     /// a part those with the same request.
     pub(super) fn separate_crashes(&self, suspect: Suspect) -> usize {
-        let mut crashes: Vec<_> = self.crashes.iter().collect();
+        self.separate_crashes_since(suspect, Timestamp::ZERO)
+    }
+
+    /// Returns the basis of a quarantine that `min` separate crashes are enough for. Of a suspect
+    /// that was found by those of another, all crashes are.
+    pub(super) fn basis(&self, suspect: Suspect, min: usize) -> HoldBasis {
+        let times = self.crashes.iter().map(|known| known.crash.at);
+        let is_enough = |at: &Timestamp| self.separate_crashes_since(suspect, *at) >= min;
+        let since = times.clone().filter(is_enough).max().or(times.min());
+        HoldBasis {
+            since: since.unwrap_or_default(),
+            crashes: u32::try_from(self.crashes.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn separate_crashes_since(&self, suspect: Suspect, since: Timestamp) -> usize {
+        let crashes = self.crashes.iter();
+        let mut crashes: Vec<_> = crashes.filter(|known| known.crash.at >= since).collect();
         crashes.sort_unstable_by_key(|known| known.crash.at);
         let mut last: Option<Timestamp> = None;
         let mut requests = BTreeSet::new();
--- a/crates/laburnumstall-core/src/quarantine/tally.rs
+++ b/crates/laburnumstall-core/src/quarantine/tally.rs
@@ -23,8 +23,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::clearances::Clearances;
 use super::suspect::{CountedCrash, ProcessKey, Suspect, SuspectNote};
-use super::suspect_record::{MIN_CRASHES, RecordedCrash, SuspectRecord};
+use super::suspect_record::{HoldBasis, MIN_CRASHES, RecordedCrash, SuspectRecord};
 use crate::ids::Fingerprint;
 use crate::units::Timestamp;
 
@@ -60,6 +61,7 @@
 /// Quarantine of a suspect, kept for a while after its end.
 #[derive(Debug, Clone, Copy)]
 struct Hold {
+    basis: HoldBasis,
     until: Timestamp,
     count: u32,
 }
@@ -80,6 +82,7 @@
     explained: HashMap<ProcessKey, Explanation>,
     /// When requests with a suspect last ran to completion at this daemon.
     completions: HashMap<Suspect, Timestamp>,
+    clearances: Clearances,
     scanned_at: Timestamp,
 }
 
@@ -144,12 +147,13 @@
         if matches!(suspect, Suspect::Request(_)) && own_completion.is_some() {
             return None;
         }
+        let clearance = self.clearances.get(suspect);
         let hold = self.holds.get(&suspect).copied();
         let record = self.record(now, note);
         if note.has_completed {
             record.completed_at = record.completed_at.max(Some(Timestamp::ZERO));
         }
-        record.completed_at = record.completed_at.max(own_completion);
+        record.completed_at = record.completed_at.max(own_completion).max(clearance);
         if record.completed_at.is_some_and(|at| crash.at <= at) {
             return None;
         }
@@ -175,9 +179,17 @@
         if hold.is_some_and(|hold| now < hold.until) {
             return None;
         }
+        let basis = self.records.get(&suspect)?.basis(suspect, min_crashes);
         let count = hold.map_or(0, |hold| hold.count) + 1;
         let until = now.after(hold_time(suspect, count));
-        self.set_hold(suspect, Hold { until, count });
+        self.set_hold(
+            suspect,
+            Hold {
+                basis,
+                until,
+                count,
+            },
+        );
         Some((suspect, until))
     }
 
@@ -217,7 +229,13 @@
     }
 
     /// Applies a quarantine that another daemon decided; returns whether it is new.
-    pub fn on_held(&mut self, now: Timestamp, suspect: Suspect, until: Timestamp) -> bool {
+    pub fn on_held(
+        &mut self,
+        now: Timestamp,
+        suspect: Suspect,
+        basis: HoldBasis,
+        until: Timestamp,
+    ) -> bool {
         let until = until.min(now.after(HOLD_TIME));
         if until <= now {
             return false;
@@ -225,7 +243,16 @@
         let known = self.holds.get(&suspect).copied();
         let is_new = known.is_none_or(|known| known.until <= now);
         let count = known.map_or(0, |known| known.count) + u32::from(is_new);
-        self.set_hold(suspect, Hold { until, count });
+        let known_basis = known.map(|known| known.basis);
+        let basis = known_basis.map_or(basis, |known| known.max(basis));
+        self.set_hold(
+            suspect,
+            Hold {
+                basis,
+                until,
+                count,
+            },
+        );
         is_new
     }
 
@@ -269,21 +296,53 @@
             let hold = self.holds.remove(suspect);
             hold.is_some_and(|hold| now < hold.until)
         });
+        for suspect in &released {
+            self.clearances.insert(*suspect, now);
+        }
         released
     }
 
     /// Clears a suspect that was in a request that ran to completion at `at`; returns whether
     /// that ends a quarantine.
     pub fn on_cleared(&mut self, now: Timestamp, suspect: Suspect, at: Timestamp) -> bool {
+        let mut is_recorded = false;
         if let Some(record) = self.records.get_mut(&suspect) {
+            is_recorded = true;
             record.completed_at = record.completed_at.max(Some(at));
             record.crashes.retain(|known| known.crash.at > at);
-            if record.separate_crashes(suspect) >= record.min_crashes(suspect) {
+            let min_crashes = record.min_crashes(suspect);
+            if record.separate_crashes(suspect) >= min_crashes {
+                if let Some(hold) = self.holds.get_mut(&suspect) {
+                    hold.basis = record.basis(suspect, min_crashes);
+                }
                 return false;
             }
         }
+        let hold = self.holds.get(&suspect);
+        if hold.is_some_and(|hold| !hold.basis.is_refuted_by(suspect, at)) {
+            return false;
+        }
         let hold = self.holds.remove(&suspect);
-        hold.is_some_and(|hold| now < hold.until)
+        let ends_quarantine = hold.is_some_and(|hold| now < hold.until);
+        if ends_quarantine || !is_recorded {
+            self.clearances.insert(suspect, at);
+        }
+        ends_quarantine
+    }
+
+    /// Returns when a suspect was last cleared, at any daemon.
+    pub fn cleared_at(&self, suspect: Suspect) -> Option<Timestamp> {
+        let record = self.records.get(&suspect);
+        let completed_at = record.and_then(|record| record.completed_at);
+        let clearance = self.clearances.get(suspect);
+        completed_at
+            .filter(|at| *at != Timestamp::ZERO)
+            .max(clearance)
+    }
+
+    /// Returns the latest clearances that ended quarantines.
+    pub fn clearances(&self) -> impl Iterator<Item = (Suspect, Timestamp)> {
+        self.clearances.iter()
     }
 
     /// Ends the quarantine of a suspect, and forgets its crashes; returns whether it was
@@ -293,10 +352,16 @@
         if was_held {
             self.holds.remove(&suspect);
             self.records.remove(&suspect);
+            self.clearances.insert(suspect, now);
         }
         was_held
     }
 
+    /// Returns what the quarantine of a suspect is based on.
+    pub fn hold_basis(&self, suspect: Suspect) -> Option<HoldBasis> {
+        self.holds.get(&suspect).map(|hold| hold.basis)
+    }
+
     /// Returns the crashes that count against a suspect, and its depth.
     pub fn crashes(&self, suspect: Suspect) -> (Vec<ProcessKey>, u8) {
         let Some(record) = self.records.get(&suspect) else {
@@ -347,6 +412,7 @@
             .retain(|_, hold| now.since(hold.until) < PROBATION);
         self.explained
             .retain(|_, known| now.since(known.at) < CRASH_TTL);
+        self.clearances.tick(now);
     }
 
     /// Returns the number of suspects with records of crashes.
--- a/crates/laburnumstall-core/tests/crash_tally.rs
+++ b/crates/laburnumstall-core/tests/crash_tally.rs
@@ -4,14 +4,19 @@
 
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::quarantine::{
-    CRASH_TTL, CountedCrash, CrashTally, FIRST_PART_HOLD, HOLD_TIME, MAX_RECORDS, MIN_CRASHES,
-    MIN_CRASHES_OF_KNOWN, ProcessKey, SAME_CAUSE, Suspect, SuspectNote,
+    CRASH_TTL, CountedCrash, CrashTally, FIRST_PART_HOLD, HOLD_TIME, HoldBasis, MAX_RECORDS,
+    MIN_CRASHES, MIN_CRASHES_OF_KNOWN, ProcessKey, SAME_CAUSE, Suspect, SuspectNote,
 };
 
 const BAD: Suspect = request(7);
 const BAD_PART: Suspect = Suspect::Part(Fingerprint(8));
 const FIRST_PART: Suspect = Suspect::Part(Fingerprint(9));
 
+const BASIS: HoldBasis = HoldBasis {
+    since: Timestamp::from_millis(1_000_000),
+    crashes: 3,
+};
+
 const fn request(number: u64) -> Suspect {
     Suspect::Request(Fingerprint(number))
 }
@@ -110,7 +115,7 @@
 #[test]
 fn completion_ends_a_quarantine() {
     let mut tally = CrashTally::default();
-    tally.on_held(at(0), BAD, at(60_000));
+    tally.on_held(at(0), BAD, BASIS, at(60_000));
     assert!(tally.held_until(at(10), BAD).is_some());
     assert!(tally.on_cleared(at(20), BAD, at(20)));
     assert!(tally.held_until(at(20), BAD).is_none());
@@ -145,7 +150,7 @@
 fn many_suspects_evict_no_evidence() {
     let mut tally = CrashTally::default();
     let held = request(8);
-    tally.on_held(at(0), held, at(500_000));
+    tally.on_held(at(0), held, BASIS, at(500_000));
     count(&mut tally, BAD, &[crash(1, 0), crash(2, 100)]);
     for number in 0..2 * MAX_RECORDS as u64 {
         let now = at(200 + number);
--- a/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/crash_evidence.rs
@@ -12,14 +12,14 @@
 use laburnumstall_core::quarantine::{HOLD_TIME, Suspect};
 
 const PATH: &str = "/read/1";
-const BAD: &[u8] = b"crashes endpoints";
+pub(crate) const BAD: &[u8] = b"crashes endpoints";
 
 /// Gateways that receive each other's messages at once.
 pub(crate) struct Fleet {
-    gateways: BTreeMap<DaemonId, Gateway>,
-    endpoints: Vec<EndpointRecord>,
+    pub(crate) gateways: BTreeMap<DaemonId, Gateway>,
+    pub(crate) endpoints: Vec<EndpointRecord>,
     /// Daemons that neither send nor receive.
-    cut: BTreeSet<DaemonId>,
+    pub(crate) cut: BTreeSet<DaemonId>,
     sent_bytes: usize,
     messages: usize,
 }
@@ -95,7 +95,7 @@
     }
 
     /// Crashes the endpoint that a daemon sends a request to; a new process takes its place.
-    fn crash(&mut self, now: Timestamp, number: u32, body: &[u8]) {
+    pub(crate) fn crash(&mut self, now: Timestamp, number: u32, body: &[u8]) {
         self.crash_by(now, number, with_body(now, body));
     }
 
@@ -116,7 +116,7 @@
     }
 
     /// Returns how many daemons refuse a request as quarantined.
-    fn refusing(&mut self, now: Timestamp, body: &[u8]) -> usize {
+    pub(crate) fn refusing(&mut self, now: Timestamp, body: &[u8]) -> usize {
         self.refusing_call(now, &with_body(now, body))
     }
 
@@ -131,7 +131,7 @@
     }
 }
 
-fn start(own: u32, daemons: u32, endpoints: &[EndpointRecord]) -> Gateway {
+pub(crate) fn start(own: u32, daemons: u32, endpoints: &[EndpointRecord]) -> Gateway {
     let own = member(own);
     let mut gateway = Gateway::new(own.id.clone(), own.zone, own.caller_address, bounds());
     gateway.on_store_confirmed(at(0), at(0));
@@ -144,7 +144,7 @@
     gateway
 }
 
-fn begin(
+pub(crate) fn begin(
     gateway: &mut Gateway,
     now: Timestamp,
     body: &[u8],
