Keep a later quarantine when an earlier one is deleted from the store

Found by reading: a daemon that has cleared a quarantine deletes its key whatever the key holds by then. If the request has crashed endpoints again meanwhile, the delete removes the new quarantine, and every daemon takes the removal for an operator's and ends it.

Change: a delete says when the suspect was cleared, and is done if the stored quarantine is based on crashes after that.

--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -209,7 +209,7 @@
         if !self.quarantine.on_cleared(now, suspect, at) {
             return false;
         }
-        self.stored_holds.on_cleared(suspect);
+        self.stored_holds.on_cleared(suspect, at);
         self.record_release(now, suspect, source);
         let (Suspect::Request(key) | Suspect::Part(key)) = suspect;
         if !self.counts_everywhere() && self.ranks_first(now, key.0, None) {
@@ -255,7 +255,7 @@
             return;
         }
         for released in self.quarantine.explain(now, suspect, depth, processes) {
-            self.stored_holds.on_cleared(released);
+            self.stored_holds.on_cleared(released, now);
             self.record_release(now, released, "explained");
             self.send_clearance(now, released, now, self.all_quarantine_peers(now));
         }
--- a/crates/laburnumstall-core/src/gateway/stored_holds.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_holds.rs
@@ -41,6 +41,8 @@
     pub suspect: Suspect,
     /// Value to write; `None` to delete the key.
     pub value: Option<StoredHold>,
+    /// Time up to which quarantines that are based on earlier crashes are deleted.
+    pub cleared_at: Timestamp,
     /// Time until the quarantine ends.
     pub ttl: Duration,
 }
@@ -52,7 +54,18 @@
     stored: BTreeMap<Suspect, Timestamp>,
     /// Quarantines that are not known to be stored, with the time at which they are written.
     unwritten: BTreeMap<Suspect, Timestamp>,
-    to_delete: BTreeSet<Suspect>,
+    /// Ended quarantines, with the time of the completion that ended each.
+    to_delete: BTreeMap<Suspect, Timestamp>,
+}
+
+impl HoldWrite {
+    /// Returns whether the store's value needs no change.
+    pub fn is_done(&self, stored: &StoredHold) -> bool {
+        match &self.value {
+            Some(value) => value.is_covered_by(stored),
+            None => !stored.basis().is_refuted_by(self.suspect, self.cleared_at),
+        }
+    }
 }
 
 impl StoredHold {
@@ -68,7 +81,7 @@
     }
 
     /// Returns whether a stored quarantine lasts as long as this one.
-    pub fn is_covered_by(&self, stored: &Self) -> bool {
+    fn is_covered_by(&self, stored: &Self) -> bool {
         self.until() <= stored.until().after(EXPIRY_MARGIN)
     }
 }
@@ -79,11 +92,11 @@
         self.unwritten.insert(suspect, Timestamp::ZERO);
     }
 
-    /// Records that a quarantine has ended before its time.
-    pub(super) fn on_cleared(&mut self, suspect: Suspect) {
+    /// Records that a completion at `at` has ended a quarantine before its time.
+    pub(super) fn on_cleared(&mut self, suspect: Suspect, at: Timestamp) {
         self.unwritten.remove(&suspect);
         if self.stored.remove(&suspect).is_some() {
-            self.to_delete.insert(suspect);
+            self.to_delete.insert(suspect, at);
         }
     }
 }
@@ -124,12 +137,15 @@
             Some(HoldWrite {
                 suspect: *suspect,
                 value: Some(value),
+                cleared_at: Timestamp::ZERO,
                 ttl: until.since(now),
             })
         });
-        let deletes = self.stored_holds.to_delete.iter().map(|suspect| HoldWrite {
+        let to_delete = self.stored_holds.to_delete.iter();
+        let deletes = to_delete.map(|(suspect, cleared_at)| HoldWrite {
             suspect: *suspect,
             value: None,
+            cleared_at: *cleared_at,
             ttl: Duration::ZERO,
         });
         writes.chain(deletes).collect()
@@ -146,7 +162,8 @@
         holds.stored.insert(write.suspect, value.until());
         // It may have ended while it was written.
         if self.quarantine.held_until(now, write.suspect).is_none() {
-            holds.on_cleared(write.suspect);
+            let cleared_at = self.quarantine.cleared_at(write.suspect);
+            holds.on_cleared(write.suspect, cleared_at.unwrap_or(now));
         }
     }
 
@@ -169,7 +186,7 @@
         self.record_dispute(now, suspect, "store");
         let is_held = self.quarantine.held_until(now, suspect).is_some();
         if basis.is_refuted_by(suspect, at) && !is_held {
-            self.stored_holds.on_cleared(suspect);
+            self.stored_holds.on_cleared(suspect, at);
         }
     }
 
--- a/crates/laburnumstall-core/tests/gateway/missed_clearances.rs
+++ b/crates/laburnumstall-core/tests/gateway/missed_clearances.rs
@@ -2,7 +2,9 @@
 
 use crate::crash_evidence::{BAD, Fleet, begin, start};
 use crate::support::{at, daemon};
-use laburnumstall_core::gateway::{QuarantineUpdate, StoredHold, SuspectClearance, SuspectHold};
+use laburnumstall_core::gateway::{
+    HoldWrite, QuarantineUpdate, StoredHold, SuspectClearance, SuspectHold,
+};
 use laburnumstall_core::quarantine::{ProcessKey, Suspect};
 
 /// Quarantines a request, stores that, and clears it again while daemon 4 is cut off; returns the
@@ -56,6 +58,24 @@
     assert_eq!(deletes[0].value, None);
 }
 
+/// Crashes after the completion quarantine the request again, which a delayed removal of the
+/// earlier quarantine must not end.
+#[test]
+fn delayed_delete_keeps_a_later_quarantine() {
+    let mut fleet = Fleet::new(4);
+    let (_, stored) = clear_beside_cut_off(&mut fleet);
+    let delete: HoldWrite = fleet.at(2).hold_writes(at(5_000))[0];
+    assert_eq!(delete.value, None);
+    assert!(!delete.is_done(&stored));
+    fleet.tick(at(5_900));
+    for (number, ms) in [(1, 6_000), (2, 6_200), (3, 6_400)] {
+        fleet.crash(at(ms), number, BAD);
+    }
+    let writes = fleet.at(3).hold_writes(at(6_410));
+    let later = writes.iter().find_map(|write| write.value).unwrap();
+    assert!(delete.is_done(&later));
+}
+
 /// An operator deletes the key of a quarantine while a daemon is cut off.
 #[test]
 fn daemon_that_missed_a_release_does_not_bring_the_quarantine_back() {
--- a/crates/laburnumstalld/src/gateway/crash_checks.rs
+++ b/crates/laburnumstalld/src/gateway/crash_checks.rs
@@ -111,10 +111,9 @@
     };
     let current = current.filter(|stored| stored.value.is_some());
     let stored = current.as_ref().and_then(stored_hold);
-    let is_done = match (&hold.value, stored.and_then(|(_, stored)| stored)) {
-        (Some(value), Some(stored)) => value.is_covered_by(&stored),
-        (Some(_), None) => false,
-        (None, _) => current.is_none(),
+    let is_done = match stored.and_then(|(_, stored)| stored) {
+        Some(stored) => hold.is_done(&stored),
+        None => hold.value.is_none() && current.is_none(),
     };
     if is_done {
         return Ok(());
