Repeat the write of a quarantine that met another write

Callers saw nothing yet: a quarantine that is not in the store is unknown to daemons that all start anew, and one whose delete is lost comes back from there.

Cause: a conflict counted as done, since another daemon writes the same as a rule. It may also have been a delete, or, for a delete, a write. Found by reading.

Evidence: `quarantine_that_met_another_write_is_stored` failed before the change: no key in the store 1.5 s after the deciding crash. The store's stand-in lets another writer come first (`overtake`).

Change: after a conflict the write is due again, and reads the key anew: what is covered by then is done.

Result: the 8 tests of crashing requests and parts pass.

--- a/crates/laburnumstalld/src/gateway/crash_checks.rs
+++ b/crates/laburnumstalld/src/gateway/crash_checks.rs
@@ -87,7 +87,8 @@
         sleep(WRITE_INTERVAL).await;
         for hold in cx.with_gateway(|gateway, now| gateway.hold_writes(now)) {
             match write_hold(&store, &hold).await {
-                Ok(()) => cx.with_gateway(|gateway, now| gateway.on_hold_written(now, &hold)),
+                Ok(true) => cx.with_gateway(|gateway, now| gateway.on_hold_written(now, &hold)),
+                Ok(false) => {}
                 Err(cause) => {
                     cx.event(
                         Event::new("quarantine-not-stored")
@@ -101,7 +102,9 @@
     }
 }
 
-async fn write_hold(store: &Store, hold: &HoldWrite) -> Result<(), &'static str> {
+/// Returns whether the write is done. If another one came first, it is due again: that may have
+/// been a delete.
+async fn write_hold(store: &Store, hold: &HoldWrite) -> Result<bool, &'static str> {
     let key: StoreKey = format!("{PREFIX}{}", hold.suspect)
         .parse()
         .map_err(|_| "invalid-key")?;
@@ -116,7 +119,7 @@
         None => hold.value.is_none() && current.is_none(),
     };
     if is_done {
-        return Ok(());
+        return Ok(true);
     }
     let lease = match &hold.value {
         None => None,
@@ -133,8 +136,8 @@
         lease,
     };
     match store.call(swap).await {
-        // On a conflict another daemon has written the same.
-        Ok(StoreReply::Swapped { .. } | StoreReply::Conflict { .. }) => Ok(()),
+        Ok(StoreReply::Swapped { .. }) => Ok(true),
+        Ok(StoreReply::Conflict { .. }) => Ok(false),
         _ => Err("not-written"),
     }
 }
