--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod endpoint_scaling;
 mod endpoint_selection;
 mod failed_calls;
+mod fleet;
 mod missed_clearances;
 mod part_evidence;
 mod peer_messages;
--- a/crates/laburnumstall-core/tests/gateway/missed_clearances.rs
+++ b/crates/laburnumstall-core/tests/gateway/missed_clearances.rs
@@ -1,6 +1,6 @@
 //! Quarantines that have ended, at daemons and in stores that missed it.
 
-use crate::crash_evidence::{BAD, Fleet, begin, start};
+use crate::fleet::{BAD, Fleet, begin, start};
 use crate::support::{at, daemon};
 use laburnumstall_core::gateway::{
     HoldWrite, QuarantineUpdate, StoredHold, SuspectClearance, SuspectHold,
--- a/crates/laburnumstall-core/tests/gateway/part_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/part_evidence.rs
@@ -1,6 +1,6 @@
 //! Parts of prompts that crash endpoints, in requests of which no two are alike.
 
-use crate::crash_evidence::{Fleet, begin_call};
+use crate::fleet::{Fleet, begin_call};
 use crate::support::{at, call_attributes};
 use laburnumstall_core::gateway::{CallAttributes, Prompt, PromptPart};
 
@@ -94,6 +94,38 @@
     assert_eq!(fleet.refusing_call(at(910), &call(&[OTHER], 901)), 4);
 }
 
+/// Requests are lost together, and retried together, at daemons that each know of one of them.
+#[test]
+fn requests_that_are_lost_together_count_each() {
+    for daemons in [[1, 1], [1, 2]] {
+        let mut fleet = Fleet::new(4);
+        let together = [(1, daemons[0]), (2, daemons[1])];
+        fleet.crash_together(
+            at(100),
+            &together.map(|(n, at)| (at, call(&[FIRST, BAD], n))),
+        );
+        fleet.crash_together(
+            at(300),
+            &together.map(|(n, at)| (at, call(&[FIRST, BAD], n))),
+        );
+        fleet.crash_by(at(500), 3, call(&[FIRST, BAD], 3));
+        assert_eq!(
+            fleet.refusing_call(at(510), &call(&[BAD], 900)),
+            4,
+            "{daemons:?}"
+        );
+    }
+}
+
+#[test]
+fn requests_that_are_retried_thrice_convict_no_part() {
+    let mut fleet = Fleet::new(4);
+    for ms in [100, 300, 500] {
+        fleet.crash_together(at(ms), &[1, 2].map(|n| (1, call(&[FIRST, OTHER], n))));
+    }
+    assert_eq!(fleet.refusing_call(at(510), &call(&[OTHER], 900)), 0);
+}
+
 #[test]
 fn call_without_a_prompt_is_not_refused_for_parts() {
     let mut fleet = Fleet::new(3);
