Count each of the requests with a part that are lost together

Cause: the report of a crash named one request for each part, the one that began last. Two requests that are lost together are retried together, so their crashes named the same one and counted as one, and the part was found some crashes later. Reports of other daemons about the same crash were dropped.

Change: a report names up to three requests for a suspect, as many as the crashes that decide, and those of other daemons about the same crash add theirs. As many crashes count as different requests can be assigned to (a matching). A clearance takes back a quarantine that is still to be sent.

Why it works: three crashes with three different requests can always be assigned. Repeats of one or two requests still count once and twice, as `repeats_of_one_request_count_once_against_a_part` and `requests_that_are_retried_thrice_convict_no_part` show. The other error: a sound part of three requests that are lost together at three crashes, none of which completes in between, is now found guilty; so are these requests by themselves.

--- a/crates/laburnumstall-core/examples/crash_evidence.rs
+++ b/crates/laburnumstall-core/examples/crash_evidence.rs
@@ -9,7 +9,7 @@
 };
 use laburnumstall_core::hash::digest64;
 use laburnumstall_core::ids::Fingerprint;
-use laburnumstall_core::quarantine::{CrashTally, ProcessKey, Suspect, SuspectNote};
+use laburnumstall_core::quarantine::{CrashTally, NamedRequests, ProcessKey, Suspect, SuspectNote};
 use laburnumstall_core::units::Timestamp;
 
 /// Daemons of the target.
@@ -30,7 +30,7 @@
 fn main() {
     let note = |number: u64| SuspectNote {
         suspect: Suspect::Part(hash(number)),
-        request: hash(number + 1),
+        requests: NamedRequests([1, 2, 3].map(|other| Some(hash(number + other)))),
         ran_ms: 4_000,
         depth: 2,
         has_completed: true,
--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -12,7 +12,7 @@
 use super::Gateway;
 use super::call::{AdmittedCall, Prompt};
 use super::lost_calls::MAX_IN_FLIGHT;
-use super::quarantine_update::{QuarantineUpdate, SuspectHold};
+use super::quarantine_update::{NOTE_BYTES, QuarantineUpdate, SuspectHold};
 use crate::decision::{Decision, DecisionKind};
 use crate::error::{ErrorKind, Refusal};
 use crate::hash::digest64;
@@ -229,7 +229,7 @@
         // What is not sent leaves single crashes at the peers that count, until they expire.
         let peers = self.counting_peers(now, suspect);
         let must_send = ends_quarantine || at < now;
-        if must_send || self.may_send_evidence(now, peers.len(), peers.len()) {
+        if must_send || self.may_send_evidence(now, peers.len(), NOTE_BYTES * peers.len() as f64) {
             self.send_clearance(now, suspect, at, peers);
         }
     }
--- a/crates/laburnumstall-core/src/gateway/lost_calls.rs
+++ b/crates/laburnumstall-core/src/gateway/lost_calls.rs
@@ -10,8 +10,8 @@
 use super::quarantine_update::millis;
 use crate::decision::{Decision, DecisionKind};
 use crate::hash::digest64;
-use crate::ids::{EndpointId, Fingerprint};
-use crate::quarantine::{CountedCrash, ProcessKey, Suspect, SuspectNote};
+use crate::ids::EndpointId;
+use crate::quarantine::{CountedCrash, NamedRequests, ProcessKey, Suspect, SuspectNote};
 use crate::units::Timestamp;
 
 /// Time after the first output from which on a crash does not count against a call: it has begun
@@ -58,11 +58,12 @@
     ended: BTreeSet<Suspect>,
 }
 
-/// Request in flight on a process, of those with a suspect the one that began last.
+/// Requests with a suspect that were in flight on a process.
 #[derive(Debug, Clone, Copy)]
 struct InFlight {
-    request: Fingerprint,
+    requests: NamedRequests,
     depth: u8,
+    /// Time since the latest attempt began.
     ran: Duration,
 }
 
@@ -134,17 +135,16 @@
             });
         for (suspect, depth) in call.suspects() {
             if lost.suspects.len() < MAX_IN_FLIGHT {
+                let ran = now.since(attempt.started_at);
                 let new = InFlight {
-                    request: call.fingerprint,
+                    requests: NamedRequests::default(),
                     depth,
-                    ran: now.since(attempt.started_at),
+                    ran,
                 };
                 let known = lost.suspects.entry(suspect).or_insert(new);
-                let depth = depth.min(known.depth);
-                if new.ran < known.ran {
-                    *known = new;
-                }
-                known.depth = depth;
+                known.requests.insert(call.fingerprint);
+                known.depth = known.depth.min(depth);
+                known.ran = known.ran.min(ran);
             }
         }
         Some(lost)
@@ -209,7 +209,7 @@
             .iter()
             .map(|(suspect, in_flight)| SuspectNote {
                 suspect: *suspect,
-                request: in_flight.request,
+                requests: in_flight.requests,
                 ran_ms: millis(in_flight.ran),
                 depth: in_flight.depth,
                 has_completed: self.quarantine.completed_at(now, *suspect).is_some(),
--- a/crates/laburnumstall-core/src/gateway/quarantine_update.rs
+++ b/crates/laburnumstall-core/src/gateway/quarantine_update.rs
@@ -15,8 +15,10 @@
 use crate::quarantine::{CountedCrash, ProcessKey, Suspect, SuspectNote};
 use crate::units::Timestamp;
 
-/// Bytes of one suspect in a message.
-const NOTE_BYTES: f64 = 24.0;
+/// Bytes of one suspect in a message, without the requests that it names.
+pub(super) const NOTE_BYTES: f64 = 16.0;
+/// Bytes of a request that a message names.
+const NAME_BYTES: f64 = 10.0;
 /// Maximum number of processes in a message about a quarantine.
 const MAX_PROCESSES: usize = 8;
 
@@ -95,10 +97,15 @@
 
     /// Spends the budget on messages to some peers that may be left out; returns whether they may
     /// be sent.
-    pub(super) fn may_send_evidence(&mut self, now: Timestamp, peers: usize, notes: usize) -> bool {
+    pub(super) fn may_send_evidence(
+        &mut self,
+        now: Timestamp,
+        peers: usize,
+        notes_bytes: f64,
+    ) -> bool {
         let may_send = self.crash_budget.left(now, 1 + self.peer_table.len()) > 0.0;
         if may_send {
-            let bytes = MESSAGE_BYTES * peers as f64 + NOTE_BYTES * notes as f64;
+            let bytes = MESSAGE_BYTES * peers as f64 + notes_bytes;
             self.crash_budget.spend(bytes);
         }
         may_send
@@ -115,7 +122,10 @@
         let age_ms = millis(now.since(at));
         for peer in peers {
             let clearance = SuspectClearance { suspect, age_ms };
-            self.outbox_of(peer).clearances.push(clearance);
+            let update = self.outbox_of(peer);
+            let is_ended = |hold: &SuspectHold| hold.suspect == suspect && hold.since_ms >= age_ms;
+            update.holds.retain(|hold| !is_ended(hold));
+            update.clearances.push(clearance);
         }
     }
 
@@ -142,8 +152,8 @@
                 by_peer.entry(peer).or_default().push(*note);
             }
         }
-        let sent_notes = by_peer.values().map(Vec::len).sum();
-        if !self.may_send_evidence(now, by_peer.len(), sent_notes) {
+        let notes_bytes = by_peer.values().flatten().map(note_bytes).sum();
+        if !self.may_send_evidence(now, by_peer.len(), notes_bytes) {
             self.journal.record(
                 Decision::new(now, DecisionKind::Budget, "not-sent", "endpoint-crash")
                     .with("suspects", notes.len()),
@@ -271,6 +281,10 @@
     }
 }
 
+fn note_bytes(note: &SuspectNote) -> f64 {
+    NOTE_BYTES + NAME_BYTES * note.requests.iter().count() as f64
+}
+
 fn to_process_crash(
     now: Timestamp,
     crash: CountedCrash,
--- a/crates/laburnumstall-core/src/quarantine.rs
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -28,7 +28,7 @@
 use crate::prelude::*;
 use crash::{EndpointOutcomes, ReportKey, Reports, RequestState, RequestTimes};
 use retention::{MAX_REPORTS, REPORT_TTL};
-pub use suspect::{CountedCrash, ProcessKey, Suspect, SuspectNote};
+pub use suspect::{CountedCrash, NamedRequests, ProcessKey, Suspect, SuspectNote};
 pub use suspect_record::{HoldBasis, MIN_CRASHES, MIN_CRASHES_OF_KNOWN, SAME_CAUSE};
 pub use suspicion::{
     Clearance, CrashReport, QuarantineRecord, Reclaim, Return, Suspicion, TrialClaim,
--- a/crates/laburnumstall-core/src/quarantine/suspect.rs
+++ b/crates/laburnumstall-core/src/quarantine/suspect.rs
@@ -11,6 +11,10 @@
 const REQUEST: &str = "request-";
 const PART: &str = "part-";
 
+/// Maximum number of requests that a crash names for a suspect: as many as the crashes that
+/// quarantine a part that is not known, so that each of these can name another one.
+const MAX_NAMED: usize = 3;
+
 domain_value! {
     /// What a crash may be attributed to.
     pub enum Suspect {
@@ -20,13 +24,17 @@
         Part(Fingerprint),
     }
 
+    /// Some of the requests with a suspect that were in flight at a crash.
+    #[derive(Default)]
+    pub struct NamedRequests(pub [Option<Fingerprint>; MAX_NAMED]);
+
     /// Suspect that was in flight at a crash.
     pub struct SuspectNote {
         /// The suspect.
         pub suspect: Suspect,
-        /// The request that was in flight: the suspect itself, or one with the part.
-        pub request: Fingerprint,
-        /// Time from the start of the request's attempt to the crash, in milliseconds.
+        /// The requests that were in flight: the suspect itself, or some with the part.
+        pub requests: NamedRequests,
+        /// Time from the start of their latest attempt to the crash, in milliseconds.
         pub ran_ms: u32,
         /// 0 for a request; for a part of its prompt, its number from the end, from 1 on.
         pub depth: u8,
@@ -46,6 +54,30 @@
     }
 }
 
+impl NamedRequests {
+    /// Names a request, unless there are enough; returns whether that is new.
+    pub fn insert(&mut self, request: Fingerprint) -> bool {
+        if self.iter().any(|known| known == request) {
+            return false;
+        }
+        let free = self.0.iter_mut().find(|slot| slot.is_none());
+        free.map(|slot| *slot = Some(request)).is_some()
+    }
+
+    /// Returns the requests.
+    pub fn iter(&self) -> impl Iterator<Item = Fingerprint> {
+        self.0.iter().copied().flatten()
+    }
+}
+
+impl From<Fingerprint> for NamedRequests {
+    fn from(request: Fingerprint) -> Self {
+        let mut requests = Self::default();
+        requests.insert(request);
+        requests
+    }
+}
+
 impl fmt::Display for Suspect {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/laburnumstall-core/src/quarantine/suspect_record.rs
+++ b/crates/laburnumstall-core/src/quarantine/suspect_record.rs
@@ -1,9 +1,9 @@
 //! Crashes that count against one suspect.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::suspect::{CountedCrash, ProcessKey, Suspect};
+use super::suspect::{CountedCrash, NamedRequests, ProcessKey, Suspect, SuspectNote};
 use crate::domain_value;
 use crate::ids::Fingerprint;
 use crate::units::Timestamp;
@@ -28,12 +28,15 @@
     }
 }
 
+/// Maximum number of crashes recorded for a suspect.
+const MAX_CRASHES: usize = 32;
+
 /// Crash that counts against a suspect.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RecordedCrash {
     pub(super) crash: CountedCrash,
-    /// Request that was in flight.
-    pub(super) request: Fingerprint,
+    /// Requests that were in flight.
+    pub(super) requests: NamedRequests,
     pub(super) ran_ms: u32,
 }
 
@@ -57,6 +60,28 @@
 }
 
 impl SuspectRecord {
+    /// Adds a crash, or what another daemon had in flight at a known one; returns whether there is
+    /// anything new.
+    pub(super) fn add(&mut self, crash: CountedCrash, note: SuspectNote) -> bool {
+        let mut crashes = self.crashes.iter_mut();
+        if let Some(known) = crashes.find(|known| known.crash.process == crash.process) {
+            let named = note.requests.iter();
+            return named
+                .filter(|request| known.requests.insert(*request))
+                .count()
+                > 0;
+        }
+        let has_room = self.crashes.len() < MAX_CRASHES;
+        if has_room {
+            self.crashes.push(RecordedCrash {
+                crash,
+                requests: note.requests,
+                ran_ms: note.ran_ms,
+            });
+        }
+        has_room
+    }
+
     pub(super) fn includes(&self, crash: &RecordedCrash) -> bool {
         let process = crash.crash.process;
         self.crashes
@@ -77,8 +102,8 @@
         }
     }
 
-    /// Returns the number of crashes, of which those at the same moment count as one, and of
-    /// a part those with the same request.
+    /// Returns the number of crashes, of which those at the same moment count as one; of a part
+    /// the most of them that different requests can be assigned to.
     pub(super) fn separate_crashes(&self, suspect: Suspect) -> usize {
         self.separate_crashes_since(suspect, Timestamp::ZERO)
     }
@@ -100,17 +125,21 @@
         let mut crashes: Vec<_> = crashes.filter(|known| known.crash.at >= since).collect();
         crashes.sort_unstable_by_key(|known| known.crash.at);
         let mut last: Option<Timestamp> = None;
-        let mut requests = BTreeSet::new();
+        let mut assigned = BTreeMap::new();
         let mut count = 0;
-        for known in crashes {
+        for (index, known) in crashes.iter().enumerate() {
             let at = known.crash.at;
             let began_at = at.before(Duration::from_millis(known.ran_ms.into()));
             let is_same_cause =
                 last.is_some_and(|last| at.since(last) < SAME_CAUSE && began_at < last);
-            let is_repeat =
-                matches!(suspect, Suspect::Part(_)) && requests.contains(&known.request);
-            if !is_same_cause && !is_repeat {
-                requests.insert(known.request);
+            if is_same_cause {
+                continue;
+            }
+            let counts = match suspect {
+                Suspect::Request(_) => true,
+                Suspect::Part(_) => assign(&crashes, index, &mut assigned, &mut BTreeSet::new()),
+            };
+            if counts {
                 last = Some(at);
                 count += 1;
             }
@@ -118,3 +147,26 @@
         count
     }
 }
+
+/// Assigns a request to a crash, moving others to further requests of theirs if need be;
+/// returns whether there is one.
+fn assign(
+    crashes: &[&RecordedCrash],
+    index: usize,
+    assigned: &mut BTreeMap<Fingerprint, usize>,
+    tried: &mut BTreeSet<Fingerprint>,
+) -> bool {
+    crashes[index].requests.iter().any(|request| {
+        if !tried.insert(request) {
+            return false;
+        }
+        let is_free = match assigned.get(&request).copied() {
+            Some(other) => assign(crashes, other, assigned, tried),
+            None => true,
+        };
+        if is_free {
+            assigned.insert(request, index);
+        }
+        is_free
+    })
+}
--- a/crates/laburnumstall-core/src/quarantine/tally.rs
+++ b/crates/laburnumstall-core/src/quarantine/tally.rs
@@ -12,7 +12,8 @@
 //! all of its crashes, see `dominant`. A request that was in flight at several crashes
 //! waits before it is sent again, see [`CrashTally::settles_at`].
 //!
-//! Repeats of one request count once against the parts of its prompt. Parts are in flight
+//! Repeats of one request count once against the parts of its prompt: as many crashes count as
+//! different requests can be assigned to, of those that each crash names. Parts are in flight
 //! together: the quarantine of one explains the crashes that led to it, and they no longer
 //! count against requests, nor against earlier parts, which more prompts have.
 //!
@@ -25,7 +26,7 @@
 
 use super::clearances::Clearances;
 use super::suspect::{CountedCrash, ProcessKey, Suspect, SuspectNote};
-use super::suspect_record::{HoldBasis, MIN_CRASHES, RecordedCrash, SuspectRecord};
+use super::suspect_record::{HoldBasis, MIN_CRASHES, SuspectRecord};
 use crate::ids::Fingerprint;
 use crate::units::Timestamp;
 
@@ -53,8 +54,6 @@
 const SETTLE_SPREAD_MS: u64 = 600;
 /// Maximum number of suspects with crashes, and of quarantined ones.
 pub const MAX_RECORDS: usize = 4_096;
-/// Maximum number of crashes recorded for a suspect.
-const MAX_CRASHES: usize = 32;
 /// Maximum number of completions.
 const MAX_COMPLETIONS: usize = 65_536;
 
@@ -157,15 +156,9 @@
         if record.completed_at.is_some_and(|at| crash.at <= at) {
             return None;
         }
-        let is_known = |known: &RecordedCrash| known.crash.process == crash.process;
-        if record.crashes.iter().any(is_known) || record.crashes.len() >= MAX_CRASHES {
+        if !record.add(crash, note) {
             return None;
         }
-        record.crashes.push(RecordedCrash {
-            crash,
-            request: note.request,
-            ran_ms: note.ran_ms,
-        });
         let min_crashes = match hold {
             Some(hold) if now < hold.until => return None,
             Some(hold) if now.since(hold.until) < PROBATION => 1,
@@ -377,7 +370,7 @@
             record.crashes.iter().map(|known| {
                 let note = SuspectNote {
                     suspect: *suspect,
-                    request: known.request,
+                    requests: known.requests,
                     ran_ms: known.ran_ms,
                     depth: record.depth,
                     has_completed: record.completed_at.is_some(),
--- a/crates/laburnumstall-core/tests/crash_tally.rs
+++ b/crates/laburnumstall-core/tests/crash_tally.rs
@@ -24,7 +24,7 @@
 fn note(suspect: Suspect) -> SuspectNote {
     SuspectNote {
         suspect,
-        request: Fingerprint(7),
+        requests: Fingerprint(7).into(),
         ran_ms: 1_000,
         depth: 0,
         has_completed: false,
@@ -34,7 +34,7 @@
 /// Note of a part of the prompt of a request.
 fn part(suspect: Suspect, depth: u8, request: u64) -> SuspectNote {
     SuspectNote {
-        request: Fingerprint(request),
+        requests: Fingerprint(request).into(),
         depth,
         ..note(suspect)
     }
@@ -193,7 +193,7 @@
     requests.iter().position(|request| {
         let crash = crash(*request, request * 100);
         let note = SuspectNote {
-            request: Fingerprint(*request),
+            requests: Fingerprint(*request).into(),
             ..note
         };
         tally.on_crash(crash.at, note, crash).is_some()
