Release a first part when the later one is reported late

Cause: the reports of several daemons about one crash arrive one after another, and each is decided upon at once. If the third crash is first reported by a daemon that lost only sound requests there, the first part of their prompts has three crashes and the later part two, so nothing dominates the first part. When the other report comes, the later part has as many crashes, but not by three different requests, and nothing looked at the quarantine again.

Evidence: `late_report_of_the_later_part_releases_the_first` failed: the late report decided nothing.

Change: a suspect that a report makes likelier than one that is quarantined for the same crash takes its place; what it explains goes free, as after any decision.

Open: a request that was repeated and is reported late does not take the place of a part; the part is released when its quarantine ends.

--- a/crates/laburnumstall-core/src/quarantine/tally.rs
+++ b/crates/laburnumstall-core/src/quarantine/tally.rs
@@ -164,10 +164,13 @@
             Some(hold) if now.since(hold.until) < PROBATION => 1,
             _ => record.min_crashes(suspect),
         };
-        if record.separate_crashes(suspect) < min_crashes {
+        let suspect = if record.separate_crashes(suspect) >= min_crashes {
+            self.dominant(suspect)
+        } else if self.dominates_held(now, suspect, crash) {
+            suspect
+        } else {
             return None;
-        }
-        let suspect = self.dominant(suspect);
+        };
         let hold = self.holds.get(&suspect).copied();
         if hold.is_some_and(|hold| now < hold.until) {
             return None;
@@ -186,6 +189,28 @@
         Some((suspect, until))
     }
 
+    /// Returns whether a suspect is more likely the cause of a crash than one that is quarantined for
+    /// it: the reports of daemons about one crash arrive one after another.
+    fn dominates_held(&self, now: Timestamp, suspect: Suspect, crash: CountedCrash) -> bool {
+        let crashes = self
+            .records
+            .get(&suspect)
+            .map_or(0, |known| known.crashes.len());
+        if crashes < MIN_CRASHES {
+            return false;
+        }
+        let held = self.held(now).map(|(held, _)| held);
+        let mut held = held.filter(|held| {
+            let crashes = self
+                .records
+                .get(held)
+                .map_or(&[][..], |known| &known.crashes);
+            let mut processes = crashes.iter().map(|known| known.crash.process);
+            processes.any(|process| process == crash.process)
+        });
+        held.any(|held| self.dominant(held) == suspect)
+    }
+
     /// Returns the suspect that was in flight at all crashes of `suspect` and is more likely the
     /// cause, or `suspect` itself: one of its kind with more crashes, a later part with as many,
     /// or, for a part, a request that was sent that often.
--- a/crates/laburnumstall-core/tests/crash_tally.rs
+++ b/crates/laburnumstall-core/tests/crash_tally.rs
@@ -382,3 +382,28 @@
     let settles_at = tally.settles_at(Fingerprint(7)).unwrap();
     assert!((at(200)..at(1_100)).contains(&settles_at));
 }
+
+/// The daemon that lost requests with both parts reports the third crash after the others.
+#[test]
+fn late_report_of_the_later_part_releases_the_first() {
+    let mut tally = CrashTally::default();
+    let bad = part(BAD_PART, 1, 1);
+    for number in [1, 2] {
+        let crash = crash(number, number * 100);
+        assert!(tally.on_crash(crash.at, bad, crash).is_none());
+        let first = tally.on_crash(crash.at, part(FIRST_PART, 2, 10 + number), crash);
+        assert!(first.is_none());
+    }
+    let third = crash(3, 300);
+    let decided = tally.on_crash(third.at, part(FIRST_PART, 2, 13), third);
+    assert_eq!(decided.map(|(suspect, _)| suspect), Some(FIRST_PART));
+    let (processes, depth) = tally.crashes(FIRST_PART);
+    tally.explain(third.at, FIRST_PART, depth, &processes);
+    let decided = tally.on_crash(third.at, bad, third);
+    assert_eq!(decided.map(|(suspect, _)| suspect), Some(BAD_PART));
+    let (processes, depth) = tally.crashes(BAD_PART);
+    assert_eq!(
+        tally.explain(third.at, BAD_PART, depth, &processes),
+        [FIRST_PART]
+    );
+}
