Require more crashes of parts from daemons that have just started

Cause: a part that was in no completed request needs three crashes, one that was needs five. A daemon that started 0.2 s ago has seen nothing complete, so it took the first part of a customer's prompts for an unknown one. The reports of the daemon that knew of the later part came half a second later, when the two had reached each other: traced in the logs, in which the decider knew of two requests with the later part and of three with the first.

Change: for 30 s from its start a daemon counts five crashes for any part.

Why it works: the absence of completions is evidence only where there was time to see them. Five crashes are what the users' rule for parts starts from, so nothing is found too late. Requests need three crashes as before.

Evidence: `started_daemons_do_not_take_a_sound_part_for_an_unknown_one` failed without the condition (a trial: 4 of 4 daemons refused).

--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -107,6 +107,11 @@
         Err(refusal)
     }
 
+    /// Records when the daemon started: before, it has seen no request complete.
+    pub fn on_daemon_started(&mut self, now: Timestamp) {
+        self.quarantine.on_started(now);
+    }
+
     /// Applies a message from a peer.
     pub fn on_quarantine_update(&mut self, now: Timestamp, update: QuarantineUpdate) {
         for clearance in update.clearances {
--- a/crates/laburnumstall-core/src/quarantine.rs
+++ b/crates/laburnumstall-core/src/quarantine.rs
@@ -15,6 +15,7 @@
 mod clearances;
 mod crash;
 mod evidence;
+mod hold;
 mod retention;
 mod suspect;
 mod suspect_record;
@@ -27,15 +28,14 @@
 
 use crate::prelude::*;
 use crash::{EndpointOutcomes, ReportKey, Reports, RequestState, RequestTimes};
+pub use hold::{FIRST_PART_HOLD, HOLD_TIME, HoldBasis};
 use retention::{MAX_REPORTS, REPORT_TTL};
 pub use suspect::{CountedCrash, NamedRequests, ProcessKey, Suspect, SuspectNote};
-pub use suspect_record::{HoldBasis, MIN_CRASHES, MIN_CRASHES_OF_KNOWN, SAME_CAUSE};
+pub use suspect_record::{MIN_CRASHES, MIN_CRASHES_OF_KNOWN, SAME_CAUSE};
 pub use suspicion::{
     Clearance, CrashReport, QuarantineRecord, Reclaim, Return, Suspicion, TrialClaim,
 };
-pub use tally::{
-    COMPLETION_TTL, CRASH_TTL, CrashTally, FIRST_PART_HOLD, HOLD_TIME, MAX_RECORDS, SOUND_TIME,
-};
+pub use tally::{COMPLETION_TTL, CRASH_TTL, CrashTally, MAX_RECORDS, SOUND_TIME};
 use trial::{Trials, Turn};
 
 /// Maximum time between reports of one crash by different daemons.
--- a/crates/laburnumstall-core/src/quarantine/clearances.rs
+++ b/crates/laburnumstall-core/src/quarantine/clearances.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 
+use super::hold::HOLD_TIME;
 use super::suspect::Suspect;
-use super::tally::{HOLD_TIME, MAX_RECORDS};
+use super::tally::MAX_RECORDS;
 use crate::units::Timestamp;
 
 /// Latest completions that ended quarantines. Kept for as long as a daemon that missed one may go
--- a/crates/laburnumstall-core/src/quarantine/suspect_record.rs
+++ b/crates/laburnumstall-core/src/quarantine/suspect_record.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::hold::HoldBasis;
 use super::suspect::{CountedCrash, NamedRequests, ProcessKey, Suspect, SuspectNote};
-use crate::domain_value;
 use crate::ids::Fingerprint;
 use crate::units::Timestamp;
 
@@ -17,17 +17,6 @@
 /// after the earlier one.
 pub const SAME_CAUSE: Duration = Duration::from_millis(8);
 
-domain_value! {
-    /// What a quarantine is based on.
-    #[derive(Default)]
-    pub struct HoldBasis {
-        /// Time of the first of the latest crashes that are enough for it.
-        pub since: Timestamp,
-        /// Number of crashes.
-        pub crashes: u32,
-    }
-}
-
 /// Maximum number of crashes recorded for a suspect.
 const MAX_CRASHES: usize = 32;
 
@@ -50,15 +39,6 @@
     pub(super) updated_at: Timestamp,
 }
 
-impl HoldBasis {
-    /// Returns whether a completed request with the suspect speaks against the quarantine: it ended
-    /// after the crashes, or shows a part to be known, which needs more of them.
-    pub fn is_refuted_by(&self, suspect: Suspect, completed_at: Timestamp) -> bool {
-        let is_part = matches!(suspect, Suspect::Part(_));
-        completed_at >= self.since || (is_part && (self.crashes as usize) < MIN_CRASHES_OF_KNOWN)
-    }
-}
-
 impl SuspectRecord {
     /// Adds a crash, or what another daemon had in flight at a known one; returns whether there is
     /// anything new.
--- a/crates/laburnumstall-core/src/quarantine/tally.rs
+++ b/crates/laburnumstall-core/src/quarantine/tally.rs
@@ -25,19 +25,14 @@
 use std::time::Duration;
 
 use super::clearances::Clearances;
+use super::hold::{HOLD_TIME, Hold, HoldBasis, hold_time};
 use super::suspect::{CountedCrash, ProcessKey, Suspect, SuspectNote};
-use super::suspect_record::{HoldBasis, MIN_CRASHES, SuspectRecord};
+use super::suspect_record::{MIN_CRASHES, MIN_CRASHES_OF_KNOWN, SuspectRecord};
 use crate::ids::Fingerprint;
 use crate::units::Timestamp;
 
 /// Time for which a crash counts against a suspect.
 pub const CRASH_TTL: Duration = Duration::from_secs(600);
-/// Time for which a request is quarantined, and the longest time for a part: the longest lease
-/// of the key-value services that daemons use.
-pub const HOLD_TIME: Duration = Duration::from_secs(600);
-/// Time for which a part is quarantined at first, since sound requests may have it as well; each
-/// further time lasts twice as long.
-pub const FIRST_PART_HOLD: Duration = Duration::from_secs(60);
 /// Time after a quarantine in which a single crash quarantines the suspect again.
 const PROBATION: Duration = Duration::from_secs(24 * 3600);
 /// Time after a completion in which a crash does not count against a request: other copies of
@@ -45,6 +40,9 @@
 pub const SOUND_TIME: Duration = Duration::from_secs(2);
 /// Time for which the completion of a request with a part shows that the part is sound.
 pub const COMPLETION_TTL: Duration = Duration::from_secs(600);
+/// Time from its start after which a daemon that has seen no request with a part complete takes the
+/// part for one that is not known.
+const OBSERVATION_TIME: Duration = Duration::from_secs(30);
 /// Interval at which old completions are removed.
 const COMPLETION_SCAN_INTERVAL: Duration = Duration::from_secs(10);
 /// Shortest time after the latest of several crashes in which a request is not sent again: others
@@ -57,14 +55,6 @@
 /// Maximum number of completions.
 const MAX_COMPLETIONS: usize = 65_536;
 
-/// Quarantine of a suspect, kept for a while after its end.
-#[derive(Debug, Clone, Copy)]
-struct Hold {
-    basis: HoldBasis,
-    until: Timestamp,
-    count: u32,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Explanation {
     by: Suspect,
@@ -82,10 +72,16 @@
     /// When requests with a suspect last ran to completion at this daemon.
     completions: HashMap<Suspect, Timestamp>,
     clearances: Clearances,
+    started_at: Timestamp,
     scanned_at: Timestamp,
 }
 
 impl CrashTally {
+    /// Records when the daemon started.
+    pub fn on_started(&mut self, now: Timestamp) {
+        self.started_at = now;
+    }
+
     /// Returns whether anything may be quarantined now.
     pub fn has_holds(&self) -> bool {
         !self.holds.is_empty()
@@ -147,6 +143,7 @@
             return None;
         }
         let clearance = self.clearances.get(suspect);
+        let is_new = now.since(self.started_at) < OBSERVATION_TIME;
         let hold = self.holds.get(&suspect).copied();
         let record = self.record(now, note);
         if note.has_completed {
@@ -162,6 +159,7 @@
         let min_crashes = match hold {
             Some(hold) if now < hold.until => return None,
             Some(hold) if now.since(hold.until) < PROBATION => 1,
+            _ if is_new && matches!(suspect, Suspect::Part(_)) => MIN_CRASHES_OF_KNOWN,
             _ => record.min_crashes(suspect),
         };
         let suspect = if record.separate_crashes(suspect) >= min_crashes {
@@ -484,13 +482,3 @@
         Suspect::Part(_) => COMPLETION_TTL,
     }
 }
-
-fn hold_time(suspect: Suspect, count: u32) -> Duration {
-    match suspect {
-        Suspect::Request(_) => HOLD_TIME,
-        Suspect::Part(_) => {
-            let doublings = count.saturating_sub(1).min(8);
-            (FIRST_PART_HOLD * 2_u32.pow(doublings)).min(HOLD_TIME)
-        }
-    }
-}
--- a/crates/laburnumstall-core/tests/gateway/fleet.rs
+++ b/crates/laburnumstall-core/tests/gateway/fleet.rs
@@ -1,6 +1,7 @@
 //! Fleets of gateways that share what crashes their endpoints.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use crate::stream_origins::gossip;
 use crate::support::{at, bounds, call_attributes, daemon, endpoint, member, rules};
@@ -24,7 +25,17 @@
 }
 
 impl Fleet {
+    /// Starts daemons that have been running for a while.
     pub(crate) fn new(daemons: u32) -> Self {
+        let mut fleet = Self::starting(daemons);
+        for gateway in fleet.gateways.values_mut() {
+            gateway.on_daemon_started(at(0).before(Duration::from_secs(600)));
+        }
+        fleet
+    }
+
+    /// Starts daemons that know of no completed request yet.
+    pub(crate) fn starting(daemons: u32) -> Self {
         let plain = ["a", "b", "c", "d", "e", "f"].map(|id| endpoint(id, "app", "north-a"));
         let models = ["u", "v", "w", "x", "y", "z"].map(|id| endpoint(id, "model", "north-a"));
         let endpoints: Vec<EndpointRecord> = plain.into_iter().chain(models).collect();
@@ -147,6 +158,7 @@
 pub(crate) fn start(own: u32, daemons: u32, endpoints: &[EndpointRecord]) -> Gateway {
     let own = member(own);
     let mut gateway = Gateway::new(own.id.clone(), own.zone, own.caller_address, bounds());
+    gateway.on_daemon_started(at(0));
     gateway.on_store_confirmed(at(0), at(0));
     gateway.on_rules(at(0), rules(1));
     gateway.on_endpoints(at(0), endpoints.to_vec());
--- a/crates/laburnumstall-core/tests/gateway/part_evidence.rs
+++ b/crates/laburnumstall-core/tests/gateway/part_evidence.rs
@@ -134,3 +134,16 @@
     assert_eq!(fleet.refusing_call(at(510), &call(&[BAD], 900)), 3);
     assert_eq!(fleet.refusing_call(at(510), &plain), 0);
 }
+
+/// Daemons that have just started have seen no request with the first part complete either.
+#[test]
+fn started_daemons_do_not_take_a_sound_part_for_an_unknown_one() {
+    let mut fleet = Fleet::starting(4);
+    crash_thrice(&mut fleet, &[FIRST]);
+    assert_eq!(fleet.refusing_call(at(510), &call(&[FIRST], 900)), 0);
+    fleet.tick(at(600));
+    for (number, ms) in [(1, 700), (2, 900)] {
+        fleet.crash_by(at(ms), number, call(&[FIRST], ms));
+    }
+    assert_eq!(fleet.refusing_call(at(910), &call(&[FIRST], 901)), 4);
+}
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -161,12 +161,13 @@
         leaving: false,
     };
 
-    let gateway = Gateway::new(
+    let mut gateway = Gateway::new(
         own.clone(),
         settings.zone.clone(),
         settings.front,
         settings.bounds.clone(),
     );
+    gateway.on_daemon_started(clock.now());
     let metrics_registry = GatewayMetrics::register().context(MetricsSnafu)?;
     let cx = Context::new(
         settings,
