--- a/crates/laburnumstalld/benches/relay.rs
+++ b/crates/laburnumstalld/benches/relay.rs
@@ -1,7 +1,8 @@
 //! Compares relaying tokens through two daemons, owner and standby, with a bare relay that
 //! has no control logic.
 //!
-//! `cargo bench -p laburnumstalld --bench relay`
+//! `cargo bench -p laburnumstalld --bench relay`; with `-- --test` a short run that only shows that
+//! streams arrive whole.
 //!
 //! Daemons and the bare relay are separate processes, so that their CPU time can be measured
 //! separately. An endpoint in this process sends each token in its own chunk at a fixed pace;
@@ -28,14 +29,30 @@
 use fleet::Fleet;
 use processor::CpuTimes;
 
-/// Concurrent streams; with one token per 20 ms they make 10,000 tokens a second.
-const STREAMS: usize = 200;
+/// How much is relayed.
+struct Size {
+    /// Concurrent streams; with one token per 20 ms, 200 make 10,000 tokens a second.
+    streams: usize,
+    /// Tokens of each answer.
+    answer_tokens: u64,
+    /// Streams whose first token is timed while the others run.
+    timed_streams: usize,
+}
 
-/// Tokens of each answer.
-const ANSWER_TOKENS: u64 = 200;
+impl Size {
+    const FULL: Self = Self {
+        streams: 200,
+        answer_tokens: 200,
+        timed_streams: 400,
+    };
 
-/// Streams whose first token is timed while the others run.
-const TIMED_STREAMS: usize = 400;
+    /// Shows that streams arrive whole, and measures nothing.
+    const SHORT: Self = Self {
+        streams: 20,
+        answer_tokens: 20,
+        timed_streams: 40,
+    };
+}
 
 /// Time between the starts of two timed streams.
 const TIMED_PERIOD: Duration = Duration::from_millis(10);
@@ -86,8 +103,10 @@
         },
     ];
     caller::wait_for_answer(fleet.processes[0].callers);
+    let is_short = std::env::args().any(|arg| arg == "--test");
+    let size = if is_short { Size::SHORT } else { Size::FULL };
     for path in &paths {
-        report(path);
+        report(path, &size);
     }
     measure(&paths);
     relay.close();
@@ -95,7 +114,7 @@
 }
 
 /// Prints the CPU time per token and the time to the first token.
-fn report(path: &RelayPath) {
+fn report(path: &RelayPath, size: &Size) {
     let before: Vec<CpuTimes> = path
         .processes
         .iter()
@@ -103,16 +122,19 @@
         .collect();
     let busy = busy_times(path);
     let started = Instant::now();
-    let streams = caller::spawn(path.address, STREAMS, ANSWER_TOKENS);
-    let mut firsts = caller::first_tokens(path.address, TIMED_STREAMS, TIMED_PERIOD);
+    let streams = caller::spawn(path.address, size.streams, size.answer_tokens);
+    let mut firsts = caller::first_tokens(path.address, size.timed_streams, TIMED_PERIOD);
     let complete = streams.join().expect("the callers end");
+    assert_eq!(complete, size.streams, "{}: whole streams", path.name);
     let time = started.elapsed();
     firsts.sort_unstable();
     let at = |permille: usize| firsts[(firsts.len() - 1) * permille / 1_000];
-    let tokens = complete as u64 * ANSWER_TOKENS + TIMED_STREAMS as u64 * source::SHORT_TOKENS;
+    let timed_tokens = size.timed_streams as u64 * source::SHORT_TOKENS;
+    let tokens = complete as u64 * size.answer_tokens + timed_tokens;
     println!(
-        "{}: {complete} of {STREAMS} streams whole, {:.0} tokens/s offered and relayed, first token p50 {:?} p99 {:?}",
+        "{}: {complete} of {} streams whole, {:.0} tokens/s offered and relayed, first token p50 {:?} p99 {:?}",
         path.name,
+        size.streams,
         tokens as f64 / time.as_secs_f64(),
         at(500),
         at(990)
--- a/crates/laburnumstalld/benches/relay/bare.rs
+++ b/crates/laburnumstalld/benches/relay/bare.rs
@@ -1,5 +1,6 @@
 //! A relay without control logic, in a separate process, on the daemon's HTTP libraries.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
@@ -24,6 +25,7 @@
         let program = std::env::current_exe().expect("this program has a path");
         let child = Command::new(program)
             .env(RELAY_VARIABLE, format!("{address} {endpoint}"))
+            .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .spawn();
         let child = child.expect("the relay starts");
@@ -36,9 +38,16 @@
         self.child.id()
     }
 
-    pub(crate) fn close(mut self) {
-        self.child.kill().expect("the relay runs");
-        self.child.wait().expect("the relay ended");
+    pub(crate) fn close(self) {
+        drop(self);
+    }
+}
+
+impl Drop for BareRelay {
+    fn drop(&mut self) {
+        // The process may have exited already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
@@ -47,8 +56,13 @@
     std::env::var_os(RELAY_VARIABLE).is_some()
 }
 
-/// Relays until the process is killed.
+/// Relays until the process is killed, or the bench ends in any way, which closes the pipe.
 pub(crate) fn run() {
+    std::thread::spawn(|| {
+        // An error ends the wait as the end of the pipe does.
+        let _ = std::io::stdin().read(&mut [0]);
+        std::process::exit(0);
+    });
     let addresses = std::env::var(RELAY_VARIABLE).unwrap_or_default();
     let (own, endpoint) = addresses.split_once(' ').expect("two addresses are given");
     let endpoint: SocketAddr = endpoint.parse().expect("an address");
--- a/crates/laburnumstalld/benches/relay/caller.rs
+++ b/crates/laburnumstalld/benches/relay/caller.rs
@@ -1,5 +1,6 @@
 //! Callers that read streams over plain TCP sockets.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -21,11 +22,29 @@
     runtime.expect("a runtime starts")
 }
 
+/// Bytes from the start of an answer that are kept to tell which one was lost.
+const MAX_SHOWN: usize = 512;
+
 /// Result of one call.
 struct CallResult {
     /// Time to the first token.
     first: Duration,
     is_complete: bool,
+    /// Bytes of the answer, head included.
+    bytes: usize,
+    /// Start of the answer: status, identifier and, of a refusal, its reason.
+    start: Vec<u8>,
+}
+
+impl fmt::Display for CallResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let end = match self.is_complete {
+            true => "whole",
+            false => "not whole",
+        };
+        let start = String::from_utf8_lossy(&self.start);
+        write!(f, "{} bytes, {end}: {start}", self.bytes)
+    }
 }
 
 /// Sends a chat and reads its answer up to the end marker or the end of the connection.
@@ -43,8 +62,13 @@
     let mut buf = vec![0; 1 << 16];
     let mut tail = Vec::new();
     let mut first = None;
+    let mut bytes = 0;
+    let mut start = Vec::new();
     loop {
         let size = stream.read(&mut buf).await?;
+        bytes += size;
+        let shown = size.min(MAX_SHOWN - start.len());
+        start.extend_from_slice(&buf[..shown]);
         tail.extend_from_slice(&buf[..size]);
         if first.is_none() && contains(&tail, b" word") {
             first = Some(started.elapsed());
@@ -52,7 +76,12 @@
         let is_complete = contains(&tail, b"[DONE]");
         if is_complete || size == 0 {
             let first = first.unwrap_or_default();
-            return Ok(CallResult { first, is_complete });
+            return Ok(CallResult {
+                first,
+                is_complete,
+                bytes,
+                start,
+            });
         }
         // Keeps more bytes than the longest marker has, but all of them until the first token.
         if first.is_some() && tail.len() > 16 {
@@ -75,7 +104,11 @@
             let mut complete = 0;
             for call in calls {
                 let result = call.await.expect("a call ends");
-                complete += usize::from(result.is_ok_and(|result| result.is_complete));
+                match result {
+                    Ok(result) if result.is_complete => complete += 1,
+                    Ok(result) => println!("lost: {result}"),
+                    Err(error) => println!("lost: {error}"),
+                }
             }
             complete
         })
@@ -93,7 +126,7 @@
         let mut firsts = Vec::new();
         for call in calls {
             let result = call.await.expect("a call ends").expect("an answer");
-            assert!(result.is_complete, "each timed answer is complete");
+            assert!(result.is_complete, "a timed answer is lost: {result}");
             firsts.push(result.first);
         }
         firsts
@@ -103,7 +136,8 @@
 /// Reads one unpaced answer.
 pub(crate) fn fast(address: SocketAddr) {
     let result = runtime().block_on(call(address, UNPACED_TOKENS));
-    assert!(result.expect("an answer").is_complete);
+    let result = result.expect("an answer");
+    assert!(result.is_complete, "an unpaced answer is lost: {result}");
 }
 
 /// Waits until the server at an address answers a chat.
