--- a/crates/laburnumstall-core/src/quarantine/suspect_record.rs
+++ b/crates/laburnumstall-core/src/quarantine/suspect_record.rs
@@ -10,7 +10,7 @@
 
 /// Number of separate crashes that quarantine a suspect.
 pub const MIN_CRASHES: usize = 3;
-/// The same for a part that was in a completed request within [`COMPLETION_TTL`].
+/// The same for a part that was in a completed request within [`super::COMPLETION_TTL`].
 pub const MIN_CRASHES_OF_KNOWN: usize = 5;
 /// Time within which crashes of several processes may have one cause: copies of a sound request
 /// may be in flight on all of them. They count as one, unless the attempt at the later one began
