--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -48,6 +48,8 @@
 pub struct EndpointEntry {
     /// Its latest entry.
     pub record: EndpointRecord,
+    /// When this daemon last learned that the endpoint wrote its entry.
+    written_at: Timestamp,
     /// When its entry expired around an outage; `None` while the entry exists.
     expired_at: Option<Timestamp>,
 }
@@ -76,11 +78,12 @@
         record: EndpointRecord,
         journal: &mut Journal,
     ) -> bool {
-        let known = self.endpoints.get(&record.id);
-        if known.is_some_and(|known| known.record == record && known.expired_at.is_none()) {
-            return false;
-        }
+        let known = self.endpoints.get_mut(&record.id);
         let choice = match known {
+            Some(known) if known.record == record && known.expired_at.is_none() => {
+                known.written_at = now;
+                return false;
+            }
             _ if record.is_leaving => "leaving",
             None => "listed",
             Some(_) => "changed",
@@ -90,6 +93,7 @@
             record.id.clone(),
             EndpointEntry {
                 record,
+                written_at: now,
                 expired_at: None,
             },
         );
@@ -112,21 +116,11 @@
         if is_after_outage && !known.record.is_leaving {
             if known.expired_at.is_none() {
                 known.expired_at = Some(now);
-                journal.record(endpoint_decision(
-                    now,
-                    "kept",
-                    "lapsed-in-outage",
-                    &known.record,
-                ));
+                journal.record(removal_decision(now, "kept", "lapsed-in-outage", known));
             }
             return false;
         }
-        journal.record(endpoint_decision(
-            now,
-            "removed",
-            "entry-gone",
-            &known.record,
-        ));
+        journal.record(removal_decision(now, "removed", "entry-gone", known));
         self.endpoints.remove(id);
         true
     }
@@ -175,18 +169,19 @@
             .collect();
         for id in &expired {
             if let Some(entry) = self.endpoints.remove(id) {
-                journal.record(endpoint_decision(
-                    now,
-                    "removed",
-                    "not-back-after-outage",
-                    &entry.record,
-                ));
+                let reason = "not-back-after-outage";
+                journal.record(removal_decision(now, "removed", reason, &entry));
             }
         }
         !expired.is_empty()
     }
 }
 
+fn removal_decision(now: Timestamp, choice: &str, reason: &str, entry: &EndpointEntry) -> Decision {
+    endpoint_decision(now, choice, reason, &entry.record)
+        .with("written_ms_ago", now.since(entry.written_at).as_millis())
+}
+
 fn endpoint_decision(
     now: Timestamp,
     choice: &str,
