--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod endpoint_selection;
 mod failed_calls;
 mod fleet;
+mod leaving_endpoints;
 mod missed_clearances;
 mod part_evidence;
 mod peer_messages;
