Use endpoints whose entries expired in an outage until two seconds after it

Callers saw requests at endpoints that had left (DRAIN). Cause: an entry that goes within 1 s of the end of an outage, as a daemon sees it, may have expired in the outage, and its endpoint stayed in use for 2 s from the moment at which the daemon found the entry gone. A live endpoint is back 2 s after the store's return, whenever its entry went; so the time was up to 1 s too long and ended after the bound. The time now counts from when the first successful read of the store was sent, and a second outage holds it.

--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -50,8 +50,8 @@
     pub record: EndpointRecord,
     /// When this daemon last learned that the endpoint wrote its entry.
     written_at: Timestamp,
-    /// When its entry expired around an outage; `None` while the entry exists.
-    expired_at: Option<Timestamp>,
+    /// Whether its entry expired around an outage.
+    is_expired: bool,
 }
 
 /// All known endpoints.
@@ -80,7 +80,7 @@
     ) -> bool {
         let known = self.endpoints.get_mut(&record.id);
         let choice = match known {
-            Some(known) if known.record == record && known.expired_at.is_none() => {
+            Some(known) if known.record == record && !known.is_expired => {
                 known.written_at = now;
                 return false;
             }
@@ -94,7 +94,7 @@
             EndpointEntry {
                 record,
                 written_at: now,
-                expired_at: None,
+                is_expired: false,
             },
         );
         true
@@ -114,8 +114,7 @@
             return false;
         };
         if is_after_outage && !known.record.is_leaving {
-            if known.expired_at.is_none() {
-                known.expired_at = Some(now);
+            if !std::mem::replace(&mut known.is_expired, true) {
                 journal.record(removal_decision(now, "kept", "lapsed-in-outage", known));
             }
             return false;
@@ -151,20 +150,22 @@
         is_changed
     }
 
-    /// Removes endpoints whose entries expired in an outage that ended at `store_ok_since` and
+    /// Removes endpoints whose entries expired in an outage that ended at `outage_ended_at` and
     /// that have not registered again within [`REREGISTER_TIME`]; returns whether any were
     /// removed.
     pub fn remove_expired(
         &mut self,
         now: Timestamp,
-        store_ok_since: Timestamp,
+        outage_ended_at: Timestamp,
         journal: &mut Journal,
     ) -> bool {
-        let is_due = |at: Timestamp| now.since(at.max(store_ok_since)) >= REREGISTER_TIME;
+        if now.since(outage_ended_at) < REREGISTER_TIME {
+            return false;
+        }
         let expired: Vec<EndpointId> = self
             .endpoints
             .values()
-            .filter(|entry| entry.expired_at.is_some_and(is_due))
+            .filter(|entry| entry.is_expired)
             .map(|entry| entry.record.id.clone())
             .collect();
         for id in &expired {
--- a/crates/laburnumstall-core/src/gateway/freshness.rs
+++ b/crates/laburnumstall-core/src/gateway/freshness.rs
@@ -22,7 +22,7 @@
     confirmed_at: Option<Timestamp>,
     /// First failure since the last successful call.
     failing_since: Option<Timestamp>,
-    /// End of the last outage.
+    /// End of the last outage: when the call was sent that succeeded again.
     outage_ended_at: Option<Timestamp>,
     max_trusted_age: Duration,
 }
@@ -48,7 +48,7 @@
     pub fn on_confirmed(&mut self, now: Timestamp, sent: Timestamp) {
         let failing_since = self.failing_since.take();
         if failing_since.is_some_and(|since| now.since(since) >= MIN_OUTAGE) {
-            self.outage_ended_at = Some(now);
+            self.outage_ended_at = Some(sent);
         }
         self.confirmed_at = Some(self.confirmed_at.map_or(sent, |known| known.max(sent)));
     }
@@ -80,6 +80,13 @@
         self.age(now).is_some_and(|age| age < limit)
     }
 
+    /// Returns the end of the last outage; `None` during one.
+    pub(super) fn outage_ended_at(&self, now: Timestamp) -> Option<Timestamp> {
+        let is_outage = |since| now.since(since) >= MIN_OUTAGE;
+        self.outage_ended_at
+            .filter(|_| !self.failing_since.is_some_and(is_outage))
+    }
+
     /// Returns whether an outage ended within the last `span`.
     pub fn had_outage(&self, now: Timestamp, span: Duration) -> bool {
         self.outage_ended_at.is_some_and(|at| now.since(at) < span)
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -181,10 +181,10 @@
         self.load_balancer
             .set_peer_work(self.peer_table.reachable(now));
         self.update_member_count(now);
-        if let Some(store_ok_since) = self.store_ok_since
+        if let Some(outage_ended_at) = self.freshness.outage_ended_at(now)
             && self
                 .endpoints
-                .remove_expired(now, store_ok_since, &mut self.journal)
+                .remove_expired(now, outage_ended_at, &mut self.journal)
         {
             self.load_balancer.set_endpoints(&self.endpoints);
             self.observe_versions(now);
