Keep endpoints whose entries go in the read that ends an outage

Callers were refused after an outage although their endpoints were alive. Cause: the changes of a read are applied before the read counts as the end of the outage, and an outage counted only once it had ended; so an entry that had expired in the outage, and whose removal the first read returns, was taken for a removed one. An outage now counts while it lasts, too.

Failed before: leaving_endpoints::expired_entries_removed_by_first_read_after_outage.

--- a/crates/laburnumstall-core/src/gateway/freshness.rs
+++ b/crates/laburnumstall-core/src/gateway/freshness.rs
@@ -46,10 +46,10 @@
 
     /// Records that a call sent at `sent` returned the store's current state.
     pub fn on_confirmed(&mut self, now: Timestamp, sent: Timestamp) {
-        let failing_since = self.failing_since.take();
-        if failing_since.is_some_and(|since| now.since(since) >= MIN_OUTAGE) {
+        if self.is_outage(now) {
             self.outage_ended_at = Some(sent);
         }
+        self.failing_since = None;
         self.confirmed_at = Some(self.confirmed_at.map_or(sent, |known| known.max(sent)));
     }
 
@@ -82,14 +82,18 @@
 
     /// Returns the end of the last outage; `None` during one.
     pub(super) fn outage_ended_at(&self, now: Timestamp) -> Option<Timestamp> {
-        let is_outage = |since| now.since(since) >= MIN_OUTAGE;
-        self.outage_ended_at
-            .filter(|_| !self.failing_since.is_some_and(is_outage))
+        self.outage_ended_at.filter(|_| !self.is_outage(now))
     }
 
-    /// Returns whether an outage ended within the last `span`.
+    /// Returns whether there is an outage or one ended within the last `span`.
     pub fn had_outage(&self, now: Timestamp, span: Duration) -> bool {
-        self.outage_ended_at.is_some_and(|at| now.since(at) < span)
+        let has_ended = |at| now.since(at) < span;
+        self.is_outage(now) || self.outage_ended_at.is_some_and(has_ended)
+    }
+
+    fn is_outage(&self, now: Timestamp) -> bool {
+        self.failing_since
+            .is_some_and(|since| now.since(since) >= MIN_OUTAGE)
     }
 }
 
--- a/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
+++ b/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
@@ -21,3 +21,18 @@
     gateway.tick(at(10_050));
     assert!(!is_known(&gateway, "engine-1"));
 }
+
+/// Entries that expired in an outage are removed by the read that ends it.
+#[test]
+fn expired_entries_removed_by_first_read_after_outage() {
+    let mut gateway = gateway(&[
+        endpoint("engine-1", "model", "north-a"),
+        endpoint("engine-2", "model", "north-a"),
+    ]);
+    gateway.on_store_failure(at(1_000), "refused");
+    gateway.on_endpoint_removed(at(8_000), &"engine-1".parse().unwrap());
+    gateway.on_store_confirmed(at(8_000), at(7_990));
+    assert!(is_known(&gateway, "engine-1"), "it may register again");
+    gateway.tick(at(10_050));
+    assert!(!is_known(&gateway, "engine-1"));
+}
