Do not take a daemon's own outage for one of the store while peers read it

Cause: its own failed calls counted as an outage, in which entries expire; a peer's confirmation kept the view fresh but did not end the outage. A peer's read that succeeded after the first failure now ends it: the store has served the peer, so no entry expired for want of the store.

Failed before: store_view::own_outage_taken_for_one_of_the_store.

--- a/crates/laburnumstall-core/src/gateway/freshness.rs
+++ b/crates/laburnumstall-core/src/gateway/freshness.rs
@@ -50,13 +50,16 @@
             self.outage_ended_at = Some(sent);
         }
         self.failing_since = None;
-        self.confirmed_at = Some(self.confirmed_at.map_or(sent, |known| known.max(sent)));
+        self.confirmed_at = self.confirmed_at.max(Some(sent));
     }
 
     /// Records that a peer confirmed the state as of `as_of`; this daemon's own calls may
-    /// still fail.
-    pub(super) fn on_peer_confirmed(&mut self, as_of: Timestamp) {
-        self.confirmed_at = Some(self.confirmed_at.map_or(as_of, |known| known.max(as_of)));
+    /// still fail. The store served the peer, so that no entry expired for want of it since.
+    pub(super) fn on_peer_confirmed(&mut self, now: Timestamp, as_of: Timestamp) {
+        match self.failing_since {
+            Some(since) if since < as_of => self.on_confirmed(now, as_of),
+            _ => self.confirmed_at = self.confirmed_at.max(Some(as_of)),
+        }
     }
 
     /// Records a failed call.
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -209,7 +209,7 @@
             }
         }
         if let Some(as_of) = self.view.on_update(update) {
-            self.freshness.on_peer_confirmed(as_of);
+            self.freshness.on_peer_confirmed(now, as_of);
         }
     }
 
--- a/crates/laburnumstall-core/tests/gateway/store_view.rs
+++ b/crates/laburnumstall-core/tests/gateway/store_view.rs
@@ -9,6 +9,8 @@
 
 /// Size of a fleet in which few daemons read.
 const DAEMONS: u32 = 32;
+/// Time that a message between daemons takes.
+const MESSAGE_DELAY: Duration = Duration::from_millis(20);
 
 fn gossip(sequence: u64, changed: u64, echo: u64) -> GossipMessage {
     GossipMessage {
@@ -216,3 +218,28 @@
     gateway.on_gossip(at(900), &daemon(2), gossip_with(5, echo, vec![rules]));
     assert!(gateway.next_read(at(900)).is_some());
 }
+
+/// Endpoints that leave while the store turns only this daemon away are removed.
+#[test]
+fn own_outage_taken_for_one_of_the_store() {
+    let mut gateway = non_reader();
+    let id = "engine-1".parse().unwrap();
+    for step in 1..=12 {
+        let now = at(step * 250);
+        gateway.on_store_failure(now, "busy");
+        let echo = gateway.next_gossip(now).sequence;
+        gateway.on_gossip(
+            now.after(MESSAGE_DELAY),
+            &daemon(2),
+            gossip(step + 1, 9, echo),
+        );
+    }
+    let mut message = gossip(14, 12, 0);
+    message.view.batches = vec![ViewBatch {
+        from: StoreVersion(9),
+        to: StoreVersion(12),
+        changes: vec![ViewChange::EndpointRemoved("engine-1".parse().unwrap())],
+    }];
+    gateway.on_gossip(at(3_200), &daemon(2), message);
+    assert!(gateway.endpoints().get(&id).is_none());
+}
