--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -190,6 +190,7 @@
         STORE_TIMEOUT,
     )));
     actix_rt::spawn(store_sync::run(Rc::clone(&cx), Rc::clone(&store)));
+    actix_rt::spawn(gossip::tick(Rc::clone(&cx)));
     actix_rt::spawn(gossip::send(Rc::clone(&cx), pins));
     actix_rt::spawn(gossip::receive(Rc::clone(&cx), rx));
     actix_rt::spawn(origins::replicate(Rc::clone(&cx)));
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use laburnumstall_core::gateway::PeerMessage;
+use laburnumstall_core::gateway::{GOSSIP_PERIOD, Gateway, PeerMessage};
 use laburnumstall_core::ids::DaemonId;
 use laburnumstall_peer::{PeerEvent, Pins};
 use tokio::sync::mpsc;
@@ -15,13 +15,20 @@
 /// Length of the queue of peer events; when it is full, the network applies backpressure.
 pub(super) const EVENT_QUEUE_LEN: usize = 1_024;
 
+/// Ticks the gateway at the same interval in fleets of any size.
+pub(super) async fn tick(cx: Rc<Context>) {
+    loop {
+        sleep(GOSSIP_PERIOD).await;
+        cx.with_gateway(Gateway::tick);
+    }
+}
+
 /// Sends a gossip message to every known peer, once per gossip period.
 pub(super) async fn send(cx: Rc<Context>, pins: Pins) {
     loop {
         let period = cx.with_gateway(|gateway, _| gateway.peer_table().gossip_period());
         sleep(period).await;
         let (gossip, members) = cx.with_gateway(|gateway, now| {
-            gateway.tick(now);
             let members: Vec<_> = gateway
                 .peer_table()
                 .peers()
