Play a store that comes back from a copy, and endpoints that leave unlisted

Endpoints say in all responses that they leave, some only there. Every third soak has both beside its other faults; the plans of the others stay as they were. The soak checks that a daemon that passed on such a response sends the endpoint no request later than 2 s after it, unless it restarted or froze.

--- a/crates/laburnumstall-soak/src/checks.rs
+++ b/crates/laburnumstall-soak/src/checks.rs
@@ -56,6 +56,7 @@
         view.crashing_requests(),
         view.sound_requests(),
         view.drains(&runs),
+        view.told_drains(&runs),
         view.reports(),
         view.recovery(calm_from, calm_until),
         world.own_ends.borrow().clone(),
@@ -355,6 +356,38 @@
         .collect()
     }
 
+    /// A daemon that passed on that an endpoint leaves sends it no new request, whatever the store
+    /// says.
+    fn told_drains(&self, runs: &[ExecutedRequest]) -> Vec<String> {
+        let mut told: BTreeMap<(usize, &str), Duration> = BTreeMap::new();
+        for record in self.records {
+            if let Some(endpoint) = &record.leaving {
+                let at = told
+                    .entry((record.daemon, endpoint))
+                    .or_insert(record.ended_at);
+                *at = record.ended_at.min(*at);
+            }
+        }
+        let late = runs.iter().filter_map(|run| {
+            let record = self.by_id.get(run.id.as_str())?;
+            let told_at = *told.get(&(record.daemon, run.endpoint.as_str()))?;
+            let is_interrupted = self.is_disturbed(told_at, record.sent_at, |one| {
+                one.on != Target::Daemon(record.daemon) || !one.interrupts_process
+            });
+            (record.sent_at > told_at + DRAIN_TIME && !is_interrupted).then(|| {
+                let after = record.sent_at - told_at;
+                let endpoint = &run.endpoint;
+                format!(
+                    "{endpoint} got {}, sent {} ms after entry-{} had passed on that it leaves",
+                    run.id,
+                    after.as_millis(),
+                    record.daemon
+                )
+            })
+        });
+        late.collect()
+    }
+
     /// One report for each window, and one holder for each token.
     fn reports(&self) -> Vec<String> {
         let mut violations = Vec::new();
--- a/crates/laburnumstall-soak/src/clients.rs
+++ b/crates/laburnumstall-soak/src/clients.rs
@@ -118,6 +118,7 @@
                 outcome: reply.outcome,
                 received_before: call.received,
                 received: reply.received,
+                leaving: reply.leaving,
                 episode: None,
             });
             if !reply.is_kept_open {
--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -34,6 +34,19 @@
 const LONGEST_EPISODE: Duration = Duration::from_millis(9_000);
 /// Separates the draws of these requests from those of the other faults.
 const CRASHING_SEED: u64 = 0x63;
+/// Separates the draws of restores from those of the other faults.
+const RESTORE_SEED: u64 = 0x72;
+/// One soak in so many has restores and endpoints that say only in responses that they leave.
+const RESTORED_ONE_IN: u64 = 3;
+/// Shortest and longest time for which the store is away before it comes back from a copy.
+const AWAY: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(1_500)];
+/// Shortest and longest age of the copy.
+const COPY_AGE: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(8_000)];
+/// Shortest and longest time between two restores.
+const BETWEEN_RESTORES: [Duration; 2] =
+    [Duration::from_millis(4_000), Duration::from_millis(9_000)];
+/// Endpoints that say only in responses that they leave, for each restore.
+const UNLISTED_PER_RESTORE: usize = 2;
 /// Shortest time that a fault lasts.
 const SHORTEST: Duration = Duration::from_millis(300);
 
@@ -64,6 +77,8 @@
     Hangup(usize),
     Store(StoreFault, Duration),
     Compact,
+    /// The store is away for a time and comes back from a copy of an age.
+    RestoreStore(Duration, Duration),
     CutStore(usize, Duration),
     SilenceStore(usize),
     CutCallers(usize, Duration),
@@ -71,6 +86,8 @@
     DelayCallers(usize, Duration),
     CrashEndpoint(usize),
     DrainEndpoint(usize),
+    /// The endpoint says in its responses alone that it leaves.
+    DrainUnlisted(usize),
     SpoilEndpoint(usize, EndpointFaults, Duration),
     SilenceEndpoint(usize),
     CutEndpoint(usize, Duration),
@@ -102,9 +119,10 @@
             | Self::SilenceCallers(index)
             | Self::DelayCallers(index, _) => Target::Daemon(index),
             Self::KillAll => Target::Daemon(0),
-            Self::Store(..) | Self::Compact => Target::Store,
+            Self::Store(..) | Self::Compact | Self::RestoreStore(..) => Target::Store,
             Self::CrashEndpoint(index)
             | Self::DrainEndpoint(index)
+            | Self::DrainUnlisted(index)
             | Self::SpoilEndpoint(index, ..)
             | Self::SilenceEndpoint(index)
             | Self::CutEndpoint(index, _)
@@ -134,6 +152,14 @@
         !is_planned && !self.is_silence()
     }
 
+    /// Tells whether it restarts or freezes the process of a daemon.
+    pub(crate) fn interrupts_process(&self) -> bool {
+        matches!(
+            self,
+            Self::KillDaemon(_) | Self::KillAll | Self::StopDaemon(_) | Self::PauseDaemon(..)
+        )
+    }
+
     /// Tells whether sound endpoints fall silent for a time.
     pub(crate) fn is_silence(&self) -> bool {
         matches!(self, Self::SilenceForOne(..) | Self::SilenceForService(..))
@@ -175,6 +201,7 @@
     }
     plan.retain(|planned| planned.at < length);
     plan.extend(crashing_requests(seed, length, shape));
+    plan.extend(restores(seed, length, shape));
     plan.sort_by_key(|planned| planned.at);
     plan
 }
@@ -200,6 +227,40 @@
     plan
 }
 
+/// Draws restores of the store, and endpoints that leave around them, apart from the other faults.
+fn restores(seed: u64, length: Duration, shape: Shape) -> Vec<Planned> {
+    let mut rng = Rng::with_seed(seed ^ RESTORE_SEED);
+    let mut plan = Vec::new();
+    let mut at = between(&mut rng, Duration::ZERO, BETWEEN_RESTORES[0]);
+    while seed % RESTORED_ONE_IN == 1 && at < length {
+        let away = between(&mut rng, AWAY[0], AWAY[1]);
+        let age = between(&mut rng, COPY_AGE[0], COPY_AGE[1]);
+        let pause = between(&mut rng, BETWEEN_RESTORES[0], BETWEEN_RESTORES[1]);
+        for _ in 0..UNLISTED_PER_RESTORE {
+            let at = at + between(&mut rng, Duration::ZERO, pause);
+            let fault = Fault::DrainUnlisted(rng.usize(0..shape.endpoints));
+            plan.push(Planned { at, fault });
+        }
+        // What the copy lacks: an endpoint that leaves, a key that is withdrawn.
+        for fault in [
+            Fault::DrainEndpoint(rng.usize(0..shape.endpoints)),
+            match rng.bool() {
+                true => Fault::RevokeKey,
+                false => Fault::AddKey,
+            },
+        ] {
+            let before = between(&mut rng, Duration::ZERO, COPY_AGE[1]);
+            let at = at.saturating_sub(before);
+            plan.push(Planned { at, fault });
+        }
+        let fault = Fault::RestoreStore(away, age);
+        plan.push(Planned { at, fault });
+        at += pause;
+    }
+    plan.retain(|planned| planned.at < length);
+    plan
+}
+
 fn fault(rng: &mut Rng, shape: Shape) -> Fault {
     let lasts = between(rng, SHORTEST, LONGEST);
     let daemon = rng.usize(0..shape.daemons);
--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -118,6 +118,8 @@
     pub excuses_loss: bool,
     /// Whether sound endpoints fall silent for a time.
     pub is_silence: bool,
+    /// Whether the process of a daemon restarts or freezes.
+    pub interrupts_process: bool,
     /// The fault.
     pub name: String,
 }
@@ -140,6 +142,8 @@
     pub(crate) received_before: Option<StreamPart>,
     /// What this attempt and earlier ones received of it.
     pub(crate) received: Option<StreamPart>,
+    /// Endpoint that said in the response that it leaves.
+    pub(crate) leaving: Option<String>,
     /// Episode whose requests crash endpoints, if it is one of them.
     pub(crate) episode: Option<Episode>,
 }
@@ -378,6 +382,7 @@
             on,
             excuses_loss: fault.excuses_loss(),
             is_silence: fault.is_silence(),
+            interrupts_process: fault.interrupts_process(),
             name: fault.to_string(),
         });
         disturbances.len() - 1
--- a/crates/laburnumstall-soak/src/world/crashing.rs
+++ b/crates/laburnumstall-soak/src/world/crashing.rs
@@ -157,6 +157,7 @@
             outcome: reply.outcome,
             received_before: None,
             received: reply.received,
+            leaving: reply.leaving,
             episode: Some(self.episode),
         });
     }
--- a/crates/laburnumstall-soak/src/world/endpoints.rs
+++ b/crates/laburnumstall-soak/src/world/endpoints.rs
@@ -80,8 +80,9 @@
         self.start_successor(index, version).await;
     }
 
-    pub(super) async fn drain_endpoint(&self, index: usize) {
-        self.at_endpoint(index, |slot| slot.stand_in.drain());
+    /// Lets an endpoint leave, and replaces it.
+    pub(super) async fn drain_endpoint(&self, index: usize, drain: fn(&EndpointStandIn)) {
+        self.at_endpoint(index, |slot| drain(&slot.stand_in));
         sleep(DRAIN_TIME).await;
         self.replace_endpoint(index).await;
     }
--- a/crates/laburnumstall-soak/src/world/faults.rs
+++ b/crates/laburnumstall-soak/src/world/faults.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumstall_platform_standins::{EndpointFaults, StoreFault};
+use laburnumstall_platform_standins::{EndpointFaults, EndpointStandIn, StoreFault};
 use laburnumstall_standins::network::Relay;
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep};
@@ -11,6 +11,9 @@
 use super::{POLL, STOP_GRACE, Target, World};
 use crate::plan::{Fault, Planned};
 
+/// Time from the store's return until the operators write again, in milliseconds.
+const REWRITE_MS: std::ops::Range<u64> = 100..1_500;
+
 impl World {
     /// Lets the faults happen.
     pub(crate) async fn play(self: &Rc<Self>, plan: &[Planned]) {
@@ -64,6 +67,14 @@
                 self.store.set_fault(StoreFault::None);
             }
             Fault::Compact => self.store.compact(),
+            Fault::RestoreStore(away, age) => {
+                self.store.set_fault(StoreFault::Busy);
+                sleep(away).await;
+                self.store.restore(age);
+                self.store.set_fault(StoreFault::None);
+                sleep(Duration::from_millis(fastrand::u64(REWRITE_MS))).await;
+                self.write_rules().await;
+            }
             Fault::CutStore(index, time) => cut(&self.daemons[index].store, time).await,
             Fault::SilenceStore(index) => self.daemons[index].store.silence_existing(),
             Fault::CutCallers(index, time) => cut(&self.daemons[index].callers, time).await,
@@ -82,7 +93,13 @@
                 self.change_rules(fault).await;
             }
             Fault::CrashEndpoint(index) => self.replace_endpoint(index).await,
-            Fault::DrainEndpoint(index) => self.drain_endpoint(index).await,
+            Fault::DrainEndpoint(index) => {
+                self.drain_endpoint(index, EndpointStandIn::drain).await;
+            }
+            Fault::DrainUnlisted(index) => {
+                self.drain_endpoint(index, EndpointStandIn::drain_unlisted)
+                    .await;
+            }
             Fault::Release(service) => self.release(service).await,
             Fault::SpoilEndpoint(index, faults, time) => {
                 self.at_endpoint(index, |slot| slot.stand_in.set_faults(faults));
--- a/crates/laburnumstall-soak/src/world/keys.rs
+++ b/crates/laburnumstall-soak/src/world/keys.rs
@@ -38,15 +38,12 @@
             Fault::AddKey => Some(self.add_key()),
             _ => self.withdraw_key(),
         };
-        let (key, value) = {
+        {
             let mut rules = self.rules.borrow_mut();
             rules.version += fastrand::u64(1..4);
             rules.customers = self.customers();
-            rules.stored()
-        };
-        while !self.store.write(key, value.clone()) {
-            sleep(POLL).await;
         }
+        self.write_rules().await;
         let acknowledged = Some(self.elapsed());
         if let Some(index) = index {
             let state = &mut self.keys.borrow_mut()[index];
@@ -57,6 +54,17 @@
         }
     }
 
+    /// Writes the newest configuration once the store accepts it.
+    pub(super) async fn write_rules(&self) {
+        loop {
+            let (key, value) = self.rules.borrow().stored();
+            if self.store.write(key, value) {
+                return;
+            }
+            sleep(POLL).await;
+        }
+    }
+
     fn add_key(&self) -> usize {
         let mut keys = self.keys.borrow_mut();
         let customer = CUSTOMERS[keys.len() % CUSTOMERS.len()];
