Compare versions of the store within one era only

Cause: the view of the store kept the highest version it had seen. A daemon that relies on its peers took the lower versions of the new history for known ones and its own view for fresh; one that was frozen or cut off went on from a version that the new history had reached meanwhile, and never saw the changes before it.

Every reply tells the era of its history. Gossip messages carry the era to peers that announce that they decode it; to others they are as they were, and a view whose era differs confirms nothing.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -55,7 +55,7 @@
 pub use health::CallOutcome;
 pub use load_balancer::{CallAttempt, EndpointQuery, LoadBalancer};
 pub use lost_calls::{EndpointCheck, EndpointState};
-pub use peer_message::PeerMessage;
+pub use peer_message::{PeerMessage, PeerProtocol};
 pub use prefill::prefill_time;
 pub use quarantine_update::{ProcessCrash, QuarantineUpdate, SuspectClearance, SuspectHold};
 pub use quota::{QuotaLedger, QuotaUsage};
@@ -72,7 +72,7 @@
 };
 pub use usage::{UsageCount, UsageCounter, UsageReport};
 pub use version_history::VersionHistory;
-pub use view::{ViewBatch, ViewChange, ViewUpdate};
+pub use view::{EraChange, ViewBatch, ViewChange, ViewUpdate};
 
 /// Limits that the platform sets for all daemons together.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/laburnumstall-core/src/gateway/freshness.rs
+++ b/crates/laburnumstall-core/src/gateway/freshness.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Records that the store came back from a copy, which counts as the end of an outage.
+    pub(super) fn on_restored(&mut self, now: Timestamp) {
+        self.failing_since = None;
+        self.outage_ended_at = Some(now);
+    }
+
     /// Records a failed call.
     pub fn on_failure(&mut self, now: Timestamp) {
         self.failing_since.get_or_insert(now);
--- a/crates/laburnumstall-core/src/gateway/gossip.rs
+++ b/crates/laburnumstall-core/src/gateway/gossip.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::peer_message::PeerProtocol;
 use super::quota::QuotaUsage;
 use super::usage::UsageCount;
 use super::view::ViewUpdate;
@@ -90,6 +91,8 @@
     pub supports_extensions: bool,
     /// Whether it decodes quarantine updates.
     pub supports_quarantine: bool,
+    /// Newest protocol of later messages that it decodes.
+    pub protocol: PeerProtocol,
     /// When the last gossip message was received.
     pub last_gossip_at: Option<Timestamp>,
     /// When it was added to the table.
@@ -133,6 +136,7 @@
             is_registered: true,
             supports_extensions: false,
             supports_quarantine: false,
+            protocol: PeerProtocol::default(),
             last_gossip_at: None,
             added_at: now,
             last_message: None,
@@ -158,6 +162,20 @@
         }
     }
 
+    /// Records the newest protocol that a daemon decodes.
+    pub(super) fn set_protocol(&mut self, id: &DaemonId, protocol: PeerProtocol) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.protocol = protocol;
+        }
+    }
+
+    /// Returns the newest protocol that a daemon decodes.
+    pub(super) fn protocol(&self, id: &DaemonId) -> PeerProtocol {
+        self.peers
+            .get(id)
+            .map_or(PeerProtocol::default(), |peer| peer.protocol)
+    }
+
     /// Returns whether a daemon decodes all variants of [`PeerMessage`](super::PeerMessage).
     pub(super) fn supports_extensions(&self, id: &DaemonId) -> bool {
         self.peers
@@ -253,6 +271,14 @@
         }
     }
 
+    /// Records that the store came back from a copy; earlier reads confirm nothing.
+    pub(super) fn on_store_restored(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.pending_sequence = 0;
+            peer.confirmed_sequence = 0;
+        }
+    }
+
     /// Returns the sequence number of a peer's newest message when the last successful store
     /// read was sent.
     pub(super) fn echo(&self, id: &DaemonId) -> u64 {
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -17,6 +17,18 @@
 use super::stream_origin::OriginGroup;
 use super::view::ViewChange;
 use crate::ids::SoftwareVersion;
+use crate::quantity;
+use crate::store::StoreEra;
+
+quantity! {
+    /// Protocol of messages between gateways; 0 for builds that announce none.
+    PeerProtocol, "";
+}
+
+impl PeerProtocol {
+    /// Newest protocol of this build, which adds the era of the store to gossip messages.
+    pub const NEWEST: Self = Self(1);
+}
 
 /// Sequence number in place of a gossip message's own, before any other message.
 const EXTENSION: u64 = 0;
@@ -28,6 +40,8 @@
     Gossip(GossipMessage),
     /// Gossip message with the software versions of the endpoints in it.
     VersionedGossip(GossipMessage),
+    /// Gossip message with the software versions and the era of the store.
+    EraGossip(GossipMessage),
     /// Origins of streams, for the recipient to keep.
     Origins(Vec<OriginGroup>),
     /// Question about the origin of a stream.
@@ -46,6 +60,11 @@
     Lookup(Cow<'a, OriginQuery>),
     Answer(Cow<'a, OriginReply>),
     Quarantine(Cow<'a, QuarantineUpdate>),
+    EraGossip(
+        Cow<'a, GossipMessage>,
+        Vec<Option<SoftwareVersion>>,
+        StoreEra,
+    ),
 }
 
 impl Serialize for PeerMessage {
@@ -53,11 +72,13 @@
         let extension = match self {
             Self::Gossip(message) => return message.serialize(serializer),
             Self::VersionedGossip(message) => {
-                let versions = endpoint_versions(&mut message.clone())
-                    .map(|version| version.take())
-                    .collect();
-                Extension::Gossip(Cow::Borrowed(message), versions)
+                Extension::Gossip(Cow::Borrowed(message), copy_versions(message))
             }
+            Self::EraGossip(message) => Extension::EraGossip(
+                Cow::Borrowed(message),
+                copy_versions(message),
+                message.view.era,
+            ),
             Self::Origins(groups) => Extension::Origins(Cow::Borrowed(groups)),
             Self::Lookup(query) => Extension::Lookup(Cow::Borrowed(query)),
             Self::Answer(reply) => Extension::Answer(Cow::Borrowed(reply)),
@@ -89,11 +110,12 @@
         if sequence == EXTENSION {
             return Ok(match next::<Extension<'static>, _>(&mut seq)? {
                 Extension::Gossip(message, versions) => {
-                    let mut message = message.into_owned();
-                    for (slot, version) in endpoint_versions(&mut message).zip(versions) {
-                        *slot = version;
-                    }
-                    PeerMessage::VersionedGossip(message)
+                    PeerMessage::VersionedGossip(with_versions(message.into_owned(), versions))
+                }
+                Extension::EraGossip(message, versions, era) => {
+                    let mut message = with_versions(message.into_owned(), versions);
+                    message.view.era = era;
+                    PeerMessage::EraGossip(message)
                 }
                 Extension::Origins(groups) => PeerMessage::Origins(groups.into_owned()),
                 Extension::Lookup(query) => PeerMessage::Lookup(query.into_owned()),
@@ -118,6 +140,22 @@
         .ok_or_else(|| A::Error::custom("the message is too short"))
 }
 
+fn copy_versions(message: &GossipMessage) -> Vec<Option<SoftwareVersion>> {
+    endpoint_versions(&mut message.clone())
+        .map(|version| version.take())
+        .collect()
+}
+
+fn with_versions(
+    mut message: GossipMessage,
+    versions: Vec<Option<SoftwareVersion>>,
+) -> GossipMessage {
+    for (slot, version) in endpoint_versions(&mut message).zip(versions) {
+        *slot = version;
+    }
+    message
+}
+
 /// Returns the versions of the endpoints in a gossip message, in its order.
 fn endpoint_versions(
     message: &mut GossipMessage,
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -15,7 +15,7 @@
 use super::call::AdmittedCall;
 use super::gossip::{GossipMessage, Peer, daemon_hash, rank_peers};
 use super::load_balancer::CallAttempt;
-use super::peer_message::PeerMessage;
+use super::peer_message::{PeerMessage, PeerProtocol};
 use super::recovery::RETRY_AFTER;
 use super::requests::MAX_CERTAIN_AGE;
 use super::rules::CallKind;
@@ -363,6 +363,9 @@
     /// Completes a gossip message for one peer, in the form that the peer decodes.
     pub fn peer_gossip(&self, to: &DaemonId, message: &GossipMessage) -> PeerMessage {
         let message = self.gossip_for(to, message);
+        if self.peer_table.protocol(to) >= PeerProtocol::NEWEST {
+            return PeerMessage::EraGossip(message);
+        }
         match self.peer_table.supports_extensions(to) && !message.view.batches.is_empty() {
             true => PeerMessage::VersionedGossip(message),
             false => PeerMessage::Gossip(message),
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use super::Gateway;
 use super::endpoint_table::EndpointRecord;
 use super::gossip::GossipMessage;
+use super::peer_message::PeerProtocol;
 use super::rules::{RoutingRules, RoutingTable};
 use super::view::ViewUpdate;
 use crate::decision::{Decision, DecisionKind};
@@ -117,6 +118,11 @@
         self.update_member_count(now);
     }
 
+    /// Records the newest protocol that a daemon decodes.
+    pub fn set_peer_protocol(&mut self, id: &DaemonId, protocol: PeerProtocol) {
+        self.peer_table.set_protocol(id, protocol);
+    }
+
     /// Applies the end of a daemon's registration.
     pub fn on_member_removed(&mut self, id: &DaemonId) {
         self.peer_table.on_unregistered(id);
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -8,6 +8,9 @@
 //! by its own clock alone: the view is at most as old as that message. It reads the store
 //! itself when it lacks a change (always so for a configuration), when no daemon has confirmed
 //! the view for a while, and periodically before the store drops its history.
+//!
+//! The store may come back from an older copy, in a new era with a history of its own. Versions
+//! are compared within one era only, and a new era begins with a snapshot of the store.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -15,11 +18,11 @@
 use super::Gateway;
 use super::endpoint_table::EndpointRecord;
 use crate::decision::{Decision, DecisionKind};
-use crate::domain;
 use crate::hash::digest64;
 use crate::ids::{DaemonId, EndpointId};
-use crate::store::StoreVersion;
+use crate::store::{StoreEra, StorePosition, StoreVersion};
 use crate::units::Timestamp;
+use crate::{domain, domain_value};
 
 /// Number of daemons that read continuously: two may fail at once and two still read.
 const READERS: usize = 4;
@@ -37,6 +40,21 @@
 /// Time for which a change is sent: two gossip periods; a peer that misses it reads the store
 /// itself.
 const BATCH_RETENTION: Duration = Duration::from_millis(600);
+/// Time for which replies of an earlier era count as late ones: longer than any reply takes.
+/// After it, the number has fallen.
+const MAX_LATE_TIME: Duration = Duration::from_secs(3);
+
+domain_value! {
+    /// What the era of a reply means for the view.
+    pub enum EraChange {
+        /// The reply is of the known era.
+        Same,
+        /// The store came back from a copy, so that the view has to be read anew.
+        Restored,
+        /// The reply is of an earlier era and must not be believed.
+        Late,
+    }
+}
 
 domain! {
     /// Change that is relevant to all daemons.
@@ -69,6 +87,10 @@
         /// Sequence number of the recipient's newest message when the sender's last
         /// successful read was sent; zero if there was none.
         pub echo: u64,
+        /// Era of the store that the versions are of. The layout of this type precedes the
+        /// field, so it is not encoded.
+        #[serde(skip)]
+        pub era: StoreEra,
     }
 }
 
@@ -79,8 +101,12 @@
     read_version: StoreVersion,
     /// Version of the last relevant change that was read.
     changed_version: StoreVersion,
-    /// Version of the last relevant change that any peer has read.
-    announced_version: StoreVersion,
+    /// Last relevant change that any peer has read.
+    announced: StorePosition,
+    /// Era of the store; `None` before a reply that tells it.
+    era: Option<StoreEra>,
+    /// Start of the time in which all replies were of an earlier era.
+    late_since: Option<Timestamp>,
     read_at: Option<Timestamp>,
     sent_messages: VecDeque<(u64, Timestamp)>,
     batches: VecDeque<(Timestamp, ViewBatch)>,
@@ -96,10 +122,46 @@
         }
     }
 
+    /// Records the era of a reply.
+    fn on_era(&mut self, now: Timestamp, era: StoreEra) -> EraChange {
+        let known = *self.era.get_or_insert(era);
+        if era < known {
+            let late_since = *self.late_since.get_or_insert(now);
+            if now.since(late_since) < MAX_LATE_TIME {
+                return EraChange::Late;
+            }
+        }
+        self.late_since = None;
+        if era == known {
+            return EraChange::Same;
+        }
+        *self = Self {
+            era: Some(era),
+            announced: StorePosition {
+                era,
+                ..StorePosition::default()
+            },
+            sent_messages: std::mem::take(&mut self.sent_messages),
+            was_reader: self.was_reader,
+            ..Self::default()
+        };
+        EraChange::Restored
+    }
+
+    fn read_position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era.unwrap_or_default(),
+            version: self.read_version,
+        }
+    }
+
     /// Returns the changes in a peer's batches that this daemon has not seen, and advances
     /// the view.
-    pub(super) fn missing(&mut self, batches: &[ViewBatch]) -> Vec<ViewChange> {
+    fn missing(&mut self, era: StoreEra, batches: &[ViewBatch]) -> Vec<ViewChange> {
         let mut missing = Vec::new();
+        if era != self.read_position().era {
+            return missing;
+        }
         for batch in batches {
             if batch.to <= self.read_version {
                 continue;
@@ -116,8 +178,13 @@
 
     /// Applies a peer's update; returns the time as of which it confirms the view.
     pub(super) fn on_update(&mut self, update: &ViewUpdate) -> Option<Timestamp> {
-        self.announced_version = self.announced_version.max(update.changed);
-        if self.read_at.is_none() || update.changed > self.read_version {
+        let changed = StorePosition {
+            era: update.era,
+            version: update.changed,
+        };
+        self.announced = self.announced.max(changed);
+        let read = self.read_position();
+        if self.read_at.is_none() || changed.era != read.era || changed > read {
             return None;
         }
         let echoed = self
@@ -138,6 +205,7 @@
                 .collect(),
             changed: self.changed_version,
             echo,
+            era: self.read_position().era,
         }
     }
 
@@ -162,6 +230,36 @@
         self.peer_table.on_store_read_sent();
     }
 
+    /// Records the era that a reply to a read tells; `None` if it does not tell, which counts as
+    /// the known one.
+    pub fn on_store_era(&mut self, now: Timestamp, era: Option<StoreEra>) -> EraChange {
+        let Some(era) = era else {
+            return EraChange::Same;
+        };
+        let known = self.view.read_position();
+        let was_late = self.view.late_since.is_some();
+        let change = self.view.on_era(now, era);
+        let choice = match change {
+            EraChange::Same => return change,
+            EraChange::Late if was_late => return change,
+            EraChange::Late => "earlier-era",
+            EraChange::Restored => "restored",
+        };
+        self.journal.record(
+            Decision::new(now, DecisionKind::Connection, "store", choice)
+                .with("era", era)
+                .with("known_era", known.era)
+                .with("known_version", known.version)
+                .with("in_force", self.version())
+                .with("endpoints", self.endpoints.iter().count()),
+        );
+        if change == EraChange::Restored {
+            self.freshness.on_restored(now);
+            self.peer_table.on_store_restored();
+        }
+        change
+    }
+
     /// Records that a read sent at `sent` returned all changes up to `version`, with `changes`
     /// as the relevant ones.
     pub fn on_read(
@@ -193,7 +291,7 @@
         }
         let read_age = self.view.read_at.map_or(Duration::MAX, |at| now.since(at));
         let is_due = !is_fresh
-            || self.view.announced_version > self.view.read_version
+            || self.view.announced > self.view.read_position()
             || read_age > OWN_READ_PERIOD;
         is_due.then_some(false)
     }
@@ -201,7 +299,7 @@
     /// Applies a peer's update of the view.
     pub(super) fn on_view_update(&mut self, now: Timestamp, update: &ViewUpdate) {
         let batches = self.with_versions(&update.batches);
-        for change in self.view.missing(&batches) {
+        for change in self.view.missing(update.era, &batches) {
             match change {
                 ViewChange::Endpoint(record) => self.on_endpoint(now, record),
                 ViewChange::EndpointRemoved(id) => self.on_endpoint_removed(now, &id),
--- a/crates/laburnumstall-core/src/store.rs
+++ b/crates/laburnumstall-core/src/store.rs
@@ -19,6 +19,19 @@
     StoreVersion, "";
     /// Identifier of a lease in the key-value service.
     LeaseId, "";
+    /// Number of a history of the store; rises when the store comes back from an older copy.
+    StoreEra, "";
+}
+
+domain_value! {
+    /// Version of the entire store; versions of different eras are of different histories.
+    #[derive(Default)]
+    pub struct StorePosition {
+        /// Era in which the version was given.
+        pub era: StoreEra,
+        /// Version within the era.
+        pub version: StoreVersion,
+    }
 }
 
 domain! {
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod part_evidence;
 mod peer_messages;
 mod quota_sharing;
+mod restored_store;
 mod silent_attempts;
 mod store_view;
 mod stream_origins;
--- /dev/null
+++ b/crates/laburnumstall-core/tests/gateway/restored_store.rs
@@ -0,0 +1,121 @@
+//! A key-value service that comes back from an older copy, in a new era.
+
+use std::time::Duration;
+
+use crate::store_view::{DAEMONS, gossip, non_reader};
+use crate::support::{at, daemon, endpoint, member};
+use laburnumstall_core::gateway::{
+    EraChange, Gateway, GossipMessage, PeerMessage, PeerProtocol, ViewBatch, ViewChange,
+};
+use laburnumstall_core::store::{StoreEra, StoreVersion};
+
+fn gossip_of_era(sequence: u64, era: u64, changed: u64, echo: u64) -> GossipMessage {
+    let mut message = gossip(sequence, changed, echo);
+    message.view.era = StoreEra(era);
+    message
+}
+
+/// Returns a gateway that has read version 9 of era 1 and relies on its peers.
+fn listener() -> Gateway {
+    let mut gateway = non_reader();
+    assert_eq!(
+        gateway.on_store_era(at(0), Some(StoreEra(1))),
+        EraChange::Same
+    );
+    gateway
+}
+
+fn gossip_from_all(gateway: &mut Gateway, step: u64) -> u64 {
+    let now = at(step * 250);
+    let sequence = gateway.next_gossip(now).sequence;
+    for number in 3..=DAEMONS {
+        gateway.on_gossip(now, &daemon(number), gossip_of_era(step + 1, 1, 9, 0));
+    }
+    sequence
+}
+
+/// A reader of the new era confirms nothing to a daemon with a later version of the old one.
+#[test]
+fn lower_version_of_new_era_confirms_old_view() {
+    let mut gateway = listener();
+    for step in 1..=8 {
+        let echo = gossip_from_all(&mut gateway, step);
+        let reader = gossip_of_era(step + 1, 2, 4, echo);
+        gateway.on_gossip(at(step * 250), &daemon(2), reader);
+    }
+    assert!(gateway.next_read(at(2_000)).is_some(), "the view is old");
+    let age = gateway.store_freshness().age(at(2_000));
+    assert_eq!(age, Some(Duration::from_millis(2_000)));
+}
+
+/// Changes of one era are not applied to a view of another.
+#[test]
+fn changes_of_other_era_are_applied() {
+    let mut gateway = listener();
+    let mut message = gossip_of_era(2, 2, 12, 0);
+    message.view.batches = vec![ViewBatch {
+        from: StoreVersion(9),
+        to: StoreVersion(12),
+        changes: vec![ViewChange::EndpointRemoved("engine-1".parse().unwrap())],
+    }];
+    gateway.on_gossip(at(100), &daemon(2), message);
+    let id = "engine-1".parse().unwrap();
+    assert!(gateway.endpoints().get(&id).is_some());
+}
+
+/// A version that the new history has reached again is no known one.
+#[test]
+fn version_of_old_era_hides_changes_of_new_one() {
+    let mut gateway = listener();
+    let change = gateway.on_store_era(at(1_000), Some(StoreEra(2)));
+    assert_eq!(change, EraChange::Restored);
+    gateway.on_read(
+        at(1_050),
+        at(1_040),
+        StoreVersion(5),
+        vec![ViewChange::Other],
+    );
+    let mut message = gossip_of_era(2, 2, 7, 0);
+    let added = ViewChange::Endpoint(endpoint("engine-2", "model", "north-a"));
+    message.view.batches = vec![ViewBatch {
+        from: StoreVersion(5),
+        to: StoreVersion(7),
+        changes: vec![added],
+    }];
+    gateway.on_gossip(at(1_100), &daemon(2), message);
+    let id = "engine-2".parse().unwrap();
+    assert!(gateway.endpoints().get(&id).is_some());
+}
+
+/// Replies of an earlier era are late for a time; after that, the number has fallen.
+#[test]
+fn reply_of_earlier_era_is_believed() {
+    let mut gateway = listener();
+    gateway.on_store_era(at(1_000), Some(StoreEra(3)));
+    let mut on_era = |ms, era| gateway.on_store_era(at(ms), Some(StoreEra(era)));
+    assert_eq!(on_era(1_100, 2), EraChange::Late);
+    assert_eq!(on_era(1_200, 3), EraChange::Same);
+    assert_eq!(on_era(5_000, 2), EraChange::Late);
+    assert_eq!(on_era(7_900, 2), EraChange::Late);
+    assert_eq!(on_era(8_000, 2), EraChange::Restored);
+    assert_eq!(on_era(8_100, 2), EraChange::Same);
+    assert_eq!(gateway.on_store_era(at(8_200), None), EraChange::Same);
+}
+
+/// Only peers that announce it are sent the era; the message of others is as it always was.
+#[test]
+fn peers_lack_the_era() {
+    let mut gateway = listener();
+    gateway.on_member(at(0), member(2));
+    let message = gateway.next_gossip(at(100));
+    let old = gateway.peer_gossip(&daemon(2), &message);
+    assert!(matches!(old, PeerMessage::Gossip(_)));
+    gateway.set_peer_protocol(&daemon(2), PeerProtocol::NEWEST);
+    let new = gateway.peer_gossip(&daemon(2), &message);
+    let bytes = postcard::to_allocvec(&new).unwrap();
+    assert_eq!(postcard::from_bytes(&bytes), Ok(new.clone()));
+    let PeerMessage::EraGossip(message) = new else {
+        panic!("{new:?}")
+    };
+    assert_eq!(message.view.era, StoreEra(1));
+}
--- a/crates/laburnumstall-core/tests/gateway/store_view.rs
+++ b/crates/laburnumstall-core/tests/gateway/store_view.rs
@@ -8,11 +8,11 @@
 use laburnumstall_core::store::StoreVersion;
 
 /// Size of a fleet in which few daemons read.
-const DAEMONS: u32 = 32;
+pub(crate) const DAEMONS: u32 = 32;
 /// Time that a message between daemons takes.
 const MESSAGE_DELAY: Duration = Duration::from_millis(20);
 
-fn gossip(sequence: u64, changed: u64, echo: u64) -> GossipMessage {
+pub(crate) fn gossip(sequence: u64, changed: u64, echo: u64) -> GossipMessage {
     GossipMessage {
         sequence,
         is_ready: true,
@@ -24,12 +24,13 @@
             batches: Vec::new(),
             changed: StoreVersion(changed),
             echo,
+            era: Default::default(),
         },
     }
 }
 
 /// Returns a gateway in a large fleet that has read up to version 9 at `at(0)`.
-fn non_reader() -> Gateway {
+pub(crate) fn non_reader() -> Gateway {
     let mut gateway = gateway(&[endpoint("engine-1", "model", "north-a")]);
     for number in 2..=DAEMONS {
         gateway.on_member(at(0), member(number));
--- a/crates/laburnumstall-outside/src/http.rs
+++ b/crates/laburnumstall-outside/src/http.rs
@@ -9,6 +9,7 @@
 
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::Method;
+use awc::http::header::HeaderMap;
 use awc::{Client, Connector};
 use bytes::Bytes;
 use serde::Serialize;
@@ -184,6 +185,8 @@
 pub struct HttpReply {
     /// HTTP status code.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -288,9 +291,14 @@
             .await
             .map_err(|e| sort_send_error(method.clone(), url, e))?;
         let status = response.status().as_u16();
+        let headers = response.headers().clone();
         let body = response.body().limit(MAX_REPLY_BYTES).await;
         let body = body.context(TruncatedSnafu { method, url })?;
-        Ok(HttpReply { status, body })
+        Ok(HttpReply {
+            status,
+            headers,
+            body,
+        })
     }
 
     /// Drops the idle connections, so that the next call opens a new one.
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -80,7 +80,9 @@
 
 fn apply(cx: &Context, from: &DaemonId, message: PeerMessage) {
     match message {
-        PeerMessage::Gossip(message) | PeerMessage::VersionedGossip(message) => {
+        PeerMessage::Gossip(message)
+        | PeerMessage::VersionedGossip(message)
+        | PeerMessage::EraGossip(message) => {
             cx.with_gateway(|gateway, now| gateway.on_gossip(now, from, message));
         }
         PeerMessage::Origins(groups) => {
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumstall_core::gateway::{EndpointRecord, Gateway, ViewChange};
+use laburnumstall_core::gateway::{EndpointRecord, EraChange, Gateway, PeerProtocol, ViewChange};
 use laburnumstall_core::ids::{DaemonId, ServiceName, VmId};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::store::{
@@ -53,6 +53,9 @@
     /// Whether the daemon decodes quarantine updates.
     #[serde(default)]
     quarantine: bool,
+    /// Newest protocol of later messages that the daemon decodes.
+    #[serde(default)]
+    protocol: PeerProtocol,
 }
 
 /// Reads a snapshot of the store, then its changes, forever.
@@ -60,12 +63,13 @@
     loop {
         let sent = begin_read(&cx);
         match store.snapshot().await {
-            Ok(snapshot) => {
+            Ok(snapshot) if on_era(&cx, &snapshot) != EraChange::Late => {
                 let version = snapshot.version;
                 apply_snapshot(&cx, snapshot);
                 complete_read(&cx, sent, version, vec![ViewChange::Other]);
                 follow(&cx, &store, version).await;
             }
+            Ok(_) => sleep(FAILURE_RETRY_DELAY).await,
             Err(error) => {
                 on_read_failure(&cx, &error);
                 sleep(FAILURE_RETRY_DELAY).await;
@@ -74,7 +78,7 @@
     }
 }
 
-/// Reads changes until the store no longer has the history after `version`.
+/// Reads changes until the store does not have the history after `version`.
 async fn follow(cx: &Context, store: &Store, mut version: StoreVersion) {
     loop {
         let Some(may_wait) = cx.with_gateway(Gateway::next_read) else {
@@ -86,6 +90,14 @@
         let wait = if may_wait { MAX_READ_WAIT } else { NO_WAIT };
         match store.changes(version, wait).await {
             Ok(changes) => {
+                match on_era(cx, &changes) {
+                    EraChange::Same => {}
+                    EraChange::Restored => return,
+                    EraChange::Late => {
+                        sleep(FAILURE_RETRY_DELAY).await;
+                        continue;
+                    }
+                }
                 version = version.max(changes.version);
                 let mut view_changes = Vec::new();
                 for change in changes.changes {
@@ -108,6 +120,10 @@
     }
 }
 
+fn on_era(cx: &Context, read: &Changes) -> EraChange {
+    cx.with_gateway(|gateway, now| gateway.on_store_era(now, read.era))
+}
+
 /// Records that a read is being sent and returns the time.
 fn begin_read(cx: &Context) -> Timestamp {
     cx.with_gateway(|gateway, now| {
@@ -173,7 +189,8 @@
         Event::new("store-listed")
             .with("endpoints", endpoints.len())
             .with("daemons", members.len())
-            .with("version", snapshot.version),
+            .with("version", snapshot.version)
+            .with("era", snapshot.era.unwrap_or_default()),
     );
     cx.with_gateway(|gateway, now| {
         let ended: Vec<ServiceName> = gateway
@@ -243,6 +260,7 @@
         gateway.on_member(now, stored.member);
         gateway.set_extension_support(&id, stored.stream_origins);
         gateway.set_quarantine_support(&id, stored.quarantine);
+        gateway.set_peer_protocol(&id, stored.protocol);
     });
 }
 
@@ -363,6 +381,7 @@
             member: member.clone(),
             stream_origins: true,
             quarantine: true,
+            protocol: PeerProtocol::NEWEST,
         };
         let value = serde_json::to_vec(&stored).map_err(|_| "not-encoded")?;
         let key = self.key.clone();
