Obey endpoints that say in their responses that they leave

Cause: nothing read Server-Leaving; only the entry in the store counted, which may lag, be lost with the store, or never say it. What an endpoint says of itself is now decoded in one place (headers::read_notice), held for one process of the endpoint (EndpointNotice in the table) and obeyed by every selection: first sends, retries, second attempts and resumed streams. It ends with the process alone. The first daemon that learns of it tells its peers at once, and all repeat it, so that a daemon that starts is told, too. Scaling does not count such an endpoint.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -12,6 +12,7 @@
 mod crash_evidence;
 mod demand;
 mod directory;
+mod endpoint_notice;
 mod endpoint_table;
 mod freshness;
 mod gossip;
@@ -47,7 +48,10 @@
 
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
 pub use demand::DemandCounter;
-pub use endpoint_table::{EndpointEntry, EndpointRecord, EndpointTable, REREGISTER_TIME};
+pub use endpoint_notice::{EndpointNotice, SharedNotice};
+pub use endpoint_table::{
+    EndpointEntry, EndpointProcess, EndpointRecord, EndpointTable, REREGISTER_TIME,
+};
 pub use freshness::StoreFreshness;
 pub use gossip::{
     EndpointKey, EndpointLoad, GOSSIP_PERIOD, GossipMessage, Peer, PeerTable, ServiceDemand,
@@ -100,6 +104,7 @@
     freshness: StoreFreshness,
     view: view::StoreView,
     endpoints: EndpointTable,
+    notice_outbox: endpoint_notice::NoticeOutbox,
     load_balancer: LoadBalancer,
     peer_table: PeerTable,
     quotas: QuotaLedger,
@@ -136,6 +141,7 @@
             freshness: StoreFreshness::new(bounds.revocation),
             view: view::StoreView::default(),
             endpoints: EndpointTable::default(),
+            notice_outbox: endpoint_notice::NoticeOutbox::default(),
             load_balancer: LoadBalancer::new(zone),
             peer_table: PeerTable::default(),
             quotas: QuotaLedger::new(),
--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::endpoint_notice::{EndpointNotice, SharedNotice};
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::domain;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
@@ -16,7 +17,20 @@
 /// Time after an outage within which a live endpoint registers again.
 pub const REREGISTER_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which an endpoint that is gone is remembered: longer than a copy of the store, or a
+/// message of a peer, can be old.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+
 domain! {
+    /// Process of an endpoint; a restarted one has another, even under the same identifier.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct EndpointProcess {
+        /// Identifier of the endpoint.
+        pub id: EndpointId,
+        /// Start of the process, in milliseconds since the Unix epoch.
+        pub started_at_ms: u64,
+    }
+
     /// Entry that an endpoint registers for itself.
     pub struct EndpointRecord {
         /// Identifier of the endpoint.
@@ -52,12 +66,44 @@
     written_at: Timestamp,
     /// Whether its entry expired around an outage.
     is_expired: bool,
+    /// What its process says of itself in responses.
+    notice: EndpointNotice,
+}
+
+impl EndpointEntry {
+    /// Returns whether the endpoint takes no new calls.
+    pub fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.notice.is_leaving
+    }
+
+    fn process(&self) -> EndpointProcess {
+        self.record.process()
+    }
+}
+
+impl EndpointRecord {
+    /// Returns the process that registered the entry.
+    pub fn process(&self) -> EndpointProcess {
+        EndpointProcess {
+            id: self.id.clone(),
+            started_at_ms: self.started_at_ms,
+        }
+    }
+}
+
+/// Endpoint that is no longer, or not yet, in the table.
+#[derive(Debug, Clone)]
+struct AbsentEndpoint {
+    started_at_ms: u64,
+    notice: EndpointNotice,
+    since: Timestamp,
 }
 
 /// All known endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointTable {
     endpoints: BTreeMap<EndpointId, EndpointEntry>,
+    absent: BTreeMap<EndpointId, AbsentEndpoint>,
 }
 
 impl EndpointTable {
@@ -78,6 +124,7 @@
         record: EndpointRecord,
         journal: &mut Journal,
     ) -> bool {
+        let notice = self.notice_of(&record.process());
         let known = self.endpoints.get_mut(&record.id);
         let choice = match known {
             Some(known) if known.record == record && !known.is_expired => {
@@ -89,12 +136,14 @@
             Some(_) => "changed",
         };
         journal.record(endpoint_decision(now, choice, "entry", &record));
+        self.absent.remove(&record.id);
         self.endpoints.insert(
             record.id.clone(),
             EndpointEntry {
                 record,
                 written_at: now,
                 is_expired: false,
+                notice,
             },
         );
         true
@@ -113,17 +162,94 @@
         let Some(known) = self.endpoints.get_mut(id) else {
             return false;
         };
-        if is_after_outage && !known.record.is_leaving {
+        if is_after_outage && !known.is_leaving() {
             if !std::mem::replace(&mut known.is_expired, true) {
                 journal.record(removal_decision(now, "kept", "lapsed-in-outage", known));
             }
             return false;
         }
         journal.record(removal_decision(now, "removed", "entry-gone", known));
-        self.endpoints.remove(id);
+        self.remove(now, id);
+        true
+    }
+
+    /// Records what a process of an endpoint says of itself; returns whether anything changed.
+    /// That a process leaves is final.
+    pub(super) fn on_notice(
+        &mut self,
+        now: Timestamp,
+        process: &EndpointProcess,
+        notice: EndpointNotice,
+        source: &str,
+        journal: &mut Journal,
+    ) -> bool {
+        let known = self.notice_of(process);
+        if known == notice || !notice.is_leaving {
+            return false;
+        }
+        match self.endpoints.get_mut(&process.id) {
+            Some(entry) if entry.record.started_at_ms == process.started_at_ms => {
+                entry.notice = notice;
+                journal.record(endpoint_decision(now, "leaving", source, &entry.record));
+            }
+            // A process that has not registered yet, or whose entry has not been read.
+            Some(entry) if entry.record.started_at_ms > process.started_at_ms => return false,
+            _ => {
+                let absent = AbsentEndpoint {
+                    started_at_ms: process.started_at_ms,
+                    notice,
+                    since: now,
+                };
+                self.absent.insert(process.id.clone(), absent);
+            }
+        }
         true
     }
 
+    /// Returns what all processes say of themselves, except those that say nothing.
+    pub(super) fn notices(&self) -> impl Iterator<Item = SharedNotice> {
+        self.endpoints.values().filter_map(|entry| {
+            let notice = EndpointNotice {
+                is_leaving: entry.is_leaving(),
+            };
+            (notice != EndpointNotice::default()).then(|| SharedNotice {
+                process: entry.process(),
+                notice,
+            })
+        })
+    }
+
+    fn notice_of(&self, process: &EndpointProcess) -> EndpointNotice {
+        let listed = self.endpoints.get(&process.id);
+        let listed = listed.map(|entry| (entry.record.started_at_ms, entry.notice));
+        let absent = self.absent.get(&process.id);
+        let absent = absent.map(|absent| (absent.started_at_ms, absent.notice));
+        listed
+            .into_iter()
+            .chain(absent)
+            .find(|(started_at_ms, _)| *started_at_ms == process.started_at_ms)
+            .map_or(EndpointNotice::default(), |(_, notice)| notice)
+    }
+
+    fn remove(&mut self, now: Timestamp, id: &EndpointId) -> Option<EndpointEntry> {
+        let entry = self.endpoints.remove(id)?;
+        let absent = AbsentEndpoint {
+            started_at_ms: entry.record.started_at_ms,
+            notice: EndpointNotice {
+                is_leaving: entry.is_leaving(),
+            },
+            since: now,
+        };
+        self.absent.insert(id.clone(), absent);
+        Some(entry)
+    }
+
+    /// Forgets endpoints that have been gone for a long time.
+    pub(super) fn forget_absent(&mut self, now: Timestamp) {
+        let is_recent = |absent: &AbsentEndpoint| now.since(absent.since) < DEPARTURE_RETENTION;
+        self.absent.retain(|_, absent| is_recent(absent));
+    }
+
     /// Replaces the table with a complete list; endpoints missing from the list are removed,
     /// or kept if `is_after_outage`. Returns whether anything changed.
     pub fn on_list(
@@ -169,7 +295,7 @@
             .map(|entry| entry.record.id.clone())
             .collect();
         for id in &expired {
-            if let Some(entry) = self.endpoints.remove(id) {
+            if let Some(entry) = self.remove(now, id) {
                 let reason = "not-back-after-outage";
                 journal.record(removal_decision(now, "removed", reason, &entry));
             }
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use super::call::Prompt;
-use super::endpoint_table::{EndpointRecord, EndpointTable};
+use super::endpoint_table::{EndpointEntry, EndpointProcess, EndpointTable};
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::{CallOutcome, Health};
 use super::prefill::prefill_time;
@@ -55,6 +55,8 @@
     pub endpoint: EndpointId,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Start of the endpoint's process, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
     /// Service that is called.
     pub service: ServiceName,
     /// Version of the endpoint's software; `None` if unknown.
@@ -106,6 +108,16 @@
     services: BTreeMap<ServiceName, Vec<EndpointState>>,
 }
 
+impl CallAttempt {
+    /// Returns the process that the attempt is sent to.
+    pub fn process(&self) -> EndpointProcess {
+        EndpointProcess {
+            id: self.endpoint.clone(),
+            started_at_ms: self.started_at_ms,
+        }
+    }
+}
+
 /// Call that needs an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct EndpointQuery<'a> {
@@ -155,11 +167,11 @@
                 {
                     endpoint
                 }
-                _ => EndpointState::new(record),
+                _ => EndpointState::new(entry),
             };
             endpoint.zone = record.zone.clone();
             endpoint.slots = record.slots.max(1);
-            endpoint.is_leaving = record.is_leaving;
+            endpoint.is_leaving = entry.is_leaving();
             endpoint.version.clone_from(&record.version);
             self.services
                 .entry(record.service.clone())
@@ -230,6 +242,7 @@
         Some(CallAttempt {
             endpoint: endpoint.id.clone(),
             address: endpoint.address,
+            started_at_ms: endpoint.started_at_ms,
             service: query.service.clone(),
             version: endpoint.version.clone(),
             started_at: now,
@@ -352,14 +365,15 @@
 }
 
 impl EndpointState {
-    fn new(record: &EndpointRecord) -> Self {
+    fn new(entry: &EndpointEntry) -> Self {
+        let record = &entry.record;
         let hash = digest64(&[record.id.as_str().as_bytes()]);
         Self {
             id: record.id.clone(),
             address: record.address,
             zone: record.zone.clone(),
             slots: record.slots.max(1),
-            is_leaving: record.is_leaving,
+            is_leaving: entry.is_leaving(),
             started_at_ms: record.started_at_ms,
             version: record.version.clone(),
             key: EndpointKey(hash as u32),
--- a/crates/laburnumstall-core/src/gateway/lost_calls.rs
+++ b/crates/laburnumstall-core/src/gateway/lost_calls.rs
@@ -112,7 +112,7 @@
         attempt: &CallAttempt,
     ) -> Option<&mut LostProcess> {
         let known = self.endpoints.get(&attempt.endpoint)?;
-        if known.record.is_leaving {
+        if known.is_leaving() {
             return None;
         }
         let started_at = known.record.started_at_ms.to_le_bytes();
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -11,6 +11,7 @@
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use super::endpoint_notice::SharedNotice;
 use super::gossip::GossipMessage;
 use super::quarantine_update::QuarantineUpdate;
 use super::resumption::{OriginQuery, OriginReply};
@@ -26,7 +27,8 @@
 }
 
 impl PeerProtocol {
-    /// Newest protocol of this build, which adds the era of the store to gossip messages.
+    /// Newest protocol of this build, which adds the era of the store to gossip messages, and
+    /// notices of endpoints.
     pub const NEWEST: Self = Self(1);
 }
 
@@ -50,6 +52,8 @@
     Answer(OriginReply),
     /// Crashes of endpoints, and requests that are quarantined or cleared.
     Quarantine(QuarantineUpdate),
+    /// What endpoints say of themselves.
+    Notices(Vec<SharedNotice>),
 }
 
 /// Encoding of what follows [`EXTENSION`]; variants are added at the end.
@@ -65,6 +69,7 @@
         Vec<Option<SoftwareVersion>>,
         StoreEra,
     ),
+    Notices(Cow<'a, [SharedNotice]>),
 }
 
 impl Serialize for PeerMessage {
@@ -83,6 +88,7 @@
             Self::Lookup(query) => Extension::Lookup(Cow::Borrowed(query)),
             Self::Answer(reply) => Extension::Answer(Cow::Borrowed(reply)),
             Self::Quarantine(update) => Extension::Quarantine(Cow::Borrowed(update)),
+            Self::Notices(notices) => Extension::Notices(Cow::Borrowed(notices)),
         };
         (EXTENSION, extension).serialize(serializer)
     }
@@ -121,6 +127,7 @@
                 Extension::Lookup(query) => PeerMessage::Lookup(query.into_owned()),
                 Extension::Answer(reply) => PeerMessage::Answer(reply.into_owned()),
                 Extension::Quarantine(update) => PeerMessage::Quarantine(update.into_owned()),
+                Extension::Notices(notices) => PeerMessage::Notices(notices.into_owned()),
             });
         }
         Ok(PeerMessage::Gossip(GossipMessage {
--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -318,8 +318,9 @@
         .keys()
         .map(|zone| (zone.clone(), none))
         .collect();
-    let listed = endpoints.iter().map(|listed| &listed.record);
-    for record in listed.filter(|record| record.service == *service && !record.is_leaving) {
+    let listed = endpoints.iter().filter(|listed| !listed.is_leaving());
+    let listed = listed.map(|listed| &listed.record);
+    for record in listed.filter(|record| record.service == *service) {
         let count = counts.entry(record.zone.clone()).or_insert(none);
         match record.is_spot {
             true => count.spot += 1,
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -170,6 +170,7 @@
     /// time.
     pub fn tick(&mut self, now: Timestamp) {
         self.usage.remove_expired(now);
+        self.endpoints.forget_absent(now);
         self.origins.remove_expired(now);
         self.tick_quarantine(now);
         for expired in self.peer_table.remove_expired(now) {
--- a/crates/laburnumstall-core/tests/gateway/restored_store.rs
+++ b/crates/laburnumstall-core/tests/gateway/restored_store.rs
@@ -9,7 +9,7 @@
 };
 use laburnumstall_core::store::{StoreEra, StoreVersion};
 
-fn gossip_of_era(sequence: u64, era: u64, changed: u64, echo: u64) -> GossipMessage {
+pub(crate) fn gossip_of_era(sequence: u64, era: u64, changed: u64, echo: u64) -> GossipMessage {
     let mut message = gossip(sequence, changed, echo);
     message.view.era = StoreEra(era);
     message
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -96,10 +96,16 @@
         let has_origins_to_send = gateway.has_origins_to_send();
         let has_endpoint_checks = gateway.has_endpoint_checks();
         let updates = gateway.take_quarantine_updates();
+        let notices = gateway.take_endpoint_notices(now);
         drop(gateway);
         for (peer, address, update) in updates {
             self.send_to_peer(&peer, address, PeerMessage::Quarantine(update));
         }
+        if let Some((peers, notices)) = notices {
+            for (peer, address) in peers {
+                self.send_to_peer(&peer, address, PeerMessage::Notices(notices.clone()));
+            }
+        }
         if has_endpoint_checks {
             self.check_signal.notify_one();
         }
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -100,6 +100,9 @@
             }
         }
         PeerMessage::Answer(reply) => cx.lookups.on_reply(reply),
+        PeerMessage::Notices(notices) => {
+            cx.with_gateway(|gateway, now| gateway.on_peer_notices(now, notices));
+        }
         PeerMessage::Quarantine(update) => {
             cx.with_gateway(|gateway, now| gateway.on_quarantine_update(now, update));
         }
--- a/crates/laburnumstalld/src/gateway/replacement.rs
+++ b/crates/laburnumstalld/src/gateway/replacement.rs
@@ -155,7 +155,7 @@
                 SendFailure::TimedOut { is_sent: true } => CallFailure::Silent,
                 SendFailure::TimedOut { is_sent: false } => CallFailure::NotSent,
             })?;
-            let start = start(sent, kind).await?;
+            let start = start(cx, sent, kind).await?;
             match start.response.class {
                 ResponseClass::Success => Ok(start),
                 // An error response serves a call that has not begun its response.
@@ -199,8 +199,12 @@
 }
 
 /// Waits for the start of a response.
-pub(super) async fn start(sent: SentRequest, kind: CallKind) -> Result<Start, CallFailure> {
-    let response = sent.response().await?;
+pub(super) async fn start(
+    cx: &Context,
+    sent: SentRequest,
+    kind: CallKind,
+) -> Result<Start, CallFailure> {
+    let response = sent.response(cx).await?;
     let is_stream = kind == CallKind::Stream && response.head.is_event_stream();
     match response.class {
         ResponseClass::Success if is_stream => stream::first_events(response).await,
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure};
+use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure, EndpointProcess};
 use laburnumstall_platform::headers::{self, ResponseClass};
 
 use super::context::Context;
@@ -113,6 +113,7 @@
     id: CompactString,
     method: CompactString,
     address: SocketAddr,
+    process: EndpointProcess,
     len: usize,
     is_sent_whole: bool,
 }
@@ -187,19 +188,24 @@
         id: call.id.clone(),
         method: request.head.method.clone(),
         address: attempt.address,
+        process: attempt.process(),
         len: message.len(),
         is_sent_whole,
     })
 }
 
 impl SentRequest {
-    /// Waits for the response head.
+    /// Waits for the response head, and records what it says of the endpoint.
     ///
     /// # Errors
     ///
     /// [`CallFailure::Lost`] or [`CallFailure::BadAnswer`] if there is no usable response.
-    pub(super) async fn response(mut self) -> Result<Response, CallFailure> {
+    pub(super) async fn response(mut self, cx: &Context) -> Result<Response, CallFailure> {
         let (head, class) = read_head(&mut self.conn, &self.method, &self.id).await?;
+        if class != ResponseClass::WrongEndpoint {
+            let notice = headers::read_notice(&head);
+            cx.with_gateway(|gateway, now| gateway.on_endpoint_notice(now, &self.process, notice));
+        }
         let is_surely_read = self.len <= MAX_SURELY_READ || class == ResponseClass::Success;
         Ok(Response {
             is_request_read: self.is_sent_whole && is_surely_read,
--- a/crates/laburnumstalld/src/http1/head.rs
+++ b/crates/laburnumstalld/src/http1/head.rs
@@ -170,17 +170,22 @@
 }
 
 impl HeaderLines for RequestHead {
-    fn value(&self, name: &str) -> Option<&str> {
-        single_text(&self.headers, name)
+    fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = Option<&'a str>> {
+        texts(&self.headers, name)
     }
 }
 
 impl HeaderLines for ResponseHead {
-    fn value(&self, name: &str) -> Option<&str> {
-        single_text(&self.headers, name)
+    fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = Option<&'a str>> {
+        texts(&self.headers, name)
     }
 }
 
+fn texts<'a>(headers: &'a [Header], name: &'a str) -> impl Iterator<Item = Option<&'a str>> {
+    let named = headers.iter().filter(move |header| header.name == name);
+    named.map(|header| std::str::from_utf8(&header.value).ok())
+}
+
 /// Returns whether a header, named in lower case, is hop-by-hop and must not be forwarded.
 pub fn is_hop_by_hop(headers: &[Header], name: &str) -> bool {
     const HOP_BY_HOP_HEADERS: [&str; 10] = [
