Let no copy of the store take back what is known of an endpoint

Cause: the list read from the copy replaced the table, so an endpoint that was leaving became ready again, one that had gone came back, and one that had started again was replaced by its earlier process.

That a process leaves is final, whether its entry or its response said so, also once it is gone: the table remembers processes for a minute after their removal. An entry of the copy whose process was gone is listed without being relied on until the endpoint writes it again, or is still there 5 s later, when the platform would have removed it. An earlier process does not replace a later one; what the copy lacks is kept for 2 s, as after an outage.

--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -3,6 +3,10 @@
 //! An endpoint cannot renew its entry while the store is unreachable, so an entry that expires
 //! around an outage does not show that its endpoint has failed. Such endpoints stay in use for
 //! a short time after the outage, so that live ones can register again.
+//!
+//! A store that comes back from an older copy may list endpoints that have left since. Nothing
+//! that the copy says takes back what is known of a process: that it leaves, that it is gone, or
+//! that a later one has started.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,6 +24,10 @@
 /// Time for which an endpoint that is gone is remembered: longer than a copy of the store, or a
 /// message of a peer, can be old.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+/// Time after a restore in which the entry of a process that was gone is not relied on: a live
+/// endpoint writes it again, and the platform removes that of another one, after three missed
+/// heartbeats.
+const COPY_DOUBT_TIME: Duration = Duration::from_secs(5);
 
 domain! {
     /// Process of an endpoint; a restarted one has another, even under the same identifier.
@@ -68,16 +76,21 @@
     is_expired: bool,
     /// What its process says of itself in responses.
     notice: EndpointNotice,
+    /// Whether the entry of a process that was gone comes from a copy of the store.
+    is_doubtful: bool,
 }
 
 impl EndpointEntry {
     /// Returns whether the endpoint takes no new calls.
     pub fn is_leaving(&self) -> bool {
-        self.record.is_leaving || self.notice.is_leaving
+        self.record.is_leaving || self.notice.is_leaving || self.is_doubtful
     }
 
-    fn process(&self) -> EndpointProcess {
-        self.record.process()
+    /// Returns what is known of its process for good, from its entry and its responses.
+    fn known_notice(&self) -> EndpointNotice {
+        EndpointNotice {
+            is_leaving: self.record.is_leaving || self.notice.is_leaving,
+        }
     }
 }
 
@@ -104,6 +117,8 @@
 pub struct EndpointTable {
     endpoints: BTreeMap<EndpointId, EndpointEntry>,
     absent: BTreeMap<EndpointId, AbsentEndpoint>,
+    /// When the store came back from a copy.
+    restored_at: Option<Timestamp>,
 }
 
 impl EndpointTable {
@@ -127,7 +142,7 @@
         let notice = self.notice_of(&record.process());
         let known = self.endpoints.get_mut(&record.id);
         let choice = match known {
-            Some(known) if known.record == record && !known.is_expired => {
+            Some(known) if known.record == record && !known.is_expired && !known.is_doubtful => {
                 known.written_at = now;
                 return false;
             }
@@ -144,6 +159,7 @@
                 written_at: now,
                 is_expired: false,
                 notice,
+                is_doubtful: false,
             },
         );
         true
@@ -209,11 +225,9 @@
     /// Returns what all processes say of themselves, except those that say nothing.
     pub(super) fn notices(&self) -> impl Iterator<Item = SharedNotice> {
         self.endpoints.values().filter_map(|entry| {
-            let notice = EndpointNotice {
-                is_leaving: entry.is_leaving(),
-            };
+            let notice = entry.known_notice();
             (notice != EndpointNotice::default()).then(|| SharedNotice {
-                process: entry.process(),
+                process: entry.record.process(),
                 notice,
             })
         })
@@ -221,7 +235,7 @@
 
     fn notice_of(&self, process: &EndpointProcess) -> EndpointNotice {
         let listed = self.endpoints.get(&process.id);
-        let listed = listed.map(|entry| (entry.record.started_at_ms, entry.notice));
+        let listed = listed.map(|entry| (entry.record.started_at_ms, entry.known_notice()));
         let absent = self.absent.get(&process.id);
         let absent = absent.map(|absent| (absent.started_at_ms, absent.notice));
         listed
@@ -235,9 +249,7 @@
         let entry = self.endpoints.remove(id)?;
         let absent = AbsentEndpoint {
             started_at_ms: entry.record.started_at_ms,
-            notice: EndpointNotice {
-                is_leaving: entry.is_leaving(),
-            },
+            notice: entry.known_notice(),
             since: now,
         };
         self.absent.insert(id.clone(), absent);
@@ -251,7 +263,8 @@
     }
 
     /// Replaces the table with a complete list; endpoints missing from the list are removed,
-    /// or kept if `is_after_outage`. Returns whether anything changed.
+    /// or kept if `is_after_outage`. Entries from a copy of the store do not take back what is
+    /// known. Returns whether anything changed.
     pub fn on_list(
         &mut self,
         now: Timestamp,
@@ -259,6 +272,7 @@
         is_after_outage: bool,
         journal: &mut Journal,
     ) -> bool {
+        let (doubtful, records) = self.split_doubtful(now, records);
         let is_missing = |id: &EndpointId| records.iter().all(|record| record.id != *id);
         let missing: Vec<EndpointId> = self
             .endpoints
@@ -273,6 +287,86 @@
         for record in records {
             is_changed |= self.on_entry(now, record, journal);
         }
+        for record in doubtful {
+            is_changed |= self.on_doubtful_entry(now, record, journal);
+        }
+        is_changed
+    }
+
+    /// Records that the store came back from a copy.
+    pub(super) fn on_store_restored(&mut self, now: Timestamp) {
+        self.restored_at = Some(now);
+    }
+
+    /// Separates the entries in a list that contradict what was known before the restore.
+    fn split_doubtful(
+        &self,
+        now: Timestamp,
+        records: Vec<EndpointRecord>,
+    ) -> (Vec<EndpointRecord>, Vec<EndpointRecord>) {
+        let is_copy = self
+            .restored_at
+            .is_some_and(|at| now.since(at) < COPY_DOUBT_TIME);
+        records.into_iter().partition(|record| {
+            let absent = self.absent.get(&record.id);
+            let is_gone = absent.is_some_and(|absent| record.started_at_ms <= absent.started_at_ms);
+            let known = self.endpoints.get(&record.id);
+            let is_earlier =
+                known.is_some_and(|known| record.started_at_ms < known.record.started_at_ms);
+            let is_held = known.is_some_and(|known| known.is_doubtful && known.record == *record);
+            is_copy && (is_gone || is_earlier || is_held)
+        })
+    }
+
+    /// Lists an entry from a copy without relying on it, unless a later process is known.
+    fn on_doubtful_entry(
+        &mut self,
+        now: Timestamp,
+        record: EndpointRecord,
+        journal: &mut Journal,
+    ) -> bool {
+        if self.endpoints.contains_key(&record.id) {
+            return false;
+        }
+        journal.record(endpoint_decision(now, "doubted", "copy", &record));
+        let notice = self.notice_of(&record.process());
+        self.endpoints.insert(
+            record.id.clone(),
+            EndpointEntry {
+                record,
+                written_at: now,
+                is_expired: false,
+                notice,
+                is_doubtful: true,
+            },
+        );
+        true
+    }
+
+    /// Relies on the entries of a copy that are still there; returns whether there were any.
+    pub(super) fn end_doubt(&mut self, now: Timestamp, journal: &mut Journal) -> bool {
+        if !self
+            .restored_at
+            .is_some_and(|at| now.since(at) >= COPY_DOUBT_TIME)
+        {
+            return false;
+        }
+        self.restored_at = None;
+        let doubtful = self
+            .endpoints
+            .values_mut()
+            .filter(|entry| entry.is_doubtful);
+        let mut is_changed = false;
+        for entry in doubtful {
+            entry.is_doubtful = false;
+            journal.record(endpoint_decision(
+                now,
+                "listed",
+                "still-there",
+                &entry.record,
+            ));
+            is_changed = true;
+        }
         is_changed
     }
 
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -188,11 +188,12 @@
         self.load_balancer
             .set_peer_work(self.peer_table.reachable(now));
         self.update_member_count(now);
-        if let Some(outage_ended_at) = self.freshness.outage_ended_at(now)
-            && self
-                .endpoints
-                .remove_expired(now, outage_ended_at, &mut self.journal)
-        {
+        let mut is_changed = self.endpoints.end_doubt(now, &mut self.journal);
+        if let Some(outage_ended_at) = self.freshness.outage_ended_at(now) {
+            let journal = &mut self.journal;
+            is_changed |= self.endpoints.remove_expired(now, outage_ended_at, journal);
+        }
+        if is_changed {
             self.load_balancer.set_endpoints(&self.endpoints);
             self.observe_versions(now);
         }
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -255,6 +255,7 @@
         );
         if change == EraChange::Restored {
             self.freshness.on_restored(now);
+            self.endpoints.on_store_restored(now);
             self.peer_table.on_store_restored();
         }
         change
--- a/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
+++ b/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
@@ -28,7 +28,7 @@
 }
 
 /// Returns the endpoints that calls are sent to.
-fn selected(gateway: &mut Gateway, now: Timestamp) -> BTreeSet<String> {
+pub(crate) fn selected(gateway: &mut Gateway, now: Timestamp) -> BTreeSet<String> {
     let calls = (0..20).map(|n| {
         let attributes = call_attributes(&format!("call-{n}"), "/order/1");
         let (_, attempt) = begin_call(gateway, now, attributes).unwrap();
@@ -39,7 +39,7 @@
     calls.collect()
 }
 
-fn only(id: &str) -> BTreeSet<String> {
+pub(crate) fn only(id: &str) -> BTreeSet<String> {
     BTreeSet::from([id.to_owned()])
 }
 
--- a/crates/laburnumstall-core/tests/gateway/restored_store.rs
+++ b/crates/laburnumstall-core/tests/gateway/restored_store.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use crate::leaving_endpoints::{only, selected};
 use crate::store_view::{DAEMONS, gossip, non_reader};
-use crate::support::{at, daemon, endpoint, member};
+use crate::support::{at, daemon, endpoint, gateway, member};
 use laburnumstall_core::gateway::{
-    EraChange, Gateway, GossipMessage, PeerMessage, PeerProtocol, ViewBatch, ViewChange,
+    EndpointRecord, EraChange, Gateway, GossipMessage, PeerMessage, PeerProtocol, ViewBatch,
+    ViewChange,
 };
 use laburnumstall_core::store::{StoreEra, StoreVersion};
 
@@ -119,3 +121,80 @@
     };
     assert_eq!(message.view.era, StoreEra(1));
 }
+
+fn app(id: &str) -> EndpointRecord {
+    endpoint(id, "app", "north-a")
+}
+
+/// Returns a gateway that knows three endpoints, in era 1 of the store.
+fn with_endpoints() -> Gateway {
+    let mut gateway = gateway(&[app("a"), app("b"), app("c")]);
+    gateway.on_store_era(at(0), Some(StoreEra(1)));
+    gateway
+}
+
+/// Lets the store come back at `at(1_000)` with these endpoints.
+fn restore(gateway: &mut Gateway, copy: Vec<EndpointRecord>) {
+    gateway.on_store_era(at(1_000), Some(StoreEra(2)));
+    gateway.on_endpoints(at(1_000), copy);
+}
+
+/// The copy is from before the endpoint said that it leaves.
+#[test]
+fn copy_makes_leaving_endpoint_ready() {
+    let mut gateway = with_endpoints();
+    let mut leaving = app("a");
+    leaving.is_leaving = true;
+    gateway.on_endpoint(at(500), leaving);
+    restore(&mut gateway, vec![app("a"), app("b")]);
+    gateway.on_endpoint_removed(at(1_100), &"c".parse().unwrap());
+    gateway.on_endpoint(at(1_200), app("a"));
+    gateway.tick(at(9_000));
+    assert_eq!(selected(&mut gateway, at(9_000)), only("b"));
+}
+
+/// The copy is from before the endpoint left. A live endpoint writes its entry again, or is
+/// still listed when the platform would have removed it.
+#[test]
+fn copy_brings_endpoint_back_that_was_gone() {
+    let mut gateway = with_endpoints();
+    for id in ["a", "b"] {
+        gateway.on_endpoint_removed(at(500), &id.parse().unwrap());
+    }
+    restore(&mut gateway, vec![app("a"), app("b"), app("c")]);
+    assert_eq!(selected(&mut gateway, at(1_100)), only("c"));
+    gateway.on_endpoint(at(1_500), app("a"));
+    assert_eq!(selected(&mut gateway, at(1_500)).len(), 2);
+    gateway.tick(at(5_900));
+    assert_eq!(selected(&mut gateway, at(5_900)).len(), 2);
+    gateway.tick(at(6_000));
+    assert_eq!(selected(&mut gateway, at(6_000)).len(), 3);
+}
+
+/// The copy is from before the endpoints registered; live ones register again.
+#[test]
+fn endpoint_that_copy_lacks_is_gone_at_once() {
+    let mut gateway = with_endpoints();
+    restore(&mut gateway, vec![app("a")]);
+    assert_eq!(selected(&mut gateway, at(1_900)).len(), 3);
+    gateway.on_endpoint(at(2_000), app("b"));
+    gateway.tick(at(3_000));
+    assert_eq!(selected(&mut gateway, at(3_000)).len(), 2);
+}
+
+/// The copy is from before the endpoint started again under its identifier.
+#[test]
+fn copy_replaces_endpoint_by_its_earlier_process() {
+    let mut gateway = with_endpoints();
+    let mut restarted = app("a");
+    restarted.started_at_ms = 2;
+    restarted.address = "10.9.9.9:8080".parse().unwrap();
+    gateway.on_endpoint(at(500), restarted.clone());
+    restore(&mut gateway, vec![app("a"), app("b"), app("c")]);
+    let id = "a".parse().unwrap();
+    let known = gateway.endpoints().get(&id).unwrap();
+    assert_eq!(known.record, restarted);
+    gateway.on_endpoint(at(1_500), restarted);
+    gateway.tick(at(9_000));
+    assert!(gateway.endpoints().get(&id).is_some());
+}
