Give up leases of the store when it comes back from a copy

Found while the same cause was sought elsewhere: a daemon went on renewing a lease that the store had forgotten and granted again to another, so its registration stayed away (and with it, for daemons that start, the daemon itself), or the mark of a service with several versions. Leases now end with the era in which they were granted.

Failed before: restored_store::registration_lost_with_the_store_is_missing (gateway tests). The marks have no test of their own.

--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -261,6 +261,11 @@
         change
     }
 
+    /// Returns the era of the store; `None` before a reply that tells it.
+    pub fn store_era(&self) -> Option<StoreEra> {
+        self.view.era
+    }
+
     /// Records that a read sent at `sent` returned all changes up to `version`, with `changes`
     /// as the relevant ones.
     pub fn on_read(
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -42,6 +42,8 @@
     pub check_done: Notify,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
+    /// Wakes the task that keeps this daemon registered when the store came back from a copy.
+    pub restore_signal: Notify,
     /// Wakes tasks when a stop begins, idle connections close or the gateway ends.
     pub stop_signal: Notify,
     links: PeerEndpoint<PeerMessage>,
@@ -71,6 +73,7 @@
             check_signal: Notify::new(),
             check_done: Notify::new(),
             metrics,
+            restore_signal: Notify::new(),
             stop_signal: Notify::new(),
             links,
             clock,
--- a/crates/laburnumstalld/src/gateway/marks.rs
+++ b/crates/laburnumstalld/src/gateway/marks.rs
@@ -29,14 +29,20 @@
 /// Writes and renews the marks that are this daemon's task, until the gateway ends.
 pub(super) async fn write(cx: Rc<Context>, store: Rc<Store>) {
     let mut marks: BTreeMap<ServiceName, Mark> = BTreeMap::new();
+    let mut known_era = None;
     while !cx.is_ended() {
         sleep(CHECK_INTERVAL).await;
-        let (services, lifetime) = cx.with_gateway(|gateway, now| {
+        let (services, lifetime, era) = cx.with_gateway(|gateway, now| {
             (
                 gateway.services_to_mark(now),
                 gateway.version_history().retention(),
+                gateway.store_era(),
             )
         });
+        // A lease of an earlier era may have been granted to another daemon since.
+        if std::mem::replace(&mut known_era, era) != era {
+            marks.clear();
+        }
         marks.retain(|service, _| services.contains(service));
         for service in services {
             let known = marks.get(&service);
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -8,7 +8,7 @@
 use laburnumstall_core::ids::{DaemonId, ServiceName, VmId};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::store::{
-    LeaseId, StoreCall, StoreKey, StoreReply, StoreVersion, StoredValue,
+    LeaseId, StoreCall, StoreEra, StoreKey, StoreReply, StoreVersion, StoredValue,
 };
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_outside::key_value::KeyValue;
@@ -121,7 +121,11 @@
 }
 
 fn on_era(cx: &Context, read: &Changes) -> EraChange {
-    cx.with_gateway(|gateway, now| gateway.on_store_era(now, read.era))
+    let change = cx.with_gateway(|gateway, now| gateway.on_store_era(now, read.era));
+    if change == EraChange::Restored {
+        cx.restore_signal.notify_one();
+    }
+    change
 }
 
 /// Records that a read is being sent and returns the time.
@@ -312,10 +316,13 @@
         store,
         key,
         lease: None,
+        era: None,
     };
     while !cx.is_ended() {
         let changed = cx.stop_signal.notified();
-        let is_leaving = cx.with_gateway(|gateway, _| gateway.is_stopping());
+        let (is_leaving, era) =
+            cx.with_gateway(|gateway, _| (gateway.is_stopping(), gateway.store_era()));
+        registration.set_era(era);
         let is_changed = is_leaving != member.leaving;
         member.leaving = is_leaving;
         let pause = match registration.renew(&member, is_changed).await {
@@ -334,6 +341,7 @@
         tokio::select! {
             () = sleep(pause) => {}
             () = changed => {}
+            () = cx.restore_signal.notified() => {}
         }
     }
     let is_done = registration.close().await;
@@ -345,9 +353,18 @@
     store: Rc<Store>,
     key: StoreKey,
     lease: Option<LeaseId>,
+    /// Era in which the lease was granted.
+    era: Option<StoreEra>,
 }
 
 impl Registration {
+    /// Gives up a lease of an earlier era, which may have been granted to another daemon since.
+    fn set_era(&mut self, era: Option<StoreEra>) {
+        if std::mem::replace(&mut self.era, era) != era {
+            self.lease = None;
+        }
+    }
+
     /// Renews the lease, or acquires a new one, and writes the member if it changed or the
     /// lease is new; returns whether it was written.
     async fn renew(&mut self, member: &Member, is_changed: bool) -> Result<bool, &'static str> {
