Read and log the limits that endpoints name

Server-Limit is decoded beside Server-Leaving, in the one place for what an endpoint says of itself, and held for its process; event=membership choice=limited and unlimited tell when it is named, changed and ended, by a response or a peer. Of several words the one heard last holds; a response without a limit ends it only if its request was sent after the limit was last heard, since it may be late. Peers are told at once, and again each second, of the end for ten seconds.

Bad input has a safe reading and one line for each process: 0 and less count as one request in ten seconds, by which the end can be noticed; of several the lowest; what is no finite number leaves what was known. Nothing obeys the limit yet.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -48,7 +48,7 @@
 
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
 pub use demand::DemandCounter;
-pub use endpoint_notice::{EndpointNotice, SharedNotice};
+pub use endpoint_notice::{EndpointLimit, EndpointNotice, LimitNotice, SharedNotice};
 pub use endpoint_table::{
     EndpointEntry, EndpointProcess, EndpointRecord, EndpointTable, REREGISTER_TIME,
 };
--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::endpoint_notice::{EndpointNotice, SharedNotice};
+use super::endpoint_notice::{EndpointLimit, KnownNotice, SharedNotice};
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::domain;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
@@ -75,7 +75,9 @@
     /// Whether its entry expired around an outage.
     is_expired: bool,
     /// What its process says of itself in responses.
-    notice: EndpointNotice,
+    notice: KnownNotice,
+    /// Whether a fault of such a notice was logged.
+    has_faulty_notice: bool,
     /// Whether the entry of a process that was gone comes from a copy of the store.
     is_doubtful: bool,
 }
@@ -86,10 +88,16 @@
         self.record.is_leaving || self.notice.is_leaving || self.is_doubtful
     }
 
-    /// Returns what is known of its process for good, from its entry and its responses.
-    fn known_notice(&self) -> EndpointNotice {
-        EndpointNotice {
+    /// Returns the limit that the endpoint names in its responses.
+    pub fn limit(&self) -> Option<EndpointLimit> {
+        self.notice.limit
+    }
+
+    /// Returns what is known of its process, from its entry and its responses.
+    fn known_notice(&self) -> KnownNotice {
+        KnownNotice {
             is_leaving: self.record.is_leaving || self.notice.is_leaving,
+            ..self.notice
         }
     }
 }
@@ -108,7 +116,7 @@
 #[derive(Debug, Clone)]
 struct AbsentEndpoint {
     started_at_ms: u64,
-    notice: EndpointNotice,
+    notice: KnownNotice,
     since: Timestamp,
 }
 
@@ -159,6 +167,7 @@
                 written_at: now,
                 is_expired: false,
                 notice,
+                has_faulty_notice: false,
                 is_doubtful: false,
             },
         );
@@ -189,27 +198,28 @@
         true
     }
 
-    /// Records what a process of an endpoint says of itself; returns whether anything changed.
-    /// That a process leaves is final.
-    pub(super) fn on_notice(
+    /// Sets what is known of a process of an endpoint; returns whether anything changed.
+    pub(super) fn set_notice(
         &mut self,
         now: Timestamp,
         process: &EndpointProcess,
-        notice: EndpointNotice,
+        notice: KnownNotice,
         source: &str,
         journal: &mut Journal,
     ) -> bool {
         let known = self.notice_of(process);
-        if known == notice || !notice.is_leaving {
-            return false;
-        }
         match self.endpoints.get_mut(&process.id) {
             Some(entry) if entry.record.started_at_ms == process.started_at_ms => {
                 entry.notice = notice;
-                journal.record(endpoint_decision(now, "leaving", source, &entry.record));
+                if notice.is_leaving && !known.is_leaving {
+                    journal.record(endpoint_decision(now, "leaving", source, &entry.record));
+                }
+                if notice.limit != known.limit {
+                    journal.record(limit_decision(now, source, entry));
+                }
             }
-            // A process that has not registered yet, or whose entry has not been read.
             Some(entry) if entry.record.started_at_ms > process.started_at_ms => return false,
+            // The process has not registered yet, or its entry has not been read.
             _ => {
                 let absent = AbsentEndpoint {
                     started_at_ms: process.started_at_ms,
@@ -219,21 +229,35 @@
                 self.absent.insert(process.id.clone(), absent);
             }
         }
-        true
+        notice.is_leaving != known.is_leaving || notice.limit != known.limit
     }
 
-    /// Returns what all processes say of themselves, except those that say nothing.
-    pub(super) fn notices(&self) -> impl Iterator<Item = SharedNotice> {
-        self.endpoints.values().filter_map(|entry| {
-            let notice = entry.known_notice();
-            (notice != EndpointNotice::default()).then(|| SharedNotice {
-                process: entry.record.process(),
-                notice,
-            })
-        })
+    /// Records that a response of a process has a notice that cannot be read.
+    pub(super) fn on_unreadable_notice(
+        &mut self,
+        now: Timestamp,
+        process: &EndpointProcess,
+        fault: &str,
+        journal: &mut Journal,
+    ) {
+        if let Some(entry) = self.endpoints.get_mut(&process.id)
+            && !std::mem::replace(&mut entry.has_faulty_notice, true)
+        {
+            let choice = "unreadable-notice";
+            let decision = endpoint_decision(now, choice, "response", &entry.record);
+            journal.record(decision.with("cause", fault));
+        }
     }
 
-    fn notice_of(&self, process: &EndpointProcess) -> EndpointNotice {
+    /// Returns what is known of all processes, except those that say nothing.
+    pub(super) fn notices(&self, now: Timestamp) -> impl Iterator<Item = SharedNotice> {
+        self.endpoints
+            .values()
+            .filter_map(move |entry| entry.known_notice().share(now, entry.record.process()))
+    }
+
+    /// Returns what is known of a process.
+    pub(super) fn notice_of(&self, process: &EndpointProcess) -> KnownNotice {
         let listed = self.endpoints.get(&process.id);
         let listed = listed.map(|entry| (entry.record.started_at_ms, entry.known_notice()));
         let absent = self.absent.get(&process.id);
@@ -242,7 +266,7 @@
             .into_iter()
             .chain(absent)
             .find(|(started_at_ms, _)| *started_at_ms == process.started_at_ms)
-            .map_or(EndpointNotice::default(), |(_, notice)| notice)
+            .map_or(KnownNotice::default(), |(_, notice)| notice)
     }
 
     fn remove(&mut self, now: Timestamp, id: &EndpointId) -> Option<EndpointEntry> {
@@ -337,6 +361,7 @@
                 written_at: now,
                 is_expired: false,
                 notice,
+                has_faulty_notice: false,
                 is_doubtful: true,
             },
         );
@@ -403,6 +428,18 @@
         .with("written_ms_ago", now.since(entry.written_at).as_millis())
 }
 
+fn limit_decision(now: Timestamp, source: &str, entry: &EndpointEntry) -> Decision {
+    let choice = match entry.limit() {
+        Some(_) => "limited",
+        None => "unlimited",
+    };
+    let decision = endpoint_decision(now, choice, source, &entry.record);
+    match entry.limit() {
+        Some(limit) => decision.with("limit", limit),
+        None => decision,
+    }
+}
+
 fn endpoint_decision(
     now: Timestamp,
     choice: &str,
--- a/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
+++ b/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
@@ -11,7 +11,14 @@
 };
 use laburnumstall_core::prelude::*;
 
-const LEAVING: EndpointNotice = EndpointNotice { is_leaving: true };
+/// Records that an endpoint says that it leaves.
+fn say_leaving(gateway: &mut Gateway, now: Timestamp, process: &EndpointProcess) {
+    let notice = EndpointNotice {
+        is_leaving: true,
+        ..EndpointNotice::default()
+    };
+    gateway.on_endpoint_notice(now, process, now, &notice);
+}
 
 fn two_endpoints() -> Gateway {
     gateway(&[
@@ -83,13 +90,14 @@
 fn endpoint_whose_response_says_it_leaves_gets_calls() {
     let mut gateway = two_endpoints();
     assert_eq!(selected(&mut gateway, at(100)).len(), 2);
-    gateway.on_endpoint_notice(at(200), &process("engine-1", 1), LEAVING);
+    say_leaving(&mut gateway, at(200), &process("engine-1", 1));
     assert_eq!(selected(&mut gateway, at(200)), only("engine-2"));
     let mut entry = endpoint("engine-1", "app", "north-a");
     entry.slots += 1;
     gateway.on_endpoint(at(300), entry.clone());
     assert_eq!(selected(&mut gateway, at(300)), only("engine-2"));
-    gateway.on_endpoint_notice(at(400), &process("engine-1", 1), EndpointNotice::default());
+    let silent = EndpointNotice::default();
+    gateway.on_endpoint_notice(at(400), &process("engine-1", 1), at(390), &silent);
     assert_eq!(selected(&mut gateway, at(400)), only("engine-2"));
     entry.started_at_ms = 2;
     gateway.on_endpoint(at(500), entry);
@@ -104,7 +112,7 @@
     first.set_peer_protocol(&daemon(2), PeerProtocol::NEWEST);
     first.on_gossip(at(90), &daemon(2), gossip_of_era(1, 0, 0, 0));
     first.take_endpoint_notices(at(90));
-    first.on_endpoint_notice(at(200), &process("engine-1", 1), LEAVING);
+    say_leaving(&mut first, at(200), &process("engine-1", 1));
     let (peers, notices) = first.take_endpoint_notices(at(200)).unwrap();
     assert_eq!(peers, [(daemon(2), member(2).peer_address)]);
     assert!(first.take_endpoint_notices(at(300)).is_none());
@@ -131,7 +139,7 @@
 #[test]
 fn endpoint_that_says_it_leaves_counts_as_capacity() {
     let mut gateway = two_endpoints();
-    gateway.on_endpoint_notice(at(200), &process("engine-1", 1), LEAVING);
+    say_leaving(&mut gateway, at(200), &process("engine-1", 1));
     let entries = gateway.endpoints().iter();
     let serving = entries.filter(|entry| !entry.is_leaving());
     assert_eq!(serving.count(), 1);
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure, EndpointProcess};
+use laburnumstall_core::units::Timestamp;
 use laburnumstall_platform::headers::{self, ResponseClass};
 
 use super::context::Context;
@@ -114,6 +115,7 @@
     method: CompactString,
     address: SocketAddr,
     process: EndpointProcess,
+    sent_at: Timestamp,
     len: usize,
     is_sent_whole: bool,
 }
@@ -166,6 +168,7 @@
         }
     };
     let message = write_request(cx, call, attempt, request, resume_after);
+    let sent_at = cx.now();
     let mut written = 0;
     let is_sent_whole = {
         let sending = conn.send_counted(&message, &mut written);
@@ -189,6 +192,7 @@
         method: request.head.method.clone(),
         address: attempt.address,
         process: attempt.process(),
+        sent_at,
         len: message.len(),
         is_sent_whole,
     })
@@ -204,7 +208,9 @@
         let (head, class) = read_head(&mut self.conn, &self.method, &self.id).await?;
         if class != ResponseClass::WrongEndpoint {
             let notice = headers::read_notice(&head);
-            cx.with_gateway(|gateway, now| gateway.on_endpoint_notice(now, &self.process, notice));
+            cx.with_gateway(|gateway, now| {
+                gateway.on_endpoint_notice(now, &self.process, self.sent_at, &notice);
+            });
         }
         let is_surely_read = self.len <= MAX_SURELY_READ || class == ResponseClass::Success;
         Ok(Response {
