--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -50,7 +50,9 @@
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
 pub use demand::DemandCounter;
 pub use endpoint_limiter::EndpointLimiter;
-pub use endpoint_notice::{EndpointLimit, EndpointNotice, LimitNotice, SharedNotice};
+pub use endpoint_notice::{
+    EndpointLimit, EndpointNotice, LimitNotice, NoticeBroadcast, SharedNotice,
+};
 pub use endpoint_table::{
     EndpointEntry, EndpointProcess, EndpointRecord, EndpointTable, REREGISTER_TIME,
 };
--- a/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
@@ -172,6 +172,15 @@
     }
 }
 
+/// Message to several peers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NoticeBroadcast {
+    /// Peers, with their addresses.
+    pub peers: Vec<(DaemonId, SocketAddr)>,
+    /// Notices to send to each of them.
+    pub notices: Vec<SharedNotice>,
+}
+
 /// Notices that wait to be sent to peers.
 #[derive(Debug, Default)]
 pub(super) struct NoticeOutbox {
@@ -211,10 +220,7 @@
     }
 
     /// Returns the notices that are due, and the peers to send them to.
-    pub fn take_endpoint_notices(
-        &mut self,
-        now: Timestamp,
-    ) -> Option<(Vec<(DaemonId, SocketAddr)>, Vec<SharedNotice>)> {
+    pub fn take_endpoint_notices(&mut self, now: Timestamp) -> Option<NoticeBroadcast> {
         let interval = self.peer_table.gossip_period() * REPEAT_INTERVAL;
         let outbox = &mut self.notice_outbox;
         let notices = if now.since(outbox.repeated_at) >= interval {
@@ -232,7 +238,10 @@
             .reachable(now)
             .filter(|peer| peer.protocol >= PeerProtocol::NEWEST)
             .map(|peer| (peer.member.id.clone(), peer.member.peer_address));
-        Some((peers.collect(), notices))
+        Some(NoticeBroadcast {
+            peers: peers.collect(),
+            notices,
+        })
     }
 
     fn set_notice(
--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -370,10 +370,8 @@
 
     /// Relies on the entries of a copy that are still there; returns whether there were any.
     pub(super) fn end_doubt(&mut self, now: Timestamp, journal: &mut Journal) -> bool {
-        if !self
-            .restored_at
-            .is_some_and(|at| now.since(at) >= COPY_DOUBT_TIME)
-        {
+        let is_over = |at| now.since(at) >= COPY_DOUBT_TIME;
+        if !self.restored_at.is_some_and(is_over) {
             return false;
         }
         self.restored_at = None;
--- a/crates/laburnumstall-core/tests/gateway/endpoint_limits.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_limits.rs
@@ -92,7 +92,7 @@
 #[test]
 fn older_word_of_peer_replaces_newer_one() {
     let (mut first, mut second) = (two_endpoints(), two_endpoints());
-    let told = |from: &mut Gateway, now| from.take_endpoint_notices(now).unwrap().1;
+    let told = |from: &mut Gateway, now| from.take_endpoint_notices(now).unwrap().notices;
     first.take_endpoint_notices(at(50));
     say(&mut first, at(100), at(90), LimitNotice::Rate(limit(2.0)));
     let named = told(&mut first, at(100));
--- a/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
+++ b/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
@@ -113,8 +113,9 @@
     first.on_gossip(at(90), &daemon(2), gossip_of_era(1, 0, 0, 0));
     first.take_endpoint_notices(at(90));
     say_leaving(&mut first, at(200), &process("engine-1", 1));
-    let (peers, notices) = first.take_endpoint_notices(at(200)).unwrap();
-    assert_eq!(peers, [(daemon(2), member(2).peer_address)]);
+    let broadcast = first.take_endpoint_notices(at(200)).unwrap();
+    let notices = broadcast.notices;
+    assert_eq!(broadcast.peers, [(daemon(2), member(2).peer_address)]);
     assert!(first.take_endpoint_notices(at(300)).is_none());
 
     let message = PeerMessage::Notices(notices.clone());
@@ -128,7 +129,7 @@
     assert!(second.take_endpoint_notices(at(220)).is_none());
 
     let repeated = first.take_endpoint_notices(at(1_300));
-    assert_eq!(repeated.unwrap().1, notices);
+    assert_eq!(repeated.unwrap().notices, notices);
     let mut third = gateway(&[endpoint("engine-2", "app", "north-a")]);
     third.on_peer_notices(at(1_310), notices);
     third.on_endpoint(at(1_400), endpoint("engine-1", "app", "north-a"));
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -104,9 +104,10 @@
         for (peer, address, update) in updates {
             self.send_to_peer(&peer, address, PeerMessage::Quarantine(update));
         }
-        if let Some((peers, notices)) = notices {
-            for (peer, address) in peers {
-                self.send_to_peer(&peer, address, PeerMessage::Notices(notices.clone()));
+        if let Some(broadcast) = notices {
+            for (peer, address) in broadcast.peers {
+                let message = PeerMessage::Notices(broadcast.notices.clone());
+                self.send_to_peer(&peer, address, message);
             }
         }
         if has_endpoint_checks {
