Play endpoints that name limits in the soak

Every third soak, without the restores, has endpoints that name limits of 0.5 to 6 requests a second beside its other faults, up to three of a service's four at a time. The soak checks that all daemons together keep them, from 3 s after the first response that names one; daemons that other faults disturb do not count.

--- a/crates/laburnumstall-soak/src/checks.rs
+++ b/crates/laburnumstall-soak/src/checks.rs
@@ -22,6 +22,10 @@
 const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time in which a leaving endpoint may still be sent requests.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time in which all daemons have to know of a limit.
+const LIMIT_SPREAD_TIME: Duration = Duration::from_secs(3);
+/// Time over which requests at an endpoint with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Part of the requests that has to be served once all faults are over, in hundredths.
 const SERVED_PERCENT: usize = 90;
 /// Streams taken up again from which on the share that goes on is judged.
@@ -57,6 +61,7 @@
         view.sound_requests(),
         view.drains(&runs),
         view.told_drains(&runs),
+        view.limits(&runs),
         view.reports(),
         view.recovery(calm_from, calm_until),
         world.own_ends.borrow().clone(),
@@ -388,6 +393,43 @@
         late.collect()
     }
 
+    /// All daemons together keep the limit that an endpoint names, except those that were
+    /// disturbed meanwhile.
+    fn limits(&self, runs: &[ExecutedRequest]) -> Vec<String> {
+        let limits = self.world.limits.borrow();
+        let exceeded = limits.iter().filter_map(|limit| {
+            let is_counted = |run: &&ExecutedRequest| {
+                let record = self.by_id.get(run.id.as_str());
+                let is_calm = record.is_some_and(|record| {
+                    !self.is_disturbed(limit.from, record.sent_at, |one| {
+                        one.on != Target::Daemon(record.daemon)
+                    })
+                });
+                run.endpoint == limit.endpoint && is_calm
+            };
+            let times = runs.iter().filter(is_counted);
+            let mut times: Vec<Duration> = times
+                .map(|run| self.world.time_of(run.at))
+                .filter(|at| *at > limit.from + LIMIT_SPREAD_TIME && *at < limit.until)
+                .collect();
+            times.sort_unstable();
+            let in_window = |(index, from): (usize, &Duration)| {
+                let later = times[index..].iter();
+                later.take_while(|at| **at < *from + LIMIT_WINDOW).count()
+            };
+            let most = times.iter().enumerate().map(in_window).max().unwrap_or(0);
+            let allowed = limit.per_second * LIMIT_WINDOW.as_secs_f64() * 1.5 + 5.0;
+            (most as f64 > allowed).then(|| {
+                let (endpoint, per_second) = (&limit.endpoint, limit.per_second);
+                format!(
+                    "{endpoint} got {most} requests in {} s, though it takes {per_second} a second",
+                    LIMIT_WINDOW.as_secs()
+                )
+            })
+        });
+        exceeded.collect()
+    }
+
     /// One report for each window, and one holder for each token.
     fn reports(&self) -> Vec<String> {
         let mut violations = Vec::new();
--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -36,8 +36,18 @@
 const CRASHING_SEED: u64 = 0x63;
 /// Separates the draws of restores from those of the other faults.
 const RESTORE_SEED: u64 = 0x72;
-/// One soak in so many has restores and endpoints that say only in responses that they leave.
+/// One soak in so many has restores and endpoints that say only in responses that they leave, and
+/// another one limits that endpoints name.
 const RESTORED_ONE_IN: u64 = 3;
+/// Separates the draws of limits from those of the other faults.
+const LIMIT_SEED: u64 = 0x6c;
+/// Requests per second that endpoints name as their limit.
+const LIMITS: [f64; 4] = [0.5, 1.0, 2.0, 6.0];
+/// Shortest and longest time for which an endpoint names a limit: some seconds more than daemons
+/// have to keep it.
+const LIMITED_TIME: [Duration; 2] = [Duration::from_millis(6_000), Duration::from_millis(10_000)];
+/// Most endpoints of a service that name limits at the same time.
+const MOST_LIMITED: usize = 3;
 /// Shortest and longest time for which the store is away before it comes back from a copy.
 const AWAY: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(1_500)];
 /// Shortest and longest age of the copy.
@@ -88,6 +98,8 @@
     DrainEndpoint(usize),
     /// The endpoint says in its responses alone that it leaves.
     DrainUnlisted(usize),
+    /// The endpoint names a limit of requests per second for a time.
+    LimitEndpoint(usize, f64, Duration),
     SpoilEndpoint(usize, EndpointFaults, Duration),
     SilenceEndpoint(usize),
     CutEndpoint(usize, Duration),
@@ -123,6 +135,7 @@
             Self::CrashEndpoint(index)
             | Self::DrainEndpoint(index)
             | Self::DrainUnlisted(index)
+            | Self::LimitEndpoint(index, ..)
             | Self::SpoilEndpoint(index, ..)
             | Self::SilenceEndpoint(index)
             | Self::CutEndpoint(index, _)
@@ -146,6 +159,7 @@
                 | Self::ChangeTimeout
                 | Self::AddKey
                 | Self::RevokeKey
+                | Self::LimitEndpoint(..)
                 // Each crash that follows is noted by itself.
                 | Self::SendCrashing(..)
         );
@@ -202,6 +216,7 @@
     plan.retain(|planned| planned.at < length);
     plan.extend(crashing_requests(seed, length, shape));
     plan.extend(restores(seed, length, shape));
+    plan.extend(limits(seed, length, shape));
     plan.sort_by_key(|planned| planned.at);
     plan
 }
@@ -261,6 +276,25 @@
     plan
 }
 
+/// Draws limits that endpoints name, apart from the other faults and from restores.
+fn limits(seed: u64, length: Duration, shape: Shape) -> Vec<Planned> {
+    let mut rng = Rng::with_seed(seed ^ LIMIT_SEED);
+    let mut plan = Vec::new();
+    let mut at = between(&mut rng, Duration::ZERO, LIMITED_TIME[0] / 2);
+    while seed % RESTORED_ONE_IN == 2 && at < length {
+        let lasts = between(&mut rng, LIMITED_TIME[0], LIMITED_TIME[1]);
+        let service = rng.usize(0..shape.services);
+        let per_second = LIMITS[rng.usize(0..LIMITS.len())];
+        let endpoints = (service..shape.endpoints).step_by(shape.services);
+        for index in endpoints.take(rng.usize(1..=MOST_LIMITED)) {
+            let fault = Fault::LimitEndpoint(index, per_second, lasts);
+            plan.push(Planned { at, fault });
+        }
+        at += lasts + between(&mut rng, Duration::ZERO, LIMITED_TIME[0] / 2);
+    }
+    plan
+}
+
 fn fault(rng: &mut Rng, shape: Shape) -> Fault {
     let lasts = between(rng, SHORTEST, LONGEST);
     let daemon = rng.usize(0..shape.daemons);
--- a/crates/laburnumstall-soak/src/world.rs
+++ b/crates/laburnumstall-soak/src/world.rs
@@ -26,7 +26,7 @@
 use crate::plan::{CrashCause, Fault};
 use crate::process::Process;
 use endpoints::EndpointSlot;
-pub(crate) use endpoints::EndpointStart;
+pub(crate) use endpoints::{EndpointLimit, EndpointStart};
 pub(crate) use keys::KeyState;
 use keys::{first_keys, first_rules};
 
@@ -179,6 +179,7 @@
     /// Receives the endpoints that requests have crashed.
     crashed: mpsc::UnboundedSender<(usize, u32)>,
     next_episode: Cell<u32>,
+    pub(crate) limits: RefCell<Vec<EndpointLimit>>,
     pub(crate) endpoint_starts: RefCell<Vec<EndpointStart>>,
     pub(crate) ledger: RefCell<Vec<Record>>,
     pub(crate) keys: RefCell<Vec<KeyState>>,
@@ -245,6 +246,7 @@
             next_endpoint: Cell::new(0),
             crashed: tx,
             next_episode: Cell::new(0),
+            limits: RefCell::default(),
             endpoint_starts: RefCell::default(),
             ledger: RefCell::default(),
             keys: RefCell::new(first_keys()),
--- a/crates/laburnumstall-soak/src/world/endpoints.rs
+++ b/crates/laburnumstall-soak/src/world/endpoints.rs
@@ -36,6 +36,15 @@
     pub(crate) at: Duration,
 }
 
+/// Limit that an endpoint names, in time since the start of the soak.
+#[derive(Debug, Clone)]
+pub(crate) struct EndpointLimit {
+    pub(crate) endpoint: String,
+    pub(crate) per_second: f64,
+    pub(crate) from: Duration,
+    pub(crate) until: Duration,
+}
+
 /// Returns the software version that an endpoint has at first.
 pub(super) fn first_version(index: usize) -> usize {
     1 + index / SERVICES.len() % FIRST_VERSIONS
@@ -80,6 +89,26 @@
         self.start_successor(index, version).await;
     }
 
+    /// Lets an endpoint name a limit for a time.
+    pub(super) async fn limit_endpoint(&self, index: usize, per_second: f64, time: Duration) {
+        let mut number = None;
+        self.at_endpoint(index, |slot| {
+            slot.stand_in.set_limit(Some(per_second));
+            number = Some(slot.number);
+        });
+        let from = self.elapsed();
+        sleep(time).await;
+        self.at_endpoint(index, |slot| slot.stand_in.set_limit(None));
+        if let Some(number) = number {
+            self.limits.borrow_mut().push(EndpointLimit {
+                endpoint: format!("i-{number}"),
+                per_second,
+                from,
+                until: self.elapsed(),
+            });
+        }
+    }
+
     /// Lets an endpoint leave, and replaces it.
     pub(super) async fn drain_endpoint(&self, index: usize, drain: fn(&EndpointStandIn)) {
         self.at_endpoint(index, |slot| drain(&slot.stand_in));
--- a/crates/laburnumstall-soak/src/world/faults.rs
+++ b/crates/laburnumstall-soak/src/world/faults.rs
@@ -100,6 +100,9 @@
                 self.drain_endpoint(index, EndpointStandIn::drain_unlisted)
                     .await;
             }
+            Fault::LimitEndpoint(index, per_second, time) => {
+                self.limit_endpoint(index, per_second, time).await;
+            }
             Fault::Release(service) => self.release(service).await,
             Fault::SpoilEndpoint(index, faults, time) => {
                 self.at_endpoint(index, |slot| slot.stand_in.set_faults(faults));
