Give out no fencing token of an earlier era of the store again

The lease and the token of a holder now end with the era of the store in which they were given, as soon as any reply tells a later one, and tokens of one era exceed all of earlier ones. That a token is absent shows only in the first era that there was no holder before.

--- a/crates/laburnumstall-core/src/placement/lease.rs
+++ b/crates/laburnumstall-core/src/placement/lease.rs
@@ -14,7 +14,8 @@
     HolderRecord, StoreRequest, TokenRecord, current_token, token_record,
 };
 use crate::store::{
-    HeldLease, LeaseId, StoreCall, StoreFailure, StoreKey, StoreOutcome, StoreReply, StoredValue,
+    HeldLease, LeaseId, StoreCall, StoreEra, StoreFailure, StoreKey, StoreOutcome, StoreReply,
+    StoredValue,
 };
 use crate::units::Timestamp;
 
@@ -41,6 +42,9 @@
 /// key-value store was restored to an earlier state.
 const FENCED_TOKEN_INCREMENT: u64 = 1 << 20;
 
+/// Bits of a token below the era of the store: tokens of one era exceed all of earlier ones.
+const TOKEN_ERA_SHIFT: u32 = 32;
+
 /// Timing of a lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseTiming {
@@ -111,6 +115,8 @@
     lease: Option<HeldLease>,
     token: Option<FencingToken>,
     token_increment: u64,
+    /// Era of the store.
+    era: StoreEra,
     /// Time from which orders may be sent to endpoints that ignore the token.
     quiet_until: Timestamp,
     /// Time at which this daemon last lost the lease.
@@ -152,6 +158,7 @@
             lease: None,
             token: None,
             token_increment: 1,
+            era: StoreEra::default(),
             quiet_until: Timestamp::NEVER,
             lost_at: None,
         })
@@ -163,6 +170,25 @@
         self.candidate = candidate;
     }
 
+    /// Sets the era of the store. In a new one the lease and the token are gone, whatever the store
+    /// says of them: both may be given out again.
+    pub fn set_era(&mut self, now: Timestamp, era: StoreEra, journal: &mut Journal) {
+        if std::mem::replace(&mut self.era, era) == era {
+            return;
+        }
+        // An absent token no longer shows that there was no earlier holder.
+        self.timing.trusts_absence &= era <= StoreEra(1);
+        if self.lease.is_some() {
+            journal.record(self.decision(now, "lost", "store-restored"));
+        }
+        if self.token.is_some() {
+            self.lost_at = Some(now);
+        }
+        self.pending = None;
+        self.clear();
+        self.set_step(Step::ReadHolder, now);
+    }
+
     /// Returns the fencing token for orders while the lease is held.
     pub fn token(&self, now: Timestamp) -> Option<FencingToken> {
         self.token.filter(|_| self.may_order(now))
@@ -303,11 +329,7 @@
             }),
             Step::RaiseToken(current) => {
                 let record = TokenRecord {
-                    token: FencingToken(
-                        current_token(current)
-                            .0
-                            .saturating_add(self.token_increment),
-                    ),
+                    token: self.next_token(current),
                     nonce: self.nonce,
                 };
                 Some(StoreCall::Swap {
@@ -356,12 +378,7 @@
                     // There was no token before, so no order of an earlier holder is in flight.
                     self.quiet_until = now;
                 }
-                let token = FencingToken(
-                    current_token(&before)
-                        .0
-                        .saturating_add(self.token_increment),
-                );
-                self.on_token_raised(now, token, journal);
+                self.on_token_raised(now, self.next_token(&before), journal);
             }
             (Step::RaiseToken(_), StoreReply::Conflict { current }) => {
                 self.on_token(now, current, journal);
@@ -420,6 +437,13 @@
         journal.record(self.decision(now, "held", "token-raised"));
     }
 
+    /// Returns a token above the current one and above those of earlier eras.
+    fn next_token(&self, current: &Option<StoredValue>) -> FencingToken {
+        let of_earlier_eras = self.era.get().saturating_sub(1) << TOKEN_ERA_SHIFT;
+        let highest = current_token(current).0.max(of_earlier_eras);
+        FencingToken(highest.saturating_add(self.token_increment))
+    }
+
     fn is_own_holder(&self, current: &Option<StoredValue>) -> bool {
         let value = current.as_ref().and_then(|stored| stored.value.as_ref());
         let record = value.and_then(|value| serde_json::from_slice::<HolderRecord>(value).ok());
--- a/crates/laburnumstall-core/tests/order_lease.rs
+++ b/crates/laburnumstall-core/tests/order_lease.rs
@@ -15,6 +15,7 @@
     is_candidate,
 };
 use laburnumstall_core::prelude::*;
+use laburnumstall_core::store::StoreEra;
 use store::FakeStore;
 
 const STEP: Duration = Duration::from_millis(50);
@@ -303,6 +304,30 @@
     assert_eq!(world.holders(), [1 - first]);
 }
 
+/// A store that comes back from a copy of an earlier era gives out no token again, also to the
+/// holder of before, which stops at once.
+#[test]
+fn token_of_earlier_era_is_given_again() {
+    let mut world = world(3, 2);
+    let copy = world.store.clone();
+    world.run_for(Duration::from_secs(30));
+    let token = |world: &World| {
+        let holders = world.holders();
+        let client = &world.daemons[*holders.first()?].client;
+        client.token(world.now)
+    };
+    let before = token(&world).expect("a holder");
+    world.store = copy;
+    let now = world.now;
+    for daemon in &mut world.daemons {
+        daemon.client.set_era(now, StoreEra(2), &mut daemon.journal);
+    }
+    assert!(world.holders().is_empty());
+    world.run_for(Duration::from_secs(30));
+    let after = token(&world).expect("a holder");
+    assert!(after > before, "{after} after {before}");
+}
+
 /// Fails without the ranking by zones in `is_candidate`.
 #[test]
 fn candidates_for_the_lease_are_in_different_zones() {
--- a/crates/laburnumstalld/src/gateway/leader.rs
+++ b/crates/laburnumstalld/src/gateway/leader.rs
@@ -75,7 +75,7 @@
             poll: ttl / 2,
             call_timeout: ttl / 2,
             max_order_lifetime: MAX_CALL_DURATION,
-            // The platform's store never loses an acknowledged write.
+            // The store loses acknowledged writes only with its era.
             trusts_absence: true,
         };
         let lease = LeaseClient::with_timing(own.id.clone(), &cx.settings.region, timing)?;
@@ -143,6 +143,7 @@
         });
         let mut journal = Journal::default();
         let mut lease = self.lease.borrow_mut();
+        lease.set_era(self.cx.now(), self.store.newest_era(), &mut journal);
         lease.set_candidate(is_candidate);
         let requests = lease.tick(self.cx.now(), &mut journal);
         drop(lease);
@@ -153,9 +154,10 @@
                 let outcome = this.store.call(request.call).await;
                 let mut journal = Journal::default();
                 let now = this.cx.now();
-                this.lease
-                    .borrow_mut()
-                    .on_store(now, request.id, outcome, &mut journal);
+                let mut lease = this.lease.borrow_mut();
+                lease.set_era(now, this.store.newest_era(), &mut journal);
+                lease.on_store(now, request.id, outcome, &mut journal);
+                drop(lease);
                 this.log_decisions(journal);
             });
         }
