Report no usage window that may have been reported before a restore

The report is fixed in the store before it is sent; the copy lacked it, and the next report had more counts. Windows that were due until 2 s after a daemon noticed the restore are not reported any more by a holder that has not reported them, and a daemon that loses the lease remembers what it has reported. A window that nobody had sent is missed, which costs less than a second count.

Not covered: a daemon that starts after the restore does not know of it.

--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -105,6 +105,8 @@
     announced: StorePosition,
     /// Era of the store; `None` before a reply that tells it.
     era: Option<StoreEra>,
+    /// When the store last came back from a copy.
+    restored_at: Option<Timestamp>,
     /// Start of the time in which all replies were of an earlier era.
     late_since: Option<Timestamp>,
     read_at: Option<Timestamp>,
@@ -137,6 +139,7 @@
         }
         *self = Self {
             era: Some(era),
+            restored_at: Some(now),
             announced: StorePosition {
                 era,
                 ..StorePosition::default()
@@ -261,6 +264,11 @@
         change
     }
 
+    /// Returns when this daemon noticed that the store came back from a copy; `None` if it did not.
+    pub fn store_restored_at(&self) -> Option<Timestamp> {
+        self.view.restored_at
+    }
+
     /// Returns the era of the store; `None` before a reply that tells it.
     pub fn store_era(&self) -> Option<StoreEra> {
         self.view.era
--- a/crates/laburnumstalld/src/gateway/leader.rs
+++ b/crates/laburnumstalld/src/gateway/leader.rs
@@ -39,6 +39,8 @@
 const RENEW_DIVISOR: u32 = 3;
 /// Longest time that a call of a previous holder stays in flight after the next one starts.
 const MAX_CALL_DURATION: Duration = Duration::from_millis(300);
+/// Time in which the holder of the lease notices that the store came back from a copy.
+const RESTORE_NOTICE_TIME: Duration = Duration::from_secs(2);
 /// Prefix of the store keys that hold persisted reports.
 const REPORTS_PREFIX: &str = "usage/";
 
@@ -50,7 +52,7 @@
     own: Member,
     lease: RefCell<LeaseClient>,
     scaler: RefCell<Scaler>,
-    /// Windows whose report was accepted.
+    /// Windows whose report was accepted, also under an earlier lease.
     reported: RefCell<BTreeSet<u64>>,
     in_flight: RefCell<BTreeSet<u64>>,
 }
@@ -105,7 +107,6 @@
             if self.token(now).is_none() {
                 if self.is_idle(now) {
                     self.scaler.borrow_mut().reset();
-                    self.reported.borrow_mut().clear();
                 }
                 continue;
             }
@@ -179,9 +180,17 @@
                 .gossip_period()
                 .saturating_sub(GOSSIP_PERIOD);
             let arrival_delay = COUNTS_ARRIVAL_DELAY + extra_period * GOSSIP_PERIODS_IN_FLIGHT;
+            // A holder may have sent another report, which the store has forgotten.
+            let is_forgotten = |end: Timestamp| {
+                let restored_at = gateway.store_restored_at();
+                restored_at
+                    .is_some_and(|at| end.after(arrival_delay) < at.after(RESTORE_NOTICE_TIME))
+            };
             let is_due = |window: &u64| {
                 let end = usage.window_end(*window);
-                now >= end.after(arrival_delay) && now.since(end) < self.cx.settings.usage_delay
+                !is_forgotten(end)
+                    && now >= end.after(arrival_delay)
+                    && now.since(end) < self.cx.settings.usage_delay
             };
             let windows: Vec<u64> = (current.saturating_sub(4)..current)
                 .filter(is_due)
