--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -188,14 +188,8 @@
                 None => "no endpoint of the service is known",
                 Some(_) => "no endpoint of the stream's version is known",
             };
-            let refusal = match (call.executions, self.limited_wait(now, &call.service)) {
-                (0, Some(wait)) => {
-                    let detail = "the limits that endpoints name are used up";
-                    Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(wait)
-                }
-                (0, None) => {
-                    Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(RETRY_AFTER)
-                }
+            let refusal = match call.executions {
+                0 => self.no_endpoint(now, &call.service, detail),
                 _ => Refusal::new(ErrorKind::EndpointFailed, detail),
             };
             self.journal.record(
@@ -233,16 +227,22 @@
         Ok(attempt)
     }
 
-    /// Returns the retry delay of a caller whose service has no endpoint because of the limits
-    /// that these name; `None` if they name none. A daemon without a share of the limits sends
-    /// callers to another one.
-    fn limited_wait(&mut self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
-        let (room_in, rate) = self.load_balancer.limited_room(now, service)?;
-        let Some(room_in) = room_in else {
-            return Some(RETRY_AFTER);
+    /// Returns the refusal of a call that did not run, with the time at which there is room if the
+    /// limits of the service's endpoints are used up. A daemon without a share of the limits
+    /// sends callers to another one.
+    fn no_endpoint(&mut self, now: Timestamp, service: &ServiceName, detail: &str) -> Refusal {
+        let Some((room_in, rate)) = self.load_balancer.limited_room(now, service) else {
+            return Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(RETRY_AFTER);
+        };
+        let detail = "the limits that endpoints name are used up";
+        let retry_after = match room_in {
+            Some(room_in) => {
+                let schedule = self.return_schedules.entry(service.clone()).or_default();
+                schedule.next(now, room_in, rate)
+            }
+            None => RETRY_AFTER,
         };
-        let schedule = self.return_schedules.entry(service.clone()).or_default();
-        Some(schedule.next(now, room_in, rate))
+        Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(retry_after)
     }
 
     /// Finds an endpoint that the call has not tried, or else any one if it `may_repeat`.
