--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use super::endpoint_notice::{EndpointLimit, KnownNotice, SharedNotice};
+use super::load_balancer::CallAttempt;
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::domain;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
@@ -112,6 +113,16 @@
     }
 }
 
+impl CallAttempt {
+    /// Returns the process that the attempt is sent to.
+    pub fn process(&self) -> EndpointProcess {
+        EndpointProcess {
+            id: self.endpoint.clone(),
+            started_at_ms: self.started_at_ms,
+        }
+    }
+}
+
 /// Endpoint that is no longer, or not yet, in the table.
 #[derive(Debug, Clone)]
 struct AbsentEndpoint {
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -15,7 +15,7 @@
 
 use super::call::Prompt;
 use super::endpoint_limiter::EndpointLimiter;
-use super::endpoint_table::{EndpointEntry, EndpointProcess, EndpointTable};
+use super::endpoint_table::{EndpointEntry, EndpointTable};
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::{CallOutcome, Health};
 use super::prefill::prefill_time;
@@ -110,16 +110,6 @@
     services: BTreeMap<ServiceName, Vec<EndpointState>>,
 }
 
-impl CallAttempt {
-    /// Returns the process that the attempt is sent to.
-    pub fn process(&self) -> EndpointProcess {
-        EndpointProcess {
-            id: self.endpoint.clone(),
-            started_at_ms: self.started_at_ms,
-        }
-    }
-}
-
 /// Call that needs an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct EndpointQuery<'a> {
--- a/crates/laburnumstall-core/src/placement/lease.rs
+++ b/crates/laburnumstall-core/src/placement/lease.rs
@@ -11,7 +11,7 @@
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::ids::{CallId, DaemonId, FencingToken, Region};
 use crate::placement::records::{
-    HolderRecord, StoreRequest, TokenRecord, current_token, token_record,
+    HolderRecord, StoreRequest, TokenRecord, next_token, token_record,
 };
 use crate::store::{
     HeldLease, LeaseId, StoreCall, StoreEra, StoreFailure, StoreKey, StoreOutcome, StoreReply,
@@ -42,9 +42,6 @@
 /// key-value store was restored to an earlier state.
 const FENCED_TOKEN_INCREMENT: u64 = 1 << 20;
 
-/// Bits of a token below the era of the store: tokens of one era exceed all of earlier ones.
-const TOKEN_ERA_SHIFT: u32 = 32;
-
 /// Timing of a lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseTiming {
@@ -329,7 +326,7 @@
             }),
             Step::RaiseToken(current) => {
                 let record = TokenRecord {
-                    token: self.next_token(current),
+                    token: next_token(current, self.era, self.token_increment),
                     nonce: self.nonce,
                 };
                 Some(StoreCall::Swap {
@@ -378,7 +375,8 @@
                     // There was no token before, so no order of an earlier holder is in flight.
                     self.quiet_until = now;
                 }
-                self.on_token_raised(now, self.next_token(&before), journal);
+                let token = next_token(&before, self.era, self.token_increment);
+                self.on_token_raised(now, token, journal);
             }
             (Step::RaiseToken(_), StoreReply::Conflict { current }) => {
                 self.on_token(now, current, journal);
@@ -437,13 +435,6 @@
         journal.record(self.decision(now, "held", "token-raised"));
     }
 
-    /// Returns a token above the current one and above those of earlier eras.
-    fn next_token(&self, current: &Option<StoredValue>) -> FencingToken {
-        let of_earlier_eras = self.era.get().saturating_sub(1) << TOKEN_ERA_SHIFT;
-        let highest = current_token(current).0.max(of_earlier_eras);
-        FencingToken(highest.saturating_add(self.token_increment))
-    }
-
     fn is_own_holder(&self, current: &Option<StoredValue>) -> bool {
         let value = current.as_ref().and_then(|stored| stored.value.as_ref());
         let record = value.and_then(|value| serde_json::from_slice::<HolderRecord>(value).ok());
--- a/crates/laburnumstall-core/src/placement/records.rs
+++ b/crates/laburnumstall-core/src/placement/records.rs
@@ -2,7 +2,10 @@
 
 use crate::domain;
 use crate::ids::{CallId, DaemonId, FencingToken};
-use crate::store::{StoreCall, StoredValue};
+use crate::store::{StoreCall, StoreEra, StoredValue};
+
+/// Bits of a token below the era of the store: tokens of one era exceed all of earlier ones.
+const TOKEN_ERA_SHIFT: u32 = 32;
 
 domain! {
     /// A call to the key-value store; the reply has the same ID.
@@ -36,7 +39,18 @@
     serde_json::from_slice(value).ok()
 }
 
+/// Returns a token above the current one and above those of earlier eras of the store.
+pub(super) fn next_token(
+    current: &Option<StoredValue>,
+    era: StoreEra,
+    increment: u64,
+) -> FencingToken {
+    let of_earlier_eras = era.get().saturating_sub(1) << TOKEN_ERA_SHIFT;
+    let highest = current_token(current).0.max(of_earlier_eras);
+    FencingToken(highest.saturating_add(increment))
+}
+
 /// Returns the highest token issued, or 0 if there is no record.
-pub(super) fn current_token(current: &Option<StoredValue>) -> FencingToken {
+fn current_token(current: &Option<StoredValue>) -> FencingToken {
     token_record(current).map_or(FencingToken(0), |record| record.token)
 }
