--- a/crates/laburnumstall-core/src/placement/lease.rs
+++ b/crates/laburnumstall-core/src/placement/lease.rs
@@ -167,8 +167,7 @@
         self.candidate = candidate;
     }
 
-    /// Sets the era of the store. In a new one the lease and the token are gone, whatever the store
-    /// says of them: both may be given out again.
+    /// Sets the era of the store. In a new one the lease and the token may be given out again.
     pub fn set_era(&mut self, now: Timestamp, era: StoreEra, journal: &mut Journal) {
         if std::mem::replace(&mut self.era, era) == era {
             return;
