Report no window that a store forgot before a daemon started

A daemon whose first reply tells a later era than the first now takes the store for restored until then.

--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -105,7 +105,7 @@
     announced: StorePosition,
     /// Era of the store; `None` before a reply that tells it.
     era: Option<StoreEra>,
-    /// When the store last came back from a copy.
+    /// Until when the store may have come back from a copy.
     restored_at: Option<Timestamp>,
     /// Start of the time in which all replies were of an earlier era.
     late_since: Option<Timestamp>,
@@ -126,6 +126,10 @@
 
     /// Records the era of a reply.
     fn on_era(&mut self, now: Timestamp, era: StoreEra) -> EraChange {
+        if self.era.is_none() && era > StoreEra(1) {
+            // The store may have come back at any time before this daemon started.
+            self.restored_at = Some(now);
+        }
         let known = *self.era.get_or_insert(era);
         if era < known {
             let late_since = *self.late_since.get_or_insert(now);
@@ -264,7 +268,8 @@
         change
     }
 
-    /// Returns when this daemon noticed that the store came back from a copy; `None` if it did not.
+    /// Returns the time until which the store may have come back from a copy: when this daemon
+    /// noticed it, or first read a store that had; `None` if it never did.
     pub fn store_restored_at(&self) -> Option<Timestamp> {
         self.view.restored_at
     }
--- a/crates/laburnumstall-core/tests/gateway/restored_store.rs
+++ b/crates/laburnumstall-core/tests/gateway/restored_store.rs
@@ -198,3 +198,13 @@
     gateway.tick(at(9_000));
     assert!(gateway.endpoints().get(&id).is_some());
 }
+
+/// A daemon that starts in a later era cannot know what the store forgot before.
+#[test]
+fn started_daemon_trusts_store_of_later_era() {
+    for (era, is_restored) in [(1, false), (2, true)] {
+        let mut gateway = gateway(&[app("a")]);
+        gateway.on_store_era(at(0), Some(StoreEra(era)));
+        assert_eq!(gateway.store_restored_at().is_some(), is_restored);
+    }
+}
