--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -22,9 +22,9 @@
 /// Time after an outage within which a live endpoint registers again.
 pub const REREGISTER_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which an endpoint that is gone is remembered: longer than a copy of the store, or a
-/// message of a peer, can be old.
-const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+/// Time for which an endpoint that is not listed is remembered: longer than a copy of the store, or
+/// a message of a peer, can be old.
+const ABSENCE_RETENTION: Duration = Duration::from_secs(60);
 /// Time after a restore in which the entry of a process that was gone is not relied on: a live
 /// endpoint writes it again, and the platform removes that of another one, after three missed
 /// heartbeats.
@@ -84,6 +84,17 @@
 }
 
 impl EndpointEntry {
+    fn new(now: Timestamp, record: EndpointRecord, notice: KnownNotice) -> Self {
+        Self {
+            record,
+            written_at: now,
+            is_expired: false,
+            notice,
+            has_faulty_notice: false,
+            is_doubtful: false,
+        }
+    }
+
     /// Returns whether the endpoint takes no new calls.
     pub fn is_leaving(&self) -> bool {
         self.record.is_leaving || self.notice.is_leaving || self.is_doubtful
@@ -171,17 +182,8 @@
         };
         journal.record(endpoint_decision(now, choice, "entry", &record));
         self.absent.remove(&record.id);
-        self.endpoints.insert(
-            record.id.clone(),
-            EndpointEntry {
-                record,
-                written_at: now,
-                is_expired: false,
-                notice,
-                has_faulty_notice: false,
-                is_doubtful: false,
-            },
-        );
+        let entry = EndpointEntry::new(now, record, notice);
+        self.endpoints.insert(entry.record.id.clone(), entry);
         true
     }
 
@@ -293,7 +295,7 @@
 
     /// Forgets endpoints that have been gone for a long time.
     pub(super) fn forget_absent(&mut self, now: Timestamp) {
-        let is_recent = |absent: &AbsentEndpoint| now.since(absent.since) < DEPARTURE_RETENTION;
+        let is_recent = |absent: &AbsentEndpoint| now.since(absent.since) < ABSENCE_RETENTION;
         self.absent.retain(|_, absent| is_recent(absent));
     }
 
@@ -365,17 +367,9 @@
         }
         journal.record(endpoint_decision(now, "doubted", "copy", &record));
         let notice = self.notice_of(&record.process());
-        self.endpoints.insert(
-            record.id.clone(),
-            EndpointEntry {
-                record,
-                written_at: now,
-                is_expired: false,
-                notice,
-                has_faulty_notice: false,
-                is_doubtful: true,
-            },
-        );
+        let mut entry = EndpointEntry::new(now, record, notice);
+        entry.is_doubtful = true;
+        self.endpoints.insert(entry.record.id.clone(), entry);
         true
     }
 
