Bound what daemons tell each other of endpoints, and end limits that nobody hears of

Measured in a trial at 880 daemons with 100 limited endpoints of 10,000: 59 KB/s sent by each daemon, where 4 KB/s is the target; with 32 daemons and 10 endpoints 7 KB/s. A daemon without a share of a limit that missed its end kept it until the endpoint's process ended.

Changes are still told at once, from a budget that shrinks with the fleet, and each daemon repeats at most 64 notices to three peers in turn. A limit of which nothing was heard for 30 s, or four repetitions, no longer holds: if the endpoint still names it, the next response says so.

Failed before: endpoint_limits::notices_flood_large_fleet (7,090 B/s at 32 daemons) and limit_whose_end_was_missed_lasts. Two older tests now have a peer that listens, since nothing is repeated to nobody.

--- a/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
@@ -1,9 +1,11 @@
 //! What endpoints say of themselves in their responses.
 //!
 //! A notice holds for one process of an endpoint, whatever the key-value store says of it, and
-//! every selection of an endpoint obeys it. The first daemon that learns of a change tells its
-//! peers, and all daemons repeat what they know in case a message was lost.
+//! every selection of an endpoint obeys it. The daemon that learns of a change first tells its
+//! peers, within a bound of bytes, and each daemon repeats what it knows to a few peers in turn, for
+//! those that missed a message or have just started.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -13,17 +15,28 @@
 
 use super::Gateway;
 use super::endpoint_table::EndpointProcess;
+use super::gossip::daemon_hash;
 use super::peer_message::PeerProtocol;
 use super::quarantine_update::millis;
+use super::send_budget::{MESSAGE_BYTES, SendBudget};
 use crate::ids::{DaemonId, ParseIdError};
 use crate::limits::bucket::MICRO;
 use crate::units::Timestamp;
 use crate::{domain, domain_value};
 
-/// Interval, in gossip periods, at which all notices are repeated.
+/// Interval, in gossip periods, at which notices are repeated.
 const REPEAT_INTERVAL: u32 = 4;
-/// Time for which the end of a limit is repeated.
-const END_REPEAT_TIME: Duration = Duration::from_secs(10);
+/// Peers that notices are repeated to at each interval.
+const REPEAT_PEERS: usize = 3;
+/// Maximum number of notices in one message.
+const MAX_NOTICES: usize = 64;
+/// Bytes of one notice in a message.
+const NOTICE_BYTES: f64 = 40.0;
+/// Intervals for which the end of a limit is repeated: until each peer has been told.
+const END_REPEATS: u32 = 10;
+/// Shortest time without a word of a limit after which it no longer holds: its end may have been
+/// missed.
+const MIN_LIMIT_AGE: Duration = Duration::from_secs(30);
 
 domain_value! {
     /// Requests that an endpoint takes from all daemons together, in millionths per second.
@@ -160,9 +173,15 @@
     }
 
     /// Returns the notice for peers; `None` if there is nothing to say.
-    pub(super) fn share(self, now: Timestamp, process: EndpointProcess) -> Option<SharedNotice> {
+    /// That a limit has ended is said for `end_time`.
+    pub(super) fn share(
+        self,
+        now: Timestamp,
+        process: EndpointProcess,
+        end_time: Duration,
+    ) -> Option<SharedNotice> {
         let age = self.limit_heard_at.map(|at| now.since(at));
-        let has_ended = self.limit.is_none() && age.is_some_and(|age| age < END_REPEAT_TIME);
+        let has_ended = self.limit.is_none() && age.is_some_and(|age| age < end_time);
         (self.is_leaving || self.limit.is_some() || has_ended).then(|| SharedNotice {
             process,
             is_leaving: self.is_leaving,
@@ -184,8 +203,12 @@
 /// Notices that wait to be sent to peers.
 #[derive(Debug, Default)]
 pub(super) struct NoticeOutbox {
-    changed: Vec<SharedNotice>,
+    /// Processes whose notices changed by a response.
+    changed: BTreeSet<EndpointProcess>,
+    budget: SendBudget,
     repeated_at: Timestamp,
+    /// Number of repetitions so far.
+    repeats: usize,
 }
 
 impl Gateway {
@@ -204,9 +227,8 @@
         }
         let known = self.endpoints.notice_of(process);
         let notice = known.with_response(now, sent, notice);
-        if self.set_notice(now, process, notice, "response") {
-            let shared = notice.share(now, process.clone());
-            self.notice_outbox.changed.extend(shared);
+        if notice != known && self.set_notice(now, process, notice, "response") {
+            self.notice_outbox.changed.insert(process.clone());
         }
     }
 
@@ -221,27 +243,68 @@
 
     /// Returns the notices that are due, and the peers to send them to.
     pub fn take_endpoint_notices(&mut self, now: Timestamp) -> Option<NoticeBroadcast> {
-        let interval = self.peer_table.gossip_period() * REPEAT_INTERVAL;
-        let outbox = &mut self.notice_outbox;
-        let notices = if now.since(outbox.repeated_at) >= interval {
-            outbox.repeated_at = now;
-            outbox.changed.clear();
-            self.endpoints.notices(now).collect()
-        } else {
-            std::mem::take(&mut outbox.changed)
-        };
-        if notices.is_empty() {
+        if now.since(self.notice_outbox.repeated_at) >= self.repeat_interval() {
+            self.notice_outbox.repeated_at = now;
+            return self.repeat_notices(now);
+        }
+        if self.notice_outbox.changed.is_empty() {
+            return None;
+        }
+        let daemons = 1 + self.peer_table.len();
+        if self.notice_outbox.budget.left(now, daemons) <= 0.0 {
+            return None;
+        }
+        let changed = std::mem::take(&mut self.notice_outbox.changed);
+        let end_time = self.repeat_interval() * END_REPEATS;
+        let notices = changed.into_iter().filter_map(|process| {
+            let notice = self.endpoints.notice_of(&process);
+            notice.share(now, process, end_time)
+        });
+        let notices: Vec<SharedNotice> = notices.take(MAX_NOTICES).collect();
+        let peers = self.notice_peers(now);
+        let bytes = MESSAGE_BYTES + NOTICE_BYTES * notices.len() as f64;
+        self.notice_outbox.budget.spend(bytes * peers.len() as f64);
+        (!notices.is_empty()).then_some(NoticeBroadcast { peers, notices })
+    }
+
+    /// Returns the notices that are repeated, and the peers whose turn it is.
+    fn repeat_notices(&mut self, now: Timestamp) -> Option<NoticeBroadcast> {
+        let repeats = self.notice_outbox.repeats;
+        self.notice_outbox.repeats = repeats.wrapping_add(1);
+        let end_time = self.repeat_interval() * END_REPEATS;
+        let mut notices: Vec<SharedNotice> = self.endpoints.notices(now, end_time).collect();
+        let mut peers = self.notice_peers(now);
+        if notices.is_empty() || peers.is_empty() {
             return None;
         }
-        let peers = self
-            .peer_table
+        let first_notice = repeats.wrapping_mul(MAX_NOTICES) % notices.len();
+        notices.rotate_left(first_notice);
+        notices.truncate(MAX_NOTICES);
+        // Daemons begin with different peers.
+        let offset = daemon_hash(&self.own) as usize % peers.len();
+        let first_peer = (offset + repeats.wrapping_mul(REPEAT_PEERS)) % peers.len();
+        peers.rotate_left(first_peer);
+        peers.truncate(REPEAT_PEERS);
+        Some(NoticeBroadcast { peers, notices })
+    }
+
+    fn notice_peers(&self, now: Timestamp) -> Vec<(DaemonId, SocketAddr)> {
+        self.peer_table
             .reachable(now)
             .filter(|peer| peer.protocol >= PeerProtocol::NEWEST)
-            .map(|peer| (peer.member.id.clone(), peer.member.peer_address));
-        Some(NoticeBroadcast {
-            peers: peers.collect(),
-            notices,
-        })
+            .map(|peer| (peer.member.id.clone(), peer.member.peer_address))
+            .collect()
+    }
+
+    fn repeat_interval(&self) -> Duration {
+        self.peer_table.gossip_period() * REPEAT_INTERVAL
+    }
+
+    /// Ends limits that nobody has heard of for a long time; returns whether there were any.
+    pub(super) fn end_silent_limits(&mut self, now: Timestamp) -> bool {
+        let max_age = MIN_LIMIT_AGE.max(self.repeat_interval() * REPEAT_INTERVAL);
+        self.endpoints
+            .end_silent_limits(now, max_age, &mut self.journal)
     }
 
     fn set_notice(
--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -263,10 +263,34 @@
     }
 
     /// Returns what is known of all processes, except those that say nothing.
-    pub(super) fn notices(&self, now: Timestamp) -> impl Iterator<Item = SharedNotice> {
-        self.endpoints
-            .values()
-            .filter_map(move |entry| entry.known_notice().share(now, entry.record.process()))
+    pub(super) fn notices(
+        &self,
+        now: Timestamp,
+        end_time: Duration,
+    ) -> impl Iterator<Item = SharedNotice> {
+        self.endpoints.values().filter_map(move |entry| {
+            let notice = entry.known_notice();
+            notice.share(now, entry.record.process(), end_time)
+        })
+    }
+
+    /// Ends limits that were last heard of `max_age` ago; returns whether there were any.
+    pub(super) fn end_silent_limits(
+        &mut self,
+        now: Timestamp,
+        max_age: Duration,
+        journal: &mut Journal,
+    ) -> bool {
+        let is_old = |at: Timestamp| now.since(at) >= max_age;
+        let mut is_changed = false;
+        for entry in self.endpoints.values_mut() {
+            if entry.limit().is_some() && entry.notice.limit_heard_at.is_none_or(is_old) {
+                entry.notice.limit = None;
+                journal.record(limit_decision(now, "not-heard", entry));
+                is_changed = true;
+            }
+        }
+        is_changed
     }
 
     /// Returns what is known of a process.
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -190,6 +190,7 @@
         self.update_member_count(now);
         self.share_limits(now);
         let mut is_changed = self.endpoints.end_doubt(now, &mut self.journal);
+        is_changed |= self.end_silent_limits(now);
         if let Some(outage_ended_at) = self.freshness.outage_ended_at(now) {
             let journal = &mut self.journal;
             is_changed |= self.endpoints.remove_expired(now, outage_ended_at, journal);
--- a/crates/laburnumstall-core/tests/gateway/endpoint_limits.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_limits.rs
@@ -5,10 +5,11 @@
 
 use crate::fleet::begin_call;
 use crate::leaving_endpoints::{only, selected};
+use crate::restored_store::gossip_of_era;
 use crate::support::{at, call_attributes, daemon, endpoint, gateway, member};
 use laburnumstall_core::gateway::{
     CallFailure, EndpointLimit, EndpointLimiter, EndpointNotice, EndpointProcess, FailureAction,
-    Gateway, LimitNotice, Scaler,
+    Gateway, LimitNotice, PeerMessage, PeerProtocol, Scaler,
 };
 use laburnumstall_core::hash::digest64;
 use laburnumstall_core::prelude::*;
@@ -92,7 +93,14 @@
 #[test]
 fn older_word_of_peer_replaces_newer_one() {
     let (mut first, mut second) = (two_endpoints(), two_endpoints());
-    let told = |from: &mut Gateway, now| from.take_endpoint_notices(now).unwrap().notices;
+    for gateway in [&mut first, &mut second] {
+        gateway.on_member(at(0), member(2));
+        gateway.set_peer_protocol(&daemon(2), PeerProtocol::NEWEST);
+    }
+    let told = |from: &mut Gateway, now| {
+        hear_peers(from, now, 2);
+        from.take_endpoint_notices(now).unwrap().notices
+    };
     first.take_endpoint_notices(at(50));
     say(&mut first, at(100), at(90), LimitNotice::Rate(limit(2.0)));
     let named = told(&mut first, at(100));
@@ -370,3 +378,74 @@
 fn room_of_limited_endpoint_is_lost() {
     assert_eq!(planned(true), planned(false) + 1);
 }
+
+/// Returns a gateway of a fleet that knows `endpoints` endpoints, each of which names a limit.
+fn in_fleet(daemons: u32, endpoints: usize) -> Gateway {
+    let records: Vec<_> = (0..endpoints)
+        .map(|n| endpoint(&format!("e{n}"), "app", "north-a"))
+        .collect();
+    let mut gateway = gateway(&records);
+    for number in 2..=daemons {
+        gateway.on_member(at(0), member(number));
+        gateway.set_peer_protocol(&daemon(number), PeerProtocol::NEWEST);
+    }
+    hear_peers(&mut gateway, at(90), daemons);
+    for record in &records {
+        let notice = notice(LimitNotice::Rate(limit(1.0)));
+        gateway.on_endpoint_notice(at(100), &record.process(), at(90), &notice);
+    }
+    gateway
+}
+
+fn hear_peers(gateway: &mut Gateway, now: Timestamp, daemons: u32) {
+    for number in 2..=daemons {
+        gateway.on_gossip(now, &daemon(number), gossip_of_era(now.0, 0, 0, 0));
+    }
+}
+
+/// A daemon of a large fleet spends less than 4 KB/s on notices, also with many endpoints.
+#[test]
+fn notices_flood_large_fleet() {
+    const SECONDS: u64 = 600;
+    for (daemons, endpoints) in [(32, 10), (880, 100)] {
+        let mut gateway = in_fleet(daemons, endpoints);
+        let mut bytes = 0;
+        for ms in (0..SECONDS * 1_000).step_by(250) {
+            let period = gateway.peer_table().gossip_period().as_millis() as u64;
+            if ms % (period * 2 / 250 * 250) == 0 {
+                hear_peers(&mut gateway, at(1_000 + ms), daemons);
+            }
+            let Some(broadcast) = gateway.take_endpoint_notices(at(1_000 + ms)) else {
+                continue;
+            };
+            let message = PeerMessage::Notices(broadcast.notices);
+            let size = postcard::to_allocvec(&message).unwrap().len() + 96;
+            bytes += size as u64 * broadcast.peers.len() as u64;
+        }
+        let per_second = bytes / SECONDS;
+        assert!(per_second < 4_096, "{daemons} daemons: {per_second} B/s");
+    }
+}
+
+/// Each peer is told again in turn, also one that has just started.
+#[test]
+fn peer_is_never_told_again() {
+    let mut gateway = in_fleet(32, 1);
+    let mut told = BTreeSet::new();
+    for second in 1..=20 {
+        hear_peers(&mut gateway, at(second * 1_000), 32);
+        let broadcast = gateway.take_endpoint_notices(at(second * 1_000)).unwrap();
+        told.extend(broadcast.peers.into_iter().map(|(peer, _)| peer));
+    }
+    assert_eq!(told.len(), 31);
+}
+
+/// A limit of which nothing was heard for a long time does not hold: its end may have been missed.
+#[test]
+fn limit_whose_end_was_missed_lasts() {
+    let mut gateway = limited(&["a"]);
+    gateway.tick(at(20_000));
+    assert_eq!(limit_of(&gateway, "a"), Some(limit(1.0)));
+    gateway.tick(at(30_100));
+    assert_eq!(limit_of(&gateway, "a"), None);
+}
--- a/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
+++ b/crates/laburnumstall-core/tests/gateway/leaving_endpoints.rs
@@ -128,6 +128,7 @@
     // What a peer told is not told again at once.
     assert!(second.take_endpoint_notices(at(220)).is_none());
 
+    first.on_gossip(at(1_300), &daemon(2), gossip_of_era(2, 0, 0, 0));
     let repeated = first.take_endpoint_notices(at(1_300));
     assert_eq!(repeated.unwrap().notices, notices);
     let mut third = gateway(&[endpoint("engine-2", "app", "north-a")]);
