Look at limits of endpoints only where there are any, and at lists once

Found by reading. Each tick looked up every endpoint and hashed every peer, and each listed endpoint was compared with every known one.

--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -8,7 +8,7 @@
 //! that the copy says takes back what is known of a process: that it leaves, that it is gone, or
 //! that a later one has started.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -274,6 +274,14 @@
         })
     }
 
+    /// Returns the limits that endpoints name.
+    pub(super) fn limits(&self) -> BTreeMap<&EndpointId, EndpointLimit> {
+        let entries = self.endpoints.iter();
+        entries
+            .filter_map(|(id, entry)| Some((id, entry.limit()?)))
+            .collect()
+    }
+
     /// Ends limits that were last heard of `max_age` ago; returns whether there were any.
     pub(super) fn end_silent_limits(
         &mut self,
@@ -334,7 +342,8 @@
         journal: &mut Journal,
     ) -> bool {
         let (doubtful, records) = self.split_doubtful(now, records);
-        let is_missing = |id: &EndpointId| records.iter().all(|record| record.id != *id);
+        let listed: BTreeSet<&EndpointId> = records.iter().map(|record| &record.id).collect();
+        let is_missing = |id: &EndpointId| !listed.contains(id);
         let missing: Vec<EndpointId> = self
             .endpoints
             .keys()
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -15,6 +15,7 @@
 
 use super::call::Prompt;
 use super::endpoint_limiter::EndpointLimiter;
+use super::endpoint_notice::EndpointLimit;
 use super::endpoint_table::{EndpointEntry, EndpointTable};
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::{CallOutcome, Health};
@@ -108,6 +109,7 @@
 pub struct LoadBalancer {
     zone: AvailabilityZone,
     services: BTreeMap<ServiceName, Vec<EndpointState>>,
+    has_limits: bool,
 }
 
 /// Call that needs an endpoint.
@@ -140,6 +142,7 @@
         Self {
             zone,
             services: BTreeMap::new(),
+            has_limits: false,
         }
     }
 
@@ -177,21 +180,26 @@
     pub(super) fn set_limits(
         &mut self,
         now: Timestamp,
-        endpoints: &EndpointTable,
+        limits: &BTreeMap<&EndpointId, EndpointLimit>,
         own: u64,
         peers: &[u64],
     ) {
         for endpoint in self.services.values_mut().flatten() {
-            let limit = endpoints.get(&endpoint.id).and_then(EndpointEntry::limit);
             let hash = endpoint.hash;
-            match (limit, &mut endpoint.limiter) {
-                (Some(limit), Some(limiter)) => limiter.update(now, limit, hash, own, peers),
+            match (limits.get(&endpoint.id), &mut endpoint.limiter) {
+                (Some(limit), Some(limiter)) => limiter.update(now, *limit, hash, own, peers),
                 (Some(limit), limiter) => {
-                    *limiter = Some(EndpointLimiter::new(now, limit, hash, own, peers));
+                    *limiter = Some(EndpointLimiter::new(now, *limit, hash, own, peers));
                 }
                 (None, limiter) => *limiter = None,
             }
         }
+        self.has_limits = !limits.is_empty();
+    }
+
+    /// Returns whether any endpoint had a limit when they were last set.
+    pub(super) fn has_limits(&self) -> bool {
+        self.has_limits
     }
 
     /// Returns when a service's endpoints have room, `None` if that is left to other daemons, and
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -208,14 +208,17 @@
     }
 
     fn share_limits(&mut self, now: Timestamp) {
+        let limits = self.endpoints.limits();
+        if limits.is_empty() && !self.load_balancer.has_limits() {
+            return;
+        }
         let peers = self.peer_table.peers().map(|peer| &peer.member);
         let peers: Vec<u64> = peers
             .filter(|member| !member.leaving)
             .map(|member| daemon_hash(&member.id))
             .collect();
         let own = daemon_hash(&self.own);
-        self.load_balancer
-            .set_limits(now, &self.endpoints, own, &peers);
+        self.load_balancer.set_limits(now, &limits, own, &peers);
     }
 
     fn update_member_count(&mut self, now: Timestamp) {
