Let no daemon serve an older configuration than one that was in force

Cause: what was in force was known to processes alone.

Daemons that read for the fleet and know a later configuration than the store has write its version there, under a lease, as long as that is so. A daemon below this floor is not ready and answers 503 until the operators have written again. The first second, before the floor is written, remains.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -29,6 +29,7 @@
 mod requests;
 mod resumption;
 mod rules;
+mod rules_floor;
 mod scaling;
 mod send_budget;
 mod state;
@@ -105,6 +106,7 @@
     caller_address: SocketAddr,
     bounds: Bounds,
     routing_table: Option<RoutingTable>,
+    rules_floor: rules_floor::RulesFloor,
     freshness: StoreFreshness,
     view: view::StoreView,
     endpoints: EndpointTable,
@@ -143,6 +145,7 @@
             own,
             caller_address,
             routing_table: None,
+            rules_floor: rules_floor::RulesFloor::default(),
             freshness: StoreFreshness::new(bounds.revocation),
             view: view::StoreView::default(),
             endpoints: EndpointTable::default(),
--- a/crates/laburnumstall-core/src/gateway/directory.rs
+++ b/crates/laburnumstall-core/src/gateway/directory.rs
@@ -20,9 +20,12 @@
     }
 
     /// Returns whether callers may be sent to this daemon: it is not stopping, has a
-    /// configuration and may trust its keys.
+    /// configuration that is not older than the floor, and may trust its keys.
     pub fn is_ready(&self, now: Timestamp) -> bool {
-        !self.is_stopping && self.routing_table.is_some() && self.freshness.may_trust_keys(now)
+        !self.is_stopping
+            && self.routing_table.is_some()
+            && !self.is_below_floor()
+            && self.freshness.may_trust_keys(now)
     }
 
     /// Returns the addresses that callers may use: the addresses of ready daemons or, if none
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -91,6 +91,9 @@
             .routing_table
             .as_ref()
             .ok_or_else(|| not_ready("no configuration"))?;
+        if self.is_below_floor() {
+            return Err(not_ready("a later configuration was in force"));
+        }
         let is_view_fresh = self.freshness.is_within(now, MAX_CERTAIN_AGE);
         let unless_stale = |kind, detail| match is_view_fresh {
             true => Refusal::new(kind, detail),
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -24,6 +24,7 @@
     /// adopted.
     pub fn on_rules(&mut self, now: Timestamp, rules: RoutingRules) -> bool {
         let version = rules.version;
+        self.rules_floor.on_stored(version);
         let is_newer = self
             .routing_table
             .as_ref()
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -155,6 +155,11 @@
         EraChange::Restored
     }
 
+    /// Returns whether the store was read since it came back from a copy.
+    pub(super) fn has_read(&self) -> bool {
+        self.read_at.is_some()
+    }
+
     fn read_position(&self) -> StorePosition {
         StorePosition {
             era: self.era.unwrap_or_default(),
@@ -263,6 +268,7 @@
         if change == EraChange::Restored {
             self.freshness.on_restored(now);
             self.endpoints.on_store_restored(now);
+            self.rules_floor.on_store_restored();
             self.peer_table.on_store_restored();
         }
         change
@@ -330,7 +336,7 @@
         }
     }
 
-    fn is_reader(&self, now: Timestamp) -> bool {
+    pub(super) fn is_reader(&self, now: Timestamp) -> bool {
         if self.peer_table.len() < SMALL_FLEET {
             return true;
         }
--- a/crates/laburnumstall-core/tests/gateway/restored_store.rs
+++ b/crates/laburnumstall-core/tests/gateway/restored_store.rs
@@ -4,11 +4,12 @@
 
 use crate::leaving_endpoints::{only, selected};
 use crate::store_view::{DAEMONS, gossip, non_reader};
-use crate::support::{at, daemon, endpoint, gateway, member};
+use crate::support::{at, call_attributes, daemon, endpoint, gateway, member, rules};
 use laburnumstall_core::gateway::{
     EndpointRecord, EraChange, Gateway, GossipMessage, PeerMessage, PeerProtocol, ViewBatch,
     ViewChange,
 };
+use laburnumstall_core::prelude::*;
 use laburnumstall_core::store::{StoreEra, StoreVersion};
 
 pub(crate) fn gossip_of_era(sequence: u64, era: u64, changed: u64, echo: u64) -> GossipMessage {
@@ -208,3 +209,47 @@
         assert_eq!(gateway.store_restored_at().is_some(), is_restored);
     }
 }
+
+/// A daemon with an older configuration than one that was in force refuses callers until it has a
+/// later one.
+#[test]
+fn daemon_below_floor_serves_callers() {
+    let mut gateway = with_endpoints();
+    let is_served = |gateway: &mut Gateway, ms| {
+        let attributes = call_attributes("call", "/order/1");
+        gateway.admit(at(ms), attributes).is_ok() && gateway.is_ready(at(ms))
+    };
+    assert!(is_served(&mut gateway, 100));
+    gateway.on_rules_floor(at(200), Some(Revision(5)));
+    assert!(!is_served(&mut gateway, 300));
+    gateway.on_rules(at(400), rules(5));
+    assert!(is_served(&mut gateway, 500));
+    gateway.on_rules_floor(at(600), Some(Revision(7)));
+    assert!(!is_served(&mut gateway, 700));
+    gateway.on_rules_floor(at(800), None);
+    assert!(is_served(&mut gateway, 900));
+}
+
+/// Daemons that know a later configuration than the store has write its version there.
+#[test]
+fn later_configuration_is_forgotten() {
+    let mut gateway = with_endpoints();
+    gateway.on_rules(at(100), rules(5));
+    gateway.on_read(at(110), at(100), StoreVersion(9), Vec::new());
+    assert_eq!(gateway.rules_floor_to_write(at(120)), None);
+    gateway.on_store_era(at(1_000), Some(StoreEra(2)));
+    assert_eq!(
+        gateway.rules_floor_to_write(at(1_010)),
+        None,
+        "not read yet"
+    );
+    gateway.on_rules(at(1_020), rules(1));
+    gateway.on_read(at(1_030), at(1_020), StoreVersion(4), Vec::new());
+    assert_eq!(gateway.rules_floor_to_write(at(1_040)), Some(Revision(5)));
+    gateway.on_rules_floor(at(1_050), Some(Revision(5)));
+    assert_eq!(gateway.rules_floor_to_write(at(1_060)), None);
+    gateway.on_rules_floor(at(2_000), None);
+    assert_eq!(gateway.rules_floor_to_write(at(2_010)), Some(Revision(5)));
+    gateway.on_rules(at(2_020), rules(6));
+    assert_eq!(gateway.rules_floor_to_write(at(2_030)), None);
+}
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 mod origins;
 mod replacement;
+mod rules_floor;
 mod store_sync;
 mod stream;
 mod upstream;
@@ -195,6 +196,7 @@
     actix_rt::spawn(gossip::receive(Rc::clone(&cx), rx));
     actix_rt::spawn(origins::replicate(Rc::clone(&cx)));
     actix_rt::spawn(marks::write(Rc::clone(&cx), Rc::clone(&store)));
+    actix_rt::spawn(rules_floor::write(Rc::clone(&cx), Rc::clone(&store)));
     actix_rt::spawn(crash_checks::run(Rc::clone(&cx)));
     actix_rt::spawn(crash_checks::write(Rc::clone(&cx), Rc::clone(&store)));
     for listener in [Some(readiness), Some(metrics), directory]
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -20,6 +20,7 @@
 use super::crash_checks;
 use super::log::Event;
 use super::marks;
+use super::rules_floor;
 
 /// Minimum interval between reads of changes. Endpoint heartbeats wake a watch many times a
 /// second, while a change must be seen well within the two seconds after which a leaving
@@ -152,7 +153,10 @@
             let is_changed = known.is_none_or(|known| known.record != *record);
             is_changed.then(|| ViewChange::Endpoint(record.clone()))
         }
-        Change::Own(value) if value.key.as_str().starts_with(MEMBERS_PREFIX) => {
+        Change::Own(value)
+            if value.key.as_str().starts_with(MEMBERS_PREFIX)
+                || value.key.as_str() == rules_floor::KEY =>
+        {
             Some(ViewChange::Other)
         }
         Change::Own(_) | Change::Unreadable { .. } => None,
@@ -173,11 +177,14 @@
     let mut members: BTreeSet<DaemonId> = BTreeSet::new();
     let mut marked: BTreeSet<ServiceName> = BTreeSet::new();
     let mut holds = Vec::new();
+    let mut floor = None;
     for change in snapshot.changes {
         match change {
             Change::Endpoint(record) => endpoints.push(record),
             Change::Own(value) => {
-                if let Some(service) = marks::marked_service(&value) {
+                if let Some(stored) = rules_floor::stored_floor(&value) {
+                    floor = stored;
+                } else if let Some(service) = marks::marked_service(&value) {
                     marked.insert(service);
                 } else if let Some((suspect, hold)) = crash_checks::stored_hold(&value) {
                     holds.extend(hold.map(|hold| (suspect, hold)));
@@ -209,6 +216,7 @@
         for service in marked {
             gateway.on_version_mark(service, true);
         }
+        gateway.on_rules_floor(now, floor);
         gateway.on_endpoints(now, endpoints);
         gateway.on_stored_holds(now, holds);
         let known: Vec<DaemonId> = gateway
@@ -234,7 +242,9 @@
             cx.with_gateway(|gateway, now| gateway.on_endpoint_removed(now, &id));
         }
         Change::Own(value) => {
-            if let Some(service) = marks::marked_service(&value) {
+            if let Some(floor) = rules_floor::stored_floor(&value) {
+                cx.with_gateway(|gateway, now| gateway.on_rules_floor(now, floor));
+            } else if let Some(service) = marks::marked_service(&value) {
                 let is_marked = value.value.is_some();
                 cx.with_gateway(|gateway, _| gateway.on_version_mark(service, is_marked));
             } else if let Some((suspect, hold)) = crash_checks::stored_hold(&value) {
