--- a/crates/laburnumstall-core/tests/gateway/endpoint_limits.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_limits.rs
@@ -449,3 +449,29 @@
     gateway.tick(at(30_100));
     assert_eq!(limit_of(&gateway, "a"), None);
 }
+
+/// Second attempts beside a silent one, and streams that callers take up, count against a limit.
+#[test]
+fn second_attempts_and_resumed_streams_go_past_limit() {
+    let ids = ["a", "b"];
+    let mut gateway = gateway(&ids.map(|id| endpoint(id, "model", "north-a")));
+    for number in 2..=4 {
+        gateway.on_member(at(0), member(number));
+    }
+    say(&mut gateway, at(100), at(90), LimitNotice::Rate(limit(1.0)));
+    let mut at_limited = 0;
+    for n in 0..40 {
+        let mut attributes = call_attributes(&format!("call-{n}"), "/digest/1");
+        if n % 2 == 0 {
+            attributes.resume_after = Some("3".into());
+            attributes.resumed_attempt = Some("first".into());
+        }
+        let (mut call, attempt) = begin_call(&mut gateway, at(5_000), attributes).unwrap();
+        let second = gateway.replace_silent(at(5_000), &mut call, &attempt, false);
+        let endpoints = [Some(&attempt), second.as_ref()].into_iter().flatten();
+        at_limited += endpoints
+            .filter(|attempt| attempt.endpoint.as_str() == "a")
+            .count();
+    }
+    assert_eq!(at_limited, 1);
+}
