Resume no attempt that was never sent

A request whose connection was not made waits until an endpoint takes it, and kept the location of the attempt that was never sent; once the endpoint was alive, the stream of that attempt was resumed there. Evidence: in virtual time, seven of sixteen unsent attempts were resumed, and each answer "no such stream" counts as a crash of the endpoint with that request in flight.

The location is discarded when an attempt fails before anything was written, so the request is sent anew.

Earlier tests in virtual time compared answers only, which were whole in both cases.

--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -56,6 +56,7 @@
             _ => self.attempt_ended(now, id, &location),
         }
         if failure == AttemptFailure::NotSent {
+            self.discard_unsent_attempt(id);
             if !self.router.is_failed(&location.endpoint) {
                 self.notify_refused(&location.endpoint);
             }
@@ -112,6 +113,16 @@
         }
     }
 
+    /// Discards the location of an attempt that was never sent: its endpoint has no stream.
+    fn discard_unsent_attempt(&mut self, id: &RequestId) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        if owned.running().is_some_and(|running| !running.is_sent) {
+            owned.record.location = None;
+        }
+    }
+
     fn record_failure(
         &mut self,
         now: Timestamp,
