Bound the tries of a request that is interrupted again and again

Plain idempotent calls whose connection is reset were sent again the same way, without the retry budget.

The first two interruptions without an event between them are followed by another try at once, as before. From then on the location of the stream is discarded and the request goes the way of any failed attempt: another endpoint, within the retry budget, and a pause of 500 ms without it.

--- a/crates/laburnumstall-core/src/entry/failure.rs
+++ b/crates/laburnumstall-core/src/entry/failure.rs
@@ -21,6 +21,9 @@
 /// Backoff when the retry budget is exhausted.
 const RETRY_BUDGET_BACKOFF: Duration = Duration::from_millis(500);
 
+/// Interruptions of a request, without an event between them, that do not spend the retry budget.
+const MAX_FREE_INTERRUPTIONS: u32 = 2;
+
 /// HTTP statuses that an engine returns when it did not start the request.
 const NOT_STARTED_STATUSES: [u16; 2] = [429, 503];
 
@@ -228,11 +231,26 @@
     ) {
         for id in interrupted {
             self.end_interrupted(now, &id);
-            self.start_or_resume(now, &id);
+            self.restart_interrupted(now, &id, endpoint);
         }
         self.replace_silent_connections(now, endpoint);
     }
 
+    /// Goes on with an interrupted request whose endpoint is alive: at once after the first
+    /// interruptions, and within the retry budget if no event arrives between them.
+    fn restart_interrupted(&mut self, now: Timestamp, id: &RequestId, endpoint: &EndpointId) {
+        let Some(owned) = self.owned.get_mut(id) else {
+            return;
+        };
+        owned.interruptions += 1;
+        if owned.interruptions <= MAX_FREE_INTERRUPTIONS {
+            self.start_or_resume(now, id);
+            return;
+        }
+        owned.record.location = None;
+        self.retry_on_other_endpoint(now, id, endpoint);
+    }
+
     /// Retries or fails the requests of an endpoint whose process or VM is lost.
     pub(super) fn on_endpoint_lost(
         &mut self,
--- a/crates/laburnumstall-core/src/entry/owned.rs
+++ b/crates/laburnumstall-core/src/entry/owned.rs
@@ -107,6 +107,8 @@
     pub(super) reservation: Option<Reservation>,
     /// Endpoints that recently failed the request.
     pub(super) excluded: Vec<EndpointId>,
+    /// Interruptions in a row without an event between them.
+    pub(super) interruptions: u32,
     /// Whether any daemon may have dispatched the request.
     pub(super) may_have_run: bool,
     /// Whether this incarnation has dispatched the request.
@@ -133,6 +135,7 @@
             subscribers,
             reservation: None,
             excluded: Vec::new(),
+            interruptions: 0,
             may_have_run: false,
             is_dispatched: false,
             is_new_key: false,
--- a/crates/laburnumstall-core/src/entry/progress.rs
+++ b/crates/laburnumstall-core/src/entry/progress.rs
@@ -148,6 +148,7 @@
     }
     if record.request.dialect != Dialect::Plain {
         record.events.append(&mut events);
+        owned.interruptions = 0;
         running.location.last_event_id = last_event_id.or(running.location.last_event_id);
         record.location = Some(running.location.clone());
         return BatchResult::Recorded;
--- a/crates/laburnumstall-testkit/src/endpoint.rs
+++ b/crates/laburnumstall-testkit/src/endpoint.rs
@@ -76,6 +76,10 @@
     pub checks_keys: bool,
     /// Whether it answers.
     pub condition: Condition,
+    /// Whether it sends what is no stream where a stream is resumed.
+    pub fails_resumptions: bool,
+    /// Whether it resets the connection of each call that it has read.
+    pub resets_calls: bool,
     /// Crashes by a request.
     pub crashes: u32,
     /// What ran here.
@@ -95,6 +99,8 @@
             service,
             checks_keys: false,
             condition: Condition::Up,
+            fails_resumptions: false,
+            resets_calls: false,
             crashes: 0,
             runs: Runs::default(),
             life: 1,
--- a/crates/laburnumstall-testkit/src/outside.rs
+++ b/crates/laburnumstall-testkit/src/outside.rs
@@ -93,6 +93,10 @@
         let request = &order.request;
         let endpoint = &mut self.endpoints[index];
         endpoint.runs.begun += 1;
+        if endpoint.resets_calls {
+            self.fail(from, &order.attempt, AttemptFailure::Reset);
+            return;
+        }
         let is_poison = request
             .body
             .windows(POISON.len())
@@ -137,6 +141,12 @@
     }
 
     fn resume(&mut self, from: &DaemonId, index: usize, order: &DispatchOrder) {
+        if self.endpoints[index].fails_resumptions {
+            let message = "no event stream".into();
+            let failure = AttemptFailure::Protocol { message };
+            self.fail(from, &order.attempt, failure);
+            return;
+        }
         let have = order.resume.as_ref().map_or(0, |resume| resume.events.0);
         let stream = self.endpoints[index].streams.get_mut(&order.attempt);
         let Some(stream) = stream else {
@@ -328,6 +338,17 @@
         self.endpoints[index].end_process(Condition::Up);
     }
 
+    /// Resets the open connections of an endpoint; its streams run on.
+    pub fn reset_connections(&mut self, index: usize) {
+        let id = self.endpoints[index].id.clone();
+        self.note(&format!("connections are reset id={id}"));
+        let streams = self.endpoints[index].streams.values_mut();
+        let readers: Vec<Reader> = streams.filter_map(|stream| stream.reader.take()).collect();
+        for reader in readers {
+            self.fail(&reader.daemon, &reader.attempt, AttemptFailure::Reset);
+        }
+    }
+
     /// Silences the open connections of an endpoint; new ones work.
     pub fn silence_connections(&mut self, index: usize) {
         let id = self.endpoints[index].id.clone();
