Bound the connections that a call of the gateway tries to make

A failed connection counted neither as a send nor as an execution, and an endpoint that was tried already was selected again.

A call that has not run connects to each endpoint once, to six at the most, and is then refused "not run" with the time after which to come back. A stream that has begun tries again up to six times, with growing pauses, since its refusal would cut it.

--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -152,6 +152,8 @@
     pub is_outstanding: bool,
     /// Number of times that it was written to an endpoint.
     pub sends: u32,
+    /// Number of times that no connection to an endpoint was made.
+    pub failed_connects: u32,
     /// Number of endpoints that ran it or may have run it.
     pub executions: u32,
     /// Whether it was counted as started.
--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -81,9 +81,9 @@
         self.check_quarantine(now, call.fingerprint, &call.service, prompt)
     }
 
-    /// Returns the time for which a call waits before it is sent, since its request was in flight at
-    /// several crashes.
-    pub fn settle_time(&self, now: Timestamp, call: &AdmittedCall) -> Duration {
+    /// Returns the time for which a call waits until the crashes at which its request was in flight
+    /// are explained.
+    pub(super) fn settle_time(&self, now: Timestamp, call: &AdmittedCall) -> Duration {
         let settles_at = self.quarantine.settles_at(call.fingerprint);
         settles_at.map_or(Duration::ZERO, |at| at.since(now))
     }
--- a/crates/laburnumstall-core/src/gateway/recovery.rs
+++ b/crates/laburnumstall-core/src/gateway/recovery.rs
@@ -16,6 +16,10 @@
 /// Sends of one call beyond `max_endpoints` of its route, for endpoints that refuse it or
 /// cannot be reached.
 const EXTRA_SENDS: u32 = 2;
+/// Connections that may fail for one call before it is abandoned.
+const MAX_FAILED_CONNECTS: u32 = 6;
+/// First delay before a call that has run connects to an endpoint that it has tried before.
+const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// Minimum time to the deadline for another attempt to be worthwhile.
 const MIN_REMAINING: Duration = Duration::from_millis(30);
 /// Retry delay for callers refused for lack of a working endpoint: half of the time within
@@ -113,6 +117,9 @@
     if call.sends >= route.max_endpoints + EXTRA_SENDS {
         return (final_action, "sends-used");
     }
+    if call.failed_connects >= MAX_FAILED_CONNECTS {
+        return (final_action, "connects-used");
+    }
     if call.remaining(now) < MIN_REMAINING {
         return (final_action, "deadline");
     }
@@ -136,12 +143,31 @@
     if call.sends >= route.max_endpoints + EXTRA_SENDS {
         return Err("sends-used");
     }
+    if call.failed_connects >= MAX_FAILED_CONNECTS {
+        return Err("connects-used");
+    }
     if call.remaining(now) < MIN_REMAINING {
         return Err("deadline");
     }
     Ok(())
 }
 
+/// Returns whether a call may be sent to an endpoint that it has tried before. One that has not
+/// run and finds no reachable endpoint is refused at once; its caller may come back.
+pub(super) fn may_repeat_endpoint(call: &AdmittedCall) -> bool {
+    call.executions > 0 || call.events > 0 || call.last_failure != Some(CallFailure::NotSent)
+}
+
+/// Returns the delay before the next attempt of a call whose connections fail in a row.
+pub(super) fn reconnect_delay(call: &AdmittedCall) -> Duration {
+    match call.last_failure {
+        Some(CallFailure::NotSent) if call.failed_connects > 1 => {
+            RECONNECT_DELAY * 2_u32.pow(call.failed_connects.min(MAX_FAILED_CONNECTS) - 2)
+        }
+        _ => Duration::ZERO,
+    }
+}
+
 /// Returns the refusal for the caller of an abandoned call.
 pub(super) fn refusal(now: Timestamp, call: &AdmittedCall, failure: CallFailure) -> Refusal {
     let is_late = call.remaining(now) < MIN_REMAINING;
--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -136,6 +136,7 @@
         replacement: CallAttempt,
         failure: CallFailure,
     ) {
+        call.failed_connects += u32::from(failure == CallFailure::NotSent);
         if failure.may_have_run() {
             call.executions += 1;
             self.count_started(now, call);
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -148,6 +148,7 @@
             tried: Vec::new(),
             is_outstanding: false,
             sends: 0,
+            failed_connects: 0,
             executions: 0,
             has_started: false,
             events: 0,
@@ -172,6 +173,12 @@
         Ok(call)
     }
 
+    /// Returns the time for which a call waits before its next attempt.
+    pub fn send_delay(&self, now: Timestamp, call: &AdmittedCall) -> Duration {
+        let delay = recovery::reconnect_delay(call);
+        delay.max(self.settle_time(now, call))
+    }
+
     /// Selects the endpoint for a call.
     ///
     /// # Errors
@@ -183,7 +190,7 @@
         call: &mut AdmittedCall,
     ) -> Result<CallAttempt, Refusal> {
         self.check_retry(now, call)?;
-        let attempt = self.find_endpoint(now, call, true);
+        let attempt = self.find_endpoint(now, call, recovery::may_repeat_endpoint(call));
         let (calls, slots) = self.load_balancer.occupancy(&call.service);
         let Some(attempt) = attempt else {
             self.record_version_gone(now, call);
@@ -316,6 +323,7 @@
     ) -> Result<FailureAction, Refusal> {
         call.is_outstanding = false;
         call.last_failure = Some(failure);
+        call.failed_connects += u32::from(failure == CallFailure::NotSent);
         if failure.may_have_run() {
             call.executions += 1;
             self.count_started(now, call);
--- a/crates/laburnumstall-core/tests/gateway/failed_calls.rs
+++ b/crates/laburnumstall-core/tests/gateway/failed_calls.rs
@@ -1,5 +1,7 @@
 //! Recovery from failed calls, and the answers to their callers.
 
+use std::time::Duration;
+
 use crate::support::{at, call_attributes, endpoint, gateway, prompt};
 use laburnumstall_core::gateway::{AdmittedCall, CallFailure, FailureAction, Gateway};
 use laburnumstall_core::prelude::*;
@@ -166,3 +168,38 @@
     let both = first + count_retries(&mut gateway);
     assert!(both <= 200 / 5 + 58, "{both} retries of 200 requests");
 }
+
+/// Connects once more for a call, which fails; returns the delay before it, or `None` if the call
+/// ended.
+fn fail_to_connect(gateway: &mut Gateway, call: &mut AdmittedCall) -> Option<Duration> {
+    let delay = gateway.send_delay(at(2_000), call);
+    let attempt = gateway.select_endpoint(at(2_000), call).ok()?;
+    let failure = CallFailure::NotSent;
+    let action = gateway.after_failure(at(2_000), call, attempt, failure);
+    action.is_ok().then_some(delay)
+}
+
+/// A call connected to endpoints that refuse connections until its deadline.
+#[test]
+fn refused_call_connects_once_to_each_endpoint() {
+    let mut gateway = gateway_with_endpoints();
+    let mut call = gateway
+        .admit(at(2_000), call_attributes("call-1", "/read/1"))
+        .unwrap();
+    let delays: Vec<_> = std::iter::from_fn(|| fail_to_connect(&mut gateway, &mut call)).collect();
+    assert_eq!(delays.len(), 3);
+    assert_eq!(call.tried.len(), 3);
+}
+
+/// A stream that lost its endpoint connected to others without a pause until its deadline.
+#[test]
+fn broken_stream_connects_with_pauses() {
+    let mut gateway = gateway_with_endpoints();
+    let (mut call, action) = fail(&mut gateway, "/digest/1", CallFailure::Broken);
+    assert_eq!(action, Ok(FailureAction::Retry));
+    call.events = 1;
+    let delays: Vec<_> = std::iter::from_fn(|| fail_to_connect(&mut gateway, &mut call)).collect();
+    assert_eq!(delays.len(), 5);
+    assert!(delays[1..].is_sorted());
+    assert!(delays[2..].iter().all(|delay| !delay.is_zero()));
+}
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -95,10 +95,10 @@
     progress: &mut StreamProgress,
 ) -> (&'static str, u16, ConnectionAction) {
     loop {
-        let settle_time = cx.with_gateway(|gateway, now| gateway.settle_time(now, call));
-        if !settle_time.is_zero() {
+        let delay = cx.with_gateway(|gateway, now| gateway.send_delay(now, call));
+        if !delay.is_zero() {
             tokio::select! {
-                () = sleep(settle_time.min(call.remaining(cx.now()))) => {}
+                () = sleep(delay.min(call.remaining(cx.now()))) => {}
                 () = conn.closed() => return ("caller-gone", 0, ConnectionAction::Abort),
             }
         }
