Keep the origins of streams where they outlive the daemons

Two things are stored now. The versions at which streams of a service begin stand under `software/`; streams begin at stored versions only, and a further version is stored 2 s after it is first listed, or at once when the stored ones have under three quarters of the endpoints. So a started daemon that reads a single stored version knows where all streams began, whatever is listed by then. While a service has several versions, the origins of its streams are stored under `origins/` a quarter of a second after their first events, by four daemons for the whole fleet, in segments of two seconds under leases. Versions and origins of an earlier era of the store are not believed; segments that are torn, foreign or too large neither.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -34,6 +34,8 @@
 mod send_budget;
 mod state;
 mod stored_holds;
+mod stored_origins;
+mod stored_versions;
 mod stream_origin;
 mod usage;
 mod version_history;
@@ -76,8 +78,11 @@
 };
 pub use scaling::{Capacity, ScaleOrder, ScaleOutcome, Scaler};
 pub use stored_holds::{HoldWrite, StoredHold};
+pub use stored_origins::{OriginSegment, SegmentFault, SegmentWrite};
+pub use stored_versions::{StoredVersions, VersionsWrite};
 pub use stream_origin::{
-    AttemptDigest, MAX_ORIGINS, OriginGroup, OriginTable, RETURN_TIME, StreamOrigin,
+    AttemptDigest, KnownOrigin, MAX_ORIGINS, OriginGroup, OriginSource, OriginTable, RETURN_TIME,
+    StreamOrigin,
 };
 pub use usage::{UsageCount, UsageCounter, UsageReport};
 pub use version_history::VersionHistory;
@@ -119,6 +124,7 @@
     usage: UsageCounter,
     demand: DemandCounter,
     origins: OriginTable,
+    origin_store: stored_origins::OriginStore,
     versions: VersionHistory,
     send_budget: send_budget::SendBudget,
     has_origins_to_send: bool,
@@ -128,6 +134,8 @@
     quarantine_outbox: quarantine_update::Outbox,
     stored_holds: stored_holds::StoredHolds,
     is_stopping: bool,
+    /// When the endpoints were first listed.
+    first_listed_at: Option<Timestamp>,
     gossip_sequence: u64,
     store_ok_since: Option<Timestamp>,
     journal: Journal,
@@ -158,6 +166,7 @@
             usage: UsageCounter::new(bounds.usage_window),
             demand: DemandCounter::default(),
             origins: OriginTable::default(),
+            origin_store: stored_origins::OriginStore::default(),
             versions: VersionHistory::default(),
             send_budget: send_budget::SendBudget::default(),
             has_origins_to_send: false,
@@ -167,6 +176,7 @@
             quarantine_outbox: quarantine_update::Outbox::default(),
             stored_holds: stored_holds::StoredHolds::default(),
             is_stopping: false,
+            first_listed_at: None,
             gossip_sequence: 0,
             store_ok_since: None,
             journal: Journal::default(),
--- a/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
@@ -291,7 +291,7 @@
     fn notice_peers(&self, now: Timestamp) -> Vec<(DaemonId, SocketAddr)> {
         self.peer_table
             .reachable(now)
-            .filter(|peer| peer.protocol >= PeerProtocol::NEWEST)
+            .filter(|peer| peer.protocol >= PeerProtocol::STORE_ERA)
             .map(|peer| (peer.member.id.clone(), peer.member.peer_address))
             .collect()
     }
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -8,8 +8,9 @@
 //! the wait is longer by more than the cost of prefilling the part again (rendezvous hashing
 //! with bounded load: Mirrokni, Thorup and Zadimoghaddam, 2018).
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+mod candidates;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,9 +21,10 @@
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::{CallOutcome, Health};
 use super::prefill::prefill_time;
-use crate::hash::{digest64, rendezvous_weight};
+use crate::hash::digest64;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
+use candidates::candidates;
 
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
 /// parts.
@@ -123,6 +125,8 @@
     pub seed: u64,
     /// Only version that may be selected.
     pub version: Option<&'a SoftwareVersion>,
+    /// Versions that are selected while an endpoint of any of them is there; `None` for all.
+    pub admitted: Option<&'a BTreeSet<SoftwareVersion>>,
     /// Endpoints that must not be selected.
     pub excluded: &'a [EndpointId],
 }
@@ -457,42 +461,3 @@
         }
     }
 }
-
-/// Returns the endpoints to score, the first owner first.
-fn candidates(
-    now: Timestamp,
-    endpoints: &[EndpointState],
-    query: &EndpointQuery<'_>,
-) -> Vec<usize> {
-    let is_version = |endpoint: &EndpointState| {
-        query.version.is_none() || query.version == endpoint.version.as_ref()
-    };
-    let is_eligible = |endpoint: &EndpointState| {
-        !endpoint.is_leaving
-            && is_version(endpoint)
-            && !query.excluded.contains(&endpoint.id)
-            && endpoint
-                .limiter
-                .as_ref()
-                .is_none_or(|limiter| limiter.has_room(now))
-    };
-    let mut usable: Vec<usize> = (0..endpoints.len())
-        .filter(|index| {
-            is_eligible(&endpoints[*index]) && !endpoints[*index].health.is_in_backoff(now)
-        })
-        .collect();
-    if usable.is_empty() {
-        usable = (0..endpoints.len())
-            .filter(|index| is_eligible(&endpoints[*index]))
-            .collect();
-    }
-    let Some(prompt) = query.prompt else {
-        // Calls without a prompt gain nothing from an owner; equal costs are split at random.
-        usable.sort_unstable_by_key(|index| rendezvous_weight(query.seed, endpoints[*index].hash));
-        return usable;
-    };
-    let key = prompt.hash_key().unwrap_or(query.seed);
-    usable.sort_unstable_by_key(|index| Reverse(rendezvous_weight(key, endpoints[*index].hash)));
-    usable.truncate(OWNERS);
-    usable
-}
--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
@@ -0,0 +1,57 @@
+//! Endpoints that may serve a call.
+
+use std::cmp::Reverse;
+
+use super::{EndpointQuery, EndpointState, OWNERS};
+use crate::hash::rendezvous_weight;
+use crate::units::Timestamp;
+
+/// Returns the endpoints to score, the first owner first.
+pub(super) fn candidates(
+    now: Timestamp,
+    endpoints: &[EndpointState],
+    query: &EndpointQuery<'_>,
+) -> Vec<usize> {
+    let is_version = |endpoint: &EndpointState| {
+        query.version.is_none() || query.version == endpoint.version.as_ref()
+    };
+    let is_admitted = |endpoint: &EndpointState| {
+        let (admitted, version) = (query.admitted, endpoint.version.as_ref());
+        admitted
+            .zip(version)
+            .is_none_or(|(admitted, version)| admitted.contains(version))
+    };
+    // A call begins elsewhere only once the admitted versions have left.
+    let has_admitted = endpoints
+        .iter()
+        .any(|endpoint| !endpoint.is_leaving && is_admitted(endpoint));
+    let is_eligible = |endpoint: &EndpointState| {
+        !endpoint.is_leaving
+            && is_version(endpoint)
+            && (!has_admitted || is_admitted(endpoint))
+            && !query.excluded.contains(&endpoint.id)
+            && endpoint
+                .limiter
+                .as_ref()
+                .is_none_or(|limiter| limiter.has_room(now))
+    };
+    let mut usable: Vec<usize> = (0..endpoints.len())
+        .filter(|index| {
+            is_eligible(&endpoints[*index]) && !endpoints[*index].health.is_in_backoff(now)
+        })
+        .collect();
+    if usable.is_empty() {
+        usable = (0..endpoints.len())
+            .filter(|index| is_eligible(&endpoints[*index]))
+            .collect();
+    }
+    let Some(prompt) = query.prompt else {
+        // Calls without a prompt gain nothing from an owner; equal costs are split at random.
+        usable.sort_unstable_by_key(|index| rendezvous_weight(query.seed, endpoints[*index].hash));
+        return usable;
+    };
+    let key = prompt.hash_key().unwrap_or(query.seed);
+    usable.sort_unstable_by_key(|index| Reverse(rendezvous_weight(key, endpoints[*index].hash)));
+    usable.truncate(OWNERS);
+    usable
+}
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -27,9 +27,13 @@
 }
 
 impl PeerProtocol {
-    /// Newest protocol of this build, which adds the era of the store to gossip messages, and
-    /// notices of endpoints.
-    pub const NEWEST: Self = Self(1);
+    /// Protocol that adds the era of the store to gossip messages, and notices of endpoints.
+    pub const STORE_ERA: Self = Self(1);
+    /// Protocol of builds that begin streams at stored software versions only, and store origins
+    /// of streams.
+    pub const STORED_VERSIONS: Self = Self(2);
+    /// Newest protocol of this build.
+    pub const NEWEST: Self = Self::STORED_VERSIONS;
 }
 
 /// Sequence number in place of a gossip message's own, before any other message.
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -8,6 +8,7 @@
 use super::load_balancer::{CallAttempt, EndpointQuery};
 use super::recovery::{self, CallFailure, FailureAction, RETRY_AFTER};
 use super::rules::CallKind;
+use super::stored_versions::admitted_versions;
 use super::stream_origin::AttemptDigest;
 use crate::decision::{Decision, DecisionKind};
 use crate::error::{ErrorKind, Refusal};
@@ -267,6 +268,7 @@
             prompt: call.prompt.as_ref(),
             seed: digest64(&[call.id.as_bytes()]),
             version: call.origin.as_ref().map(|origin| &origin.version),
+            admitted: admitted_versions(&self.versions, call),
             excluded: &call.tried,
         };
         let untried = self.load_balancer.select(now, &query);
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -20,7 +20,8 @@
 use super::requests::MAX_CERTAIN_AGE;
 use super::rules::CallKind;
 use super::send_budget::{FULL_RATE_DAEMONS, MESSAGE_BYTES};
-use super::stream_origin::{AttemptDigest, OriginGroup, RETURN_TIME, StreamOrigin};
+use super::stored_origins::kept_seconds;
+use super::stream_origin::{AttemptDigest, OriginGroup, OriginSource, RETURN_TIME, StreamOrigin};
 use super::version_history::VersionHistory;
 use super::view::{ViewBatch, ViewChange};
 use crate::decision::{Decision, DecisionKind};
@@ -69,6 +70,9 @@
     }
 }
 
+/// What a decision about a resumption rests on, and how old that is.
+type Basis = (&'static str, Duration);
+
 /// Lookup of a stream's origin among peers.
 #[derive(Debug)]
 pub struct OriginLookup {
@@ -134,8 +138,9 @@
             started_at: now,
             answers: Vec::new(),
         };
-        if let Some(origin) = self.origins.get(now, call.stream).cloned() {
-            self.pin(now, call, origin, "own", &lookup)?;
+        if let Some(known) = self.origins.get(now, call.stream).cloned() {
+            let basis = (known.source.name(), now.since(known.recorded_at));
+            self.pin(now, call, known.origin, basis, &lookup)?;
             return Ok(None);
         }
         let asked = match self.peer_table.len() < FULL_RATE_DAEMONS {
@@ -159,10 +164,12 @@
         lookup: &OriginLookup,
     ) -> Result<(), Refusal> {
         if let Some(origin) = lookup.known() {
-            return self.pin(now, call, Arc::new(origin.clone()), "peer", lookup);
+            let basis = ("peer", now.since(lookup.started_at));
+            return self.pin(now, call, Arc::new(origin.clone()), basis, lookup);
         }
-        let is_mixed = lookup.has_mixed() || self.versions.is_mixed(now, &lookup.service);
         let own = self.sole_version(now, &lookup.service).cloned();
+        let is_mixed =
+            lookup.has_mixed() || own.is_none() && self.versions.is_mixed(now, &lookup.service);
         let mut soles = own.iter().chain(lookup.soles());
         if let Some(version) = soles.next().filter(|_| !is_mixed)
             && soles.all(|other| other == version)
@@ -171,9 +178,11 @@
                 service: lookup.service.clone(),
                 version: version.clone(),
             };
-            return self.pin(now, call, Arc::new(origin), "sole", lookup);
+            let basis = ("sole", self.freshness.age(now).unwrap_or_default());
+            return self.pin(now, call, Arc::new(origin), basis, lookup);
         }
-        self.record_resumption(now, call, "refuse", "unknown", lookup);
+        let age = now.since(lookup.started_at);
+        self.record_resumption(now, call, "refuse", ("unknown", age), lookup);
         let refusal = Refusal::new(ErrorKind::NoEndpoint, "the stream's version is unknown");
         let may_be_known_later = lookup.answers.len() < lookup.peers.len();
         Err(Refusal {
@@ -187,12 +196,12 @@
         now: Timestamp,
         call: &mut AdmittedCall,
         origin: Arc<StreamOrigin>,
-        reason: &str,
+        basis: Basis,
         lookup: &OriginLookup,
     ) -> Result<(), Refusal> {
         let mut targets = call.route.targets.iter();
         if !targets.any(|target| target.service == origin.service) {
-            self.record_resumption(now, call, "refuse", "moved", lookup);
+            self.record_resumption(now, call, "refuse", ("moved", basis.1), lookup);
             let detail = "the route has left the stream's service";
             return Err(Refusal {
                 retry_after: None,
@@ -200,7 +209,7 @@
             });
         }
         call.service.clone_from(&origin.service);
-        self.record_resumption(now, call, origin.version.as_str(), reason, lookup);
+        self.record_resumption(now, call, origin.version.as_str(), basis, lookup);
         call.origin = Some(origin);
         Ok(())
     }
@@ -210,7 +219,7 @@
         now: Timestamp,
         call: &AdmittedCall,
         choice: &str,
-        reason: &str,
+        (reason, age): Basis,
         lookup: &OriginLookup,
     ) {
         self.journal.record(
@@ -219,6 +228,7 @@
                 .with("service", &call.service)
                 .with("asked", lookup.peers.len())
                 .with("answered", lookup.answers.len())
+                .with("age_ms", age.as_millis())
                 .with("took_ms", now.since(lookup.started_at).as_millis()),
         );
     }
@@ -257,7 +267,8 @@
             return;
         };
         let expires_at = call.deadline.after(RETURN_TIME);
-        self.origins.record_own(call.stream, origin, expires_at);
+        self.origins
+            .record_own(now, call.stream, origin, expires_at);
         self.has_origins_to_send |= self.versions.is_mixed(now, &origin.service);
     }
 
@@ -279,24 +290,30 @@
             .filter(|service| self.versions.is_mixed(now, service))
             .cloned()
             .collect();
-        if mixed.is_empty() || self.supporting_peers(now).next().is_none() {
+        if mixed.is_empty() {
             return Vec::new();
         }
+        let writer = self.origin_writer(now);
         let mut left = self.send_budget.left(now, 1 + self.peer_table.len());
         type Groups = BTreeMap<Arc<StreamOrigin>, Vec<(AttemptDigest, u8)>>;
         let mut messages: BTreeMap<(DaemonId, SocketAddr), Groups> = BTreeMap::new();
         let mut skipped = 0;
-        for (attempt, origin, kept) in mixed
+        for (attempt, origin, expires_at) in mixed
             .iter()
-            .flat_map(|service| self.origins.take_unsent(now, service))
+            .flat_map(|service| self.origins.take_unsent(service))
             .collect::<Vec<_>>()
         {
+            if writer.is_none() {
+                self.origin_store.add(now, attempt, &origin, expires_at);
+            }
             if left <= 0.0 {
                 skipped += 1;
                 continue;
             }
-            let seconds = u8::try_from(kept.as_secs() + 1).unwrap_or(u8::MAX);
-            for peer in self.holders(now, attempt, COPIES) {
+            let seconds = kept_seconds(expires_at.since(now));
+            let mut peers = self.holders(now, attempt, COPIES);
+            peers.extend(writer.clone().filter(|writer| !peers.contains(writer)));
+            for peer in peers {
                 let groups = messages.entry(peer).or_insert_with(|| {
                     self.send_budget.spend(MESSAGE_BYTES);
                     left -= MESSAGE_BYTES;
@@ -328,24 +345,37 @@
 
     /// Applies origins from a peer.
     pub fn on_origins(&mut self, now: Timestamp, groups: Vec<OriginGroup>) {
+        self.record_origins(now, groups, OriginSource::Peer);
+    }
+
+    pub(super) fn record_origins(
+        &mut self,
+        now: Timestamp,
+        groups: Vec<OriginGroup>,
+        source: OriginSource,
+    ) {
+        let is_to_store = source == OriginSource::Peer && self.stores_for_others(now);
         for group in groups {
             let origin = Arc::new(group.origin);
             for (attempt, seconds) in group.streams {
                 let expires_at = now.after(Duration::from_secs(seconds.into()));
-                self.origins.record(attempt, &origin, expires_at);
+                self.origins
+                    .record(now, attempt, &origin, source, expires_at);
+                if is_to_store {
+                    self.origin_store.add(now, attempt, &origin, expires_at);
+                }
             }
         }
     }
 
     /// Answers a peer's question about the origin of a stream.
     pub fn on_origin_query(&mut self, now: Timestamp, query: &OriginQuery) -> OriginReply {
-        let answer = if let Some(origin) = self.origins.get(now, query.attempt) {
-            OriginAnswer::Known((**origin).clone())
-        } else if self.versions.is_mixed(now, &query.service) {
-            OriginAnswer::Mixed
+        let answer = if let Some(known) = self.origins.get(now, query.attempt) {
+            OriginAnswer::Known((*known.origin).clone())
         } else {
             match self.sole_version(now, &query.service) {
                 Some(version) => OriginAnswer::Sole(version.clone()),
+                None if self.versions.is_mixed(now, &query.service) => OriginAnswer::Mixed,
                 None => OriginAnswer::Unknown,
             }
         };
@@ -363,7 +393,7 @@
     /// Completes a gossip message for one peer, in the form that the peer decodes.
     pub fn peer_gossip(&self, to: &DaemonId, message: &GossipMessage) -> PeerMessage {
         let message = self.gossip_for(to, message);
-        if self.peer_table.protocol(to) >= PeerProtocol::NEWEST {
+        if self.peer_table.protocol(to) >= PeerProtocol::STORE_ERA {
             return PeerMessage::EraGossip(message);
         }
         match self.peer_table.supports_extensions(to) && !message.view.batches.is_empty() {
@@ -398,10 +428,7 @@
     /// Records the software versions that are listed now.
     pub(super) fn observe_versions(&mut self, now: Timestamp) {
         self.versions.observe(now, &self.endpoints);
-        self.has_origins_to_send |= self
-            .origins
-            .unsent_services()
-            .any(|service| self.versions.is_mixed(now, service));
+        self.queue_mixed_origins(now);
     }
 
     /// Returns batches from a peer with the software version of each endpoint. A build that
@@ -437,7 +464,8 @@
 
     fn sole_version(&self, now: Timestamp, service: &ServiceName) -> Option<&SoftwareVersion> {
         let is_fresh = self.freshness.is_within(now, MAX_CERTAIN_AGE);
-        self.versions.sole(now, service).filter(|_| is_fresh)
+        let sole = self.versions.sole(now, service, self.versions_era());
+        sole.filter(|_| is_fresh)
     }
 
     fn supporting_peers(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -104,6 +104,7 @@
             self.refresh_endpoints(now);
             self.observe_versions(now);
         }
+        self.first_listed_at.get_or_insert(now);
         let are_marks_complete = self.are_marks_complete();
         self.versions.on_snapshot(now, are_marks_complete);
     }
--- a/crates/laburnumstall-core/src/gateway/stream_origin.rs
+++ b/crates/laburnumstall-core/src/gateway/stream_origin.rs
@@ -64,16 +64,46 @@
     }
 }
 
+domain_value! {
+    /// How a daemon knows the origin of a stream.
+    #[serde(rename_all = "kebab-case")]
+    pub enum OriginSource {
+        /// It served the stream.
+        Own,
+        /// A peer sent it.
+        Peer,
+        /// It read the key-value store.
+        Stored,
+    }
+}
+
+impl OriginSource {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Peer => "peer",
+            Self::Stored => "stored",
+        }
+    }
+}
+
+/// Origin in an [`OriginTable`].
 #[derive(Debug, Clone)]
-struct Entry {
-    origin: Arc<StreamOrigin>,
+pub struct KnownOrigin {
+    /// The origin.
+    pub origin: Arc<StreamOrigin>,
+    /// How it is known.
+    pub source: OriginSource,
+    /// When it was recorded.
+    pub recorded_at: Timestamp,
     expires_at: Timestamp,
 }
 
 /// Bounded table of stream origins; the origins that expire first are evicted first.
 #[derive(Debug, Clone, Default)]
 pub struct OriginTable {
-    entries: HashMap<AttemptDigest, Entry>,
+    entries: HashMap<AttemptDigest, KnownOrigin>,
     by_expiry: BTreeSet<(Timestamp, AttemptDigest)>,
     /// Own streams whose origin no peer has, by service.
     unsent: BTreeMap<ServiceName, Vec<AttemptDigest>>,
@@ -83,12 +113,16 @@
     /// Records the origin of a stream; the first recorded one stays, with the later expiry.
     pub fn record(
         &mut self,
+        now: Timestamp,
         attempt: AttemptDigest,
         origin: &Arc<StreamOrigin>,
+        source: OriginSource,
         expires_at: Timestamp,
     ) {
-        let entry = self.entries.entry(attempt).or_insert_with(|| Entry {
+        let entry = self.entries.entry(attempt).or_insert_with(|| KnownOrigin {
             origin: Arc::clone(origin),
+            source,
+            recorded_at: now,
             expires_at,
         });
         self.by_expiry.remove(&(entry.expires_at, attempt));
@@ -104,19 +138,26 @@
     /// Records the origin of an own stream, which no peer has yet.
     pub fn record_own(
         &mut self,
+        now: Timestamp,
         attempt: AttemptDigest,
         origin: &Arc<StreamOrigin>,
         expires_at: Timestamp,
     ) {
-        self.record(attempt, origin, expires_at);
+        self.record(now, attempt, origin, OriginSource::Own, expires_at);
         let unsent = self.unsent.entry(origin.service.clone()).or_default();
         unsent.push(attempt);
     }
 
     /// Returns the origin of a stream by the attempt that brought its first event.
-    pub fn get(&self, now: Timestamp, attempt: AttemptDigest) -> Option<&Arc<StreamOrigin>> {
+    pub fn get(&self, now: Timestamp, attempt: AttemptDigest) -> Option<&KnownOrigin> {
         let entry = self.entries.get(&attempt)?;
-        (now < entry.expires_at).then_some(&entry.origin)
+        (now < entry.expires_at).then_some(entry)
+    }
+
+    /// Returns all origins, each with the time until which it is kept.
+    pub fn iter(&self) -> impl Iterator<Item = (AttemptDigest, &Arc<StreamOrigin>, Timestamp)> {
+        let entries = self.entries.iter();
+        entries.map(|(attempt, entry)| (*attempt, &entry.origin, entry.expires_at))
     }
 
     /// Returns the services with own streams whose origin no peer has.
@@ -124,23 +165,19 @@
         self.unsent.keys()
     }
 
-    /// Takes the own streams of a service whose origin no peer has, with the time for which
+    /// Takes the own streams of a service whose origin no peer has, with the time until which
     /// each origin is kept.
     pub fn take_unsent(
         &mut self,
-        now: Timestamp,
         service: &ServiceName,
-    ) -> Vec<(AttemptDigest, Arc<StreamOrigin>, Duration)> {
+    ) -> Vec<(AttemptDigest, Arc<StreamOrigin>, Timestamp)> {
         let unsent = self.unsent.remove(service).unwrap_or_default();
         let entries = &self.entries;
         let known = unsent
             .into_iter()
             .filter_map(|attempt| Some((attempt, entries.get(&attempt)?)));
         known
-            .map(|(attempt, entry)| {
-                let kept = entry.expires_at.since(now);
-                (attempt, Arc::clone(&entry.origin), kept)
-            })
+            .map(|(attempt, entry)| (attempt, Arc::clone(&entry.origin), entry.expires_at))
             .collect()
     }
 
--- a/crates/laburnumstall-core/src/gateway/version_history.rs
+++ b/crates/laburnumstall-core/src/gateway/version_history.rs
@@ -2,20 +2,24 @@
 //!
 //! A stream of unknown origin may go on only if a single version was there for as long as any
 //! stream that a caller may still take up. A daemon that has just started knows that from the
-//! marks in the key-value store: a service with several versions has one, under a lease that
-//! lasts for that time.
+//! versions in the key-value store at which streams begin (see
+//! [`stored_versions`](super::stored_versions)), or else from the marks there: a service with
+//! several versions has one, under a lease that lasts for that time.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::endpoint_table::EndpointTable;
+use super::stored_versions::StoredVersions;
 use super::stream_origin::RETURN_TIME;
 use crate::ids::{ServiceName, SoftwareVersion};
+use crate::store::{StoreEra, StoreVersion};
 use crate::units::Timestamp;
 
 #[derive(Debug, Clone, Copy)]
 struct Sighting {
     is_listed: bool,
+    first_listed_at: Timestamp,
     last_listed_at: Timestamp,
 }
 
@@ -25,6 +29,8 @@
     services: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Sighting>>,
     /// Services that the key-value store marks as having several versions.
     marks: BTreeSet<ServiceName>,
+    /// Versions at which streams begin, as stored, with the version of the key.
+    stored: BTreeMap<ServiceName, (StoredVersions, StoreVersion)>,
     /// Time since which no version can have been missed.
     complete_since: Option<Timestamp>,
     retention: Duration,
@@ -35,6 +41,7 @@
         Self {
             services: BTreeMap::new(),
             marks: BTreeSet::new(),
+            stored: BTreeMap::new(),
             complete_since: None,
             retention: RETURN_TIME,
         }
@@ -64,16 +71,16 @@
             let Some(version) = &entry.record.version else {
                 continue;
             };
-            let listed = Sighting {
-                is_listed: true,
-                last_listed_at: now,
-            };
-            match self.services.get_mut(&entry.record.service) {
-                Some(versions) if versions.contains_key(version) => {
-                    versions.insert(version.clone(), listed);
-                }
-                _ => {
+            let versions = self.services.get_mut(&entry.record.service);
+            match versions.and_then(|versions| versions.get_mut(version)) {
+                Some(sighting) => sighting.on_listed(now),
+                None => {
                     let versions = self.services.entry(entry.record.service.clone());
+                    let listed = Sighting {
+                        is_listed: true,
+                        first_listed_at: now,
+                        last_listed_at: now,
+                    };
                     versions.or_default().insert(version.clone(), listed);
                 }
             }
@@ -115,13 +122,80 @@
             .filter(move |service| self.recent(now, service).nth(1).is_some())
     }
 
+    /// Records the stored versions of a service, with the version of their key; `None` if they
+    /// were removed. Those that are not listed count as if they had just left.
+    pub fn on_stored(
+        &mut self,
+        now: Timestamp,
+        service: ServiceName,
+        stored: Option<(StoredVersions, StoreVersion)>,
+    ) {
+        let Some(stored) = stored else {
+            self.stored.remove(&service);
+            return;
+        };
+        let sightings = self.services.entry(service.clone()).or_default();
+        for version in &stored.0.versions {
+            sightings.entry(version.clone()).or_insert(Sighting {
+                is_listed: false,
+                first_listed_at: now,
+                last_listed_at: now,
+            });
+        }
+        self.stored.insert(service, stored);
+    }
+
+    /// Returns the stored versions of a service, with the version of their key.
+    pub fn stored(&self, service: &ServiceName) -> Option<&(StoredVersions, StoreVersion)> {
+        self.stored.get(service)
+    }
+
+    /// Returns the services with stored versions.
+    pub fn stored_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.stored.keys()
+    }
+
+    /// Returns the listed versions of a service with the time since which each one is listed.
+    pub(super) fn listed(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&SoftwareVersion, Timestamp)> {
+        let versions = self.services.get(service).into_iter().flatten();
+        versions
+            .filter(|(_, sighting)| sighting.is_listed)
+            .map(|(version, sighting)| (version, sighting.first_listed_at))
+    }
+
     /// Returns whether a service had several versions within the retention time.
     pub fn is_mixed(&self, now: Timestamp, service: &ServiceName) -> bool {
-        self.marks.contains(service) || self.recent(now, service).nth(1).is_some()
+        let mut recent = self.recent(now, service);
+        let first = recent.next();
+        let stored = self.stored.get(service).map(|(stored, _)| &stored.versions);
+        let mut stored = stored.into_iter().flatten();
+        let first = first.or_else(|| stored.next());
+        self.marks.contains(service)
+            || recent.next().is_some()
+            || stored.any(|version| Some(version) != first)
     }
 
-    /// Returns the only version that a service had within the retention time.
-    pub fn sole(&self, now: Timestamp, service: &ServiceName) -> Option<&SoftwareVersion> {
+    /// Returns the only version at which streams of a service can have begun within the
+    /// retention time. The stored versions decide if they are of the `era` in which all daemons
+    /// follow them.
+    pub fn sole(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        era: Option<StoreEra>,
+    ) -> Option<&SoftwareVersion> {
+        if let Some((stored, _)) = self.stored.get(service)
+            && Some(stored.era) == era
+        {
+            let mut versions = stored.versions.iter();
+            let only = versions.next().filter(|_| versions.next().is_none())?;
+            // Streams begin at any version once those that are stored have left.
+            let mut listed = self.listed(service);
+            return listed.any(|(version, _)| version == only).then_some(only);
+        }
         let is_complete = self
             .complete_since
             .is_some_and(|since| now.since(since) >= self.retention);
@@ -131,7 +205,8 @@
         self.recent(now, service).next()
     }
 
-    fn recent(
+    /// Returns the versions that a service had within the retention time.
+    pub(super) fn recent(
         &self,
         now: Timestamp,
         service: &ServiceName,
@@ -144,6 +219,14 @@
 }
 
 impl Sighting {
+    fn on_listed(&mut self, now: Timestamp) {
+        if !self.is_listed && self.last_listed_at < now {
+            self.first_listed_at = now;
+        }
+        self.is_listed = true;
+        self.last_listed_at = now;
+    }
+
     fn counts(&self, now: Timestamp, retention: Duration) -> bool {
         self.is_listed || now.since(self.last_listed_at) < retention
     }
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -270,6 +270,7 @@
             self.endpoints.on_store_restored(now);
             self.rules_floor.on_store_restored();
             self.peer_table.on_store_restored();
+            self.store_origins_again(now);
         }
         change
     }
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod restored_store;
 mod silent_attempts;
 mod store_view;
+mod stored_origins;
 mod stream_origins;
 mod support;
 mod usage_counts;
--- a/crates/laburnumstall-core/tests/gateway/stream_origins.rs
+++ b/crates/laburnumstall-core/tests/gateway/stream_origins.rs
@@ -8,8 +8,8 @@
 };
 use laburnumstall_core::gateway::{
     AdmittedCall, AttemptDigest, CallAttempt, CallFailure, EndpointRecord, FailureAction, Gateway,
-    GossipMessage, MAX_ORIGINS, OriginAnswer, OriginLookup, OriginQuery, OriginTable, StreamOrigin,
-    ViewUpdate,
+    GossipMessage, MAX_ORIGINS, OriginAnswer, OriginLookup, OriginQuery, OriginSource, OriginTable,
+    StreamOrigin, ViewUpdate,
 };
 use laburnumstall_core::prelude::*;
 
@@ -440,7 +440,8 @@
     let mut table = OriginTable::default();
     let begun = Arc::new(origin("v1"));
     for number in 0..MAX_ORIGINS as u64 + 100 {
-        table.record(AttemptDigest(number), &begun, at(1_000 + number));
+        let (attempt, expires_at) = (AttemptDigest(number), at(1_000 + number));
+        table.record(at(0), attempt, &begun, OriginSource::Peer, expires_at);
     }
     assert_eq!(table.len(), MAX_ORIGINS);
     assert!(table.get(at(0), AttemptDigest(0)).is_none());
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -147,7 +147,12 @@
 
 /// Returns a gateway with a configuration and endpoints that confirmed its view at `at(0)`.
 pub(crate) fn gateway(endpoints: &[EndpointRecord]) -> Gateway {
-    let own = member(1);
+    gateway_of(1, endpoints)
+}
+
+/// Returns such a gateway of the daemon of this number.
+pub(crate) fn gateway_of(number: u32, endpoints: &[EndpointRecord]) -> Gateway {
+    let own = member(number);
     let mut gateway = Gateway::new(
         own.id.clone(),
         own.zone.clone(),
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -5,7 +5,8 @@
 //! core decides, `stream` forwards event streams and `upstream` calls endpoints.
 //! `store_sync` follows the key-value store, `gossip` exchanges messages with peers,
 //! `origins` finds out at which software version a stream goes on that a caller takes up,
-//! `marks` marks services with several versions in the key-value store,
+//! `marks` marks services with several versions in the key-value store, `stored_versions` writes
+//! there at which versions streams begin, `stored_origins` the origins of streams,
 //! `leader` performs the duties of the lease holder, and `directory` answers address lookups,
 //! readiness probes and metrics scrapes.
 
@@ -23,6 +24,8 @@
 mod replacement;
 mod rules_floor;
 mod store_sync;
+mod stored_origins;
+mod stored_versions;
 mod stream;
 mod upstream;
 
@@ -196,6 +199,13 @@
     actix_rt::spawn(gossip::receive(Rc::clone(&cx), rx));
     actix_rt::spawn(origins::replicate(Rc::clone(&cx)));
     actix_rt::spawn(marks::write(Rc::clone(&cx), Rc::clone(&store)));
+    actix_rt::spawn(stored_versions::write(Rc::clone(&cx), Rc::clone(&store)));
+    let daemon = own.clone();
+    actix_rt::spawn(stored_origins::write(
+        Rc::clone(&cx),
+        Rc::clone(&store),
+        daemon,
+    ));
     actix_rt::spawn(rules_floor::write(Rc::clone(&cx), Rc::clone(&store)));
     actix_rt::spawn(crash_checks::run(Rc::clone(&cx)));
     actix_rt::spawn(crash_checks::write(Rc::clone(&cx), Rc::clone(&store)));
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumstall_core::gateway::{EndpointRecord, EraChange, Gateway, PeerProtocol, ViewChange};
+use laburnumstall_core::gateway::{
+    EndpointRecord, EraChange, Gateway, OriginSegment, PeerProtocol, StoredVersions, ViewChange,
+};
 use laburnumstall_core::ids::{DaemonId, ServiceName, VmId};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::store::{
@@ -21,6 +23,8 @@
 use super::log::Event;
 use super::marks;
 use super::rules_floor;
+use super::stored_origins;
+use super::stored_versions;
 
 /// Minimum interval between reads of changes. Endpoint heartbeats wake a watch many times a
 /// second, while a change must be seen well within the two seconds after which a leaving
@@ -42,6 +46,9 @@
 /// Prefix of the keys under which daemons register.
 const MEMBERS_PREFIX: &str = "daemons/";
 
+/// Stored versions of a service with the version of their key; `None` if there are none.
+type Versions = Option<(StoredVersions, StoreVersion)>;
+
 /// Registration of a daemon, as stored.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredMember {
@@ -155,6 +162,7 @@
         }
         Change::Own(value)
             if value.key.as_str().starts_with(MEMBERS_PREFIX)
+                || value.key.as_str().starts_with(stored_versions::PREFIX)
                 || value.key.as_str() == rules_floor::KEY =>
         {
             Some(ViewChange::Other)
@@ -177,6 +185,8 @@
     let mut members: BTreeSet<DaemonId> = BTreeSet::new();
     let mut marked: BTreeSet<ServiceName> = BTreeSet::new();
     let mut holds = Vec::new();
+    let mut versions = Vec::new();
+    let mut segments = Vec::new();
     let mut floor = None;
     for change in snapshot.changes {
         match change {
@@ -186,6 +196,10 @@
                     floor = stored;
                 } else if let Some(service) = marks::marked_service(&value) {
                     marked.insert(service);
+                } else if let Some((service, stored)) = read_versions(cx, &value) {
+                    versions.push((service, stored));
+                } else if stored_origins::is_segment(&value.key) {
+                    segments.extend(read_segment(cx, &value));
                 } else if let Some((suspect, hold)) = crash_checks::stored_hold(&value) {
                     holds.extend(hold.map(|hold| (suspect, hold)));
                 } else if let Some(stored) = parse_member(cx, &value) {
@@ -217,7 +231,19 @@
             gateway.on_version_mark(service, true);
         }
         gateway.on_rules_floor(now, floor);
+        let is_stored = |service: &ServiceName| versions.iter().any(|(known, _)| known == service);
+        let removed = gateway.version_history().stored_services();
+        let removed = removed.filter(|service| !is_stored(service)).cloned();
+        for service in removed.collect::<Vec<_>>() {
+            gateway.on_stored_versions(now, service, None);
+        }
+        for (service, stored) in versions {
+            gateway.on_stored_versions(now, service, stored);
+        }
         gateway.on_endpoints(now, endpoints);
+        for (key, segment) in segments {
+            gateway.on_stored_origins(now, key.as_str(), segment);
+        }
         gateway.on_stored_holds(now, holds);
         let known: Vec<DaemonId> = gateway
             .peer_table()
@@ -247,6 +273,10 @@
             } else if let Some(service) = marks::marked_service(&value) {
                 let is_marked = value.value.is_some();
                 cx.with_gateway(|gateway, _| gateway.on_version_mark(service, is_marked));
+            } else if let Some((service, stored)) = read_versions(cx, &value) {
+                cx.with_gateway(|gateway, now| gateway.on_stored_versions(now, service, stored));
+            } else if stored_origins::is_segment(&value.key) {
+                // Peers answer for the streams of daemons that are up.
             } else if let Some((suspect, hold)) = crash_checks::stored_hold(&value) {
                 cx.with_gateway(|gateway, now| match hold {
                     Some(hold) => gateway.on_stored_hold(now, suspect, hold),
@@ -268,6 +298,33 @@
     }
 }
 
+/// Reads the versions at which streams of a service begin; `None` for other keys. Unreadable
+/// ones count as removed.
+fn read_versions(cx: &Context, value: &StoredValue) -> Option<(ServiceName, Versions)> {
+    let (service, stored) = stored_versions::stored_versions(value)?;
+    let stored = stored.unwrap_or_else(|error| {
+        record_unreadable(cx, value, &error);
+        None
+    });
+    Some((service, stored))
+}
+
+/// Reads a segment of stored origins; `None` if it was removed or is unreadable.
+fn read_segment(cx: &Context, value: &StoredValue) -> Option<(StoreKey, OriginSegment)> {
+    match stored_origins::stored_segment(value)? {
+        Ok(segment) => Some((value.key.clone(), segment)),
+        Err(fault) => {
+            record_unreadable(cx, value, &fault);
+            None
+        }
+    }
+}
+
+fn record_unreadable(cx: &Context, value: &StoredValue, cause: &impl std::fmt::Display) {
+    let event = Event::new("store-value-unreadable").with("key", &value.key);
+    cx.event(event.with("cause", cause));
+}
+
 fn apply_member(cx: &Context, stored: StoredMember) {
     cx.with_gateway(|gateway, now| {
         let id = stored.member.id.clone();
@@ -286,11 +343,7 @@
     match serde_json::from_slice(value.value.as_deref()?) {
         Ok(member) => Some(member),
         Err(error) => {
-            cx.event(
-                Event::new("store-value-unreadable")
-                    .with("key", &value.key)
-                    .with("cause", &error),
-            );
+            record_unreadable(cx, value, &error);
             None
         }
     }
--- /dev/null
+++ b/crates/laburnumstalld/src/gateway/stored_versions.rs
@@ -0,0 +1,92 @@
+//! Writes to the key-value store at which software versions streams begin.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use laburnumstall_core::gateway::{StoredVersions, VersionsWrite};
+use laburnumstall_core::ids::ServiceName;
+use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply, StoreVersion, StoredValue};
+use laburnumstall_outside::key_value::KeyValue;
+use laburnumstall_platform::store::Store;
+use tokio::time::sleep;
+
+use super::context::Context;
+use super::log::Event;
+
+/// Prefix of the keys.
+pub(super) const PREFIX: &str = "software/";
+/// Interval of the check whether versions have to be written.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay before a failed write is repeated.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Returns the service of a key and its versions; `None` for other keys, `None` within if the
+/// versions were removed.
+///
+/// # Errors
+///
+/// The service, with the decoder's error, if the value is unreadable.
+#[expect(clippy::type_complexity)]
+pub(super) fn stored_versions(
+    value: &StoredValue,
+) -> Option<(
+    ServiceName,
+    Result<Option<(StoredVersions, StoreVersion)>, serde_json::Error>,
+)> {
+    let service = value.key.as_str().strip_prefix(PREFIX)?.parse().ok()?;
+    let Some(text) = &value.value else {
+        return Some((service, Ok(None)));
+    };
+    let stored = serde_json::from_slice(text);
+    Some((service, stored.map(|stored| Some((stored, value.version)))))
+}
+
+/// Writes the versions that are this daemon's task, until the gateway ends.
+pub(super) async fn write(cx: Rc<Context>, store: Rc<Store>) {
+    while !cx.is_ended() {
+        sleep(CHECK_INTERVAL).await;
+        for due in cx.with_gateway(|gateway, now| gateway.versions_to_store(now)) {
+            match swap(&store, &due).await {
+                Ok(version) => {
+                    let versions: Vec<&str> =
+                        due.stored.versions.iter().map(|v| v.as_str()).collect();
+                    cx.event(
+                        Event::new("versions-stored")
+                            .with("service", &due.service)
+                            .with("versions", versions.join(",")),
+                    );
+                    let stored = Some((due.stored, version));
+                    cx.with_gateway(|gateway, now| {
+                        gateway.on_stored_versions(now, due.service, stored);
+                    });
+                }
+                Err(cause) => {
+                    cx.event(
+                        Event::new("versions-not-stored")
+                            .with("service", &due.service)
+                            .with("cause", cause),
+                    );
+                    sleep(WRITE_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+}
+
+async fn swap(store: &Store, due: &VersionsWrite) -> Result<StoreVersion, &'static str> {
+    let key: StoreKey = format!("{PREFIX}{}", due.service)
+        .parse()
+        .map_err(|_| "the service's name does not fit into a key")?;
+    let value = serde_json::to_vec(&due.stored).map_err(|_| "not-encoded")?;
+    let swap = StoreCall::Swap {
+        key,
+        expected: due.expected,
+        value: Some(value),
+        lease: None,
+    };
+    match store.call(swap).await {
+        Ok(StoreReply::Swapped { version }) => Ok(version),
+        Ok(StoreReply::Conflict { .. }) => Err("another daemon came first"),
+        _ => Err("not-written"),
+    }
+}
