Play the soak's restarts of all daemons with streams that callers take up

The soak left out of account whatever followed a kill of all daemons. Now it counts the streams taken up then while two endpoints of their version serve, says in its report how many went on, and breaks if they are less than half of the share of new ones. Times with any other fault of daemons, store or operators are left out.

--- a/crates/laburnumstall-soak/src/checks.rs
+++ b/crates/laburnumstall-soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! What was promised, compared with what callers were told and what endpoints ran.
 
 mod crashing;
+mod resumptions;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -8,9 +9,10 @@
 use laburnumstall_platform_standins::ExecutedRequest;
 use laburnumstall_platform_standins::caller::{CallKind, Outcome};
 
+pub(crate) use resumptions::RestartCounts;
+
 use crate::world::{
-    Disturbance, KeyState, REVOCATION, ROUTE_TIMEOUT, Record, SERVICES, SHORTEST_TIMEOUT, Target,
-    World,
+    Disturbance, KeyState, REVOCATION, ROUTE_TIMEOUT, Record, SHORTEST_TIMEOUT, Target, World,
 };
 
 /// Time after a disturbance in which it may still show.
@@ -28,8 +30,6 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Part of the requests that has to be served once all faults are over, in hundredths.
 const SERVED_PERCENT: usize = 90;
-/// Streams taken up again from which on the share that goes on is judged.
-const LEAST_RESUMED: usize = 12;
 /// Violations of one kind that are told; the rest is counted.
 const TOLD: usize = 5;
 
@@ -37,17 +37,7 @@
 pub(crate) fn all(world: &World, calm_from: Duration, calm_until: Duration) -> Vec<String> {
     let records = world.ledger.borrow();
     let runs = world.runs.borrow();
-    let view = View {
-        world,
-        records: &records,
-        by_id: records
-            .iter()
-            .map(|record| (record.id.as_str(), record))
-            .collect(),
-        runs: by_request(&runs),
-        disturbances: world.disturbances(),
-        keys: world.keys.borrow().clone(),
-    };
+    let view = View::new(world, &records, &runs);
     let groups = [
         view.answers(),
         view.executions(),
@@ -57,6 +47,7 @@
         view.deadlines(),
         view.planned_work(),
         view.resumed_streams(),
+        view.restarted_streams(),
         view.crashing_requests(),
         view.sound_requests(),
         view.drains(&runs),
@@ -69,6 +60,13 @@
     groups.into_iter().flat_map(shortened).collect()
 }
 
+/// Counts the streams that were taken up after restarts of all daemons.
+pub(crate) fn restart_counts(world: &World) -> RestartCounts {
+    let records = world.ledger.borrow();
+    let runs = world.runs.borrow();
+    View::new(world, &records, &runs).restart_counts()
+}
+
 fn shortened(mut group: Vec<String>) -> Vec<String> {
     let more = group.len().saturating_sub(TOLD);
     group.truncate(TOLD);
@@ -95,7 +93,18 @@
     keys: Vec<KeyState>,
 }
 
-impl View<'_> {
+impl<'a> View<'a> {
+    fn new(world: &'a World, records: &'a [Record], runs: &'a [ExecutedRequest]) -> Self {
+        Self {
+            world,
+            records,
+            by_id: records.iter().map(|one| (one.id.as_str(), one)).collect(),
+            runs: by_request(runs),
+            disturbances: world.disturbances(),
+            keys: world.keys.borrow().clone(),
+        }
+    }
+
     fn run_count(&self, id: &str) -> usize {
         self.runs.get(id).map_or(0, Vec::len)
     }
@@ -271,60 +280,6 @@
             .collect()
     }
 
-    /// Streams that callers take up again go on at least half as often as new ones begin, while
-    /// two endpoints of their software version serve.
-    fn resumed_streams(&self) -> Vec<String> {
-        let streams = self.records.iter().filter(|record| {
-            let is_in_touch = !self.is_disturbed(record.sent_at, record.ended_at, |one| {
-                one.on != Target::Daemon(record.daemon)
-            });
-            let is_withdrawn = self.key(record).is_some_and(|key| key.withdrawn.is_some());
-            let is_sound = record.episode.is_none();
-            is_sound && record.kind == CallKind::Stream && is_in_touch && !is_withdrawn
-        });
-        let (mut new, mut begun) = (0, 0);
-        let mut resumed: BTreeMap<&str, bool> = BTreeMap::new();
-        for record in streams {
-            match &record.received_before {
-                None => {
-                    new += 1;
-                    begun += usize::from(record.received.is_some());
-                }
-                Some(before) if self.serving(record, &before.version) >= 2 => {
-                    let goes_on = record.received != record.received_before;
-                    *resumed.entry(&record.name).or_default() |= goes_on;
-                }
-                Some(_) => {}
-            }
-        }
-        let gone_on = resumed.values().filter(|goes_on| **goes_on).count();
-        let is_judged = resumed.len() >= LEAST_RESUMED;
-        let is_broken = is_judged && gone_on * new * 2 < begun * resumed.len();
-        let violation = format!(
-            "{gone_on} of {} resumed streams went on, while {begun} of {new} new ones began",
-            resumed.len()
-        );
-        is_broken.then_some(violation).into_iter().collect()
-    }
-
-    /// Returns how many endpoints of `version` serve without a fault during a request.
-    fn serving(&self, record: &Record, version: &str) -> usize {
-        let starts = self.world.endpoint_starts.borrow();
-        let mut last_starts = BTreeMap::new();
-        for start in starts.iter().filter(|start| start.at <= record.sent_at) {
-            last_starts.insert(start.index, start);
-        }
-        let serving = last_starts.values().filter(|start| {
-            SERVICES[start.index % SERVICES.len()] == record.service
-                && start.version == version
-                && start.at + APPLY_TIME <= record.sent_at
-                && !self.is_disturbed(record.sent_at, record.ended_at, |one| {
-                    one.is_silence || one.on != Target::Endpoint(start.index)
-                })
-        });
-        serving.count()
-    }
-
     /// Returns where the attempts of a request ran, with the event after which each resumed.
     fn tell_runs(&self, name: &str) -> String {
         let attempts = self.records.iter().filter(|record| record.name == name);
--- a/crates/laburnumstall-soak/src/report.rs
+++ b/crates/laburnumstall-soak/src/report.rs
@@ -5,6 +5,7 @@
 
 use laburnumstall_platform_standins::caller::Outcome;
 
+use crate::checks;
 use crate::timeline::Slice;
 use crate::world::{Disturbance, World};
 
@@ -15,6 +16,8 @@
     pub outcomes: BTreeMap<&'static str, usize>,
     /// Streams that callers resumed.
     pub resumed: usize,
+    /// Streams taken up after restarts of all daemons, and those of them that went on.
+    pub restarted: (usize, usize),
     /// Runs at endpoints.
     pub runs: usize,
     /// Reports of usage.
@@ -49,9 +52,11 @@
             }
             *outcomes.entry(name(&record.outcome)).or_default() += 1;
         }
+        let restarted = checks::restart_counts(world);
         Self {
             outcomes,
             resumed: resumed.len(),
+            restarted: (restarted.taken_up, restarted.went_on),
             runs: world.runs.borrow().len(),
             reports: world.duties.reports().len(),
             store_calls: world.store_calls(),
@@ -92,6 +97,8 @@
         }
         let (runs, reports) = (self.figures.runs, self.figures.reports);
         write!(f, " streams resumed {},", self.figures.resumed)?;
+        let (taken_up, went_on) = self.figures.restarted;
+        write!(f, " after restarts {went_on} of {taken_up},")?;
         write!(
             f,
             " runs {runs}, reports {reports}, faults {}",
