Store origins as soon as there are any, and soak restarts of all daemons alone

The soak's random plans hardly kill all daemons beside two versions and nothing else: `--restarts` plays releases and kills of all daemons only, and its callers wait 250 ms before they take a stream up, since the relays before the daemons accept connections while none is there.

A write follows 20 ms after the first origin that waits, and 150 ms after the write before.

--- a/crates/laburnumstall-core/src/gateway/stored_origins.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_origins.rs
@@ -162,6 +162,11 @@
 }
 
 impl Gateway {
+    /// Returns whether origins wait to be stored.
+    pub fn has_segment_to_store(&self) -> bool {
+        self.origin_store.is_changed
+    }
+
     /// Returns the segment to write now; `None` if all origins are stored.
     pub fn segment_to_store(&mut self, now: Timestamp) -> Option<SegmentWrite> {
         let era = self.store_era().unwrap_or_default();
--- a/crates/laburnumstall-soak/src/clients.rs
+++ b/crates/laburnumstall-soak/src/clients.rs
@@ -23,6 +23,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause of a caller that finds no daemon.
 const NOWHERE_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before a caller takes up a stream that was cut: its attempts outlast the restart of a
+/// daemon, whose relay accepts connections meanwhile.
+const RESUME_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between two requests, in milliseconds.
 const MOST_PAUSE_MS: u64 = 120;
 /// Most requests on one connection.
@@ -77,6 +80,9 @@
                 Ok(conn) => self.stay(daemon, conn).await,
                 Err(_) => sleep(NOWHERE_PAUSE).await,
             }
+            if self.unfinished.is_some() {
+                sleep(RESUME_PAUSE).await;
+            }
         }
     }
 
--- a/crates/laburnumstall-soak/src/lib.rs
+++ b/crates/laburnumstall-soak/src/lib.rs
@@ -39,7 +39,11 @@
 ///
 /// [`SoakError`] if the processes or the stand-ins cannot be started.
 pub async fn run(settings: &SoakSettings) -> Result<Report, SoakError> {
-    let plan = plan::draw(settings.seed, settings.length, settings.shape());
+    let (seed, length, shape) = (settings.seed, settings.length, settings.shape());
+    let plan = match settings.restarts {
+        true => plan::draw_restarts(seed, length, shape),
+        false => plan::draw(seed, length, shape),
+    };
     let world = World::start(settings).await?;
     clients::start(&world, settings);
     sleep(WARM_UP).await;
--- a/crates/laburnumstall-soak/src/options.rs
+++ b/crates/laburnumstall-soak/src/options.rs
@@ -31,6 +31,9 @@
     /// Callers.
     #[options(help = "callers", meta = "N", default = "16")]
     pub callers: u16,
+    /// Releases and kills of all daemons only.
+    #[options(help = "only releases, and kills of all daemons at once", no_short)]
+    pub restarts: bool,
     /// The daemon's program.
     #[options(help = "the daemon's program; default: beside this one", meta = "PATH")]
     pub daemon: Option<PathBuf>,
@@ -55,6 +58,8 @@
     pub endpoints: u8,
     /// Callers.
     pub callers: u16,
+    /// Whether only releases and kills of all daemons are played.
+    pub restarts: bool,
     /// The daemon's program.
     pub program: PathBuf,
     /// Folder for settings files and logs.
@@ -73,6 +78,7 @@
             daemons: options.processes.max(1),
             endpoints: options.endpoints.max(2),
             callers: options.callers,
+            restarts: options.restarts,
             program: options.daemon.clone().unwrap_or_else(beside),
             folder: folder.join(format!("seed-{seed}")),
         }
--- a/crates/laburnumstall-soak/src/plan.rs
+++ b/crates/laburnumstall-soak/src/plan.rs
@@ -57,6 +57,11 @@
     [Duration::from_millis(4_000), Duration::from_millis(9_000)];
 /// Endpoints that say only in responses that they leave, for each restore.
 const UNLISTED_PER_RESTORE: usize = 2;
+/// Distinguishes the plan of restarts of all daemons.
+const RESTARTS_SEED: u64 = 0x7265_7374_6172_7473;
+/// Longest time from a release to a kill of all daemons, and shortest one from that to the next
+/// release.
+const BETWEEN_RESTARTS: Duration = Duration::from_millis(3_500);
 /// Shortest time that a fault lasts.
 const SHORTEST: Duration = Duration::from_millis(300);
 
@@ -221,6 +226,25 @@
     plan
 }
 
+/// Draws releases and kills of all daemons, and nothing else: streams of two versions are taken up
+/// again while no other fault excuses what becomes of them.
+pub(crate) fn draw_restarts(seed: u64, length: Duration, shape: Shape) -> Vec<Planned> {
+    let mut rng = Rng::with_seed(seed ^ RESTARTS_SEED);
+    let mut plan = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        let service = rng.usize(0..shape.services);
+        let fault = Fault::Release(service);
+        plan.push(Planned { at, fault });
+        at += between(&mut rng, SHORTEST, BETWEEN_RESTARTS);
+        let fault = Fault::KillAll;
+        plan.push(Planned { at, fault });
+        at += between(&mut rng, BETWEEN_RESTARTS, BETWEEN_RESTARTS * 2);
+    }
+    plan.retain(|planned| planned.at < length);
+    plan
+}
+
 /// Draws when callers send requests that crash endpoints, apart from the other faults: in every
 /// second soak, since their crashes excuse lost requests.
 fn crashing_requests(seed: u64, length: Duration, shape: Shape) -> Vec<Planned> {
--- a/crates/laburnumstall-soak/tests/short_soak.rs
+++ b/crates/laburnumstall-soak/tests/short_soak.rs
@@ -11,8 +11,9 @@
 /// Time with faults of each soak.
 const LENGTH: Duration = Duration::from_secs(8);
 
-fn soak(seed: u64, length: Duration, processes: &str) {
-    let args = ["--callers", "8", "--processes", processes].map(str::to_owned);
+fn soak(seed: u64, length: Duration, args: &[&str]) {
+    let callers = ["--callers", "8"];
+    let args: Vec<String> = callers.iter().chain(args).map(|&arg| arg.into()).collect();
     let options: Options =
         laburnumstall_soak::options::parse(&args).expect("the options are right");
     let mut settings = SoakSettings::new(&options, seed);
@@ -28,13 +29,19 @@
 
 #[test]
 fn short_soak_holds() {
-    soak(1, LENGTH, "4");
+    soak(1, LENGTH, &["--processes", "4"]);
+}
+
+/// Streams of two versions were refused when all daemons had been killed.
+#[test]
+fn killed_fleet_keeps_streams() {
+    soak(1, LENGTH, &["--restarts", "--callers", "24"]);
 }
 
 /// In a fleet of this size four daemons read the key-value service for the others.
 #[test]
 fn larger_fleet_holds() {
-    soak(2, LENGTH, "8");
+    soak(2, LENGTH, &["--processes", "8"]);
 }
 
 /// A soak whose daemons never get ready ends them all the same. Fails if `World::start`
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -36,6 +36,8 @@
     pub lookups: PendingLookups,
     /// Wakes the task that sends stream origins to peers.
     pub origin_signal: Notify,
+    /// Wakes the task that stores stream origins.
+    pub segment_signal: Notify,
     /// Wakes the task that checks endpoints.
     pub check_signal: Notify,
     /// Wakes the calls that wait for the check of an endpoint.
@@ -70,6 +72,7 @@
             pool: Pool::default(),
             lookups: PendingLookups::default(),
             origin_signal: Notify::new(),
+            segment_signal: Notify::new(),
             check_signal: Notify::new(),
             check_done: Notify::new(),
             metrics,
@@ -97,6 +100,7 @@
         let result = f(&mut gateway, now);
         let decisions = gateway.take_decisions();
         let has_origins_to_send = gateway.has_origins_to_send();
+        let has_segment = gateway.has_segment_to_store();
         let has_endpoint_checks = gateway.has_endpoint_checks();
         let updates = gateway.take_quarantine_updates();
         let notices = gateway.take_endpoint_notices(now);
@@ -113,6 +117,9 @@
         if has_endpoint_checks {
             self.check_signal.notify_one();
         }
+        if has_segment {
+            self.segment_signal.notify_one();
+        }
         if has_origins_to_send {
             self.origin_signal.notify_one();
         }
--- a/crates/laburnumstalld/src/gateway/stored_origins.rs
+++ b/crates/laburnumstalld/src/gateway/stored_origins.rs
@@ -10,15 +10,17 @@
 };
 use laburnumstall_outside::key_value::KeyValue;
 use laburnumstall_platform::store::Store;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::context::Context;
 use super::log::Event;
 
 /// Prefix of the keys of segments.
 const PREFIX: &str = "origins/";
-/// Interval of writes.
-const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which origins are collected before a write.
+const WRITE_DELAY: Duration = Duration::from_millis(20);
+/// Shortest interval of writes.
+const WRITE_INTERVAL: Duration = Duration::from_millis(150);
 /// Delay before a failed write is repeated.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -37,10 +39,12 @@
 pub(super) async fn write(cx: Rc<Context>, store: Rc<Store>, own: DaemonId) {
     let mut last: Option<(u64, Written)> = None;
     while !cx.is_ended() {
-        sleep(WRITE_INTERVAL).await;
+        cx.segment_signal.notified().await;
+        sleep(WRITE_DELAY).await;
         let Some(due) = cx.with_gateway(|gateway, now| gateway.segment_to_store(now)) else {
             continue;
         };
+        let started_at = Instant::now();
         let number = due.number;
         let known = last.take().filter(|(known, _)| *known == number);
         match write_segment(&store, &own, due, known.map(|(_, written)| written)).await {
@@ -51,6 +55,7 @@
                 sleep(WRITE_RETRY_DELAY).await;
             }
         }
+        sleep_until(started_at + WRITE_INTERVAL).await;
     }
 }
 
