Carry registrations of daemons in gossip messages

Of a large fleet four daemons read the key-value service and pass changes of endpoints on; any other change made each daemon read the service itself.

Registrations travel like changes of endpoints now. Above 16 in one read, as when a fleet starts, each daemon reads once as before; daemons of earlier builds get the change as one to read for themselves.

store_view::registrations_arrive_by_gossip and earlier_builds_read_registrations test it.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -61,7 +61,8 @@
 };
 pub use freshness::StoreFreshness;
 pub use gossip::{
-    EndpointKey, EndpointLoad, GOSSIP_PERIOD, GossipMessage, Peer, PeerTable, ServiceDemand,
+    EndpointKey, EndpointLoad, GOSSIP_PERIOD, GossipMessage, MemberRecord, Peer, PeerTable,
+    ServiceDemand,
 };
 pub use health::CallOutcome;
 pub use load_balancer::{CallAttempt, EndpointQuery, LoadBalancer};
--- a/crates/laburnumstall-core/src/gateway/gossip.rs
+++ b/crates/laburnumstall-core/src/gateway/gossip.rs
@@ -105,6 +105,21 @@
     confirmed_sequence: u64,
 }
 
+domain! {
+    /// Registration of a daemon.
+    pub struct MemberRecord {
+        /// The daemon.
+        pub member: Member,
+        /// Whether it decodes messages about the origins of streams, and marks services with
+        /// several versions.
+        pub supports_extensions: bool,
+        /// Whether it decodes quarantine updates.
+        pub supports_quarantine: bool,
+        /// Newest protocol of later messages that it decodes.
+        pub protocol: PeerProtocol,
+    }
+}
+
 /// Known daemons other than this one.
 #[derive(Debug, Clone, Default)]
 pub struct PeerTable {
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -4,12 +4,12 @@
 
 use super::Gateway;
 use super::endpoint_table::EndpointRecord;
-use super::gossip::{GossipMessage, daemon_hash};
+use super::gossip::{GossipMessage, MemberRecord, daemon_hash};
 use super::peer_message::PeerProtocol;
 use super::rules::{RoutingRules, RoutingTable};
 use super::view::ViewUpdate;
 use crate::decision::{Decision, DecisionKind};
-use crate::ids::{DaemonId, EndpointId};
+use crate::ids::{DaemonId, EndpointId, VmId};
 use crate::membership::Member;
 use crate::units::Timestamp;
 
@@ -120,6 +120,24 @@
         self.update_member_count(now);
     }
 
+    /// Applies the registration of a daemon, with what it decodes.
+    pub fn on_member_record(&mut self, now: Timestamp, record: MemberRecord) {
+        let id = record.member.id.clone();
+        self.on_member(now, record.member);
+        self.set_extension_support(&id, record.supports_extensions);
+        self.set_quarantine_support(&id, record.supports_quarantine);
+        self.set_peer_protocol(&id, record.protocol);
+    }
+
+    /// Applies the end of the registration of the daemon on a VM.
+    pub fn on_vm_unregistered(&mut self, vm: &VmId) {
+        let ids = self.peer_table.peers().map(|peer| &peer.member.id);
+        let ids: Vec<DaemonId> = ids.filter(|id| id.vm == *vm).cloned().collect();
+        for id in &ids {
+            self.on_member_removed(id);
+        }
+    }
+
     /// Records the newest protocol that a daemon decodes.
     pub fn set_peer_protocol(&mut self, id: &DaemonId, protocol: PeerProtocol) {
         self.peer_table.set_protocol(id, protocol);
@@ -162,8 +180,13 @@
 
     /// Completes a gossip message for one peer.
     pub fn gossip_for(&self, to: &DaemonId, message: &GossipMessage) -> GossipMessage {
+        let view = self.view.update_for(self.peer_table.echo(to));
+        let decodes_members = self.peer_table.protocol(to) >= PeerProtocol::STORED_VERSIONS;
         GossipMessage {
-            view: self.view.update_for(self.peer_table.echo(to)),
+            view: match decodes_members {
+                true => view,
+                false => view.without_members(),
+            },
             ..message.clone()
         }
     }
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -2,11 +2,12 @@
 //!
 //! In a large fleet, reads by all daemons cost more than they yield: endpoints write
 //! heartbeats continuously, and little else changes. So only a few daemons read. Their gossip
-//! messages contain the endpoint changes just read, the version of the last relevant change,
+//! messages contain the changes of endpoints and daemons just read, the version of the last relevant change,
 //! and the sequence number of the recipient's newest message when the confirming read was
 //! sent. A recipient that knows all changes up to that version can bound the age of its view
 //! by its own clock alone: the view is at most as old as that message. It reads the store
-//! itself when it lacks a change (always so for a configuration), when no daemon has confirmed
+//! itself when it lacks a change (always so for a configuration, and for the registrations of many
+//! daemons at once), when no daemon has confirmed
 //! the view for a while, and periodically before the store drops its history.
 //!
 //! The store may come back from an older copy, in a new era with a history of its own. Versions
@@ -17,9 +18,10 @@
 
 use super::Gateway;
 use super::endpoint_table::EndpointRecord;
+use super::gossip::MemberRecord;
 use crate::decision::{Decision, DecisionKind};
 use crate::hash::digest64;
-use crate::ids::{DaemonId, EndpointId};
+use crate::ids::{DaemonId, EndpointId, VmId};
 use crate::store::{StoreEra, StorePosition, StoreVersion};
 use crate::units::Timestamp;
 use crate::{domain, domain_value};
@@ -37,6 +39,9 @@
 /// be of use.
 const SENT_HISTORY: usize = 32;
 
+/// Registrations in one batch above which each daemon reads them from the store itself: most
+/// daemons start at the same time then, and read anyway.
+const MAX_MEMBER_CHANGES: usize = 16;
 /// Time for which a change is sent: two gossip periods; a peer that misses it reads the store
 /// itself.
 const BATCH_RETENTION: Duration = Duration::from_millis(600);
@@ -65,6 +70,11 @@
         EndpointRemoved(EndpointId),
         /// Any other change, which each daemon reads from the store itself.
         Other,
+        /// A daemon's registration was written. Daemons before protocol
+        /// [`STORED_VERSIONS`](super::PeerProtocol::STORED_VERSIONS) do not decode it.
+        Member(MemberRecord),
+        /// The registration of the daemon on a VM was removed; the same holds.
+        MemberRemoved(VmId),
     }
 
     /// Relevant changes from one read.
@@ -115,6 +125,23 @@
     was_reader: Option<bool>,
 }
 
+impl ViewChange {
+    fn is_member(&self) -> bool {
+        matches!(self, Self::Member(_) | Self::MemberRemoved(_))
+    }
+}
+
+impl ViewUpdate {
+    /// Replaces the changes that daemons of earlier builds do not decode.
+    pub(super) fn without_members(mut self) -> Self {
+        let changes = self.batches.iter_mut().flat_map(|batch| &mut batch.changes);
+        for change in changes.filter(|change| change.is_member()) {
+            *change = ViewChange::Other;
+        }
+        self
+    }
+}
+
 impl StoreView {
     /// Records when a gossip message was sent.
     pub(super) fn on_gossip_sent(&mut self, now: Timestamp, sequence: u64) {
@@ -221,7 +248,11 @@
         }
     }
 
-    fn on_read(&mut self, now: Timestamp, version: StoreVersion, changes: Vec<ViewChange>) {
+    fn on_read(&mut self, now: Timestamp, version: StoreVersion, mut changes: Vec<ViewChange>) {
+        if changes.iter().filter(|change| change.is_member()).count() > MAX_MEMBER_CHANGES {
+            changes.retain(|change| !change.is_member());
+            changes.push(ViewChange::Other);
+        }
         self.read_version = self.read_version.max(version);
         self.read_at = Some(now);
         self.batches
@@ -329,6 +360,8 @@
             match change {
                 ViewChange::Endpoint(record) => self.on_endpoint(now, record),
                 ViewChange::EndpointRemoved(id) => self.on_endpoint_removed(now, &id),
+                ViewChange::Member(record) => self.on_member_record(now, record),
+                ViewChange::MemberRemoved(vm) => self.on_vm_unregistered(&vm),
                 ViewChange::Other => {}
             }
         }
--- a/crates/laburnumstall-core/tests/gateway/store_view.rs
+++ b/crates/laburnumstall-core/tests/gateway/store_view.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use crate::support::{at, call_attributes, daemon, endpoint, gateway, member};
-use laburnumstall_core::gateway::{Gateway, GossipMessage, ViewBatch, ViewChange, ViewUpdate};
+use laburnumstall_core::gateway::{
+    Gateway, GossipMessage, MemberRecord, PeerProtocol, ViewBatch, ViewChange, ViewUpdate,
+};
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::store::StoreVersion;
 
@@ -220,6 +222,53 @@
     assert!(gateway.next_read(at(900)).is_some());
 }
 
+/// Registers daemons in one read; returns whether a daemon that does not read has to.
+fn reads_after_registrations(count: u32) -> bool {
+    let mut reader = non_reader();
+    let newest = PeerProtocol::NEWEST;
+    reader.set_peer_protocol(&daemon(2), newest);
+    let records = (0..count).map(|n| MemberRecord {
+        member: member(100 + n),
+        supports_extensions: true,
+        supports_quarantine: true,
+        protocol: newest,
+    });
+    let mut changes: Vec<ViewChange> = records.map(ViewChange::Member).collect();
+    changes.push(ViewChange::MemberRemoved(daemon(DAEMONS).vm));
+    reader.on_read(at(100), at(100), StoreVersion(12), changes);
+    let message = reader.next_gossip(at(110));
+    let message = reader.gossip_for(&daemon(2), &message);
+
+    let mut other = non_reader();
+    other.on_gossip(at(130), &daemon(2), message);
+    let is_read = other.next_read(at(130)).is_some();
+    let mut peers = other.peer_table().peers();
+    assert_eq!(peers.any(|peer| peer.member.id == daemon(100)), !is_read);
+    is_read
+}
+
+/// Each daemon read the store whenever another one started or left, so that a fleet whose daemons
+/// were replaced in turn read as often as its size squared.
+#[test]
+fn registrations_arrive_by_gossip() {
+    assert!(!reads_after_registrations(3));
+    assert!(
+        reads_after_registrations(40),
+        "a fleet that starts reads once"
+    );
+}
+
+/// A daemon of an earlier build closed the link on a registration that it does not decode.
+#[test]
+fn earlier_builds_read_registrations() {
+    let mut reader = non_reader();
+    let record = ViewChange::MemberRemoved(daemon(DAEMONS).vm);
+    reader.on_read(at(100), at(100), StoreVersion(12), vec![record]);
+    let message = reader.next_gossip(at(110));
+    let message = reader.gossip_for(&daemon(3), &message);
+    assert_eq!(message.view.batches[1].changes, [ViewChange::Other]);
+}
+
 /// Endpoints that leave while the store turns only this daemon away are removed.
 #[test]
 fn own_outage_taken_for_one_of_the_store() {
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -3,7 +3,7 @@
 //!
 //! All tasks run on one thread. `listener` reads requests, `call` serves each one as the
 //! core decides, `stream` forwards event streams and `upstream` calls endpoints.
-//! `store_sync` follows the key-value store, `gossip` exchanges messages with peers,
+//! `store_sync` follows the key-value store, `registration` registers the daemon there, `gossip` exchanges messages with peers,
 //! `origins` finds out at which software version a stream goes on that a caller takes up,
 //! `marks` marks services with several versions in the key-value store, `stored_versions` writes
 //! there at which versions streams begin, `stored_origins` the origins of streams,
@@ -21,6 +21,7 @@
 mod marks;
 pub mod metrics;
 mod origins;
+mod registration;
 mod replacement;
 mod rules_floor;
 mod store_sync;
@@ -249,7 +250,7 @@
     }
     let listener = listen(cx.settings.front, "callers")?;
     cx.event(Event::new("ready").with("front", cx.settings.front));
-    actix_rt::spawn(store_sync::register(Rc::clone(&cx), store, member));
+    actix_rt::spawn(registration::register(Rc::clone(&cx), store, member));
     listener::accept(cx, listener).await;
     Ok(())
 }
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -1,27 +1,23 @@
-//! Keeps the gateway's view of the key-value store fresh and this daemon registered there.
+//! Keeps the gateway's view of the key-value store fresh.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use laburnumstall_core::gateway::{
-    EndpointRecord, EraChange, Gateway, OriginSegment, PeerProtocol, StoredVersions, ViewChange,
-};
-use laburnumstall_core::ids::{DaemonId, ServiceName, VmId};
-use laburnumstall_core::membership::Member;
-use laburnumstall_core::store::{
-    LeaseId, StoreCall, StoreEra, StoreKey, StoreReply, StoreVersion, StoredValue,
+    EndpointRecord, EraChange, Gateway, OriginSegment, StoredVersions, ViewChange,
 };
+use laburnumstall_core::ids::{DaemonId, ServiceName};
+use laburnumstall_core::store::{StoreKey, StoreVersion, StoredValue};
 use laburnumstall_core::units::Timestamp;
-use laburnumstall_outside::key_value::KeyValue;
 use laburnumstall_platform::store::{Change, Changes, ReadFailure, Store};
-use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::context::Context;
 use super::crash_checks;
 use super::log::Event;
 use super::marks;
+use super::registration::{self, StoredMember};
 use super::rules_floor;
 use super::stored_origins;
 use super::stored_versions;
@@ -38,34 +34,9 @@
 const NO_WAIT: Duration = Duration::from_millis(1);
 /// Delay before the next read after a failed one.
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(150);
-/// TTL of this daemon's registration: it outlasts a short outage, since gossip detects a
-/// failed daemon sooner.
-const REGISTRATION_TTL: Duration = Duration::from_secs(6);
-/// Interval between renewals of the registration.
-const RENEW_INTERVAL: Duration = Duration::from_secs(2);
-/// Prefix of the keys under which daemons register.
-const MEMBERS_PREFIX: &str = "daemons/";
-
 /// Stored versions of a service with the version of their key; `None` if there are none.
 type Versions = Option<(StoredVersions, StoreVersion)>;
 
-/// Registration of a daemon, as stored.
-#[derive(Debug, Serialize, Deserialize)]
-struct StoredMember {
-    #[serde(flatten)]
-    member: Member,
-    /// Whether the daemon decodes messages about the origins of streams, and marks services
-    /// with several versions.
-    #[serde(default)]
-    stream_origins: bool,
-    /// Whether the daemon decodes quarantine updates.
-    #[serde(default)]
-    quarantine: bool,
-    /// Newest protocol of later messages that the daemon decodes.
-    #[serde(default)]
-    protocol: PeerProtocol,
-}
-
 /// Reads a snapshot of the store, then its changes, forever.
 pub(super) async fn run(cx: Rc<Context>, store: Rc<Store>) {
     loop {
@@ -160,9 +131,11 @@
             let is_changed = known.is_none_or(|known| known.record != *record);
             is_changed.then(|| ViewChange::Endpoint(record.clone()))
         }
+        Change::Own(value) if registration::is_member(&value.key) => {
+            Some(registration::member_change(value))
+        }
         Change::Own(value)
-            if value.key.as_str().starts_with(MEMBERS_PREFIX)
-                || value.key.as_str().starts_with(stored_versions::PREFIX)
+            if value.key.as_str().starts_with(stored_versions::PREFIX)
                 || value.key.as_str() == rules_floor::KEY =>
         {
             Some(ViewChange::Other)
@@ -202,7 +175,7 @@
                     segments.extend(read_segment(cx, &value));
                 } else if let Some((suspect, hold)) = crash_checks::stored_hold(&value) {
                     holds.extend(hold.map(|hold| (suspect, hold)));
-                } else if let Some(stored) = parse_member(cx, &value) {
+                } else if let Some(stored) = read_member(cx, &value) {
                     members.insert(stored.member.id.clone());
                     apply_member(cx, stored);
                 }
@@ -284,7 +257,7 @@
                 });
             } else if value.value.is_none() {
                 remove_member(cx, &value);
-            } else if let Some(stored) = parse_member(cx, &value) {
+            } else if let Some(stored) = read_member(cx, &value) {
                 apply_member(cx, stored);
             }
         }
@@ -326,21 +299,12 @@
 }
 
 fn apply_member(cx: &Context, stored: StoredMember) {
-    cx.with_gateway(|gateway, now| {
-        let id = stored.member.id.clone();
-        gateway.on_member(now, stored.member);
-        gateway.set_extension_support(&id, stored.stream_origins);
-        gateway.set_quarantine_support(&id, stored.quarantine);
-        gateway.set_peer_protocol(&id, stored.protocol);
-    });
+    cx.with_gateway(|gateway, now| gateway.on_member_record(now, stored.into()));
 }
 
-/// Parses a daemon's registration; `None` for other keys and unreadable values.
-fn parse_member(cx: &Context, value: &StoredValue) -> Option<StoredMember> {
-    if !value.key.as_str().starts_with(MEMBERS_PREFIX) {
-        return None;
-    }
-    match serde_json::from_slice(value.value.as_deref()?) {
+/// Reads a daemon's registration; `None` for other keys and unreadable values.
+fn read_member(cx: &Context, value: &StoredValue) -> Option<StoredMember> {
+    match registration::stored_member(value)? {
         Ok(member) => Some(member),
         Err(error) => {
             record_unreadable(cx, value, &error);
@@ -350,142 +314,7 @@
 }
 
 fn remove_member(cx: &Context, value: &StoredValue) {
-    let vm = value.key.as_str().strip_prefix(MEMBERS_PREFIX);
-    let Some(vm) = vm.and_then(|vm| vm.parse::<VmId>().ok()) else {
-        return;
-    };
-    cx.with_gateway(|gateway, _| {
-        let of_vm = |id: &DaemonId| id.vm == vm;
-        let ids: Vec<DaemonId> = gateway
-            .peer_table()
-            .peers()
-            .map(|peer| peer.member.id.clone())
-            .collect();
-        for id in ids.iter().filter(|id| of_vm(id)) {
-            gateway.on_member_removed(id);
-        }
-    });
-}
-
-/// Keeps this daemon registered under a lease until the gateway ends. A stopping daemon stays
-/// registered as leaving: it still serves requests, and peers need its gossip messages.
-pub(super) async fn register(cx: Rc<Context>, store: Rc<Store>, mut member: Member) {
-    let Ok(key) = format!("{MEMBERS_PREFIX}{}", member.id.vm).parse::<StoreKey>() else {
-        let cause = "the name of the VM does not fit into a key";
-        cx.event(Event::new("register-failed").with("cause", cause));
-        return;
-    };
-    let mut registration = Registration {
-        store,
-        key,
-        lease: None,
-        era: None,
-    };
-    while !cx.is_ended() {
-        let changed = cx.stop_signal.notified();
-        let (is_leaving, era) =
-            cx.with_gateway(|gateway, _| (gateway.is_stopping(), gateway.store_era()));
-        registration.set_era(era);
-        let is_changed = is_leaving != member.leaving;
-        member.leaving = is_leaving;
-        let pause = match registration.renew(&member, is_changed).await {
-            Ok(is_written) => {
-                if is_written {
-                    let event = Event::new("registered").with("key", &registration.key);
-                    cx.event(event.with("leaving", is_leaving));
-                }
-                RENEW_INTERVAL
-            }
-            Err(cause) => {
-                cx.event(Event::new("register-failed").with("cause", cause));
-                FAILURE_RETRY_DELAY * 2
-            }
-        };
-        tokio::select! {
-            () = sleep(pause) => {}
-            () = changed => {}
-            () = cx.restore_signal.notified() => {}
-        }
-    }
-    let is_done = registration.close().await;
-    cx.event(Event::new("unregistered").with("done", is_done));
-}
-
-/// This daemon's key in the store and the lease it is attached to.
-struct Registration {
-    store: Rc<Store>,
-    key: StoreKey,
-    lease: Option<LeaseId>,
-    /// Era in which the lease was granted.
-    era: Option<StoreEra>,
-}
-
-impl Registration {
-    /// Gives up a lease of an earlier era, which may have been granted to another daemon since.
-    fn set_era(&mut self, era: Option<StoreEra>) {
-        if std::mem::replace(&mut self.era, era) != era {
-            self.lease = None;
-        }
-    }
-
-    /// Renews the lease, or acquires a new one, and writes the member if it changed or the
-    /// lease is new; returns whether it was written.
-    async fn renew(&mut self, member: &Member, is_changed: bool) -> Result<bool, &'static str> {
-        if let Some(lease) = self.lease {
-            match self.store.call(StoreCall::Renew { lease }).await {
-                Ok(StoreReply::Lease { .. }) if !is_changed => return Ok(false),
-                Ok(StoreReply::Lease { .. }) => {}
-                Ok(_) => self.lease = None,
-                Err(_) => return Err("unavailable"),
-            }
-        }
-        let lease = match self.lease {
-            Some(lease) => lease,
-            None => self.grant().await?,
-        };
-        self.write(member, lease).await?;
-        self.lease = Some(lease);
-        Ok(true)
-    }
-
-    async fn grant(&self) -> Result<LeaseId, &'static str> {
-        let ttl = REGISTRATION_TTL;
-        match self.store.call(StoreCall::Grant { ttl }).await {
-            Ok(StoreReply::Lease { lease, .. }) => Ok(lease),
-            _ => Err("no-lease"),
-        }
-    }
-
-    async fn write(&self, member: &Member, lease: LeaseId) -> Result<(), &'static str> {
-        let stored = StoredMember {
-            member: member.clone(),
-            stream_origins: true,
-            quarantine: true,
-            protocol: PeerProtocol::NEWEST,
-        };
-        let value = serde_json::to_vec(&stored).map_err(|_| "not-encoded")?;
-        let key = self.key.clone();
-        let current = self.store.call(StoreCall::Get { key: key.clone() }).await;
-        let Ok(StoreReply::Value(current)) = current else {
-            return Err("not-read");
-        };
-        let swap = StoreCall::Swap {
-            key,
-            expected: current.map(|stored| stored.version),
-            value: Some(value),
-            lease: Some(lease),
-        };
-        match self.store.call(swap).await {
-            Ok(StoreReply::Swapped { .. }) => Ok(()),
-            _ => Err("not-written"),
-        }
-    }
-
-    /// Revokes the lease, which deletes the key; returns whether the store confirmed it.
-    async fn close(self) -> bool {
-        match self.lease {
-            Some(lease) => self.store.call(StoreCall::Revoke { lease }).await.is_ok(),
-            None => true,
-        }
+    if let Some(vm) = registration::registered_vm(value) {
+        cx.with_gateway(|gateway, _| gateway.on_vm_unregistered(&vm));
     }
 }
