Keep the pause that an endpoint asks one daemon for

The pause is kept for the process of the endpoint at this daemon alone; peers go on. Every selection passes it: first sends, retries, second attempts, streams that are resumed. Where all endpoints of a service asked for one, callers are refused at once and told to come back when the first pause ends, one after the other at the pace of its slots.

With the check in candidates.rs taken out (a trial) three of the four tests of endpoint_pauses fail. The test on sockets, leaving_endpoints::calls_wait_for_the_end_of_a_pause, was written anew after that trial and was not run with the check out.

--- a/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
@@ -19,6 +19,7 @@
 use super::peer_message::PeerProtocol;
 use super::quarantine_update::millis;
 use super::send_budget::{MESSAGE_BYTES, SendBudget};
+use crate::decision::{Decision, DecisionKind};
 use crate::ids::{DaemonId, ParseIdError};
 use crate::limits::bucket::MICRO;
 use crate::units::Timestamp;
@@ -63,6 +64,8 @@
         pub is_leaving: bool,
         /// Requests that it takes.
         pub limit: LimitNotice,
+        /// Time for which it wants no request from this daemon.
+        pub pause: Option<Duration>,
         /// What is wrong with the response's notice, if anything.
         pub fault: Option<CompactString>,
     }
@@ -225,6 +228,9 @@
             self.endpoints
                 .on_unreadable_notice(now, process, fault, journal);
         }
+        if let Some(pause) = notice.pause {
+            self.pause_endpoint(now, process, pause);
+        }
         let known = self.endpoints.notice_of(process);
         let notice = known.with_response(now, sent, notice);
         if notice != known && self.set_notice(now, process, notice, "response") {
@@ -232,6 +238,18 @@
         }
     }
 
+    /// Sends nothing to an endpoint for the time that it asked this daemon for; peers go on.
+    fn pause_endpoint(&mut self, now: Timestamp, process: &EndpointProcess, pause: Duration) {
+        if self.load_balancer.pause(process, now.after(pause)) {
+            self.journal.record(
+                Decision::new(now, DecisionKind::Membership, "paused", "asked")
+                    .with("endpoint", &process.id)
+                    .with("born", process.started_at_ms)
+                    .with("for_ms", pause.as_millis()),
+            );
+        }
+    }
+
     /// Records what peers know of endpoints.
     pub fn on_peer_notices(&mut self, now: Timestamp, notices: Vec<SharedNotice>) {
         for shared in notices {
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -17,7 +17,7 @@
 use super::call::Prompt;
 use super::endpoint_limiter::EndpointLimiter;
 use super::endpoint_notice::EndpointLimit;
-use super::endpoint_table::{EndpointEntry, EndpointTable};
+use super::endpoint_table::{EndpointEntry, EndpointProcess, EndpointTable};
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::{CallOutcome, Health};
 use super::prefill::prefill_time;
@@ -92,6 +92,8 @@
     slots: u32,
     is_leaving: bool,
     limiter: Option<EndpointLimiter>,
+    /// Until when it wants no call from this daemon.
+    paused_until: Timestamp,
     started_at_ms: u64,
     version: Option<SoftwareVersion>,
     key: EndpointKey,
@@ -201,6 +203,33 @@
         self.has_limits = !limits.is_empty();
     }
 
+    /// Pauses the calls to an endpoint until a time; returns whether that is later than known.
+    pub(super) fn pause(&mut self, process: &EndpointProcess, until: Timestamp) -> bool {
+        let mut endpoints = self.services.values_mut().flatten();
+        let endpoint = endpoints.find(|endpoint| {
+            endpoint.id == process.id && endpoint.started_at_ms == process.started_at_ms
+        });
+        endpoint.is_some_and(|endpoint| {
+            let is_later = until > endpoint.paused_until;
+            endpoint.paused_until = endpoint.paused_until.max(until);
+            is_later
+        })
+    }
+
+    /// Returns when the first endpoint of a service takes calls again, and its slots; `None` unless
+    /// all of them are paused.
+    pub(super) fn pause_end(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Option<(Duration, u32)> {
+        let endpoints = self.services.get(service)?.iter();
+        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving);
+        let first = usable.min_by_key(|endpoint| endpoint.paused_until)?;
+        let is_paused = now < first.paused_until;
+        is_paused.then(|| (first.paused_until.since(now), first.slots))
+    }
+
     /// Returns whether any endpoint had a limit when they were last set.
     pub(super) fn has_limits(&self) -> bool {
         self.has_limits
@@ -422,6 +451,7 @@
             slots: record.slots.max(1),
             is_leaving: entry.is_leaving(),
             limiter: None,
+            paused_until: Timestamp::ZERO,
             started_at_ms: record.started_at_ms,
             version: record.version.clone(),
             key: EndpointKey(hash as u32),
--- a/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
@@ -27,6 +27,7 @@
         .any(|endpoint| !endpoint.is_leaving && is_admitted(endpoint));
     let is_eligible = |endpoint: &EndpointState| {
         !endpoint.is_leaving
+            && now >= endpoint.paused_until
             && is_version(endpoint)
             && (!has_admitted || is_admitted(endpoint))
             && !query.excluded.contains(&endpoint.id)
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -15,6 +15,7 @@
 use crate::hash::digest64;
 use crate::ids::{EndpointId, ServiceName, SoftwareVersion};
 use crate::limits::RetryWindow;
+use crate::limits::bucket::MICRO;
 use crate::units::Timestamp;
 
 /// Age of the view of the key-value store above which an unknown host, path or key may be a
@@ -238,10 +239,16 @@
         Ok(attempt)
     }
 
-    /// Returns the refusal of a call that did not run, with the time at which there is room if the
-    /// limits of the service's endpoints are used up. A daemon without a share of the limits
-    /// sends callers to another one.
+    /// Returns the refusal of a call that did not run, with the time at which there is room if all
+    /// endpoints of the service asked for a pause, or their limits are used up. A daemon without a
+    /// share of the limits sends callers to another one.
     fn no_endpoint(&mut self, now: Timestamp, service: &ServiceName, detail: &str) -> Refusal {
+        if let Some((ends_in, slots)) = self.load_balancer.pause_end(now, service) {
+            let schedule = self.return_schedules.entry(service.clone()).or_default();
+            let retry_after = schedule.next(now, ends_in, i64::from(slots) * MICRO);
+            let detail = "all endpoints asked for a pause";
+            return Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(retry_after);
+        }
         let Some((room_in, rate)) = self.load_balancer.limited_room(now, service) else {
             return Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(RETRY_AFTER);
         };
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod call_admission;
 mod crash_evidence;
 mod endpoint_limits;
+mod endpoint_pauses;
 mod endpoint_scaling;
 mod endpoint_selection;
 mod failed_calls;
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -207,7 +207,7 @@
     pub(super) async fn response(mut self, cx: &Context) -> Result<Response, CallFailure> {
         let (head, class) = read_head(&mut self.conn, &self.method, &self.id).await?;
         if class != ResponseClass::WrongEndpoint {
-            let notice = headers::read_notice(&head);
+            let notice = headers::read_notice(head.status, &head);
             cx.with_gateway(|gateway, now| {
                 gateway.on_endpoint_notice(now, &self.process, self.sent_at, &notice);
             });
