Back off from a key-value service that does not answer

While the service is down each daemon of a fleet called it about seven times a second, at a fixed delay of 150 ms, and its registration three times a second: the calls grew with the fleet, and daemons that had failed together went on together.

Daemons that rely on the readers of the fleet, and all registrations, back off exponentially to 1.2 s, spread by daemon; they hear from the readers by gossip when the service is back.

--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -370,7 +370,8 @@
         }
     }
 
-    pub(super) fn is_reader(&self, now: Timestamp) -> bool {
+    /// Returns whether this daemon reads the key-value store for the fleet.
+    pub fn is_reader(&self, now: Timestamp) -> bool {
         if self.peer_table.len() < SMALL_FLEET {
             return true;
         }
--- a/crates/laburnumstall-core/src/limits.rs
+++ b/crates/laburnumstall-core/src/limits.rs
@@ -6,6 +6,7 @@
 //! [`RetryBudget`] limits retries and hedges to a fraction of the requests.
 
 mod account;
+mod backoff;
 pub(crate) mod bucket;
 mod fair_queue;
 mod rate_share;
@@ -18,6 +19,7 @@
 
 use crate::prelude::*;
 use account::Account;
+pub use backoff::Backoff;
 pub use fair_queue::FairQueue;
 pub use retry_budget::RetryBudget;
 pub use retry_window::RetryWindow;
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -36,6 +36,7 @@
 
 use actix_rt::task::JoinHandle;
 use laburnumstall_core::gateway::Gateway;
+use laburnumstall_core::hash::digest64;
 use laburnumstall_core::ids::{DaemonId, Incarnation, ParseIdError};
 use laburnumstall_core::membership::Member;
 use laburnumstall_outside::http::HttpSettings;
@@ -194,7 +195,11 @@
         cx.settings.store,
         STORE_TIMEOUT,
     )));
-    actix_rt::spawn(store_sync::run(Rc::clone(&cx), Rc::clone(&store)));
+    actix_rt::spawn(store_sync::run(
+        Rc::clone(&cx),
+        Rc::clone(&store),
+        backoff_seed(&own),
+    ));
     actix_rt::spawn(gossip::tick(Rc::clone(&cx)));
     actix_rt::spawn(gossip::send(Rc::clone(&cx), pins));
     actix_rt::spawn(gossip::receive(Rc::clone(&cx), rx));
@@ -250,7 +255,8 @@
     }
     let listener = listen(cx.settings.front, "callers")?;
     cx.event(Event::new("ready").with("front", cx.settings.front));
-    actix_rt::spawn(registration::register(Rc::clone(&cx), store, member));
+    let seed = backoff_seed(&member.id);
+    actix_rt::spawn(registration::register(Rc::clone(&cx), store, member, seed));
     listener::accept(cx, listener).await;
     Ok(())
 }
@@ -322,6 +328,11 @@
     message
 }
 
+/// Returns a number that spreads the retries of daemons that fail together.
+fn backoff_seed(own: &DaemonId) -> u64 {
+    digest64(&[own.to_string().as_bytes()])
+}
+
 fn client_settings(address: SocketAddr, timeout: Duration) -> HttpSettings {
     HttpSettings {
         connect_timeout: CONNECT_TIMEOUT,
--- a/crates/laburnumstalld/src/gateway/registration.rs
+++ b/crates/laburnumstalld/src/gateway/registration.rs
@@ -5,6 +5,7 @@
 
 use laburnumstall_core::gateway::{MemberRecord, PeerProtocol, ViewChange};
 use laburnumstall_core::ids::VmId;
+use laburnumstall_core::limits::Backoff;
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::store::{LeaseId, StoreCall, StoreEra, StoreKey, StoreReply, StoredValue};
 use laburnumstall_outside::key_value::KeyValue;
@@ -20,8 +21,8 @@
 const REGISTRATION_TTL: Duration = Duration::from_secs(6);
 /// Interval between renewals of the registration.
 const RENEW_INTERVAL: Duration = Duration::from_secs(2);
-/// Delay before a failed registration is repeated.
-const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// First and longest delay before a failed registration is repeated.
+const RETRY_DELAYS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(1_200)];
 /// Prefix of the keys under which daemons register.
 const MEMBERS_PREFIX: &str = "daemons/";
 
@@ -94,7 +95,8 @@
 
 /// Keeps this daemon registered under a lease until the gateway ends. A stopping daemon stays
 /// registered as leaving: it still serves requests, and peers need its gossip messages.
-pub(super) async fn register(cx: Rc<Context>, store: Rc<Store>, mut member: Member) {
+pub(super) async fn register(cx: Rc<Context>, store: Rc<Store>, mut member: Member, seed: u64) {
+    let mut backoff = Backoff::new(RETRY_DELAYS[0], RETRY_DELAYS[1], seed);
     let Ok(key) = format!("{MEMBERS_PREFIX}{}", member.id.vm).parse::<StoreKey>() else {
         let cause = "the name of the VM does not fit into a key";
         cx.event(Event::new("register-failed").with("cause", cause));
@@ -119,11 +121,12 @@
                     let event = Event::new("registered").with("key", &registration.key);
                     cx.event(event.with("leaving", is_leaving));
                 }
+                backoff.reset();
                 RENEW_INTERVAL
             }
             Err(cause) => {
                 cx.event(Event::new("register-failed").with("cause", cause));
-                FAILURE_RETRY_DELAY
+                backoff.next_delay()
             }
         };
         tokio::select! {
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -8,6 +8,7 @@
     EndpointRecord, EraChange, Gateway, OriginSegment, StoredVersions, ViewChange,
 };
 use laburnumstall_core::ids::{DaemonId, ServiceName};
+use laburnumstall_core::limits::Backoff;
 use laburnumstall_core::store::{StoreKey, StoreVersion, StoredValue};
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_platform::store::{Change, Changes, ReadFailure, Store};
@@ -34,11 +35,14 @@
 const NO_WAIT: Duration = Duration::from_millis(1);
 /// Delay before the next read after a failed one.
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Longest such delay of a daemon that relies on other readers.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
 /// Stored versions of a service with the version of their key; `None` if there are none.
 type Versions = Option<(StoredVersions, StoreVersion)>;
 
 /// Reads a snapshot of the store, then its changes, forever.
-pub(super) async fn run(cx: Rc<Context>, store: Rc<Store>) {
+pub(super) async fn run(cx: Rc<Context>, store: Rc<Store>, seed: u64) {
+    let mut backoff = Backoff::new(FAILURE_RETRY_DELAY, MAX_RETRY_DELAY, seed);
     loop {
         let sent = begin_read(&cx);
         match store.snapshot().await {
@@ -46,7 +50,7 @@
                 let version = snapshot.version;
                 apply_snapshot(&cx, snapshot);
                 complete_read(&cx, sent, version, vec![ViewChange::Other]);
-                follow(&cx, &store, version).await;
+                follow(&cx, &store, version, &mut backoff).await;
             }
             Ok(_) => sleep(FAILURE_RETRY_DELAY).await,
             Err(error) => {
@@ -58,7 +62,7 @@
 }
 
 /// Reads changes until the store does not have the history after `version`.
-async fn follow(cx: &Context, store: &Store, mut version: StoreVersion) {
+async fn follow(cx: &Context, store: &Store, mut version: StoreVersion, backoff: &mut Backoff) {
     loop {
         let Some(may_wait) = cx.with_gateway(Gateway::next_read) else {
             sleep(POLL_INTERVAL).await;
@@ -85,6 +89,7 @@
                     apply_change(cx, change);
                 }
                 complete_read(cx, sent, version, view_changes);
+                backoff.reset();
                 sleep_until(started_at + MIN_READ_INTERVAL).await;
             }
             Err(ReadFailure::HistoryGone) => {
@@ -93,7 +98,12 @@
             }
             Err(error) => {
                 on_read_failure(cx, &error);
-                sleep(FAILURE_RETRY_DELAY).await;
+                // The others hear from those that read for the fleet when the store is back.
+                let delay = match cx.with_gateway(|gateway, now| gateway.is_reader(now)) {
+                    true => FAILURE_RETRY_DELAY,
+                    false => backoff.next_delay(),
+                };
+                sleep(delay).await;
             }
         }
     }
