--- a/crates/laburnumstall-core/src/gateway/stored_origins.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_origins.rs
@@ -197,21 +197,25 @@
         }
     }
 
-    /// Applies the stored origins under `key`.
-    pub fn on_stored_origins(&mut self, now: Timestamp, key: &str, segment: OriginSegment) {
-        let is_current = segment.era == self.store_era().unwrap_or_default();
-        let streams: usize = segment.groups.iter().map(|group| group.streams.len()).sum();
-        let (choice, reason) = match is_current {
-            true => ("keep", "stored"),
-            false => ("ignore", "earlier-era"),
-        };
-        self.journal.record(
-            Decision::new(now, DecisionKind::Resume, choice, reason)
-                .with("origins", key)
-                .with("era", segment.era)
-                .with("streams", streams),
-        );
-        if is_current {
+    /// Applies stored origins; those of an earlier era of the store are not believed.
+    pub fn on_stored_origins(&mut self, now: Timestamp, segments: Vec<OriginSegment>) {
+        let era = self.store_era().unwrap_or_default();
+        let (current, earlier): (Vec<_>, Vec<_>) =
+            segments.into_iter().partition(|segment| segment.era == era);
+        for (segments, reason) in [(&current, "stored"), (&earlier, "earlier-era")] {
+            let groups = segments.iter().flat_map(|segment| &segment.groups);
+            let streams: usize = groups.map(|group| group.streams.len()).sum();
+            if segments.is_empty() {
+                continue;
+            }
+            self.journal.record(
+                Decision::new(now, DecisionKind::Connection, "origins", reason)
+                    .with("segments", segments.len())
+                    .with("streams", streams)
+                    .with("era", era),
+            );
+        }
+        for segment in current {
             self.record_origins(now, segment.groups, OriginSource::Stored);
         }
     }
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -4,12 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumstall_core::gateway::{
-    EndpointRecord, EraChange, Gateway, OriginSegment, StoredVersions, ViewChange,
-};
+use laburnumstall_core::gateway::{EndpointRecord, EraChange, Gateway, OriginSegment, ViewChange};
 use laburnumstall_core::ids::{DaemonId, ServiceName};
 use laburnumstall_core::limits::Backoff;
-use laburnumstall_core::store::{StoreKey, StoreVersion, StoredValue};
+use laburnumstall_core::store::{StoreVersion, StoredValue};
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_platform::store::{Change, Changes, ReadFailure, Store};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -21,7 +19,7 @@
 use super::registration::{self, StoredMember};
 use super::rules_floor;
 use super::stored_origins;
-use super::stored_versions;
+use super::stored_versions::{self, Versions};
 
 /// Minimum interval between reads of changes. Endpoint heartbeats wake a watch many times a
 /// second, while a change must be seen well within the two seconds after which a leaving
@@ -37,9 +35,6 @@
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest such delay of a daemon that relies on other readers.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
-/// Stored versions of a service with the version of their key; `None` if there are none.
-type Versions = Option<(StoredVersions, StoreVersion)>;
-
 /// Reads a snapshot of the store, then its changes, forever.
 pub(super) async fn run(cx: Rc<Context>, store: Rc<Store>, seed: u64) {
     let mut backoff = Backoff::new(FAILURE_RETRY_DELAY, MAX_RETRY_DELAY, seed);
@@ -224,9 +219,7 @@
             gateway.on_stored_versions(now, service, stored);
         }
         gateway.on_endpoints(now, endpoints);
-        for (key, segment) in segments {
-            gateway.on_stored_origins(now, key.as_str(), segment);
-        }
+        gateway.on_stored_origins(now, segments);
         gateway.on_stored_holds(now, holds);
         let known: Vec<DaemonId> = gateway
             .peer_table()
@@ -293,9 +286,9 @@
 }
 
 /// Reads a segment of stored origins; `None` if it was removed or is unreadable.
-fn read_segment(cx: &Context, value: &StoredValue) -> Option<(StoreKey, OriginSegment)> {
+fn read_segment(cx: &Context, value: &StoredValue) -> Option<OriginSegment> {
     match stored_origins::stored_segment(value)? {
-        Ok(segment) => Some((value.key.clone(), segment)),
+        Ok(segment) => Some(segment),
         Err(fault) => {
             record_unreadable(cx, value, &fault);
             None
