--- a/crates/laburnumstall-config/tests/canonical_form.rs
+++ b/crates/laburnumstall-config/tests/canonical_form.rs
@@ -12,6 +12,7 @@
 
 const CARONI: &str = include_str!("../../../examples/caroni.toml");
 const KUUSIVIULU: &str = include_str!("../../../examples/kuusiviulu.toml");
+const AGENDA_COMUN: &str = include_str!("../../../examples/agenda-comun.toml");
 const CASES: u64 = 1_000;
 
 /// A system that a text can say, with its items in any order.
@@ -262,7 +263,7 @@
 
 #[test]
 fn examples_read_back() {
-    for text in [CARONI, KUUSIVIULU] {
+    for text in [CARONI, KUUSIVIULU, AGENDA_COMUN] {
         let system = parse(text).unwrap_or_else(|faults| panic!("{faults}"));
         assert_eq!(parse(&canonical(&system)).expect("canonical"), system);
     }
