Send earlier origins to peers that a daemon learns of later

A daemon that begins streams before it knows a peer, as right after a start, took their origins off the list for peers when it stored them, so no peer ever had them: if that daemon alone ended, its streams were refused elsewhere.

What is stored and what is sent are told apart: origins stay on the list for peers until there is one, and are stored once.

Failed before: stored_origins::later_peers_get_earlier_origins (1 of 2 origins sent).

--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -294,6 +294,12 @@
             return Vec::new();
         }
         let writer = self.origin_writer(now);
+        if writer.is_none() {
+            self.store_origins(now, &mixed);
+        }
+        if self.supporting_peers(now).next().is_none() {
+            return Vec::new();
+        }
         let mut left = self.send_budget.left(now, 1 + self.peer_table.len());
         type Groups = BTreeMap<Arc<StreamOrigin>, Vec<(AttemptDigest, u8)>>;
         let mut messages: BTreeMap<(DaemonId, SocketAddr), Groups> = BTreeMap::new();
@@ -303,9 +309,6 @@
             .flat_map(|service| self.origins.take_unsent(service))
             .collect::<Vec<_>>()
         {
-            if writer.is_none() {
-                self.origin_store.add(now, attempt, &origin, expires_at);
-            }
             if left <= 0.0 {
                 skipped += 1;
                 continue;
--- a/crates/laburnumstall-core/src/gateway/stored_origins.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_origins.rs
@@ -228,6 +228,15 @@
             .any(|service| self.versions.is_mixed(now, service));
     }
 
+    /// Queues the own streams of services to be stored by this daemon.
+    pub(super) fn store_origins(&mut self, now: Timestamp, services: &[ServiceName]) {
+        for service in services {
+            for (attempt, origin, expires_at) in self.origins.take_unstored(service) {
+                self.origin_store.add(now, attempt, &origin, expires_at);
+            }
+        }
+    }
+
     /// Queues all origins of services with several versions to be stored again: the store came
     /// back from a copy, which may lack them.
     pub(super) fn store_origins_again(&mut self, now: Timestamp) {
--- a/crates/laburnumstall-core/src/gateway/stream_origin.rs
+++ b/crates/laburnumstall-core/src/gateway/stream_origin.rs
@@ -97,6 +97,8 @@
     pub source: OriginSource,
     /// When it was recorded.
     pub recorded_at: Timestamp,
+    /// Whether this daemon has stored it, or will.
+    is_stored: bool,
     expires_at: Timestamp,
 }
 
@@ -123,6 +125,7 @@
             origin: Arc::clone(origin),
             source,
             recorded_at: now,
+            is_stored: false,
             expires_at,
         });
         self.by_expiry.remove(&(entry.expires_at, attempt));
@@ -165,6 +168,22 @@
         self.unsent.keys()
     }
 
+    /// Takes the own streams of a service whose origin this daemon has not stored, with the time
+    /// until which each origin is kept. Peers still get them.
+    pub fn take_unstored(
+        &mut self,
+        service: &ServiceName,
+    ) -> Vec<(AttemptDigest, Arc<StreamOrigin>, Timestamp)> {
+        let unsent = self.unsent.get(service).into_iter().flatten();
+        let entries = &mut self.entries;
+        let unstored = unsent.filter_map(|attempt| {
+            let entry = entries.get_mut(attempt)?;
+            let is_stored = std::mem::replace(&mut entry.is_stored, true);
+            (!is_stored).then(|| (*attempt, Arc::clone(&entry.origin), entry.expires_at))
+        });
+        unstored.collect()
+    }
+
     /// Takes the own streams of a service whose origin no peer has, with the time until which
     /// each origin is kept.
     pub fn take_unsent(
--- a/crates/laburnumstall-core/tests/gateway/stored_origins.rs
+++ b/crates/laburnumstall-core/tests/gateway/stored_origins.rs
@@ -272,3 +272,23 @@
     assert_eq!(segment.groups[0].origin, origin("v1"));
     assert!(gateway.version_history().retention() > Duration::from_secs(15));
 }
+
+/// Origins of streams that began before a daemon knew its peers were sent to none of them.
+#[test]
+fn later_peers_get_earlier_origins() {
+    let mut gateway = started(&two_versions(), &["v1", "v1.1"], 0);
+    let (_call, _) = start(&mut gateway, at(100), "call-1");
+    assert!(gateway.take_origins(at(110)).is_empty());
+    assert!(gateway.segment_to_store(at(120)).is_some());
+    gateway.on_member(at(200), member(2));
+    gateway.set_extension_support(&daemon(2), true);
+    gateway.on_gossip(at(210), &daemon(2), gossip(1));
+    let (_call, _) = start(&mut gateway, at(220), "call-2");
+    let sent = gateway.take_origins(at(230));
+    let streams = sent.iter().flat_map(|(_, _, groups)| groups);
+    let streams: Vec<_> = streams.flat_map(|group| &group.streams).collect();
+    assert_eq!(streams.len(), 2);
+    let stored = gateway.segment_to_store(at(240)).unwrap().segment.groups;
+    let stored: usize = stored.iter().map(|group| group.streams.len()).sum();
+    assert_eq!(stored, 2, "each is stored once");
+}
