Admit streams that callers take up before new ones

Started daemons have empty buckets, and new calls of a customer that asks for twice its rate took what came in: in virtual time 65 new calls were admitted beside 3 resumed ones.

While a customer's callers take streams up, and 2 s longer, its new calls leave a fifth of the burst. Streams that are taken up are charged in full as before, so nothing is admitted beyond the quota; what comes in goes to them first.

Failed before: quota_sharing::resumed_streams_go_before_new_ones.

--- a/crates/laburnumstall-core/src/gateway/quota.rs
+++ b/crates/laburnumstall-core/src/gateway/quota.rs
@@ -26,6 +26,10 @@
 const RESERVE_PERCENT: u64 = 10;
 /// Maximum number of ranks that a reserve is kept for.
 const MAX_RESERVE_RANKS: u64 = 5;
+/// Percentage of the burst that new calls leave while callers take streams up.
+const RESUMPTION_PERCENT: u64 = 20;
+/// Time after a stream was taken up for which new calls leave that.
+const RESUMPTION_TIME: Duration = Duration::from_secs(2);
 /// Time after a peer's last report for which its usage is extrapolated.
 const EXTRAPOLATION_TIME: Duration = Duration::from_millis(600);
 /// Burst of a daemon's share: one gossip period, after which the peers know what it admitted.
@@ -58,6 +62,8 @@
     share: Bucket,
     /// Earliest retry time for the next refused caller.
     next_retry_at: Timestamp,
+    /// When a caller last took a stream up.
+    resumed_at: Option<Timestamp>,
     used: u64,
 }
 
@@ -102,6 +108,7 @@
                     bucket: bucket(now, quota, self.members, known.as_ref()),
                     share: share(now, quota, self.members),
                     next_retry_at: now,
+                    resumed_at: None,
                     used: known.map_or(0, |known| known.used),
                     quota,
                 },
@@ -152,6 +159,41 @@
         customer: &CustomerId,
         cost: u64,
         rank: u8,
+    ) -> Result<(), Duration> {
+        let reserve = RESERVE_PERCENT * u64::from(rank).min(MAX_RESERVE_RANKS);
+        let account = self.accounts.get(customer);
+        let resumed_at = account.and_then(|account| account.resumed_at);
+        let is_resuming = resumed_at.is_some_and(|at| now.since(at) < RESUMPTION_TIME);
+        let reserve = reserve + if is_resuming { RESUMPTION_PERCENT } else { 0 };
+        self.take_beyond(now, customer, cost, reserve)
+    }
+
+    /// Deducts `cost` units for a stream that its caller takes up, like [`take`](Self::take). New
+    /// calls leave units for such streams, which many callers take up at once when daemons have
+    /// ended and the buckets of started ones are empty.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the units can be deducted, if they cannot be deducted now.
+    pub fn take_resumed(
+        &mut self,
+        now: Timestamp,
+        customer: &CustomerId,
+        cost: u64,
+    ) -> Result<(), Duration> {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.resumed_at = Some(now);
+        }
+        self.take_beyond(now, customer, cost, 0)
+    }
+
+    /// Deducts `cost` units if more than `reserve` percent of the burst are left.
+    fn take_beyond(
+        &mut self,
+        now: Timestamp,
+        customer: &CustomerId,
+        cost: u64,
+        reserve: u64,
     ) -> Result<(), Duration> {
         let unreported = self.unreported(now, customer);
         let peers = u64::from(self.members.0 - 1);
@@ -163,9 +205,7 @@
         let is_small = cost <= account.quota.default_cost;
         let needed = match is_small {
             true => -micro(burst),
-            false => {
-                micro(burst * RESERVE_PERCENT / 100 * u64::from(rank).min(MAX_RESERVE_RANKS) + 1)
-            }
+            false => micro(burst * reserve / 100 + 1),
         };
         let needed = needed.saturating_add(micro(unreported));
         let bucket_wait = account.bucket.wait(now, needed).unwrap_or(Duration::MAX);
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -162,12 +162,14 @@
                 .as_ref()
                 .map(|prompt| u64::from(prompt.tokens) + u64::from(prompt.max_answer_tokens));
             let cost = self.quotas.cost(customer, tokens);
-            self.quotas
-                .take(now, customer, cost, route.rank)
-                .map_err(|wait| {
-                    let wait = wait.max(MIN_QUOTA_WAIT).min(self.bounds.retry_window);
-                    Refusal::new(ErrorKind::LimitReached, "over the quota").with_retry_after(wait)
-                })?;
+            let taken = match is_resumed {
+                true => self.quotas.take_resumed(now, customer, cost),
+                false => self.quotas.take(now, customer, cost, route.rank),
+            };
+            taken.map_err(|wait| {
+                let wait = wait.max(MIN_QUOTA_WAIT).min(self.bounds.retry_window);
+                Refusal::new(ErrorKind::LimitReached, "over the quota").with_retry_after(wait)
+            })?;
             call.charge = cost;
         }
         self.demand.on_call(&call);
--- a/crates/laburnumstall-core/tests/gateway/quota_sharing.rs
+++ b/crates/laburnumstall-core/tests/gateway/quota_sharing.rs
@@ -193,3 +193,28 @@
         "{wait:?}"
     );
 }
+
+/// Streams that callers took up after a restart of all daemons were refused in favour of new ones:
+/// the buckets of started daemons are empty, and both wanted several times the rate.
+#[test]
+fn resumed_streams_go_before_new_ones() {
+    const COST: u64 = 12_000;
+    let mut fleet = Fleet::new();
+    let (mut resumed, mut new) = (0, 0);
+    for ms in (0..2_000).step_by(20) {
+        fleet.exchange(ms);
+        let ledger = &mut fleet.ledgers[0];
+        new += u64::from(ledger.take(at(ms), &customer(), COST, 0).is_ok());
+        resumed += u64::from(ledger.take_resumed(at(ms), &customer(), COST).is_ok());
+    }
+    assert!(resumed >= 2 && resumed >= 9 * new, "{resumed} resumed, {new} new");
+    assert!((resumed + new) * COST <= 2 * RATE + COST);
+    // New ones have their quota back once nothing is taken up any more.
+    let mut later = 0;
+    for ms in (2_000..6_000).step_by(20) {
+        fleet.exchange(ms);
+        let ledger = &mut fleet.ledgers[0];
+        later += u64::from(ledger.take(at(ms), &customer(), COST, 0).is_ok());
+    }
+    assert!(later * COST >= RATE / 4, "{later}");
+}
