--- a/crates/laburnumstall-core/tests/gateway/quota_sharing.rs
+++ b/crates/laburnumstall-core/tests/gateway/quota_sharing.rs
@@ -207,7 +207,10 @@
         new += u64::from(ledger.take(at(ms), &customer(), COST, 0).is_ok());
         resumed += u64::from(ledger.take_resumed(at(ms), &customer(), COST).is_ok());
     }
-    assert!(resumed >= 2 && resumed >= 9 * new, "{resumed} resumed, {new} new");
+    assert!(
+        resumed >= 2 && resumed >= 9 * new,
+        "{resumed} resumed, {new} new"
+    );
     assert!((resumed + new) * COST <= 2 * RATE + COST);
     // New ones have their quota back once nothing is taken up any more.
     let mut later = 0;
