--- a/crates/laburnumstall-soak/tests/short_soak.rs
+++ b/crates/laburnumstall-soak/tests/short_soak.rs
@@ -35,7 +35,7 @@
 /// Streams of two versions were refused when all daemons had been killed.
 #[test]
 fn killed_fleet_keeps_streams() {
-    soak(1, LENGTH, &["--restarts", "--callers", "24"]);
+    soak(4, LENGTH, &["--restarts", "--callers", "24"]);
 }
 
 /// In a fleet of this size four daemons read the key-value service for the others.
