Log how many retries a daemon counts, and the responses that it skips

Cause: the log could not tell a limit on retries that all daemons exceed together from sends that no window counts, and had no line for a response that is skipped on a kept connection. Change: retry lines have retries, allowed and daemons; event=connection choice=skipped names request, endpoint, status and the attempt that the response names. Both are decisions, so explain tells them and laburnumstall_gateway_decisions_total counts them. No change of logic.

--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -37,6 +37,7 @@
             Ok(attempt) => (attempt.endpoint.as_str(), "replace"),
             Err(reason) => ("wait", *reason),
         };
+        let (retries, allowed) = self.retry_window(&call.service).usage(now);
         self.journal.record(
             Decision::new(now, DecisionKind::Retry, choice, reason)
                 .with("request", &call.id)
@@ -46,7 +47,10 @@
                 .with("sends", call.sends)
                 .with("runs", call.executions)
                 .with("events", call.events)
-                .with("left_ms", call.remaining(now).as_millis()),
+                .with("left_ms", call.remaining(now).as_millis())
+                .with("retries", retries)
+                .with("allowed", allowed)
+                .with("daemons", 1 + self.peer_table.len()),
         );
         let attempt = selected.ok()?;
         call.tried.push(attempt.endpoint.clone());
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -298,6 +298,29 @@
         call.is_outstanding = true;
     }
 
+    /// Records that a response on the connection of a call was skipped: it names another attempt,
+    /// or none.
+    pub fn on_response_skipped(
+        &mut self,
+        now: Timestamp,
+        call: &str,
+        endpoint: &EndpointId,
+        status: u16,
+        attempt: Option<&str>,
+    ) {
+        let reason = match attempt {
+            Some(_) => "other-attempt",
+            None => "no-attempt",
+        };
+        self.journal.record(
+            Decision::new(now, DecisionKind::Connection, "skipped", reason)
+                .with("request", call)
+                .with("endpoint", endpoint)
+                .with("status", status)
+                .with("response_to", attempt.unwrap_or("unnamed")),
+        );
+    }
+
     /// Records that an endpoint has started a call: its first event or its response arrived.
     pub fn on_started(
         &mut self,
@@ -347,6 +370,7 @@
         self.end_attempt(now, attempt, failure.outcome());
         let retries = self.retry_window(&call.service);
         let (action, reason) = recovery::after_failure(now, call, failure, retries);
+        let (retries, allowed) = retries.usage(now);
         let choice = match action {
             FailureAction::Retry if call.events > 0 => "resume",
             FailureAction::Retry => "again",
@@ -362,7 +386,10 @@
                 .with("sends", call.sends)
                 .with("runs", call.executions)
                 .with("events", call.events)
-                .with("left_ms", call.remaining(now).as_millis()),
+                .with("left_ms", call.remaining(now).as_millis())
+                .with("retries", retries)
+                .with("allowed", allowed)
+                .with("daemons", 1 + self.peer_table.len()),
         );
         match action {
             FailureAction::GiveUp => Err(recovery::refusal(now, call, failure)),
--- a/crates/laburnumstall-core/src/limits/retry_window.rs
+++ b/crates/laburnumstall-core/src/limits/retry_window.rs
@@ -55,17 +55,24 @@
 
     /// Counts one retry if the limit allows it; returns whether it does.
     pub fn try_retry(&mut self, now: Timestamp) -> bool {
+        let (retries, allowed) = self.usage(now);
+        let is_allowed = retries < allowed;
+        if is_allowed {
+            self.bin(now).retries += 1;
+        }
+        is_allowed
+    }
+
+    /// Returns the retries in the window, and how many it allows.
+    pub fn usage(&mut self, now: Timestamp) -> (u32, u32) {
         let number = self.bin(now).number;
         let counted = self.bins.iter().filter(|bin| bin.number <= number);
         let (requests, retries) = counted.fold((0, 0), |(requests, retries), bin| {
             (requests + bin.requests, retries + bin.retries)
         });
         let limit = (f64::from(requests) * self.ratio + self.allowance) * USED_PERCENT / 100.0;
-        let is_allowed = f64::from(retries + 1) <= limit;
-        if is_allowed {
-            self.bin(now).retries += 1;
-        }
-        is_allowed
+        // The conversion saturates.
+        (retries, limit as u32)
     }
 
     fn bin(&mut self, now: Timestamp) -> &mut Bin {
--- a/crates/laburnumstall-core/tests/gateway/failed_calls.rs
+++ b/crates/laburnumstall-core/tests/gateway/failed_calls.rs
@@ -203,3 +203,17 @@
     assert!(delays[1..].is_sorted());
     assert!(delays[2..].iter().all(|delay| !delay.is_zero()));
 }
+
+/// A line did not tell whether the limit on retries was near, nor among how many daemons it is split.
+#[test]
+fn retry_lines_tell_the_limit() {
+    let mut gateway = gateway_with_endpoints();
+    gateway.on_member(at(0), crate::support::member(2));
+    gateway.tick(at(1));
+    let (_, action) = fail(&mut gateway, "/read/1", CallFailure::Lost);
+    assert_eq!(action, Ok(FailureAction::Retry));
+    let decisions = gateway.take_decisions();
+    let line = decisions.iter().find(|line| line.kind.name() == "retry");
+    let fields = ["retries", "allowed", "daemons"].map(|name| line.unwrap().field(name).unwrap());
+    assert_eq!(fields, ["1", "23", "2"]);
+}
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure, EndpointProcess};
 use laburnumstall_core::units::Timestamp;
-use laburnumstall_platform::headers::{self, ResponseClass};
+use laburnumstall_platform::headers::{self, HeaderLines, ResponseClass};
 
 use super::context::Context;
 use super::listener::Request;
@@ -205,7 +205,7 @@
     ///
     /// [`CallFailure::Lost`] or [`CallFailure::BadAnswer`] if there is no usable response.
     pub(super) async fn response(mut self, cx: &Context) -> Result<Response, CallFailure> {
-        let (head, class) = read_head(&mut self.conn, &self.method, &self.id).await?;
+        let (head, class) = self.read_head(cx).await?;
         if class != ResponseClass::WrongEndpoint {
             let notice = headers::read_notice(head.status, &head);
             cx.with_gateway(|gateway, now| {
@@ -222,20 +222,43 @@
             address: self.address,
         })
     }
-}
 
-/// Reads response heads until one belongs to the call `id`.
-async fn read_head(
-    conn: &mut Conn,
-    method: &str,
-    id: &str,
-) -> Result<(ResponseHead, ResponseClass), CallFailure> {
-    let mut stale_responses = 0;
-    loop {
-        let head = loop {
-            match ResponseHead::take(&mut conn.buf, MAX_HEAD_BYTES, method) {
+    /// Reads response heads until one belongs to the call.
+    async fn read_head(
+        &mut self,
+        cx: &Context,
+    ) -> Result<(ResponseHead, ResponseClass), CallFailure> {
+        let mut stale_responses = 0;
+        loop {
+            let head = self.next_head().await?;
+            let class = headers::classify_response(head.status, &head, &self.id);
+            if class != ResponseClass::Foreign {
+                return Ok((head, class));
+            }
+            cx.with_gateway(|gateway, now| {
+                let (endpoint, attempt) = (&self.process.id, head.value(headers::CALL_ID));
+                gateway.on_response_skipped(now, &self.id, endpoint, head.status, attempt);
+            });
+            // A late response to an earlier request may precede this request's own.
+            stale_responses += 1;
+            let is_framed = matches!(
+                head.framing,
+                Framing::Empty | Framing::Length(..=MAX_STALE_BODY)
+            );
+            if stale_responses > MAX_STALE_RESPONSES || !is_framed || head.should_close {
+                return Err(CallFailure::BadAnswer);
+            }
+            skip_body(&mut self.conn, BodyReader::new(head.framing)).await?;
+        }
+    }
+
+    /// Reads the next head of a final response.
+    async fn next_head(&mut self) -> Result<ResponseHead, CallFailure> {
+        let conn = &mut self.conn;
+        loop {
+            match ResponseHead::take(&mut conn.buf, MAX_HEAD_BYTES, &self.method) {
                 Ok(Some(head)) if (100..200).contains(&head.status) => {}
-                Ok(Some(head)) => break head,
+                Ok(Some(head)) => return Ok(head),
                 Ok(None) => match conn.fill().await {
                     Ok(0) | Err(_) if conn.buf.is_empty() => return Err(CallFailure::Lost),
                     Ok(0) | Err(_) => return Err(CallFailure::BadAnswer),
@@ -243,21 +266,7 @@
                 },
                 Err(_) => return Err(CallFailure::BadAnswer),
             }
-        };
-        let class = headers::classify_response(head.status, &head, id);
-        if class != ResponseClass::Foreign {
-            return Ok((head, class));
-        }
-        // A late response to an earlier request may precede this request's own.
-        stale_responses += 1;
-        let is_framed = matches!(
-            head.framing,
-            Framing::Empty | Framing::Length(..=MAX_STALE_BODY)
-        );
-        if stale_responses > MAX_STALE_RESPONSES || !is_framed || head.should_close {
-            return Err(CallFailure::BadAnswer);
         }
-        skip_body(conn, BodyReader::new(head.framing)).await?;
     }
 }
 
