--- a/crates/laburnumstall-core/tests/gateway/endpoint_pauses.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_pauses.rs
@@ -81,3 +81,55 @@
     );
     assert_eq!(selected(&mut gateway, at(1_610)), only("engine-1"));
 }
+
+/// The pause of a process ended when its entry lapsed and came back, or named another address.
+#[test]
+fn returning_entry_ends_no_pause() {
+    let mut moved = endpoint("engine-1", "app", "north-a");
+    moved.address = "10.9.0.1:8080".parse().unwrap();
+    for entry in [endpoint("engine-1", "app", "north-a"), moved] {
+        let mut gateway = two_endpoints();
+        ask_for_pause(&mut gateway, 100, "engine-1", 5_000);
+        gateway.on_endpoint_removed(at(200), &entry.id);
+        gateway.on_endpoint(at(1_200), entry.clone());
+        assert_eq!(selected(&mut gateway, at(1_300)), only("engine-2"));
+        gateway.on_endpoint(at(1_400), entry);
+        assert_eq!(selected(&mut gateway, at(5_090)), only("engine-2"));
+        assert_eq!(selected(&mut gateway, at(5_110)).len(), 2);
+    }
+}
+
+/// A pause that was asked for while the entry had lapsed was not known when it came back.
+#[test]
+fn unlisted_process_keeps_its_pause() {
+    let mut gateway = two_endpoints();
+    gateway.on_endpoint_removed(at(100), &"engine-1".parse().unwrap());
+    ask_for_pause(&mut gateway, 200, "engine-1", 5_000);
+    gateway.on_endpoint(at(1_200), endpoint("engine-1", "app", "north-a"));
+    assert_eq!(selected(&mut gateway, at(1_300)), only("engine-2"));
+    assert_eq!(selected(&mut gateway, at(5_210)).len(), 2);
+}
+
+/// A long pause was forgotten with what is known of endpoints that are gone for a minute.
+#[test]
+fn long_pause_outlives_its_entry() {
+    let mut gateway = two_endpoints();
+    ask_for_pause(&mut gateway, 100, "engine-1", 300_000);
+    gateway.on_endpoint_removed(at(200), &"engine-1".parse().unwrap());
+    gateway.tick(at(200_000));
+    gateway.on_endpoint(at(200_100), endpoint("engine-1", "app", "north-a"));
+    assert_eq!(selected(&mut gateway, at(200_200)), only("engine-2"));
+    assert_eq!(selected(&mut gateway, at(300_110)).len(), 2);
+}
+
+/// An entry that another writer left under the endpoint's id ended the pause of its process.
+#[test]
+fn foreign_entry_ends_no_pause() {
+    let mut gateway = two_endpoints();
+    ask_for_pause(&mut gateway, 100, "engine-1", 5_000);
+    let mut foreign = endpoint("engine-1", "app", "north-a");
+    foreign.started_at_ms = u64::MAX;
+    gateway.on_endpoint(at(200), foreign);
+    gateway.on_endpoint(at(300), endpoint("engine-1", "app", "north-a"));
+    assert_eq!(selected(&mut gateway, at(400)), only("engine-2"));
+}
