Keep what a process says of itself beside entries of other processes

Callers' requests reached an endpoint that had said that it leaves, once another writer had left an entry with another start time under its id and it had written its own again. Cause: what is known of processes that are not listed was kept by id, one process each, and an entry of another one replaced it; what a process said while another one was listed with a later start time was dropped. Class: what is believed of an endpoint ends with its entry. Change: it is kept by process, for a minute as before. A process that is listed is not taken for one that was gone. Evidence: odd_entries::foreign_process_takes_a_notice_back failed on (both endpoints selected) and passes; all tests of restored stores and leaving endpoints pass.

--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -22,9 +22,9 @@
 /// Time after an outage within which a live endpoint registers again.
 pub const REREGISTER_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which an endpoint that is not listed is remembered: longer than a copy of the store, or
+/// Time for which a process that is not listed is remembered: longer than a copy of the store, or
 /// a message of a peer, can be old.
-const ABSENCE_RETENTION: Duration = Duration::from_secs(60);
+pub(super) const ABSENCE_RETENTION: Duration = Duration::from_secs(60);
 /// Time after a restore in which the entry of a process that was gone is not relied on: a live
 /// endpoint writes it again, and the platform removes that of another one, after three missed
 /// heartbeats.
@@ -32,7 +32,7 @@
 
 domain! {
     /// Process of an endpoint; a restarted one has another, even under the same identifier.
-    #[derive(Eq, PartialOrd, Ord)]
+    #[derive(Eq, Hash, PartialOrd, Ord)]
     pub struct EndpointProcess {
         /// Identifier of the endpoint.
         pub id: EndpointId,
@@ -134,10 +134,9 @@
     }
 }
 
-/// Endpoint that is no longer, or not yet, in the table.
+/// Process that is no longer, or not yet, in the table.
 #[derive(Debug, Clone)]
-struct AbsentEndpoint {
-    started_at_ms: u64,
+struct AbsentProcess {
     notice: KnownNotice,
     since: Timestamp,
 }
@@ -146,7 +145,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct EndpointTable {
     endpoints: BTreeMap<EndpointId, EndpointEntry>,
-    absent: BTreeMap<EndpointId, AbsentEndpoint>,
+    absent: BTreeMap<EndpointProcess, AbsentProcess>,
     /// When the store came back from a copy.
     restored_at: Option<Timestamp>,
 }
@@ -169,7 +168,8 @@
         record: EndpointRecord,
         journal: &mut Journal,
     ) -> bool {
-        let notice = self.notice_of(&record.process());
+        let process = record.process();
+        let notice = self.notice_of(&process);
         let known = self.endpoints.get_mut(&record.id);
         let choice = match known {
             Some(known) if known.record == record && !known.is_expired && !known.is_doubtful => {
@@ -181,7 +181,8 @@
             Some(_) => "changed",
         };
         journal.record(endpoint_decision(now, choice, "entry", &record));
-        self.absent.remove(&record.id);
+        self.remove(now, &record.id);
+        self.absent.remove(&process);
         let entry = EndpointEntry::new(now, record, notice);
         self.endpoints.insert(entry.record.id.clone(), entry);
         true
@@ -231,15 +232,10 @@
                     journal.record(limit_decision(now, source, entry));
                 }
             }
-            Some(entry) if entry.record.started_at_ms > process.started_at_ms => return false,
-            // The process has not registered yet, or its entry has not been read.
+            // Another process is listed, or this one has not registered yet.
             _ => {
-                let absent = AbsentEndpoint {
-                    started_at_ms: process.started_at_ms,
-                    notice,
-                    since: now,
-                };
-                self.absent.insert(process.id.clone(), absent);
+                let absent = AbsentProcess { notice, since: now };
+                self.absent.insert(process.clone(), absent);
             }
         }
         notice.is_leaving != known.is_leaving || notice.limit != known.limit
@@ -304,30 +300,27 @@
     /// Returns what is known of a process.
     pub(super) fn notice_of(&self, process: &EndpointProcess) -> KnownNotice {
         let listed = self.endpoints.get(&process.id);
-        let listed = listed.map(|entry| (entry.record.started_at_ms, entry.known_notice()));
-        let absent = self.absent.get(&process.id);
-        let absent = absent.map(|absent| (absent.started_at_ms, absent.notice));
+        let listed = listed.filter(|entry| entry.record.started_at_ms == process.started_at_ms);
+        let absent = || self.absent.get(process).map(|absent| absent.notice);
         listed
-            .into_iter()
-            .chain(absent)
-            .find(|(started_at_ms, _)| *started_at_ms == process.started_at_ms)
-            .map_or(KnownNotice::default(), |(_, notice)| notice)
+            .map(EndpointEntry::known_notice)
+            .or_else(absent)
+            .unwrap_or_default()
     }
 
     fn remove(&mut self, now: Timestamp, id: &EndpointId) -> Option<EndpointEntry> {
         let entry = self.endpoints.remove(id)?;
-        let absent = AbsentEndpoint {
-            started_at_ms: entry.record.started_at_ms,
+        let absent = AbsentProcess {
             notice: entry.known_notice(),
             since: now,
         };
-        self.absent.insert(id.clone(), absent);
+        self.absent.insert(entry.record.process(), absent);
         Some(entry)
     }
 
     /// Forgets endpoints that have been gone for a long time.
     pub(super) fn forget_absent(&mut self, now: Timestamp) {
-        let is_recent = |absent: &AbsentEndpoint| now.since(absent.since) < ABSENCE_RETENTION;
+        let is_recent = |absent: &AbsentProcess| now.since(absent.since) < ABSENCE_RETENTION;
         self.absent.retain(|_, absent| is_recent(absent));
     }
 
@@ -378,9 +371,15 @@
             .restored_at
             .is_some_and(|at| now.since(at) < COPY_DOUBT_TIME);
         records.into_iter().partition(|record| {
-            let absent = self.absent.get(&record.id);
-            let is_gone = absent.is_some_and(|absent| record.started_at_ms <= absent.started_at_ms);
             let known = self.endpoints.get(&record.id);
+            let is_listed = known.is_some_and(|known| {
+                known.record.started_at_ms == record.started_at_ms && !known.is_doubtful
+            });
+            let mut not_earlier = self.absent.range(record.process()..);
+            let is_gone = !is_listed
+                && not_earlier
+                    .next()
+                    .is_some_and(|(absent, _)| absent.id == record.id);
             let is_earlier =
                 known.is_some_and(|known| record.started_at_ms < known.record.started_at_ms);
             let is_held = known.is_some_and(|known| known.is_doubtful && known.record == *record);
