Keep the load balancer's state of a process when its entry lapses

An endpoint that had asked a daemon for a pause of 5 s got that daemon's requests again as soon as its entry had lapsed for a moment and come back, named another address, or was overwritten by another writer. Cause: the pause was a field of the load balancer's state of an endpoint, which began anew with each entry. With it went the backoff of an unreachable endpoint, the share of a limit that it names (an entry that lapsed again and again got no request at all), the calls in flight there (so it got more than its share), and what is expected in its prompt cache. Class: what is believed of an endpoint ends with its entry. Change: the state belongs to the process. One that is not listed is kept for a minute, or until its pause ends, and found by calls that end meanwhile and by pauses that it asks for meanwhile.

--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -9,6 +9,7 @@
 //! with bounded load: Mirrokni, Thorup and Zadimoghaddam, 2018).
 
 mod candidates;
+mod endpoint_state;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -17,14 +18,14 @@
 use super::call::Prompt;
 use super::endpoint_limiter::EndpointLimiter;
 use super::endpoint_notice::EndpointLimit;
-use super::endpoint_table::{EndpointEntry, EndpointProcess, EndpointTable};
+use super::endpoint_table::{EndpointProcess, EndpointTable};
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
-use super::health::{CallOutcome, Health};
+use super::health::CallOutcome;
 use super::prefill::prefill_time;
-use crate::hash::digest64;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 use candidates::candidates;
+use endpoint_state::{AbsentProcesses, EndpointState, Work};
 
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
 /// parts.
@@ -78,41 +79,12 @@
     prefill: Duration,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct Work {
-    prefill: Duration,
-    calls: u32,
-}
-
-#[derive(Debug, Clone)]
-struct EndpointState {
-    id: EndpointId,
-    address: SocketAddr,
-    zone: AvailabilityZone,
-    slots: u32,
-    is_leaving: bool,
-    limiter: Option<EndpointLimiter>,
-    /// Until when it wants no call from this daemon.
-    paused_until: Timestamp,
-    started_at_ms: u64,
-    version: Option<SoftwareVersion>,
-    key: EndpointKey,
-    hash: u64,
-    own_work: Work,
-    peer_work: Work,
-    /// Moving average of the measured time to the first token relative to the expected one.
-    latency_factor: f64,
-    /// Moving average of the duration of calls without a prompt.
-    mean_duration: Duration,
-    health: Health,
-    recorded_parts: HashMap<u64, Timestamp>,
-}
-
 /// Selects endpoints, and tracks their load and health.
 #[derive(Debug, Clone)]
 pub struct LoadBalancer {
     zone: AvailabilityZone,
     services: BTreeMap<ServiceName, Vec<EndpointState>>,
+    absent: AbsentProcesses,
     has_limits: bool,
 }
 
@@ -148,39 +120,33 @@
         Self {
             zone,
             services: BTreeMap::new(),
+            absent: AbsentProcesses::default(),
             has_limits: false,
         }
     }
 
-    /// Replaces the endpoints; endpoints that stay keep their state.
-    pub fn set_endpoints(&mut self, endpoints: &EndpointTable) {
-        let mut known: HashMap<EndpointId, EndpointState> = std::mem::take(&mut self.services)
-            .into_values()
-            .flatten()
-            .map(|endpoint| (endpoint.id.clone(), endpoint))
-            .collect();
+    /// Replaces the endpoints. What is known of a process outlives its entry, which may lapse, name
+    /// another address, or be overwritten by another writer, and come back.
+    pub fn set_endpoints(&mut self, now: Timestamp, endpoints: &EndpointTable) {
+        for endpoint in std::mem::take(&mut self.services).into_values().flatten() {
+            self.absent.insert(now, endpoint);
+        }
         for entry in endpoints.iter() {
-            let record = &entry.record;
-            let mut endpoint = match known.remove(&record.id) {
-                Some(endpoint)
-                    if endpoint.started_at_ms == record.started_at_ms
-                        && endpoint.address == record.address =>
-                {
-                    endpoint
-                }
-                _ => EndpointState::new(entry),
-            };
-            endpoint.zone = record.zone.clone();
-            endpoint.slots = record.slots.max(1);
-            endpoint.is_leaving = entry.is_leaving();
-            endpoint.version.clone_from(&record.version);
+            let known = self.absent.remove(&entry.record.process());
+            let mut endpoint = known.unwrap_or_else(|| EndpointState::new(entry));
+            endpoint.update(entry);
             self.services
-                .entry(record.service.clone())
+                .entry(entry.record.service.clone())
                 .or_default()
                 .push(endpoint);
         }
     }
 
+    /// Forgets processes that have not been listed for a long time.
+    pub(super) fn forget_absent(&mut self, now: Timestamp) {
+        self.absent.forget(now);
+    }
+
     /// Sets this daemon's shares of the limits that endpoints name, as the daemon with the hash
     /// `own` beside `peers`.
     pub(super) fn set_limits(
@@ -192,7 +158,7 @@
     ) {
         for endpoint in self.services.values_mut().flatten() {
             let hash = endpoint.hash;
-            match (limits.get(&endpoint.id), &mut endpoint.limiter) {
+            match (limits.get(&endpoint.process.id), &mut endpoint.limiter) {
                 (Some(limit), Some(limiter)) => limiter.update(now, *limit, hash, own, peers),
                 (Some(limit), limiter) => {
                     *limiter = Some(EndpointLimiter::new(now, *limit, hash, own, peers));
@@ -205,10 +171,9 @@
 
     /// Pauses the calls to an endpoint until a time; returns whether that is later than known.
     pub(super) fn pause(&mut self, process: &EndpointProcess, until: Timestamp) -> bool {
-        let mut endpoints = self.services.values_mut().flatten();
-        let endpoint = endpoints.find(|endpoint| {
-            endpoint.id == process.id && endpoint.started_at_ms == process.started_at_ms
-        });
+        let mut listed = self.services.values_mut().flatten();
+        let listed = listed.find(|endpoint| endpoint.process == *process);
+        let endpoint = listed.or_else(|| self.absent.get_mut(process));
         endpoint.is_some_and(|endpoint| {
             let is_later = until > endpoint.paused_until;
             endpoint.paused_until = endpoint.paused_until.max(until);
@@ -316,9 +281,9 @@
             endpoint.record_parts(now, prompt);
         }
         Some(CallAttempt {
-            endpoint: endpoint.id.clone(),
+            endpoint: endpoint.process.id.clone(),
             address: endpoint.address,
-            started_at_ms: endpoint.started_at_ms,
+            started_at_ms: endpoint.process.started_at_ms,
             service: query.service.clone(),
             version: endpoint.version.clone(),
             started_at: now,
@@ -386,10 +351,12 @@
     }
 
     fn find(&mut self, attempt: &CallAttempt) -> Option<&mut EndpointState> {
-        let endpoints = self.services.get_mut(&attempt.service)?;
-        endpoints
-            .iter_mut()
-            .find(|endpoint| endpoint.id == attempt.endpoint && endpoint.address == attempt.address)
+        let process = attempt.process();
+        let listed = self.services.get_mut(&attempt.service);
+        let mut listed = listed.into_iter().flatten();
+        listed
+            .find(|endpoint| endpoint.process == process)
+            .or_else(|| self.absent.get_mut(&process))
     }
 
     fn score(
@@ -439,55 +406,3 @@
         }
     }
 }
-
-impl EndpointState {
-    fn new(entry: &EndpointEntry) -> Self {
-        let record = &entry.record;
-        let hash = digest64(&[record.id.as_str().as_bytes()]);
-        Self {
-            id: record.id.clone(),
-            address: record.address,
-            zone: record.zone.clone(),
-            slots: record.slots.max(1),
-            is_leaving: entry.is_leaving(),
-            limiter: None,
-            paused_until: Timestamp::ZERO,
-            started_at_ms: record.started_at_ms,
-            version: record.version.clone(),
-            key: EndpointKey(hash as u32),
-            hash,
-            own_work: Work::default(),
-            peer_work: Work::default(),
-            latency_factor: 1.0,
-            mean_duration: INITIAL_DURATION,
-            health: Health::default(),
-            recorded_parts: HashMap::new(),
-        }
-    }
-
-    /// Returns the prompt tokens expected in the prefix cache: the leading parts that this
-    /// daemon recently sent to this endpoint and, at the first owner, all parts that can be
-    /// shared, since the other daemons send them to it as well.
-    fn cached(&self, now: Timestamp, prompt: &Prompt, is_owner: bool) -> u32 {
-        let is_recent = |at: &Timestamp| now.since(*at) < PART_TTL;
-        let is_recorded = |id: &u64| self.recorded_parts.get(id).is_some_and(is_recent);
-        let shared = prompt.shared().len();
-        let leading = prompt
-            .parts
-            .iter()
-            .enumerate()
-            .take_while(|(index, part)| (is_owner && *index < shared) || is_recorded(&part.id));
-        let tokens: u32 = leading.map(|(_, part)| part.tokens).sum();
-        tokens.min(prompt.tokens.saturating_sub(1))
-    }
-
-    fn record_parts(&mut self, now: Timestamp, prompt: &Prompt) {
-        for part in &prompt.parts {
-            self.recorded_parts.insert(part.id, now);
-        }
-        if self.recorded_parts.len() > MAX_RECORDED_PARTS {
-            self.recorded_parts
-                .retain(|_, at| now.since(*at) < PART_TTL / 2);
-        }
-    }
-}
--- a/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
@@ -2,7 +2,8 @@
 
 use std::cmp::Reverse;
 
-use super::{EndpointQuery, EndpointState, OWNERS};
+use super::endpoint_state::EndpointState;
+use super::{EndpointQuery, OWNERS};
 use crate::hash::rendezvous_weight;
 use crate::units::Timestamp;
 
@@ -30,7 +31,7 @@
             && now >= endpoint.paused_until
             && is_version(endpoint)
             && (!has_admitted || is_admitted(endpoint))
-            && !query.excluded.contains(&endpoint.id)
+            && !query.excluded.contains(&endpoint.process.id)
             && endpoint
                 .limiter
                 .as_ref()
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -196,6 +196,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.usage.remove_expired(now);
         self.endpoints.forget_absent(now);
+        self.load_balancer.forget_absent(now);
         self.origins.remove_expired(now);
         self.tick_quarantine(now);
         for expired in self.peer_table.remove_expired(now) {
@@ -228,7 +229,7 @@
 
     /// Adapts the load balancer to changed endpoints.
     pub(super) fn refresh_endpoints(&mut self, now: Timestamp) {
-        self.load_balancer.set_endpoints(&self.endpoints);
+        self.load_balancer.set_endpoints(now, &self.endpoints);
         self.share_limits(now);
     }
 
