Keep the retries of all daemons within their limit while daemons start and end

A service got more repeats than its limit while daemons were stopped, killed and started beside failing endpoints. Cause: each process had its share of the fixed allowance at once, also if the one before it had used it; that of the whole fleet until it knew its peers; a larger one as soon as peers were no longer registered, though they had used theirs in the same window; and an empty window after changed settings. Class: a bound over all daemons and a span of time, counted by processes that live shorter than the span. Change: the share falls at once and rises a window later; that of a started process begins at zero, so that it retries only a fraction of its own requests at first. Windows keep what they counted when settings change. Why it works: what a share gains was nobody's for a whole window before it is used. The part that is a fraction of requests needs no such rule, since requests are counted in the same process as their retries.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -46,7 +46,7 @@
 
 use crate::decision::{Decision, Journal};
 use crate::ids::{AvailabilityZone, DaemonId, ServiceName};
-use crate::limits::RetryWindow;
+use crate::limits::{DelayedShare, RetryWindow};
 use crate::quarantine::CrashTally;
 use crate::units::Timestamp;
 
@@ -122,6 +122,7 @@
     peer_table: PeerTable,
     quotas: QuotaLedger,
     retry_windows: std::collections::BTreeMap<ServiceName, RetryWindow>,
+    retry_share: DelayedShare,
     usage: UsageCounter,
     demand: DemandCounter,
     origins: OriginTable,
@@ -164,6 +165,7 @@
             peer_table: PeerTable::default(),
             quotas: QuotaLedger::new(),
             retry_windows: std::collections::BTreeMap::new(),
+            retry_share: DelayedShare::new(bounds.retry_window),
             usage: UsageCounter::new(bounds.usage_window),
             demand: DemandCounter::default(),
             origins: OriginTable::default(),
@@ -185,14 +187,14 @@
         }
     }
 
-    /// Replaces the limits; if they changed, the retry windows are reset.
+    /// Replaces the limits. What was counted towards them stays counted.
     pub fn set_bounds(&mut self, bounds: Bounds) {
-        if bounds == self.bounds {
-            return;
-        }
         self.freshness.set_revocation(bounds.revocation);
+        self.retry_share.set_window(bounds.retry_window);
+        for window in self.retry_windows.values_mut() {
+            window.set_limit(bounds.retry_window, bounds.retry_ratio);
+        }
         self.bounds = bounds;
-        self.retry_windows.clear();
     }
 
     /// Returns and clears the decisions recorded since the last call.
--- a/crates/laburnumstall-core/src/gateway/crash_evidence.rs
+++ b/crates/laburnumstall-core/src/gateway/crash_evidence.rs
@@ -107,9 +107,11 @@
         Err(refusal)
     }
 
-    /// Records when the daemon started: before, it has seen no request complete.
+    /// Records when the daemon started: before, it has seen no request complete, and another process
+    /// may have used its share of the retries.
     pub fn on_daemon_started(&mut self, now: Timestamp) {
         self.quarantine.on_started(now);
+        self.retry_share.on_started(now);
     }
 
     /// Applies a message from a peer.
--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -37,7 +37,7 @@
             Ok(attempt) => (attempt.endpoint.as_str(), "replace"),
             Err(reason) => ("wait", *reason),
         };
-        let (retries, allowed) = self.retry_window(&call.service).usage(now);
+        let (retries, allowed) = self.retry_window(now, &call.service).usage(now);
         self.journal.record(
             Decision::new(now, DecisionKind::Retry, choice, reason)
                 .with("request", &call.id)
@@ -73,7 +73,7 @@
         let attempt = self
             .find_endpoint(now, call, may_repeat)
             .ok_or("no-endpoint")?;
-        if self.retry_window(&call.service).try_retry(now) {
+        if self.retry_window(now, &call.service).try_retry(now) {
             return Ok(attempt);
         }
         self.end_attempt(now, attempt, None);
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -173,7 +173,7 @@
             call.charge = cost;
         }
         self.demand.on_call(&call);
-        self.retry_window(&call.service).on_request(now);
+        self.retry_window(now, &call.service).on_request(now);
         Ok(call)
     }
 
@@ -368,7 +368,7 @@
         let endpoint = attempt.endpoint.clone();
         let age = now.since(attempt.started_at);
         self.end_attempt(now, attempt, failure.outcome());
-        let retries = self.retry_window(&call.service);
+        let retries = self.retry_window(now, &call.service);
         let (action, reason) = recovery::after_failure(now, call, failure, retries);
         let (retries, allowed) = retries.usage(now);
         let choice = match action {
@@ -454,13 +454,22 @@
         self.journal.record(decision);
     }
 
-    pub(super) fn retry_window(&mut self, service: &ServiceName) -> &mut RetryWindow {
-        let (bounds, daemons) = (&self.bounds, 1 + self.peer_table.len());
+    pub(super) fn retry_window(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> &mut RetryWindow {
+        let allowance = self.update_retry_share(now);
+        let bounds = &self.bounds;
         self.retry_windows
             .entry(service.clone())
-            .or_insert_with(|| {
-                let allowance = bounds.retry_allowance / daemons as f64;
-                RetryWindow::new(bounds.retry_window, bounds.retry_ratio, allowance)
-            })
+            .or_insert_with(|| RetryWindow::new(bounds.retry_window, bounds.retry_ratio, allowance))
+    }
+
+    /// Returns this daemon's share of the retries that all daemons may send regardless of load.
+    pub(super) fn update_retry_share(&mut self, now: Timestamp) -> f64 {
+        let daemons = 1 + self.peer_table.len();
+        let share = self.bounds.retry_allowance / daemons as f64;
+        self.retry_share.update(now, share)
     }
 }
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -251,7 +251,7 @@
         let reachable = 1 + self.peer_table.reachable(now).count() as u32;
         let all = 1 + self.peer_table.len() as u32;
         self.quotas.set_members(now, reachable, all);
-        let allowance = self.bounds.retry_allowance / f64::from(all);
+        let allowance = self.update_retry_share(now);
         for window in self.retry_windows.values_mut() {
             window.set_allowance(allowance);
         }
--- a/crates/laburnumstall-core/src/limits.rs
+++ b/crates/laburnumstall-core/src/limits.rs
@@ -8,6 +8,7 @@
 mod account;
 mod backoff;
 pub(crate) mod bucket;
+mod delayed_share;
 mod fair_queue;
 mod rate_share;
 mod retry_budget;
@@ -20,6 +21,7 @@
 use crate::prelude::*;
 use account::Account;
 pub use backoff::Backoff;
+pub use delayed_share::DelayedShare;
 pub use fair_queue::FairQueue;
 pub use retry_budget::RetryBudget;
 pub use retry_window::RetryWindow;
--- a/crates/laburnumstall-core/src/limits/retry_window.rs
+++ b/crates/laburnumstall-core/src/limits/retry_window.rs
@@ -16,7 +16,7 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Bin {
-    number: u64,
+    started_at: Timestamp,
     requests: u32,
     retries: u32,
 }
@@ -25,7 +25,7 @@
 /// the window, plus a share of a fixed allowance.
 #[derive(Debug, Clone)]
 pub struct RetryWindow {
-    bin: Duration,
+    length: Duration,
     ratio: f64,
     allowance: f64,
     bins: VecDeque<Bin>,
@@ -36,13 +36,19 @@
     /// `allowance` retries regardless of load.
     pub fn new(length: Duration, ratio: f64, allowance: f64) -> Self {
         Self {
-            bin: (length / BINS).max(Duration::from_millis(1)),
+            length,
             ratio,
             allowance,
             bins: VecDeque::new(),
         }
     }
 
+    /// Changes the limit; what was counted stays counted.
+    pub fn set_limit(&mut self, length: Duration, ratio: f64) {
+        self.length = length;
+        self.ratio = ratio;
+    }
+
     /// Sets this daemon's share of the fixed allowance.
     pub fn set_allowance(&mut self, allowance: f64) {
         self.allowance = allowance;
@@ -65,8 +71,8 @@
 
     /// Returns the retries in the window, and how many it allows.
     pub fn usage(&mut self, now: Timestamp) -> (u32, u32) {
-        let number = self.bin(now).number;
-        let counted = self.bins.iter().filter(|bin| bin.number <= number);
+        let last = self.bin(now).started_at;
+        let counted = self.bins.iter().filter(|bin| bin.started_at <= last);
         let (requests, retries) = counted.fold((0, 0), |(requests, retries), bin| {
             (requests + bin.requests, retries + bin.retries)
         });
@@ -76,14 +82,20 @@
     }
 
     fn bin(&mut self, now: Timestamp) -> &mut Bin {
-        let number = now.0 / self.bin.as_micros() as u64;
-        let oldest = number.saturating_sub(u64::from(BINS));
-        while self.bins.front().is_some_and(|bin| bin.number < oldest) {
+        let length = (self.length / BINS).max(Duration::from_millis(1));
+        let micros = length.as_micros() as u64;
+        let started_at = Timestamp(now.0 - now.0 % micros);
+        let oldest = started_at.before(length * BINS);
+        while self.bins.front().is_some_and(|bin| bin.started_at < oldest) {
             self.bins.pop_front();
         }
-        if self.bins.back().is_none_or(|bin| bin.number < number) {
+        if self
+            .bins
+            .back()
+            .is_none_or(|bin| bin.started_at < started_at)
+        {
             self.bins.push_back(Bin {
-                number,
+                started_at,
                 ..Bin::default()
             });
         }
--- a/crates/laburnumstall-core/tests/gateway/odd_entries.rs
+++ b/crates/laburnumstall-core/tests/gateway/odd_entries.rs
@@ -8,7 +8,6 @@
     CallFailure, EndpointLimit, EndpointNotice, EndpointProcess, EndpointRecord, Gateway,
     LimitNotice,
 };
-use laburnumstall_core::prelude::*;
 
 fn sound() -> Vec<EndpointRecord> {
     let ids = ["engine-1", "engine-2"];
--- a/crates/laburnumstall-core/tests/gateway/retry_shares.rs
+++ b/crates/laburnumstall-core/tests/gateway/retry_shares.rs
@@ -8,7 +8,6 @@
 use crate::stream_origins::gossip;
 use crate::support::{at, bounds, call_attributes, daemon, endpoint, member};
 use laburnumstall_core::gateway::{CallFailure, FailureAction, Gateway};
-use laburnumstall_core::prelude::*;
 
 /// Calls that fail at a daemon in one turn.
 const CALLS: u32 = 20;
