--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -227,7 +227,7 @@
         {
             let sum = work.entry(load.endpoint).or_default();
             sum.prefill += Duration::from_micros(load.prefill_us.into());
-            sum.calls += load.calls;
+            sum.calls = sum.calls.saturating_add(load.calls);
         }
         for endpoint in self.services.values_mut().flatten() {
             endpoint.peer_work = work.get(&endpoint.key).copied().unwrap_or_default();
@@ -249,15 +249,13 @@
     }
 
     /// Returns the in-flight calls and the slots of a service's endpoints that take new work.
-    pub fn occupancy(&self, service: &ServiceName) -> (u32, u32) {
+    pub fn occupancy(&self, service: &ServiceName) -> (u64, u64) {
         let endpoints = self.services.get(service).into_iter().flatten();
         endpoints.filter(|endpoint| !endpoint.is_leaving).fold(
             (0, 0),
             |(calls, slots), endpoint| {
-                (
-                    calls + endpoint.own_work.calls + endpoint.peer_work.calls,
-                    slots + endpoint.slots,
-                )
+                let in_flight = u64::from(endpoint.calls());
+                (calls + in_flight, slots + u64::from(endpoint.slots))
             },
         )
     }
@@ -371,9 +369,9 @@
             true => Duration::ZERO,
             false => CROSS_ZONE_COST,
         };
-        let calls = endpoint.own_work.calls + endpoint.peer_work.calls;
-        let slot_wait =
-            endpoint.mean_duration * (calls + 1).saturating_sub(endpoint.slots) / endpoint.slots;
+        let calls = endpoint.calls();
+        let missing_slots = calls.saturating_add(1).saturating_sub(endpoint.slots);
+        let slot_wait = endpoint.mean_duration * missing_slots / endpoint.slots;
         let Some(prompt) = query.prompt else {
             let expected = slot_wait + endpoint.mean_duration;
             let busy_cost = endpoint.mean_duration * calls / endpoint.slots;
--- a/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
@@ -83,6 +83,11 @@
         self.version.clone_from(&record.version);
     }
 
+    /// Returns the calls in flight, of this daemon and of its peers.
+    pub(super) fn calls(&self) -> u32 {
+        self.own_work.calls.saturating_add(self.peer_work.calls)
+    }
+
     /// Returns the prompt tokens expected in the prefix cache: the leading parts that this
     /// daemon recently sent to this endpoint and, at the first owner, all parts that can be
     /// shared, since the other daemons send them to it as well.
