Add up the parts of a prompt without overflow

Cause: their lengths are the caller's (a header), and their sum overflowed 32 bits: a panic with debug assertions, a wrapped sum in the choice of an endpoint and in the demand that scaling reads without. Class: numbers that another writer can set. Change: sums of parts saturate, in one place. Evidence: endpoint_selection::sum_of_prompt_parts_overflows panicked before (attempt to add with overflow) and passes.

--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -117,6 +117,11 @@
     }
 }
 
+/// Adds up the tokens of parts, whose lengths the caller states.
+pub(super) fn sum_tokens<'a>(parts: impl Iterator<Item = &'a PromptPart>) -> u32 {
+    parts.fold(0, |sum: u32, part| sum.saturating_add(part.tokens))
+}
+
 /// Admitted call, while it is served.
 #[derive(Debug, Clone)]
 pub struct AdmittedCall {
--- a/crates/laburnumstall-core/src/gateway/demand.rs
+++ b/crates/laburnumstall-core/src/gateway/demand.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::call::AdmittedCall;
+use super::call::{AdmittedCall, sum_tokens};
 use super::gossip::ServiceDemand;
 use super::prefill::prefill_time;
 use crate::ids::ServiceName;
@@ -18,7 +18,7 @@
     pub fn on_call(&mut self, call: &AdmittedCall) {
         let demand = self.service_demand(&call.service);
         if let Some(prompt) = &call.prompt {
-            let shared = prompt.shared().iter().map(|part| part.tokens).sum();
+            let shared = sum_tokens(prompt.shared().iter());
             demand.prefill_ms += prefill_time(prompt.tokens, shared).as_millis() as u64;
         }
     }
--- a/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::{INITIAL_DURATION, MAX_RECORDED_PARTS, PART_TTL};
-use crate::gateway::call::Prompt;
+use crate::gateway::call::{Prompt, sum_tokens};
 use crate::gateway::endpoint_limiter::EndpointLimiter;
 use crate::gateway::endpoint_table::{ABSENCE_RETENTION, EndpointEntry, EndpointProcess};
 use crate::gateway::gossip::EndpointKey;
@@ -100,7 +100,7 @@
             .iter()
             .enumerate()
             .take_while(|(index, part)| (is_owner && *index < shared) || is_recorded(&part.id));
-        let tokens: u32 = leading.map(|(_, part)| part.tokens).sum();
+        let tokens = sum_tokens(leading.map(|(_, part)| part));
         tokens.min(prompt.tokens.saturating_sub(1))
     }
 
--- a/crates/laburnumstall-core/tests/gateway/endpoint_selection.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_selection.rs
@@ -153,3 +153,20 @@
     gateway.on_endpoint_removed(at(9_000), &engines(2).remove(0).id);
     assert_eq!(known(&gateway), 0);
 }
+
+/// The parts of a prompt, as its caller names them, were added up beyond the range of the sum.
+#[test]
+fn sum_of_prompt_parts_overflows() {
+    let mut gateway = gateway(&[endpoint("engine-1", "model", "north-a")]);
+    for n in 0..2 {
+        let mut attributes = call_attributes(&format!("call-{n}"), "/query/1");
+        let mut odd = prompt(1, 10, 10);
+        for part in &mut odd.parts {
+            part.tokens = u32::MAX;
+        }
+        attributes.prompt = Some(odd);
+        gateway.on_store_confirmed(at(100), at(100));
+        let mut call = gateway.admit(at(100), attributes).unwrap();
+        gateway.select_endpoint(at(100), &mut call).unwrap();
+    }
+}
