Let a started daemon use a tenth of its share of retries at once

Change: a tenth of the share holds while it waits to rise. The sum stays within the limit, since daemons use four fifths of it: also if each daemon of four starts four times in a window (retry_shares, unchanged).

--- a/crates/laburnumstall-core/src/limits/delayed_share.rs
+++ b/crates/laburnumstall-core/src/limits/delayed_share.rs
@@ -4,11 +4,14 @@
 
 use crate::units::Timestamp;
 
+/// Part of a share that a started process may use at once.
+const START_FRACTION: f64 = 0.1;
+
 /// A daemon's share of an amount that all daemons use together within a window of time.
 ///
 /// What a share gains may have been used already in the current window: by the daemon whose share
 /// it was, or by the process that ran before on the same VM. So a share falls at once and rises a
-/// whole window later, and that of a started process begins at zero.
+/// whole window later, and a started process has a small part of it at first.
 #[derive(Debug, Clone)]
 pub struct DelayedShare {
     window: Duration,
@@ -53,6 +56,6 @@
             self.value = lowest;
             self.rising = (share > lowest).then_some((now, share));
         }
-        self.value
+        self.value.max(lowest * START_FRACTION)
     }
 }
