Believe a refusal on a kept connection only if it names the call

A call that was running was sent a second time, or its caller was told that it had not run, when its endpoint wrote an earlier refusal once more on the connection. Cause: a 421, and a response that says that the call did not run, needed no attempt id; and a call that had been refused was sent again on the same connection, where its own earlier refusal names it. Class: a response is matched to a request by its place. Change: behind another response on a connection a refusal has to name the call, else it is skipped like other responses that do not; a call that is sent again takes no connection that was in use since the call was received. The first response on a connection answers its first request, so one without a name is believed there as before. Not changed: what a skipped response says of its endpoint is not read. It may be a copy of an earlier one, and the call's own response follows.

--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -40,6 +40,8 @@
     conn: Conn,
     idle_since: Instant,
     keep_alive: Duration,
+    /// Whether a response has come on it.
+    is_used: bool,
 }
 
 /// Pool of idle connections, by the address of the endpoint.
@@ -49,25 +51,34 @@
 }
 
 impl Pool {
-    /// Takes an open connection to `address` that has been idle for less than `max_age`.
-    fn take(&self, address: SocketAddr, max_age: Duration) -> Option<Conn> {
+    /// Takes an open connection to `address` that has been idle for at least `min_idle` and less
+    /// than `max_idle`, and whether a response has come on it.
+    fn take(
+        &self,
+        address: SocketAddr,
+        min_idle: Duration,
+        max_idle: Duration,
+    ) -> Option<(Conn, bool)> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
-        while let Some(mut last) = list.pop() {
-            let age = last.idle_since.elapsed();
-            if age < last.keep_alive.min(max_age) && last.conn.is_open_and_idle() {
-                return Some(last.conn);
+        loop {
+            let last = list
+                .iter()
+                .rposition(|known| known.idle_since.elapsed() >= min_idle)?;
+            let mut last = list.remove(last);
+            let idle = last.idle_since.elapsed();
+            if idle < last.keep_alive.min(max_idle) && last.conn.is_open_and_idle() {
+                return Some((last.conn, last.is_used));
             }
         }
-        None
     }
 
     /// Adds a connection on which nothing was sent.
     pub(super) fn put_new(&self, address: SocketAddr, conn: Conn) {
-        self.put(address, conn, DEFAULT_KEEP_ALIVE);
+        self.put(address, conn, DEFAULT_KEEP_ALIVE, false);
     }
 
-    fn put(&self, address: SocketAddr, conn: Conn, keep_alive: Duration) {
+    fn put(&self, address: SocketAddr, conn: Conn, keep_alive: Duration, is_used: bool) {
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(address).or_default();
         list.retain(|known| known.idle_since.elapsed() < known.keep_alive);
@@ -77,6 +88,7 @@
                 conn,
                 idle_since,
                 keep_alive,
+                is_used,
             });
         }
     }
@@ -118,6 +130,8 @@
     sent_at: Timestamp,
     len: usize,
     is_sent_whole: bool,
+    /// Whether a response has come on the connection.
+    is_used: bool,
 }
 
 /// Reason why a request was not written to its endpoint, or gets no response.
@@ -144,17 +158,23 @@
     resume_after: Option<&str>,
 ) -> Result<SentRequest, SendFailure> {
     let deadline = tokio::time::Instant::now() + call.remaining(cx.now());
-    let max_age = match call.route.is_retryable() {
+    let max_idle = match call.route.is_retryable() {
         true => Duration::MAX,
         false => MAX_IDLE_NOT_RETRYABLE,
     };
-    let mut conn = match cx.pool.take(attempt.address, max_age) {
-        Some(conn) => conn,
+    // A call that is sent again shares no connection with its earlier sends: an endpoint may write
+    // their refusal once more, which names it.
+    let min_idle = match call.sends {
+        0 => Duration::ZERO,
+        _ => cx.now().since(call.received_at),
+    };
+    let (mut conn, is_used) = match cx.pool.take(attempt.address, min_idle, max_idle) {
+        Some(taken) => taken,
         None => {
             let limit = CONNECT_TIMEOUT.min(call.remaining(cx.now()));
             cx.metrics.connection();
             match Conn::connect(attempt.address, limit).await {
-                Ok(conn) => conn,
+                Ok(conn) => (conn, false),
                 Err(error) => {
                     cx.event(
                         Event::new("connect-failed")
@@ -195,6 +215,7 @@
         sent_at,
         len: message.len(),
         is_sent_whole,
+        is_used,
     })
 }
 
@@ -231,7 +252,8 @@
         let mut stale_responses = 0;
         loop {
             let head = self.next_head().await?;
-            let class = headers::classify_response(head.status, &head, &self.id);
+            let is_first = !std::mem::replace(&mut self.is_used, true);
+            let class = headers::classify_response(head.status, &head, &self.id, is_first);
             if class != ResponseClass::Foreign {
                 return Ok((head, class));
             }
@@ -347,7 +369,7 @@
                     .max(advertised / 2)
             }
         };
-        pool.put(self.address, self.conn, keep_alive);
+        pool.put(self.address, self.conn, keep_alive, true);
     }
 }
 
