Let only later events go on with a stream that has begun

Callers found the text of an error in the middle of their stream, events that they had, or a stream that ended as if it were complete, when its endpoint had fallen silent or broken off and the next one answered 200 with something else. Cause: after silence whatever began a success of the second endpoint counted as the continuation. Class: bytes of a second response are joined by what its status says alone. Change: with a stream that has begun only an event stream goes on (the media type compared whole, with a body), and only one whose first event has an id later than the last one that the caller has; also where the caller itself takes a stream up. In a stream without a length, the status line of a response ends the stream as broken off. What held before: an error status is never joined.

--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -273,7 +273,8 @@
     let deadline = Instant::now() + call.remaining(cx.now());
     let resume_after = progress.resume_after();
     let sent = send_request(cx, call, &attempts.current, request, resume_after).await?;
-    let mut first = pin!(start(cx, sent, call.route.kind));
+    let goes_on_after = resume_after.filter(|_| progress.has_started() || call.is_resumed);
+    let mut first = pin!(start(cx, sent, call.route.kind, goes_on_after));
     loop {
         let silence = silence(call, &attempts.current, 1);
         let silent_at = silence.map_or(deadline, |silence| Instant::now() + silence);
--- a/crates/laburnumstalld/src/gateway/replacement.rs
+++ b/crates/laburnumstalld/src/gateway/replacement.rs
@@ -39,6 +39,8 @@
     pub received: BytesMut,
     /// Whether the body is complete.
     pub is_end: bool,
+    /// Whether another response follows the events that were received.
+    pub is_followed: bool,
 }
 
 /// How a silent attempt ended while its replacement was in flight.
@@ -148,6 +150,7 @@
         };
         let silence = silence(call, replacement, 2);
         let kind = call.route.kind;
+        let goes_on_after = resume_after.filter(|_| has_started || call.is_resumed);
         let starting = async {
             let sent = send_request(cx, call, replacement, request, resume_after).await;
             let sent = sent.map_err(|failure| match failure {
@@ -155,9 +158,12 @@
                 SendFailure::TimedOut { is_sent: true } => CallFailure::Silent,
                 SendFailure::TimedOut { is_sent: false } => CallFailure::NotSent,
             })?;
-            let start = start(cx, sent, kind).await?;
+            let start = start(cx, sent, kind, goes_on_after).await?;
             match start.response.class {
-                ResponseClass::Success => Ok(start),
+                // Nothing but events goes on with a stream that has begun.
+                ResponseClass::Success if !has_started || start.response.head.is_event_stream() => {
+                    Ok(start)
+                }
                 // An error response serves a call that has not begun its response.
                 ResponseClass::Failure if !has_started => Ok(start),
                 _ => Err(start.failure()),
@@ -198,20 +204,23 @@
     }
 }
 
-/// Waits for the start of a response.
+/// Waits for the start of a response. A stream has to go on after the event `goes_on_after`, if there
+/// is one.
 pub(super) async fn start(
     cx: &Context,
     sent: SentRequest,
     kind: CallKind,
+    goes_on_after: Option<&str>,
 ) -> Result<Start, CallFailure> {
     let response = sent.response(cx).await?;
     let is_stream = kind == CallKind::Stream && response.head.is_event_stream();
     match response.class {
-        ResponseClass::Success if is_stream => stream::first_events(response).await,
+        ResponseClass::Success if is_stream => stream::first_events(response, goes_on_after).await,
         _ => Ok(Start {
             response,
             received: BytesMut::new(),
             is_end: false,
+            is_followed: false,
         }),
     }
 }
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -179,22 +179,55 @@
 }
 
 /// Receives the first whole event of a stream, or its end.
-pub(super) async fn first_events(response: Response) -> Result<Start, CallFailure> {
+///
+/// # Errors
+///
+/// [`CallFailure::BadAnswer`] if the stream does not go on after the event `goes_on_after`.
+pub(super) async fn first_events(
+    response: Response,
+    goes_on_after: Option<&str>,
+) -> Result<Start, CallFailure> {
     let mut start = Start {
         response,
         received: BytesMut::new(),
         is_end: false,
+        is_followed: false,
     };
     start.is_end = matches!(start.next_event().await?, Input::End);
-    Ok(start)
+    match goes_on_after {
+        Some(last) if !start.received.is_empty() && !goes_on(&start.received, last) => {
+            Err(CallFailure::BadAnswer)
+        }
+        _ => Ok(start),
+    }
+}
+
+/// Returns whether the first event comes after the event `last`: an error has no id, and a stream
+/// that begins anew has earlier ones.
+fn goes_on(events: &[u8], last: &str) -> bool {
+    let Some(id) = first_id(events) else {
+        return false;
+    };
+    let numbers = id.parse::<u64>().ok().zip(last.parse::<u64>().ok());
+    numbers.map_or(id != last, |(id, last)| id > last)
 }
 
 impl Start {
     /// Receives more of a stream.
     async fn next_input(&mut self) -> Result<Input, CallFailure> {
+        if self.is_followed {
+            return Err(CallFailure::Broken);
+        }
         match self.response.next_frame().await {
             Ok(BodyFrame::Data(data)) => {
                 self.received.extend_from_slice(&data);
+                // Nothing else separates the stream from what its endpoint writes behind it.
+                if !self.response.is_delimited()
+                    && let Some(at) = find_status_line(&self.received)
+                {
+                    self.received.truncate(at);
+                    self.is_followed = true;
+                }
                 Ok(Input::Data)
             }
             Ok(BodyFrame::End) => Ok(Input::End),
@@ -242,9 +275,32 @@
         .rposition(|window| window == pattern)
 }
 
+/// Returns where the first line begins that is the status line of a response, not one of an event.
+fn find_status_line(data: &[u8]) -> Option<usize> {
+    const START: &[u8] = b"HTTP/1.";
+    let is_line_start = |at: usize| at == 0 || data[at - 1] == b'\n';
+    data.windows(START.len())
+        .enumerate()
+        .find_map(|(at, window)| (window == START && is_line_start(at)).then_some(at))
+}
+
+/// Returns the id of the first event; comments before it are none.
+fn first_id(events: &[u8]) -> Option<CompactString> {
+    let mut lines = events.split(|byte| *byte == b'\n');
+    let is_comment = |line: &&[u8]| line.is_empty() || *line == b"\r" || line.starts_with(b":");
+    let mut event = lines.by_ref().skip_while(is_comment);
+    let first = event.next()?;
+    let rest = event.take_while(|line| !line.is_empty() && *line != b"\r");
+    std::iter::once(first).chain(rest).find_map(id_in)
+}
+
 /// Returns the id of the last event that has one.
 fn last_id(events: &[u8]) -> Option<CompactString> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    events.split(|byte| *byte == b'\n').rev().find_map(id_in)
+}
+
+/// Returns the id that a line sets.
+fn id_in(line: &[u8]) -> Option<CompactString> {
+    let id = line.strip_prefix(b"id:")?;
     CompactString::from_utf8(id.trim_ascii()).ok()
 }
--- a/crates/laburnumstalld/src/http1/head.rs
+++ b/crates/laburnumstalld/src/http1/head.rs
@@ -156,7 +156,9 @@
     /// Returns whether the body is an event stream.
     pub fn is_event_stream(&self) -> bool {
         let value = self.value("content-type").unwrap_or_default();
-        value.starts_with("text/event-stream")
+        let media_type = value.split(';').next().unwrap_or_default();
+        self.framing != Framing::Empty
+            && media_type.trim().eq_ignore_ascii_case("text/event-stream")
     }
 
     /// Returns the idle timeout in seconds that the peer advertises in `Keep-Alive`.
