Read the lists of the product's own interface without odd entries

A daemon stopped following the list of VMs, or the registrations of its peers, as soon as another writer had left one entry in it that cannot be read: a port of 70000, a number out of range, nesting, a key of another form. Cause: a list was decoded as a whole. Class: one writer's entry decides over those of others. Change: VMs are decoded one by one, without limits on what is passed over; keys and values of the key-value service likewise. Each entry that is left out is reported like a failed call, so it has a line in the log.

--- a/crates/laburnumstall-outside/src/http.rs
+++ b/crates/laburnumstall-outside/src/http.rs
@@ -4,6 +4,7 @@
 //! replaced after each timeout and the next call connects anew.
 
 use std::cell::RefCell;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use snafu::{IntoError, ResultExt, Snafu};
 
 /// Largest reply that is read, in bytes.
@@ -98,6 +100,17 @@
         /// Cause.
         source: serde_json::Error,
     },
+    /// One entry of the reply was left out, since it could not be read: another writer may have left
+    /// it.
+    #[snafu(display("{method} {url}: an entry of the reply is left out: {fault}"))]
+    Entry {
+        /// HTTP method.
+        method: Method,
+        /// Address and path.
+        url: String,
+        /// What is wrong with the entry.
+        fault: String,
+    },
 }
 
 impl HttpFailure {
@@ -248,6 +261,32 @@
         decoded.inspect_err(self.settings.on_failure)
     }
 
+    /// Reads a list as JSON, without the entries that cannot be read.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpFailure`] if there is no list.
+    pub async fn list<R: DeserializeOwned>(&self, path: &str) -> Result<Vec<R>, HttpFailure> {
+        let entries: Vec<Box<RawValue>> = self
+            .call(Method::GET, path, None::<&()>, Duration::ZERO)
+            .await?;
+        let read = entries.iter().filter_map(|entry| {
+            let read = serde_json::from_str(entry.get());
+            read.inspect_err(|fault| self.leave_out(Method::GET, path, fault))
+                .ok()
+        });
+        Ok(read.collect())
+    }
+
+    /// Reports an entry that is left out.
+    pub(crate) fn leave_out(&self, method: Method, path: &str, fault: &impl fmt::Display) {
+        (self.settings.on_failure)(&HttpFailure::Entry {
+            method,
+            url: format!("http://{}{path}", self.settings.address),
+            fault: fault.to_string(),
+        });
+    }
+
     /// Sends a message and reads the reply, whatever its status.
     ///
     /// # Errors
--- a/crates/laburnumstall-outside/src/key_value/http.rs
+++ b/crates/laburnumstall-outside/src/key_value/http.rs
@@ -38,9 +38,13 @@
             _ if call.is_write() => StoreFailure::Unknown,
             _ => StoreFailure::Unavailable,
         };
+        let leave_out = |key: &str| {
+            let fault = format!("malformed key or value: {key:?}");
+            self.client.leave_out(Method::POST, STORE_PATH, &fault);
+        };
         reply
             .ok()
-            .and_then(WireReply::into_reply)
+            .and_then(|reply| reply.into_reply(leave_out))
             .ok_or(without_reply)
     }
 }
--- a/crates/laburnumstall-outside/src/key_value/wire.rs
+++ b/crates/laburnumstall-outside/src/key_value/wire.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use laburnumstall_core::domain;
 use laburnumstall_core::store::{
     LeaseId, StoreCall, StoreKey, StoreReply, StoreVersion, StoredValue,
@@ -25,8 +26,8 @@
 
     /// A key with its value and version in JSON.
     pub struct WireStored {
-        /// Key.
-        pub key: StoreKey,
+        /// Key, which may be another writer's and of another form.
+        pub key: CompactString,
         /// Value; null for a deleted key.
         pub value: Option<WireValue>,
         /// Version of the write.
@@ -160,7 +161,7 @@
 impl From<StoredValue> for WireStored {
     fn from(stored: StoredValue) -> Self {
         Self {
-            key: stored.key,
+            key: stored.key.as_str().into(),
             value: stored.value.map(WireValue::from),
             version: stored.version,
         }
@@ -168,22 +169,31 @@
 }
 
 impl WireStored {
-    /// Returns the value, or `None` if it is malformed.
+    /// Returns the value, or `None` if it or its key is malformed.
     pub fn into_stored(self) -> Option<StoredValue> {
         let value = match self.value {
             Some(value) => Some(value.into_bytes()?),
             None => None,
         };
         Some(StoredValue {
-            key: self.key,
+            key: self.key.parse().ok()?,
             value,
             version: self.version,
         })
     }
 }
 
-fn into_stored_list(values: Vec<WireStored>) -> Option<Vec<StoredValue>> {
-    values.into_iter().map(WireStored::into_stored).collect()
+/// Returns the values that are well-formed, and calls `leave_out` with the keys of the others.
+fn into_stored_list(values: Vec<WireStored>, mut leave_out: impl FnMut(&str)) -> Vec<StoredValue> {
+    let read = values.into_iter().filter_map(|stored| {
+        let key = stored.key.clone();
+        let read = stored.into_stored();
+        if read.is_none() {
+            leave_out(&key);
+        }
+        read
+    });
+    read.collect()
 }
 
 fn into_stored_option(stored: Option<WireStored>) -> Option<Option<StoredValue>> {
@@ -249,12 +259,13 @@
 }
 
 impl WireReply {
-    /// Returns the reply, or `None` if a value in it is malformed.
-    pub fn into_reply(self) -> Option<StoreReply> {
+    /// Returns the reply, or `None` if its only value is malformed. Malformed values of a list are
+    /// left out, and `leave_out` is called with their keys.
+    pub fn into_reply(self, leave_out: impl FnMut(&str)) -> Option<StoreReply> {
         Some(match self {
             Self::Value { stored } => StoreReply::Value(into_stored_option(stored)?),
             Self::Listing { values, version } => StoreReply::Listing {
-                values: into_stored_list(values)?,
+                values: into_stored_list(values, leave_out),
                 version,
             },
             Self::Swapped { version } => StoreReply::Swapped { version },
@@ -268,7 +279,7 @@
             Self::LeaseGone => StoreReply::LeaseGone,
             Self::Revoked => StoreReply::Revoked,
             Self::Changes { values, version } => StoreReply::Changes {
-                values: into_stored_list(values)?,
+                values: into_stored_list(values, leave_out),
                 version,
             },
         })
--- a/crates/laburnumstall-outside/src/vm_list/http.rs
+++ b/crates/laburnumstall-outside/src/vm_list/http.rs
@@ -1,8 +1,5 @@
 //! The VM list over HTTP.
 
-use std::time::Duration;
-
-use awc::http::Method;
 use laburnumstall_core::cloud::CallFailure;
 use laburnumstall_core::resources::Vm;
 
@@ -27,7 +24,7 @@
 impl VmList for HttpVmList {
     async fn list(&self) -> Result<Vec<Vm>, CallFailure> {
         self.client
-            .call(Method::GET, VM_LIST_PATH, None::<&()>, Duration::ZERO)
+            .list(VM_LIST_PATH)
             .await
             .map_err(|failure| call_failure(&failure))
     }
--- a/crates/laburnumstall-standins/src/key_value/table.rs
+++ b/crates/laburnumstall-standins/src/key_value/table.rs
@@ -195,7 +195,7 @@
 
 fn to_stored(key: &StoreKey, entry: &Entry) -> WireStored {
     WireStored {
-        key: key.clone(),
+        key: key.as_str().into(),
         value: entry.value.clone(),
         version: entry.version,
     }
