Replace versions in the key-value service that cannot be read

Class: one writer's odd value decides over what others write. Change: a write that conflicts with a value that cannot be read is made once more over that value. Evidence: odd_entries::unreadable_versions_stay_forever (gateway, on sockets) failed before ("still unreadable" after 6 s) and passes. odd_entry_hides_the_others beside it passed before as well: seven odd entries of endpoints keep no daemon from reading the others, when it starts or later.

--- a/crates/laburnumstalld/src/gateway/stored_versions.rs
+++ b/crates/laburnumstalld/src/gateway/stored_versions.rs
@@ -5,7 +5,9 @@
 
 use laburnumstall_core::gateway::{StoredVersions, VersionsWrite};
 use laburnumstall_core::ids::ServiceName;
-use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply, StoreVersion, StoredValue};
+use laburnumstall_core::store::{
+    StoreCall, StoreKey, StoreOutcome, StoreReply, StoreVersion, StoredValue,
+};
 use laburnumstall_outside::key_value::KeyValue;
 use laburnumstall_platform::store::Store;
 use tokio::time::sleep;
@@ -68,19 +70,36 @@
 }
 
 async fn swap(store: &Store, due: &VersionsWrite) -> Result<StoreVersion, &'static str> {
+    let mut reply = swap_at(store, due, due.expected).await?;
+    // An unreadable value counts as none, so that nobody else replaces it.
+    if let Ok(StoreReply::Conflict {
+        current: Some(current),
+    }) = &reply
+        && stored_versions(current).is_some_and(|(_, stored)| stored.is_err())
+    {
+        reply = swap_at(store, due, Some(current.version)).await?;
+    }
+    match reply {
+        Ok(StoreReply::Swapped { version }) => Ok(version),
+        Ok(StoreReply::Conflict { .. }) => Err("another daemon came first"),
+        _ => Err("not-written"),
+    }
+}
+
+async fn swap_at(
+    store: &Store,
+    due: &VersionsWrite,
+    expected: Option<StoreVersion>,
+) -> Result<StoreOutcome, &'static str> {
     let key: StoreKey = format!("{PREFIX}{}", due.service)
         .parse()
         .map_err(|_| "the service's name does not fit into a key")?;
     let value = serde_json::to_vec(&due.stored).map_err(|_| "not-encoded")?;
     let swap = StoreCall::Swap {
         key,
-        expected: due.expected,
+        expected,
         value: Some(value),
         lease: None,
     };
-    match store.call(swap).await {
-        Ok(StoreReply::Swapped { version }) => Ok(version),
-        Ok(StoreReply::Conflict { .. }) => Err("another daemon came first"),
-        _ => Err("not-written"),
-    }
+    Ok(store.call(swap).await)
 }
