--- a/crates/laburnumstall-core/src/limits/delayed_share.rs
+++ b/crates/laburnumstall-core/src/limits/delayed_share.rs
@@ -4,7 +4,8 @@
 
 use crate::units::Timestamp;
 
-/// Part of a share that a started process may use at once.
+/// Part of a share that a started process may use at once; the part of the limit that daemons leave
+/// unused covers it.
 const START_FRACTION: f64 = 0.1;
 
 /// A daemon's share of an amount that all daemons use together within a window of time.
