Record why a response of an endpoint is not read further

The decision event=connection choice=rejected names the request, the endpoint and the cause; it is counted with the other decisions (laburnumstall_gateway_decisions_total) and explain tells it.

--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -321,6 +321,21 @@
         );
     }
 
+    /// Records that a response is not read further, and what is wrong with it.
+    pub fn on_response_rejected(
+        &mut self,
+        now: Timestamp,
+        call: &str,
+        endpoint: &EndpointId,
+        cause: &str,
+    ) {
+        self.journal.record(
+            Decision::new(now, DecisionKind::Connection, "rejected", cause)
+                .with("request", call)
+                .with("endpoint", endpoint),
+        );
+    }
+
     /// Records that an endpoint has started a call: its first event or its response arrived.
     pub fn on_started(
         &mut self,
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -354,7 +354,7 @@
         () = tokio::time::sleep(remaining) => return AttemptResult::TimedOut { is_sent: true },
     };
     match whole {
-        Err(failure) => AttemptResult::Failed(failure, None),
+        Err(error) => AttemptResult::Failed(response.reject(cx, error.name()), None),
         Ok(true) if response.class == ResponseClass::Failure => {
             let error_response = ErrorResponse {
                 head: response.head.clone(),
@@ -407,7 +407,10 @@
         match frame {
             Ok(BodyFrame::Data(data)) => write_chunk(&data, &mut message),
             Ok(BodyFrame::End) => break,
-            Err(_) => return AttemptResult::Truncated,
+            Err(error) => {
+                response.report(cx, error.name());
+                return AttemptResult::Truncated;
+            }
         }
     }
     let sent = conn.send(b"0\r\n\r\n", SEND_TIMEOUT).await.is_ok();
--- a/crates/laburnumstalld/src/gateway/replacement.rs
+++ b/crates/laburnumstalld/src/gateway/replacement.rs
@@ -215,7 +215,9 @@
     let response = sent.response(cx).await?;
     let is_stream = kind == CallKind::Stream && response.head.is_event_stream();
     match response.class {
-        ResponseClass::Success if is_stream => stream::first_events(response, goes_on_after).await,
+        ResponseClass::Success if is_stream => {
+            stream::first_events(cx, response, goes_on_after).await
+        }
         _ => Ok(Start {
             response,
             received: BytesMut::new(),
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -22,6 +22,11 @@
 /// Maximum size of an event; a larger one fails the attempt.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Cause of the rejection of a larger event.
+const EVENT_SIZE: &str = "event-size";
+/// Cause of the rejection of a stream that does not go on after the last event.
+const NOT_RESUMED: &str = "not-resumed";
+
 /// How much of a stream the caller has received, across attempts.
 #[derive(Debug, Default)]
 pub(super) struct StreamProgress {
@@ -113,7 +118,7 @@
             }
             message.extend_from_slice(b"0\r\n\r\n");
         } else if source.received.len() > MAX_EVENT_BYTES {
-            return AttemptResult::Failed(CallFailure::BadAnswer, None);
+            return AttemptResult::Failed(source.response.reject(cx, EVENT_SIZE), None);
         }
         if !message.is_empty() && conn.send(&message, SEND_TIMEOUT).await.is_err() {
             return AttemptResult::CallerGone;
@@ -142,18 +147,18 @@
     progress: &StreamProgress,
 ) -> Result<Input, CallFailure> {
     if !call.route.is_retryable() || !progress.has_started() {
-        return source.next_input().await;
+        return source.next_input(cx).await;
     }
     let stall_timeout = call.route.longest_pause.unwrap_or(DEFAULT_LONGEST_PAUSE) * STALL_FACTOR;
     loop {
-        if let Ok(input) = timeout(stall_timeout, source.next_input()).await {
+        if let Ok(input) = timeout(stall_timeout, source.next_input(cx)).await {
             return input;
         }
         let mut is_first = true;
         while attempts.replace_silent(cx, call, std::mem::take(&mut is_first)) {
             let resume_after = progress.resume_after();
             let replacement = attempts.start_replacement(cx, call, request, resume_after, true);
-            match race(source.next_event(), replacement).await {
+            match race(source.next_event(cx), replacement).await {
                 RaceResult::Resumed(input) => {
                     attempts.resume(cx, call);
                     return Ok(input);
@@ -184,6 +189,7 @@
 ///
 /// [`CallFailure::BadAnswer`] if the stream does not go on after the event `goes_on_after`.
 pub(super) async fn first_events(
+    cx: &Context,
     response: Response,
     goes_on_after: Option<&str>,
 ) -> Result<Start, CallFailure> {
@@ -193,10 +199,10 @@
         is_end: false,
         is_followed: false,
     };
-    start.is_end = matches!(start.next_event().await?, Input::End);
+    start.is_end = matches!(start.next_event(cx).await?, Input::End);
     match goes_on_after {
         Some(last) if !start.received.is_empty() && !goes_on(&start.received, last) => {
-            Err(CallFailure::BadAnswer)
+            Err(start.response.reject(cx, NOT_RESUMED))
         }
         _ => Ok(start),
     }
@@ -214,7 +220,7 @@
 
 impl Start {
     /// Receives more of a stream.
-    async fn next_input(&mut self) -> Result<Input, CallFailure> {
+    async fn next_input(&mut self, cx: &Context) -> Result<Input, CallFailure> {
         if self.is_followed {
             return Err(CallFailure::Broken);
         }
@@ -231,20 +237,25 @@
                 Ok(Input::Data)
             }
             Ok(BodyFrame::End) => Ok(Input::End),
-            Err(_) => Err(CallFailure::Broken),
+            Err(error) => {
+                self.response.report(cx, error.name());
+                Err(CallFailure::Broken)
+            }
         }
     }
 
     /// Receives a stream up to its next whole event or its end.
-    async fn next_event(&mut self) -> Result<Input, CallFailure> {
+    async fn next_event(&mut self, cx: &Context) -> Result<Input, CallFailure> {
         loop {
-            match self.next_input().await? {
+            match self.next_input(cx).await? {
                 Input::End if self.received.is_empty() || has_event(&self.received) => {
                     return Ok(Input::End);
                 }
                 Input::End => return Err(CallFailure::Broken),
                 _ if has_event(&self.received) => return Ok(Input::Data),
-                _ if self.received.len() > MAX_EVENT_BYTES => return Err(CallFailure::BadAnswer),
+                _ if self.received.len() > MAX_EVENT_BYTES => {
+                    return Err(self.response.reject(cx, EVENT_SIZE));
+                }
                 _ => {}
             }
         }
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -8,13 +8,14 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure, EndpointProcess};
+use laburnumstall_core::ids::EndpointId;
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_platform::headers::{self, HeaderLines, ResponseClass};
 
 use super::context::Context;
 use super::listener::Request;
 use super::log::Event;
-use crate::http1::{BodyReader, Conn, Framing, ResponseHead};
+use crate::http1::{BodyError, BodyReader, Conn, Framing, ResponseHead};
 
 /// Timeout to open a connection: some round trips within a region, plus one retransmission.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -108,6 +109,8 @@
     conn: Conn,
     body: BodyReader,
     address: SocketAddr,
+    id: CompactString,
+    endpoint: EndpointId,
     /// Whether the endpoint has certainly read the whole request.
     is_request_read: bool,
 }
@@ -241,6 +244,8 @@
             class,
             conn: self.conn,
             address: self.address,
+            id: self.id,
+            endpoint: self.process.id,
         })
     }
 
@@ -251,7 +256,7 @@
     ) -> Result<(ResponseHead, ResponseClass), CallFailure> {
         let mut stale_responses = 0;
         loop {
-            let head = self.next_head().await?;
+            let head = self.next_head(cx).await?;
             let is_first = !std::mem::replace(&mut self.is_used, true);
             let class = headers::classify_response(head.status, &head, &self.id, is_first);
             if class != ResponseClass::Foreign {
@@ -268,16 +273,16 @@
                 Framing::Empty | Framing::Length(..=MAX_STALE_BODY)
             );
             if stale_responses > MAX_STALE_RESPONSES || !is_framed || head.should_close {
-                return Err(CallFailure::BadAnswer);
+                return Err(self.reject(cx, "other-attempts"));
             }
             skip_body(&mut self.conn, BodyReader::new(head.framing)).await?;
         }
     }
 
     /// Reads the next head of a final response.
-    async fn next_head(&mut self) -> Result<ResponseHead, CallFailure> {
-        let conn = &mut self.conn;
+    async fn next_head(&mut self, cx: &Context) -> Result<ResponseHead, CallFailure> {
         loop {
+            let conn = &mut self.conn;
             match ResponseHead::take(&mut conn.buf, MAX_HEAD_BYTES, &self.method) {
                 Ok(Some(head)) if (100..200).contains(&head.status) => {}
                 Ok(Some(head)) => return Ok(head),
@@ -286,10 +291,17 @@
                     Ok(0) | Err(_) => return Err(CallFailure::BadAnswer),
                     Ok(_) => {}
                 },
-                Err(_) => return Err(CallFailure::BadAnswer),
+                Err(error) => return Err(self.reject(cx, error.name())),
             }
         }
     }
+
+    fn reject(&self, cx: &Context, cause: &str) -> CallFailure {
+        cx.with_gateway(|gateway, now| {
+            gateway.on_response_rejected(now, &self.id, &self.process.id, cause);
+        });
+        CallFailure::BadAnswer
+    }
 }
 
 async fn skip_body(conn: &mut Conn, mut body: BodyReader) -> Result<(), CallFailure> {
@@ -312,34 +324,46 @@
     ///
     /// # Errors
     ///
-    /// [`CallFailure::BadAnswer`] if the body is truncated or malformed.
-    pub(super) async fn next_frame(&mut self) -> Result<BodyFrame, CallFailure> {
+    /// [`BodyError`] if the body is truncated or malformed.
+    pub(super) async fn next_frame(&mut self) -> Result<BodyFrame, BodyError> {
         loop {
-            match self.body.next(&mut self.conn.buf) {
-                Ok(Some(data)) => return Ok(BodyFrame::Data(data)),
-                Ok(None) if self.body.is_done() => return Ok(BodyFrame::End),
-                Ok(None) => {}
-                Err(_) => return Err(CallFailure::BadAnswer),
+            match self.body.next(&mut self.conn.buf)? {
+                Some(data) => return Ok(BodyFrame::Data(data)),
+                None if self.body.is_done() => return Ok(BodyFrame::End),
+                None => {}
             }
             match self.conn.fill().await {
-                Ok(0) => self.body.on_eof().map_err(|_| CallFailure::BadAnswer)?,
+                Ok(0) => self.body.on_eof()?,
                 Ok(_) => {}
-                Err(_) => return Err(CallFailure::BadAnswer),
+                Err(_) => return Err(BodyError::Truncated),
             }
         }
     }
 
+    /// Reports that the response is no answer to the call.
+    pub(super) fn reject(&self, cx: &Context, cause: &str) -> CallFailure {
+        self.report(cx, cause);
+        CallFailure::BadAnswer
+    }
+
+    /// Reports why the response cannot be read further.
+    pub(super) fn report(&self, cx: &Context, cause: &str) {
+        cx.with_gateway(|gateway, now| {
+            gateway.on_response_rejected(now, &self.id, &self.endpoint, cause);
+        });
+    }
+
     /// Receives a body of up to `max` bytes into `data`; returns `false` if it is larger, with
     /// the part received so far in `data`.
     ///
     /// # Errors
     ///
-    /// [`CallFailure::BadAnswer`] if the body is truncated or malformed.
+    /// [`BodyError`] if the body is truncated or malformed.
     pub(super) async fn read_body(
         &mut self,
         data: &mut Vec<u8>,
         max: usize,
-    ) -> Result<bool, CallFailure> {
+    ) -> Result<bool, BodyError> {
         while data.len() <= max {
             match self.next_frame().await? {
                 BodyFrame::Data(chunk) => data.extend_from_slice(&chunk),
--- a/crates/laburnumstalld/src/http1/body.rs
+++ b/crates/laburnumstalld/src/http1/body.rs
@@ -19,6 +19,16 @@
     Chunk,
 }
 
+impl BodyError {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Truncated => "body-truncated",
+            Self::Chunk => "chunk-malformed",
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Done,
--- a/crates/laburnumstalld/src/http1/head.rs
+++ b/crates/laburnumstalld/src/http1/head.rs
@@ -81,6 +81,18 @@
     pub headers: Vec<Header>,
 }
 
+impl HeadError {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "head-malformed",
+            Self::TooLarge => "head-size",
+            Self::Framing => "head-framing",
+            Self::Host => "head-host",
+        }
+    }
+}
+
 impl RequestHead {
     /// Parses a head and removes it from the start of `buf`; `None` if it is incomplete.
     ///
