Search each byte of an event stream once

Cause: after each chunk, the whole of what had come of an event was searched again for its end, twice, and once more for a second response where the stream has no framing: quadratic in the number of chunks, up to 1 MiB of data. Chunks that lie in the receive buffer were taken one by one without a wait, so all of this ran in one turn of the daemon's only thread.

Evidence: with an endpoint on threads of its own (24 requests, one endpoint of two floods), both new tests fail on the code before: small_chunks_of_one_event_hold_the_thread runs into its time limit of 10 s, unframed_event_without_an_end_holds_the_thread as well. An endpoint on the daemon's thread does not show it: it gets no time to write either.

EventBuffer remembers how far it searched, and BodyReader joins the chunks that have arrived into one part, so that a part costs what its bytes cost. Data before an error in the chunked coding is still given out first.

Both tests pass, as do the other 73 of the gateway.

--- a/crates/laburnumstalld/src/gateway/replacement.rs
+++ b/crates/laburnumstalld/src/gateway/replacement.rs
@@ -6,7 +6,6 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure, CallKind};
 use laburnumstall_platform::headers::ResponseClass;
 use tokio::time::timeout;
@@ -15,6 +14,7 @@
 use super::listener::Request;
 use super::stream;
 use super::upstream::{Response, SendFailure, SentRequest, send_request};
+use crate::event_buffer::EventBuffer;
 
 /// Silence after which a retryable plain call is tried on another endpoint, in target
 /// latencies: the longest ordinary calls take about four times the mean.
@@ -36,7 +36,7 @@
     /// Response whose head was received.
     pub response: Response,
     /// Bytes of the body that were received.
-    pub received: BytesMut,
+    pub received: EventBuffer,
     /// Whether the body is complete.
     pub is_end: bool,
     /// Whether another response follows the events that were received.
@@ -220,7 +220,7 @@
         }
         _ => Ok(Start {
             response,
-            received: BytesMut::new(),
+            received: EventBuffer::default(),
             is_end: false,
             is_followed: false,
         }),
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::BytesMut;
 use compact_str::CompactString;
 use laburnumstall_core::gateway::{AdmittedCall, CallFailure};
 use tokio::time::{sleep, timeout};
@@ -12,6 +11,7 @@
 use super::listener::{Request, SEND_TIMEOUT};
 use super::replacement::{Attempts, RaceResult, Start, race};
 use super::upstream::{BodyFrame, Response};
+use crate::event_buffer::{EventBuffer, last_id};
 use crate::http1::{Conn, write_chunk};
 
 /// Silence after which a second endpoint is asked to go on with a resumable stream, as a multiple
@@ -21,7 +21,6 @@
 const DEFAULT_LONGEST_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum size of an event; a larger one fails the attempt.
 const MAX_EVENT_BYTES: usize = 1 << 20;
-
 /// Cause of the rejection of a larger event.
 const EVENT_SIZE: &str = "event-size";
 /// Cause of the rejection of a stream that does not go on after the last event.
@@ -94,9 +93,8 @@
             }
         }
         let is_end = source.is_end;
-        let events = take_events(&mut source.received);
         let mut message = Vec::new();
-        if let Some(events) = events {
+        if source.received.has_block() {
             if !std::mem::replace(&mut is_start_reported, true) {
                 let attempt = &mut attempts.current;
                 cx.with_gateway(|gateway, now| gateway.on_started(now, call, attempt));
@@ -106,11 +104,12 @@
                 message = response_head(&source.response.head, None, should_close);
                 progress.has_head = true;
             }
-            if let Some(id) = last_id(&events) {
+            let blocks = source.received.take_blocks();
+            if let Some(id) = last_id(&blocks) {
                 progress.resume_after = Some(id);
             }
             call.events += 1;
-            write_chunk(&events, &mut message);
+            write_chunk(&blocks, &mut message);
         }
         if is_end {
             if !source.received.is_empty() || !progress.has_head {
@@ -195,7 +194,7 @@
 ) -> Result<Start, CallFailure> {
     let mut start = Start {
         response,
-        received: BytesMut::new(),
+        received: EventBuffer::default(),
         is_end: false,
         is_followed: false,
     };
@@ -210,8 +209,8 @@
 
 /// Returns whether the first event comes after the event `last`: an error has no id, and a stream
 /// that begins anew has earlier ones.
-fn goes_on(events: &[u8], last: &str) -> bool {
-    let Some(id) = first_id(events) else {
+fn goes_on(events: &EventBuffer, last: &str) -> bool {
+    let Some(id) = events.first_id() else {
         return false;
     };
     let numbers = id.parse::<u64>().ok().zip(last.parse::<u64>().ok());
@@ -225,15 +224,13 @@
             return Err(CallFailure::Broken);
         }
         match self.response.next_frame().await {
+            // Nothing else separates the stream from what its endpoint writes behind it.
+            Ok(BodyFrame::Data(data)) if !self.response.is_delimited() => {
+                self.is_followed = self.received.push_until_response(&data);
+                Ok(Input::Data)
+            }
             Ok(BodyFrame::Data(data)) => {
-                self.received.extend_from_slice(&data);
-                // Nothing else separates the stream from what its endpoint writes behind it.
-                if !self.response.is_delimited()
-                    && let Some(at) = find_status_line(&self.received)
-                {
-                    self.received.truncate(at);
-                    self.is_followed = true;
-                }
+                self.received.push(&data);
                 Ok(Input::Data)
             }
             Ok(BodyFrame::End) => Ok(Input::End),
@@ -248,11 +245,11 @@
     async fn next_event(&mut self, cx: &Context) -> Result<Input, CallFailure> {
         loop {
             match self.next_input(cx).await? {
-                Input::End if self.received.is_empty() || has_event(&self.received) => {
+                Input::End if self.received.is_empty() || self.received.has_block() => {
                     return Ok(Input::End);
                 }
                 Input::End => return Err(CallFailure::Broken),
-                _ if has_event(&self.received) => return Ok(Input::Data),
+                _ if self.received.has_block() => return Ok(Input::Data),
                 _ if self.received.len() > MAX_EVENT_BYTES => {
                     return Err(self.response.reject(cx, EVENT_SIZE));
                 }
@@ -261,57 +258,3 @@
         }
     }
 }
-
-/// Splits off all complete events; bytes after the last blank line stay in `pending`.
-fn take_events(pending: &mut BytesMut) -> Option<BytesMut> {
-    let end = events_end(pending)?;
-    Some(pending.split_to(end))
-}
-
-/// Returns whether there is a complete event.
-fn has_event(data: &[u8]) -> bool {
-    events_end(data).is_some()
-}
-
-/// Returns the end of the last complete event.
-fn events_end(data: &[u8]) -> Option<usize> {
-    [&b"\n\n"[..], &b"\r\n\r\n"[..]]
-        .iter()
-        .filter_map(|blank| find_last(data, blank).map(|at| at + blank.len()))
-        .max()
-}
-
-fn find_last(data: &[u8], pattern: &[u8]) -> Option<usize> {
-    data.windows(pattern.len())
-        .rposition(|window| window == pattern)
-}
-
-/// Returns where the first line begins that is the status line of a response, not one of an event.
-fn find_status_line(data: &[u8]) -> Option<usize> {
-    const START: &[u8] = b"HTTP/1.";
-    let is_line_start = |at: usize| at == 0 || data[at - 1] == b'\n';
-    data.windows(START.len())
-        .enumerate()
-        .find_map(|(at, window)| (window == START && is_line_start(at)).then_some(at))
-}
-
-/// Returns the id of the first event; comments before it are none.
-fn first_id(events: &[u8]) -> Option<CompactString> {
-    let mut lines = events.split(|byte| *byte == b'\n');
-    let is_comment = |line: &&[u8]| line.is_empty() || *line == b"\r" || line.starts_with(b":");
-    let mut event = lines.by_ref().skip_while(is_comment);
-    let first = event.next()?;
-    let rest = event.take_while(|line| !line.is_empty() && *line != b"\r");
-    std::iter::once(first).chain(rest).find_map(id_in)
-}
-
-/// Returns the id of the last event that has one.
-fn last_id(events: &[u8]) -> Option<CompactString> {
-    events.split(|byte| *byte == b'\n').rev().find_map(id_in)
-}
-
-/// Returns the id that a line sets.
-fn id_in(line: &[u8]) -> Option<CompactString> {
-    let id = line.strip_prefix(b"id:")?;
-    CompactString::from_utf8(id.trim_ascii()).ok()
-}
--- a/crates/laburnumstalld/src/http1/body.rs
+++ b/crates/laburnumstalld/src/http1/body.rs
@@ -38,6 +38,7 @@
     ChunkData(u64),
     ChunkEnd,
     Trailer,
+    Failed(BodyError),
 }
 
 /// Incremental decoder of a message body.
@@ -63,15 +64,44 @@
         self.state == State::Done
     }
 
-    /// Decodes the next data from `buf`; `None` if more input is needed or the body is done.
+    /// Decodes all data in `buf`; `None` if more input is needed or the body is done.
     ///
     /// # Errors
     ///
-    /// [`BodyError::Chunk`] if the chunked coding is malformed.
+    /// [`BodyError::Chunk`] if the chunked coding is malformed. The data before the error is returned
+    /// first.
     pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
+        let Some(first) = self.next_part(buf)? else {
+            return Ok(None);
+        };
+        let mut joined = BytesMut::new();
+        loop {
+            match self.next_part(buf) {
+                Ok(Some(part)) => {
+                    if joined.is_empty() {
+                        joined.extend_from_slice(&first);
+                    }
+                    joined.extend_from_slice(&part);
+                }
+                Ok(None) => break,
+                Err(error) => {
+                    self.state = State::Failed(error);
+                    break;
+                }
+            }
+        }
+        Ok(Some(match joined.is_empty() {
+            true => first,
+            false => joined.freeze(),
+        }))
+    }
+
+    /// Decodes the data of the next chunk in `buf`, or all data of a body without chunks.
+    fn next_part(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
         loop {
             match self.state {
                 State::Done => return Ok(None),
+                State::Failed(error) => return Err(error),
                 State::UntilClose => return Ok(take_up_to(buf, u64::MAX)),
                 State::Length(remaining) => {
                     let Some(data) = take_up_to(buf, remaining) else {
@@ -152,13 +182,14 @@
 }
 
 fn take_line(buf: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
-    let Some(end) = buf.iter().position(|byte| *byte == b'\n') else {
+    let mut line = buf.iter().take(MAX_CHUNK_LINE_BYTES + 1);
+    let Some(end) = line.position(|byte| *byte == b'\n') else {
         return match buf.len() > MAX_CHUNK_LINE_BYTES {
             true => Err(BodyError::Chunk),
             false => Ok(None),
         };
     };
-    if end == 0 || end > MAX_CHUNK_LINE_BYTES || buf[end - 1] != b'\r' {
+    if end == 0 || buf[end - 1] != b'\r' {
         return Err(BodyError::Chunk);
     }
     let line = buf.split_to(end - 1).freeze();
--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod event_buffer;
 pub mod front;
 pub mod gateway;
 pub mod http1;
