Let other tasks and timers run beside a peer that never stops writing

Cause: interim responses were skipped without a limit, and the read that finds more bytes each time never waits. The runtime then lets the task do a number of operations and makes all further ones wait, timers among them. Where a select polls the read first, the timer of the deadline, polled second, always met that state. The same holds for the silence after which a second endpoint is tried, and for the other loops over what an endpoint, a caller or a scraper writes.

A connection now counts what it reads without a wait, and lets other tasks run after 64 KiB, or 32 small reads, well below the runtime's own limit, so that each select still polls its timer. All reads of the gateway go through it. Interim responses share the 32 KiB of the response head. A head that is too large fails the attempt at once, so that a request that may be repeated goes to another endpoint.

--- a/crates/laburnumstall-outside/src/lib.rs
+++ b/crates/laburnumstall-outside/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod endpoint;
 pub mod http;
 pub mod key_value;
+pub mod turn;
 pub mod vm_list;
 pub mod weight_store;
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -27,7 +27,7 @@
 const MAX_IDLE_NOT_RETRYABLE: Duration = Duration::from_millis(1_500);
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 24;
-/// Maximum size of a response head, in bytes.
+/// Maximum size of a response head with the interim responses before it, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum number of responses to other requests that are skipped before the call's own.
 const MAX_STALE_RESPONSES: u32 = 3;
@@ -281,16 +281,14 @@
 
     /// Reads the next head of a final response.
     async fn next_head(&mut self, cx: &Context) -> Result<ResponseHead, CallFailure> {
+        let mut max = MAX_HEAD_BYTES;
         loop {
-            let conn = &mut self.conn;
-            match ResponseHead::take(&mut conn.buf, MAX_HEAD_BYTES, &self.method) {
-                Ok(Some(head)) if (100..200).contains(&head.status) => {}
+            match self.conn.response_head(&self.method, max).await {
+                // Interim responses share the limit: an endpoint may send them without an end.
+                Ok(Some(head)) if (100..200).contains(&head.status) => max -= head.len,
                 Ok(Some(head)) => return Ok(head),
-                Ok(None) => match conn.fill().await {
-                    Ok(0) | Err(_) if conn.buf.is_empty() => return Err(CallFailure::Lost),
-                    Ok(0) | Err(_) => return Err(CallFailure::BadAnswer),
-                    Ok(_) => {}
-                },
+                Ok(None) if self.conn.buf.is_empty() => return Err(CallFailure::Lost),
+                Ok(None) => return Err(CallFailure::BadAnswer),
                 Err(error) => return Err(self.reject(cx, error.name())),
             }
         }
--- a/crates/laburnumstalld/src/http1/conn.rs
+++ b/crates/laburnumstalld/src/http1/conn.rs
@@ -1,11 +1,14 @@
 //! A TCP connection with a receive buffer.
 
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
-use super::head::{HeadError, RequestHead};
+use super::head::{HeadError, RequestHead, ResponseHead};
 use bytes::BytesMut;
+use laburnumstall_outside::turn::ReadTurn;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
@@ -25,6 +28,7 @@
     io: TcpStream,
     /// Bytes received but not yet parsed.
     pub buf: BytesMut,
+    turn: ReadTurn,
 }
 
 impl Conn {
@@ -37,6 +41,7 @@
         Self {
             io,
             buf: BytesMut::new(),
+            turn: ReadTurn::default(),
         }
     }
 
@@ -52,12 +57,27 @@
 
     /// Receives more bytes into `buf`; returns their number, which is zero at end of stream.
     ///
+    /// Other tasks run from time to time, also if the peer writes as fast as it is read.
+    ///
     /// # Errors
     ///
     /// The error of the read. The call is cancel safe: dropping it loses no data.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        self.turn.wait().await;
         self.buf.reserve(READ_RESERVE_BYTES);
-        self.io.read_buf(&mut self.buf).await
+        let mut has_waited = false;
+        let mut read = pin!(self.io.read_buf(&mut self.buf));
+        let count = poll_fn(|cx| {
+            let polled = read.as_mut().poll(cx);
+            has_waited |= polled.is_pending();
+            polled
+        })
+        .await?;
+        if has_waited {
+            self.turn.restart();
+        }
+        self.turn.spend(count);
+        Ok(count)
     }
 
     /// Receives a request head; `None` if the connection ends or fails before it is complete.
@@ -76,6 +96,27 @@
         }
     }
 
+    /// Receives the head of a response to a request with this method; `None` if the connection ends
+    /// or fails before it is complete.
+    ///
+    /// # Errors
+    ///
+    /// [`HeadError`] if the head is invalid or larger than `max` bytes.
+    pub async fn response_head(
+        &mut self,
+        method: &str,
+        max: usize,
+    ) -> Result<Option<ResponseHead>, HeadError> {
+        loop {
+            if let Some(head) = ResponseHead::take(&mut self.buf, max, method)? {
+                return Ok(Some(head));
+            }
+            if !matches!(self.fill().await, Ok(1..)) {
+                return Ok(None);
+            }
+        }
+    }
+
     /// Waits until the peer closes or resets the connection; never returns once the read-ahead
     /// limit is exceeded.
     pub async fn closed(&mut self) {
--- a/crates/laburnumstalld/src/http1/head.rs
+++ b/crates/laburnumstalld/src/http1/head.rs
@@ -79,6 +79,8 @@
     pub should_close: bool,
     /// Headers in the order received.
     pub headers: Vec<Header>,
+    /// Size of the head, in bytes.
+    pub len: usize,
 }
 
 impl HeadError {
@@ -162,6 +164,7 @@
                 || has_token(&headers, "connection", "close"),
             framing,
             headers,
+            len,
         }))
     }
 
