Limit what stands beside the data of a chunked body

An endpoint can send the trailer of a chunked body, or chunks with long extensions, without an end. Each line had a limit, their number had none: the call was held until its deadline.

The extensions of a body and its trailer have a limit of 16 KiB each. Beyond it the attempt fails, and a request that may be repeated goes to another endpoint. The decoder serves bodies of callers as well: such a request is answered 400.

--- a/crates/laburnumstalld/src/http1/body.rs
+++ b/crates/laburnumstalld/src/http1/body.rs
@@ -7,6 +7,10 @@
 
 /// Maximum length of a chunk size line or trailer line.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
+/// Maximum size of all chunk extensions of a body, which are dropped.
+const MAX_EXTENSION_BYTES: usize = 16 << 10;
+/// Maximum size of a trailer, which is dropped.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
 
 /// Error in the framing of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
@@ -17,6 +21,12 @@
     /// A chunk is malformed or a line of the chunked coding is too long.
     #[snafu(display("a chunk is malformed"))]
     Chunk,
+    /// The chunk extensions are too large.
+    #[snafu(display("the chunk extensions are too large"))]
+    Extensions,
+    /// The trailer is too large.
+    #[snafu(display("the trailer is too large"))]
+    Trailer,
 }
 
 impl BodyError {
@@ -25,6 +35,8 @@
         match self {
             Self::Truncated => "body-truncated",
             Self::Chunk => "chunk-malformed",
+            Self::Extensions => "extension-size",
+            Self::Trailer => "trailer-size",
         }
     }
 }
@@ -45,6 +57,8 @@
 #[derive(Debug, Clone)]
 pub struct BodyReader {
     state: State,
+    extension_bytes: usize,
+    trailer_bytes: usize,
 }
 
 impl BodyReader {
@@ -56,7 +70,11 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            extension_bytes: 0,
+            trailer_bytes: 0,
+        }
     }
 
     /// Returns whether the whole body was decoded.
@@ -68,8 +86,8 @@
     ///
     /// # Errors
     ///
-    /// [`BodyError::Chunk`] if the chunked coding is malformed. The data before the error is returned
-    /// first.
+    /// [`BodyError`] if the chunked coding is malformed or has too much beside the data. The data
+    /// before the error is returned first.
     pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
         let Some(first) = self.next_part(buf)? else {
             return Ok(None);
@@ -131,7 +149,12 @@
                     let Some(line) = take_line(buf)? else {
                         return Ok(None);
                     };
-                    self.state = match parse_chunk_size(&line)? {
+                    let (size, extension_bytes) = parse_chunk_size(&line)?;
+                    self.extension_bytes += extension_bytes;
+                    if self.extension_bytes > MAX_EXTENSION_BYTES {
+                        return Err(BodyError::Extensions);
+                    }
+                    self.state = match size {
                         0 => State::Trailer,
                         size => State::ChunkData(size),
                     };
@@ -149,8 +172,11 @@
                     let Some(line) = take_line(buf)? else {
                         return Ok(None);
                     };
+                    self.trailer_bytes += line.len();
                     if line.is_empty() {
                         self.state = State::Done;
+                    } else if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(BodyError::Trailer);
                     }
                 }
             }
@@ -197,13 +223,16 @@
     Ok(Some(line))
 }
 
-fn parse_chunk_size(line: &[u8]) -> Result<u64, BodyError> {
+/// Returns the size of a chunk, and the length of the rest of the line.
+fn parse_chunk_size(line: &[u8]) -> Result<(u64, usize), BodyError> {
     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
     let digits = digits.trim_ascii_end();
+    let rest = line.len() - digits.len();
     let is_number =
         !digits.is_empty() && digits.len() <= 15 && digits.iter().all(u8::is_ascii_hexdigit);
     let text = std::str::from_utf8(digits).ok().filter(|_| is_number);
     text.and_then(|text| u64::from_str_radix(text, 16).ok())
+        .map(|size| (size, rest))
         .ok_or(BodyError::Chunk)
 }
 
