Parse a head that arrives in parts when it may have ended

A head was parsed from its start after each read: 32 KiB that come byte by byte, from an endpoint or from a caller, cost half a gigabyte of parsing. Empty lines before a head counted to its size only as long as they lay in the buffer together with it.

HeadProgress searches each byte once for the empty line that ends a head, and has the head parsed then or when it is twice as long as before, so that a malformed one is still found early. Empty lines before it are dropped and counted.

--- a/crates/laburnumstalld/src/http1.rs
+++ b/crates/laburnumstalld/src/http1.rs
@@ -10,4 +10,6 @@
 
 pub use body::{BodyError, BodyReader, write_chunk};
 pub use conn::Conn;
-pub use head::{Framing, HeadError, Header, RequestHead, ResponseHead, is_hop_by_hop};
+pub use head::{
+    Framing, HeadError, HeadProgress, Header, RequestHead, ResponseHead, is_hop_by_hop,
+};
--- a/crates/laburnumstalld/src/http1/conn.rs
+++ b/crates/laburnumstalld/src/http1/conn.rs
@@ -6,7 +6,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use super::head::{HeadError, RequestHead, ResponseHead};
+use super::head::{HeadError, HeadProgress, RequestHead, ResponseHead};
 use bytes::BytesMut;
 use laburnumstall_outside::turn::ReadTurn;
 use socket2::SockRef;
@@ -86,8 +86,11 @@
     ///
     /// [`HeadError`] if the head is invalid or larger than `max` bytes.
     pub async fn request_head(&mut self, max: usize) -> Result<Option<RequestHead>, HeadError> {
+        let mut progress = HeadProgress::default();
         loop {
-            if let Some(head) = RequestHead::take(&mut self.buf, max)? {
+            if progress.may_parse(&mut self.buf, max)?
+                && let Some(head) = RequestHead::take(&mut self.buf, max)?
+            {
                 return Ok(Some(head));
             }
             if !matches!(self.fill().await, Ok(1..)) {
@@ -107,8 +110,11 @@
         method: &str,
         max: usize,
     ) -> Result<Option<ResponseHead>, HeadError> {
+        let mut progress = HeadProgress::default();
         loop {
-            if let Some(head) = ResponseHead::take(&mut self.buf, max, method)? {
+            if progress.may_parse(&mut self.buf, max)?
+                && let Some(head) = ResponseHead::take(&mut self.buf, max, method)?
+            {
                 return Ok(Some(head));
             }
             if !matches!(self.fill().await, Ok(1..)) {
--- a/crates/laburnumstalld/src/http1/head.rs
+++ b/crates/laburnumstalld/src/http1/head.rs
@@ -2,13 +2,15 @@
 
 use std::mem::MaybeUninit;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use compact_str::CompactString;
 use laburnumstall_platform::headers::HeaderLines;
 use snafu::Snafu;
 
 /// Maximum number of headers in a message head.
 const MAX_HEADERS: usize = 96;
+/// Longest form of an empty line with the end of the line before it: LF CR LF.
+const EMPTY_LINE_LEN: usize = 3;
 
 /// Reason why a head is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
@@ -36,6 +38,43 @@
     pub value: Bytes,
 }
 
+/// Progress of a head that arrives in parts, so that it is not parsed again for each of them.
+#[derive(Debug, Default)]
+pub struct HeadProgress {
+    /// Empty lines that were dropped before the head, in bytes.
+    dropped: usize,
+    /// Length of the part that was searched for the end of the head.
+    searched: usize,
+    /// Length of the part that was parsed last.
+    parsed: usize,
+}
+
+impl HeadProgress {
+    /// Returns whether to parse `buf`: the head may have ended, or is twice as long as it was when
+    /// it was parsed last, so that a malformed one is found early. Drops empty lines before it.
+    ///
+    /// # Errors
+    ///
+    /// [`HeadError::TooLarge`] if there are more than `max` bytes of empty lines.
+    pub fn may_parse(&mut self, buf: &mut BytesMut, max: usize) -> Result<bool, HeadError> {
+        let dropped = drop_empty_lines(buf);
+        if dropped > 0 {
+            self.dropped += dropped;
+            (self.searched, self.parsed) = (0, 0);
+        }
+        if self.dropped > max {
+            return Err(HeadError::TooLarge);
+        }
+        let unsearched = &buf[self.searched.saturating_sub(EMPTY_LINE_LEN - 1)..];
+        let may_parse = has_empty_line(unsearched) || buf.len() >= 2 * self.parsed.max(1);
+        self.searched = buf.len();
+        if may_parse {
+            self.parsed = buf.len();
+        }
+        Ok(may_parse)
+    }
+}
+
 /// How the end of a body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -220,6 +259,27 @@
     HOP_BY_HOP_HEADERS.contains(&name) || has_token(headers, "connection", name)
 }
 
+/// Removes empty lines from the start of `buf`; returns their length.
+fn drop_empty_lines(buf: &mut BytesMut) -> usize {
+    let mut len = 0;
+    loop {
+        match &buf[len..] {
+            [b'\r', b'\n', ..] => len += 2,
+            [b'\n', ..] => len += 1,
+            _ => break,
+        }
+    }
+    buf.advance(len);
+    len
+}
+
+fn has_empty_line(data: &[u8]) -> bool {
+    let is_empty_line = |(at, byte): (usize, &u8)| {
+        *byte == b'\n' && matches!(&data[at + 1..], [b'\n', ..] | [b'\r', b'\n', ..])
+    };
+    data.iter().enumerate().any(is_empty_line)
+}
+
 fn head_len(
     parsed: httparse::Result<usize>,
     received: usize,
