Count comments neither as the begin nor as the progress of a stream

An endpoint can send comments without an end. Comments alone counted as an event: the stream began with them, so that its caller got a 200 that was cut at the deadline instead of the answer of another endpoint. In a stream that had begun, each comment put off the replacement of a stalled endpoint.

EventBuffer tells blocks of comments from events. Comments before the first event are kept until it comes, within its limit of 1 MiB; later ones are forwarded as they come, and the stall is timed from the last event. A stream that ends with comments alone is forwarded as before.

--- a/crates/laburnumstalld/src/event_buffer.rs
+++ b/crates/laburnumstalld/src/event_buffer.rs
@@ -1,7 +1,8 @@
 //! Received bytes of an event stream, cut into whole events.
 //!
 //! Follows the event stream format of the HTML standard (section 9.2): an empty line ends a block
-//! of lines. Each byte is searched once, whatever the parts in which it arrives.
+//! of lines, and lines that begin with a colon are comments. Each byte is searched once, whatever
+//! the parts in which it arrives.
 
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
@@ -19,6 +20,10 @@
     searched: usize,
     /// End of the last complete block.
     blocks_end: usize,
+    /// Whether a complete block is an event.
+    has_event: bool,
+    /// Whether the block that is not complete is an event.
+    is_event: bool,
 }
 
 impl EventBuffer {
@@ -52,11 +57,21 @@
     }
 
     fn end_line(&mut self, end: usize) {
-        if matches!(self.data[self.line_start..end], [] | [b'\r']) {
-            self.blocks_end = end + 1;
+        match &self.data[self.line_start..end] {
+            [] | [b'\r'] => {
+                self.has_event |= std::mem::take(&mut self.is_event);
+                self.blocks_end = end + 1;
+            }
+            [b':', ..] => {}
+            _ => self.is_event = true,
         }
     }
 
+    /// Returns whether there is a whole event. Comments alone are none.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Returns whether there is a whole event or comment.
     pub fn has_block(&self) -> bool {
         self.blocks_end > 0
@@ -78,6 +93,7 @@
         self.line_start -= self.blocks_end;
         self.searched -= self.blocks_end;
         self.blocks_end = 0;
+        self.has_event = false;
         blocks
     }
 
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use laburnumstall_core::gateway::{AdmittedCall, CallFailure};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::call::{AttemptResult, connection_action, response_head, should_close};
 use super::context::Context;
@@ -19,7 +19,7 @@
 const STALL_FACTOR: u32 = 4;
 /// Target for the longest pause of a stream whose route does not set one.
 const DEFAULT_LONGEST_PAUSE: Duration = Duration::from_millis(300);
-/// Maximum size of an event; a larger one fails the attempt.
+/// Maximum size of an event with the comments before it; a larger one fails the attempt.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Cause of the rejection of a larger event.
 const EVENT_SIZE: &str = "event-size";
@@ -77,11 +77,12 @@
     let mut is_start_reported = false;
     // A stream begins with what was received at its start.
     let mut is_received = true;
+    let mut stall = Stall::new(call);
     loop {
         let remaining = call.remaining(cx.now());
         if !std::mem::take(&mut is_received) {
             let input = tokio::select! {
-                input = next_input(cx, request, call, attempts, &mut source, progress) => input,
+                input = next_input(cx, request, call, attempts, &mut source, progress, &mut stall) => input,
                 () = conn.closed() => return AttemptResult::CallerGone,
                 () = sleep(remaining) => return AttemptResult::TimedOut { is_sent: true },
             };
@@ -93,8 +94,14 @@
             }
         }
         let is_end = source.is_end;
+        let has_event = source.received.has_event();
         let mut message = Vec::new();
-        if source.received.has_block() {
+        // Comments alone begin no stream: another endpoint may still serve it.
+        if has_event || source.received.has_block() && (progress.has_head || is_end) {
+            if has_event {
+                stall.on_event();
+                call.events += 1;
+            }
             if !std::mem::replace(&mut is_start_reported, true) {
                 let attempt = &mut attempts.current;
                 cx.with_gateway(|gateway, now| gateway.on_started(now, call, attempt));
@@ -108,7 +115,6 @@
             if let Some(id) = last_id(&blocks) {
                 progress.resume_after = Some(id);
             }
-            call.events += 1;
             write_chunk(&blocks, &mut message);
         }
         if is_end {
@@ -135,7 +141,43 @@
     }
 }
 
-/// Receives more of a stream. If its endpoint is silent for too long, waits for a second one as
+/// Time at which a stream without a further event counts as stalled.
+struct Stall {
+    timeout: Duration,
+    at: Instant,
+}
+
+impl Stall {
+    fn new(call: &AdmittedCall) -> Self {
+        let timeout = call.route.longest_pause.unwrap_or(DEFAULT_LONGEST_PAUSE) * STALL_FACTOR;
+        Self {
+            timeout,
+            at: Instant::now() + timeout,
+        }
+    }
+
+    fn on_event(&mut self) {
+        self.at = Instant::now() + self.timeout;
+    }
+
+    /// Receives more of a stream; `None` once it is stalled, whatever else it sends. The next stall
+    /// begins then.
+    async fn input(
+        &mut self,
+        cx: &Context,
+        source: &mut Start,
+    ) -> Option<Result<Input, CallFailure>> {
+        if Instant::now() < self.at
+            && let Ok(input) = timeout_at(self.at, source.next_input(cx)).await
+        {
+            return Some(input);
+        }
+        self.on_event();
+        None
+    }
+}
+
+/// Receives more of a stream. If its endpoint sends no event for too long, waits for a second one as
 /// well, which goes on after the last event that the caller received.
 async fn next_input(
     cx: &Context,
@@ -144,13 +186,13 @@
     attempts: &mut Attempts,
     source: &mut Start,
     progress: &StreamProgress,
+    stall: &mut Stall,
 ) -> Result<Input, CallFailure> {
     if !call.route.is_retryable() || !progress.has_started() {
         return source.next_input(cx).await;
     }
-    let stall_timeout = call.route.longest_pause.unwrap_or(DEFAULT_LONGEST_PAUSE) * STALL_FACTOR;
     loop {
-        if let Ok(input) = timeout(stall_timeout, source.next_input(cx)).await {
+        if let Some(input) = stall.input(cx, source).await {
             return input;
         }
         let mut is_first = true;
@@ -249,7 +291,7 @@
                     return Ok(Input::End);
                 }
                 Input::End => return Err(CallFailure::Broken),
-                _ if self.received.has_block() => return Ok(Input::Data),
+                _ if self.received.has_event() => return Ok(Input::Data),
                 _ if self.received.len() > MAX_EVENT_BYTES => {
                     return Err(self.response.reject(cx, EVENT_SIZE));
                 }
