Refuse what cannot end within the grace of a planned stop, and answer what is left

Cause: nothing in admission or in the selection of an endpoint asked whether the daemon stops, and at the end of the grace what was in flight was dropped with its connection.

Evidence, on the code before: late_request_is_passed_on_and_cut and request_in_flight_is_cut_without_an_answer ("connection closed before the response"), late_call_is_admitted and waiting_call_is_passed_on_late (core) fail.

Once the daemon takes no new connections, 2.5 s after the signal, a request that has not run is passed on only if its deadline lies within the grace. Others get 503 with a Retry-After of 50 ms, which is true, in time to go to another daemon; that holds for retries and for calls that waited as well. 100 ms before the exit all that is in flight gets a last answer: 503 if nothing of it was written to an endpoint, else 504. A stream that has begun is aborted as before. A request counts as passed on from its first written byte.

A grace below 2.5 s is kept as well: the stop waited for the end of the accept delay whatever the grace.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -21,6 +21,7 @@
 mod load_balancer;
 mod lost_calls;
 mod peer_message;
+mod planned_stop;
 mod prefill;
 mod quarantine_update;
 mod quota;
@@ -68,6 +69,7 @@
 pub use load_balancer::{CallAttempt, EndpointQuery, LoadBalancer};
 pub use lost_calls::{EndpointCheck, EndpointState};
 pub use peer_message::{PeerMessage, PeerProtocol};
+pub use planned_stop::PlannedStop;
 pub use prefill::prefill_time;
 pub use quarantine_update::{ProcessCrash, QuarantineUpdate, SuspectClearance, SuspectHold};
 pub use quota::{QuotaLedger, QuotaUsage};
@@ -135,7 +137,7 @@
     crash_budget: send_budget::SendBudget,
     quarantine_outbox: quarantine_update::Outbox,
     stored_holds: stored_holds::StoredHolds,
-    is_stopping: bool,
+    planned_stop: Option<PlannedStop>,
     /// When the endpoints were first listed.
     first_listed_at: Option<Timestamp>,
     gossip_sequence: u64,
@@ -178,7 +180,7 @@
             crash_budget: send_budget::SendBudget::default(),
             quarantine_outbox: quarantine_update::Outbox::default(),
             stored_holds: stored_holds::StoredHolds::default(),
-            is_stopping: false,
+            planned_stop: None,
             first_listed_at: None,
             gossip_sequence: 0,
             store_ok_since: None,
--- a/crates/laburnumstall-core/src/gateway/directory.rs
+++ b/crates/laburnumstall-core/src/gateway/directory.rs
@@ -3,26 +3,13 @@
 use std::net::SocketAddr;
 
 use super::Gateway;
-use crate::decision::{Decision, DecisionKind};
 use crate::units::Timestamp;
 
 impl Gateway {
-    /// Begins a planned stop: callers are no longer sent to the daemon.
-    pub fn begin_stop(&mut self, now: Timestamp) {
-        self.is_stopping = true;
-        self.journal
-            .record(Decision::new(now, DecisionKind::Stop, "drain", "asked"));
-    }
-
-    /// Returns whether a planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.is_stopping
-    }
-
     /// Returns whether callers may be sent to this daemon: it is not stopping, has a
     /// configuration that is not older than the floor, and may trust its keys.
     pub fn is_ready(&self, now: Timestamp) -> bool {
-        !self.is_stopping
+        !self.is_stopping()
             && self.routing_table.is_some()
             && !self.is_below_floor()
             && self.freshness.may_trust_keys(now)
@@ -44,7 +31,7 @@
             .peer_table
             .peers()
             .map(|peer| peer.member.caller_address);
-        let own = (!self.is_stopping).then_some(self.caller_address);
+        let own = (!self.is_stopping()).then_some(self.caller_address);
         own.into_iter().chain(others).collect()
     }
 }
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -131,6 +131,8 @@
             .caller_timeout
             .unwrap_or(route.timeout)
             .min(route.timeout);
+        let deadline = now.after(timeout);
+        self.check_stop(now, deadline)?;
         let mut call = AdmittedCall {
             id: attributes.id.clone(),
             service: service.clone(),
@@ -144,7 +146,7 @@
                 .unwrap_or(route.rank),
             route: route.clone(),
             received_at: now,
-            deadline: now.after(timeout),
+            deadline,
             prompt: attributes.prompt.clone(),
             charge: 0,
             tried: Vec::new(),
@@ -194,6 +196,9 @@
         call: &mut AdmittedCall,
     ) -> Result<CallAttempt, Refusal> {
         self.check_retry(now, call)?;
+        if call.executions == 0 && !call.has_started {
+            self.check_stop(now, call.deadline)?;
+        }
         let attempt = self.find_endpoint(now, call, recovery::may_repeat_endpoint(call));
         let (calls, slots) = self.load_balancer.occupancy(&call.service);
         let Some(attempt) = attempt else {
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod odd_entries;
 mod part_evidence;
 mod peer_messages;
+mod planned_stop;
 mod quota_sharing;
 mod restored_store;
 mod retry_shares;
--- a/crates/laburnumstall-core/tests/gateway/usage_counts.rs
+++ b/crates/laburnumstall-core/tests/gateway/usage_counts.rs
@@ -1,7 +1,7 @@
 //! Counts of started requests, summed over daemons.
 
 use crate::support::{at, bounds, call_attributes, daemon, endpoint, gateway, member};
-use laburnumstall_core::gateway::{GossipMessage, UsageCounter, ViewUpdate};
+use laburnumstall_core::gateway::{GossipMessage, PlannedStop, UsageCounter, ViewUpdate};
 use laburnumstall_core::prelude::*;
 
 fn customer() -> CustomerId {
@@ -83,7 +83,13 @@
         |gateway: &laburnumstall_core::gateway::Gateway, ms| gateway.directory(at(ms)).len();
     assert_eq!(listed(&gateway, 1_100), 2);
     assert_eq!(listed(&gateway, 2_500), 1);
-    gateway.begin_stop(at(2_500));
+    gateway.begin_stop(
+        at(2_500),
+        PlannedStop {
+            admits_until: at(5_000),
+            answers_until: at(10_000),
+        },
+    );
     assert!(
         !gateway
             .directory(at(2_500))
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -23,6 +23,7 @@
 mod origins;
 mod registration;
 mod replacement;
+mod response;
 mod rules_floor;
 mod store_sync;
 mod stored_origins;
@@ -35,7 +36,7 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use laburnumstall_core::gateway::Gateway;
+use laburnumstall_core::gateway::{Gateway, PlannedStop};
 use laburnumstall_core::hash::digest64;
 use laburnumstall_core::ids::{DaemonId, Incarnation, ParseIdError};
 use laburnumstall_core::membership::Member;
@@ -75,6 +76,8 @@
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(1_000);
 /// Time by which the process exits before the platform would kill it.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the exit in which calls in flight are answered that cannot end in time.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Interval of the check whether callers can be accepted.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval of the check whether all callers have disconnected.
@@ -137,6 +140,24 @@
 pub async fn run(settings: HostSettings) -> Result<(), GatewayError> {
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    let stop_request = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    run_until(settings, stop_request).await
+}
+
+/// Runs a gateway until `stop_request` is ready and its callers are served.
+///
+/// # Errors
+///
+/// [`GatewayError`] if the gateway cannot start.
+pub async fn run_until(
+    settings: HostSettings,
+    stop_request: impl Future<Output = ()>,
+) -> Result<(), GatewayError> {
     let hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     let clock = Clock::start();
     let own = DaemonId {
@@ -232,8 +253,7 @@
     let mut serving = actix_rt::spawn(serve_callers(Rc::clone(&cx), store, member));
 
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = stop_request => {}
         ended = &mut serving => {
             cx.event(Event::new("serving-ended"));
             return ended.unwrap_or(Ok(()));
@@ -265,13 +285,25 @@
 /// kill the process.
 async fn stop(cx: &Context, serving: JoinHandle<Result<(), GatewayError>>) {
     let stop_requested = Instant::now();
-    cx.with_gateway(|gateway, now| gateway.begin_stop(now));
+    let grace = cx.settings.stop_grace.saturating_sub(KILL_MARGIN);
+    let answer_time = grace.saturating_sub(LAST_ANSWER_TIME);
+    cx.with_gateway(|gateway, now| {
+        let stop = PlannedStop {
+            admits_until: now.after(STOP_ACCEPT_DELAY),
+            answers_until: now.after(answer_time),
+        };
+        gateway.begin_stop(now, stop);
+    });
     cx.stop_signal.notify_waiters();
-    sleep_until(stop_requested + IDLE_CLOSE_DELAY).await;
+    let (last_answers, end) = (stop_requested + answer_time, stop_requested + grace);
+    sleep_until(last_answers.min(stop_requested + IDLE_CLOSE_DELAY)).await;
     cx.close_idle();
-    sleep_until(stop_requested + STOP_ACCEPT_DELAY).await;
+    sleep_until(last_answers.min(stop_requested + STOP_ACCEPT_DELAY)).await;
     serving.abort();
-    let end = stop_requested + cx.settings.stop_grace.saturating_sub(KILL_MARGIN);
+    while cx.callers() > 0 && Instant::now() < last_answers {
+        sleep(STOP_POLL_INTERVAL).await;
+    }
+    cx.cut_off_calls();
     while cx.callers() > 0 && Instant::now() < end {
         sleep(STOP_POLL_INTERVAL).await;
     }
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -13,13 +13,14 @@
 
 use super::context::Context;
 use super::crash_checks;
-use super::listener::{ConnectionAction, Request, SEND_TIMEOUT, reason_phrase, refuse};
+use super::listener::{ConnectionAction, Request, SEND_TIMEOUT, refuse};
 use super::log::Event;
 use super::origins;
 use super::replacement::{Attempts, RaceResult, SilentEnd, Start, race, silence, start};
+use super::response::{connection_action, response_head, should_close};
 use super::stream::{self, StreamProgress};
 use super::upstream::{BodyFrame, Response, SendFailure, send_request};
-use crate::http1::{Conn, Framing, ResponseHead, is_hop_by_hop, write_chunk};
+use crate::http1::{Conn, ResponseHead, write_chunk};
 
 /// Maximum size of a response body that is buffered before it is forwarded, so that the call
 /// can be retried on another endpoint if the body is cut off.
@@ -75,9 +76,22 @@
         Err(refusal) => return send_refusal(cx, conn, request, Some(&id), &refusal).await,
     };
     let mut progress = StreamProgress::new(resume_after);
-    let (result, status, action) = match origins::resume(cx, &mut call).await {
-        Ok(()) => run_attempts(cx, conn, request, &mut call, &mut progress).await,
-        Err(refusal) => fail_call(cx, conn, request, &call, &progress, &refusal).await,
+    let serving = async {
+        match origins::resume(cx, &mut call).await {
+            Ok(()) => run_attempts(cx, conn, request, &mut call, &mut progress).await,
+            Err(refusal) => fail_call(cx, conn, request, &call, &progress, &refusal).await,
+        }
+    };
+    let ended = tokio::select! {
+        ended = serving => Some(ended),
+        () = cx.calls_cut_off() => None,
+    };
+    let (result, status, action) = match ended {
+        Some(ended) => ended,
+        None => {
+            let refusal = cx.with_gateway(|gateway, _| gateway.cut_off(&call));
+            fail_call(cx, conn, request, &call, &progress, &refusal).await
+        }
     };
     cx.metrics.finished(&call, cx.now(), result);
     cx.with_gateway(|gateway, now| gateway.end(now, call, result, status));
@@ -439,52 +453,3 @@
         should_close,
     )
 }
-
-/// Builds the head of a forwarded response; the body is chunked if `length` is `None`.
-pub(super) fn response_head(
-    head: &ResponseHead,
-    length: Option<usize>,
-    should_close: bool,
-) -> Vec<u8> {
-    let mut out = format!(
-        "HTTP/1.1 {} {}\r\n",
-        head.status,
-        reason_phrase(head.status)
-    )
-    .into_bytes();
-    for header in &head.headers {
-        if !is_hop_by_hop(&head.headers, &header.name) {
-            out.extend_from_slice(header.name.as_bytes());
-            out.extend_from_slice(b": ");
-            out.extend_from_slice(&header.value);
-            out.extend_from_slice(b"\r\n");
-        }
-    }
-    match length {
-        _ if head.status == 204 || head.status == 304 => {}
-        Some(length) if head.framing != Framing::Empty || length == 0 => {
-            out.extend_from_slice(format!("content-length: {length}\r\n").as_bytes());
-        }
-        Some(_) => {}
-        None => out.extend_from_slice(b"transfer-encoding: chunked\r\n"),
-    }
-    if should_close {
-        out.extend_from_slice(b"connection: close\r\n");
-    }
-    out.extend_from_slice(b"\r\n");
-    out
-}
-
-/// Returns whether the caller's connection closes after this request.
-pub(super) fn should_close(cx: &Context, request: &Request) -> bool {
-    request.head.should_close || cx.with_gateway(|gateway, _| gateway.is_stopping())
-}
-
-/// Returns what to do with a caller's connection after a response.
-pub(super) fn connection_action(is_sent: bool, should_close: bool) -> ConnectionAction {
-    match (is_sent, should_close) {
-        (false, _) => ConnectionAction::Abort,
-        (true, true) => ConnectionAction::Close,
-        (true, false) => ConnectionAction::Keep,
-    }
-}
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -53,6 +53,7 @@
     gateway: RefCell<Gateway>,
     log: RefCell<DecisionLog>,
     closes_idle: Cell<bool>,
+    cuts_off_calls: Cell<bool>,
     is_ended: Cell<bool>,
     callers: Cell<usize>,
 }
@@ -83,6 +84,7 @@
             gateway: RefCell::new(gateway),
             log: RefCell::new(log),
             closes_idle: Cell::new(false),
+            cuts_off_calls: Cell::new(false),
             is_ended: Cell::new(false),
             callers: Cell::new(0),
         })
@@ -180,6 +182,23 @@
         self.stop_signal.notify_waiters();
     }
 
+    /// Ends the calls in flight, since the process is about to exit.
+    pub(super) fn cut_off_calls(&self) {
+        self.cuts_off_calls.set(true);
+        self.stop_signal.notify_waiters();
+    }
+
+    /// Waits until the calls in flight end.
+    pub(super) async fn calls_cut_off(&self) {
+        loop {
+            let signalled = self.stop_signal.notified();
+            if self.cuts_off_calls.get() {
+                return;
+            }
+            signalled.await;
+        }
+    }
+
     /// Returns whether the gateway has stopped serving and the process is about to exit.
     pub(super) fn is_ended(&self) -> bool {
         self.is_ended.get()
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -6,10 +6,11 @@
 use laburnumstall_core::gateway::{AdmittedCall, CallFailure};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::call::{AttemptResult, connection_action, response_head, should_close};
+use super::call::AttemptResult;
 use super::context::Context;
 use super::listener::{Request, SEND_TIMEOUT};
 use super::replacement::{Attempts, RaceResult, Start, race};
+use super::response::{connection_action, response_head, should_close};
 use super::upstream::{BodyFrame, Response};
 use crate::event_buffer::{EventBuffer, last_id};
 use crate::http1::{Conn, write_chunk};
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -193,12 +193,15 @@
     let message = write_request(cx, call, attempt, request, resume_after);
     let sent_at = cx.now();
     let mut written = 0;
+    // The call may end while its request is written.
+    let was_outstanding = std::mem::replace(&mut call.is_outstanding, true);
     let is_sent_whole = {
         let sending = conn.send_counted(&message, &mut written);
         match tokio::time::timeout_at(deadline, sending).await {
             Ok(Ok(is_whole)) => is_whole,
             Ok(Err(_)) => false,
             Err(_) => {
+                call.is_outstanding = was_outstanding || written > 0;
                 return Err(SendFailure::TimedOut {
                     is_sent: written > 0,
                 });
@@ -206,6 +209,7 @@
         }
     };
     if written == 0 {
+        call.is_outstanding = was_outstanding;
         return Err(SendFailure::Failed(CallFailure::NotSent));
     }
     cx.with_gateway(|gateway, _| gateway.on_sent(call));
