Limit the bytes of all requests and responses that a daemon keeps

Report of another operator: a faulty endpoint sent bytes without an end, the machine kept them all and ran out of memory, and the requests of other callers ended with it.

Here each response is bounded (a head 32 KiB, a plain body 256 KiB, an event 1 MiB), and so is each request body (the configuration's limit, 4 MB), but nothing held over all of them: some hundreds of events that do not end are more than memory_mb.

All bodies and events that are kept share an eighth of memory_mb, which the settings file states. Beyond it, a response that keeps more than 32 KiB for an event that has not ended is rejected (cause memory), a plain body is forwarded without waiting for its end, and a request is refused with 503 and a Retry-After before its body is read.

Not measured: the receive buffers of the kernel, and the resident memory of a daemon at its limit.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -8,6 +8,7 @@
 //!
 //! Like the rest of this crate, the gateway reads no clock and opens no socket.
 
+mod buffer_budget;
 mod call;
 mod crash_evidence;
 mod demand;
@@ -51,6 +52,7 @@
 use crate::quarantine::CrashTally;
 use crate::units::Timestamp;
 
+pub use buffer_budget::{BufferBudget, BufferShare};
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
 pub use demand::DemandCounter;
 pub use endpoint_limiter::EndpointLimiter;
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -343,7 +343,8 @@
     const MAX_DRAINED: usize = 4 << 10;
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(5);
     let mut data = Vec::new();
-    let whole = response.read_body(&mut data, MAX_DRAINED);
+    let mut share = cx.buffers.share();
+    let whole = response.read_body(&mut data, MAX_DRAINED, &mut share);
     if matches!(
         tokio::time::timeout(DRAIN_TIMEOUT, whole).await,
         Ok(Ok(true))
@@ -361,9 +362,10 @@
     mut response: Response,
 ) -> AttemptResult {
     let mut body = Vec::new();
+    let mut share = cx.buffers.share();
     let remaining = call.remaining(cx.now());
     let whole = tokio::select! {
-        whole = response.read_body(&mut body, MAX_BUFFERED_BODY) => whole,
+        whole = response.read_body(&mut body, MAX_BUFFERED_BODY, &mut share) => whole,
         () = conn.closed() => return AttemptResult::CallerGone,
         () = tokio::time::sleep(remaining) => return AttemptResult::TimedOut { is_sent: true },
     };
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use laburnumstall_core::decision::{Decision, Journal};
-use laburnumstall_core::gateway::{CallerLimits, Gateway, PeerMessage};
+use laburnumstall_core::gateway::{BufferBudget, CallerLimits, Gateway, PeerMessage};
 use laburnumstall_core::ids::DaemonId;
 use laburnumstall_core::units::{Bytes, Timestamp};
 use laburnumstall_peer::PeerEndpoint;
@@ -42,6 +42,8 @@
     pub check_signal: Notify,
     /// Wakes the calls that wait for the check of an endpoint.
     pub check_done: Notify,
+    /// Bytes that requests and responses keep.
+    pub buffers: BufferBudget,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Wakes the task that keeps this daemon registered when the store came back from a copy.
@@ -69,6 +71,7 @@
         metrics: GatewayMetrics,
     ) -> Rc<Self> {
         Rc::new(Self {
+            buffers: BufferBudget::of_memory(settings.memory),
             settings,
             pool: Pool::default(),
             lookups: PendingLookups::default(),
--- a/crates/laburnumstalld/src/gateway/listener.rs
+++ b/crates/laburnumstalld/src/gateway/listener.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use laburnumstall_core::error::{ErrorBody, ErrorKind, Refusal};
-use laburnumstall_core::gateway::CallerLimits;
+use laburnumstall_core::gateway::{BufferShare, CallerLimits, RETRY_AFTER};
 use laburnumstall_platform::headers;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -22,12 +22,14 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A request whose body is complete.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(super) struct Request {
     /// Request line and headers.
     pub head: RequestHead,
     /// Decoded body.
     pub body: Bytes,
+    /// What the body takes of the memory for all.
+    _share: BufferShare,
 }
 
 /// What to do with a caller's connection after a request.
@@ -69,14 +71,11 @@
                         .with("from", peer)
                         .with("cause", kind),
                 );
-                refuse(
-                    &cx,
-                    &mut conn,
-                    None,
-                    &Refusal::new(kind, "unreadable"),
-                    true,
-                )
-                .await;
+                let mut refusal = Refusal::new(kind, "unreadable");
+                if kind == ErrorKind::Overloaded {
+                    refusal = refusal.with_retry_after(RETRY_AFTER);
+                }
+                refuse(&cx, &mut conn, None, &refusal, true).await;
                 break ConnectionAction::Close;
             }
         };
@@ -126,10 +125,15 @@
             return Ok(None);
         }
     }
-    let Some(body) = read_body(cx, conn, &head, &limits).await? else {
+    let mut share = cx.buffers.share();
+    let Some(body) = read_body(cx, conn, &head, &limits, &mut share).await? else {
         return Ok(None);
     };
-    Ok(Some(Request { head, body }))
+    Ok(Some(Request {
+        head,
+        body,
+        _share: share,
+    }))
 }
 
 /// How the wait for a request ended.
@@ -187,6 +191,7 @@
     conn: &mut Conn,
     head: &RequestHead,
     limits: &CallerLimits,
+    share: &mut BufferShare,
 ) -> Result<Option<Bytes>, ErrorKind> {
     let max = limits.body.get();
     if matches!(head.framing, crate::http1::Framing::Length(length) if length > max) {
@@ -199,7 +204,12 @@
             Ok(Some(data)) if body.len() as u64 + data.len() as u64 > max => {
                 return Err(ErrorKind::TooLarge);
             }
-            Ok(Some(data)) => body.extend_from_slice(&data),
+            Ok(Some(data)) => {
+                body.extend_from_slice(&data);
+                if !share.keep(body.len()) {
+                    return Err(ErrorKind::Overloaded);
+                }
+            }
             Ok(None) if reader.is_done() => return Ok(Some(body.freeze())),
             Ok(None) => match timeout(limits.idle_timeout, conn.fill()).await {
                 Ok(Ok(1..)) => {}
--- a/crates/laburnumstalld/src/gateway/replacement.rs
+++ b/crates/laburnumstalld/src/gateway/replacement.rs
@@ -6,7 +6,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure, CallKind};
+use laburnumstall_core::gateway::{AdmittedCall, BufferShare, CallAttempt, CallFailure, CallKind};
 use laburnumstall_platform::headers::ResponseClass;
 use tokio::time::timeout;
 
@@ -37,6 +37,8 @@
     pub response: Response,
     /// Bytes of the body that were received.
     pub received: EventBuffer,
+    /// What the received bytes take of the memory for all.
+    pub share: BufferShare,
     /// Whether the body is complete.
     pub is_end: bool,
     /// Whether another response follows the events that were received.
@@ -221,6 +223,7 @@
         _ => Ok(Start {
             response,
             received: EventBuffer::default(),
+            share: cx.buffers.share(),
             is_end: false,
             is_followed: false,
         }),
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -24,6 +24,8 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Cause of the rejection of a larger event.
 const EVENT_SIZE: &str = "event-size";
+/// Cause of the rejection of a long event when many are kept.
+const MEMORY: &str = "memory";
 /// Cause of the rejection of a stream that does not go on after the last event.
 const NOT_RESUMED: &str = "not-resumed";
 
@@ -238,6 +240,7 @@
     let mut start = Start {
         response,
         received: EventBuffer::default(),
+        share: cx.buffers.share(),
         is_end: false,
         is_followed: false,
     };
@@ -270,11 +273,11 @@
             // Nothing else separates the stream from what its endpoint writes behind it.
             Ok(BodyFrame::Data(data)) if !self.response.is_delimited() => {
                 self.is_followed = self.received.push_until_response(&data);
-                Ok(Input::Data)
+                self.keep_received(cx)
             }
             Ok(BodyFrame::Data(data)) => {
                 self.received.push(&data);
-                Ok(Input::Data)
+                self.keep_received(cx)
             }
             Ok(BodyFrame::End) => Ok(Input::End),
             Err(error) => {
@@ -284,6 +287,15 @@
         }
     }
 
+    /// Counts the received bytes; whole events are about to be sent.
+    fn keep_received(&mut self, cx: &Context) -> Result<Input, CallFailure> {
+        let may_keep = self.share.keep(self.received.len());
+        match may_keep || self.received.has_event() {
+            true => Ok(Input::Data),
+            false => Err(self.response.reject(cx, MEMORY)),
+        }
+    }
+
     /// Receives a stream up to its next whole event or its end.
     async fn next_event(&mut self, cx: &Context) -> Result<Input, CallFailure> {
         loop {
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use laburnumstall_core::gateway::{AdmittedCall, CallAttempt, CallFailure, EndpointProcess};
+use laburnumstall_core::gateway::{
+    AdmittedCall, BufferShare, CallAttempt, CallFailure, EndpointProcess,
+};
 use laburnumstall_core::ids::EndpointId;
 use laburnumstall_core::units::Timestamp;
 use laburnumstall_platform::headers::{self, HeaderLines, ResponseClass};
@@ -355,8 +357,8 @@
         });
     }
 
-    /// Receives a body of up to `max` bytes into `data`; returns `false` if it is larger, with
-    /// the part received so far in `data`.
+    /// Receives a body of up to `max` bytes into `data`; returns `false` if it is larger, or `share`
+    /// may not keep it, with the part received so far in `data`.
     ///
     /// # Errors
     ///
@@ -365,8 +367,9 @@
         &mut self,
         data: &mut Vec<u8>,
         max: usize,
+        share: &mut BufferShare,
     ) -> Result<bool, BodyError> {
-        while data.len() <= max {
+        while data.len() <= max && share.keep(data.len()) {
             match self.next_frame().await? {
                 BodyFrame::Data(chunk) => data.extend_from_slice(&chunk),
                 BodyFrame::End => return Ok(true),
