Limit comments in the product's own interface, and see its deadline while an answer never waits

Evidence: endless_comments_are_read fails on the code before (timed out instead of a protocol failure). That the deadline goes unseen was not shown here: endless_event_, endless_head_ and endless_extension_hides_the_deadline, with eight attempts at a server with threads of its own, passed before as well; no other task waited for 500 ms.

An event has its 1 MiB together with what is skipped before it; the relay of a stream takes turns; the time of an attempt is a timeout around the work, which sees its end also when the work has used up what the runtime lets a task do.

--- a/crates/laburnumstall-outside/src/endpoint/http.rs
+++ b/crates/laburnumstall-outside/src/endpoint/http.rs
@@ -247,12 +247,17 @@
     remaining: Duration,
     events: &mpsc::Sender<EndpointEvent>,
 ) -> Result<(), Stop> {
-    tokio::select! {
-        biased;
-        result = work => result,
-        () = events.closed() => Err(Stop::Closed),
-        () = tokio::time::sleep(remaining) => Err(Stop::TimedOut),
-    }
+    let work = async {
+        tokio::select! {
+            biased;
+            result = work => result,
+            () = events.closed() => Err(Stop::Closed),
+        }
+    };
+    // Unlike a branch that is polled after the work, this sees the end of the time also while the work
+    // never waits.
+    let ended = tokio::time::timeout(remaining, work).await;
+    ended.unwrap_or(Err(Stop::TimedOut))
 }
 
 async fn report_end(end: Result<(), Stop>, mut reporter: Reporter) {
--- a/crates/laburnumstall-outside/src/endpoint/relay.rs
+++ b/crates/laburnumstall-outside/src/endpoint/relay.rs
@@ -24,6 +24,7 @@
 use super::sse::SseParser;
 use super::{AttemptFailure, EndpointEvent};
 use crate::http::is_not_sent;
+use crate::turn::ReadTurn;
 
 /// Most bytes of an error's message that are kept.
 const MAX_MESSAGE_BYTES: usize = 512;
@@ -173,8 +174,11 @@
     let mut parser = SseParser::default();
     let mut decoder = ChunkDecoder::resumed_at(tokens_before);
     let mut events = Vec::new();
+    let mut turn = ReadTurn::default();
     while let Some(piece) = response.next().await {
         let piece = piece.map_err(AttemptFailure::reset)?;
+        turn.spend(piece.len());
+        turn.wait().await;
         let parsed = parser.push(&piece, &mut events);
         for event in events.drain(..) {
             let Some(answer) = decoder.decode(&event.data)? else {
--- a/crates/laburnumstall-outside/src/endpoint/sse.rs
+++ b/crates/laburnumstall-outside/src/endpoint/sse.rs
@@ -1,14 +1,14 @@
 //! An incremental parser of server-sent events.
 //!
 //! Follows the event stream format of the HTML standard (section 9.2): lines end with LF,
-//! CR or CRLF; comments are skipped; several `data` lines are joined by LF. Memory is
-//! bounded by [`MAX_EVENT_BYTES`], and bytes may be split anywhere.
+//! CR or CRLF; comments are skipped; several `data` lines are joined by LF. An event, with what is
+//! skipped before it, is bounded by [`MAX_EVENT_BYTES`], and bytes may be split anywhere.
 
 use std::fmt;
 
 use compact_str::CompactString;
 
-/// Longest line, and most data of one event, in bytes.
+/// Most bytes of one event with the comments and unknown fields before it.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// One event.
@@ -25,7 +25,7 @@
 /// Why a stream cannot be read on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SseError {
-    /// A line or an event is longer than [`MAX_EVENT_BYTES`].
+    /// An event, with what is skipped before it, is longer than [`MAX_EVENT_BYTES`].
     TooLong,
     /// A line is not UTF-8.
     NotUtf8,
@@ -46,6 +46,8 @@
 #[derive(Debug, Default)]
 pub struct SseParser {
     line: Vec<u8>,
+    /// Bytes since the last event.
+    pending: usize,
     is_after_cr: bool,
     is_past_first_line: bool,
     event: SseEvent,
@@ -67,12 +69,14 @@
             }
             let end = bytes.iter().position(|&b| b == b'\n' || b == b'\r');
             let (part, rest) = bytes.split_at(end.unwrap_or(bytes.len()));
-            if self.line.len() + part.len() > MAX_EVENT_BYTES {
+            self.pending += part.len();
+            if self.pending > MAX_EVENT_BYTES {
                 return Err(SseError::TooLong);
             }
             self.line.extend_from_slice(part);
             bytes = rest;
             if let [terminator, rest @ ..] = rest {
+                self.pending += 1;
                 self.is_after_cr = *terminator == b'\r';
                 bytes = rest;
                 self.end_line(events)?;
@@ -108,6 +112,7 @@
         let event = std::mem::take(&mut self.event);
         if std::mem::take(&mut self.has_data) {
             events.push(event);
+            self.pending = 0;
         }
     }
 
