Believe the own view of a service's version without an answer only if it lists all versions

Cause: a daemon that gets no answer from a peer decides by its own view, of up to 1.5 s. A single stored version counted as the only one, also if the view listed a further one that may have been stored since; and if few endpoints of the stored version were left, a further one was stored at once, so that the view could not list it yet.

Evidence, on the code before: listed_version_is_taken_for_one_without_streams, old_view_is_believed_without_an_answer and version_is_stored_before_it_is_read fail (core, virtual time).

A daemon that knows others and hears from none believes its view only if it is younger than 1 s and lists one version. Else it refuses the stream with a Retry-After; the decision has the reason unconfirmed. Where few endpoints of the stored versions are left, a further version is now listed for 1 s before it is stored, so that such a view lists it; with none left it is stored at once as before. quick_release_is_stored_soon (1.1 s) holds unchanged.

What stays: with no endpoint of the stored versions left, streams begin at once, and a view of under 1 s that still lists one is believed.

--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -21,6 +21,7 @@
 use super::rules::CallKind;
 use super::send_budget::{FULL_RATE_DAEMONS, MESSAGE_BYTES};
 use super::stored_origins::kept_seconds;
+use super::stored_versions::QUICK_ADMIT_DELAY;
 use super::stream_origin::{AttemptDigest, OriginGroup, OriginSource, RETURN_TIME, StreamOrigin};
 use super::version_history::VersionHistory;
 use super::view::{ViewBatch, ViewChange};
@@ -168,6 +169,11 @@
             return self.pin(now, call, Arc::new(origin.clone()), basis, lookup);
         }
         let own = self.sole_version(now, &lookup.service).cloned();
+        // A daemon that reaches no other one may have missed that streams begin at a further version.
+        let is_cut_off = lookup.answers.is_empty() && !self.peer_table.is_empty();
+        let is_unconfirmed =
+            is_cut_off && own.is_some() && !self.lists_all_versions(now, &lookup.service);
+        let own = own.filter(|_| !is_unconfirmed);
         let is_mixed =
             lookup.has_mixed() || own.is_none() && self.versions.is_mixed(now, &lookup.service);
         let mut soles = own.iter().chain(lookup.soles());
@@ -182,9 +188,13 @@
             return self.pin(now, call, Arc::new(origin), basis, lookup);
         }
         let age = now.since(lookup.started_at);
-        self.record_resumption(now, call, "refuse", ("unknown", age), lookup);
+        let reason = match is_unconfirmed {
+            true => "unconfirmed",
+            false => "unknown",
+        };
+        self.record_resumption(now, call, "refuse", (reason, age), lookup);
         let refusal = Refusal::new(ErrorKind::NoEndpoint, "the stream's version is unknown");
-        let may_be_known_later = lookup.answers.len() < lookup.peers.len();
+        let may_be_known_later = is_unconfirmed || lookup.answers.len() < lookup.peers.len();
         Err(Refusal {
             retry_after: may_be_known_later.then_some(RETRY_AFTER),
             ..refusal
@@ -471,6 +481,13 @@
         sole.filter(|_| is_fresh)
     }
 
+    /// Returns whether a service has one version only, also if another one was stored since the view
+    /// was confirmed: that one would be listed in the view.
+    fn lists_all_versions(&self, now: Timestamp, service: &ServiceName) -> bool {
+        let is_recent = self.freshness.is_within(now, QUICK_ADMIT_DELAY);
+        is_recent && self.versions.listed(service).nth(1).is_none()
+    }
+
     fn supporting_peers(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
         let peers = self.peer_table.reachable(now);
         peers.filter(|peer| peer.supports_extensions)
--- a/crates/laburnumstall-core/src/gateway/stored_versions.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_versions.rs
@@ -25,10 +25,13 @@
 /// of the list by all daemons and the storing of origins, and the return of most callers to a
 /// fleet that has just started.
 const ADMIT_DELAY: Duration = Duration::from_secs(2);
+/// The same time while few endpoints of the stored versions are left. It is the maximum age of a view
+/// that a daemon may believe without a peer's answer, so that such a view lists the version.
+pub(super) const QUICK_ADMIT_DELAY: Duration = Duration::from_secs(1);
 /// Time after the start of a daemon in which it leaves the writes to those that it does not know yet.
 const START_DELAY: Duration = Duration::from_secs(1);
 /// Share of a service's endpoints, in percent, below which the stored versions are too few to
-/// wait for the delay.
+/// wait for the long delay.
 const MIN_STORED_PERCENT: usize = 75;
 
 domain! {
@@ -119,21 +122,19 @@
             .filter(|(version, _)| is_further(version))
             .peekable();
         if further.peek().is_some() {
-            let are_few = self.are_stored_endpoints_few(service, &stored.versions);
+            let delay = self.admit_delay(service, &stored.versions);
             versions.extend(
                 further
-                    .filter(|(_, since)| are_few || now.since(*since) >= ADMIT_DELAY)
+                    .filter(|(_, since)| now.since(*since) >= delay)
                     .map(|(version, _)| version.clone()),
             );
         }
         versions
     }
 
-    fn are_stored_endpoints_few(
-        &self,
-        service: &ServiceName,
-        stored: &BTreeSet<SoftwareVersion>,
-    ) -> bool {
+    /// Returns the time for which a further version is listed before it is stored: none if no endpoint
+    /// of the stored versions is left.
+    fn admit_delay(&self, service: &ServiceName, stored: &BTreeSet<SoftwareVersion>) -> Duration {
         let is_usable =
             |entry: &&EndpointEntry| entry.record.service == *service && !entry.is_leaving();
         let is_stored = |entry: &&EndpointEntry| {
@@ -142,7 +143,11 @@
         };
         let usable = self.endpoints.iter().filter(is_usable).count();
         let of_stored = self.endpoints.iter().filter(is_usable).filter(is_stored);
-        of_stored.count() * 100 < usable * MIN_STORED_PERCENT
+        match of_stored.count() {
+            0 => Duration::ZERO,
+            count if count * 100 < usable * MIN_STORED_PERCENT => QUICK_ADMIT_DELAY,
+            _ => ADMIT_DELAY,
+        }
     }
 
     /// Returns the era in which the stored versions tell where streams began; `None` while daemons
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod leaving_endpoints;
 mod missed_clearances;
 mod odd_entries;
+mod out_of_step;
 mod part_evidence;
 mod peer_messages;
 mod planned_stop;
--- a/crates/laburnumstall-core/tests/gateway/stored_origins.rs
+++ b/crates/laburnumstall-core/tests/gateway/stored_origins.rs
@@ -22,7 +22,7 @@
 }
 
 /// Returns a daemon that knows the stored versions and `peers` ready peers.
-fn started(endpoints: &[EndpointRecord], versions: &[&str], peers: u32) -> Gateway {
+pub(crate) fn started(endpoints: &[EndpointRecord], versions: &[&str], peers: u32) -> Gateway {
     let mut gateway = gateway(endpoints);
     gateway.on_store_era(at(0), Some(StoreEra(1)));
     let service = "model".parse().unwrap();
@@ -42,13 +42,13 @@
     }
 }
 
-fn to_store(gateway: &mut Gateway, ms: u64) -> Option<BTreeSet<SoftwareVersion>> {
+pub(crate) fn to_store(gateway: &mut Gateway, ms: u64) -> Option<BTreeSet<SoftwareVersion>> {
     gateway.on_store_confirmed(at(ms), at(ms));
     let due = gateway.versions_to_store(at(ms));
     due.into_iter().next().map(|write| write.stored.versions)
 }
 
-fn set(versions: &[&str]) -> BTreeSet<SoftwareVersion> {
+pub(crate) fn set(versions: &[&str]) -> BTreeSet<SoftwareVersion> {
     versions.iter().map(|v| v.parse().unwrap()).collect()
 }
 
--- a/crates/laburnumstall-core/tests/gateway/stream_origins.rs
+++ b/crates/laburnumstall-core/tests/gateway/stream_origins.rs
@@ -62,7 +62,12 @@
     }
 }
 
-fn admit(gateway: &mut Gateway, now: Timestamp, id: &str, resumes: Option<&str>) -> AdmittedCall {
+pub(crate) fn admit(
+    gateway: &mut Gateway,
+    now: Timestamp,
+    id: &str,
+    resumes: Option<&str>,
+) -> AdmittedCall {
     let mut attributes = call_attributes(id, PATH);
     attributes.prompt = Some(prompt(1, 500, 500));
     if let Some(attempt) = resumes {
@@ -98,7 +103,7 @@
 }
 
 /// Takes up a stream; returns the version at which it goes on.
-fn take_up(
+pub(crate) fn take_up(
     gateway: &mut Gateway,
     now: Timestamp,
     answers: &[OriginAnswer],
