--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -17,11 +17,9 @@
 use super::load_balancer::CallAttempt;
 use super::peer_message::{PeerMessage, PeerProtocol};
 use super::recovery::RETRY_AFTER;
-use super::requests::MAX_CERTAIN_AGE;
 use super::rules::CallKind;
 use super::send_budget::{FULL_RATE_DAEMONS, MESSAGE_BYTES};
 use super::stored_origins::kept_seconds;
-use super::stored_versions::QUICK_ADMIT_DELAY;
 use super::stream_origin::{AttemptDigest, OriginGroup, OriginSource, RETURN_TIME, StreamOrigin};
 use super::version_history::VersionHistory;
 use super::view::{ViewBatch, ViewChange};
@@ -475,19 +473,6 @@
         peers.all(|peer| peer.supports_extensions)
     }
 
-    fn sole_version(&self, now: Timestamp, service: &ServiceName) -> Option<&SoftwareVersion> {
-        let is_fresh = self.freshness.is_within(now, MAX_CERTAIN_AGE);
-        let sole = self.versions.sole(now, service, self.versions_era());
-        sole.filter(|_| is_fresh)
-    }
-
-    /// Returns whether a service has one version only, also if another one was stored since the view
-    /// was confirmed: that one would be listed in the view.
-    fn lists_all_versions(&self, now: Timestamp, service: &ServiceName) -> bool {
-        let is_recent = self.freshness.is_within(now, QUICK_ADMIT_DELAY);
-        is_recent && self.versions.listed(service).nth(1).is_none()
-    }
-
     fn supporting_peers(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
         let peers = self.peer_table.reachable(now);
         peers.filter(|peer| peer.supports_extensions)
--- a/crates/laburnumstall-core/src/gateway/stored_versions.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_versions.rs
@@ -14,6 +14,7 @@
 use super::endpoint_table::EndpointEntry;
 use super::gossip::{Peer, daemon_hash};
 use super::peer_message::PeerProtocol;
+use super::requests::MAX_CERTAIN_AGE;
 use super::rules::CallKind;
 use super::version_history::VersionHistory;
 use crate::domain;
@@ -27,7 +28,7 @@
 const ADMIT_DELAY: Duration = Duration::from_secs(2);
 /// The same time while few endpoints of the stored versions are left. It is the maximum age of a view
 /// that a daemon may believe without a peer's answer, so that such a view lists the version.
-pub(super) const QUICK_ADMIT_DELAY: Duration = Duration::from_secs(1);
+const QUICK_ADMIT_DELAY: Duration = Duration::from_secs(1);
 /// Time after the start of a daemon in which it leaves the writes to those that it does not know yet.
 const START_DELAY: Duration = Duration::from_secs(1);
 /// Share of a service's endpoints, in percent, below which the stored versions are too few to
@@ -150,6 +151,24 @@
         }
     }
 
+    /// Returns the only version at which streams of a service can have begun, by a recent view.
+    pub(super) fn sole_version(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Option<&SoftwareVersion> {
+        let is_fresh = self.freshness.is_within(now, MAX_CERTAIN_AGE);
+        let sole = self.versions.sole(now, service, self.versions_era());
+        sole.filter(|_| is_fresh)
+    }
+
+    /// Returns whether a service has one version only, also if another one was stored since the view
+    /// was confirmed: that one would be listed in the view.
+    pub(super) fn lists_all_versions(&self, now: Timestamp, service: &ServiceName) -> bool {
+        let is_recent = self.freshness.is_within(now, QUICK_ADMIT_DELAY);
+        is_recent && self.versions.listed(service).nth(1).is_none()
+    }
+
     /// Returns the era in which the stored versions tell where streams began; `None` while daemons
     /// of builds that do not follow them are known.
     pub(super) fn versions_era(&self) -> Option<StoreEra> {
