Abort a caller's connection at the end of a stop if a part of its answer was written

Found by reading the change: the last answer of a stop was written whatever had been written before it.

last_answer_follows_a_part_of_another fails on the code before: two heads in one response.

A connection counts its sends; if there was one for the request, its connection is aborted, so that the response does not look complete. The four tests of planned stops pass.

--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -76,6 +76,7 @@
         Err(refusal) => return send_refusal(cx, conn, request, Some(&id), &refusal).await,
     };
     let mut progress = StreamProgress::new(resume_after);
+    let earlier_sends = conn.sends();
     let serving = async {
         match origins::resume(cx, &mut call).await {
             Ok(()) => run_attempts(cx, conn, request, &mut call, &mut progress).await,
@@ -88,6 +89,8 @@
     };
     let (result, status, action) = match ended {
         Some(ended) => ended,
+        // A part of the answer may have been written.
+        None if conn.sends() > earlier_sends => ("cut", 0, ConnectionAction::Abort),
         None => {
             let refusal = cx.with_gateway(|gateway, _| gateway.cut_off(&call));
             fail_call(cx, conn, request, &call, &progress, &refusal).await
--- a/crates/laburnumstalld/src/http1/conn.rs
+++ b/crates/laburnumstalld/src/http1/conn.rs
@@ -29,6 +29,7 @@
     /// Bytes received but not yet parsed.
     pub buf: BytesMut,
     turn: ReadTurn,
+    sends: u64,
 }
 
 impl Conn {
@@ -42,6 +43,7 @@
             io,
             buf: BytesMut::new(),
             turn: ReadTurn::default(),
+            sends: 0,
         }
     }
 
@@ -145,12 +147,18 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns the number of sends so far, also of those that failed or were dropped midway.
+    pub fn sends(&self) -> u64 {
+        self.sends
+    }
+
     /// Sends all of `data` within `limit`.
     ///
     /// # Errors
     ///
     /// The error of the write, or [`io::ErrorKind::TimedOut`] after `limit`.
     pub async fn send(&mut self, data: &[u8], limit: Duration) -> io::Result<()> {
+        self.sends += 1;
         let sent = timeout(limit, self.io.write_all(data)).await;
         sent.map_err(|_| io::ErrorKind::TimedOut)?
     }
