Take a daemon that has heard from no other one yet for started, not for cut off

Cause: refused a stream that is taken up if no peer answers, peers are known and a further version is listed. After a kill of all daemons the entries of the others are known at once, and none answers yet: streams of the only stored version were refused for as long.

A daemon is cut off if it has heard from a peer and none answers now.

--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -167,8 +167,9 @@
             return self.pin(now, call, Arc::new(origin.clone()), basis, lookup);
         }
         let own = self.sole_version(now, &lookup.service).cloned();
-        // A daemon that reaches no other one may have missed that streams begin at a further version.
-        let is_cut_off = lookup.answers.is_empty() && !self.peer_table.is_empty();
+        // A daemon that has lost the others may have missed that streams begin at a further version.
+        let has_heard = |peer: &Peer| peer.last_gossip_at.is_some();
+        let is_cut_off = lookup.answers.is_empty() && self.peer_table.peers().any(has_heard);
         let is_unconfirmed =
             is_cut_off && own.is_some() && !self.lists_all_versions(now, &lookup.service);
         let own = own.filter(|_| !is_unconfirmed);
