--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -78,8 +78,8 @@
 pub use recovery::{CallFailure, FailureAction, RETRY_AFTER};
 pub use resumption::{COPIES, OriginAnswer, OriginLookup, OriginQuery, OriginReply};
 pub use rules::{
-    CallKind, CallerLimits, CustomerRule, Quota, QuotaUnit, RouteRule, RouteTarget, RoutingRules,
-    RoutingTable, ScalingRule, ServiceRule,
+    BackendRule, CallKind, CallerLimits, CustomerRule, Quota, QuotaUnit, RouteRule, RouteTarget,
+    RoutingRules, RoutingTable, ScalingRule, ServiceRule,
 };
 pub use scaling::{Capacity, ScaleOrder, ScaleOutcome, Scaler};
 pub use stored_holds::{HoldWrite, StoredHold};
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -32,8 +32,11 @@
     /// Protocol of builds that begin streams at stored software versions only, and store origins
     /// of streams.
     pub const STORED_VERSIONS: Self = Self(2);
+    /// Protocol that adds the evidence of roll-outs, the use of services by customers, and the
+    /// measured speeds of endpoints.
+    pub const SHARED_LOAD: Self = Self(3);
     /// Newest protocol of this build.
-    pub const NEWEST: Self = Self::STORED_VERSIONS;
+    pub const NEWEST: Self = Self::SHARED_LOAD;
 }
 
 /// Sequence number in place of a gossip message's own, before any other message.
--- a/crates/laburnumstall-core/src/gateway/rules.rs
+++ b/crates/laburnumstall-core/src/gateway/rules.rs
@@ -109,10 +109,29 @@
         pub zone_prices: BTreeMap<AvailabilityZone, f64>,
     }
 
+    /// Engine that the endpoints of a service run.
+    #[derive(Copy)]
+    pub struct BackendRule {
+        /// Calls that run at once.
+        pub batch: u32,
+        /// Tokens that fit into the KV cache.
+        pub kv_tokens: u64,
+        /// Size of a token in the KV cache.
+        pub token_size: Bytes,
+        /// Rate of the link between endpoints, in bytes per second.
+        pub link_rate: u64,
+        /// Whether the KV cache of a running call can be moved to another endpoint.
+        pub can_move: bool,
+        /// Time for which a moved KV cache that nobody uses is kept.
+        pub move_ttl: Duration,
+    }
+
     /// Settings of a service.
     pub struct ServiceRule {
         /// Name of the service.
         pub name: ServiceName,
+        /// Engine of its endpoints; `None` for services without one.
+        pub backend: Option<BackendRule>,
         /// Scaling rule, for services whose endpoints the daemons order.
         pub scaling: Option<ScalingRule>,
     }
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -99,6 +99,7 @@
     let service = |name: &str, scaling: Option<ScalingRule>| {
         let name: ServiceName = name.parse().unwrap();
         let rule = ServiceRule {
+            backend: None,
             name: name.clone(),
             scaling,
         };
