--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -53,7 +53,7 @@
 use crate::units::Timestamp;
 
 pub use buffer_budget::{BufferBudget, BufferShare};
-pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
+pub use call::{AdmittedCall, BodyDigest, CallAttributes, EventTimes, Prompt, PromptPart};
 pub use demand::DemandCounter;
 pub use endpoint_limiter::EndpointLimiter;
 pub use endpoint_notice::{
--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -165,11 +165,36 @@
     pub has_started: bool,
     /// Number of events sent to the caller.
     pub events: u32,
+    /// When the first and the newest of them were received, and the longest pause between two.
+    pub event_times: Option<EventTimes>,
     /// How the newest failed attempt failed.
     pub last_failure: Option<CallFailure>,
 }
 
+/// Times of the events of a stream, as its caller sees them.
+#[derive(Debug, Clone, Copy)]
+pub struct EventTimes {
+    /// When the first event was received.
+    pub first_at: Timestamp,
+    /// When the newest event was received.
+    pub newest_at: Timestamp,
+    /// Longest time between two events.
+    pub longest_pause: Duration,
+}
+
 impl AdmittedCall {
+    /// Records an event that is sent to the caller.
+    pub fn on_event(&mut self, now: Timestamp) {
+        self.events += 1;
+        let times = self.event_times.get_or_insert(EventTimes {
+            first_at: now,
+            newest_at: now,
+            longest_pause: Duration::ZERO,
+        });
+        times.longest_pause = times.longest_pause.max(now.since(times.newest_at));
+        times.newest_at = now;
+    }
+
     /// Returns the version that the stream may go on at, for logs.
     pub(super) fn pinned_version(&self) -> &str {
         self.origin
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -156,6 +156,7 @@
             executions: 0,
             has_started: false,
             events: 0,
+            event_times: None,
             last_failure: None,
         };
         if let Some(customer) = &call.customer {
@@ -468,6 +469,14 @@
             .with("sends", call.sends)
             .with("runs", call.executions)
             .with("took_ms", now.since(call.received_at).as_millis());
+        if let Some(times) = call.event_times {
+            decision = decision
+                .with(
+                    "first_ms",
+                    times.first_at.since(call.received_at).as_millis(),
+                )
+                .with("pause_ms", times.longest_pause.as_millis());
+        }
         if let Some(failure) = call.last_failure {
             decision = decision.with("failure", failure.name());
         }
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -22,5 +22,6 @@
 mod store_view;
 mod stored_origins;
 mod stream_origins;
+mod stream_times;
 mod support;
 mod usage_counts;
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -103,7 +103,7 @@
         if has_event || source.received.has_block() && (progress.has_head || is_end) {
             if has_event {
                 stall.on_event();
-                call.events += 1;
+                call.on_event(cx.now());
             }
             if !std::mem::replace(&mut is_start_reported, true) {
                 let attempt = &mut attempts.current;
