Decide what becomes of runs on endpoints that are reclaimed

Cause: a reclaimed endpoint cuts its streams, and each is prefilled again elsewhere at the same moment. The registration tells the time that is left, which was not decoded.

Change: the end of a notice is kept per process, less the time that an entry takes to arrive. For each run the relaying daemon chooses between finishing, moving its KV cache and staying.

--- a/crates/laburnumstall-core/src/decision.rs
+++ b/crates/laburnumstall-core/src/decision.rs
@@ -48,6 +48,8 @@
         Stop,
         /// At which software version a stream goes on that a caller takes up.
         Resume,
+        /// What becomes of a run on an endpoint that is reclaimed.
+        Reclaim,
     }
 }
 
@@ -71,6 +73,7 @@
             Self::Finish => "finish",
             Self::Stop => "stop",
             Self::Resume => "resume",
+            Self::Reclaim => "reclaim",
         }
     }
 }
--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -26,6 +26,7 @@
 mod prefill;
 mod quarantine_update;
 mod quota;
+mod reclaim;
 mod recovery;
 mod replacement;
 mod requests;
@@ -75,6 +76,10 @@
 pub use prefill::prefill_time;
 pub use quarantine_update::{ProcessCrash, QuarantineUpdate, SuspectClearance, SuspectHold};
 pub use quota::{QuotaLedger, QuotaUsage};
+pub use reclaim::{
+    KvHandle, KvSource, MoveLink, MoveReply, ReclaimChoice, ReclaimState, ReclaimStep, RunOutlook,
+    SourceOutlook, choose, transfer_share,
+};
 pub use recovery::{CallFailure, FailureAction, RETRY_AFTER};
 pub use resumption::{COPIES, OriginAnswer, OriginLookup, OriginQuery, OriginReply};
 pub use rules::{
@@ -140,6 +145,7 @@
     quarantine_outbox: quarantine_update::Outbox,
     stored_holds: stored_holds::StoredHolds,
     planned_stop: Option<PlannedStop>,
+    reclaims: reclaim::Reclaims,
     /// When the endpoints were first listed.
     first_listed_at: Option<Timestamp>,
     gossip_sequence: u64,
@@ -183,6 +189,7 @@
             quarantine_outbox: quarantine_update::Outbox::default(),
             stored_holds: stored_holds::StoredHolds::default(),
             planned_stop: None,
+            reclaims: reclaim::Reclaims::default(),
             first_listed_at: None,
             gossip_sequence: 0,
             store_ok_since: None,
--- a/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
@@ -131,6 +131,19 @@
     pub(super) limit: Option<EndpointLimit>,
     /// When a response named the limit, or ended it.
     pub(super) limit_heard_at: Option<Timestamp>,
+    /// When this daemon learned that it leaves.
+    pub(super) leaving_since: Option<Timestamp>,
+    /// When it ends at the latest.
+    pub(super) ends_at: Option<Timestamp>,
+}
+
+/// End of an endpoint that leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct NoticeEnd {
+    /// When this daemon learned that it leaves.
+    pub(super) since: Timestamp,
+    /// When it ends at the latest; `None` if unknown.
+    pub(super) ends_at: Option<Timestamp>,
 }
 
 impl KnownNotice {
@@ -172,6 +185,26 @@
             is_leaving: self.is_leaving || shared.is_leaving,
             limit: if is_newer { shared.limit } else { self.limit },
             limit_heard_at: heard_at.max(self.limit_heard_at),
+            ..self
+        }
+    }
+
+    /// Returns what is known of a process that leaves, by the earliest end that was heard of: news
+    /// of it take time, so each one is at most later than the end.
+    pub(super) fn with_end(self, now: Timestamp, ends_at: Option<Timestamp>) -> Self {
+        Self {
+            leaving_since: self.leaving_since.or(Some(now)),
+            ends_at: self.ends_at.into_iter().chain(ends_at).min(),
+            ..self
+        }
+    }
+
+    /// Returns what is known of a process that has taken back that it ends.
+    pub(super) fn without_end(self) -> Self {
+        Self {
+            leaving_since: None,
+            ends_at: None,
+            ..self
         }
     }
 
--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -8,16 +8,19 @@
 //! that the copy says takes back what is known of a process: that it leaves, that it is gone, or
 //! that a later one has started.
 
+mod decisions;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::endpoint_notice::{EndpointLimit, KnownNotice, SharedNotice};
+use super::endpoint_notice::{EndpointLimit, KnownNotice, NoticeEnd, SharedNotice};
 use super::load_balancer::CallAttempt;
-use crate::decision::{Decision, DecisionKind, Journal};
+use crate::decision::Journal;
 use crate::domain;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
+use decisions::{endpoint_decision, limit_decision, removal_decision};
 
 /// Time after an outage within which a live endpoint registers again.
 pub const REREGISTER_TIME: Duration = Duration::from_secs(2);
@@ -25,6 +28,9 @@
 /// Time for which a process that is not listed is remembered: longer than a copy of the store, or
 /// a message of a peer, can be old.
 pub(super) const ABSENCE_RETENTION: Duration = Duration::from_secs(60);
+/// Time that an entry may take until a daemon learns of it: the interval at which changes of the
+/// store are read. No more than half of the time that is left is taken off for it.
+const NEWS_DELAY: Duration = Duration::from_millis(500);
 /// Time after a restore in which the entry of a process that was gone is not relied on: a live
 /// endpoint writes it again, and the platform removes that of another one, after three missed
 /// heartbeats.
@@ -63,6 +69,10 @@
         /// messages precedes the field, so it is not encoded.
         #[serde(skip)]
         pub version: Option<SoftwareVersion>,
+        /// Time that was left until it ends when it wrote the entry; `None` if unknown. Like the
+        /// version, it is not encoded.
+        #[serde(skip)]
+        pub leaves_in: Option<Duration>,
     }
 }
 
@@ -105,6 +115,15 @@
         self.notice.limit
     }
 
+    /// Returns when it ends; `None` if it does not end soon as far as is known. A reclaimable
+    /// endpoint that leaves ends at a time that may not be known; others may take any time to drain.
+    pub(super) fn notice_end(&self) -> Option<NoticeEnd> {
+        let since = self.notice.leaving_since.filter(|_| self.is_leaving())?;
+        let ends_at = self.notice.ends_at;
+        let ends_soon = ends_at.is_some() || self.record.is_spot;
+        ends_soon.then_some(NoticeEnd { since, ends_at })
+    }
+
     /// Returns what is known of its process, from its entry and its responses.
     fn known_notice(&self) -> KnownNotice {
         KnownNotice {
@@ -165,15 +184,27 @@
     pub fn on_entry(
         &mut self,
         now: Timestamp,
-        record: EndpointRecord,
+        mut record: EndpointRecord,
         journal: &mut Journal,
     ) -> bool {
         let process = record.process();
+        let was_leaving = self.endpoints.get(&record.id).is_some_and(|known| {
+            known.record.started_at_ms == record.started_at_ms && known.record.is_leaving
+        });
         let notice = self.notice_of(&process);
+        let left = record.leaves_in.take();
+        let ends_at = left.map(|left| now.after(left - NEWS_DELAY.min(left / 2)));
+        let notice = match record.is_leaving {
+            true => notice.with_end(now, ends_at),
+            // The endpoint has taken back that it leaves.
+            false if was_leaving => notice.without_end(),
+            false => notice,
+        };
         let known = self.endpoints.get_mut(&record.id);
         let choice = match known {
             Some(known) if known.record == record && !known.is_expired && !known.is_doubtful => {
                 known.written_at = now;
+                known.notice = notice;
                 return false;
             }
             _ if record.is_leaving => "leaving",
@@ -222,6 +253,10 @@
         journal: &mut Journal,
     ) -> bool {
         let known = self.notice_of(process);
+        let notice = match notice.is_leaving && !known.is_leaving {
+            true => notice.with_end(now, None),
+            false => notice,
+        };
         match self.endpoints.get_mut(&process.id) {
             Some(entry) if entry.record.started_at_ms == process.started_at_ms => {
                 entry.notice = notice;
@@ -457,36 +492,3 @@
         !expired.is_empty()
     }
 }
-
-fn removal_decision(now: Timestamp, choice: &str, reason: &str, entry: &EndpointEntry) -> Decision {
-    endpoint_decision(now, choice, reason, &entry.record)
-        .with("written_ms_ago", now.since(entry.written_at).as_millis())
-}
-
-fn limit_decision(now: Timestamp, source: &str, entry: &EndpointEntry) -> Decision {
-    let choice = match entry.limit() {
-        Some(_) => "limited",
-        None => "unlimited",
-    };
-    let decision = endpoint_decision(now, choice, source, &entry.record);
-    match entry.limit() {
-        Some(limit) => decision.with("limit", limit),
-        None => decision,
-    }
-}
-
-fn endpoint_decision(
-    now: Timestamp,
-    choice: &str,
-    reason: &str,
-    record: &EndpointRecord,
-) -> Decision {
-    Decision::new(now, DecisionKind::Membership, choice, reason)
-        .with("endpoint", &record.id)
-        .with("service", &record.service)
-        .with("software", SoftwareVersion::text(record.version.as_ref()))
-        .with("zone", &record.zone)
-        .with("address", record.address)
-        .with("spot", record.is_spot)
-        .with("born", record.started_at_ms)
-}
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -9,6 +9,7 @@
 //! with bounded load: Mirrokni, Thorup and Zadimoghaddam, 2018).
 
 mod candidates;
+mod destinations;
 mod endpoint_state;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -22,9 +23,11 @@
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::CallOutcome;
 use super::prefill::prefill_time;
+use super::reclaim::KvSource;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 use candidates::candidates;
+pub(super) use destinations::MoveQuery;
 use endpoint_state::{AbsentProcesses, EndpointState, Work};
 
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
@@ -76,6 +79,11 @@
     pub is_owner: bool,
     /// When the first token or the response arrived.
     pub first_output_at: Option<Timestamp>,
+    /// Where the KV cache of the run is that the attempt goes on with; `None` for one that
+    /// prefills its prompt.
+    pub kv_source: Option<KvSource>,
+    /// Whether it goes on with a run that was stopped at the same endpoint.
+    pub is_continued: bool,
     prefill: Duration,
 }
 
@@ -290,6 +298,8 @@
             is_owner: best.is_owner,
             prefill: best.prefill,
             first_output_at: None,
+            kv_source: None,
+            is_continued: false,
         })
     }
 
@@ -299,6 +309,10 @@
             return;
         }
         attempt.first_output_at = Some(now);
+        // A moved run says nothing of the time that prompts take.
+        if attempt.kv_source.is_some() {
+            return;
+        }
         let elapsed = now.since(attempt.started_at);
         let Some(endpoint) = self.find(attempt) else {
             return;
--- a/crates/laburnumstall-core/src/gateway/recovery.rs
+++ b/crates/laburnumstall-core/src/gateway/recovery.rs
@@ -152,6 +152,23 @@
     Ok(())
 }
 
+/// Checks whether a run may be stopped and go on at another endpoint; the error is the reason for
+/// the log.
+pub(super) fn may_move(now: Timestamp, call: &AdmittedCall) -> Result<(), &'static str> {
+    let route = &call.route;
+    // The run that is stopped counts.
+    if call.executions + 2 > route.max_endpoints {
+        return Err("attempts-used");
+    }
+    if call.sends >= route.max_endpoints + EXTRA_SENDS {
+        return Err("sends-used");
+    }
+    if call.remaining(now) < MIN_REMAINING {
+        return Err("deadline");
+    }
+    Ok(())
+}
+
 /// Returns whether a call may be sent to an endpoint that it has tried before. One that has not
 /// run and finds no reachable endpoint is refused at once; its caller may come back.
 pub(super) fn may_repeat_endpoint(call: &AdmittedCall) -> bool {
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -378,7 +378,7 @@
         call.is_outstanding = false;
         call.last_failure = Some(failure);
         call.failed_connects += u32::from(failure == CallFailure::NotSent);
-        if failure.may_have_run() {
+        if failure.may_have_run() && !attempt.is_continued {
             call.executions += 1;
             self.count_started(now, call);
         }
@@ -450,6 +450,9 @@
     /// Ends a call: records the result, and refunds the quota of a call that did not run. A
     /// call whose caller disconnected before the response may have run.
     pub fn end(&mut self, now: Timestamp, call: AdmittedCall, result: &str, status: u16) {
+        if result == "answered" {
+            self.reclaims.on_ended(&call);
+        }
         let has_run = call.has_started || call.executions > 0;
         let is_unused = !has_run && !call.is_outstanding;
         let execution = match has_run {
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -230,6 +230,7 @@
     /// Adapts the load balancer to changed endpoints.
     pub(super) fn refresh_endpoints(&mut self, now: Timestamp) {
         self.load_balancer.set_endpoints(now, &self.endpoints);
+        self.reclaims.on_endpoints_changed();
         self.share_limits(now);
     }
 
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -143,6 +143,7 @@
         is_spot: false,
         started_at_ms: 1,
         version: Some("v1".parse().unwrap()),
+        leaves_in: None,
     }
 }
 
