Move runs from reclaimed endpoints with their KV cache

Cause: nothing carried out the moves that the core decides on.

Change: while the run goes on, its source is asked for a copy (kv-move). The second request stops the run; once its stream has closed, or 50 ms later, the call goes on at the destination with Kv-From and Last-Event-Id on the path of a resumption. The retry is taken before the run is stopped, and the source counts as an endpoint that ran the call. Copies that are not used are freed. Two metrics count moves and bytes.

--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -7,6 +7,7 @@
 //! `origins` finds out at which software version a stream goes on that a caller takes up,
 //! `marks` marks services with several versions in the key-value store, `stored_versions` writes
 //! there at which versions streams begin, `stored_origins` the origins of streams,
+//! `reclaim` moves runs from endpoints that are reclaimed,
 //! `leader` performs the duties of the lease holder, and `directory` answers address lookups,
 //! readiness probes and metrics scrapes.
 
@@ -21,6 +22,7 @@
 mod marks;
 pub mod metrics;
 mod origins;
+mod reclaim;
 mod registration;
 mod replacement;
 mod response;
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -16,6 +16,7 @@
 use super::listener::{ConnectionAction, Request, SEND_TIMEOUT, refuse};
 use super::log::Event;
 use super::origins;
+use super::reclaim::StoppedRun;
 use super::replacement::{Attempts, RaceResult, SilentEnd, Start, race, silence, start};
 use super::response::{connection_action, response_head, should_close};
 use super::stream::{self, StreamProgress};
@@ -49,6 +50,8 @@
     },
     /// The response was cut off after the caller received a part of it.
     Truncated,
+    /// The run was stopped and goes on with its KV cache.
+    Stopped(Box<StoppedRun>),
 }
 
 /// Error response of an endpoint, kept in case it is forwarded.
@@ -111,22 +114,30 @@
     call: &mut AdmittedCall,
     progress: &mut StreamProgress,
 ) -> (&'static str, u16, ConnectionAction) {
+    let mut next_attempt = None;
     loop {
-        let delay = cx.with_gateway(|gateway, now| gateway.send_delay(now, call));
+        let delay = match &next_attempt {
+            Some(_) => Duration::ZERO,
+            None => cx.with_gateway(|gateway, now| gateway.send_delay(now, call)),
+        };
         if !delay.is_zero() {
             tokio::select! {
                 () = sleep(delay.min(call.remaining(cx.now()))) => {}
                 () = conn.closed() => return ("caller-gone", 0, ConnectionAction::Abort),
             }
         }
-        let selected = cx.with_gateway(|gateway, now| gateway.select_endpoint(now, call));
+        let selected = match next_attempt.take() {
+            Some(attempt) => Ok(attempt),
+            None => cx.with_gateway(|gateway, now| gateway.select_endpoint(now, call)),
+        };
         let mut attempts = match selected {
-            Ok(attempt) => Attempts::new(attempt),
+            Ok(attempt) => Attempts::new(call, attempt),
             Err(refusal) => return fail_call(cx, conn, request, call, progress, &refusal).await,
         };
         let ended = try_endpoint(cx, conn, request, call, &mut attempts, progress).await;
-        let attempt = attempts.close(cx);
+        let attempt = attempts.close(cx, call);
         match ended {
+            AttemptResult::Stopped(run) => next_attempt = Some(run.go_on(cx, call, attempt)),
             AttemptResult::Answered {
                 status,
                 action,
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -42,6 +42,8 @@
     pub check_signal: Notify,
     /// Wakes the calls that wait for the check of an endpoint.
     pub check_done: Notify,
+    /// Wakes the runs that may be on an endpoint that leaves.
+    pub reclaim_signal: Notify,
     /// Bytes that requests and responses keep.
     pub buffers: BufferBudget,
     /// Counters and histograms.
@@ -57,6 +59,8 @@
     closes_idle: Cell<bool>,
     cuts_off_calls: Cell<bool>,
     is_ended: Cell<bool>,
+    /// Number of changes of endpoints so far.
+    endpoint_changes: Cell<u64>,
     callers: Cell<usize>,
 }
 
@@ -79,6 +83,7 @@
             segment_signal: Notify::new(),
             check_signal: Notify::new(),
             check_done: Notify::new(),
+            reclaim_signal: Notify::new(),
             metrics,
             restore_signal: Notify::new(),
             stop_signal: Notify::new(),
@@ -89,6 +94,7 @@
             closes_idle: Cell::new(false),
             cuts_off_calls: Cell::new(false),
             is_ended: Cell::new(false),
+            endpoint_changes: Cell::new(0),
             callers: Cell::new(0),
         })
     }
@@ -109,7 +115,12 @@
         let has_endpoint_checks = gateway.has_endpoint_checks();
         let updates = gateway.take_quarantine_updates();
         let notices = gateway.take_endpoint_notices(now);
+        let has_endpoint_changes = gateway.take_endpoint_changes();
         drop(gateway);
+        if has_endpoint_changes {
+            self.endpoint_changes.set(self.endpoint_changes.get() + 1);
+            self.reclaim_signal.notify_waiters();
+        }
         for (peer, address, update) in updates {
             self.send_to_peer(&peer, address, PeerMessage::Quarantine(update));
         }
@@ -213,6 +224,11 @@
         self.stop_signal.notify_waiters();
     }
 
+    /// Returns the number of changes of endpoints so far.
+    pub(super) fn endpoint_changes(&self) -> u64 {
+        self.endpoint_changes.get()
+    }
+
     /// Returns the number of open caller connections.
     pub(super) fn callers(&self) -> usize {
         self.callers.get()
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -5,7 +5,7 @@
 use laburnumstall_core::decision::{Decision, DecisionKind};
 use laburnumstall_core::error::ErrorKind;
 use laburnumstall_core::gateway::AdmittedCall;
-use laburnumstall_core::units::Timestamp;
+use laburnumstall_core::units::{Bytes, Timestamp};
 use prometheus::{
     HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, Result, TextEncoder,
 };
@@ -86,8 +86,23 @@
     "Streams that callers took up, by what their software version was known from, or why they were refused.",
 );
 
+/// Moves of runs from reclaimed endpoints, by how they ended.
+pub const MOVES: MetricSpec = spec(
+    "laburnumstall_gateway_moves_total",
+    MetricKind::Counter,
+    &["result"],
+    "Moves of runs from reclaimed endpoints, by how they ended.",
+);
+/// Bytes of KV cache copied for moves.
+pub const MOVED_BYTES: MetricSpec = spec(
+    "laburnumstall_gateway_moved_bytes_total",
+    MetricKind::Counter,
+    &[],
+    "Bytes of KV cache that were copied for moves, at most.",
+);
+
 /// All gateway metrics, in the order of the reference page.
-pub const ALL: [MetricSpec; 10] = [
+pub const ALL: [MetricSpec; 12] = [
     REQUESTS,
     REFUSALS,
     DURATION,
@@ -98,6 +113,8 @@
     CALLERS,
     CLOSES,
     RESUMPTIONS,
+    MOVES,
+    MOVED_BYTES,
 ];
 
 /// Registry and metrics of one gateway.
@@ -114,6 +131,8 @@
     callers: IntGauge,
     closes: IntCounterVec,
     resumptions: IntCounterVec,
+    moves: IntCounterVec,
+    moved_bytes: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -135,6 +154,8 @@
             callers: register::gauge(&registry, &CALLERS)?,
             closes: register::counters(&registry, &CLOSES)?,
             resumptions: register::counters(&registry, &RESUMPTIONS)?,
+            moves: register::counters(&registry, &MOVES)?,
+            moved_bytes: register::counter(&registry, &MOVED_BYTES)?,
             registry,
         })
     }
@@ -188,6 +209,16 @@
         self.connections.inc();
     }
 
+    /// Counts the bytes of a copy of a KV cache.
+    pub fn copied(&self, size: Bytes) {
+        self.moved_bytes.inc_by(size.get());
+    }
+
+    /// Counts a move that has ended.
+    pub fn move_ended(&self, result: &str) {
+        self.moves.with_label_values(&[result]).inc();
+    }
+
     /// Sets the number of open caller connections.
     pub fn callers(&self, callers: usize) {
         self.callers.set(i64::try_from(callers).unwrap_or(i64::MAX));
--- a/crates/laburnumstalld/src/gateway/replacement.rs
+++ b/crates/laburnumstalld/src/gateway/replacement.rs
@@ -12,6 +12,7 @@
 
 use super::context::Context;
 use super::listener::Request;
+use super::reclaim::Reclaim;
 use super::stream;
 use super::upstream::{Response, SendFailure, SentRequest, send_request};
 use crate::event_buffer::EventBuffer;
@@ -26,6 +27,8 @@
 pub(super) struct Attempts {
     /// Attempt that serves the call.
     pub current: CallAttempt,
+    /// Move of the run from its endpoint, if that is reclaimed.
+    pub reclaim: Reclaim,
     replacement: Option<CallAttempt>,
     /// Sends of the call before the replacement.
     earlier_sends: u32,
@@ -67,9 +70,10 @@
 
 impl Attempts {
     /// Starts with one attempt.
-    pub(super) fn new(current: CallAttempt) -> Self {
+    pub(super) fn new(call: &AdmittedCall, current: CallAttempt) -> Self {
         Self {
             current,
+            reclaim: Reclaim::new(call),
             replacement: None,
             earlier_sends: 0,
         }
@@ -98,6 +102,8 @@
         failure: Option<CallFailure>,
     ) {
         if let Some(replacement) = self.replacement.take() {
+            let reclaim = std::mem::replace(&mut self.reclaim, Reclaim::new(call));
+            reclaim.close(cx, call, &self.current);
             let replaced = std::mem::replace(&mut self.current, replacement);
             let failure = failure.unwrap_or(CallFailure::Silent);
             cx.with_gateway(|gateway, now| gateway.on_replaced(now, call, replaced, failure));
@@ -129,7 +135,8 @@
     }
 
     /// Ends all but the current attempt.
-    pub(super) fn close(mut self, cx: &Context) -> CallAttempt {
+    pub(super) fn close(mut self, cx: &Context, call: &AdmittedCall) -> CallAttempt {
+        self.reclaim.close(cx, call, &self.current);
         if let Some(replacement) = self.replacement.take() {
             cx.with_gateway(|gateway, now| gateway.abandon(now, replacement, None));
         }
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -9,6 +9,7 @@
 use super::call::AttemptResult;
 use super::context::Context;
 use super::listener::{Request, SEND_TIMEOUT};
+use super::reclaim::Ready;
 use super::replacement::{Attempts, RaceResult, Start, race};
 use super::response::{connection_action, response_head, should_close};
 use super::upstream::{BodyFrame, Response};
@@ -63,6 +64,8 @@
     End,
     /// Another endpoint goes on with the stream.
     Replaced,
+    /// The move of the run from its endpoint has a next step.
+    Reclaim(Ready),
 }
 
 /// Forwards a stream until it ends or fails.
@@ -93,7 +96,26 @@
                 Ok(Input::Data) => {}
                 Ok(Input::End) => source.is_end = true,
                 Ok(Input::Replaced) => is_start_reported = false,
-                Err(failure) => return AttemptResult::Failed(failure, None),
+                Ok(Input::Reclaim(ready)) => {
+                    let (source, reclaim) = (&attempts.current, &mut attempts.reclaim);
+                    if let Some(run) = reclaim.on_ready(cx, call, source, ready) {
+                        return AttemptResult::Stopped(Box::new(run));
+                    }
+                }
+                Err(failure) => {
+                    let (source, reclaim) = (&attempts.current, &mut attempts.reclaim);
+                    return match reclaim.on_closed(cx, call, source).await {
+                        Some(run) => AttemptResult::Stopped(Box::new(run)),
+                        None => AttemptResult::Failed(failure, None),
+                    };
+                }
+            }
+        }
+        // The end of a stream that does not mark it may be that of a run that was stopped.
+        if source.is_end && !source.response.is_delimited() {
+            let (source, reclaim) = (&attempts.current, &mut attempts.reclaim);
+            if let Some(run) = reclaim.on_closed(cx, call, source).await {
+                return AttemptResult::Stopped(Box::new(run));
             }
         }
         let is_end = source.is_end;
@@ -195,7 +217,12 @@
         return source.next_input(cx).await;
     }
     loop {
-        if let Some(input) = stall.input(cx, source).await {
+        let input = tokio::select! {
+            biased;
+            input = stall.input(cx, source) => input,
+            ready = attempts.reclaim.ready(cx) => return Ok(Input::Reclaim(ready)),
+        };
+        if let Some(input) = input {
             return input;
         }
         let mut is_first = true;
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -429,13 +429,7 @@
             write_header(&mut out, &header.name, &header.value);
         }
     }
-    let added_headers = headers::for_endpoint(
-        cx.now(),
-        call,
-        &attempt.endpoint,
-        urgency(call),
-        resume_after,
-    );
+    let added_headers = headers::for_endpoint(cx.now(), call, attempt, urgency(call), resume_after);
     for (name, value) in added_headers {
         write_header(&mut out, name, value.as_bytes());
     }
