Tell peers when reclaimed endpoints end

Cause: four daemons of a fleet read the key-value store; the others learn registrations by messages whose layout does not hold the time that is left. They would assume the shortest notice and move runs that end in time, and each move takes a retry.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -77,8 +77,8 @@
 pub use quarantine_update::{ProcessCrash, QuarantineUpdate, SuspectClearance, SuspectHold};
 pub use quota::{QuotaLedger, QuotaUsage};
 pub use reclaim::{
-    KvHandle, KvSource, MoveLink, MoveReply, ReclaimChoice, ReclaimState, ReclaimStep, RunOutlook,
-    SourceOutlook, choose, transfer_share,
+    EndBroadcast, EndpointEnd, KvHandle, KvSource, MoveLink, MoveReply, ReclaimChoice,
+    ReclaimState, ReclaimStep, RunOutlook, SourceOutlook, choose, transfer_share,
 };
 pub use recovery::{CallFailure, FailureAction, RETRY_AFTER};
 pub use resumption::{COPIES, OriginAnswer, OriginLookup, OriginQuery, OriginReply};
--- a/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_notice.rs
@@ -358,7 +358,7 @@
             .end_silent_limits(now, max_age, &mut self.journal)
     }
 
-    fn set_notice(
+    pub(super) fn set_notice(
         &mut self,
         now: Timestamp,
         process: &EndpointProcess,
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -14,6 +14,7 @@
 use super::endpoint_notice::SharedNotice;
 use super::gossip::GossipMessage;
 use super::quarantine_update::QuarantineUpdate;
+use super::reclaim::EndpointEnd;
 use super::resumption::{OriginQuery, OriginReply};
 use super::stream_origin::OriginGroup;
 use super::view::ViewChange;
@@ -61,6 +62,8 @@
     Quarantine(QuarantineUpdate),
     /// What endpoints say of themselves.
     Notices(Vec<SharedNotice>),
+    /// When reclaimed endpoints end.
+    EndpointEnds(Vec<EndpointEnd>),
 }
 
 /// Encoding of what follows [`EXTENSION`]; variants are added at the end.
@@ -77,6 +80,7 @@
         StoreEra,
     ),
     Notices(Cow<'a, [SharedNotice]>),
+    EndpointEnds(Cow<'a, [EndpointEnd]>),
 }
 
 impl Serialize for PeerMessage {
@@ -96,6 +100,7 @@
             Self::Answer(reply) => Extension::Answer(Cow::Borrowed(reply)),
             Self::Quarantine(update) => Extension::Quarantine(Cow::Borrowed(update)),
             Self::Notices(notices) => Extension::Notices(Cow::Borrowed(notices)),
+            Self::EndpointEnds(ends) => Extension::EndpointEnds(Cow::Borrowed(ends)),
         };
         (EXTENSION, extension).serialize(serializer)
     }
@@ -135,6 +140,7 @@
                 Extension::Answer(reply) => PeerMessage::Answer(reply.into_owned()),
                 Extension::Quarantine(update) => PeerMessage::Quarantine(update.into_owned()),
                 Extension::Notices(notices) => PeerMessage::Notices(notices.into_owned()),
+                Extension::EndpointEnds(ends) => PeerMessage::EndpointEnds(ends.into_owned()),
             });
         }
         Ok(PeerMessage::Gossip(GossipMessage {
--- a/crates/laburnumstall-core/src/gateway/reclaim.rs
+++ b/crates/laburnumstall-core/src/gateway/reclaim.rs
@@ -5,6 +5,7 @@
 //! counted from the first copy on.
 
 mod choice;
+mod ends;
 mod pace;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 use crate::text_id;
 use crate::units::{Bytes, Timestamp};
 pub use choice::{MoveLink, ReclaimChoice, RunOutlook, SourceOutlook, choose, transfer_share};
+pub use ends::{EndBroadcast, EndpointEnd};
 use pace::StreamLengths;
 
 /// Shortest notice that the platform gives, assumed where the end of one is not known.
@@ -94,6 +96,7 @@
     lengths: StreamLengths,
     /// Moves in progress, by source.
     moves: BTreeMap<EndpointProcess, u32>,
+    outbox: ends::EndOutbox,
     /// Whether endpoints have changed since runs were last told.
     has_changes: bool,
 }
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -76,6 +76,7 @@
 
     /// Applies an endpoint's entry.
     pub fn on_endpoint(&mut self, now: Timestamp, record: EndpointRecord) {
+        self.note_end(now, &record);
         if self.endpoints.on_entry(now, record, &mut self.journal) {
             self.refresh_endpoints(now);
             self.observe_versions(now);
@@ -96,6 +97,9 @@
 
     /// Replaces the endpoints with a complete list.
     pub fn on_endpoints(&mut self, now: Timestamp, records: Vec<EndpointRecord>) {
+        for record in &records {
+            self.note_end(now, record);
+        }
         let is_after_outage = self.freshness.had_outage(now, EXPIRY_DELAY);
         if self
             .endpoints
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod call_admission;
 mod crash_evidence;
+mod endpoint_ends;
 mod endpoint_limits;
 mod endpoint_pauses;
 mod endpoint_scaling;
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -115,6 +115,7 @@
         let has_endpoint_checks = gateway.has_endpoint_checks();
         let updates = gateway.take_quarantine_updates();
         let notices = gateway.take_endpoint_notices(now);
+        let ends = gateway.take_endpoint_ends(now);
         let has_endpoint_changes = gateway.take_endpoint_changes();
         drop(gateway);
         if has_endpoint_changes {
@@ -130,6 +131,12 @@
                 self.send_to_peer(&peer, address, message);
             }
         }
+        if let Some(broadcast) = ends {
+            for (peer, address) in broadcast.peers {
+                let message = PeerMessage::EndpointEnds(broadcast.ends.clone());
+                self.send_to_peer(&peer, address, message);
+            }
+        }
         if has_endpoint_checks {
             self.check_signal.notify_one();
         }
