Compare the choice for reclaimed runs with cutting all and with a perfect one

Cause: the end of a notice was taken to be the whole read interval earlier than the entry says, so that on notices of 1 s twice as many runs moved as necessary and their copies met on the links.

Change: half of the interval is taken off. A test plays one and three reclaimed zones, notices of 0.5 to 5 s and 10 to 600 runs on the links of both deployments, against cutting all runs and against a choice that knows all lengths.

--- a/crates/laburnumstall-core/src/gateway/endpoint_table.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_table.rs
@@ -28,9 +28,9 @@
 /// Time for which a process that is not listed is remembered: longer than a copy of the store, or
 /// a message of a peer, can be old.
 pub(super) const ABSENCE_RETENTION: Duration = Duration::from_secs(60);
-/// Time that an entry may take until a daemon learns of it: the interval at which changes of the
+/// Time that an entry takes until a daemon learns of it: half of the interval at which changes of the
 /// store are read. No more than half of the time that is left is taken off for it.
-const NEWS_DELAY: Duration = Duration::from_millis(500);
+const NEWS_DELAY: Duration = Duration::from_millis(250);
 /// Time after a restore in which the entry of a process that was gone is not relied on: a live
 /// endpoint writes it again, and the platform removes that of another one, after three missed
 /// heartbeats.
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod peer_messages;
 mod planned_stop;
 mod quota_sharing;
+mod reclaimed_zones;
 mod restored_store;
 mod retry_shares;
 mod silent_attempts;
