--- a/crates/laburnumstall-core/src/gateway/reclaim.rs
+++ b/crates/laburnumstall-core/src/gateway/reclaim.rs
@@ -266,10 +266,20 @@
         if !self.load_balancer.take_reserved(now, destination) {
             return Err("destination-gone");
         }
-        match self.retry_window(now, &call.service).try_retry(now) {
-            true => Ok(()),
-            false => Err("retry-window-full"),
+        let retries = self.retry_window(now, &call.service);
+        let may_retry = retries.try_retry(now);
+        let (retries, allowed) = retries.usage(now);
+        if !may_retry {
+            return Err("retry-window-full");
         }
+        self.journal.record(
+            move_decision(now, "stop", "copied", call, source)
+                .with("to", &destination.endpoint)
+                .with("retries", retries)
+                .with("allowed", allowed)
+                .with("daemons", 1 + self.peer_table.len()),
+        );
+        Ok(())
     }
 
     /// Ends a move after which the run goes on where it was, or has ended there.
@@ -321,7 +331,11 @@
         destination: CallAttempt,
         handle: &KvHandle,
     ) -> CallAttempt {
-        self.on_move_ended(now, call, &source, destination, "no-room");
+        self.journal.record(
+            move_decision(now, "kept", "no-room", call, &source).with("to", &destination.endpoint),
+        );
+        self.reclaims.end_move(&source.process());
+        self.end_attempt(now, destination, None);
         call.is_outstanding = false;
         call.executions += u32::from(!source.is_continued);
         source.kv_source = Some(kv_source(&source, handle));
