Remove the export of KV caches from the interface of engines

Cause: nothing called EndpointClient::{export_kv, import_kv}. They fetch a cache that an engine offers, while the move of a run has to stop it and to continue from the last event, which the attempts of this interface do not do.

--- a/crates/laburnumstall-outside/src/endpoint.rs
+++ b/crates/laburnumstall-outside/src/endpoint.rs
@@ -17,7 +17,7 @@
 
 pub use body::{engine_body, engine_path};
 pub use chunk::{ChunkDecoder, EngineChoice, EngineChunk, EngineDelta, EngineError, EngineUsage};
-pub use control::{CacheChange, CacheEvent, CachePage, KvExport, KvImport, KvImported, KvOffer};
+pub use control::{CacheChange, CacheEvent, CachePage};
 pub use failure::AttemptFailure;
 pub use http::HttpEndpointClient;
 pub use prompt::prompt_text;
@@ -47,10 +47,6 @@
     pub const ORDERS: &str = "/orders";
     /// Streams by attempt: GET with `after` attaches, DELETE cancels.
     pub const STREAMS: &str = "/v1/streams";
-    /// Export of a stream's KV cache: POST.
-    pub const KV_EXPORT: &str = "/kv/export";
-    /// Import of an exported KV cache: POST.
-    pub const KV_IMPORT: &str = "/kv/import";
 }
 
 /// Names of the headers that an attempt carries.
@@ -157,20 +153,6 @@
         order: &EndpointOrder,
     ) -> impl Future<Output = Result<OrderReply, CallFailure>>;
 
-    /// Asks an engine to offer a stream's KV cache to others.
-    fn export_kv(
-        &self,
-        address: SocketAddr,
-        attempt: &AttemptId,
-    ) -> impl Future<Output = Result<KvExport, CallFailure>>;
-
-    /// Asks an engine to fetch a KV cache from another.
-    fn import_kv(
-        &self,
-        address: SocketAddr,
-        import: &KvImport,
-    ) -> impl Future<Output = Result<KvImported, CallFailure>>;
-
     /// Forgets the pooled connections to an address; running attempts keep theirs.
     fn drop_connections(&self, address: SocketAddr);
 }
--- a/crates/laburnumstall-outside/src/endpoint/http.rs
+++ b/crates/laburnumstall-outside/src/endpoint/http.rs
@@ -8,7 +8,7 @@
 use awc::http::Method;
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use laburnumstall_core::cloud::{CallFailure, EndpointOrder, OrderReply};
 use laburnumstall_core::ids::{AttemptId, EventIndex};
 use laburnumstall_core::request::{AnswerEvent, Request};
@@ -21,8 +21,8 @@
     Reporter, Stop, content_type, relay_plain, relay_stream, send_failure, status_failure,
 };
 use super::{
-    AttemptFailure, CachePage, EndpointCall, EndpointClient, EndpointEvent, KvExport, KvImport,
-    KvImported, KvOffer, StreamAttach, engine_body, engine_path, headers, paths,
+    AttemptFailure, CachePage, EndpointCall, EndpointClient, EndpointEvent, StreamAttach,
+    engine_body, engine_path, headers, paths,
 };
 use crate::cloud::call_failure;
 use crate::http::{HttpFailure, HttpSettings, JsonClient, encode_segment, new_client};
@@ -216,26 +216,6 @@
             .await
     }
 
-    async fn export_kv(
-        &self,
-        address: SocketAddr,
-        attempt: &AttemptId,
-    ) -> Result<KvExport, CallFailure> {
-        let stream = format_compact!("{attempt}");
-        let offer = KvOffer { stream };
-        self.control(Method::POST, address, paths::KV_EXPORT, Some(&offer))
-            .await
-    }
-
-    async fn import_kv(
-        &self,
-        address: SocketAddr,
-        import: &KvImport,
-    ) -> Result<KvImported, CallFailure> {
-        self.control(Method::POST, address, paths::KV_IMPORT, Some(import))
-            .await
-    }
-
     fn drop_connections(&self, address: SocketAddr) {
         self.pools.borrow_mut().remove(&address);
     }
