Keep the time of a copy when the end of the notice changes, and half a pause for the destination

Cause: an earlier end that a peer tells did not bring the chosen beginning of a copy forward. A request that stops a run could take the whole pause that the route allows, and a stream without event ids could be stopped.

Change: the beginning chosen first holds, but not beyond the latest time that the end leaves. The request that stops a run times out after half a pause, and the call goes on with the first copy. Runs without event ids stay.

--- a/crates/laburnumstall-core/src/gateway/reclaim.rs
+++ b/crates/laburnumstall-core/src/gateway/reclaim.rs
@@ -178,6 +178,7 @@
             size: Bytes(tokens.saturating_mul(backend.token_size.get())),
             remaining,
             done,
+            begins_at: state.begins_at,
             recompute: prefill_time(prompt.tokens, sum_tokens(shared)),
         };
         let excluded: Vec<EndpointId> = call.tried.iter().chain(&state.refused).cloned().collect();
@@ -195,12 +196,12 @@
             rate: backend.link_rate,
             is_cross_zone: destination.is_cross_zone,
         });
-        let mut choice = match recovery::may_move(now, call) {
+        let choice = match recovery::may_move(now, call) {
             Ok(()) => choose(now, &run, &outlook, link),
             Err(reason) => ReclaimChoice::Stay(reason),
         };
-        if let ReclaimChoice::Move(at) = &mut choice {
-            *at = *state.begins_at.get_or_insert(*at);
+        if let ReclaimChoice::Move(at) = choice {
+            state.begins_at = Some(at);
         }
         if state.logged.replace(choice.names()) != Some(choice.names()) {
             let (name, reason) = choice.names();
--- a/crates/laburnumstall-core/src/gateway/reclaim/choice.rs
+++ b/crates/laburnumstall-core/src/gateway/reclaim/choice.rs
@@ -24,6 +24,8 @@
     pub remaining: Duration,
     /// Part of its events that have come, from 0 to 1.
     pub done: f64,
+    /// When its copy was to begin, if that was chosen before.
+    pub begins_at: Option<Timestamp>,
     /// Time to prefill its tokens at another endpoint.
     pub recompute: Duration,
 }
@@ -104,8 +106,11 @@
     let Some(latest) = latest.map(|spare| now.after(spare)) else {
         return ReclaimChoice::Stay("no-time");
     };
-    let window = window(run, source, transfer).min(latest.since(source.since));
-    let begin = source.since.after(window.mul_f64(run.done.clamp(0.0, 1.0)));
+    // The order among runs would be lost if each began later the more it has done meanwhile.
+    let begin = run.begins_at.unwrap_or_else(|| {
+        let window = window(run, source, transfer).min(latest.since(source.since));
+        source.since.after(window.mul_f64(run.done.clamp(0.0, 1.0)))
+    });
     ReclaimChoice::Move(begin.min(latest).max(now))
 }
 
--- a/crates/laburnumstalld/src/gateway/reclaim.rs
+++ b/crates/laburnumstalld/src/gateway/reclaim.rs
@@ -22,8 +22,8 @@
 
 /// Timeout of a copy during which the run goes on.
 const COPY_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout of a copy for which the run stops, for routes without a target for pauses.
-const STOP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest pause of streams whose route does not set one.
+const DEFAULT_LONGEST_PAUSE: Duration = Duration::from_millis(300);
 /// Time within which the stream of a run that was stopped closes.
 const DRAIN_TIME: Duration = Duration::from_millis(50);
 /// Delay before another move of a run is tried.
@@ -355,7 +355,8 @@
         is_last,
     };
     let limit = match is_last {
-        true => call.route.longest_pause.unwrap_or(STOP_TIMEOUT),
+        // The other half is left for the destination, which has the first copy in any case.
+        true => call.route.longest_pause.unwrap_or(DEFAULT_LONGEST_PAUSE) / 2,
         false => COPY_TIMEOUT,
     };
     let (source, to) = (source.address, destination.address);
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -220,7 +220,10 @@
         let input = tokio::select! {
             biased;
             input = stall.input(cx, source) => input,
-            ready = attempts.reclaim.ready(cx) => return Ok(Input::Reclaim(ready)),
+            // A stream whose events have no ids cannot go on elsewhere.
+            ready = attempts.reclaim.ready(cx), if progress.resume_after().is_some() => {
+                return Ok(Input::Reclaim(ready));
+            }
         };
         if let Some(input) = input {
             return input;
