--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod call_admission;
 mod crash_evidence;
+mod endpoint_ends;
 mod endpoint_limits;
 mod endpoint_pauses;
 mod endpoint_scaling;
@@ -16,6 +17,7 @@
 mod peer_messages;
 mod planned_stop;
 mod quota_sharing;
+mod reclaimed_zones;
 mod restored_store;
 mod retry_shares;
 mod silent_attempts;
