Return the relative time of an endpoint for scaling by capacity

Scaling by capacity needs the time that each endpoint takes relative to its service's typical time. Gateway::endpoint_speed and LoadBalancer::speed return it, for now from this daemon's own calls.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -47,7 +47,7 @@
 use std::time::Duration;
 
 use crate::decision::{Decision, Journal};
-use crate::ids::{AvailabilityZone, DaemonId, ServiceName};
+use crate::ids::{AvailabilityZone, DaemonId, EndpointId, ServiceName};
 use crate::limits::{DelayedShare, RetryWindow};
 use crate::quarantine::CrashTally;
 use crate::units::Timestamp;
@@ -242,6 +242,12 @@
             .collect()
     }
 
+    /// Returns the time that an endpoint takes relative to the typical time of its service; 1.0 if
+    /// unknown.
+    pub fn endpoint_speed(&self, id: &EndpointId) -> f64 {
+        self.load_balancer.speed(id)
+    }
+
     fn version(&self) -> u64 {
         self.routing_table
             .as_ref()
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -260,6 +260,26 @@
         )
     }
 
+    /// Returns the time that an endpoint takes relative to the typical time of its service; 1.0 if
+    /// unknown. Typical is the harmonic mean of the endpoints' times, so that the capacities of a
+    /// service's endpoints, the inverse of this, add up to their number.
+    pub fn speed(&self, id: &EndpointId) -> f64 {
+        let is_endpoint = |endpoint: &&EndpointState| endpoint.process.id == *id;
+        let find = |endpoints: &[EndpointState]| {
+            endpoints
+                .iter()
+                .find(is_endpoint)
+                .map(EndpointState::time_factor)
+        };
+        let mut services = self.services.values();
+        let found = services.find_map(|endpoints| Some((find(endpoints)?, endpoints)));
+        let Some((factor, endpoints)) = found else {
+            return 1.0;
+        };
+        let capacity: f64 = endpoints.iter().map(|e| e.time_factor().recip()).sum();
+        factor * capacity / endpoints.len() as f64
+    }
+
     /// Selects an endpoint for a call; `None` if no endpoint can take it.
     pub fn select(&mut self, now: Timestamp, query: &EndpointQuery<'_>) -> Option<CallAttempt> {
         let endpoints = self.services.get(query.service)?;
--- a/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
@@ -83,6 +83,11 @@
         self.version.clone_from(&record.version);
     }
 
+    /// Returns the time that calls take relative to the prefill model.
+    pub(super) fn time_factor(&self) -> f64 {
+        self.latency_factor
+    }
+
     /// Returns the calls in flight, of this daemon and of its peers.
     pub(super) fn calls(&self) -> u32 {
         self.own_work.calls.saturating_add(self.peer_work.calls)
