Learn the speeds of endpoints in the fleet, and weight owners by them

Shared prefixes went to owners of equal weight, so that an endpoint that takes 1.7 times the time got as many as one that takes 0.7 times, and each daemon learned latency factors from its own few calls (one in ten seconds of each endpoint with 86 daemons).

Daemons now send each other sums of expected and measured times (PeerMessage::EndpointSpeeds, to peers of protocol 3). The quotient is the lasting speed of a process. Owners are chosen by rendezvous hashing with weight 1 / time in held steps of a quarter, and expected times use the speed. Where speeds do not differ, all is as before; without an engine in the configuration nothing is learned or sent.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -14,6 +14,7 @@
 mod demand;
 mod directory;
 mod endpoint_limiter;
+mod endpoint_model;
 mod endpoint_notice;
 mod endpoint_table;
 mod freshness;
@@ -56,6 +57,7 @@
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
 pub use demand::DemandCounter;
 pub use endpoint_limiter::EndpointLimiter;
+pub use endpoint_model::{ProcessKey, ProcessTimes, SpeedBroadcast};
 pub use endpoint_notice::{
     EndpointLimit, EndpointNotice, LimitNotice, NoticeBroadcast, SharedNotice,
 };
@@ -121,6 +123,7 @@
     view: view::StoreView,
     endpoints: EndpointTable,
     notice_outbox: endpoint_notice::NoticeOutbox,
+    speed_outbox: endpoint_model::SpeedOutbox,
     return_schedules: std::collections::BTreeMap<ServiceName, endpoint_limiter::ReturnSchedule>,
     load_balancer: LoadBalancer,
     peer_table: PeerTable,
@@ -164,6 +167,7 @@
             view: view::StoreView::default(),
             endpoints: EndpointTable::default(),
             notice_outbox: endpoint_notice::NoticeOutbox::default(),
+            speed_outbox: endpoint_model::SpeedOutbox::default(),
             return_schedules: std::collections::BTreeMap::new(),
             load_balancer: LoadBalancer::new(zone),
             peer_table: PeerTable::default(),
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -10,6 +10,8 @@
 
 mod candidates;
 mod endpoint_state;
+mod score;
+mod speeds;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -17,15 +19,16 @@
 
 use super::call::Prompt;
 use super::endpoint_limiter::EndpointLimiter;
+use super::endpoint_model::Sample;
 use super::endpoint_notice::EndpointLimit;
 use super::endpoint_table::{EndpointProcess, EndpointTable};
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::CallOutcome;
-use super::prefill::prefill_time;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 use candidates::candidates;
 use endpoint_state::{AbsentProcesses, EndpointState, Work};
+use speeds::ServiceSpeeds;
 
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
 /// parts.
@@ -77,6 +80,7 @@
     /// When the first token or the response arrived.
     pub first_output_at: Option<Timestamp>,
     prefill: Duration,
+    sample: Sample,
 }
 
 /// Selects endpoints, and tracks their load and health.
@@ -86,6 +90,7 @@
     services: BTreeMap<ServiceName, Vec<EndpointState>>,
     absent: AbsentProcesses,
     has_limits: bool,
+    speeds: ServiceSpeeds,
 }
 
 /// Call that needs an endpoint.
@@ -112,6 +117,7 @@
     prefill: Duration,
     expected: Duration,
     cost: Duration,
+    sample: Sample,
 }
 
 impl LoadBalancer {
@@ -122,6 +128,7 @@
             services: BTreeMap::new(),
             absent: AbsentProcesses::default(),
             has_limits: false,
+            speeds: ServiceSpeeds::default(),
         }
     }
 
@@ -260,26 +267,6 @@
         )
     }
 
-    /// Returns the time that an endpoint takes relative to the typical time of its service; 1.0 if
-    /// unknown. Typical is the harmonic mean of the endpoints' times, so that the capacities of a
-    /// service's endpoints, the inverse of this, add up to their number.
-    pub fn speed(&self, id: &EndpointId) -> f64 {
-        let is_endpoint = |endpoint: &&EndpointState| endpoint.process.id == *id;
-        let find = |endpoints: &[EndpointState]| {
-            endpoints
-                .iter()
-                .find(is_endpoint)
-                .map(EndpointState::time_factor)
-        };
-        let mut services = self.services.values();
-        let found = services.find_map(|endpoints| Some((find(endpoints)?, endpoints)));
-        let Some((factor, endpoints)) = found else {
-            return 1.0;
-        };
-        let capacity: f64 = endpoints.iter().map(|e| e.time_factor().recip()).sum();
-        factor * capacity / endpoints.len() as f64
-    }
-
     /// Selects an endpoint for a call; `None` if no endpoint can take it.
     pub fn select(&mut self, now: Timestamp, query: &EndpointQuery<'_>) -> Option<CallAttempt> {
         let endpoints = self.services.get(query.service)?;
@@ -309,6 +296,7 @@
             cached: best.cached,
             is_owner: best.is_owner,
             prefill: best.prefill,
+            sample: best.sample,
             first_output_at: None,
         })
     }
@@ -320,16 +308,24 @@
         }
         attempt.first_output_at = Some(now);
         let elapsed = now.since(attempt.started_at);
+        let is_enabled = self.speeds.is_enabled();
         let Some(endpoint) = self.find(attempt) else {
             return;
         };
         endpoint.own_work.prefill = endpoint.own_work.prefill.saturating_sub(attempt.prefill);
+        if is_enabled {
+            endpoint.speed.on_call(now, &attempt.sample, elapsed);
+        }
         if attempt.prefill.is_zero() {
             endpoint.mean_duration = endpoint.mean_duration.mul_f64(1.0 - NEWEST_WEIGHT)
                 + elapsed.mul_f64(NEWEST_WEIGHT);
         } else {
-            let measured_factor = endpoint.latency_factor * elapsed.as_secs_f64()
-                / attempt.expected.as_secs_f64().max(0.001);
+            let (factor, expected) = match attempt.sample.is_by_speed {
+                true => (1.0, attempt.sample.expected),
+                false => (endpoint.latency_factor, attempt.expected),
+            };
+            let measured_factor =
+                factor * elapsed.as_secs_f64() / expected.as_secs_f64().max(0.001);
             let latency_factor =
                 endpoint.latency_factor * (1.0 - NEWEST_WEIGHT) + measured_factor * NEWEST_WEIGHT;
             endpoint.latency_factor =
@@ -376,51 +372,4 @@
             .find(|endpoint| endpoint.process == process)
             .or_else(|| self.absent.get_mut(&process))
     }
-
-    fn score(
-        &self,
-        now: Timestamp,
-        endpoint: &EndpointState,
-        index: usize,
-        is_owner: bool,
-        query: &EndpointQuery<'_>,
-    ) -> ScoredEndpoint {
-        let zone_cost = match endpoint.zone == self.zone {
-            true => Duration::ZERO,
-            false => CROSS_ZONE_COST,
-        };
-        let calls = endpoint.calls();
-        let missing_slots = calls.saturating_add(1).saturating_sub(endpoint.slots);
-        let slot_wait = endpoint.mean_duration * missing_slots / endpoint.slots;
-        let Some(prompt) = query.prompt else {
-            let expected = slot_wait + endpoint.mean_duration;
-            let busy_cost = endpoint.mean_duration * calls / endpoint.slots;
-            return ScoredEndpoint {
-                index,
-                is_owner,
-                cached: 0,
-                prefill: Duration::ZERO,
-                expected,
-                cost: expected + busy_cost + zone_cost + endpoint.health.cost(now),
-            };
-        };
-        let cached = endpoint.cached(now, prompt, is_owner);
-        let prefill = prefill_time(prompt.tokens, cached);
-        let waiting = endpoint.own_work.prefill + endpoint.peer_work.prefill;
-        let expected = (waiting + prefill + RUNNING_CALL_COST * calls)
-            .mul_f64(endpoint.latency_factor)
-            + FIRST_STEP;
-        ScoredEndpoint {
-            index,
-            is_owner,
-            cached,
-            prefill,
-            expected: expected + slot_wait,
-            cost: expected
-                + slot_wait
-                + prefill * PREFILL_WEIGHT
-                + zone_cost
-                + endpoint.health.cost(now),
-        }
-    }
 }
--- a/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
@@ -53,7 +53,21 @@
         return usable;
     };
     let key = prompt.hash_key().unwrap_or(query.seed);
-    usable.sort_unstable_by_key(|index| Reverse(rendezvous_weight(key, endpoints[*index].hash)));
+    let hash = |index: &usize| rendezvous_weight(key, endpoints[*index].hash);
+    if endpoints.iter().all(|e| e.speed.owner_time() == 1.0) {
+        usable.sort_unstable_by_key(|index| Reverse(hash(index)));
+    } else {
+        let score =
+            |index: &usize| weighted_score(hash(index), endpoints[*index].speed.owner_time());
+        usable.sort_by_cached_key(score);
+    }
     usable.truncate(OWNERS);
     usable
 }
+
+/// Returns the score of an owner with the weight 1 / `time`; the lowest scores own a part. The
+/// bits of a positive float are ordered as the float.
+fn weighted_score(hash: u64, time: f64) -> u64 {
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    (-uniform.ln() * time).to_bits()
+}
--- a/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
@@ -7,6 +7,7 @@
 use super::{INITIAL_DURATION, MAX_RECORDED_PARTS, PART_TTL};
 use crate::gateway::call::{Prompt, sum_tokens};
 use crate::gateway::endpoint_limiter::EndpointLimiter;
+use crate::gateway::endpoint_model::{ProcessKey, ProcessSpeed};
 use crate::gateway::endpoint_table::{ABSENCE_RETENTION, EndpointEntry, EndpointProcess};
 use crate::gateway::gossip::EndpointKey;
 use crate::gateway::health::Health;
@@ -32,6 +33,7 @@
     pub(super) paused_until: Timestamp,
     pub(super) version: Option<SoftwareVersion>,
     pub(super) key: EndpointKey,
+    pub(super) process_key: ProcessKey,
     pub(super) hash: u64,
     pub(super) own_work: Work,
     pub(super) peer_work: Work,
@@ -39,6 +41,8 @@
     pub(super) latency_factor: f64,
     /// Moving average of the duration of calls without a prompt.
     pub(super) mean_duration: Duration,
+    /// Speed of the process, from the calls of all daemons.
+    pub(super) speed: ProcessSpeed,
     pub(super) health: Health,
     recorded_parts: HashMap<u64, Timestamp>,
 }
@@ -63,11 +67,13 @@
             paused_until: Timestamp::ZERO,
             version: record.version.clone(),
             key: EndpointKey(hash as u32),
+            process_key: ProcessKey::of(&record.process()),
             hash,
             own_work: Work::default(),
             peer_work: Work::default(),
             latency_factor: 1.0,
             mean_duration: INITIAL_DURATION,
+            speed: ProcessSpeed::default(),
             health: Health::default(),
             recorded_parts: HashMap::new(),
         }
@@ -83,11 +89,6 @@
         self.version.clone_from(&record.version);
     }
 
-    /// Returns the time that calls take relative to the prefill model.
-    pub(super) fn time_factor(&self) -> f64 {
-        self.latency_factor
-    }
-
     /// Returns the calls in flight, of this daemon and of its peers.
     pub(super) fn calls(&self) -> u32 {
         self.own_work.calls.saturating_add(self.peer_work.calls)
--- /dev/null
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/score.rs
@@ -0,0 +1,85 @@
+//! Expected time to the first output, and cost, of a call at an endpoint.
+
+use std::time::Duration;
+
+use super::endpoint_state::EndpointState;
+use super::{
+    CROSS_ZONE_COST, EndpointQuery, FIRST_STEP, INITIAL_DURATION, LoadBalancer, PREFILL_WEIGHT,
+    RUNNING_CALL_COST, ScoredEndpoint,
+};
+use crate::gateway::call::sum_tokens;
+use crate::gateway::endpoint_model::Sample;
+use crate::gateway::prefill::prefill_time;
+use crate::units::Timestamp;
+
+impl LoadBalancer {
+    pub(super) fn score(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointState,
+        index: usize,
+        is_owner: bool,
+        query: &EndpointQuery<'_>,
+    ) -> ScoredEndpoint {
+        let zone_cost = match endpoint.zone == self.zone {
+            true => Duration::ZERO,
+            false => CROSS_ZONE_COST,
+        };
+        let calls = endpoint.calls();
+        let missing_slots = calls.saturating_add(1).saturating_sub(endpoint.slots);
+        let factor = endpoint.speed.current(now);
+        let Some(prompt) = query.prompt else {
+            let mean = factor.map_or(endpoint.mean_duration, |f| INITIAL_DURATION.mul_f64(f));
+            let expected = mean * missing_slots / endpoint.slots + mean;
+            let busy_cost = mean * calls / endpoint.slots;
+            let sample_expected =
+                INITIAL_DURATION + INITIAL_DURATION * missing_slots / endpoint.slots;
+            return ScoredEndpoint {
+                index,
+                is_owner,
+                cached: 0,
+                prefill: Duration::ZERO,
+                expected,
+                cost: expected + busy_cost + zone_cost + endpoint.health.cost(now),
+                sample: Sample {
+                    own: INITIAL_DURATION,
+                    expected: sample_expected,
+                    is_usable: missing_slots == 0,
+                    is_by_speed: factor.is_some(),
+                },
+            };
+        };
+        let slot_wait = endpoint.mean_duration * missing_slots / endpoint.slots;
+        let cached = endpoint.cached(now, prompt, is_owner);
+        let prefill = prefill_time(prompt.tokens, cached);
+        let waiting = endpoint.own_work.prefill + endpoint.peer_work.prefill;
+        let ahead = waiting + prefill + RUNNING_CALL_COST * calls;
+        let (expected, prefill_cost) = match factor {
+            Some(factor) => (
+                (ahead + FIRST_STEP).mul_f64(factor),
+                (prefill * PREFILL_WEIGHT).mul_f64(factor),
+            ),
+            None => (
+                ahead.mul_f64(endpoint.latency_factor) + FIRST_STEP,
+                prefill * PREFILL_WEIGHT,
+            ),
+        };
+        // Other daemons may have sent the shared parts here as well.
+        let is_cache_known = cached >= sum_tokens(prompt.shared().iter()).min(prompt.tokens);
+        let sample = Sample {
+            own: prefill + FIRST_STEP,
+            expected: ahead + FIRST_STEP,
+            is_usable: missing_slots == 0 && is_cache_known,
+            is_by_speed: factor.is_some(),
+        };
+        ScoredEndpoint {
+            index,
+            is_owner,
+            cached,
+            prefill,
+            expected: expected + slot_wait,
+            cost: expected + slot_wait + prefill_cost + zone_cost + endpoint.health.cost(now),
+            sample,
+        }
+    }
+}
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -44,6 +44,7 @@
             let longest_stream = resumable.map(|route| route.timeout).max();
             self.versions
                 .set_longest_stream(longest_stream.unwrap_or_default());
+            self.load_balancer.set_services(&rules.services);
             self.routing_table = Some(RoutingTable::new(rules));
         }
         is_newer
@@ -214,6 +215,7 @@
         self.load_balancer
             .set_peer_work(self.peer_table.reachable(now));
         self.update_member_count(now);
+        self.load_balancer.update_speeds(now, &mut self.journal);
         self.share_limits(now);
         let mut is_changed = self.endpoints.end_doubt(now, &mut self.journal);
         is_changed |= self.end_silent_limits(now);
--- /dev/null
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_speeds.rs
@@ -0,0 +1,230 @@
+//! Speeds of endpoints, learned by a fleet, and the work that they get.
+
+use crate::engine_fleet::{Outcome, Scenario, balancer, engine_id, play, record, table};
+use crate::support::{at, daemon, gateway_of, member, prompt, rules};
+use laburnumstall_core::decision::{DecisionKind, Journal};
+use laburnumstall_core::gateway::{
+    EndpointQuery, LoadBalancer, PeerMessage, PeerProtocol, ProcessKey, ProcessTimes,
+};
+use laburnumstall_core::prelude::*;
+
+/// Returns the engines of deployment B: two thirds take 0.7 times the time, one third 1.7 times.
+fn uneven() -> Vec<f64> {
+    (0..60)
+        .map(|n| if n % 3 == 2 { 1.7 } else { 0.7 })
+        .collect()
+}
+
+fn played(times: &[f64], learns: Option<bool>, change: impl FnOnce(&mut Scenario)) -> Outcome {
+    let mut scenario = Scenario::new(times.to_vec());
+    scenario.learns = learns;
+    change(&mut scenario);
+    play(&scenario)
+}
+
+fn owner(balancer: &mut LoadBalancer, part: u64) -> EndpointId {
+    let query = EndpointQuery {
+        service: &"model".parse().unwrap(),
+        prompt: Some(&prompt(part, 5_000, 1_000)),
+        seed: 1,
+        version: None,
+        admitted: None,
+        excluded: &[],
+    };
+    let attempt = balancer.select(at(60_000), &query).unwrap();
+    let endpoint = attempt.endpoint.clone();
+    balancer.end(at(60_000), attempt, None);
+    endpoint
+}
+
+/// Owners had equal weights, so that engines that take 1.7 times the time got as many prompts as
+/// those that take 0.7 times, and first tokens waited for them. 86 daemons, deployment B.
+#[test]
+fn slow_engines_get_less() {
+    for times in [uneven(), (0..60).map(|n| [0.7, 1.0, 1.7][n % 3]).collect()] {
+        let [new, old, central] =
+            [Some(true), Some(false), None].map(|learns| played(&times, learns, |_| ()));
+        for (name, outcome) in [("new", &new), ("old", &old), ("central", &central)] {
+            let shares = [0.7, 1.0, 1.7].map(|time| outcome.share(&times, time));
+            let [p50, p99] = [0.5, 0.99].map(|part| outcome.quantile(part));
+            println!("{name}: shares {shares:.2?}, p50 {p50:.0} ms, p99 {p99:.0} ms");
+        }
+        println!(
+            "{:?}",
+            new.journal.decisions().first().map(|d| d.at.since(at(0)))
+        );
+        println!("{} B/s", new.sent_bytes / 86 / 60);
+        let capacity = times.iter().map(|time| time.recip()).sum::<f64>() / 60.0;
+        let fair = 1.7_f64.recip() / capacity;
+        assert!(new.share(&times, 1.7) < fair * 1.1);
+        assert!(new.quantile(0.99) < old.quantile(0.99));
+        let learned = |time: f64| {
+            let engines = (0..60).filter(|n| times[*n] == time);
+            let speeds: Vec<f64> = engines
+                .map(|n| new.balancers[3].speed(&engine_id(n)))
+                .collect();
+            speeds.iter().sum::<f64>() / speeds.len() as f64
+        };
+        // Within two steps of a weight.
+        assert!(learned(1.7) / learned(0.7) > 1.7 / 0.7 / 1.25 / 1.25);
+    }
+}
+
+/// Queues of popular prefixes made engines of even speed look slow, and moved their parts.
+#[test]
+fn even_speeds_keep_owners() {
+    for (seed, load) in [(1, 1.0), (2, 1.3), (3, 0.5), (5, 1.3)] {
+        let [new, old] = [Some(true), Some(false)].map(|learns| {
+            played(&[1.0; 60], learns, |scenario| {
+                (scenario.seed, scenario.load) = (seed, load);
+            })
+        });
+        assert!(new.journal.decisions().is_empty());
+        assert_eq!(new.calls, old.calls);
+    }
+}
+
+/// An engine that is slow for 600 ms lost its prefixes, or one that stays slow kept them.
+#[test]
+fn weights_follow_lasting_speeds() {
+    for (until, is_lasting) in [(30_600, false), (120_000, true)] {
+        let outcome = played(&uneven(), Some(true), |scenario| {
+            scenario.disturbed = Some((4, 30_000..until, 2.5));
+            (scenario.end_ms, scenario.count_from_ms) = (90_000, 60_000);
+        });
+        let id = engine_id(4);
+        let changes = outcome.journal.decisions().iter().filter(|decision| {
+            decision.choice == id.as_str()
+                && decision.at > at(30_000)
+                && decision.reason == "slower"
+        });
+        let changes: Vec<_> = changes.collect();
+        println!(
+            "{until}: {:?}",
+            changes
+                .first()
+                .map(|decision| decision.at.since(at(30_000)))
+        );
+        assert_eq!(!changes.is_empty(), is_lasting);
+    }
+}
+
+/// Fails if a daemon cut off from its peers keeps weights that nobody confirms.
+#[test]
+fn cut_gossip_ends_weights() {
+    let outcome = played(&uneven(), Some(true), |scenario| {
+        (scenario.cut_ms, scenario.end_ms) = (30_000, 65_000);
+    });
+    let service =
+        outcome.journal.decisions().iter().filter(|decision| {
+            decision.kind == DecisionKind::Weight && decision.reason == "service"
+        });
+    let choices: Vec<_> = service.map(|decision| decision.choice.as_str()).collect();
+    assert_eq!(choices, ["by-speed", "equal"]);
+}
+
+/// Returns times of every engine, the first of which takes `slow` times the time of the others.
+fn times_of(slow: u32, born: u64) -> Vec<ProcessTimes> {
+    let times = (0..12).map(|n| ProcessTimes {
+        process: ProcessKey::of(&{
+            let mut process = record(n).process();
+            process.started_at_ms = born;
+            process
+        }),
+        expected_us: 4_000_000,
+        measured_us: 4_000_000 * if n == 0 { slow } else { 1 },
+        calls: 4_000,
+    });
+    times.collect()
+}
+
+fn learned(slow: u32) -> LoadBalancer {
+    let mut learned = balancer("north-a", 12, true);
+    for second in 50..60 {
+        learned.on_peer_times(at(second * 1_000), &times_of(slow, 1));
+        learned.update_speeds(at(second * 1_000), &mut Journal::default());
+    }
+    learned
+}
+
+/// A changed weight moved parts between engines whose weight stays.
+#[test]
+fn only_its_parts_move() {
+    let (mut before, mut after) = (balancer("north-a", 12, false), learned(5));
+    let slow = engine_id(0);
+    let (mut owned, mut moved) = (0, 0);
+    for part in 0..2_000 {
+        let (old, new) = (owner(&mut before, part), owner(&mut after, part));
+        owned += u32::from(old == slow);
+        if old != new {
+            assert_eq!(old, slow, "part {part} moved to {new}");
+            moved += 1;
+        }
+    }
+    println!("{owned} of 2,000 parts owned, {moved} moved");
+    assert!(moved > owned / 2);
+}
+
+/// A process kept the speed of its predecessor, or one that resumed used sums of long ago.
+#[test]
+fn old_sums_end() {
+    let mut balancer = learned(5);
+    assert!(balancer.speed(&engine_id(0)) > 2.0);
+    let mut reborn = table(12);
+    let mut record = record(0);
+    record.started_at_ms = 2;
+    reborn.on_entry(at(60_000), record, &mut Journal::default());
+    let mut restarted = balancer.clone();
+    restarted.set_endpoints(at(60_000), &reborn);
+    restarted.update_speeds(at(60_000), &mut Journal::default());
+    assert!((0.9..1.1).contains(&restarted.speed(&engine_id(0))));
+
+    balancer.update_speeds(at(90_000), &mut Journal::default());
+    assert_eq!(balancer.speed(&engine_id(0)), 1.0);
+}
+
+/// A peer of the earlier build closes its link on a message that it cannot decode, and large
+/// fleets had no bytes left for other messages.
+#[test]
+fn messages_stay_within_bounds() {
+    for (daemons, bound) in [(86, 16_384), (880, 2_048)] {
+        let records: Vec<_> = (0..60).map(record).collect();
+        let mut gateway = gateway_of(0, &records);
+        let mut rules = rules(2);
+        rules.customers[0].quota = None;
+        rules.services = crate::engine_fleet::services();
+        gateway.on_rules(at(0), rules);
+        for number in 1..daemons {
+            gateway.on_member(at(0), member(number));
+            let protocol = PeerProtocol(3 - u64::from(number == 1));
+            gateway.set_peer_protocol(&daemon(number), protocol);
+        }
+        let mut bytes = 0;
+        for ms in (0..120_000).step_by(250) {
+            for number in 1..daemons {
+                let message = crate::stream_origins::gossip(ms + 1);
+                gateway.on_gossip(at(ms), &daemon(number), message);
+            }
+            for n in 0..3 {
+                let id = format!("c{ms}-{n}");
+                let mut attributes = crate::support::call_attributes(&id, "/digest/1");
+                attributes.prompt = Some(prompt(ms * 3 + n, 100, 50));
+                gateway.on_store_confirmed(at(ms), at(ms));
+                let mut call = gateway.admit(at(ms), attributes).unwrap();
+                let mut attempt = gateway.select_endpoint(at(ms), &mut call).unwrap();
+                gateway.on_started(at(ms + 30), &mut call, &mut attempt);
+                gateway.succeed(at(ms + 30), attempt);
+            }
+            gateway.tick(at(ms));
+            if let Some(broadcast) = gateway.take_endpoint_speeds(at(ms)) {
+                assert!(broadcast.peers.iter().all(|(id, _)| *id != daemon(1)));
+                let message = PeerMessage::EndpointSpeeds(broadcast.times);
+                let encoded = postcard::to_allocvec(&message).unwrap();
+                assert_eq!(postcard::from_bytes(&encoded), Ok(message));
+                bytes += (encoded.len() + 96) * broadcast.peers.len();
+            }
+        }
+        println!("{daemons} daemons: {} B/s", bytes / 120);
+        assert!(bytes > 0 && bytes / 120 < bound);
+    }
+}
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -6,6 +6,8 @@
 mod endpoint_pauses;
 mod endpoint_scaling;
 mod endpoint_selection;
+mod endpoint_speeds;
+mod engine_fleet;
 mod failed_calls;
 mod fleet;
 mod leaving_endpoints;
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -15,11 +15,17 @@
 /// Length of the queue of peer events; when it is full, the network applies backpressure.
 pub(super) const EVENT_QUEUE_LEN: usize = 1_024;
 
-/// Ticks the gateway at the same interval in fleets of any size.
+/// Ticks the gateway at the same interval in fleets of any size, and sends what is due then.
 pub(super) async fn tick(cx: Rc<Context>) {
     loop {
         sleep(GOSSIP_PERIOD).await;
         cx.with_gateway(Gateway::tick);
+        if let Some(broadcast) = cx.with_gateway(Gateway::take_endpoint_speeds) {
+            for (peer, address) in broadcast.peers {
+                let message = PeerMessage::EndpointSpeeds(broadcast.times.clone());
+                cx.send_to_peer(&peer, address, message);
+            }
+        }
     }
 }
 
@@ -103,6 +109,9 @@
         PeerMessage::Notices(notices) => {
             cx.with_gateway(|gateway, now| gateway.on_peer_notices(now, notices));
         }
+        PeerMessage::EndpointSpeeds(times) => {
+            cx.with_gateway(|gateway, now| gateway.on_endpoint_speeds(now, &times));
+        }
         PeerMessage::Quarantine(update) => {
             cx.with_gateway(|gateway, now| gateway.on_quarantine_update(now, update));
         }
