Count slots, memory and idle connections in the cost of an endpoint

The wait now follows the time that calls hold their slot, tokens in use are estimated against the configuration's kv_capacity, and an endpoint without an idle connection costs 3 ms more.

--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -10,6 +10,8 @@
 
 mod candidates;
 mod endpoint_state;
+mod idle_connections;
+mod room;
 mod score;
 mod speeds;
 
@@ -28,6 +30,7 @@
 use crate::units::Timestamp;
 use candidates::candidates;
 use endpoint_state::{AbsentProcesses, EndpointState, Work};
+use room::ServiceUsage;
 use speeds::ServiceSpeeds;
 
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
@@ -42,6 +45,8 @@
 /// Cost of an endpoint in another zone: the round trip, and the price of traffic between
 /// zones.
 const CROSS_ZONE_COST: Duration = Duration::from_millis(5);
+/// Cost of a new connection to an endpoint: a round trip within a region.
+const CONNECTION_COST: Duration = Duration::from_millis(3);
 /// Time to the first token without queueing and prefill: one decode step and the network.
 const FIRST_STEP: Duration = Duration::from_millis(15);
 /// Cost of each running call, whose decode steps come between the chunks of a prefill.
@@ -81,6 +86,8 @@
     pub first_output_at: Option<Timestamp>,
     prefill: Duration,
     sample: Sample,
+    /// Tokens that the call needs in the KV cache.
+    tokens: u64,
 }
 
 /// Selects endpoints, and tracks their load and health.
@@ -91,6 +98,7 @@
     absent: AbsentProcesses,
     has_limits: bool,
     speeds: ServiceSpeeds,
+    usage: ServiceUsage,
 }
 
 /// Call that needs an endpoint.
@@ -118,6 +126,7 @@
     expected: Duration,
     cost: Duration,
     sample: Sample,
+    tokens: u64,
 }
 
 impl LoadBalancer {
@@ -129,6 +138,7 @@
             absent: AbsentProcesses::default(),
             has_limits: false,
             speeds: ServiceSpeeds::default(),
+            usage: ServiceUsage::default(),
         }
     }
 
@@ -279,6 +289,11 @@
         let endpoint = self.services.get_mut(query.service)?.get_mut(best.index)?;
         endpoint.own_work.calls += 1;
         endpoint.own_work.prefill += best.prefill;
+        endpoint.own_work.tokens += best.tokens;
+        endpoint.connections.take(now);
+        if best.tokens > 0 {
+            self.usage.on_selected(query.service, best.tokens);
+        }
         if let Some(limiter) = &mut endpoint.limiter {
             limiter.take(now);
         }
@@ -297,6 +312,7 @@
             is_owner: best.is_owner,
             prefill: best.prefill,
             sample: best.sample,
+            tokens: best.tokens,
             first_output_at: None,
         })
     }
@@ -354,9 +370,18 @@
         attempt: CallAttempt,
         outcome: Option<CallOutcome>,
     ) -> bool {
+        if let Some(first) = attempt.first_output_at.filter(|_| attempt.tokens > 0)
+            && outcome == Some(CallOutcome::Good)
+        {
+            self.usage.on_ended(&attempt.service, now.since(first));
+        }
         let Some(endpoint) = self.find(&attempt) else {
             return false;
         };
+        if outcome == Some(CallOutcome::Good) {
+            endpoint.connections.put(now);
+        }
+        endpoint.own_work.tokens = endpoint.own_work.tokens.saturating_sub(attempt.tokens);
         endpoint.own_work.calls = endpoint.own_work.calls.saturating_sub(1);
         if attempt.first_output_at.is_none() {
             endpoint.own_work.prefill = endpoint.own_work.prefill.saturating_sub(attempt.prefill);
--- a/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::idle_connections::IdleConnections;
 use super::{INITIAL_DURATION, MAX_RECORDED_PARTS, PART_TTL};
 use crate::gateway::call::{Prompt, sum_tokens};
 use crate::gateway::endpoint_limiter::EndpointLimiter;
@@ -19,6 +20,8 @@
 pub(super) struct Work {
     pub(super) prefill: Duration,
     pub(super) calls: u32,
+    /// Tokens that the calls need in the KV cache.
+    pub(super) tokens: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -41,6 +44,7 @@
     pub(super) latency_factor: f64,
     /// Moving average of the duration of calls without a prompt.
     pub(super) mean_duration: Duration,
+    pub(super) connections: IdleConnections,
     /// Speed of the process, from the calls of all daemons.
     pub(super) speed: ProcessSpeed,
     pub(super) health: Health,
@@ -73,6 +77,7 @@
             peer_work: Work::default(),
             latency_factor: 1.0,
             mean_duration: INITIAL_DURATION,
+            connections: IdleConnections::default(),
             speed: ProcessSpeed::default(),
             health: Health::default(),
             recorded_parts: HashMap::new(),
--- a/crates/laburnumstall-core/src/gateway/load_balancer/score.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/score.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use super::endpoint_state::EndpointState;
+use super::room::needed_tokens;
 use super::{
-    CROSS_ZONE_COST, EndpointQuery, FIRST_STEP, INITIAL_DURATION, LoadBalancer, PREFILL_WEIGHT,
-    RUNNING_CALL_COST, ScoredEndpoint,
+    CONNECTION_COST, CROSS_ZONE_COST, EndpointQuery, FIRST_STEP, INITIAL_DURATION, LoadBalancer,
+    PREFILL_WEIGHT, RUNNING_CALL_COST, ScoredEndpoint,
 };
 use crate::gateway::call::sum_tokens;
 use crate::gateway::endpoint_model::Sample;
@@ -25,6 +26,12 @@
             true => Duration::ZERO,
             false => CROSS_ZONE_COST,
         };
+        let needs_connection = self.speeds.is_enabled() && !endpoint.connections.has_any(now);
+        let connection_cost = match needs_connection {
+            true => CONNECTION_COST,
+            false => Duration::ZERO,
+        };
+        let fixed_cost = zone_cost + connection_cost + endpoint.health.cost(now);
         let calls = endpoint.calls();
         let missing_slots = calls.saturating_add(1).saturating_sub(endpoint.slots);
         let factor = endpoint.speed.current(now);
@@ -40,18 +47,31 @@
                 cached: 0,
                 prefill: Duration::ZERO,
                 expected,
-                cost: expected + busy_cost + zone_cost + endpoint.health.cost(now),
+                cost: expected + busy_cost + fixed_cost,
                 sample: Sample {
                     own: INITIAL_DURATION,
                     expected: sample_expected,
                     is_usable: missing_slots == 0,
                     is_by_speed: factor.is_some(),
                 },
+                tokens: 0,
             };
         };
-        let slot_wait = endpoint.mean_duration * missing_slots / endpoint.slots;
         let cached = endpoint.cached(now, prompt, is_owner);
         let prefill = prefill_time(prompt.tokens, cached);
+        let (mut slot_wait, mut preempted_prefill) = (
+            endpoint.mean_duration * missing_slots / endpoint.slots,
+            Duration::ZERO,
+        );
+        let mut tokens = 0;
+        if let Some(backend) = self.speeds.backend(query.service) {
+            tokens = needed_tokens(prompt, cached);
+            let wait = self.usage.wait(query.service, backend, endpoint, tokens);
+            if let Some((wait, preempts)) = wait {
+                slot_wait = wait.mul_f64(factor.unwrap_or(1.0));
+                preempted_prefill = if preempts { prefill } else { Duration::ZERO };
+            }
+        }
         let waiting = endpoint.own_work.prefill + endpoint.peer_work.prefill;
         let ahead = waiting + prefill + RUNNING_CALL_COST * calls;
         let (expected, prefill_cost) = match factor {
@@ -78,8 +98,9 @@
             cached,
             prefill,
             expected: expected + slot_wait,
-            cost: expected + slot_wait + prefill_cost + zone_cost + endpoint.health.cost(now),
+            cost: expected + slot_wait + prefill_cost + preempted_prefill + fixed_cost,
             sample,
+            tokens,
         }
     }
 }
--- a/crates/laburnumstall-core/src/gateway/load_balancer/speeds.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/speeds.rs
@@ -24,6 +24,11 @@
     pub(super) fn is_enabled(&self) -> bool {
         !self.backends.is_empty()
     }
+
+    /// Returns the engine of a service.
+    pub(super) fn backend(&self, service: &ServiceName) -> Option<&BackendRule> {
+        self.backends.get(service)
+    }
 }
 
 impl LoadBalancer {
