--- a/crates/laburnumstall-core/src/decision.rs
+++ b/crates/laburnumstall-core/src/decision.rs
@@ -50,6 +50,8 @@
         Resume,
         /// What becomes of a run on an endpoint that is reclaimed.
         Reclaim,
+        /// Which part of the shared prefixes an endpoint owns.
+        Weight,
     }
 }
 
@@ -74,6 +76,7 @@
             Self::Stop => "stop",
             Self::Resume => "resume",
             Self::Reclaim => "reclaim",
+            Self::Weight => "weight",
         }
     }
 }
--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -14,6 +14,7 @@
 mod demand;
 mod directory;
 mod endpoint_limiter;
+mod endpoint_model;
 mod endpoint_notice;
 mod endpoint_table;
 mod freshness;
@@ -48,7 +49,7 @@
 use std::time::Duration;
 
 use crate::decision::{Decision, Journal};
-use crate::ids::{AvailabilityZone, DaemonId, ServiceName};
+use crate::ids::{AvailabilityZone, DaemonId, EndpointId, ServiceName};
 use crate::limits::{DelayedShare, RetryWindow};
 use crate::quarantine::CrashTally;
 use crate::units::Timestamp;
@@ -57,6 +58,7 @@
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, EventTimes, Prompt, PromptPart};
 pub use demand::DemandCounter;
 pub use endpoint_limiter::EndpointLimiter;
+pub use endpoint_model::{ProcessKey, ProcessTimes, SpeedBroadcast};
 pub use endpoint_notice::{
     EndpointLimit, EndpointNotice, LimitNotice, NoticeBroadcast, SharedNotice,
 };
@@ -126,6 +128,7 @@
     view: view::StoreView,
     endpoints: EndpointTable,
     notice_outbox: endpoint_notice::NoticeOutbox,
+    speed_outbox: endpoint_model::SpeedOutbox,
     return_schedules: std::collections::BTreeMap<ServiceName, endpoint_limiter::ReturnSchedule>,
     load_balancer: LoadBalancer,
     peer_table: PeerTable,
@@ -170,6 +173,7 @@
             view: view::StoreView::default(),
             endpoints: EndpointTable::default(),
             notice_outbox: endpoint_notice::NoticeOutbox::default(),
+            speed_outbox: endpoint_model::SpeedOutbox::default(),
             return_schedules: std::collections::BTreeMap::new(),
             load_balancer: LoadBalancer::new(zone),
             peer_table: PeerTable::default(),
@@ -249,6 +253,12 @@
             .collect()
     }
 
+    /// Returns the time that an endpoint takes relative to the typical time of its service; 1.0 if
+    /// unknown.
+    pub fn endpoint_speed(&self, id: &EndpointId) -> f64 {
+        self.load_balancer.speed(id)
+    }
+
     fn version(&self) -> u64 {
         self.routing_table
             .as_ref()
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -11,6 +11,10 @@
 mod candidates;
 mod destinations;
 mod endpoint_state;
+mod idle_connections;
+mod room;
+mod score;
+mod speeds;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -18,17 +22,19 @@
 
 use super::call::Prompt;
 use super::endpoint_limiter::EndpointLimiter;
+use super::endpoint_model::Sample;
 use super::endpoint_notice::EndpointLimit;
 use super::endpoint_table::{EndpointProcess, EndpointTable};
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::CallOutcome;
-use super::prefill::prefill_time;
 use super::reclaim::KvSource;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 use candidates::candidates;
 pub(super) use destinations::MoveQuery;
 use endpoint_state::{AbsentProcesses, EndpointState, Work};
+use room::ServiceUsage;
+use speeds::ServiceSpeeds;
 
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
 /// parts.
@@ -42,6 +48,8 @@
 /// Cost of an endpoint in another zone: the round trip, and the price of traffic between
 /// zones.
 const CROSS_ZONE_COST: Duration = Duration::from_millis(5);
+/// Cost of a new connection to an endpoint: a round trip within a region.
+const CONNECTION_COST: Duration = Duration::from_millis(3);
 /// Time to the first token without queueing and prefill: one decode step and the network.
 const FIRST_STEP: Duration = Duration::from_millis(15);
 /// Cost of each running call, whose decode steps come between the chunks of a prefill.
@@ -85,6 +93,9 @@
     /// Whether it goes on with a run that was stopped at the same endpoint.
     pub is_continued: bool,
     prefill: Duration,
+    sample: Sample,
+    /// Tokens that the call needs in the KV cache.
+    tokens: u64,
 }
 
 /// Selects endpoints, and tracks their load and health.
@@ -94,6 +105,8 @@
     services: BTreeMap<ServiceName, Vec<EndpointState>>,
     absent: AbsentProcesses,
     has_limits: bool,
+    speeds: ServiceSpeeds,
+    usage: ServiceUsage,
 }
 
 /// Call that needs an endpoint.
@@ -120,6 +133,8 @@
     prefill: Duration,
     expected: Duration,
     cost: Duration,
+    sample: Sample,
+    tokens: u64,
 }
 
 impl LoadBalancer {
@@ -130,6 +145,8 @@
             services: BTreeMap::new(),
             absent: AbsentProcesses::default(),
             has_limits: false,
+            speeds: ServiceSpeeds::default(),
+            usage: ServiceUsage::default(),
         }
     }
 
@@ -280,6 +297,11 @@
         let endpoint = self.services.get_mut(query.service)?.get_mut(best.index)?;
         endpoint.own_work.calls += 1;
         endpoint.own_work.prefill += best.prefill;
+        endpoint.own_work.tokens += best.tokens;
+        endpoint.connections.take(now);
+        if best.tokens > 0 {
+            self.usage.on_selected(query.service, best.tokens);
+        }
         if let Some(limiter) = &mut endpoint.limiter {
             limiter.take(now);
         }
@@ -297,6 +319,8 @@
             cached: best.cached,
             is_owner: best.is_owner,
             prefill: best.prefill,
+            sample: best.sample,
+            tokens: best.tokens,
             first_output_at: None,
             kv_source: None,
             is_continued: false,
@@ -314,16 +338,24 @@
             return;
         }
         let elapsed = now.since(attempt.started_at);
+        let is_enabled = self.speeds.is_enabled();
         let Some(endpoint) = self.find(attempt) else {
             return;
         };
         endpoint.own_work.prefill = endpoint.own_work.prefill.saturating_sub(attempt.prefill);
+        if is_enabled {
+            endpoint.speed.on_call(now, &attempt.sample, elapsed);
+        }
         if attempt.prefill.is_zero() {
             endpoint.mean_duration = endpoint.mean_duration.mul_f64(1.0 - NEWEST_WEIGHT)
                 + elapsed.mul_f64(NEWEST_WEIGHT);
         } else {
-            let measured_factor = endpoint.latency_factor * elapsed.as_secs_f64()
-                / attempt.expected.as_secs_f64().max(0.001);
+            let (factor, expected) = match attempt.sample.is_by_speed {
+                true => (1.0, attempt.sample.expected),
+                false => (endpoint.latency_factor, attempt.expected),
+            };
+            let measured_factor =
+                factor * elapsed.as_secs_f64() / expected.as_secs_f64().max(0.001);
             let latency_factor =
                 endpoint.latency_factor * (1.0 - NEWEST_WEIGHT) + measured_factor * NEWEST_WEIGHT;
             endpoint.latency_factor =
@@ -352,9 +384,18 @@
         attempt: CallAttempt,
         outcome: Option<CallOutcome>,
     ) -> bool {
+        if let Some(first) = attempt.first_output_at.filter(|_| attempt.tokens > 0)
+            && outcome == Some(CallOutcome::Good)
+        {
+            self.usage.on_ended(&attempt.service, now.since(first));
+        }
         let Some(endpoint) = self.find(&attempt) else {
             return false;
         };
+        if outcome == Some(CallOutcome::Good) {
+            endpoint.connections.put(now);
+        }
+        endpoint.own_work.tokens = endpoint.own_work.tokens.saturating_sub(attempt.tokens);
         endpoint.own_work.calls = endpoint.own_work.calls.saturating_sub(1);
         if attempt.first_output_at.is_none() {
             endpoint.own_work.prefill = endpoint.own_work.prefill.saturating_sub(attempt.prefill);
@@ -370,51 +411,4 @@
             .find(|endpoint| endpoint.process == process)
             .or_else(|| self.absent.get_mut(&process))
     }
-
-    fn score(
-        &self,
-        now: Timestamp,
-        endpoint: &EndpointState,
-        index: usize,
-        is_owner: bool,
-        query: &EndpointQuery<'_>,
-    ) -> ScoredEndpoint {
-        let zone_cost = match endpoint.zone == self.zone {
-            true => Duration::ZERO,
-            false => CROSS_ZONE_COST,
-        };
-        let calls = endpoint.calls();
-        let missing_slots = calls.saturating_add(1).saturating_sub(endpoint.slots);
-        let slot_wait = endpoint.mean_duration * missing_slots / endpoint.slots;
-        let Some(prompt) = query.prompt else {
-            let expected = slot_wait + endpoint.mean_duration;
-            let busy_cost = endpoint.mean_duration * calls / endpoint.slots;
-            return ScoredEndpoint {
-                index,
-                is_owner,
-                cached: 0,
-                prefill: Duration::ZERO,
-                expected,
-                cost: expected + busy_cost + zone_cost + endpoint.health.cost(now),
-            };
-        };
-        let cached = endpoint.cached(now, prompt, is_owner);
-        let prefill = prefill_time(prompt.tokens, cached);
-        let waiting = endpoint.own_work.prefill + endpoint.peer_work.prefill;
-        let expected = (waiting + prefill + RUNNING_CALL_COST * calls)
-            .mul_f64(endpoint.latency_factor)
-            + FIRST_STEP;
-        ScoredEndpoint {
-            index,
-            is_owner,
-            cached,
-            prefill,
-            expected: expected + slot_wait,
-            cost: expected
-                + slot_wait
-                + prefill * PREFILL_WEIGHT
-                + zone_cost
-                + endpoint.health.cost(now),
-        }
-    }
 }
--- a/crates/laburnumstall-core/src/gateway/load_balancer/destinations.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/destinations.rs
@@ -5,6 +5,7 @@
 use super::endpoint_state::EndpointState;
 use super::{CallAttempt, FIRST_STEP, LoadBalancer};
 use crate::gateway::endpoint_limiter::EndpointLimiter;
+use crate::gateway::endpoint_model::Sample;
 use crate::gateway::endpoint_table::EndpointProcess;
 use crate::hash::rendezvous_weight;
 use crate::ids::EndpointId;
@@ -94,6 +95,8 @@
             kv_source: None,
             is_continued: false,
             prefill: Duration::ZERO,
+            sample: Sample::default(),
+            tokens: 0,
         })
     }
 
--- a/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/endpoint_state.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::idle_connections::IdleConnections;
 use super::{INITIAL_DURATION, MAX_RECORDED_PARTS, PART_TTL};
 use crate::gateway::call::{Prompt, sum_tokens};
 use crate::gateway::endpoint_limiter::EndpointLimiter;
+use crate::gateway::endpoint_model::{ProcessKey, ProcessSpeed};
 use crate::gateway::endpoint_table::{ABSENCE_RETENTION, EndpointEntry, EndpointProcess};
 use crate::gateway::gossip::EndpointKey;
 use crate::gateway::health::Health;
@@ -18,6 +20,8 @@
 pub(super) struct Work {
     pub(super) prefill: Duration,
     pub(super) calls: u32,
+    /// Tokens that the calls need in the KV cache.
+    pub(super) tokens: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -32,6 +36,7 @@
     pub(super) paused_until: Timestamp,
     pub(super) version: Option<SoftwareVersion>,
     pub(super) key: EndpointKey,
+    pub(super) process_key: ProcessKey,
     pub(super) hash: u64,
     pub(super) own_work: Work,
     pub(super) peer_work: Work,
@@ -39,6 +44,9 @@
     pub(super) latency_factor: f64,
     /// Moving average of the duration of calls without a prompt.
     pub(super) mean_duration: Duration,
+    pub(super) connections: IdleConnections,
+    /// Speed of the process, from the calls of all daemons.
+    pub(super) speed: ProcessSpeed,
     pub(super) health: Health,
     recorded_parts: HashMap<u64, Timestamp>,
 }
@@ -63,11 +71,14 @@
             paused_until: Timestamp::ZERO,
             version: record.version.clone(),
             key: EndpointKey(hash as u32),
+            process_key: ProcessKey::of(&record.process()),
             hash,
             own_work: Work::default(),
             peer_work: Work::default(),
             latency_factor: 1.0,
             mean_duration: INITIAL_DURATION,
+            connections: IdleConnections::default(),
+            speed: ProcessSpeed::default(),
             health: Health::default(),
             recorded_parts: HashMap::new(),
         }
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -11,6 +11,7 @@
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use super::endpoint_model::ProcessTimes;
 use super::endpoint_notice::SharedNotice;
 use super::gossip::GossipMessage;
 use super::quarantine_update::QuarantineUpdate;
@@ -64,6 +65,8 @@
     Notices(Vec<SharedNotice>),
     /// When reclaimed endpoints end.
     EndpointEnds(Vec<EndpointEnd>),
+    /// Times of the sender's calls to endpoints.
+    EndpointSpeeds(Vec<ProcessTimes>),
 }
 
 /// Encoding of what follows [`EXTENSION`]; variants are added at the end.
@@ -81,6 +84,7 @@
     ),
     Notices(Cow<'a, [SharedNotice]>),
     EndpointEnds(Cow<'a, [EndpointEnd]>),
+    EndpointSpeeds(Cow<'a, [ProcessTimes]>),
 }
 
 impl Serialize for PeerMessage {
@@ -101,6 +105,7 @@
             Self::Quarantine(update) => Extension::Quarantine(Cow::Borrowed(update)),
             Self::Notices(notices) => Extension::Notices(Cow::Borrowed(notices)),
             Self::EndpointEnds(ends) => Extension::EndpointEnds(Cow::Borrowed(ends)),
+            Self::EndpointSpeeds(times) => Extension::EndpointSpeeds(Cow::Borrowed(times)),
         };
         (EXTENSION, extension).serialize(serializer)
     }
@@ -141,6 +146,7 @@
                 Extension::Quarantine(update) => PeerMessage::Quarantine(update.into_owned()),
                 Extension::Notices(notices) => PeerMessage::Notices(notices.into_owned()),
                 Extension::EndpointEnds(ends) => PeerMessage::EndpointEnds(ends.into_owned()),
+                Extension::EndpointSpeeds(times) => PeerMessage::EndpointSpeeds(times.into_owned()),
             });
         }
         Ok(PeerMessage::Gossip(GossipMessage {
