--- a/crates/laburnumstall-core/src/gateway/endpoint_model/weights.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_model/weights.rs
@@ -13,7 +13,7 @@
 /// Highest and lowest step.
 const MAX_STEP: f64 = 6.0;
 /// Difference of the estimates from which on owners get weights; they keep them down to [`STEP`].
-/// Queues of popular prefixes let even endpoints seem to differ by up to 1.4 at high load.
+/// Queues of popular prefixes let even endpoints seem to differ by more than a quarter at high load.
 const DIFFERENCE: f64 = 1.5;
 /// Part of the endpoints at each end that is left out of the comparison of all: queues of popular
 /// prefixes bias the estimates of a few.
