Decide on rollouts of software versions in the core

Cause: operators order the move of a service to a software version, and daemons sent calls to any version that was listed.

Change: `gateway/rollout.rs` follows an order: the version gets half of `canary_share` of each route's calls, counted by each daemon alone; the responses of both versions are compared on each route and on all together; the holder of the duties writes the state. A daemon stops on its own and tells its peers by `PeerMessage::RolloutEvidence`. `VersionGate` keeps calls away from a version in the selection of endpoints; pinned streams pass it and count. Scaling releases nothing while an order is open. Without the three settings nothing changes.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -30,6 +30,7 @@
 mod replacement;
 mod requests;
 mod resumption;
+mod rollout;
 mod rules;
 mod rules_floor;
 mod scaling;
@@ -68,7 +69,7 @@
     ServiceDemand,
 };
 pub use health::CallOutcome;
-pub use load_balancer::{CallAttempt, EndpointQuery, LoadBalancer};
+pub use load_balancer::{CallAttempt, EndpointQuery, LoadBalancer, VersionGate};
 pub use lost_calls::{EndpointCheck, EndpointState};
 pub use peer_message::{PeerMessage, PeerProtocol};
 pub use planned_stop::PlannedStop;
@@ -77,6 +78,11 @@
 pub use quota::{QuotaLedger, QuotaUsage};
 pub use recovery::{CallFailure, FailureAction, RETRY_AFTER};
 pub use resumption::{COPIES, OriginAnswer, OriginLookup, OriginQuery, OriginReply};
+pub use rollout::{
+    EvidenceBroadcast, Finding, FindingCause, OrderEntry, RolloutBounds, RolloutEvidence,
+    RolloutOrder, RolloutPhase, RolloutScope, RolloutStatus, RolloutSummary, RolloutWrite,
+    RouteCounts, RouteKey, SideCounts, StoredRollout, TimeHistogram,
+};
 pub use rules::{
     BackendRule, CallKind, CallerLimits, CustomerRule, Quota, QuotaUnit, RouteRule, RouteTarget,
     RoutingRules, RoutingTable, ScalingRule, ServiceRule,
@@ -107,6 +113,8 @@
     pub retry_allowance: f64,
     /// Length of a usage window.
     pub usage_window: Duration,
+    /// Limits of rollouts; `None` if no orders of rollouts are followed.
+    pub rollout: Option<RolloutBounds>,
 }
 
 /// Handles the requests of one daemon that live as long as their connection.
@@ -139,6 +147,7 @@
     crash_budget: send_budget::SendBudget,
     quarantine_outbox: quarantine_update::Outbox,
     stored_holds: stored_holds::StoredHolds,
+    rollouts: rollout::Rollouts,
     planned_stop: Option<PlannedStop>,
     /// When the endpoints were first listed.
     first_listed_at: Option<Timestamp>,
@@ -182,6 +191,7 @@
             crash_budget: send_budget::SendBudget::default(),
             quarantine_outbox: quarantine_update::Outbox::default(),
             stored_holds: stored_holds::StoredHolds::default(),
+            rollouts: rollout::Rollouts::default(),
             planned_stop: None,
             first_listed_at: None,
             gossip_sequence: 0,
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -10,6 +10,7 @@
 
 mod candidates;
 mod endpoint_state;
+mod version_gate;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -22,11 +23,14 @@
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::CallOutcome;
 use super::prefill::prefill_time;
+use super::rollout::TrackedCall;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 use candidates::candidates;
 use endpoint_state::{AbsentProcesses, EndpointState, Work};
 
+pub use version_gate::VersionGate;
+
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
 /// parts.
 const OWNERS: usize = 4;
@@ -76,6 +80,8 @@
     pub is_owner: bool,
     /// When the first token or the response arrived.
     pub first_output_at: Option<Timestamp>,
+    /// What a rollout counts it as; `None` without one.
+    pub(super) tracked: Option<TrackedCall>,
     prefill: Duration,
 }
 
@@ -101,6 +107,8 @@
     pub version: Option<&'a SoftwareVersion>,
     /// Versions that are selected while an endpoint of any of them is there; `None` for all.
     pub admitted: Option<&'a BTreeSet<SoftwareVersion>>,
+    /// Versions at which a rollout lets the call run.
+    pub gate: VersionGate<'a>,
     /// Endpoints that must not be selected.
     pub excluded: &'a [EndpointId],
 }
@@ -290,9 +298,27 @@
             is_owner: best.is_owner,
             prefill: best.prefill,
             first_output_at: None,
+            tracked: None,
         })
     }
 
+    /// Selects an endpoint like [`LoadBalancer::select`]; if the only version that a rollout lets the
+    /// call run at has none, one of another version.
+    pub fn select_gated(
+        &mut self,
+        now: Timestamp,
+        query: &EndpointQuery<'_>,
+    ) -> Option<CallAttempt> {
+        let selected = self.select(now, query);
+        match query.gate {
+            VersionGate::Only { version, .. } if selected.is_none() => {
+                let gate = VersionGate::Without(version);
+                self.select(now, &EndpointQuery { gate, ..*query })
+            }
+            _ => selected,
+        }
+    }
+
     /// Records that an attempt has returned its first token or its whole response.
     pub fn on_first_output(&mut self, now: Timestamp, attempt: &mut CallAttempt) {
         if attempt.first_output_at.is_some() {
--- a/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/candidates.rs
@@ -31,6 +31,7 @@
             && now >= endpoint.paused_until
             && is_version(endpoint)
             && (!has_admitted || is_admitted(endpoint))
+            && query.gate.admits(endpoint, endpoints)
             && !query.excluded.contains(&endpoint.process.id)
             && endpoint
                 .limiter
@@ -42,11 +43,12 @@
             is_eligible(&endpoints[*index]) && !endpoints[*index].health.is_in_backoff(now)
         })
         .collect();
-    if usable.is_empty() {
+    if usable.is_empty() && query.gate.may_use_backoff() {
         usable = (0..endpoints.len())
             .filter(|index| is_eligible(&endpoints[*index]))
             .collect();
     }
+    query.gate.limit(&mut usable, endpoints);
     let Some(prompt) = query.prompt else {
         // Calls without a prompt gain nothing from an owner; equal costs are split at random.
         usable.sort_unstable_by_key(|index| rendezvous_weight(query.seed, endpoints[*index].hash));
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -15,6 +15,7 @@
 use super::gossip::GossipMessage;
 use super::quarantine_update::QuarantineUpdate;
 use super::resumption::{OriginQuery, OriginReply};
+use super::rollout::RolloutEvidence;
 use super::stream_origin::OriginGroup;
 use super::view::ViewChange;
 use crate::ids::SoftwareVersion;
@@ -61,6 +62,8 @@
     Quarantine(QuarantineUpdate),
     /// What endpoints say of themselves.
     Notices(Vec<SharedNotice>),
+    /// What a daemon knows of a rollout.
+    RolloutEvidence(RolloutEvidence),
 }
 
 /// Encoding of what follows [`EXTENSION`]; variants are added at the end.
@@ -77,6 +80,7 @@
         StoreEra,
     ),
     Notices(Cow<'a, [SharedNotice]>),
+    RolloutEvidence(Cow<'a, RolloutEvidence>),
 }
 
 impl Serialize for PeerMessage {
@@ -96,6 +100,7 @@
             Self::Answer(reply) => Extension::Answer(Cow::Borrowed(reply)),
             Self::Quarantine(update) => Extension::Quarantine(Cow::Borrowed(update)),
             Self::Notices(notices) => Extension::Notices(Cow::Borrowed(notices)),
+            Self::RolloutEvidence(evidence) => Extension::RolloutEvidence(Cow::Borrowed(evidence)),
         };
         (EXTENSION, extension).serialize(serializer)
     }
@@ -135,6 +140,9 @@
                 Extension::Answer(reply) => PeerMessage::Answer(reply.into_owned()),
                 Extension::Quarantine(update) => PeerMessage::Quarantine(update.into_owned()),
                 Extension::Notices(notices) => PeerMessage::Notices(notices.into_owned()),
+                Extension::RolloutEvidence(evidence) => {
+                    PeerMessage::RolloutEvidence(evidence.into_owned())
+                }
             });
         }
         Ok(PeerMessage::Gossip(GossipMessage {
--- a/crates/laburnumstall-core/src/gateway/recovery.rs
+++ b/crates/laburnumstall-core/src/gateway/recovery.rs
@@ -6,10 +6,12 @@
 
 use std::time::Duration;
 
+use super::Gateway;
 use super::call::AdmittedCall;
 use super::health::CallOutcome;
 use crate::domain_value;
 use crate::error::{ErrorKind, Refusal};
+use crate::ids::ServiceName;
 use crate::limits::RetryWindow;
 use crate::units::Timestamp;
 
@@ -184,3 +186,24 @@
         _ => refusal,
     }
 }
+
+impl Gateway {
+    pub(super) fn retry_window(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> &mut RetryWindow {
+        let allowance = self.update_retry_share(now);
+        let bounds = &self.bounds;
+        self.retry_windows
+            .entry(service.clone())
+            .or_insert_with(|| RetryWindow::new(bounds.retry_window, bounds.retry_ratio, allowance))
+    }
+
+    /// Returns this daemon's share of the retries that all daemons may send regardless of load.
+    pub(super) fn update_retry_share(&mut self, now: Timestamp) -> f64 {
+        let daemons = 1 + self.peer_table.len();
+        let share = self.bounds.retry_allowance / daemons as f64;
+        self.retry_share.update(now, share)
+    }
+}
--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -101,6 +101,8 @@
             .with("endpoint", &replaced.endpoint)
             .with("events", call.events);
         self.journal.record(decision);
+        let journal = &mut self.journal;
+        self.rollouts.on_failure(now, &replaced, failure, journal);
         // The silence was recorded when the replacement was selected.
         let outcome = match failure {
             CallFailure::Silent => None,
@@ -153,6 +155,9 @@
             .with("endpoint", &replacement.endpoint)
             .with("events", call.events);
         self.journal.record(decision);
+        let journal = &mut self.journal;
+        self.rollouts
+            .on_failure(now, &replacement, failure, journal);
         self.end_attempt(now, replacement, failure.outcome());
     }
 }
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -14,7 +14,6 @@
 use crate::error::{ErrorKind, Refusal};
 use crate::hash::digest64;
 use crate::ids::{EndpointId, ServiceName, SoftwareVersion};
-use crate::limits::RetryWindow;
 use crate::limits::bucket::MICRO;
 use crate::units::Timestamp;
 
@@ -277,24 +276,32 @@
         call: &AdmittedCall,
         may_repeat: bool,
     ) -> Option<CallAttempt> {
+        let admitted = admitted_versions(&self.versions, call);
+        let bounds = self.bounds.rollout.as_ref();
+        let is_fresh = self.freshness.is_within(now, MAX_CERTAIN_AGE);
+        let gate = self.rollouts.gate(now, bounds, call, admitted, is_fresh);
         let query = EndpointQuery {
             service: &call.service,
             prompt: call.prompt.as_ref(),
             seed: digest64(&[call.id.as_bytes()]),
             version: call.origin.as_ref().map(|origin| &origin.version),
-            admitted: admitted_versions(&self.versions, call),
+            admitted,
+            gate,
             excluded: &call.tried,
         };
-        let untried = self.load_balancer.select(now, &query);
-        if untried.is_some() || !may_repeat {
-            return untried;
-        }
+        let mut selected = self.load_balancer.select_gated(now, &query);
         // With few endpoints, one that failed before is better than none.
-        let any_endpoint = EndpointQuery {
-            excluded: &[],
-            ..query
-        };
-        self.load_balancer.select(now, &any_endpoint)
+        if selected.is_none() && may_repeat {
+            let any_endpoint = EndpointQuery {
+                excluded: &[],
+                ..query
+            };
+            selected = self.load_balancer.select_gated(now, &any_endpoint);
+        }
+        if let Some(attempt) = &mut selected {
+            self.rollouts.on_selected(call, admitted, attempt);
+        }
+        selected
     }
 
     /// Records that a call was written to its endpoint.
@@ -348,6 +355,8 @@
         call: &mut AdmittedCall,
         attempt: &mut CallAttempt,
     ) {
+        let journal = &mut self.journal;
+        self.rollouts.on_first_output(now, attempt, journal);
         self.load_balancer.on_first_output(now, attempt);
         self.record_origin(now, call, attempt);
         self.count_started(now, call);
@@ -385,6 +394,8 @@
         if failure.may_be_crash() {
             self.on_attempt_lost(now, call, &attempt);
         }
+        let journal = &mut self.journal;
+        self.rollouts.on_failure(now, &attempt, failure, journal);
         let endpoint = attempt.endpoint.clone();
         let age = now.since(attempt.started_at);
         self.end_attempt(now, attempt, failure.outcome());
@@ -420,11 +431,16 @@
     /// Ends an attempt whose caller disconnected or whose deadline passed while the endpoint
     /// was working.
     pub fn abandon(&mut self, now: Timestamp, attempt: CallAttempt, outcome: Option<CallOutcome>) {
+        if outcome.is_some() {
+            let journal = &mut self.journal;
+            self.rollouts.on_unfinished(now, &attempt, journal);
+        }
         self.end_attempt(now, attempt, outcome);
     }
 
     /// Ends a successful attempt.
     pub fn succeed(&mut self, now: Timestamp, attempt: CallAttempt) {
+        self.rollouts.on_success(now, &attempt, &mut self.journal);
         self.end_attempt(now, attempt, Some(CallOutcome::Good));
     }
 
@@ -434,6 +450,7 @@
         attempt: CallAttempt,
         outcome: Option<CallOutcome>,
     ) {
+        self.rollouts.on_ended(&attempt);
         let endpoint = attempt.endpoint.clone();
         if self.load_balancer.end(now, attempt, outcome) {
             self.record_backoff(now, endpoint);
@@ -473,23 +490,4 @@
         }
         self.journal.record(decision);
     }
-
-    pub(super) fn retry_window(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceName,
-    ) -> &mut RetryWindow {
-        let allowance = self.update_retry_share(now);
-        let bounds = &self.bounds;
-        self.retry_windows
-            .entry(service.clone())
-            .or_insert_with(|| RetryWindow::new(bounds.retry_window, bounds.retry_ratio, allowance))
-    }
-
-    /// Returns this daemon's share of the retries that all daemons may send regardless of load.
-    pub(super) fn update_retry_share(&mut self, now: Timestamp) -> f64 {
-        let daemons = 1 + self.peer_table.len();
-        let share = self.bounds.retry_allowance / daemons as f64;
-        self.retry_share.update(now, share)
-    }
 }
--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -8,12 +8,14 @@
 
 mod meter;
 mod targets;
+mod version_scope;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::endpoint_table::EndpointTable;
+use super::endpoint_table::{EndpointRecord, EndpointTable};
 use super::gossip::ServiceDemand;
+use super::rollout::RolloutScope;
 use super::rules::ScalingRule;
 use crate::decision::{Decision, DecisionKind, Journal};
 use crate::ids::{AvailabilityZone, DaemonId, ServiceName};
@@ -22,6 +24,7 @@
 
 use meter::DemandMeter;
 use targets::{Load, ZoneOffer, targets};
+use version_scope::VersionScope;
 
 /// Time in addition to the boot time after which an order that the endpoint table does not
 /// reflect is repeated.
@@ -103,6 +106,7 @@
     first_plan_at: Option<Timestamp>,
     /// End of the time in which other zones may lose their reclaimable endpoints as well.
     shortage_until: Timestamp,
+    scope: VersionScope,
 }
 
 /// Plans the endpoints of all services.
@@ -126,6 +130,12 @@
         state.meter.update(now, service, demand);
     }
 
+    /// Sets which endpoints of a service count while its rollout is known.
+    pub fn set_rollout(&mut self, service: &ServiceName, scope: Option<RolloutScope<'_>>) {
+        let state = self.services.entry(service.clone()).or_default();
+        state.scope = VersionScope::new(scope);
+    }
+
     /// Returns the orders that are due for a service.
     pub fn plan(
         &mut self,
@@ -135,13 +145,13 @@
         endpoints: &EndpointTable,
         journal: &mut Journal,
     ) -> Vec<ScaleOrder> {
-        let present = capacities(service, rule, endpoints);
+        let state = self.services.entry(service.clone()).or_default();
+        let present = capacities(service, rule, endpoints, &state.scope);
         let total: u32 = present.values().map(|c| c.on_demand + c.spot).sum();
         if total == 0 {
             // The list of endpoints has not been read yet.
             return Vec::new();
         }
-        let state = self.services.entry(service.clone()).or_default();
         let since = *state.first_plan_at.get_or_insert(now);
         let on_demand: u32 = present.values().map(|c| c.on_demand).sum();
         state.max_on_demand = state.max_on_demand.max(on_demand);
@@ -151,13 +161,14 @@
         // Endpoints are released only while enough others serve.
         let is_known = measured.is_some() || !state.meter.has_calls();
         let is_shortage = now < state.shortage_until;
-        let may_shrink = is_known && !is_shortage && now.since(since) > LISTING_TIME;
+        let may_release = is_known && !state.scope.keeps_all();
+        let may_shrink = may_release && !is_shortage && now.since(since) > LISTING_TIME;
         let mut spare = match may_shrink {
             true => total.saturating_sub(load.min_endpoints()),
             false => 0,
         };
         let mut targets_by_zone = targets(rule, &offers, load, is_shortage);
-        replace_limited(&mut targets_by_zone, rule, service, endpoints);
+        replace_limited(&mut targets_by_zone, rule, service, endpoints, &state.scope);
         let mut orders = Vec::new();
         for (zone, want) in &targets_by_zone {
             let have = present.get(zone).copied().unwrap_or(Capacity {
@@ -309,6 +320,7 @@
     service: &ServiceName,
     rule: &ScalingRule,
     endpoints: &EndpointTable,
+    scope: &VersionScope,
 ) -> BTreeMap<AvailabilityZone, Capacity> {
     let none = Capacity {
         on_demand: 0,
@@ -321,7 +333,8 @@
         .collect();
     let listed = endpoints.iter().filter(|listed| !listed.is_leaving());
     let listed = listed.map(|listed| &listed.record);
-    for record in listed.filter(|record| record.service == *service) {
+    let counted = |record: &&EndpointRecord| record.service == *service && scope.contains(record);
+    for record in listed.filter(counted) {
         let count = counts.entry(record.zone.clone()).or_insert(none);
         match record.is_spot {
             true => count.spot += 1,
@@ -338,11 +351,13 @@
     rule: &ScalingRule,
     service: &ServiceName,
     endpoints: &EndpointTable,
+    scope: &VersionScope,
 ) {
     let listed = endpoints.iter().filter(|listed| !listed.is_leaving());
     let limited = listed.filter(|listed| listed.limit().is_some());
     for record in limited.map(|listed| &listed.record) {
         if record.service == *service
+            && scope.contains(record)
             && let Some(target) = targets.get_mut(&record.zone)
             && target.on_demand + target.spot < rule.max
         {
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -199,6 +199,7 @@
         self.load_balancer.forget_absent(now);
         self.origins.remove_expired(now);
         self.tick_quarantine(now);
+        self.observe_new_processes(now);
         for expired in self.peer_table.remove_expired(now) {
             self.quotas.remove_peer(&expired);
             self.journal.record(
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -46,6 +46,7 @@
         retry_window: Duration::from_secs(10),
         retry_allowance: 58.0,
         usage_window: Duration::from_secs(5),
+        rollout: None,
     }
 }
 
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -103,6 +103,9 @@
         PeerMessage::Notices(notices) => {
             cx.with_gateway(|gateway, now| gateway.on_peer_notices(now, notices));
         }
+        PeerMessage::RolloutEvidence(evidence) => {
+            cx.with_gateway(|gateway, now| gateway.on_rollout_evidence(now, from, evidence));
+        }
         PeerMessage::Quarantine(update) => {
             cx.with_gateway(|gateway, now| gateway.on_quarantine_update(now, update));
         }
