Carry out rollouts in the daemon

Cause: the decisions on rollouts had no orders, no stored state and no messages.

`gateway/rollouts.rs` sends evidence and writes states while the daemon holds the lease of the duties.

--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -7,6 +7,7 @@
 //! `origins` finds out at which software version a stream goes on that a caller takes up,
 //! `marks` marks services with several versions in the key-value store, `stored_versions` writes
 //! there at which versions streams begin, `stored_origins` the origins of streams,
+//! `rollouts` exchanges evidence of rollouts and writes their states,
 //! `leader` performs the duties of the lease holder, and `directory` answers address lookups,
 //! readiness probes and metrics scrapes.
 
@@ -24,6 +25,7 @@
 mod registration;
 mod replacement;
 mod response;
+mod rollouts;
 mod rules_floor;
 mod store_sync;
 mod stored_origins;
@@ -212,10 +214,8 @@
             .with("store", cx.settings.store),
     );
 
-    let store = Rc::new(Store::new(client_settings(
-        cx.settings.store,
-        STORE_TIMEOUT,
-    )));
+    let store = Store::new(client_settings(cx.settings.store, STORE_TIMEOUT));
+    let store = Rc::new(store.with_rollouts(cx.settings.bounds.rollout.is_some()));
     actix_rt::spawn(store_sync::run(
         Rc::clone(&cx),
         Rc::clone(&store),
@@ -235,6 +235,9 @@
     ));
     actix_rt::spawn(rules_floor::write(Rc::clone(&cx), Rc::clone(&store)));
     actix_rt::spawn(crash_checks::run(Rc::clone(&cx)));
+    if cx.settings.bounds.rollout.is_some() {
+        actix_rt::spawn(rollouts::send(Rc::clone(&cx)));
+    }
     actix_rt::spawn(crash_checks::write(Rc::clone(&cx), Rc::clone(&store)));
     for listener in [Some(readiness), Some(metrics), directory]
         .into_iter()
--- a/crates/laburnumstalld/src/gateway/leader.rs
+++ b/crates/laburnumstalld/src/gateway/leader.rs
@@ -1,4 +1,4 @@
-//! Duties of the lease holder: it reports usage and orders endpoints.
+//! Duties of the lease holder: it reports usage, orders endpoints and decides on rollouts.
 //!
 //! One daemon at a time holds the lease and its fencing token. A usage report is written to
 //! the key-value store before it is sent, so that every retry sends the same report. If the
@@ -26,6 +26,7 @@
 
 use super::context::Context;
 use super::log::Event;
+use super::rollouts::StateWriter;
 
 /// Interval of the check for due work.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -52,6 +53,7 @@
     own: Member,
     lease: RefCell<LeaseClient>,
     scaler: RefCell<Scaler>,
+    rollouts: Rc<StateWriter>,
     /// Windows whose report was accepted, also under an earlier lease.
     reported: RefCell<BTreeSet<u64>>,
     in_flight: RefCell<BTreeSet<u64>>,
@@ -81,7 +83,9 @@
             trusts_absence: true,
         };
         let lease = LeaseClient::with_timing(own.id.clone(), &cx.settings.region, timing)?;
+        let rollouts = StateWriter::new(Rc::clone(&cx), Rc::clone(&store));
         Ok(Rc::new(Self {
+            rollouts,
             cx,
             store,
             client,
@@ -110,6 +114,9 @@
                 }
                 continue;
             }
+            if self.cx.settings.bounds.rollout.is_some() {
+                self.rollouts.write_due();
+            }
             if self.cx.settings.reports_usage {
                 self.report_due_windows(now);
             }
@@ -301,6 +308,7 @@
             let mut scaler = self.scaler.borrow_mut();
             scaled_services(gateway)
                 .flat_map(|(service, rule)| {
+                    scaler.set_rollout(service, gateway.rollout_scope(service));
                     scaler.plan(now, service, rule, gateway.endpoints(), &mut journal)
                 })
                 .collect()
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -4,10 +4,10 @@
 
 use laburnumstall_core::decision::{Decision, DecisionKind};
 use laburnumstall_core::error::ErrorKind;
-use laburnumstall_core::gateway::AdmittedCall;
+use laburnumstall_core::gateway::{AdmittedCall, RolloutSummary};
 use laburnumstall_core::units::Timestamp;
 use prometheus::{
-    HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, Result, TextEncoder,
+    HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, Result, TextEncoder,
 };
 
 use crate::metrics::register;
@@ -86,8 +86,16 @@
     "Streams that callers took up, by what their software version was known from, or why they were refused.",
 );
 
+/// Calls that this daemon sent to a service since the order of its rollout, by version.
+pub const ROLLOUT_CALLS: MetricSpec = spec(
+    "laburnumstall_gateway_rollout_calls",
+    MetricKind::Gauge,
+    &["service", "version"],
+    "Calls sent to a service since the order of its rollout, to old versions and to the new one.",
+);
+
 /// All gateway metrics, in the order of the reference page.
-pub const ALL: [MetricSpec; 10] = [
+pub const ALL: [MetricSpec; 11] = [
     REQUESTS,
     REFUSALS,
     DURATION,
@@ -98,6 +106,7 @@
     CALLERS,
     CLOSES,
     RESUMPTIONS,
+    ROLLOUT_CALLS,
 ];
 
 /// Registry and metrics of one gateway.
@@ -114,6 +123,7 @@
     callers: IntGauge,
     closes: IntCounterVec,
     resumptions: IntCounterVec,
+    rollout_calls: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -135,6 +145,7 @@
             callers: register::gauge(&registry, &CALLERS)?,
             closes: register::counters(&registry, &CLOSES)?,
             resumptions: register::counters(&registry, &RESUMPTIONS)?,
+            rollout_calls: register::gauges(&registry, &ROLLOUT_CALLS)?,
             registry,
         })
     }
@@ -198,6 +209,19 @@
         self.closes.with_label_values(&[cause]).inc();
     }
 
+    /// Sets the calls sent to a service since the order of its rollout.
+    pub fn rollout(&self, summary: &RolloutSummary) {
+        let calls = [
+            ("old", summary.calls.saturating_sub(summary.new_calls)),
+            ("new", summary.new_calls),
+        ];
+        for (version, calls) in calls {
+            let labels = [summary.service.as_str(), version];
+            let gauge = self.rollout_calls.with_label_values(&labels);
+            gauge.set(i64::try_from(calls).unwrap_or(i64::MAX));
+        }
+    }
+
     fn observe(&self, histogram: &HistogramVec, service: &str, elapsed: Duration) {
         histogram
             .with_label_values(&[service])
--- a/crates/laburnumstalld/src/gateway/store_sync.rs
+++ b/crates/laburnumstalld/src/gateway/store_sync.rs
@@ -1,6 +1,6 @@
 //! Keeps the gateway's view of the key-value store fresh.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use super::log::Event;
 use super::marks;
 use super::registration::{self, StoredMember};
+use super::rollouts;
 use super::rules_floor;
 use super::stored_origins;
 use super::stored_versions::{self, Versions};
@@ -129,7 +130,7 @@
 /// duties, which matter to the lease holder alone.
 fn view_change(gateway: &Gateway, change: &Change) -> Option<ViewChange> {
     match change {
-        Change::Rules(_) => Some(ViewChange::Other),
+        Change::Rules(_) | Change::Rollout(..) => Some(ViewChange::Other),
         Change::EndpointRemoved(id) => Some(ViewChange::EndpointRemoved(id.clone())),
         Change::Endpoint(record) => {
             let known = gateway.endpoints().get(&record.id);
@@ -141,6 +142,7 @@
         }
         Change::Own(value)
             if value.key.as_str().starts_with(stored_versions::PREFIX)
+                || value.key.as_str().starts_with(rollouts::PREFIX)
                 || value.key.as_str() == rules_floor::KEY =>
         {
             Some(ViewChange::Other)
@@ -166,11 +168,18 @@
     let mut versions = Vec::new();
     let mut segments = Vec::new();
     let mut floor = None;
+    let mut orders = BTreeMap::new();
+    let mut states = BTreeMap::new();
     for change in snapshot.changes {
         match change {
             Change::Endpoint(record) => endpoints.push(record),
+            Change::Rollout(service, entry) => {
+                orders.insert(service, entry);
+            }
             Change::Own(value) => {
-                if let Some(stored) = rules_floor::stored_floor(&value) {
+                if let Some((service, stored)) = rollouts::stored_state(&value) {
+                    states.insert(service, stored);
+                } else if let Some(stored) = rules_floor::stored_floor(&value) {
                     floor = stored;
                 } else if let Some(service) = marks::marked_service(&value) {
                     marked.insert(service);
@@ -195,6 +204,7 @@
             .with("version", snapshot.version)
             .with("era", snapshot.era.unwrap_or_default()),
     );
+    rollouts::apply_snapshot(cx, orders, states);
     cx.with_gateway(|gateway, now| {
         let ended: Vec<ServiceName> = gateway
             .version_history()
@@ -243,8 +253,13 @@
         Change::EndpointRemoved(id) => {
             cx.with_gateway(|gateway, now| gateway.on_endpoint_removed(now, &id));
         }
+        Change::Rollout(service, entry) => {
+            cx.with_gateway(|gateway, now| gateway.on_rollout_order(now, &service, entry));
+        }
         Change::Own(value) => {
-            if let Some(floor) = rules_floor::stored_floor(&value) {
+            if let Some((service, stored)) = rollouts::stored_state(&value) {
+                cx.with_gateway(|gateway, now| gateway.on_stored_rollout(now, &service, stored));
+            } else if let Some(floor) = rules_floor::stored_floor(&value) {
                 cx.with_gateway(|gateway, now| gateway.on_rules_floor(now, floor));
             } else if let Some(service) = marks::marked_service(&value) {
                 let is_marked = value.value.is_some();
