Test rollouts with two holders, earlier builds and in a large fleet

Cause: evidence of calls at the old version alone made every daemon of a large fleet send each second.

Change: in fleets of more than 32 daemons a message is sent only if counts of the new version changed; it has both sides. The tests encode each message.

--- a/crates/laburnumstall-core/src/gateway/rollout/calls.rs
+++ b/crates/laburnumstall-core/src/gateway/rollout/calls.rs
@@ -221,6 +221,7 @@
         rollout.own.entry(tracked.route).or_default().add(&added);
         rollout.fleet.add_own(now, tracked.route, &added);
         rollout.sending.is_changed = true;
+        rollout.sending.is_new_changed |= tracked.is_new;
         if tracked.is_new {
             rollout.judge(now, &attempt.service, journal);
         }
--- a/crates/laburnumstall-core/src/gateway/rollout/exchange.rs
+++ b/crates/laburnumstall-core/src/gateway/rollout/exchange.rs
@@ -38,6 +38,8 @@
 pub(super) struct SendState {
     /// Whether counts have changed since the last message.
     pub(super) is_changed: bool,
+    /// Whether those of the new version have.
+    pub(super) is_new_changed: bool,
     /// Whether a message is due, whenever the last one was sent.
     pub(super) is_due: bool,
     sent_at: Option<Timestamp>,
@@ -62,7 +64,12 @@
         for (service, rollout) in &mut self.rollouts.services {
             let sending = &mut rollout.sending;
             let is_moving = rollout.phase == Some(RolloutPhase::Moving) && is_small;
-            let is_changed = sending.is_changed || sending.stop_messages > 0 || is_moving;
+            // In a large fleet few daemons have calls at the new version, and tell of both sides.
+            let has_news = match is_small {
+                true => sending.is_changed,
+                false => sending.is_new_changed,
+            };
+            let is_changed = has_news || sending.stop_messages > 0 || is_moving;
             let is_time = sending.sent_at.is_none_or(|at| now.since(at) >= period);
             let may_send = sending.is_due || is_changed && is_time;
             if !may_send {
--- a/crates/laburnumstall-core/tests/gateway/rollout_judge.rs
+++ b/crates/laburnumstall-core/tests/gateway/rollout_judge.rs
@@ -109,3 +109,22 @@
         assert_eq!(stored.phase, RolloutPhase::Complete, "{seed}: {stored:?}");
     }
 }
+
+/// In a fleet that does not send evidence from all to all, a bad version was not stopped in time, or
+/// the evidence of a good one cost too much.
+#[test]
+fn large_fleet_judges_within_its_budget() {
+    for (failure, phase) in [(0.4, RolloutPhase::Reverted), (0.0, RolloutPhase::Complete)] {
+        let quality = move |run: &Run| (1.0, if run.is_new { failure } else { 0.0 });
+        let mut world = World::new(86, 2, Box::new(quality));
+        world.calls_per_ms = Box::new(|_| 0.45);
+        world.run_until(DURATION_MS);
+        let (all, new) = world.exposure();
+        let (last, fiftieth) = world.last_new_and_bad(50);
+        let bytes = world.received_bytes.iter().max().unwrap() * 1_000 / DURATION_MS as usize;
+        println!("{phase}: {new} of {all}, last {last}, 50th bad {fiftieth:?}, {bytes} B/s");
+        assert_eq!(world.phase(), Some(phase));
+        assert!(fiftieth.is_none_or(|ms| last <= ms + ROLLBACK_MS));
+        assert!(bytes <= 4_096, "{bytes}");
+    }
+}
--- a/crates/laburnumstall-core/tests/gateway/rollout_states.rs
+++ b/crates/laburnumstall-core/tests/gateway/rollout_states.rs
@@ -1,10 +1,12 @@
 //! States of a rollout, each test with one failure.
 
+use std::collections::BTreeMap;
+
 use crate::rollout_world::{DURATION_MS, LIMITS, World, app, order};
-use crate::support::{at, bounds, call_attributes, endpoint, gateway, member, rules};
+use crate::support::{at, bounds, call_attributes, endpoint, gateway, member, rules, scaling};
 use laburnumstall_core::gateway::{
-    Gateway, OrderEntry, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite, StoredRollout,
-    StoredVersions,
+    Gateway, OrderEntry, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite, ScaleOutcome,
+    Scaler, StoredRollout, StoredVersions,
 };
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::store::{StoreEra, StorePosition};
@@ -274,14 +276,82 @@
         Box::new(|run| (1.0, if run.is_new { 0.3 } else { 0.0 })),
     );
     world.run_until(2_500);
-    (world.holder, world.is_store_up) = (None, false);
+    (world.holders, world.is_store_up) = (Vec::new(), false);
     world.run_until(DURATION_MS + 2_000);
     let (last, fiftieth) = world.last_new_and_bad(50);
     assert!(
         last < 8_000 && fiftieth.is_none_or(|ms| last <= ms + 5_000),
         "{last} {fiftieth:?}"
     );
-    (world.holder, world.is_store_up) = (Some(2), true);
+    (world.holders, world.is_store_up) = (vec![2], true);
     world.run_until(DURATION_MS + 3_000);
     assert_eq!(world.phase(), Some(Reverted));
 }
+
+/// Two daemons that both took themselves for the holder wrote one state after the other, or a later
+/// one before an earlier one.
+#[test]
+fn two_holders_write_each_state_once() {
+    let mut world = World::new(4, 4, Box::new(|_| (1.0, 0.0)));
+    world.holders = vec![1, 0];
+    world.run_until(DURATION_MS);
+    assert_eq!(world.phases, [Ordered, Canary, Moving, Complete]);
+}
+
+/// The order of one service changed what happens to the other.
+#[test]
+fn two_services_are_rolled_out_at_once() {
+    let model: ServiceName = "model".parse().unwrap();
+    let mut holder = Holder::new(&["v1", "v2"]);
+    let entry = OrderEntry::Order(order(8, "v9"));
+    holder.gateway.on_rollout_order(at(0), &model, entry);
+    let due = holder.gateway.rollouts_to_store(at(20)).into_iter();
+    let due: Vec<_> = due
+        .map(|write| (write.service, write.stored.phase))
+        .collect();
+    assert_eq!(due, [(app(), Canary), (model, Ordered)]);
+}
+
+/// A daemon of the earlier build got messages that it does not decode, or kept the others from
+/// completing the move.
+#[test]
+fn earlier_build_serves_alongside() {
+    let mut world = World::new(4, 6, Box::new(|_| (1.0, 0.0)));
+    world.make_earlier(3);
+    world.run_until(DURATION_MS);
+    assert_eq!(world.phase(), Some(Complete));
+}
+
+/// Scaling released endpoints during a rollout, or took those of the new version for capacity.
+#[test]
+fn scaling_keeps_endpoints_during_a_rollout() {
+    let model: ServiceName = "model".parse().unwrap();
+    let mut gateway = fresh(&[]);
+    let records = (0..24).map(|n| {
+        let zone = ["north-a", "north-b", "north-c"][n % 3];
+        let mut record = endpoint(&format!("m{n}"), "model", zone);
+        record.version = Some(if n < 12 { "v1" } else { "v2" }.parse().unwrap());
+        record
+    });
+    gateway.on_endpoints(at(0), records.collect());
+    let entry = OrderEntry::Order(order(7, "v2"));
+    gateway.on_rollout_order(at(0), &model, entry);
+    let plan = |gateway: &Gateway, follows: bool| {
+        let (mut scaler, mut journal) = (Scaler::default(), Journal::default());
+        let mut least = BTreeMap::new();
+        for ms in (0..20_000).step_by(250) {
+            let scope = gateway.rollout_scope(&model).filter(|_| follows);
+            scaler.set_rollout(&model, scope);
+            let table = gateway.endpoints();
+            for order in scaler.plan(at(ms), &model, &scaling(), table, &mut journal) {
+                if !order.is_spot {
+                    least.insert(order.zone.clone(), order.desired);
+                }
+                scaler.on_outcome(at(ms), &order, ScaleOutcome::Accepted, &mut journal);
+            }
+        }
+        least.into_values().min()
+    };
+    assert!(plan(&gateway, false).is_some_and(|least| least < 4));
+    assert!(plan(&gateway, true).is_none_or(|least| least >= 4));
+}
--- a/crates/laburnumstall-core/tests/gateway/rollout_world.rs
+++ b/crates/laburnumstall-core/tests/gateway/rollout_world.rs
@@ -7,7 +7,8 @@
 use crate::support::{at, bounds, call_attributes, daemon, endpoint, member, rules};
 use laburnumstall_core::gateway::{
     AdmittedCall, CallAttempt, CallFailure, EndpointRecord, FailureAction, Gateway, MemberRecord,
-    OrderEntry, PeerProtocol, RolloutBounds, RolloutOrder, RolloutPhase, StoredRollout,
+    OrderEntry, PeerMessage, PeerProtocol, RolloutBounds, RolloutOrder, RolloutPhase,
+    StoredRollout,
 };
 use laburnumstall_core::prelude::*;
 use laburnumstall_core::store::{StoreEra, StorePosition};
@@ -60,7 +61,14 @@
     pub(crate) daemons: Vec<Gateway>,
     /// Daemons that reach neither peers nor the store.
     pub(crate) cut: BTreeSet<usize>,
-    pub(crate) holder: Option<usize>,
+    /// Daemons that take themselves for holders of the duties.
+    pub(crate) holders: Vec<usize>,
+    /// States in the order in which they were written.
+    pub(crate) phases: Vec<RolloutPhase>,
+    /// Bytes of evidence that each daemon received.
+    pub(crate) received_bytes: Vec<usize>,
+    /// Daemons of the earlier build.
+    pub(crate) earlier: BTreeSet<usize>,
     pub(crate) is_store_up: bool,
     pub(crate) stored: Option<(StoredRollout, StoreVersion)>,
     /// Time, whether the version is the new one, and whether the response was bad.
@@ -93,13 +101,16 @@
             duration_ms: DURATION_MS,
             daemons: (1..=daemons).map(|n| start(n, &endpoints[..10])).collect(),
             cut: BTreeSet::new(),
-            holder: Some(0),
+            holders: vec![0],
+            phases: Vec::new(),
+            received_bytes: vec![0; daemons as usize],
+            earlier: BTreeSet::new(),
             is_store_up: true,
             stored: None,
             sends: Vec::new(),
             crashes: Vec::new(),
             calls_per_ms: Box::new(|_| 0.3),
-            has_gossip: daemons <= 35,
+            has_gossip: daemons <= 86,
             quality,
             endpoints,
             running: BTreeMap::new(),
@@ -114,15 +125,27 @@
         world
     }
 
+    /// Replaces a daemon by one of the earlier build.
+    pub(crate) fn make_earlier(&mut self, index: usize) {
+        self.earlier.insert(index);
+        let mut bounds = bounds();
+        bounds.rollout = None;
+        self.daemons[index].set_bounds(bounds);
+        self.introduce();
+    }
+
     fn introduce(&mut self) {
         let members: Vec<_> = (1..=self.daemons.len() as u32).map(member).collect();
         for gateway in &mut self.daemons {
-            for member in &members {
+            for (index, member) in members.iter().enumerate() {
                 let record = MemberRecord {
                     member: member.clone(),
                     supports_extensions: true,
                     supports_quarantine: true,
-                    protocol: PeerProtocol::NEWEST,
+                    protocol: match self.earlier.contains(&index) {
+                        true => PeerProtocol::STORED_VERSIONS,
+                        false => PeerProtocol::NEWEST,
+                    },
                 };
                 gateway.on_member_record(at(0), record);
             }
@@ -235,36 +258,45 @@
         self.daemons
             .iter_mut()
             .for_each(|gateway| gateway.tick(now));
-        let holder = self
-            .holder
-            .filter(|holder| self.is_store_up && !self.cut.contains(holder));
-        let Some(holder) = holder else { return };
-        for write in self.daemons[holder].rollouts_to_store(now) {
-            let current = self.stored.as_ref().map(|(_, version)| *version);
-            if write.expected == current {
-                let version = StoreVersion(current.map_or(10, |version| version.get() + 1));
-                self.stored = Some((write.stored.clone(), version));
-                self.reads
-                    .push_back((self.ms + READ_MS, write.stored, version));
+        for holder in self.holders.clone() {
+            if !self.is_store_up || self.cut.contains(&holder) {
+                continue;
+            }
+            for write in self.daemons[holder].rollouts_to_store(now) {
+                let current = self.stored.as_ref().map(|(_, version)| *version);
+                if write.expected == current {
+                    let version = StoreVersion(current.map_or(10, |version| version.get() + 1));
+                    self.phases.push(write.stored.phase);
+                    self.stored = Some((write.stored.clone(), version));
+                    self.reads
+                        .push_back((self.ms + READ_MS, write.stored, version));
+                }
+                let stored = self.stored.clone();
+                let stored = stored.map(|(stored, version)| (Some(stored), version));
+                self.daemons[holder].on_stored_rollout(now, &app(), stored);
             }
-            let stored = self
-                .stored
-                .clone()
-                .map(|(stored, version)| (Some(stored), version));
-            self.daemons[holder].on_stored_rollout(now, &app(), stored);
         }
     }
 
     fn exchange(&mut self, now: Timestamp) {
         for from in self.connected() {
             for broadcast in self.daemons[from].take_rollout_evidence(now) {
+                let message = PeerMessage::RolloutEvidence(broadcast.evidence);
+                let bytes = postcard::to_allocvec(&message).unwrap();
                 for (peer, _) in &broadcast.peers {
                     let to = (0..self.daemons.len()).find(|n| daemon(*n as u32 + 1) == *peer);
-                    if let Some(to) = to.filter(|to| !self.cut.contains(to)) {
-                        let (from, evidence) =
-                            (daemon(from as u32 + 1), broadcast.evidence.clone());
-                        self.daemons[to].on_rollout_evidence(now, &from, evidence);
+                    let to = to.unwrap();
+                    assert!(!self.earlier.contains(&to), "sent to an earlier build");
+                    if self.cut.contains(&to) {
+                        continue;
                     }
+                    self.received_bytes[to] += bytes.len();
+                    let Ok(PeerMessage::RolloutEvidence(evidence)) = postcard::from_bytes(&bytes)
+                    else {
+                        panic!("the message is not decoded");
+                    };
+                    let from = daemon(from as u32 + 1);
+                    self.daemons[to].on_rollout_evidence(now, &from, evidence);
                 }
             }
         }
