Judge rollouts ten times a second at most

Cause: each response of the new version summed the counts of four seconds for each cause, so that the cost grew with the calls while a version moves.

Change: a change of the counts marks the rollout, and the next check for messages (every 100 ms) judges it; the recent counts are summed once.

--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -101,8 +101,7 @@
             .with("endpoint", &replaced.endpoint)
             .with("events", call.events);
         self.journal.record(decision);
-        let journal = &mut self.journal;
-        self.rollouts.on_failure(now, &replaced, failure, journal);
+        self.rollouts.on_failure(now, &replaced, failure);
         // The silence was recorded when the replacement was selected.
         let outcome = match failure {
             CallFailure::Silent => None,
@@ -155,9 +154,7 @@
             .with("endpoint", &replacement.endpoint)
             .with("events", call.events);
         self.journal.record(decision);
-        let journal = &mut self.journal;
-        self.rollouts
-            .on_failure(now, &replacement, failure, journal);
+        self.rollouts.on_failure(now, &replacement, failure);
         self.end_attempt(now, replacement, failure.outcome());
     }
 }
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -355,8 +355,7 @@
         call: &mut AdmittedCall,
         attempt: &mut CallAttempt,
     ) {
-        let journal = &mut self.journal;
-        self.rollouts.on_first_output(now, attempt, journal);
+        self.rollouts.on_first_output(now, attempt);
         self.load_balancer.on_first_output(now, attempt);
         self.record_origin(now, call, attempt);
         self.count_started(now, call);
@@ -394,8 +393,7 @@
         if failure.may_be_crash() {
             self.on_attempt_lost(now, call, &attempt);
         }
-        let journal = &mut self.journal;
-        self.rollouts.on_failure(now, &attempt, failure, journal);
+        self.rollouts.on_failure(now, &attempt, failure);
         let endpoint = attempt.endpoint.clone();
         let age = now.since(attempt.started_at);
         self.end_attempt(now, attempt, failure.outcome());
@@ -432,15 +430,14 @@
     /// was working.
     pub fn abandon(&mut self, now: Timestamp, attempt: CallAttempt, outcome: Option<CallOutcome>) {
         if outcome.is_some() {
-            let journal = &mut self.journal;
-            self.rollouts.on_unfinished(now, &attempt, journal);
+            self.rollouts.on_unfinished(now, &attempt);
         }
         self.end_attempt(now, attempt, outcome);
     }
 
     /// Ends a successful attempt.
     pub fn succeed(&mut self, now: Timestamp, attempt: CallAttempt) {
-        self.rollouts.on_success(now, &attempt, &mut self.journal);
+        self.rollouts.on_success(now, &attempt);
         self.end_attempt(now, attempt, Some(CallOutcome::Good));
     }
 
--- a/crates/laburnumstall-core/src/gateway/rollout.rs
+++ b/crates/laburnumstall-core/src/gateway/rollout.rs
@@ -95,6 +95,8 @@
     fleet: FleetEvidence,
     route_names: BTreeMap<RouteKey, CompactString>,
     finding: Option<Finding>,
+    /// Whether counts have changed since the version was last judged.
+    needs_judgement: bool,
     old_in_flight: u32,
     /// When each process of the new version was first seen.
     new_processes: BTreeMap<EndpointProcess, Timestamp>,
@@ -131,6 +133,7 @@
             fleet: FleetEvidence::default(),
             route_names: BTreeMap::new(),
             finding: None,
+            needs_judgement: false,
             old_in_flight: 0,
             new_processes: BTreeMap::new(),
             losses: BTreeMap::new(),
--- a/crates/laburnumstall-core/src/gateway/rollout/calls.rs
+++ b/crates/laburnumstall-core/src/gateway/rollout/calls.rs
@@ -110,14 +110,9 @@
     }
 
     /// Records the first output of an attempt that has none yet.
-    pub(in crate::gateway) fn on_first_output(
-        &mut self,
-        now: Timestamp,
-        attempt: &CallAttempt,
-        journal: &mut Journal,
-    ) {
+    pub(in crate::gateway) fn on_first_output(&mut self, now: Timestamp, attempt: &CallAttempt) {
         if attempt.first_output_at.is_none() {
-            self.record(now, attempt, journal, |rollout, counts, side| {
+            self.record(now, attempt, |rollout, counts, side| {
                 let time = now.since(attempt.started_at);
                 let is_warm = rollout.is_warm(now, attempt);
                 let counts = counts.side(side.is_new);
@@ -130,16 +125,11 @@
     }
 
     /// Records the end of a whole response.
-    pub(in crate::gateway) fn on_success(
-        &mut self,
-        now: Timestamp,
-        attempt: &CallAttempt,
-        journal: &mut Journal,
-    ) {
+    pub(in crate::gateway) fn on_success(&mut self, now: Timestamp, attempt: &CallAttempt) {
         let Some(first_output_at) = attempt.first_output_at else {
             return;
         };
-        self.record(now, attempt, journal, |rollout, counts, side| {
+        self.record(now, attempt, |rollout, counts, side| {
             if side.is_stream && rollout.is_warm(now, attempt) {
                 let counts = counts.side(side.is_new);
                 counts.rest.record(now.since(first_output_at));
@@ -153,16 +143,15 @@
         now: Timestamp,
         attempt: &CallAttempt,
         failure: CallFailure,
-        journal: &mut Journal,
     ) {
         match failure {
             CallFailure::NotSent | CallFailure::NotRun | CallFailure::WrongEndpoint => {}
-            CallFailure::Silent => self.on_unfinished(now, attempt, journal),
+            CallFailure::Silent => self.on_unfinished(now, attempt),
             CallFailure::Lost
             | CallFailure::BadAnswer
             | CallFailure::Failed
             | CallFailure::Broken => {
-                self.record(now, attempt, journal, |rollout, counts, side| {
+                self.record(now, attempt, |rollout, counts, side| {
                     if failure.may_be_crash() && !rollout.counts_loss(now, attempt) {
                         return;
                     }
@@ -175,15 +164,10 @@
     }
 
     /// Records an attempt that was given up before its end: it took at least the time until now.
-    pub(in crate::gateway) fn on_unfinished(
-        &mut self,
-        now: Timestamp,
-        attempt: &CallAttempt,
-        journal: &mut Journal,
-    ) {
+    pub(in crate::gateway) fn on_unfinished(&mut self, now: Timestamp, attempt: &CallAttempt) {
         match attempt.first_output_at {
-            Some(_) => self.on_success(now, attempt, journal),
-            None => self.on_first_output(now, attempt, journal),
+            Some(_) => self.on_success(now, attempt),
+            None => self.on_first_output(now, attempt),
         }
     }
 
@@ -201,7 +185,6 @@
         &mut self,
         now: Timestamp,
         attempt: &CallAttempt,
-        journal: &mut Journal,
         count: impl FnOnce(&mut Rollout, &mut RouteCounts, TrackedCall),
     ) {
         let Some(tracked) = attempt.tracked else {
@@ -222,9 +205,7 @@
         rollout.fleet.add_own(now, tracked.route, &added);
         rollout.sending.is_changed = true;
         rollout.sending.is_new_changed |= tracked.is_new;
-        if tracked.is_new {
-            rollout.judge(now, &attempt.service, journal);
-        }
+        rollout.needs_judgement |= tracked.is_new;
     }
 }
 
@@ -238,9 +219,10 @@
         is_ended || self.finding.is_some() || self.withdrawn.is_some()
     }
 
-    /// Stops if the counts of the fleet show that the version is bad.
+    /// Stops if the counts of the fleet have changed and show that the version is bad.
     pub(super) fn judge(&mut self, now: Timestamp, service: &ServiceName, journal: &mut Journal) {
-        if self.finding.is_some() || !self.is_open() {
+        let needs_judgement = std::mem::take(&mut self.needs_judgement);
+        if !needs_judgement || self.finding.is_some() || !self.is_open() {
             return;
         }
         if let Some((route, mut finding)) = judge(now, &self.fleet.routes) {
--- a/crates/laburnumstall-core/src/gateway/rollout/exchange.rs
+++ b/crates/laburnumstall-core/src/gateway/rollout/exchange.rs
@@ -55,13 +55,15 @@
 }
 
 impl Gateway {
-    /// Returns the messages about rollouts that are due.
+    /// Judges the versions whose counts have changed, and returns the messages about rollouts that are
+    /// due. Called several times a second.
     pub fn take_rollout_evidence(&mut self, now: Timestamp) -> Vec<EvidenceBroadcast> {
         let period = self.evidence_period();
         let daemons = 1 + self.peer_table.len();
         let is_small = daemons <= FULL_RATE_DAEMONS;
         let mut broadcasts = Vec::new();
         for (service, rollout) in &mut self.rollouts.services {
+            rollout.judge(now, service, &mut self.journal);
             let sending = &mut rollout.sending;
             let is_moving = rollout.phase == Some(RolloutPhase::Moving) && is_small;
             // In a large fleet few daemons have calls at the new version, and tell of both sides.
@@ -114,6 +116,7 @@
         }
         let finding = update.finding.take();
         rollout.fleet.on_peer(now, from, update);
+        rollout.needs_judgement = true;
         if let Some(finding) = finding
             && rollout.finding.is_none()
             && rollout.is_open()
@@ -122,7 +125,6 @@
             // The peer that found it tells all.
             rollout.sending = SendState::default();
         }
-        rollout.judge(now, &service, journal);
     }
 
     /// Returns whether all daemons have reported lately that they have no call at an old version.
--- a/crates/laburnumstall-core/src/gateway/rollout/judge.rs
+++ b/crates/laburnumstall-core/src/gateway/rollout/judge.rs
@@ -51,6 +51,31 @@
     slices: BTreeMap<u64, (u32, u32)>,
 }
 
+/// Counts of one route.
+struct Recent<'a> {
+    route: RouteKey,
+    slices: Vec<(u64, &'a RouteCounts)>,
+    /// Sum of the slices.
+    sum: RouteCounts,
+    total: &'a RouteCounts,
+}
+
+impl<'a> Recent<'a> {
+    fn new(now: Timestamp, route: RouteKey, history: &'a RouteHistory) -> Self {
+        let slices: Vec<(u64, &RouteCounts)> = history.recent(now).collect();
+        let mut sum = RouteCounts::default();
+        for (_, counts) in &slices {
+            sum.add(counts);
+        }
+        Self {
+            route,
+            slices,
+            sum,
+            total: &history.total,
+        }
+    }
+}
+
 /// Returns why the new version is bad, if it is: on a route, whose key comes with it, or on all
 /// routes together.
 pub(super) fn judge(
@@ -62,13 +87,17 @@
         FindingCause::FirstOutput,
         FindingCause::Pauses,
     ];
+    let recent: Vec<Recent<'_>> = routes
+        .iter()
+        .map(|(route, history)| Recent::new(now, *route, history))
+        .collect();
     causes.into_iter().find_map(|cause| {
         [true, false].into_iter().find_map(|is_recent| {
             let mut all = Tally::default();
-            for (route, history) in routes {
-                let tally = Tally::new(now, cause, history, is_recent);
+            for recent in &recent {
+                let tally = Tally::new(cause, recent, is_recent);
                 if let Some(finding) = tally.finding(cause) {
-                    return Some((Some(*route), finding));
+                    return Some((Some(recent.route), finding));
                 }
                 all.add(&tally);
             }
@@ -79,12 +108,11 @@
 
 impl Tally {
     /// Counts a route's attempts of the last slices or of all time.
-    fn new(now: Timestamp, cause: FindingCause, history: &RouteHistory, is_recent: bool) -> Self {
-        let mut recent = RouteCounts::default();
-        for (_, counts) in history.recent(now) {
-            recent.add(counts);
-        }
-        let sum = if is_recent { &recent } else { &history.total };
+    fn new(cause: FindingCause, recent: &Recent<'_>, is_recent: bool) -> Self {
+        let sum = match is_recent {
+            true => &recent.sum,
+            false => recent.total,
+        };
         let old = histogram(cause, &sum.old);
         if cause != FindingCause::Failures && old.total() < MIN_OLD_CALLS {
             return Self::default();
@@ -98,14 +126,14 @@
             }
         };
         let ((new_calls, new_bad), (old_calls, old_bad)) = (count(&sum.new), count(&sum.old));
-        let slices = history.recent(now);
+        let slices = recent.slices.iter();
         Self {
             new_calls,
             new_bad,
             old_calls,
             old_bad,
             slices: slices
-                .map(|(slice, counts)| (slice, count(&counts.new)))
+                .map(|(slice, counts)| (*slice, count(&counts.new)))
                 .collect(),
         }
     }
--- a/crates/laburnumstall-core/tests/gateway/rollout_world.rs
+++ b/crates/laburnumstall-core/tests/gateway/rollout_world.rs
@@ -279,7 +279,7 @@
     }
 
     fn exchange(&mut self, now: Timestamp) {
-        for from in self.connected() {
+        for from in 0..self.daemons.len() {
             for broadcast in self.daemons[from].take_rollout_evidence(now) {
                 let message = PeerMessage::RolloutEvidence(broadcast.evidence);
                 let bytes = postcard::to_allocvec(&message).unwrap();
@@ -287,7 +287,7 @@
                     let to = (0..self.daemons.len()).find(|n| daemon(*n as u32 + 1) == *peer);
                     let to = to.unwrap();
                     assert!(!self.earlier.contains(&to), "sent to an earlier build");
-                    if self.cut.contains(&to) {
+                    if self.cut.contains(&from) || self.cut.contains(&to) {
                         continue;
                     }
                     self.received_bytes[to] += bytes.len();
