Vary the slow endpoints and crash more of them in the test of good versions

Cause: the endpoints that take longer were the same in all 200 seeds, and the canary endpoints are chosen by a hash, so that one case was played.

--- a/crates/laburnumstall-core/tests/gateway/rollout_judge.rs
+++ b/crates/laburnumstall-core/tests/gateway/rollout_judge.rs
@@ -10,8 +10,8 @@
 /// Half of the load of an old endpoint at the rate of the tests.
 const HALF_LOAD: f64 = 0.25;
 
-fn endpoint_speed(run: &Run) -> f64 {
-    if run.endpoint.is_multiple_of(3) {
+fn endpoint_speed(run: &Run, seed: u64) -> f64 {
+    if (run.endpoint as u64 + seed).is_multiple_of(3) {
         1.7
     } else {
         0.7
@@ -85,7 +85,7 @@
         let is_disturbed = phase < 600;
         let is_cold = run.is_new && run.ms < 3_500;
         let is_burst = (run.ms / 500 + seed).is_multiple_of(9);
-        let mut factor = endpoint_speed(run);
+        let mut factor = endpoint_speed(run, seed);
         factor *= if is_disturbed { 2.5 } else { 1.0 };
         factor *= if is_cold || is_burst { 2.0 } else { 1.0 };
         (factor, if run.route == "read" { 0.14 } else { 0.01 })
@@ -95,19 +95,23 @@
 /// A good version was reverted because of chance, a burst, crashes, disturbed or cold endpoints.
 #[test]
 fn good_version_under_noise_is_complete() {
+    let mut reverted = Vec::new();
     for seed in 1..=200 {
         let mut world = World::new(3, seed, noisy(seed));
         world.calls_per_ms = Box::new(move |ms| {
             let is_burst = (ms / 500 + seed).is_multiple_of(9);
-            if is_burst { 0.3 } else { 0.12 }
+            if is_burst { 0.45 } else { 0.3 }
         });
         let crashes =
-            (0..3).map(|n| (2_000 + n * 2_700 + seed * 13, 10 + (seed + n) as usize % 10));
+            (0..8).map(|n| (2_000 + n * 1_000 + seed * 13, 10 + (seed + n) as usize % 10));
         world.crashes = crashes.collect();
         world.run_until(DURATION_MS);
         let (stored, _) = world.stored.as_ref().unwrap();
-        assert_eq!(stored.phase, RolloutPhase::Complete, "{seed}: {stored:?}");
+        if stored.phase != RolloutPhase::Complete {
+            reverted.push((seed, stored.phase, stored.reason.clone()));
+        }
     }
+    assert!(reverted.is_empty(), "{reverted:?}");
 }
 
 /// In a fleet that does not send evidence from all to all, a bad version was not stopped in time, or
