--- a/crates/laburnumstall-core/examples/placement_costs.rs
+++ b/crates/laburnumstall-core/examples/placement_costs.rs
@@ -14,7 +14,7 @@
 use laburnumstall_core::decision::Journal;
 use laburnumstall_core::gateway::{
     BackendRule, EndpointQuery, EndpointRecord, EndpointTable, LoadBalancer, ProcessKey,
-    ProcessTimes, Prompt, PromptPart, ServiceRule,
+    ProcessTimes, Prompt, PromptPart, ServiceRule, VersionGate,
 };
 use laburnumstall_core::prelude::*;
 use timing::micros;
@@ -49,6 +49,7 @@
         slots: 48,
         is_leaving: false,
         is_spot: false,
+        leaves_in: None,
         started_at_ms: 1,
         version: None,
     }
@@ -110,6 +111,7 @@
         seed: 1,
         version: None,
         admitted: None,
+        gate: VersionGate::Open,
         excluded: &[],
     };
     let attempt = balancer.select(now, &query).expect("a usable endpoint");
--- a/crates/laburnumstall-core/src/decision.rs
+++ b/crates/laburnumstall-core/src/decision.rs
@@ -52,6 +52,8 @@
         Reclaim,
         /// Which part of the shared prefixes an endpoint owns.
         Weight,
+        /// Which software version the calls of a service move to.
+        Rollout,
     }
 }
 
@@ -77,6 +79,7 @@
             Self::Resume => "resume",
             Self::Reclaim => "reclaim",
             Self::Weight => "weight",
+            Self::Rollout => "rollout",
         }
     }
 }
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -15,6 +15,7 @@
 mod room;
 mod score;
 mod speeds;
+mod version_gate;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
 use super::gossip::{EndpointKey, EndpointLoad, Peer};
 use super::health::CallOutcome;
 use super::reclaim::KvSource;
+use super::rollout::TrackedCall;
 use crate::ids::{AvailabilityZone, EndpointId, ServiceName, SoftwareVersion};
 use crate::units::Timestamp;
 use candidates::candidates;
@@ -36,6 +38,8 @@
 use room::ServiceUsage;
 use speeds::ServiceSpeeds;
 
+pub use version_gate::VersionGate;
+
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
 /// parts.
 const OWNERS: usize = 4;
@@ -92,6 +96,8 @@
     pub kv_source: Option<KvSource>,
     /// Whether it goes on with a run that was stopped at the same endpoint.
     pub is_continued: bool,
+    /// What a rollout counts it as; `None` without one.
+    pub(super) tracked: Option<TrackedCall>,
     prefill: Duration,
     sample: Sample,
     /// Tokens that the call needs in the KV cache.
@@ -122,6 +128,8 @@
     pub version: Option<&'a SoftwareVersion>,
     /// Versions that are selected while an endpoint of any of them is there; `None` for all.
     pub admitted: Option<&'a BTreeSet<SoftwareVersion>>,
+    /// Versions at which a rollout lets the call run.
+    pub gate: VersionGate<'a>,
     /// Endpoints that must not be selected.
     pub excluded: &'a [EndpointId],
 }
@@ -324,9 +332,27 @@
             first_output_at: None,
             kv_source: None,
             is_continued: false,
+            tracked: None,
         })
     }
 
+    /// Selects an endpoint like [`LoadBalancer::select`]; if the only version that a rollout lets the
+    /// call run at has none, one of another version.
+    pub fn select_gated(
+        &mut self,
+        now: Timestamp,
+        query: &EndpointQuery<'_>,
+    ) -> Option<CallAttempt> {
+        let selected = self.select(now, query);
+        match query.gate {
+            VersionGate::Only { version, .. } if selected.is_none() => {
+                let gate = VersionGate::Without(version);
+                self.select(now, &EndpointQuery { gate, ..*query })
+            }
+            _ => selected,
+        }
+    }
+
     /// Records that an attempt has returned its first token or its whole response.
     pub fn on_first_output(&mut self, now: Timestamp, attempt: &mut CallAttempt) {
         if attempt.first_output_at.is_some() {
--- a/crates/laburnumstall-core/src/gateway/load_balancer/destinations.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/destinations.rs
@@ -94,6 +94,7 @@
             first_output_at: None,
             kv_source: None,
             is_continued: false,
+            tracked: None,
             prefill: Duration::ZERO,
             sample: Sample::default(),
             tokens: 0,
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -17,6 +17,7 @@
 use super::quarantine_update::QuarantineUpdate;
 use super::reclaim::EndpointEnd;
 use super::resumption::{OriginQuery, OriginReply};
+use super::rollout::RolloutEvidence;
 use super::stream_origin::OriginGroup;
 use super::view::ViewChange;
 use crate::ids::SoftwareVersion;
@@ -67,6 +68,8 @@
     EndpointEnds(Vec<EndpointEnd>),
     /// Times of the sender's calls to endpoints.
     EndpointSpeeds(Vec<ProcessTimes>),
+    /// What a daemon knows of a rollout.
+    RolloutEvidence(RolloutEvidence),
 }
 
 /// Encoding of what follows [`EXTENSION`]; variants are added at the end.
@@ -85,6 +88,7 @@
     Notices(Cow<'a, [SharedNotice]>),
     EndpointEnds(Cow<'a, [EndpointEnd]>),
     EndpointSpeeds(Cow<'a, [ProcessTimes]>),
+    RolloutEvidence(Cow<'a, RolloutEvidence>),
 }
 
 impl Serialize for PeerMessage {
@@ -106,6 +110,7 @@
             Self::Notices(notices) => Extension::Notices(Cow::Borrowed(notices)),
             Self::EndpointEnds(ends) => Extension::EndpointEnds(Cow::Borrowed(ends)),
             Self::EndpointSpeeds(times) => Extension::EndpointSpeeds(Cow::Borrowed(times)),
+            Self::RolloutEvidence(evidence) => Extension::RolloutEvidence(Cow::Borrowed(evidence)),
         };
         (EXTENSION, extension).serialize(serializer)
     }
@@ -147,6 +152,9 @@
                 Extension::Notices(notices) => PeerMessage::Notices(notices.into_owned()),
                 Extension::EndpointEnds(ends) => PeerMessage::EndpointEnds(ends.into_owned()),
                 Extension::EndpointSpeeds(times) => PeerMessage::EndpointSpeeds(times.into_owned()),
+                Extension::RolloutEvidence(evidence) => {
+                    PeerMessage::RolloutEvidence(evidence.into_owned())
+                }
             });
         }
         Ok(PeerMessage::Gossip(GossipMessage {
--- a/crates/laburnumstall-core/src/gateway/replacement.rs
+++ b/crates/laburnumstall-core/src/gateway/replacement.rs
@@ -101,6 +101,7 @@
             .with("endpoint", &replaced.endpoint)
             .with("events", call.events);
         self.journal.record(decision);
+        self.rollouts.on_failure(now, &replaced, failure);
         // The silence was recorded when the replacement was selected.
         let outcome = match failure {
             CallFailure::Silent => None,
@@ -153,6 +154,7 @@
             .with("endpoint", &replacement.endpoint)
             .with("events", call.events);
         self.journal.record(decision);
+        self.rollouts.on_failure(now, &replacement, failure);
         self.end_attempt(now, replacement, failure.outcome());
     }
 }
--- a/crates/laburnumstall-core/tests/gateway/endpoint_speeds.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_speeds.rs
@@ -5,7 +5,7 @@
 use laburnumstall_core::decision::{DecisionKind, Journal};
 use laburnumstall_core::gateway::{
     CallOutcome, EndpointQuery, EndpointTable, LoadBalancer, PeerMessage, PeerProtocol, ProcessKey,
-    ProcessTimes,
+    ProcessTimes, VersionGate,
 };
 use laburnumstall_core::prelude::*;
 
@@ -31,6 +31,7 @@
         seed: 1,
         version: None,
         admitted: None,
+        gate: VersionGate::Open,
         excluded: &[],
     };
     let attempt = balancer.select(at(60_000), &query).unwrap();
@@ -229,6 +230,7 @@
             seed,
             version: None,
             admitted: None,
+            gate: VersionGate::Open,
             excluded: &[],
         };
         let attempt = balancer.select(at(60_000), &query).unwrap();
@@ -266,6 +268,7 @@
             seed,
             version: None,
             admitted: None,
+            gate: VersionGate::Open,
             excluded: &[],
         };
         let mut attempt = balancer.select(at(seed), &query).unwrap();
--- a/crates/laburnumstall-core/tests/gateway/engine_fleet.rs
+++ b/crates/laburnumstall-core/tests/gateway/engine_fleet.rs
@@ -11,7 +11,7 @@
 use laburnumstall_core::decision::Journal;
 use laburnumstall_core::gateway::{
     BackendRule, CallAttempt, CallOutcome, EndpointQuery, EndpointRecord, EndpointTable,
-    LoadBalancer, PeerTable, ProcessTimes, Prompt, ServiceRule,
+    LoadBalancer, PeerTable, ProcessTimes, Prompt, ServiceRule, VersionGate,
 };
 use laburnumstall_core::prelude::*;
 
@@ -274,6 +274,7 @@
                             seed: rng.u64(..),
                             version: None,
                             admitted: None,
+                            gate: VersionGate::Open,
                             excluded: &[],
                         };
                         let attempt = outcome.balancers[n].select(now, &query).unwrap();
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -115,6 +115,9 @@
         PeerMessage::EndpointSpeeds(times) => {
             cx.with_gateway(|gateway, now| gateway.on_endpoint_speeds(now, &times));
         }
+        PeerMessage::RolloutEvidence(evidence) => {
+            cx.with_gateway(|gateway, now| gateway.on_rollout_evidence(now, from, evidence));
+        }
         PeerMessage::Quarantine(update) => {
             cx.with_gateway(|gateway, now| gateway.on_quarantine_update(now, update));
         }
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -4,10 +4,10 @@
 
 use laburnumstall_core::decision::{Decision, DecisionKind};
 use laburnumstall_core::error::ErrorKind;
-use laburnumstall_core::gateway::AdmittedCall;
+use laburnumstall_core::gateway::{AdmittedCall, RolloutSummary};
 use laburnumstall_core::units::{Bytes, Timestamp};
 use prometheus::{
-    HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, Result, TextEncoder,
+    HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, Result, TextEncoder,
 };
 
 use crate::metrics::register;
@@ -101,8 +101,16 @@
     "Bytes of KV cache that were copied for moves, at most.",
 );
 
+/// Calls that this daemon sent to a service since the order of its rollout, by version.
+pub const ROLLOUT_CALLS: MetricSpec = spec(
+    "laburnumstall_gateway_rollout_calls",
+    MetricKind::Gauge,
+    &["service", "version"],
+    "Calls sent to a service since the order of its rollout, to old versions and to the new one.",
+);
+
 /// All gateway metrics, in the order of the reference page.
-pub const ALL: [MetricSpec; 12] = [
+pub const ALL: [MetricSpec; 13] = [
     REQUESTS,
     REFUSALS,
     DURATION,
@@ -115,6 +123,7 @@
     RESUMPTIONS,
     MOVES,
     MOVED_BYTES,
+    ROLLOUT_CALLS,
 ];
 
 /// Registry and metrics of one gateway.
@@ -133,6 +142,7 @@
     resumptions: IntCounterVec,
     moves: IntCounterVec,
     moved_bytes: IntCounter,
+    rollout_calls: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -156,6 +166,7 @@
             resumptions: register::counters(&registry, &RESUMPTIONS)?,
             moves: register::counters(&registry, &MOVES)?,
             moved_bytes: register::counter(&registry, &MOVED_BYTES)?,
+            rollout_calls: register::gauges(&registry, &ROLLOUT_CALLS)?,
             registry,
         })
     }
@@ -229,6 +240,19 @@
         self.closes.with_label_values(&[cause]).inc();
     }
 
+    /// Sets the calls sent to a service since the order of its rollout.
+    pub fn rollout(&self, summary: &RolloutSummary) {
+        let calls = [
+            ("old", summary.calls.saturating_sub(summary.new_calls)),
+            ("new", summary.new_calls),
+        ];
+        for (version, calls) in calls {
+            let labels = [summary.service.as_str(), version];
+            let gauge = self.rollout_calls.with_label_values(&labels);
+            gauge.set(i64::try_from(calls).unwrap_or(i64::MAX));
+        }
+    }
+
     fn observe(&self, histogram: &HistogramVec, service: &str, elapsed: Duration) {
         histogram
             .with_label_values(&[service])
