Count the endpoints of a service by their measured speeds

Scaling counted endpoints, so a fleet of which a third takes 1.7 times the time was sized like one of typical endpoints.

Scaler::plan gets the speed of an endpoint as a function. A process counts 1 / speed in steps of a quarter that have held for 5 s; one that was not measured yet counts like the others. Targets are computed in typical endpoints as before and converted for each kind and zone, so that the plan stays as it was where all count 1. Orders log the capacity and the part of it that the load uses. The caller passes 1 for each endpoint until the speeds are measured.

The simulated platform of the tests is moved to a file of its own, with speeds, notices and orders without an answer.

--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -5,7 +5,10 @@
 //! addition to an on-demand base: the base alone carries the load at its limit while
 //! replacements boot, and both together carry it with headroom. A zone without capacity is
 //! skipped for a time, and the shortfall is ordered as on-demand endpoints meanwhile.
+//!
+//! The plan is made in typical endpoints: one that takes longer for the same work counts less.
 
+mod capacity;
 mod meter;
 mod targets;
 
@@ -14,14 +17,15 @@
 
 use super::endpoint_table::EndpointTable;
 use super::gossip::ServiceDemand;
-use super::rules::ScalingRule;
+use super::rules::{ScalingRule, ServiceRule};
 use crate::decision::{Decision, DecisionKind, Journal};
-use crate::ids::{AvailabilityZone, DaemonId, ServiceName};
+use crate::ids::{AvailabilityZone, DaemonId, EndpointId, ServiceName};
 use crate::units::Timestamp;
 use crate::{domain, domain_value};
 
+use capacity::{CapacityTable, FleetCapacity};
 use meter::DemandMeter;
-use targets::{Load, ZoneOffer, targets};
+use targets::{Load, ZoneLimits, ZoneOffer, targets};
 
 /// Time in addition to the boot time after which an order that the endpoint table does not
 /// reflect is repeated.
@@ -96,6 +100,7 @@
 #[derive(Debug, Clone, Default)]
 struct ServiceState {
     meter: DemandMeter,
+    capacities: CapacityTable,
     pools: BTreeMap<(AvailabilityZone, bool), Pool>,
     /// Largest number of on-demand endpoints seen; stands in for the load until one is
     /// measured.
@@ -126,51 +131,57 @@
         state.meter.update(now, service, demand);
     }
 
-    /// Returns the orders that are due for a service.
+    /// Returns the orders that are due for a service. `speed` is the time that an endpoint takes
+    /// relative to the typical one, 1 if unknown.
     pub fn plan(
         &mut self,
         now: Timestamp,
-        service: &ServiceName,
-        rule: &ScalingRule,
+        service: &ServiceRule,
         endpoints: &EndpointTable,
+        speed: impl Fn(&EndpointId) -> f64,
         journal: &mut Journal,
     ) -> Vec<ScaleOrder> {
-        let present = capacities(service, rule, endpoints);
-        let total: u32 = present.values().map(|c| c.on_demand + c.spot).sum();
-        if total == 0 {
+        let Some(rule) = &service.scaling else {
+            return Vec::new();
+        };
+        let service = &service.name;
+        let state = self.services.entry(service.clone()).or_default();
+        let fleet = state.capacities.count(now, service, rule, endpoints, speed);
+        let total = fleet.total();
+        if total.count == 0 {
             // The list of endpoints has not been read yet.
             return Vec::new();
         }
-        let state = self.services.entry(service.clone()).or_default();
         let since = *state.first_plan_at.get_or_insert(now);
-        let on_demand: u32 = present.values().map(|c| c.on_demand).sum();
-        state.max_on_demand = state.max_on_demand.max(on_demand);
+        state.max_on_demand = state.max_on_demand.max(fleet.total_of(false).count);
         let measured = state.meter.rate(now);
         let load = Load::new(measured, state.max_on_demand);
-        let offers = offers(now, rule, &state.pools, &present);
+        let offers = offers(now, rule, &state.pools, &fleet);
         // Endpoints are released only while enough others serve.
         let is_known = measured.is_some() || !state.meter.has_calls();
         let is_shortage = now < state.shortage_until;
         let may_shrink = is_known && !is_shortage && now.since(since) > LISTING_TIME;
+        let unit = fleet.unit();
         let mut spare = match may_shrink {
-            true => total.saturating_sub(load.min_endpoints()),
+            true => ((total.capacity - f64::from(load.min_endpoints())) / unit) as u32,
             false => 0,
         };
-        let mut targets_by_zone = targets(rule, &offers, load, is_shortage);
+        let limits = ZoneLimits {
+            min: (f64::from(rule.min) * unit).round() as u32,
+            max: (f64::from(rule.max) * unit).round() as u32,
+        };
+        let mut targets_by_zone = targets(limits, &offers, load, is_shortage);
+        for (zone, target) in &mut targets_by_zone {
+            *target = fleet.endpoints_for(zone, *target, rule);
+        }
         replace_limited(&mut targets_by_zone, rule, service, endpoints);
         let mut orders = Vec::new();
         for (zone, want) in &targets_by_zone {
-            let have = present.get(zone).copied().unwrap_or(Capacity {
-                on_demand: 0,
-                spot: 0,
-            });
-            for (is_spot, want, have) in [
-                (false, want.on_demand, have.on_demand),
-                (true, want.spot, have.spot),
-            ] {
+            for (is_spot, want) in [(false, want.on_demand), (true, want.spot)] {
                 if is_spot && rule.spot_price.is_none() {
                     continue;
                 }
+                let have = fleet.pool(zone, is_spot).count;
                 let pool = state.pools.entry((zone.clone(), is_spot)).or_default();
                 if let Some(desired) = pool.due(now, rule, want, have, spare) {
                     spare = spare.saturating_sub(have.saturating_sub(desired));
@@ -185,24 +196,20 @@
             }
         }
         // Additions come first: endpoints may be released only when others serve.
-        orders.sort_by_key(|order| {
-            let have = present
-                .get(&order.zone)
-                .map_or(0, |c| if order.is_spot { c.spot } else { c.on_demand });
-            order.desired < have
-        });
+        orders.sort_by_key(|order| order.desired < fleet.pool(&order.zone, order.is_spot).count);
         for order in &orders {
-            let have = present.get(&order.zone).copied();
             journal.record(
                 Decision::new(now, DecisionKind::Placement, "order", "plan")
                     .with("service", service)
                     .with("zone", &order.zone)
                     .with("spot", order.is_spot)
                     .with("desired", order.desired)
-                    .with("lasting_there", have.map_or(0, |c| c.on_demand))
-                    .with("spot_there", have.map_or(0, |c| c.spot))
+                    .with("lasting_there", fleet.pool(&order.zone, false).count)
+                    .with("spot_there", fleet.pool(&order.zone, true).count)
                     .with("load", format_args!("{:.2}", load.rate))
-                    .with("total", total),
+                    .with("total", total.count)
+                    .with("capacity", format_args!("{:.2}", total.capacity))
+                    .with("used", format_args!("{:.2}", load.rate / total.capacity)),
             );
         }
         orders
@@ -304,33 +311,6 @@
     }
 }
 
-/// Counts the endpoints of a service that take new work, by zone.
-fn capacities(
-    service: &ServiceName,
-    rule: &ScalingRule,
-    endpoints: &EndpointTable,
-) -> BTreeMap<AvailabilityZone, Capacity> {
-    let none = Capacity {
-        on_demand: 0,
-        spot: 0,
-    };
-    let mut counts: BTreeMap<AvailabilityZone, Capacity> = rule
-        .zone_prices
-        .keys()
-        .map(|zone| (zone.clone(), none))
-        .collect();
-    let listed = endpoints.iter().filter(|listed| !listed.is_leaving());
-    let listed = listed.map(|listed| &listed.record);
-    for record in listed.filter(|record| record.service == *service) {
-        let count = counts.entry(record.zone.clone()).or_insert(none);
-        match record.is_spot {
-            true => count.spot += 1,
-            false => count.on_demand += 1,
-        }
-    }
-    counts
-}
-
 /// Adds an endpoint for each one that takes few requests by its own word, as far as the rule
 /// allows; it stays, and counts as present.
 fn replace_limited(
@@ -358,7 +338,7 @@
     now: Timestamp,
     rule: &ScalingRule,
     pools: &BTreeMap<(AvailabilityZone, bool), Pool>,
-    present: &BTreeMap<AvailabilityZone, Capacity>,
+    fleet: &FleetCapacity,
 ) -> Vec<ZoneOffer> {
     let is_open = |zone: &AvailabilityZone, is_spot: bool| {
         pools
@@ -372,7 +352,7 @@
             price: *price,
             has_on_demand: is_open(zone, false),
             has_spot: rule.spot_price.is_some() && is_open(zone, true),
-            spot_present: present.get(zone).map_or(0, |count| count.spot),
+            spot_present: fleet.pool(zone, true).capacity.round() as u32,
         })
         .collect()
 }
--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 
 use super::Capacity;
-use crate::gateway::rules::ScalingRule;
 use crate::ids::AvailabilityZone;
 
 /// Fraction of the endpoints' time used for prefill while reclaimable endpoints are available
@@ -27,6 +26,13 @@
 /// Load per endpoint that the initial endpoints are assumed to be sized for.
 const INITIAL_LOAD: f64 = 0.42;
 
+/// Limits for the endpoints of a zone.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ZoneLimits {
+    pub(super) min: u32,
+    pub(super) max: u32,
+}
+
 /// Endpoints available in a zone.
 #[derive(Debug, Clone)]
 pub(super) struct ZoneOffer {
@@ -72,10 +78,10 @@
 /// their zone.
 const MAX_ROUNDS: u32 = 4;
 
-/// Returns the number of endpoints of each kind for each zone; `is_shortage` means that
+/// Returns the number of typical endpoints of each kind for each zone; `is_shortage` means that
 /// reclaims are in progress.
 pub(super) fn targets(
-    rule: &ScalingRule,
+    limits: ZoneLimits,
     offers: &[ZoneOffer],
     load: Load,
     is_shortage: bool,
@@ -85,7 +91,7 @@
     } else {
         BASE_LOAD
     });
-    let mut counts = divide(rule, offers, load, on_demand);
+    let mut counts = divide(limits, offers, load, on_demand);
     for _ in 0..MAX_ROUNDS {
         let total: u32 = counts
             .values()
@@ -96,14 +102,14 @@
             break;
         }
         on_demand += missing;
-        counts = divide(rule, offers, load, on_demand);
+        counts = divide(limits, offers, load, on_demand);
     }
     counts
 }
 
 /// Assigns `on_demand` endpoints to the cheapest zones and adds reclaimable ones.
 fn divide(
-    rule: &ScalingRule,
+    limits: ZoneLimits,
     offers: &[ZoneOffer],
     load: Load,
     mut on_demand: u32,
@@ -112,7 +118,7 @@
     let total_spot = load
         .endpoints(HEADROOM_LOAD)
         .saturating_sub(load.endpoints(BASE_LOAD));
-    let spot_in_zone = total_spot.div_ceil(zones).min(rule.max);
+    let spot_in_zone = total_spot.div_ceil(zones).min(limits.max);
     let mut by_price: Vec<&ZoneOffer> = offers.iter().collect();
     by_price.sort_by(|a, b| a.price.total_cmp(&b.price));
     let mut counts = BTreeMap::new();
@@ -125,11 +131,11 @@
         let present = spot.min(offer.spot_present);
         let mut count = Capacity { on_demand: 0, spot };
         if offer.has_on_demand {
-            count.on_demand = on_demand.min(rule.max.saturating_sub(present));
+            count.on_demand = on_demand.min(limits.max.saturating_sub(present));
             on_demand -= count.on_demand;
         }
-        count.spot = spot.min(rule.max.saturating_sub(count.on_demand));
-        let missing = rule.min.saturating_sub(count.on_demand + count.spot);
+        count.spot = spot.min(limits.max.saturating_sub(count.on_demand));
+        let missing = limits.min.saturating_sub(count.on_demand + count.spot);
         match offer.has_spot {
             true => count.spot += missing,
             false => count.on_demand += missing,
--- /dev/null
+++ b/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
@@ -0,0 +1,118 @@
+//! Scaling by the capacity of endpoints, and through losses announced in advance.
+
+use std::time::Duration;
+
+use crate::scaling_world::{STEP_MS, World, ZONES};
+use crate::support::scaling;
+use laburnumstall_core::gateway::ScalingRule;
+
+/// Two thirds take 0.7 times the time, one third 1.7 times.
+const MIXED_SPEED: fn(usize) -> f64 = |n| if n % 3 == 2 { 1.7 } else { 0.7 };
+/// All take 1.7 times the time.
+const SLOW_SPEED: fn(usize) -> f64 = |_| 1.7;
+
+fn large() -> ScalingRule {
+    ScalingRule {
+        max: 60,
+        ..scaling()
+    }
+}
+
+/// Returns the world after a steady load of `load` for 60 s.
+fn steady(speed: fn(usize) -> f64, load: f64) -> World {
+    let mut world = World::with(large(), 10);
+    world.speed = speed;
+    world.run(5, 0.0);
+    world.run(60, load);
+    world
+}
+
+/// A steady load of 8 on engines of three speeds: a fleet is as large as the work that it
+/// carries needs, and its size stays. Fails if endpoints are counted without their speeds.
+#[test]
+fn fleet_fits_speeds() {
+    let typical = steady(|_| 1.0, 8.0);
+    for speed in [MIXED_SPEED, SLOW_SPEED] {
+        let mut world = steady(speed, 8.0);
+        let ratio = world.carried() / typical.carried();
+        assert!((0.9..1.25).contains(&ratio), "carries {ratio:.2} times");
+        let orders = world.orders;
+        world.run(60, 8.0);
+        assert_eq!(world.orders, orders, "flapping");
+    }
+}
+
+/// Speeds that differ by less than an eighth are alike: the orders are the same, as many and
+/// as large. Fails if capacities are not counted in steps.
+#[test]
+fn alike_speeds_change_nothing() {
+    let plain = steady(|_| 1.0, 8.0);
+    let alike = steady(|n| [0.95, 1.0, 1.08][n % 3], 8.0);
+    assert_eq!(alike.ordered, plain.ordered);
+    assert_eq!(alike.orders, plain.orders);
+}
+
+/// Three zones are lost, one every 1.5 or 3.5 s, each with a notice of 2 s, and refuse
+/// reclaimable endpoints for 15 s, under a load of 20 on engines of two speeds. What serves
+/// carries the load at all times, and nothing is released and ordered again. Fails if leaving
+/// endpoints count until they are gone.
+#[test]
+fn three_losses_in_ten_seconds() {
+    for interval in [1_500, 3_500] {
+        let mut world = steady(MIXED_SPEED, 20.0);
+        let changes = world.changes.len();
+        let mut lowest = f64::MAX;
+        for step in 0..40_000 / STEP_MS {
+            let at = step * STEP_MS;
+            if at % interval == 0
+                && let Some(zone) = ZONES.get((at / interval) as usize)
+            {
+                world.announce_loss(zone, 2_000, Duration::from_secs(15));
+            }
+            world.step(20.0);
+            lowest = lowest.min(world.carried());
+        }
+        world.changes.drain(..changes);
+        assert!(lowest >= 20.0, "{interval}: {lowest:.1} left of 20");
+        assert_eq!(world.ordered_again(), 0, "{:?}", world.changes);
+    }
+}
+
+/// The holder of the lease changes while the load rises in a wave of 30 % over 40 s: the next one
+/// knows the load, releases nothing that the wave needs and orders no more than the first one
+/// would have. Fails if only the holder observes the load.
+#[test]
+fn holder_changes_in_wave() {
+    let wave = |world: &mut World, changes: bool| {
+        let mut most = 0;
+        for step in 0..160_u32 {
+            let phase = f64::from(step) / 160.0 * std::f64::consts::TAU;
+            if changes && step == 30 {
+                world.scaler.reset();
+            }
+            world.step(10.0 * (1.0 + 0.15 * phase.sin()));
+            most = most.max(world.ordered_count());
+            assert!(
+                world.carried() >= 10.0 * 1.15 / 0.6,
+                "{:.1}",
+                world.carried()
+            );
+        }
+        most
+    };
+    let kept = wave(&mut steady(MIXED_SPEED, 10.0), false);
+    let changed = wave(&mut steady(MIXED_SPEED, 10.0), true);
+    assert!(changed <= kept + 2, "{changed} ordered, else {kept}");
+}
+
+/// Orders are executed and their answers lost for 6 s after a loss: no endpoint is ordered twice.
+/// Fails if a number to add is ordered in place of the desired number.
+#[test]
+fn orders_without_answer() {
+    let mut world = steady(|_| 1.0, 10.0);
+    let before = world.ordered_count();
+    world.no_answer_until = world.now_ms + 6_000;
+    world.lose(ZONES[1]);
+    world.run(20, 10.0);
+    assert_eq!(world.ordered_count(), before);
+}
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of the gateway, one file per feature, in virtual time.
 
 mod call_admission;
+mod capacity_scaling;
 mod crash_evidence;
 mod endpoint_limits;
 mod endpoint_pauses;
@@ -18,6 +19,7 @@
 mod quota_sharing;
 mod restored_store;
 mod retry_shares;
+mod scaling_world;
 mod silent_attempts;
 mod store_view;
 mod stored_origins;
--- a/crates/laburnumstalld/src/gateway/leader.rs
+++ b/crates/laburnumstalld/src/gateway/leader.rs
@@ -12,9 +12,9 @@
 
 use laburnumstall_core::decision::Journal;
 use laburnumstall_core::gateway::{
-    GOSSIP_PERIOD, Gateway, ScaleOrder, ScaleOutcome, Scaler, ScalingRule, UsageReport,
+    GOSSIP_PERIOD, Gateway, ScaleOrder, ScaleOutcome, Scaler, ServiceRule, UsageReport,
 };
-use laburnumstall_core::ids::{FencingToken, ParseIdError, ServiceName};
+use laburnumstall_core::ids::{FencingToken, ParseIdError};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::placement::{LeaseClient, LeaseTiming, is_candidate};
 use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply};
@@ -289,8 +289,9 @@
     fn observe_load(&self) {
         self.cx.with_gateway(|gateway, now| {
             let demand = gateway.demand();
-            for (service, _) in scaled_services(gateway) {
-                self.scaler.borrow_mut().observe(now, service, &demand);
+            for service in scaled_services(gateway) {
+                let mut scaler = self.scaler.borrow_mut();
+                scaler.observe(now, &service.name, &demand);
             }
         });
     }
@@ -300,8 +301,8 @@
         let orders: Vec<ScaleOrder> = self.cx.with_gateway(|gateway, now| {
             let mut scaler = self.scaler.borrow_mut();
             scaled_services(gateway)
-                .flat_map(|(service, rule)| {
-                    scaler.plan(now, service, rule, gateway.endpoints(), &mut journal)
+                .flat_map(|service| {
+                    scaler.plan(now, service, gateway.endpoints(), |_| 1.0, &mut journal)
                 })
                 .collect()
         });
@@ -335,10 +336,9 @@
     }
 }
 
-/// Returns the services with a scaling rule, and that rule.
-fn scaled_services(gateway: &Gateway) -> impl Iterator<Item = (&ServiceName, &ScalingRule)> {
+/// Returns the services with a scaling rule.
+fn scaled_services(gateway: &Gateway) -> impl Iterator<Item = &ServiceRule> {
     let table = gateway.routing_table().into_iter();
-    table
-        .flat_map(|table| &table.rules().services)
-        .filter_map(|(service, rule)| Some((service, rule.scaling.as_ref()?)))
+    let services = table.flat_map(|table| table.rules().services.values());
+    services.filter(|service| service.scaling.is_some())
 }
