Raise the base at the notice of a zone's loss

After the first of several losses the base was raised only once the platform had refused an order for the lost zone: one answer and one plan later, and not at all if it accepted the order though the next zones were to go.

A zone that loses at least half of its ordered reclaimable endpoints between two plans counts as a shortage for 10 s, in the same plan. Takes effect for services with a backend.

--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -40,6 +40,8 @@
 /// Time for which a shortage is assumed after a zone had no capacity: longer than the pause
 /// between two attempts.
 const SHORTAGE_TIME: Duration = Duration::from_secs(6);
+/// Time after the loss of a zone in which others may be lost as well.
+const RECLAIM_TIME: Duration = Duration::from_secs(10);
 /// Time after the first plan in which the list of endpoints may be incomplete.
 const LISTING_TIME: Duration = Duration::from_secs(3);
 
@@ -88,8 +90,10 @@
 struct Pool {
     ordered: Option<u32>,
     ordered_at: Timestamp,
-    /// Endpoints that were present at the last plan.
+    /// Endpoints that were present at the last plan in which an order could be due.
     last_present: u32,
+    /// Endpoints that were present at the last plan.
+    last_listed: u32,
     blocked_until: Timestamp,
     is_in_flight: bool,
     needs_repeat: bool,
@@ -144,6 +148,7 @@
         let Some(rule) = &service.scaling else {
             return Vec::new();
         };
+        let has_engine = service.backend.is_some();
         let service = &service.name;
         let state = self.services.entry(service.clone()).or_default();
         let fleet = state.capacities.count(now, service, rule, endpoints, speed);
@@ -159,6 +164,9 @@
         let offers = offers(now, rule, &state.pools, &fleet);
         // Endpoints are released only while enough others serve.
         let is_known = measured.is_some() || !state.meter.has_calls();
+        if has_engine && rule.spot_price.is_some() {
+            state.on_listed(now, service, &fleet, journal);
+        }
         let is_shortage = now < state.shortage_until;
         let may_shrink = is_known && !is_shortage && now.since(since) > LISTING_TIME;
         let unit = fleet.unit();
@@ -272,6 +280,34 @@
     }
 }
 
+impl ServiceState {
+    /// Notes zones that lose at least half of their reclaimable endpoints at once, though they were
+    /// ordered: others may be lost next.
+    fn on_listed(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        fleet: &FleetCapacity,
+        journal: &mut Journal,
+    ) {
+        for ((zone, is_spot), pool) in &mut self.pools {
+            let have = fleet.pool(zone, *is_spot).count;
+            let before = std::mem::replace(&mut pool.last_listed, have);
+            let expected = pool.ordered.unwrap_or(before).min(before);
+            if *is_spot && expected > 1 && have <= expected / 2 {
+                self.shortage_until = self.shortage_until.max(now.after(RECLAIM_TIME));
+                journal.record(
+                    Decision::new(now, DecisionKind::Placement, "shortage", "zone-lost")
+                        .with("service", service)
+                        .with("zone", zone)
+                        .with("spot_before", before)
+                        .with("spot_there", have),
+                );
+            }
+        }
+    }
+}
+
 impl Pool {
     /// Returns the desired number of endpoints to order, if an order is due; at most `spare`
     /// endpoints are released.
--- a/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
@@ -64,7 +64,7 @@
         let mut lowest = f64::MAX;
         for step in 0..40_000 / STEP_MS {
             let at = step * STEP_MS;
-            if at % interval == 0
+            if at.is_multiple_of(interval)
                 && let Some(zone) = ZONES.get((at / interval) as usize)
             {
                 world.announce_loss(zone, 2_000, Duration::from_secs(15));
@@ -78,6 +78,25 @@
     }
 }
 
+/// A zone is lost while the platform has reclaimable endpoints everywhere: the base that carries
+/// the load alone is ordered in the next plan, at the notice. Without an engine nothing changes.
+/// Fails without `ServiceState::on_listed`.
+#[test]
+fn base_is_raised_at_notice() {
+    let on_demand_after = |world: &mut World| {
+        world.run(5, 0.0);
+        world.run(60, 20.0);
+        world.announce_loss(ZONES[0], 2_000, Duration::ZERO);
+        world.step(20.0);
+        let at_notice = world.on_demand();
+        world.run(40, 20.0);
+        (at_notice, world.on_demand())
+    };
+    let with_engine = on_demand_after(&mut World::with(large(), 10).with_engine(false));
+    assert_eq!(with_engine, (20, 10));
+    assert_eq!(on_demand_after(&mut World::with(large(), 10)), (10, 10));
+}
+
 /// The holder of the lease changes while the load rises in a wave of 30 % over 40 s: the next one
 /// knows the load, releases nothing that the wave needs and orders no more than the first one
 /// would have. Fails if only the holder observes the load.
--- a/crates/laburnumstall-core/tests/gateway/scaling_world.rs
+++ b/crates/laburnumstall-core/tests/gateway/scaling_world.rs
@@ -6,7 +6,7 @@
 use crate::support::{at, daemon, endpoint, scaled_service, scaling};
 use laburnumstall_core::decision::Journal;
 use laburnumstall_core::gateway::{
-    EndpointTable, ScaleOutcome, Scaler, ScalingRule, ServiceDemand, ServiceRule,
+    BackendRule, EndpointTable, ScaleOutcome, Scaler, ScalingRule, ServiceDemand, ServiceRule,
 };
 use laburnumstall_core::prelude::*;
 
@@ -70,6 +70,19 @@
         }
     }
 
+    /// Gives the endpoints an engine whose running calls can be moved, or not.
+    pub(crate) fn with_engine(mut self, can_move: bool) -> Self {
+        self.rule.backend = Some(BackendRule {
+            batch: 48,
+            kv_tokens: 636_076,
+            token_size: Bytes(163_840),
+            link_rate: 137_500_000_000,
+            can_move,
+            move_ttl: Duration::from_secs(30),
+        });
+        self
+    }
+
     pub(crate) fn serving(&self) -> usize {
         let serves = |from: &&u64| **from <= self.now_ms;
         self.present.values().flatten().filter(serves).count()
