End the warm-up of the load once its mean is known

The endpoints present at the start are all on-demand and stay until the load was measured for 8 s, while reclaimable ones at a fraction of the price serve after 4 s.

For services with a backend the mean rate since the first call counts after 3 s, once its standard error is at most 5 %. It is told for 16 s, so that the average that follows, which began at zero, releases nothing that is ordered again.

--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -160,6 +160,10 @@
         let since = *state.first_plan_at.get_or_insert(now);
         state.max_on_demand = state.max_on_demand.max(fleet.total_of(false).count);
         let measured = state.meter.rate(now);
+        let early = backend.and_then(|_| state.meter.early_rate(now));
+        let measured = measured
+            .map(|rate| rate.max(early.unwrap_or(0.0)))
+            .or(early);
         let can_move = backend.is_some_and(|backend| backend.can_move);
         let load = Load::new(measured, state.max_on_demand, can_move);
         let offers = offers(now, rule, &state.pools, &fleet);
--- a/crates/laburnumstall-core/src/gateway/scaling/meter.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/meter.rs
@@ -16,6 +16,38 @@
 /// Time after the first call until the average is meaningful.
 const WARMUP_TIME: Duration = Duration::from_secs(8);
 
+/// Standard error of the mean rate, as a part of it, up to which the rate counts as measured before
+/// the warm-up ends.
+const MAX_ERROR: f64 = 0.05;
+
+/// Rates of the samples since the first call.
+#[derive(Debug, Clone, Copy, Default)]
+struct Samples {
+    count: f64,
+    mean: f64,
+    /// Sum of the squares of the differences from the mean.
+    squares: f64,
+}
+
+impl Samples {
+    fn add(&mut self, rate: f64) {
+        // Welford (1962).
+        self.count += 1.0;
+        let difference = rate - self.mean;
+        self.mean += difference / self.count;
+        self.squares += difference * (rate - self.mean);
+    }
+
+    /// Returns whether the mean is known to within [`MAX_ERROR`].
+    fn is_settled(&self) -> bool {
+        if self.count < 2.0 || self.mean <= 0.0 {
+            return false;
+        }
+        let variance = self.squares / (self.count - 1.0);
+        (variance / self.count).sqrt() <= MAX_ERROR * self.mean
+    }
+}
+
 /// Sums the counters of all daemons and tracks their rate.
 #[derive(Debug, Clone, Default)]
 pub(super) struct DemandMeter {
@@ -23,6 +55,8 @@
     average: f64,
     measured_at: Option<Timestamp>,
     first_call_at: Option<Timestamp>,
+    /// Samples after the one with the first call.
+    samples: Samples,
     peaks: Vec<(Timestamp, f64)>,
 }
 
@@ -46,6 +80,7 @@
                 .prefill_ms
                 .saturating_sub(before.unwrap_or(counter.prefill_ms));
         }
+        let had_calls = self.has_calls();
         if added > 0 {
             self.first_call_at.get_or_insert(now);
         }
@@ -57,6 +92,9 @@
             return;
         }
         let rate = added as f64 / 1_000.0 / span;
+        if had_calls {
+            self.samples.add(rate);
+        }
         let weight = 1.0 - (-span / AVERAGE_TIME.as_secs_f64()).exp();
         self.average += (rate - self.average) * weight;
         self.peaks
@@ -81,4 +119,12 @@
         let highest = held.map(|(_, peak)| *peak).fold(0.0, f64::max);
         (now.since(first) > WARMUP_TIME).then_some(highest)
     }
+
+    /// Returns the mean rate since the first call, if it is known well enough. It is told for twice the
+    /// warm-up, until the average no longer falls short of it because it began at zero.
+    pub(super) fn early_rate(&self, now: Timestamp) -> Option<f64> {
+        let elapsed = now.since(self.first_call_at?);
+        let is_known = elapsed >= AVERAGE_TIME && self.samples.is_settled();
+        (is_known && elapsed <= 2 * WARMUP_TIME).then_some(self.samples.mean)
+    }
 }
--- a/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
@@ -107,6 +107,35 @@
     assert!(serving >= 34, "{serving} for a load of 20");
 }
 
+/// The first on-demand endpoints are released once reclaimable ones serve and the load is known,
+/// and not while it varies. Fails without `DemandMeter::early_rate`, and without its `is_settled`.
+#[test]
+fn start_waits_for_evidence() {
+    let released_at = |world: &mut World, loads: [f64; 2]| {
+        let count = world.on_demand();
+        world.step(0.0);
+        for step in 0..80 {
+            world.step(loads[step % 2]);
+            if world.on_demand() < count {
+                return world.now_ms;
+            }
+        }
+        panic!("no on-demand endpoint is released");
+    };
+    let plain = released_at(&mut World::with(large(), 20), [20.0; 2]);
+    let mut world = World::with(large(), 20).with_engine(true);
+    let steady = released_at(&mut world, [20.0; 2]);
+    world.run(20, 20.0);
+    assert_eq!(world.ordered_again(), 0, "{:?}", world.changes);
+    let varied = World::with(large(), 20);
+    let varied = released_at(&mut varied.with_engine(true), [40.0, 0.0]);
+    assert!(
+        steady + 3_000 <= plain,
+        "{steady} ms, {plain} without an engine"
+    );
+    assert_eq!(varied, plain);
+}
+
 /// A zone is lost while the platform has reclaimable endpoints everywhere: the base that carries
 /// the load alone is ordered in the next plan, at the notice. Without an engine nothing changes.
 /// Fails without `ServiceState::on_listed`.
