Keep a few endpoints through the trough of a wave

A wave of 30 % over 40 s outlasts the time for which its peak is held, so that an endpoint in each pool was released 6 s before it was ordered again; a new one is paid for while it boots.

For services with a backend, a fifth of a pool or one endpoint is released only after fewer have sufficed for 30 s; more are released as before.

--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -37,6 +37,11 @@
 /// Time for which fewer endpoints must suffice before some are released. The meter holds the
 /// peak load for longer, so this only covers orders that fail at once.
 const SHRINK_AFTER: Duration = Duration::from_secs(2);
+/// Time for which a few endpoints less must suffice before they are released, if the service has an
+/// engine: longer than the time between two peaks of a wave less the time for which a peak is held.
+const SMALL_SHRINK_AFTER: Duration = Duration::from_secs(30);
+/// Divisor of a number of endpoints: how many are few.
+const FEW_DIVISOR: u32 = 5;
 /// Time for which a shortage is assumed after a zone had no capacity: longer than the pause
 /// between two attempts.
 const SHORTAGE_TIME: Duration = Duration::from_secs(6);
@@ -196,7 +201,8 @@
                 }
                 let have = fleet.pool(zone, is_spot).count;
                 let pool = state.pools.entry((zone.clone(), is_spot)).or_default();
-                if let Some(desired) = pool.due(now, rule, want, have, spare) {
+                let keeps_few = backend.is_some();
+                if let Some(desired) = pool.due(now, rule, want, have, spare, keeps_few) {
                     spare = spare.saturating_sub(have.saturating_sub(desired));
                     pool.is_in_flight = true;
                     orders.push(ScaleOrder {
@@ -315,7 +321,7 @@
 
 impl Pool {
     /// Returns the desired number of endpoints to order, if an order is due; at most `spare`
-    /// endpoints are released.
+    /// endpoints are released, and a few only after a longer time if `keeps_few`.
     fn due(
         &mut self,
         now: Timestamp,
@@ -323,6 +329,7 @@
         want: u32,
         have: u32,
         spare: u32,
+        keeps_few: bool,
     ) -> Option<u32> {
         if self.is_in_flight || now < self.blocked_until {
             return None;
@@ -344,7 +351,12 @@
             return (want > current || needs_order).then_some(want);
         }
         let since = *self.shrink_since.get_or_insert(now);
-        if now.since(since) < SHRINK_AFTER || spare == 0 {
+        let is_few = keeps_few && current - want <= (current / FEW_DIVISOR).max(1);
+        let delay = match is_few {
+            true => SMALL_SHRINK_AFTER,
+            false => SHRINK_AFTER,
+        };
+        if now.since(since) < delay || spare == 0 {
             return None;
         }
         let desired = want.max(have.saturating_sub(spare));
--- a/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
@@ -155,6 +155,23 @@
     assert_eq!(on_demand_after(&mut World::with(large(), 10)), (10, 10));
 }
 
+/// Waves of 30 % over 40 s are carried without endpoints that are released and ordered again.
+#[test]
+fn waves_are_carried() {
+    let mut world = World::with(large(), 10).with_engine(true);
+    world.run(5, 0.0);
+    world.run(40, 20.0);
+    let start = world.now_ms;
+    for step in 0..640_u32 {
+        let phase = f64::from(step) / 160.0 * std::f64::consts::TAU;
+        let load = 20.0 * (1.0 + 0.15 * phase.sin());
+        world.step(load);
+        assert!(world.carried() >= load / 0.6, "{:.1}", world.carried());
+    }
+    world.changes.retain(|(at, ..)| *at > start + 40_000);
+    assert_eq!(world.ordered_again(), 0, "{:?}", world.changes);
+}
+
 /// The holder of the lease changes while the load rises in a wave of 30 % over 40 s: the next one
 /// knows the load, releases nothing that the wave needs and orders no more than the first one
 /// would have. Fails if only the holder observes the load.
