Prefer large daemons for reads of the store and for duties

Readers of the store and candidates for the lease were chosen by hash alone, also among daemons with 0.09 core.

Where registered sizes differ by a factor of two, daemons of at least half of the largest size rank first as readers. A candidate for the lease has such a size if its zone has one, so that candidates stay in several zones. Otherwise both are chosen as before.

--- a/crates/laburnumstall-core/src/gateway/daemon_size.rs
+++ b/crates/laburnumstall-core/src/gateway/daemon_size.rs
@@ -4,7 +4,10 @@
 //! and duties go to them by size. A daemon that registered no size counts as the median one.
 
 use super::Gateway;
-use crate::ids::DaemonId;
+use super::gossip::Peer;
+use crate::ids::{AvailabilityZone, DaemonId};
+use crate::membership::Member;
+use crate::units::Timestamp;
 use crate::{domain_value, quantity};
 
 quantity! {
@@ -30,6 +33,9 @@
 const CALLERS_DIVISOR: u64 = 4;
 /// Ratio of the largest to the smallest daemon from which sizes count.
 const MIN_RATIO: f64 = 2.0;
+/// Part of the largest daemon's size from which a daemon is preferred for duties.
+const LARGE_PART: f64 = 0.5;
+
 impl DaemonSize {
     /// Returns the thousandths of a core that are left for callers.
     fn spare_processor(self) -> u64 {
@@ -82,6 +88,11 @@
     pub(super) fn part_of_largest(self, size: Option<DaemonSize>) -> f64 {
         self.relative(size) / self.largest
     }
+
+    /// Returns whether a daemon is preferred for duties.
+    pub(super) fn is_large(self, size: Option<DaemonSize>) -> bool {
+        self.part_of_largest(size) >= LARGE_PART
+    }
 }
 
 impl Gateway {
@@ -97,4 +108,34 @@
             self.peer_table.set_size(id, size);
         }
     }
+
+    /// Returns the sizes of this daemon and of `peers`; `None` if they are alike.
+    pub(super) fn fleet_sizes<'a>(
+        &self,
+        peers: impl Iterator<Item = &'a Peer>,
+    ) -> Option<FleetSizes> {
+        let peers = peers.map(|peer| peer.size);
+        FleetSizes::of(peers.chain([self.own_size]))
+    }
+
+    /// Returns the reachable daemons, with `own` as this one, that may compete for the lease of
+    /// the duties. Of a zone with large daemons they are these; other zones keep theirs, so that
+    /// the candidates stay in several zones.
+    pub fn lease_members<'a>(&'a self, now: Timestamp, own: &'a Member) -> Vec<&'a Member> {
+        let sizes = self.fleet_sizes(self.peer_table.reachable(now));
+        let peers = self.peer_table.reachable(now);
+        let all: Vec<(&Member, bool)> = peers
+            .map(|peer| (&peer.member, peer.size))
+            .chain([(own, self.own_size)])
+            .map(|(member, size)| (member, sizes.is_none_or(|sizes| sizes.is_large(size))))
+            .collect();
+        let has_large = |zone: &AvailabilityZone| {
+            all.iter()
+                .any(|(member, is_large)| *is_large && member.zone == *zone)
+        };
+        let eligible = all
+            .iter()
+            .filter(|(member, is_large)| *is_large || !has_large(&member.zone));
+        eligible.map(|(member, _)| *member).collect()
+    }
 }
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -343,9 +343,11 @@
         let is_reader = self.is_reader(now);
         if self.view.was_reader.replace(is_reader) != Some(is_reader) {
             let choice = if is_reader { "reads" } else { "listens" };
+            let sizes = self.fleet_sizes(self.peer_table.ready(now));
             self.journal.record(
                 Decision::new(now, DecisionKind::Connection, choice, "store-readers")
-                    .with("daemons", 1 + self.peer_table.len()),
+                    .with("daemons", 1 + self.peer_table.len())
+                    .with("by_size", sizes.is_some()),
             );
         }
         let is_fresh = self.freshness.is_within(now, CONFIRMATION_TIMEOUT);
@@ -381,12 +383,17 @@
         if self.peer_table.len() < SMALL_FLEET {
             return true;
         }
-        let rank = |id: &DaemonId| digest64(&[id.to_string().as_bytes()]);
-        let own = rank(&self.own);
+        // Large daemons read first where daemons differ in size.
+        let sizes = self.fleet_sizes(self.peer_table.ready(now));
+        let rank = |id: &DaemonId, size| {
+            let is_small = sizes.is_some_and(|sizes| !sizes.is_large(size));
+            (is_small, digest64(&[id.to_string().as_bytes()]))
+        };
+        let own = rank(&self.own, self.own_size);
         let ranked_before = self
             .peer_table
             .ready(now)
-            .filter(|peer| rank(&peer.member.id) < own);
+            .filter(|peer| rank(&peer.member.id, peer.size) < own);
         ranked_before.count() < READERS
     }
 }
--- a/crates/laburnumstall-core/tests/gateway/daemon_sizes.rs
+++ b/crates/laburnumstall-core/tests/gateway/daemon_sizes.rs
@@ -1,6 +1,6 @@
 //! Callers, reads and duties by the sizes of daemons.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::stream_origins::gossip;
 use crate::support::{at, bounds, daemon, member, rules};
@@ -171,6 +171,33 @@
     }
 }
 
+/// Large daemons read the store for others, and candidates for the lease are large ones of all
+/// zones; a zone without a large daemon keeps its own. Fails if they are chosen by hash alone.
+#[test]
+fn large_daemons_have_the_duties() {
+    let mut sizes = deployment_b();
+    let readers = |sizes: &[Option<DaemonSize>]| -> BTreeSet<u32> {
+        let reads = |own: &u32| fleet_of(*own, sizes).is_reader(at(10));
+        (1..=86).filter(reads).collect()
+    };
+    assert_eq!(readers(&sizes).len(), 4);
+    assert!(readers(&sizes).iter().all(|number| *number <= 6));
+    let own = zoned(9);
+    let members = |sizes: &[Option<DaemonSize>]| -> BTreeSet<DaemonId> {
+        let gateway = fleet_of(9, sizes);
+        let members = gateway.lease_members(at(10), &own);
+        members.iter().map(|member| member.id.clone()).collect()
+    };
+    let large = |numbers: &[u32]| numbers.iter().map(|number| daemon(*number)).collect();
+    let all: BTreeSet<DaemonId> = large(&[1, 2, 3, 4, 5, 6]);
+    assert_eq!(members(&sizes), all);
+    for small in [3, 6] {
+        sizes[small - 1] = Some(SMALL);
+    }
+    let left = members(&sizes);
+    assert!(left.contains(&own.id) && !left.contains(&daemon(8)));
+}
+
 /// A registration is forwarded with its size to daemons that decode it, and in the earlier layout
 /// to others; one that is forwarded without a size removes none.
 #[test]
--- a/crates/laburnumstalld/src/gateway/leader.rs
+++ b/crates/laburnumstalld/src/gateway/leader.rs
@@ -136,8 +136,7 @@
     fn tick_lease(self: &Rc<Self>) {
         let is_holder = !self.is_idle(self.cx.now());
         let is_candidate = self.cx.with_gateway(|gateway, now| {
-            let others = gateway.peer_table().reachable(now).map(|peer| &peer.member);
-            let all: Vec<&Member> = others.chain([&self.own]).collect();
+            let all = gateway.lease_members(now, &self.own);
             let region = &self.cx.settings.region;
             // A holder stays a candidate when others rank higher: a handover gains nothing.
             !gateway.is_stopping() && (is_holder || is_candidate(&self.own.id, region, &all))
