Count the calls that run at a service's endpoints as load

Scaling knew the prefill time of prompts only: a service of short prompts and long answers fills the batches of its engines before it keeps them busy with prefill.

Every daemon averages the calls in flight that gossip tells, at most as many as there are slots; divided by the batch of the backend they are the engines that are full, and the larger of both loads is planned for. Takes effect for services with a backend.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -250,6 +250,12 @@
             .collect()
     }
 
+    /// Returns the calls that run or wait at the endpoints of a service that take new work, and the
+    /// number of their slots.
+    pub fn occupancy(&self, service: &ServiceName) -> (u64, u64) {
+        self.load_balancer.occupancy(service)
+    }
+
     fn version(&self) -> u64 {
         self.routing_table
             .as_ref()
--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -10,6 +10,7 @@
 
 mod capacity;
 mod meter;
+mod slots;
 mod targets;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 
 use capacity::{CapacityTable, FleetCapacity};
 use meter::DemandMeter;
+use slots::SlotMeter;
 use targets::{Load, ZoneLimits, ZoneOffer, targets};
 
 /// Time in addition to the boot time after which an order that the endpoint table does not
@@ -109,6 +111,7 @@
 #[derive(Debug, Clone, Default)]
 struct ServiceState {
     meter: DemandMeter,
+    slots: SlotMeter,
     capacities: CapacityTable,
     pools: BTreeMap<(AvailabilityZone, bool), Pool>,
     /// Largest number of on-demand endpoints seen; stands in for the load until one is
@@ -129,15 +132,18 @@
 }
 
 impl Scaler {
-    /// Updates the load of a service from the counters of all daemons.
+    /// Updates the load of a service from the counters of all daemons, and from the calls that run
+    /// or wait at its endpoints and the number of their slots.
     pub fn observe(
         &mut self,
         now: Timestamp,
         service: &ServiceName,
         demand: &[(DaemonId, Vec<ServiceDemand>)],
+        (calls, slots): (u64, u64),
     ) {
         let state = self.services.entry(service.clone()).or_default();
         state.meter.update(now, service, demand);
+        state.slots.update(now, calls, slots);
     }
 
     /// Returns the orders that are due for a service. `speed` is the time that an endpoint takes
@@ -178,6 +184,8 @@
         let measured = measured
             .map(|rate| rate.max(early.unwrap_or(0.0)))
             .or(early);
+        let full = backend.map_or(0.0, |backend| state.slots.full_engines(backend));
+        let measured = measured.map(|rate| rate.max(full));
         let can_move = backend.is_some_and(|backend| backend.can_move);
         let mut load = Load::new(measured, state.max_on_demand, can_move);
         let offers = offers(now, rule, &state.pools, &fleet);
--- a/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
@@ -136,6 +136,25 @@
     assert_eq!(varied, plain);
 }
 
+/// Streams with short prompts and long answers fill the batches of 20 engines, whose prefill would
+/// take two: the fleet has slots for them, and few while few calls run. Without an engine nothing
+/// changes. Fails without `SlotMeter`.
+#[test]
+fn long_streams_need_slots() {
+    let serving = |mut world: World, calls: u64| {
+        world.run(5, 0.0);
+        world.calls = calls;
+        world.run(60, 2.0);
+        world.serving()
+    };
+    let plain = World::with(large(), 10);
+    assert!(serving(plain, 20 * 48) < 20);
+    let engines = serving(World::with(large(), 10).with_engine(true), 20 * 48);
+    assert!((33..70).contains(&engines), "{engines}");
+    let few = serving(World::with(large(), 10).with_engine(true), 48);
+    assert!(few < 20, "{few}");
+}
+
 /// A zone is lost while the platform has reclaimable endpoints everywhere: the base that carries
 /// the load alone is ordered in the next plan, at the notice. Without an engine nothing changes.
 /// Fails without `ServiceState::on_listed`.
--- a/crates/laburnumstall-core/tests/gateway/scaling_world.rs
+++ b/crates/laburnumstall-core/tests/gateway/scaling_world.rs
@@ -36,6 +36,8 @@
     pub(crate) leaving: BTreeMap<String, (usize, u64)>,
     /// Changes of the number of endpoints by orders, with their times and pools.
     pub(crate) changes: Vec<(u64, (String, bool), i64)>,
+    /// Calls that run or wait.
+    pub(crate) calls: u64,
     /// End of the time in which orders are executed without an answer.
     pub(crate) no_answer_until: u64,
 }
@@ -66,6 +68,7 @@
             speed: |_| 1.0,
             leaving: BTreeMap::new(),
             changes: Vec::new(),
+            calls: 0,
             no_answer_until: 0,
         }
     }
@@ -172,8 +175,9 @@
         };
         let service = demand.service.clone();
         self.list();
+        let occupancy = (self.calls, self.serving() as u64 * 48);
         self.scaler
-            .observe(now, &service, &[(daemon(1), vec![demand])]);
+            .observe(now, &service, &[(daemon(1), vec![demand])], occupancy);
         let mut journal = Journal::default();
         let speed_by_number = self.speed;
         let speed = |id: &EndpointId| {
--- a/crates/laburnumstalld/src/gateway/leader.rs
+++ b/crates/laburnumstalld/src/gateway/leader.rs
@@ -290,7 +290,8 @@
             let demand = gateway.demand();
             for service in scaled_services(gateway) {
                 let mut scaler = self.scaler.borrow_mut();
-                scaler.observe(now, &service.name, &demand);
+                let occupancy = gateway.occupancy(&service.name);
+                scaler.observe(now, &service.name, &demand, occupancy);
             }
         });
     }
