Report the endpoints of services and the load they are planned for

The metric laburnumstall_gateway_fleet has the endpoints by kind, what they carry and what the load keeps busy, at the daemon that orders them.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -84,7 +84,7 @@
     BackendRule, CallKind, CallerLimits, CustomerRule, Quota, QuotaUnit, RouteRule, RouteTarget,
     RoutingRules, RoutingTable, ScalingRule, ServiceRule,
 };
-pub use scaling::{Capacity, ScaleOrder, ScaleOutcome, Scaler};
+pub use scaling::{Capacity, FleetUse, ScaleOrder, ScaleOutcome, Scaler};
 pub use stored_holds::{HoldWrite, StoredHold};
 pub use stored_origins::{OriginSegment, SegmentFault, SegmentWrite};
 pub use stored_versions::{StoredVersions, VersionsWrite};
--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -92,6 +92,19 @@
     }
 }
 
+/// Endpoints of a service and the load that they are planned for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetUse {
+    /// On-demand endpoints that take new work.
+    pub on_demand: u32,
+    /// Reclaimable endpoints that take new work.
+    pub spot: u32,
+    /// What all of them carry, in typical endpoints.
+    pub capacity: f64,
+    /// Typical endpoints that the load would keep busy all the time.
+    pub load: f64,
+}
+
 /// Endpoints of one kind in one zone.
 #[derive(Debug, Clone, Default)]
 struct Pool {
@@ -118,6 +131,8 @@
     /// measured.
     max_on_demand: u32,
     first_plan_at: Option<Timestamp>,
+    /// What the last plan found.
+    last_use: Option<FleetUse>,
     /// End of the time in which other zones may lose their reclaimable endpoints as well.
     shortage_until: Timestamp,
 }
@@ -194,6 +209,12 @@
             let zones = offers.iter().filter(|offer| offer.has_spot).count() as u32;
             load = load.carrying(state.meter.current_rate(), zones);
         }
+        state.last_use = Some(FleetUse {
+            on_demand: fleet.total_of(false).count,
+            spot: fleet.total_of(true).count,
+            capacity: total.capacity,
+            load: load.rate,
+        });
         // Endpoints are released only while enough others serve.
         let is_known = measured.is_some() || !state.meter.has_calls();
         let may_shrink = is_known && !is_shortage && now.since(since) > LISTING_TIME;
@@ -300,11 +321,18 @@
         );
     }
 
+    /// Returns what the last plan of each service found, since the lease is held.
+    pub fn uses(&self) -> impl Iterator<Item = (&ServiceName, FleetUse)> {
+        let services = self.services.iter();
+        services.filter_map(|(service, state)| Some((service, state.last_use?)))
+    }
+
     /// Discards all orders after the lease is lost.
     pub fn reset(&mut self) {
         for state in self.services.values_mut() {
             state.pools.clear();
             state.first_plan_at = None;
+            state.last_use = None;
         }
     }
 }
--- a/crates/laburnumstalld/src/gateway/leader.rs
+++ b/crates/laburnumstalld/src/gateway/leader.rs
@@ -107,6 +107,7 @@
             if self.token(now).is_none() {
                 if self.is_idle(now) {
                     self.scaler.borrow_mut().reset();
+                    self.cx.metrics.fleets(self.scaler.borrow().uses());
                 }
                 continue;
             }
@@ -307,6 +308,7 @@
                 .collect()
         });
         self.log_decisions(journal);
+        self.cx.metrics.fleets(self.scaler.borrow().uses());
         for order in orders {
             let this = Rc::clone(self);
             actix_rt::spawn(async move { this.send_order(order).await });
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -4,10 +4,11 @@
 
 use laburnumstall_core::decision::{Decision, DecisionKind};
 use laburnumstall_core::error::ErrorKind;
-use laburnumstall_core::gateway::AdmittedCall;
+use laburnumstall_core::gateway::{AdmittedCall, FleetUse};
+use laburnumstall_core::ids::ServiceName;
 use laburnumstall_core::units::Timestamp;
 use prometheus::{
-    HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, Result, TextEncoder,
+    GaugeVec, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, Result, TextEncoder,
 };
 
 use crate::metrics::register;
@@ -86,8 +87,16 @@
     "Streams that callers took up, by what their software version was known from, or why they were refused.",
 );
 
+/// Endpoints of each scaled service and what they are planned for, at the holder of the lease.
+pub const FLEET: MetricSpec = spec(
+    "laburnumstall_gateway_fleet",
+    MetricKind::Gauge,
+    &["service", "kind"],
+    "Endpoints of a service by kind (on-demand, spot), what they carry (capacity) and what the load keeps busy (load), in typical endpoints; at the daemon that orders them.",
+);
+
 /// All gateway metrics, in the order of the reference page.
-pub const ALL: [MetricSpec; 10] = [
+pub const ALL: [MetricSpec; 11] = [
     REQUESTS,
     REFUSALS,
     DURATION,
@@ -98,6 +107,7 @@
     CALLERS,
     CLOSES,
     RESUMPTIONS,
+    FLEET,
 ];
 
 /// Registry and metrics of one gateway.
@@ -114,6 +124,7 @@
     callers: IntGauge,
     closes: IntCounterVec,
     resumptions: IntCounterVec,
+    fleet: GaugeVec,
 }
 
 impl GatewayMetrics {
@@ -135,6 +146,7 @@
             callers: register::gauge(&registry, &CALLERS)?,
             closes: register::counters(&registry, &CLOSES)?,
             resumptions: register::counters(&registry, &RESUMPTIONS)?,
+            fleet: register::real_gauges(&registry, &FLEET)?,
             registry,
         })
     }
@@ -198,6 +210,22 @@
         self.closes.with_label_values(&[cause]).inc();
     }
 
+    /// Sets the endpoints of the scaled services; those of others are left out.
+    pub fn fleets<'a>(&self, uses: impl Iterator<Item = (&'a ServiceName, FleetUse)>) {
+        self.fleet.reset();
+        for (service, fleet) in uses {
+            for (kind, value) in [
+                ("on-demand", f64::from(fleet.on_demand)),
+                ("spot", f64::from(fleet.spot)),
+                ("capacity", fleet.capacity),
+                ("load", fleet.load),
+            ] {
+                let labels = [service.as_str(), kind];
+                self.fleet.with_label_values(&labels).set(value);
+            }
+        }
+    }
+
     fn observe(&self, histogram: &HistogramVec, service: &str, elapsed: Duration) {
         histogram
             .with_label_values(&[service])
