--- a/crates/laburnumstall-core/src/gateway/daemon_size.rs
+++ b/crates/laburnumstall-core/src/gateway/daemon_size.rs
@@ -3,6 +3,8 @@
 //! Where daemons differ in size by a factor of two or more, callers, reads of the key-value store
 //! and duties go to them by size. A daemon that registered no size counts as the median one.
 
+use std::collections::BTreeSet;
+
 use super::Gateway;
 use super::gossip::Peer;
 use crate::ids::{AvailabilityZone, DaemonId};
@@ -129,13 +131,12 @@
             .chain([(own, self.own_size)])
             .map(|(member, size)| (member, sizes.is_none_or(|sizes| sizes.is_large(size))))
             .collect();
-        let has_large = |zone: &AvailabilityZone| {
-            all.iter()
-                .any(|(member, is_large)| *is_large && member.zone == *zone)
-        };
+        let large = all.iter().filter(|(_, is_large)| *is_large);
+        let with_large: BTreeSet<&AvailabilityZone> =
+            large.map(|(member, _)| &member.zone).collect();
         let eligible = all
             .iter()
-            .filter(|(member, is_large)| *is_large || !has_large(&member.zone));
+            .filter(|(member, is_large)| *is_large || !with_large.contains(&member.zone));
         eligible.map(|(member, _)| *member).collect()
     }
 }
