Plan by the highest average where calls are sparse

The median over two boot times is zero for a service that is called in few seconds, so that its endpoints were released.

The median counts only if it reaches 0.8 of the mean; otherwise the highest average is planned for as before.

--- a/crates/laburnumstall-core/src/gateway/scaling/meter.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/meter.rs
@@ -15,6 +15,8 @@
 
 /// Time over which work is summed for the median.
 const BUCKET_TIME: Duration = Duration::from_secs(1);
+/// Part of the mean rate that the highest median has to reach to be used.
+const MIN_MEDIAN: f64 = 0.8;
 /// Longest time over which a median is taken.
 const MAX_MEDIAN_TIME: Duration = Duration::from_secs(20);
 
@@ -123,8 +125,8 @@
     }
 
     /// Returns the highest recent median rate of `time`, at most [`MAX_MEDIAN_TIME`]: a burst of
-    /// less than half of it does not count. `None` before the first call, and until `time` has
-    /// passed after the warm-up.
+    /// less than half of it does not count. `None` before the first call, until `time` has passed
+    /// after the warm-up, and if calls are so few that the median says little about the mean.
     pub(super) fn median_rate(&self, now: Timestamp, time: Duration) -> Option<f64> {
         let first = self.first_call_at?;
         let time = time.min(MAX_MEDIAN_TIME);
@@ -133,6 +135,7 @@
         let rates: Vec<(Timestamp, f64)> = starts
             .map(|((start, work), (end, _))| (*end, work / end.since(*start).as_secs_f64()))
             .collect();
+        let mean = rates.iter().map(|(_, rate)| rate).sum::<f64>() / rates.len().max(1) as f64;
         let count = (time.as_secs_f64() / BUCKET_TIME.as_secs_f64())
             .ceil()
             .max(1.0);
@@ -143,7 +146,8 @@
             (now.since(*end) < PEAK_HOLD_TIME).then(|| sorted[(sorted.len() - 1) / 2])
         });
         let highest = medians.fold(0.0, f64::max);
-        (now.since(first) > WARMUP_TIME + time).then_some(highest)
+        let is_known = now.since(first) > WARMUP_TIME + time && highest >= MIN_MEDIAN * mean;
+        is_known.then_some(highest)
     }
 
     /// Returns the current average rate.
--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -72,13 +72,11 @@
     pub(super) fn carrying(self, current: f64, zones: u32) -> Self {
         let planned = self.endpoints(BASE_LOAD) + self.spot_in_zone(zones.max(1)) * zones;
         let limit = MAX_LOAD * f64::from(planned.max(self.endpoints(MAX_LOAD)));
-        match current > limit && limit > 0.0 {
-            true => Self {
-                rate: self.rate * current / limit,
-                ..self
-            },
-            false => self,
-        }
+        let rate = match limit > 0.0 {
+            true => self.rate * (current / limit).max(1.0),
+            false => current,
+        };
+        Self { rate, ..self }
     }
 
     /// Returns the number of endpoints below which none are released.
--- a/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/capacity_scaling.rs
@@ -192,6 +192,23 @@
     assert!(world.orders > orders);
 }
 
+/// Calls that come in one second of four are carried though most seconds have none. Fails if the
+/// median counts whatever it is.
+#[test]
+fn sparse_calls_are_carried() {
+    let mut world = World::with(large(), 10).with_engine(true);
+    world.run(5, 0.0);
+    for second in 0..80 {
+        world.run(1, if second % 4 == 0 { 40.0 } else { 0.0 });
+        let least = if second < 30 { 10.0 } else { 24.0 };
+        assert!(
+            world.carried() >= least,
+            "{:.1} after {second} s",
+            world.carried()
+        );
+    }
+}
+
 /// Waves of 30 % over 40 s are carried without endpoints that are released and ordered again.
 #[test]
 fn waves_are_carried() {
