--- a/crates/laburnumstall-core/src/gateway/scaling.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling.rs
@@ -201,8 +201,7 @@
             .or(early);
         let full = backend.map_or(0.0, |backend| state.slots.full_engines(backend));
         let measured = measured.map(|rate| rate.max(full));
-        let can_move = backend.is_some_and(|backend| backend.can_move);
-        let mut load = Load::new(measured, state.max_on_demand, can_move);
+        let mut load = Load::new(measured, state.max_on_demand);
         let offers = offers(now, rule, &state.pools, &fleet);
         if is_filtered {
             // What the endpoints bear for a short time is not chased.
--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -51,19 +51,15 @@
 pub(super) struct Load {
     /// Number of engines that would be busy with prefill all the time.
     pub(super) rate: f64,
-    /// Whether running calls are moved from endpoints that are reclaimed. Otherwise their
-    /// prompts are prefilled again, in addition to the load.
-    pub(super) can_move: bool,
 }
 
 impl Load {
     /// Uses the measured rate or, before one is known, the rate that the `initial` endpoints
     /// are assumed to be sized for.
-    pub(super) fn new(measured: Option<f64>, initial: u32, can_move: bool) -> Self {
+    pub(super) fn new(measured: Option<f64>, initial: u32) -> Self {
         let assumed = f64::from(initial) * INITIAL_LOAD;
         Self {
             rate: measured.unwrap_or(assumed),
-            can_move,
         }
     }
 
@@ -76,7 +72,7 @@
             true => self.rate * (current / limit).max(1.0),
             false => current,
         };
-        Self { rate, ..self }
+        Self { rate }
     }
 
     /// Returns the number of endpoints below which none are released.
@@ -88,17 +84,7 @@
     fn spot_in_zone(self, zones: u32) -> u32 {
         let base = self.endpoints(BASE_LOAD);
         let total = self.endpoints(HEADROOM_LOAD).saturating_sub(base);
-        let spread = total.div_ceil(zones);
-        if !self.can_move {
-            return spread;
-        }
-        let limit = self.endpoints(MAX_LOAD);
-        // Without one zone, until the base has been raised.
-        let after_one = limit.saturating_sub(base);
-        let after_one = after_one.div_ceil(zones.saturating_sub(1).max(1));
-        // The last zone, with the raised base.
-        let last = limit.saturating_sub(self.endpoints(SHORTAGE_LOAD));
-        after_one.max(last).min(spread)
+        total.div_ceil(zones)
     }
 
     /// Returns the number of endpoints that carry the load at `utilization`.
