--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -11,7 +11,6 @@
 mod buffer_budget;
 mod call;
 mod crash_evidence;
-mod daemon_size;
 mod demand;
 mod directory;
 mod endpoint_limiter;
@@ -51,7 +50,6 @@
 use std::time::Duration;
 
 use crate::decision::{Decision, Journal};
-use crate::hash::digest64;
 use crate::ids::{AvailabilityZone, DaemonId, EndpointId, ServiceName};
 use crate::limits::{DelayedShare, RetryWindow};
 use crate::quarantine::CrashTally;
@@ -59,7 +57,6 @@
 
 pub use buffer_budget::{BufferBudget, BufferShare};
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, EventTimes, Prompt, PromptPart};
-pub use daemon_size::{DaemonSize, LinkRate, ProcessorShare};
 pub use demand::DemandCounter;
 pub use endpoint_limiter::EndpointLimiter;
 pub use endpoint_model::{ProcessKey, ProcessTimes, SpeedBroadcast};
@@ -97,7 +94,7 @@
     BackendRule, CallKind, CallerLimits, CustomerRule, Quota, QuotaUnit, RouteRule, RouteTarget,
     RoutingRules, RoutingTable, ScalingRule, ServiceRule,
 };
-pub use scaling::{Capacity, FleetUse, ScaleOrder, ScaleOutcome, Scaler};
+pub use scaling::{Capacity, ScaleOrder, ScaleOutcome, Scaler};
 pub use stored_holds::{HoldWrite, StoredHold};
 pub use stored_origins::{OriginSegment, SegmentFault, SegmentWrite};
 pub use stored_versions::{StoredVersions, VersionsWrite};
@@ -131,9 +128,6 @@
 #[derive(Debug)]
 pub struct Gateway {
     own: DaemonId,
-    own_size: Option<DaemonSize>,
-    /// Hash of this daemon's zone.
-    zone_seed: u64,
     caller_address: SocketAddr,
     bounds: Bounds,
     routing_table: Option<RoutingTable>,
@@ -181,8 +175,6 @@
     ) -> Self {
         Self {
             own,
-            own_size: None,
-            zone_seed: digest64(&[zone.as_str().as_bytes()]),
             caller_address,
             routing_table: None,
             rules_floor: rules_floor::RulesFloor::default(),
@@ -277,12 +269,6 @@
         self.load_balancer.speed(id)
     }
 
-    /// Returns the calls that run or wait at the endpoints of a service that take new work, and the
-    /// number of their slots.
-    pub fn occupancy(&self, service: &ServiceName) -> (u64, u64) {
-        self.load_balancer.occupancy(service)
-    }
-
     fn version(&self) -> u64 {
         self.routing_table
             .as_ref()
--- a/crates/laburnumstall-core/src/gateway/gossip.rs
+++ b/crates/laburnumstall-core/src/gateway/gossip.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::daemon_size::DaemonSize;
 use super::peer_message::PeerProtocol;
 use super::quota::QuotaUsage;
 use super::usage::UsageCount;
@@ -94,8 +93,6 @@
     pub supports_quarantine: bool,
     /// Newest protocol of later messages that it decodes.
     pub protocol: PeerProtocol,
-    /// Size of its machine; `None` if it registered none.
-    pub size: Option<DaemonSize>,
     /// When the last gossip message was received.
     pub last_gossip_at: Option<Timestamp>,
     /// When it was added to the table.
@@ -120,10 +117,6 @@
         pub supports_quarantine: bool,
         /// Newest protocol of later messages that it decodes.
         pub protocol: PeerProtocol,
-        /// Size of its machine; `None` if unknown. The layout of this type in gossip messages
-        /// precedes the field, so it is not encoded.
-        #[serde(skip)]
-        pub size: Option<DaemonSize>,
     }
 }
 
@@ -159,7 +152,6 @@
             supports_extensions: false,
             supports_quarantine: false,
             protocol: PeerProtocol::default(),
-            size: None,
             last_gossip_at: None,
             added_at: now,
             last_message: None,
@@ -192,13 +184,6 @@
         }
     }
 
-    /// Records the size of a daemon's machine.
-    pub(super) fn set_size(&mut self, id: &DaemonId, size: DaemonSize) {
-        if let Some(peer) = self.peers.get_mut(id) {
-            peer.size = Some(size);
-        }
-    }
-
     /// Returns the newest protocol that a daemon decodes.
     pub(super) fn protocol(&self, id: &DaemonId) -> PeerProtocol {
         self.peers
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -11,7 +11,6 @@
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use super::daemon_size::DaemonSize;
 use super::endpoint_model::ProcessTimes;
 use super::endpoint_notice::SharedNotice;
 use super::gossip::GossipMessage;
@@ -55,8 +54,6 @@
     VersionedGossip(GossipMessage),
     /// Gossip message with the software versions and the era of the store.
     EraGossip(GossipMessage),
-    /// Gossip message with all of that and the sizes of the daemons in it.
-    SizedGossip(GossipMessage),
     /// Origins of streams, for the recipient to keep.
     Origins(Vec<OriginGroup>),
     /// Question about the origin of a stream.
@@ -92,12 +89,6 @@
     EndpointEnds(Cow<'a, [EndpointEnd]>),
     EndpointSpeeds(Cow<'a, [ProcessTimes]>),
     RolloutEvidence(Cow<'a, RolloutEvidence>),
-    SizedGossip(
-        Cow<'a, GossipMessage>,
-        Vec<Option<SoftwareVersion>>,
-        StoreEra,
-        Vec<Option<DaemonSize>>,
-    ),
 }
 
 impl Serialize for PeerMessage {
@@ -112,12 +103,6 @@
                 copy_versions(message),
                 message.view.era,
             ),
-            Self::SizedGossip(message) => Extension::SizedGossip(
-                Cow::Borrowed(message),
-                copy_versions(message),
-                message.view.era,
-                copy_sizes(message),
-            ),
             Self::Origins(groups) => Extension::Origins(Cow::Borrowed(groups)),
             Self::Lookup(query) => Extension::Lookup(Cow::Borrowed(query)),
             Self::Answer(reply) => Extension::Answer(Cow::Borrowed(reply)),
@@ -160,12 +145,6 @@
                     message.view.era = era;
                     PeerMessage::EraGossip(message)
                 }
-                Extension::SizedGossip(message, versions, era, sizes) => {
-                    let message = with_versions(message.into_owned(), versions);
-                    let mut message = with_sizes(message, sizes);
-                    message.view.era = era;
-                    PeerMessage::SizedGossip(message)
-                }
                 Extension::Origins(groups) => PeerMessage::Origins(groups.into_owned()),
                 Extension::Lookup(query) => PeerMessage::Lookup(query.into_owned()),
                 Extension::Answer(reply) => PeerMessage::Answer(reply.into_owned()),
@@ -223,27 +202,3 @@
             _ => None,
         })
 }
-
-fn copy_sizes(message: &GossipMessage) -> Vec<Option<DaemonSize>> {
-    daemon_sizes(&mut message.clone())
-        .map(|size| size.take())
-        .collect()
-}
-
-fn with_sizes(mut message: GossipMessage, sizes: Vec<Option<DaemonSize>>) -> GossipMessage {
-    for (slot, size) in daemon_sizes(&mut message).zip(sizes) {
-        *slot = size;
-    }
-    message
-}
-
-/// Returns the sizes of the daemons in a gossip message, in its order.
-fn daemon_sizes(message: &mut GossipMessage) -> impl Iterator<Item = &mut Option<DaemonSize>> {
-    let batches = message.view.batches.iter_mut();
-    batches
-        .flat_map(|batch| &mut batch.changes)
-        .filter_map(|change| match change {
-            ViewChange::Member(record) => Some(&mut record.size),
-            _ => None,
-        })
-}
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -405,11 +405,7 @@
     /// Completes a gossip message for one peer, in the form that the peer decodes.
     pub fn peer_gossip(&self, to: &DaemonId, message: &GossipMessage) -> PeerMessage {
         let message = self.gossip_for(to, message);
-        let protocol = self.peer_table.protocol(to);
-        if protocol >= PeerProtocol::SHARED_LOAD && message.view.has_sizes() {
-            return PeerMessage::SizedGossip(message);
-        }
-        if protocol >= PeerProtocol::STORE_ERA {
+        if self.peer_table.protocol(to) >= PeerProtocol::STORE_ERA {
             return PeerMessage::EraGossip(message);
         }
         match self.peer_table.supports_extensions(to) && !message.view.batches.is_empty() {
--- a/crates/laburnumstall-core/src/gateway/scaling/targets.rs
+++ b/crates/laburnumstall-core/src/gateway/scaling/targets.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use super::Capacity;
+use crate::gateway::rules::ScalingRule;
 use crate::ids::AvailabilityZone;
 
 /// Fraction of the endpoints' time used for prefill while reclaimable endpoints are available
@@ -26,13 +27,6 @@
 /// Load per endpoint that the initial endpoints are assumed to be sized for.
 const INITIAL_LOAD: f64 = 0.42;
 
-/// Limits for the endpoints of a zone.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ZoneLimits {
-    pub(super) min: u32,
-    pub(super) max: u32,
-}
-
 /// Endpoints available in a zone.
 #[derive(Debug, Clone)]
 pub(super) struct ZoneOffer {
@@ -63,30 +57,11 @@
         }
     }
 
-    /// Raises the load if the endpoints of `zones` that it asks for would not carry `current` at
-    /// their limit.
-    pub(super) fn carrying(self, current: f64, zones: u32) -> Self {
-        let planned = self.endpoints(BASE_LOAD) + self.spot_in_zone(zones.max(1)) * zones;
-        let limit = MAX_LOAD * f64::from(planned.max(self.endpoints(MAX_LOAD)));
-        let rate = match limit > 0.0 {
-            true => self.rate * (current / limit).max(1.0),
-            false => current,
-        };
-        Self { rate }
-    }
-
     /// Returns the number of endpoints below which none are released.
     pub(super) fn min_endpoints(self) -> u32 {
         self.endpoints(MAX_LOAD)
     }
 
-    /// Returns the number of reclaimable endpoints for each of `zones`.
-    fn spot_in_zone(self, zones: u32) -> u32 {
-        let base = self.endpoints(BASE_LOAD);
-        let total = self.endpoints(HEADROOM_LOAD).saturating_sub(base);
-        total.div_ceil(zones)
-    }
-
     /// Returns the number of endpoints that carry the load at `utilization`.
     fn endpoints(self, utilization: f64) -> u32 {
         (self.rate / utilization).ceil() as u32
@@ -97,10 +72,10 @@
 /// their zone.
 const MAX_ROUNDS: u32 = 4;
 
-/// Returns the number of typical endpoints of each kind for each zone; `is_shortage` means that
+/// Returns the number of endpoints of each kind for each zone; `is_shortage` means that
 /// reclaims are in progress.
 pub(super) fn targets(
-    limits: ZoneLimits,
+    rule: &ScalingRule,
     offers: &[ZoneOffer],
     load: Load,
     is_shortage: bool,
@@ -110,7 +85,7 @@
     } else {
         BASE_LOAD
     });
-    let mut counts = divide(limits, offers, load, on_demand);
+    let mut counts = divide(rule, offers, load, on_demand);
     for _ in 0..MAX_ROUNDS {
         let total: u32 = counts
             .values()
@@ -121,20 +96,23 @@
             break;
         }
         on_demand += missing;
-        counts = divide(limits, offers, load, on_demand);
+        counts = divide(rule, offers, load, on_demand);
     }
     counts
 }
 
 /// Assigns `on_demand` endpoints to the cheapest zones and adds reclaimable ones.
 fn divide(
-    limits: ZoneLimits,
+    rule: &ScalingRule,
     offers: &[ZoneOffer],
     load: Load,
     mut on_demand: u32,
 ) -> BTreeMap<AvailabilityZone, Capacity> {
     let zones = offers.len().max(1) as u32;
-    let spot_in_zone = load.spot_in_zone(zones).min(limits.max);
+    let total_spot = load
+        .endpoints(HEADROOM_LOAD)
+        .saturating_sub(load.endpoints(BASE_LOAD));
+    let spot_in_zone = total_spot.div_ceil(zones).min(rule.max);
     let mut by_price: Vec<&ZoneOffer> = offers.iter().collect();
     by_price.sort_by(|a, b| a.price.total_cmp(&b.price));
     let mut counts = BTreeMap::new();
@@ -147,11 +125,11 @@
         let present = spot.min(offer.spot_present);
         let mut count = Capacity { on_demand: 0, spot };
         if offer.has_on_demand {
-            count.on_demand = on_demand.min(limits.max.saturating_sub(present));
+            count.on_demand = on_demand.min(rule.max.saturating_sub(present));
             on_demand -= count.on_demand;
         }
-        count.spot = spot.min(limits.max.saturating_sub(count.on_demand));
-        let missing = limits.min.saturating_sub(count.on_demand + count.spot);
+        count.spot = spot.min(rule.max.saturating_sub(count.on_demand));
+        let missing = rule.min.saturating_sub(count.on_demand + count.spot);
         match offer.has_spot {
             true => count.spot += missing,
             false => count.on_demand += missing,
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -132,7 +132,6 @@
         self.set_extension_support(&id, record.supports_extensions);
         self.set_quarantine_support(&id, record.supports_quarantine);
         self.set_peer_protocol(&id, record.protocol);
-        self.set_peer_size(&id, record.size);
     }
 
     /// Applies the end of the registration of the daemon on a VM.
--- a/crates/laburnumstall-core/src/gateway/view.rs
+++ b/crates/laburnumstall-core/src/gateway/view.rs
@@ -132,12 +132,6 @@
 }
 
 impl ViewUpdate {
-    /// Returns whether a registration in the changes has the size of a machine.
-    pub(super) fn has_sizes(&self) -> bool {
-        let mut changes = self.batches.iter().flat_map(|batch| &batch.changes);
-        changes.any(|change| matches!(change, ViewChange::Member(record) if record.size.is_some()))
-    }
-
     /// Replaces the changes that daemons of earlier builds do not decode.
     pub(super) fn without_members(mut self) -> Self {
         let changes = self.batches.iter_mut().flat_map(|batch| &mut batch.changes);
@@ -343,11 +337,9 @@
         let is_reader = self.is_reader(now);
         if self.view.was_reader.replace(is_reader) != Some(is_reader) {
             let choice = if is_reader { "reads" } else { "listens" };
-            let sizes = self.fleet_sizes(self.peer_table.ready(now));
             self.journal.record(
                 Decision::new(now, DecisionKind::Connection, choice, "store-readers")
-                    .with("daemons", 1 + self.peer_table.len())
-                    .with("by_size", sizes.is_some()),
+                    .with("daemons", 1 + self.peer_table.len()),
             );
         }
         let is_fresh = self.freshness.is_within(now, CONFIRMATION_TIMEOUT);
@@ -383,17 +375,12 @@
         if self.peer_table.len() < SMALL_FLEET {
             return true;
         }
-        // Large daemons read first where daemons differ in size.
-        let sizes = self.fleet_sizes(self.peer_table.ready(now));
-        let rank = |id: &DaemonId, size| {
-            let is_small = sizes.is_some_and(|sizes| !sizes.is_large(size));
-            (is_small, digest64(&[id.to_string().as_bytes()]))
-        };
-        let own = rank(&self.own, self.own_size);
+        let rank = |id: &DaemonId| digest64(&[id.to_string().as_bytes()]);
+        let own = rank(&self.own);
         let ranked_before = self
             .peer_table
             .ready(now)
-            .filter(|peer| rank(&peer.member.id, peer.size) < own);
+            .filter(|peer| rank(&peer.member.id) < own);
         ranked_before.count() < READERS
     }
 }
--- a/crates/laburnumstall-core/tests/gateway/endpoint_limits.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_limits.rs
@@ -365,9 +365,9 @@
     }
     let zone: AvailabilityZone = "north-a".parse().unwrap();
     let mut counts = BTreeMap::from([((zone.clone(), false), 3), ((zone, true), 1)]);
-    let service = crate::support::scaled_service(crate::support::scaling());
+    let (service, rule) = ("model".parse().unwrap(), crate::support::scaling());
     let (endpoints, mut journal) = (gateway.endpoints(), Journal::default());
-    for order in Scaler::default().plan(at(200), &service, endpoints, |_| 1.0, &mut journal) {
+    for order in Scaler::default().plan(at(200), &service, &rule, endpoints, &mut journal) {
         counts.insert((order.zone, order.is_spot), order.desired);
     }
     counts.values().sum()
--- a/crates/laburnumstall-core/tests/gateway/endpoint_scaling.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_scaling.rs
@@ -1,10 +1,162 @@
 //! Scaling of endpoints, simulated with a platform that reclaims whole zones.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::scaling_world::{BOOT_MS, STEP_MS, World, ZONES};
-use crate::support::scaling;
-use laburnumstall_core::gateway::{Scaler, ScalingRule};
+use crate::support::{at, daemon, endpoint, scaling};
+use laburnumstall_core::decision::Journal;
+use laburnumstall_core::gateway::{
+    EndpointTable, ScaleOutcome, Scaler, ScalingRule, ServiceDemand,
+};
+use laburnumstall_core::prelude::*;
+
+const ZONES: [&str; 3] = ["north-a", "north-b", "north-c"];
+const BOOT_MS: u64 = 4_000;
+const STEP_MS: u64 = 250;
+
+/// Platform that boots ordered endpoints. The load is the number of engines that would be busy
+/// with prefill.
+struct World {
+    rule: ScalingRule,
+    scaler: Scaler,
+    endpoints: EndpointTable,
+    now_ms: u64,
+    requested_prefill_ms: u64,
+    ordered: BTreeMap<(String, bool), u32>,
+    /// Endpoints by zone and kind, as the times from which they serve.
+    present: BTreeMap<(String, bool), Vec<u64>>,
+    /// End of the time in which a zone has no reclaimable capacity.
+    no_spot_until: BTreeMap<String, u64>,
+    cost: f64,
+    orders: u32,
+    lists: u32,
+}
+
+impl World {
+    /// Starts with four on-demand engines in each zone.
+    fn new() -> Self {
+        Self::with(scaling(), 4)
+    }
+
+    /// Starts with `count` on-demand engines in each zone.
+    fn with(rule: ScalingRule, count: usize) -> Self {
+        let present = ZONES
+            .iter()
+            .map(|zone| (((*zone).to_owned(), false), vec![0; count]));
+        Self {
+            rule,
+            scaler: Scaler::default(),
+            endpoints: EndpointTable::default(),
+            now_ms: 0,
+            requested_prefill_ms: 0,
+            ordered: BTreeMap::new(),
+            present: present.collect(),
+            no_spot_until: BTreeMap::new(),
+            cost: 0.0,
+            orders: 0,
+            lists: 0,
+        }
+    }
+
+    fn serving(&self) -> usize {
+        let serves = |from: &&u64| **from <= self.now_ms;
+        self.present.values().flatten().filter(serves).count()
+    }
+
+    fn on_demand(&self) -> usize {
+        let on_demand = self.present.iter().filter(|((_, is_spot), _)| !is_spot);
+        on_demand.map(|(_, present)| present.len()).sum()
+    }
+
+    /// Reclaims a zone's endpoints; no zone has reclaimable capacity for a time.
+    fn reclaim_zone(&mut self, zone: &str, duration: Duration) {
+        for other in ZONES {
+            self.exhaust_spot(other, duration);
+        }
+        self.lose(zone);
+    }
+
+    /// Reclaims a zone's endpoints; only that zone has no reclaimable capacity for a time.
+    fn reclaim_only_zone(&mut self, zone: &str, duration: Duration) {
+        self.exhaust_spot(zone, duration);
+        self.lose(zone);
+    }
+
+    fn exhaust_spot(&mut self, zone: &str, duration: Duration) {
+        let until = self.now_ms + duration.as_millis() as u64;
+        self.no_spot_until.insert(zone.to_owned(), until);
+    }
+
+    fn lose(&mut self, zone: &str) {
+        self.present.remove(&(zone.to_owned(), true));
+        self.ordered.remove(&(zone.to_owned(), true));
+    }
+
+    /// Advances the time by a quarter of a second under a load.
+    fn step(&mut self, load: f64) {
+        self.now_ms += STEP_MS;
+        self.requested_prefill_ms += (load * STEP_MS as f64) as u64;
+        let now = at(self.now_ms);
+        let demand = ServiceDemand {
+            service: "model".parse().unwrap(),
+            prefill_ms: self.requested_prefill_ms,
+        };
+        let service = demand.service.clone();
+        self.list();
+        self.scaler
+            .observe(now, &service, &[(daemon(1), vec![demand])]);
+        let mut journal = Journal::default();
+        let orders = self
+            .scaler
+            .plan(now, &service, &self.rule, &self.endpoints, &mut journal);
+        for order in orders {
+            self.orders += 1;
+            let key = (order.zone.to_string(), order.is_spot);
+            let is_exhausted = order.is_spot
+                && self
+                    .no_spot_until
+                    .get(&key.0)
+                    .is_some_and(|until| self.now_ms < *until);
+            let have = self.present.entry(key.clone()).or_default();
+            let outcome = match is_exhausted && order.desired as usize > have.len() {
+                true => ScaleOutcome::NoneAvailable,
+                false => ScaleOutcome::Accepted,
+            };
+            if outcome == ScaleOutcome::Accepted {
+                have.resize(order.desired as usize, self.now_ms + BOOT_MS);
+                self.ordered.insert(key, order.desired);
+            }
+            self.scaler.on_outcome(now, &order, outcome, &mut journal);
+        }
+        for ((zone, is_spot), present) in &self.present {
+            let price = scaling().zone_prices[&zone.parse::<AvailabilityZone>().unwrap()];
+            let price_ratio = if *is_spot { 0.18 } else { 1.0 };
+            self.cost += present.len() as f64 * price * price_ratio * STEP_MS as f64 / 1_000.0;
+        }
+    }
+
+    /// Lists the endpoints that serve.
+    fn list(&mut self) {
+        let mut records = Vec::new();
+        for ((zone, is_spot), present) in &self.present {
+            let serving = present.iter().filter(|from| **from <= self.now_ms).count();
+            for n in 0..serving {
+                let mut record = endpoint(&format!("{zone}-{is_spot}-{n}"), "model", zone);
+                record.is_spot = *is_spot;
+                records.push(record);
+            }
+        }
+        self.lists += 1;
+        self.endpoints
+            .on_list(at(self.now_ms), records, false, &mut Journal::default());
+    }
+
+    fn run(&mut self, seconds: u64, load: f64) {
+        for _ in 0..seconds * 1_000 / STEP_MS {
+            self.step(load);
+        }
+    }
+}
 
 /// Fails if the plan keeps the on-demand endpoints, or alternates between orders.
 #[test]
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -1,9 +1,7 @@
 //! Decisions of the gateway, one file per feature, in virtual time.
 
 mod call_admission;
-mod capacity_scaling;
 mod crash_evidence;
-mod daemon_sizes;
 mod endpoint_ends;
 mod endpoint_limits;
 mod endpoint_pauses;
@@ -28,7 +26,6 @@
 mod rollout_judge;
 mod rollout_states;
 mod rollout_world;
-mod scaling_world;
 mod silent_attempts;
 mod store_view;
 mod stored_origins;
--- a/crates/laburnumstall-core/tests/gateway/rollout_states.rs
+++ b/crates/laburnumstall-core/tests/gateway/rollout_states.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::rollout_world::{DURATION_MS, LIMITS, World, app, order};
-use crate::support::{at, bounds, call_attributes, endpoint, gateway, member, rules};
+use crate::support::{at, bounds, call_attributes, endpoint, gateway, member, rules, scaling};
 use laburnumstall_core::gateway::{
     Gateway, OrderEntry, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite, ScaleOutcome,
     Scaler, StoredRollout, StoredVersions,
@@ -326,7 +326,6 @@
 #[test]
 fn scaling_keeps_endpoints_during_a_rollout() {
     let model: ServiceName = "model".parse().unwrap();
-    let service = rules(1).services[&model].clone();
     let mut gateway = fresh(&[]);
     let records = (0..24).map(|n| {
         let zone = ["north-a", "north-b", "north-c"][n % 3];
@@ -344,7 +343,7 @@
             let scope = gateway.rollout_scope(&model).filter(|_| follows);
             scaler.set_rollout(&model, scope);
             let table = gateway.endpoints();
-            for order in scaler.plan(at(ms), &service, table, |_| 1.0, &mut journal) {
+            for order in scaler.plan(at(ms), &model, &scaling(), table, &mut journal) {
                 if !order.is_spot {
                     least.insert(order.zone.clone(), order.desired);
                 }
--- a/crates/laburnumstall-core/tests/gateway/rollout_world.rs
+++ b/crates/laburnumstall-core/tests/gateway/rollout_world.rs
@@ -146,7 +146,6 @@
                         true => PeerProtocol::STORED_VERSIONS,
                         false => PeerProtocol::NEWEST,
                     },
-                    size: None,
                 };
                 gateway.on_member_record(at(0), record);
             }
--- a/crates/laburnumstall-core/tests/gateway/store_view.rs
+++ b/crates/laburnumstall-core/tests/gateway/store_view.rs
@@ -232,7 +232,6 @@
         supports_extensions: true,
         supports_quarantine: true,
         protocol: newest,
-        size: None,
     });
     let mut changes: Vec<ViewChange> = records.map(ViewChange::Member).collect();
     changes.push(ViewChange::MemberRemoved(daemon(DAEMONS).vm));
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -85,14 +85,6 @@
     }
 }
 
-pub(crate) fn scaled_service(rule: ScalingRule) -> ServiceRule {
-    ServiceRule {
-        name: "model".parse().unwrap(),
-        backend: None,
-        scaling: Some(rule),
-    }
-}
-
 pub(crate) fn rules(version: u64) -> RoutingRules {
     let mut digest = route("/digest/", CallKind::Stream, "model");
     digest.is_resumable = true;
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -198,7 +198,6 @@
         settings.front,
         settings.bounds.clone(),
     );
-    gateway.set_own_size(settings.size);
     gateway.on_daemon_started(clock.now());
     let metrics_registry = GatewayMetrics::register().context(MetricsSnafu)?;
     let cx = Context::new(
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -88,8 +88,7 @@
     match message {
         PeerMessage::Gossip(message)
         | PeerMessage::VersionedGossip(message)
-        | PeerMessage::EraGossip(message)
-        | PeerMessage::SizedGossip(message) => {
+        | PeerMessage::EraGossip(message) => {
             cx.with_gateway(|gateway, now| gateway.on_gossip(now, from, message));
         }
         PeerMessage::Origins(groups) => {
--- a/crates/laburnumstalld/src/gateway/leader.rs
+++ b/crates/laburnumstalld/src/gateway/leader.rs
@@ -12,9 +12,9 @@
 
 use laburnumstall_core::decision::Journal;
 use laburnumstall_core::gateway::{
-    GOSSIP_PERIOD, Gateway, ScaleOrder, ScaleOutcome, Scaler, ServiceRule, UsageReport,
+    GOSSIP_PERIOD, Gateway, ScaleOrder, ScaleOutcome, Scaler, ScalingRule, UsageReport,
 };
-use laburnumstall_core::ids::{EndpointId, FencingToken, ParseIdError};
+use laburnumstall_core::ids::{FencingToken, ParseIdError, ServiceName};
 use laburnumstall_core::membership::Member;
 use laburnumstall_core::placement::{LeaseClient, LeaseTiming, is_candidate};
 use laburnumstall_core::store::{StoreCall, StoreKey, StoreReply};
@@ -111,7 +111,6 @@
             if self.token(now).is_none() {
                 if self.is_idle(now) {
                     self.scaler.borrow_mut().reset();
-                    self.cx.metrics.fleets(self.scaler.borrow().uses());
                 }
                 continue;
             }
@@ -144,7 +143,8 @@
     fn tick_lease(self: &Rc<Self>) {
         let is_holder = !self.is_idle(self.cx.now());
         let is_candidate = self.cx.with_gateway(|gateway, now| {
-            let all = gateway.lease_members(now, &self.own);
+            let others = gateway.peer_table().reachable(now).map(|peer| &peer.member);
+            let all: Vec<&Member> = others.chain([&self.own]).collect();
             let region = &self.cx.settings.region;
             // A holder stays a candidate when others rank higher: a handover gains nothing.
             !gateway.is_stopping() && (is_holder || is_candidate(&self.own.id, region, &all))
@@ -296,10 +296,8 @@
     fn observe_load(&self) {
         self.cx.with_gateway(|gateway, now| {
             let demand = gateway.demand();
-            for service in scaled_services(gateway) {
-                let mut scaler = self.scaler.borrow_mut();
-                let occupancy = gateway.occupancy(&service.name);
-                scaler.observe(now, &service.name, &demand, occupancy);
+            for (service, _) in scaled_services(gateway) {
+                self.scaler.borrow_mut().observe(now, service, &demand);
             }
         });
     }
@@ -309,15 +307,13 @@
         let orders: Vec<ScaleOrder> = self.cx.with_gateway(|gateway, now| {
             let mut scaler = self.scaler.borrow_mut();
             scaled_services(gateway)
-                .flat_map(|service| {
-                    scaler.set_rollout(&service.name, gateway.rollout_scope(&service.name));
-                    let speed = |endpoint: &EndpointId| gateway.endpoint_speed(endpoint);
-                    scaler.plan(now, service, gateway.endpoints(), speed, &mut journal)
+                .flat_map(|(service, rule)| {
+                    scaler.set_rollout(service, gateway.rollout_scope(service));
+                    scaler.plan(now, service, rule, gateway.endpoints(), &mut journal)
                 })
                 .collect()
         });
         self.log_decisions(journal);
-        self.cx.metrics.fleets(self.scaler.borrow().uses());
         for order in orders {
             let this = Rc::clone(self);
             actix_rt::spawn(async move { this.send_order(order).await });
@@ -347,9 +343,10 @@
     }
 }
 
-/// Returns the services with a scaling rule.
-fn scaled_services(gateway: &Gateway) -> impl Iterator<Item = &ServiceRule> {
+/// Returns the services with a scaling rule, and that rule.
+fn scaled_services(gateway: &Gateway) -> impl Iterator<Item = (&ServiceName, &ScalingRule)> {
     let table = gateway.routing_table().into_iter();
-    let services = table.flat_map(|table| table.rules().services.values());
-    services.filter(|service| service.scaling.is_some())
+    table
+        .flat_map(|table| &table.rules().services)
+        .filter_map(|(service, rule)| Some((service, rule.scaling.as_ref()?)))
 }
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -4,12 +4,10 @@
 
 use laburnumstall_core::decision::{Decision, DecisionKind};
 use laburnumstall_core::error::ErrorKind;
-use laburnumstall_core::gateway::{AdmittedCall, FleetUse, RolloutSummary};
-use laburnumstall_core::ids::ServiceName;
+use laburnumstall_core::gateway::{AdmittedCall, RolloutSummary};
 use laburnumstall_core::units::{Bytes, Timestamp};
 use prometheus::{
-    GaugeVec, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, Result,
-    TextEncoder,
+    HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, Result, TextEncoder,
 };
 
 use crate::metrics::register;
@@ -111,16 +109,8 @@
     "Calls sent to a service since the order of its rollout, to old versions and to the new one.",
 );
 
-/// Endpoints of each scaled service and what they are planned for, at the holder of the lease.
-pub const FLEET: MetricSpec = spec(
-    "laburnumstall_gateway_fleet",
-    MetricKind::Gauge,
-    &["service", "kind"],
-    "Endpoints of a service by kind (on-demand, spot), what they carry (capacity) and what the load keeps busy (load), in typical endpoints; at the daemon that orders them.",
-);
-
 /// All gateway metrics, in the order of the reference page.
-pub const ALL: [MetricSpec; 14] = [
+pub const ALL: [MetricSpec; 13] = [
     REQUESTS,
     REFUSALS,
     DURATION,
@@ -134,7 +124,6 @@
     MOVES,
     MOVED_BYTES,
     ROLLOUT_CALLS,
-    FLEET,
 ];
 
 /// Registry and metrics of one gateway.
@@ -154,7 +143,6 @@
     moves: IntCounterVec,
     moved_bytes: IntCounter,
     rollout_calls: IntGaugeVec,
-    fleet: GaugeVec,
 }
 
 impl GatewayMetrics {
@@ -179,7 +167,6 @@
             moves: register::counters(&registry, &MOVES)?,
             moved_bytes: register::counter(&registry, &MOVED_BYTES)?,
             rollout_calls: register::gauges(&registry, &ROLLOUT_CALLS)?,
-            fleet: register::real_gauges(&registry, &FLEET)?,
             registry,
         })
     }
@@ -266,22 +253,6 @@
         }
     }
 
-    /// Sets the endpoints of the scaled services; those of others are left out.
-    pub fn fleets<'a>(&self, uses: impl Iterator<Item = (&'a ServiceName, FleetUse)>) {
-        self.fleet.reset();
-        for (service, fleet) in uses {
-            for (kind, value) in [
-                ("on-demand", f64::from(fleet.on_demand)),
-                ("spot", f64::from(fleet.spot)),
-                ("capacity", fleet.capacity),
-                ("load", fleet.load),
-            ] {
-                let labels = [service.as_str(), kind];
-                self.fleet.with_label_values(&labels).set(value);
-            }
-        }
-    }
-
     fn observe(&self, histogram: &HistogramVec, service: &str, elapsed: Duration) {
         histogram
             .with_label_values(&[service])
--- a/crates/laburnumstalld/src/gateway/registration.rs
+++ b/crates/laburnumstalld/src/gateway/registration.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use laburnumstall_core::gateway::{DaemonSize, MemberRecord, PeerProtocol, ViewChange};
+use laburnumstall_core::gateway::{MemberRecord, PeerProtocol, ViewChange};
 use laburnumstall_core::ids::VmId;
 use laburnumstall_core::limits::Backoff;
 use laburnumstall_core::membership::Member;
@@ -41,9 +41,6 @@
     /// Newest protocol of later messages that the daemon decodes.
     #[serde(default)]
     protocol: PeerProtocol,
-    /// Size of the daemon's machine.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    size: Option<DaemonSize>,
 }
 
 impl From<StoredMember> for MemberRecord {
@@ -53,7 +50,6 @@
             supports_extensions: stored.stream_origins,
             supports_quarantine: stored.quarantine,
             protocol: stored.protocol,
-            size: stored.size,
         }
     }
 }
@@ -107,7 +103,6 @@
         return;
     };
     let mut registration = Registration {
-        size: cx.settings.size,
         store,
         key,
         lease: None,
@@ -146,7 +141,6 @@
 
 /// This daemon's key in the store and the lease it is attached to.
 struct Registration {
-    size: Option<DaemonSize>,
     store: Rc<Store>,
     key: StoreKey,
     lease: Option<LeaseId>,
@@ -196,7 +190,6 @@
             stream_origins: true,
             quarantine: true,
             protocol: PeerProtocol::NEWEST,
-            size: self.size,
         };
         let value = serde_json::to_vec(&stored).map_err(|_| "not-encoded")?;
         let key = self.key.clone();
--- a/crates/laburnumstalld/src/metrics/register.rs
+++ b/crates/laburnumstalld/src/metrics/register.rs
@@ -2,7 +2,7 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Counter, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Counter, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, Result,
 };
 
@@ -47,10 +47,6 @@
     add(registry, IntGaugeVec::new(opts(spec), spec.labels)?)
 }
 
-pub(crate) fn real_gauges(registry: &Registry, spec: &MetricSpec) -> Result<GaugeVec> {
-    add(registry, GaugeVec::new(opts(spec), spec.labels)?)
-}
-
 pub(crate) fn histogram(registry: &Registry, spec: &MetricSpec) -> Result<Histogram> {
     add(registry, Histogram::with_opts(histogram_opts(spec))?)
 }
