Return places from the fair queue, and remove items by them

Calls that wait for capacity are removed when their callers leave, and the call that is dequeued is not always the one with the lowest finish time: it may not fit any endpoint. The queue had no removal below linear time, and only `pop`. It now returns the place of an item, lists the next item of each source, and takes or cancels the item at a place. Sources need not be customers, for calls without one.

--- a/crates/laburnumstall-core/src/limits.rs
+++ b/crates/laburnumstall-core/src/limits.rs
@@ -22,7 +22,7 @@
 use account::Account;
 pub use backoff::Backoff;
 pub use delayed_share::DelayedShare;
-pub use fair_queue::FairQueue;
+pub use fair_queue::{FairQueue, QueuePlace};
 pub use retry_budget::RetryBudget;
 pub use retry_window::RetryWindow;
 pub use share::{Demand, LimitShare, Loan};
--- a/crates/laburnumstall-core/src/limits/fair_queue.rs
+++ b/crates/laburnumstall-core/src/limits/fair_queue.rs
@@ -1,4 +1,4 @@
-//! Weighted fair queueing among customers.
+//! Weighted fair queueing among customers, or other sources of items.
 //!
 //! Implements self-clocked fair queueing (Golestani, 1994): each customer's next item has a
 //! virtual finish time, its start time plus its cost divided by the customer's weight. The
@@ -17,6 +17,13 @@
 
 type ItemOrder = (Reverse<Priority>, Timestamp, u64);
 
+/// Place of a queued item among the items of its service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QueuePlace<C = CustomerId> {
+    customer: C,
+    order: ItemOrder,
+}
+
 #[derive(Debug, Clone)]
 struct QueuedItem<T> {
     cost: u64,
@@ -31,20 +38,20 @@
 }
 
 #[derive(Debug, Clone)]
-struct ServiceQueue<T> {
+struct ServiceQueue<T, C> {
     virtual_time: u128,
-    flows: BTreeMap<CustomerId, Flow<T>>,
+    flows: BTreeMap<C, Flow<T>>,
 }
 
 /// Per-service queues of items, shared fairly among customers.
 #[derive(Debug, Clone)]
-pub struct FairQueue<T> {
-    queues: BTreeMap<ServiceName, ServiceQueue<T>>,
+pub struct FairQueue<T, C = CustomerId> {
+    queues: BTreeMap<ServiceName, ServiceQueue<T, C>>,
     arrivals: u64,
     len: usize,
 }
 
-impl<T> FairQueue<T> {
+impl<T, C: Ord + Clone> FairQueue<T, C> {
     /// Creates an empty queue.
     pub fn new() -> Self {
         Self {
@@ -73,7 +80,7 @@
         &mut self,
         _now: Timestamp,
         service: &ServiceName,
-        customer: &CustomerId,
+        customer: &C,
         weight: u32,
         cost: u64,
         deadline: Timestamp,
@@ -82,7 +89,7 @@
         self.push_with_priority(service, customer, weight, cost, deadline, Priority(0), item);
     }
 
-    /// Enqueues an item ahead of the customer's items of lower priority.
+    /// Enqueues an item ahead of the customer's items of lower priority; returns its place.
     #[expect(
         clippy::too_many_arguments,
         reason = "each is a separate property of one item, and callers have them separately"
@@ -90,13 +97,13 @@
     pub fn push_with_priority(
         &mut self,
         service: &ServiceName,
-        customer: &CustomerId,
+        customer: &C,
         weight: u32,
         cost: u64,
         deadline: Timestamp,
         priority: Priority,
         item: T,
-    ) {
+    ) -> QueuePlace<C> {
         self.arrivals += 1;
         self.len += 1;
         let queue = self
@@ -118,6 +125,10 @@
         }
         let order = (Reverse(priority), deadline, self.arrivals);
         flow.items.insert(order, QueuedItem { cost, item });
+        QueuePlace {
+            customer: customer.clone(),
+            order,
+        }
     }
 
     /// Returns the services for which items have been queued so far.
@@ -149,6 +160,47 @@
         Some(queued.item)
     }
 
+    /// Returns the next item of each customer, in the order of their virtual finish times.
+    pub fn heads(&self, now: Timestamp, service: &ServiceName) -> Vec<&T> {
+        let Some(queue) = self.queues.get(service) else {
+            return Vec::new();
+        };
+        let mut heads: Vec<(u128, &T)> = queue
+            .flows
+            .values()
+            .filter_map(|flow| {
+                let queued = flow.items.get(&flow.next_item(now)?)?;
+                Some((flow.finish_time(now)?, &queued.item))
+            })
+            .collect();
+        heads.sort_by_key(|(finish, _)| *finish);
+        heads.into_iter().map(|(_, item)| item).collect()
+    }
+
+    /// Dequeues the item at a place. The customer is charged for it, also if it is not the item
+    /// that [`pop`](Self::pop) would dequeue.
+    pub fn take(&mut self, service: &ServiceName, place: &QueuePlace<C>) -> Option<T> {
+        let queue = self.queues.get_mut(service)?;
+        let flow = queue.flows.get_mut(&place.customer)?;
+        let queued = flow.items.remove(&place.order)?;
+        flow.start += queued.virtual_cost(flow.weight);
+        queue.virtual_time = queue.virtual_time.max(flow.start);
+        self.len -= 1;
+        Some(queued.item)
+    }
+
+    /// Removes the item at a place, without a charge for its customer.
+    pub fn cancel(&mut self, service: &ServiceName, place: &QueuePlace<C>) -> Option<T> {
+        let flow = self
+            .queues
+            .get_mut(service)?
+            .flows
+            .get_mut(&place.customer)?;
+        let queued = flow.items.remove(&place.order)?;
+        self.len -= 1;
+        Some(queued.item)
+    }
+
     /// Removes and returns all items whose deadline has passed.
     pub fn expire(&mut self, now: Timestamp) -> Vec<T> {
         self.drain_where(|(_, deadline, _), _| *deadline <= now)
@@ -180,15 +232,15 @@
     }
 }
 
-impl<T> Default for FairQueue<T> {
+impl<T, C: Ord + Clone> Default for FairQueue<T, C> {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl<T> ServiceQueue<T> {
+impl<T, C: Ord> ServiceQueue<T, C> {
     /// Returns the customer whose item is dequeued next, and its virtual finish time.
-    fn next_customer(&self, now: Timestamp) -> Option<(&CustomerId, u128)> {
+    fn next_customer(&self, now: Timestamp) -> Option<(&C, u128)> {
         self.flows
             .iter()
             .filter_map(|(customer, flow)| Some((customer, flow.finish_time(now)?)))
@@ -206,7 +258,12 @@
 
     fn finish_time(&self, now: Timestamp) -> Option<u128> {
         let queued = self.items.get(&self.next_item(now)?)?;
-        let cost = u128::from(queued.cost.max(1)) * VIRTUAL_SCALE;
-        Some(self.start + cost / u128::from(self.weight))
+        Some(self.start + queued.virtual_cost(self.weight))
+    }
+}
+
+impl<T> QueuedItem<T> {
+    fn virtual_cost(&self, weight: u32) -> u128 {
+        u128::from(self.cost.max(1)) * VIRTUAL_SCALE / u128::from(weight)
     }
 }
