Let calls wait at the daemon while their service is short of capacity

Cause: a call within its quota went at once to the endpoint of lowest expected cost, however high that was.

Change: `Gateway::try_start` sends, holds or refuses a call. Calls wait only while the expected time to the first event is beyond the target; on-time calls go first, by rank, fair share of the customers and age, with a floor for less urgent ranks. Calls whose callers would leave first are refused as not run with spread times of return. Daemons that decode protocol 3 share the use by customer. The measured time to the first event is compared with one that considers the ranks, also for the latency factors of endpoints while a service is short. Calls without a prompt are held only for customers above their shares.

--- a/crates/laburnumstall-core/src/decision.rs
+++ b/crates/laburnumstall-core/src/decision.rs
@@ -48,6 +48,8 @@
         Stop,
         /// At which software version a stream goes on that a caller takes up.
         Resume,
+        /// Whether a call that waits for capacity is sent.
+        Wait,
     }
 }
 
@@ -71,6 +73,7 @@
             Self::Finish => "finish",
             Self::Stop => "stop",
             Self::Resume => "resume",
+            Self::Wait => "wait",
         }
     }
 }
--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -8,6 +8,7 @@
 //!
 //! Like the rest of this crate, the gateway reads no clock and opens no socket.
 
+mod admission;
 mod buffer_budget;
 mod call;
 mod crash_evidence;
@@ -52,6 +53,9 @@
 use crate::quarantine::CrashTally;
 use crate::units::Timestamp;
 
+pub use admission::{
+    AdmissionErrors, AdmissionState, AdmissionTicket, CustomerUse, ServiceUse, Start, UseBroadcast,
+};
 pub use buffer_budget::{BufferBudget, BufferShare};
 pub use call::{AdmittedCall, BodyDigest, CallAttributes, Prompt, PromptPart};
 pub use demand::DemandCounter;
@@ -68,7 +72,7 @@
     ServiceDemand,
 };
 pub use health::CallOutcome;
-pub use load_balancer::{CallAttempt, EndpointQuery, LoadBalancer};
+pub use load_balancer::{CallAttempt, EndpointQuery, ExpectedStart, LoadBalancer};
 pub use lost_calls::{EndpointCheck, EndpointState};
 pub use peer_message::{PeerMessage, PeerProtocol};
 pub use planned_stop::PlannedStop;
@@ -123,6 +127,7 @@
     notice_outbox: endpoint_notice::NoticeOutbox,
     return_schedules: std::collections::BTreeMap<ServiceName, endpoint_limiter::ReturnSchedule>,
     load_balancer: LoadBalancer,
+    admission: admission::Admission,
     peer_table: PeerTable,
     quotas: QuotaLedger,
     retry_windows: std::collections::BTreeMap<ServiceName, RetryWindow>,
@@ -166,6 +171,7 @@
             notice_outbox: endpoint_notice::NoticeOutbox::default(),
             return_schedules: std::collections::BTreeMap::new(),
             load_balancer: LoadBalancer::new(zone),
+            admission: admission::Admission::default(),
             peer_table: PeerTable::default(),
             quotas: QuotaLedger::new(),
             retry_windows: std::collections::BTreeMap::new(),
--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -5,6 +5,7 @@
 
 use compact_str::{CompactString, format_compact};
 
+use super::admission::AdmissionTicket;
 use super::recovery::CallFailure;
 use super::rules::RouteRule;
 use super::stream_origin::{AttemptDigest, StreamOrigin};
@@ -153,6 +154,10 @@
     pub charge: u64,
     /// Endpoints selected so far.
     pub tried: Vec<EndpointId>,
+    /// Place in the queue of its service, while it waits.
+    pub ticket: Option<AdmissionTicket>,
+    /// Whether it waited before it was sent.
+    pub has_waited: bool,
     /// Whether it was written to an endpoint that has not responded.
     pub is_outstanding: bool,
     /// Number of times that it was written to an endpoint.
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -10,6 +10,7 @@
 
 mod candidates;
 mod endpoint_state;
+mod expected_start;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -26,6 +27,8 @@
 use crate::units::Timestamp;
 use candidates::candidates;
 use endpoint_state::{AbsentProcesses, EndpointState, Work};
+pub use expected_start::ExpectedStart;
+pub(super) use expected_start::RankedStart;
 
 /// Number of owners of a shared part, and of endpoints scored for a prompt without shared
 /// parts.
@@ -76,6 +79,8 @@
     pub is_owner: bool,
     /// When the first token or the response arrived.
     pub first_output_at: Option<Timestamp>,
+    /// Expectation of admission control, if it sent the call.
+    pub(super) ranked: Option<RankedStart>,
     prefill: Duration,
 }
 
@@ -110,6 +115,8 @@
     is_owner: bool,
     cached: u32,
     prefill: Duration,
+    /// Time before the prefill or the call begins, part of `expected`.
+    wait: Duration,
     expected: Duration,
     cost: Duration,
 }
@@ -262,13 +269,7 @@
 
     /// Selects an endpoint for a call; `None` if no endpoint can take it.
     pub fn select(&mut self, now: Timestamp, query: &EndpointQuery<'_>) -> Option<CallAttempt> {
-        let endpoints = self.services.get(query.service)?;
-        let candidates = candidates(now, endpoints, query);
-        let best = candidates
-            .iter()
-            .enumerate()
-            .map(|(rank, index)| self.score(now, &endpoints[*index], *index, rank == 0, query))
-            .min_by_key(|scored| scored.cost)?;
+        let best = self.best(now, query)?;
         let endpoint = self.services.get_mut(query.service)?.get_mut(best.index)?;
         endpoint.own_work.calls += 1;
         endpoint.own_work.prefill += best.prefill;
@@ -289,6 +290,7 @@
             cached: best.cached,
             is_owner: best.is_owner,
             prefill: best.prefill,
+            ranked: None,
             first_output_at: None,
         })
     }
@@ -308,8 +310,9 @@
             endpoint.mean_duration = endpoint.mean_duration.mul_f64(1.0 - NEWEST_WEIGHT)
                 + elapsed.mul_f64(NEWEST_WEIGHT);
         } else {
-            let measured_factor = endpoint.latency_factor * elapsed.as_secs_f64()
-                / attempt.expected.as_secs_f64().max(0.001);
+            let expected = attempt.expected_by_rank();
+            let measured_factor =
+                endpoint.latency_factor * elapsed.as_secs_f64() / expected.as_secs_f64().max(0.001);
             let latency_factor =
                 endpoint.latency_factor * (1.0 - NEWEST_WEIGHT) + measured_factor * NEWEST_WEIGHT;
             endpoint.latency_factor =
@@ -348,6 +351,16 @@
         outcome.is_some_and(|outcome| endpoint.health.on_outcome(now, outcome))
     }
 
+    fn best(&self, now: Timestamp, query: &EndpointQuery<'_>) -> Option<ScoredEndpoint> {
+        let endpoints = self.services.get(query.service)?;
+        let candidates = candidates(now, endpoints, query);
+        candidates
+            .iter()
+            .enumerate()
+            .map(|(rank, index)| self.score(now, &endpoints[*index], *index, rank == 0, query))
+            .min_by_key(|scored| scored.cost)
+    }
+
     fn find(&mut self, attempt: &CallAttempt) -> Option<&mut EndpointState> {
         let process = attempt.process();
         let listed = self.services.get_mut(&attempt.service);
@@ -380,6 +393,7 @@
                 is_owner,
                 cached: 0,
                 prefill: Duration::ZERO,
+                wait: slot_wait,
                 expected,
                 cost: expected + busy_cost + zone_cost + endpoint.health.cost(now),
             };
@@ -387,14 +401,14 @@
         let cached = endpoint.cached(now, prompt, is_owner);
         let prefill = prefill_time(prompt.tokens, cached);
         let waiting = endpoint.own_work.prefill + endpoint.peer_work.prefill;
-        let expected = (waiting + prefill + RUNNING_CALL_COST * calls)
-            .mul_f64(endpoint.latency_factor)
-            + FIRST_STEP;
+        let waiting = waiting + RUNNING_CALL_COST * calls;
+        let expected = (waiting + prefill).mul_f64(endpoint.latency_factor) + FIRST_STEP;
         ScoredEndpoint {
             index,
             is_owner,
             cached,
             prefill,
+            wait: waiting.mul_f64(endpoint.latency_factor) + slot_wait,
             expected: expected + slot_wait,
             cost: expected
                 + slot_wait
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -11,6 +11,7 @@
 use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use super::admission::ServiceUse;
 use super::endpoint_notice::SharedNotice;
 use super::gossip::GossipMessage;
 use super::quarantine_update::QuarantineUpdate;
@@ -61,6 +62,8 @@
     Quarantine(QuarantineUpdate),
     /// What endpoints say of themselves.
     Notices(Vec<SharedNotice>),
+    /// Use of services that are short of capacity, by customer.
+    CustomerUse(Vec<ServiceUse>),
 }
 
 /// Encoding of what follows [`EXTENSION`]; variants are added at the end.
@@ -77,6 +80,7 @@
         StoreEra,
     ),
     Notices(Cow<'a, [SharedNotice]>),
+    CustomerUse(Cow<'a, [ServiceUse]>),
 }
 
 impl Serialize for PeerMessage {
@@ -96,6 +100,7 @@
             Self::Answer(reply) => Extension::Answer(Cow::Borrowed(reply)),
             Self::Quarantine(update) => Extension::Quarantine(Cow::Borrowed(update)),
             Self::Notices(notices) => Extension::Notices(Cow::Borrowed(notices)),
+            Self::CustomerUse(report) => Extension::CustomerUse(Cow::Borrowed(report)),
         };
         (EXTENSION, extension).serialize(serializer)
     }
@@ -135,6 +140,7 @@
                 Extension::Answer(reply) => PeerMessage::Answer(reply.into_owned()),
                 Extension::Quarantine(update) => PeerMessage::Quarantine(update.into_owned()),
                 Extension::Notices(notices) => PeerMessage::Notices(notices.into_owned()),
+                Extension::CustomerUse(report) => PeerMessage::CustomerUse(report.into_owned()),
             });
         }
         Ok(PeerMessage::Gossip(GossipMessage {
--- a/crates/laburnumstall-core/src/gateway/quota.rs
+++ b/crates/laburnumstall-core/src/gateway/quota.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Returns the number of daemons that are not reachable.
+    pub(super) fn unheard(&self) -> u32 {
+        self.members.1 - self.members.0
+    }
+
     /// Returns the units charged for a call; `tokens` is `None` if the call does not state
     /// them.
     pub fn cost(&self, customer: &CustomerId, tokens: Option<u64>) -> u64 {
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -8,11 +8,10 @@
 use super::load_balancer::{CallAttempt, EndpointQuery};
 use super::recovery::{self, CallFailure, FailureAction, RETRY_AFTER};
 use super::rules::CallKind;
-use super::stored_versions::admitted_versions;
+use super::stored_versions::endpoint_query;
 use super::stream_origin::AttemptDigest;
 use crate::decision::{Decision, DecisionKind};
 use crate::error::{ErrorKind, Refusal};
-use crate::hash::digest64;
 use crate::ids::{EndpointId, ServiceName, SoftwareVersion};
 use crate::limits::RetryWindow;
 use crate::limits::bucket::MICRO;
@@ -150,6 +149,8 @@
             prompt: attributes.prompt.clone(),
             charge: 0,
             tried: Vec::new(),
+            ticket: None,
+            has_waited: false,
             is_outstanding: false,
             sends: 0,
             failed_connects: 0,
@@ -277,14 +278,7 @@
         call: &AdmittedCall,
         may_repeat: bool,
     ) -> Option<CallAttempt> {
-        let query = EndpointQuery {
-            service: &call.service,
-            prompt: call.prompt.as_ref(),
-            seed: digest64(&[call.id.as_bytes()]),
-            version: call.origin.as_ref().map(|origin| &origin.version),
-            admitted: admitted_versions(&self.versions, call),
-            excluded: &call.tried,
-        };
+        let query = endpoint_query(&self.versions, call);
         let untried = self.load_balancer.select(now, &query);
         if untried.is_some() || !may_repeat {
             return untried;
@@ -348,6 +342,7 @@
         call: &mut AdmittedCall,
         attempt: &mut CallAttempt,
     ) {
+        self.measure_start(now, call, attempt);
         self.load_balancer.on_first_output(now, attempt);
         self.record_origin(now, call, attempt);
         self.count_started(now, call);
@@ -385,6 +380,9 @@
         if failure.may_be_crash() {
             self.on_attempt_lost(now, call, &attempt);
         }
+        if failure == CallFailure::NotRun {
+            self.on_not_run(now, call, &attempt);
+        }
         let endpoint = attempt.endpoint.clone();
         let age = now.since(attempt.started_at);
         self.end_attempt(now, attempt, failure.outcome());
@@ -435,6 +433,7 @@
         outcome: Option<CallOutcome>,
     ) {
         let endpoint = attempt.endpoint.clone();
+        self.on_attempt_ended(now, &attempt);
         if self.load_balancer.end(now, attempt, outcome) {
             self.record_backoff(now, endpoint);
         }
@@ -449,7 +448,8 @@
 
     /// Ends a call: records the result, and refunds the quota of a call that did not run. A
     /// call whose caller disconnected before the response may have run.
-    pub fn end(&mut self, now: Timestamp, call: AdmittedCall, result: &str, status: u16) {
+    pub fn end(&mut self, now: Timestamp, mut call: AdmittedCall, result: &str, status: u16) {
+        self.leave_queue(now, &mut call, result);
         let has_run = call.has_started || call.executions > 0;
         let is_unused = !has_run && !call.is_outstanding;
         let execution = match has_run {
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -40,6 +40,7 @@
         );
         if is_newer {
             self.quotas.set_customers(now, &rules.customers);
+            self.set_customer_weights(&rules);
             let resumable = rules.routes.iter().filter(|route| route.is_resumable);
             let longest_stream = resumable.map(|route| route.timeout).max();
             self.versions
@@ -156,6 +157,7 @@
         if self.peer_table.on_gossip(now, from, message) {
             self.load_balancer
                 .set_peer_work(self.peer_table.reachable(now));
+            self.on_endpoint_room();
         }
         self.update_member_count(now);
     }
@@ -215,6 +217,7 @@
             .set_peer_work(self.peer_table.reachable(now));
         self.update_member_count(now);
         self.share_limits(now);
+        self.tick_admission(now);
         let mut is_changed = self.endpoints.end_doubt(now, &mut self.journal);
         is_changed |= self.end_silent_limits(now);
         if let Some(outage_ended_at) = self.freshness.outage_ended_at(now) {
--- a/crates/laburnumstall-core/src/gateway/stored_versions.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_versions.rs
@@ -13,11 +13,13 @@
 use super::call::AdmittedCall;
 use super::endpoint_table::EndpointEntry;
 use super::gossip::{Peer, daemon_hash};
+use super::load_balancer::EndpointQuery;
 use super::peer_message::PeerProtocol;
 use super::requests::MAX_CERTAIN_AGE;
 use super::rules::CallKind;
 use super::version_history::VersionHistory;
 use crate::domain;
+use crate::hash::digest64;
 use crate::ids::{ServiceName, SoftwareVersion};
 use crate::store::{StoreEra, StoreVersion};
 use crate::units::Timestamp;
@@ -177,8 +179,23 @@
     }
 }
 
+/// Returns what a call needs of its endpoint.
+pub(super) fn endpoint_query<'a>(
+    versions: &'a VersionHistory,
+    call: &'a AdmittedCall,
+) -> EndpointQuery<'a> {
+    EndpointQuery {
+        service: &call.service,
+        prompt: call.prompt.as_ref(),
+        seed: digest64(&[call.id.as_bytes()]),
+        version: call.origin.as_ref().map(|origin| &origin.version),
+        admitted: admitted_versions(versions, call),
+        excluded: &call.tried,
+    }
+}
+
 /// Returns the versions at which a call may begin; `None` if it may begin at any.
-pub(super) fn admitted_versions<'a>(
+fn admitted_versions<'a>(
     history: &'a VersionHistory,
     call: &AdmittedCall,
 ) -> Option<&'a BTreeSet<SoftwareVersion>> {
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the gateway, one file per feature, in virtual time.
 
+mod admission_control;
 mod call_admission;
 mod crash_evidence;
 mod endpoint_limits;
@@ -7,8 +8,10 @@
 mod endpoint_scaling;
 mod endpoint_selection;
 mod failed_calls;
+mod fair_shares;
 mod fleet;
 mod leaving_endpoints;
+mod load;
 mod missed_clearances;
 mod odd_entries;
 mod out_of_step;
--- a/crates/laburnumstalld/src/gateway.rs
+++ b/crates/laburnumstalld/src/gateway.rs
@@ -2,7 +2,8 @@
 //! connection.
 //!
 //! All tasks run on one thread. `listener` reads requests, `call` serves each one as the
-//! core decides, `stream` forwards event streams and `upstream` calls endpoints.
+//! core decides, `admission` lets it wait for capacity, `stream` forwards event streams and
+//! `upstream` calls endpoints.
 //! `store_sync` follows the key-value store, `registration` registers the daemon there, `gossip` exchanges messages with peers,
 //! `origins` finds out at which software version a stream goes on that a caller takes up,
 //! `marks` marks services with several versions in the key-value store, `stored_versions` writes
@@ -10,6 +11,7 @@
 //! `leader` performs the duties of the lease holder, and `directory` answers address lookups,
 //! readiness probes and metrics scrapes.
 
+mod admission;
 mod call;
 mod context;
 mod crash_checks;
@@ -222,6 +224,7 @@
         backoff_seed(&own),
     ));
     actix_rt::spawn(gossip::tick(Rc::clone(&cx)));
+    actix_rt::spawn(admission::run(Rc::clone(&cx)));
     actix_rt::spawn(gossip::send(Rc::clone(&cx), pins));
     actix_rt::spawn(gossip::receive(Rc::clone(&cx), rx));
     actix_rt::spawn(origins::replicate(Rc::clone(&cx)));
--- a/crates/laburnumstalld/src/gateway/call.rs
+++ b/crates/laburnumstalld/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use laburnumstall_platform::headers::{self, ResponseClass};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
+use super::admission::{self, StartResult};
 use super::context::Context;
 use super::crash_checks;
 use super::listener::{ConnectionAction, Request, SEND_TIMEOUT, refuse};
@@ -119,10 +120,12 @@
                 () = conn.closed() => return ("caller-gone", 0, ConnectionAction::Abort),
             }
         }
-        let selected = cx.with_gateway(|gateway, now| gateway.select_endpoint(now, call));
-        let mut attempts = match selected {
-            Ok(attempt) => Attempts::new(attempt),
-            Err(refusal) => return fail_call(cx, conn, request, call, progress, &refusal).await,
+        let mut attempts = match admission::start(cx, conn, call).await {
+            StartResult::Send(attempt) => Attempts::new(attempt),
+            StartResult::Refuse(refusal) => {
+                return fail_call(cx, conn, request, call, progress, &refusal).await;
+            }
+            StartResult::CallerGone => return ("caller-gone", 0, ConnectionAction::Abort),
         };
         let ended = try_endpoint(cx, conn, request, call, &mut attempts, progress).await;
         let attempt = attempts.close(cx);
@@ -142,7 +145,10 @@
                 return ("answered", status, action);
             }
             AttemptResult::CallerGone => {
-                cx.with_gateway(|gateway, now| gateway.abandon(now, attempt, None));
+                cx.with_gateway(|gateway, now| {
+                    gateway.measure_abandoned(now, call, &attempt);
+                    gateway.abandon(now, attempt, None);
+                });
                 return ("caller-gone", 0, ConnectionAction::Abort);
             }
             AttemptResult::Truncated => {
@@ -153,7 +159,10 @@
             }
             AttemptResult::TimedOut { is_sent } => {
                 let outcome = is_sent.then_some(CallOutcome::Bad);
-                cx.with_gateway(|gateway, now| gateway.abandon(now, attempt, outcome));
+                cx.with_gateway(|gateway, now| {
+                    gateway.measure_abandoned(now, call, &attempt);
+                    gateway.abandon(now, attempt, outcome);
+                });
                 let kind = match is_sent || call.executions > 0 {
                     true => ErrorKind::DeadlineExceeded,
                     false => ErrorKind::Overloaded,
--- a/crates/laburnumstalld/src/gateway/context.rs
+++ b/crates/laburnumstalld/src/gateway/context.rs
@@ -12,6 +12,7 @@
 use laburnumstall_platform::settings::HostSettings;
 use tokio::sync::Notify;
 
+use super::admission::Waiters;
 use super::log::{DecisionLog, Event};
 use super::metrics::GatewayMetrics;
 use super::origins::PendingLookups;
@@ -34,6 +35,10 @@
     pub pool: Pool,
     /// Lookups of stream origins that wait for answers.
     pub lookups: PendingLookups,
+    /// Calls that wait for capacity.
+    pub waiters: Waiters,
+    /// Wakes the task that looks at the queues.
+    pub admission_signal: Notify,
     /// Wakes the task that sends stream origins to peers.
     pub origin_signal: Notify,
     /// Wakes the task that stores stream origins.
@@ -75,6 +80,8 @@
             settings,
             pool: Pool::default(),
             lookups: PendingLookups::default(),
+            waiters: Waiters::default(),
+            admission_signal: Notify::new(),
             origin_signal: Notify::new(),
             segment_signal: Notify::new(),
             check_signal: Notify::new(),
@@ -109,7 +116,13 @@
         let has_endpoint_checks = gateway.has_endpoint_checks();
         let updates = gateway.take_quarantine_updates();
         let notices = gateway.take_endpoint_notices(now);
+        let woken = gateway.take_woken_calls();
+        let should_dispatch = gateway.should_dispatch();
         drop(gateway);
+        self.waiters.wake(woken);
+        if should_dispatch {
+            self.admission_signal.notify_one();
+        }
         for (peer, address, update) in updates {
             self.send_to_peer(&peer, address, PeerMessage::Quarantine(update));
         }
--- a/crates/laburnumstalld/src/gateway/gossip.rs
+++ b/crates/laburnumstalld/src/gateway/gossip.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use super::admission;
 use super::context::Context;
 use super::log::Event;
 
@@ -45,6 +46,7 @@
             let message = cx.with_gateway(|gateway, _| gateway.peer_gossip(&member.id, &gossip));
             cx.send_to_peer(&member.id, member.peer_address, message);
         }
+        admission::send_customer_use(&cx);
     }
 }
 
@@ -103,6 +105,9 @@
         PeerMessage::Notices(notices) => {
             cx.with_gateway(|gateway, now| gateway.on_peer_notices(now, notices));
         }
+        PeerMessage::CustomerUse(report) => {
+            cx.with_gateway(|gateway, now| gateway.on_customer_use(now, from, report));
+        }
         PeerMessage::Quarantine(update) => {
             cx.with_gateway(|gateway, now| gateway.on_quarantine_update(now, update));
         }
