--- a/crates/laburnumstalld/src/gateway/directory.rs
+++ b/crates/laburnumstalld/src/gateway/directory.rs
@@ -97,7 +97,7 @@
                 Err(error) => internal_error(cx, &error),
             }
         }
-        None if head.method == "GET" && head.target == METRICS_PATH => match cx.metrics.encode() {
+        None if head.method == "GET" && head.target == METRICS_PATH => match encode_metrics(cx) {
             Ok(text) => Reply {
                 status: 200,
                 content_type: "text/plain; version=0.0.4",
@@ -121,3 +121,9 @@
         body: Vec::new(),
     }
 }
+
+fn encode_metrics(cx: &Context) -> prometheus::Result<String> {
+    let states = cx.with_gateway(|gateway, _| gateway.admission_states());
+    cx.metrics.admission(&states);
+    cx.metrics.encode()
+}
--- a/crates/laburnumstalld/src/gateway/metrics.rs
+++ b/crates/laburnumstalld/src/gateway/metrics.rs
@@ -4,10 +4,10 @@
 
 use laburnumstall_core::decision::{Decision, DecisionKind};
 use laburnumstall_core::error::ErrorKind;
-use laburnumstall_core::gateway::AdmittedCall;
+use laburnumstall_core::gateway::{AdmissionState, AdmittedCall};
 use laburnumstall_core::units::Timestamp;
 use prometheus::{
-    HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, Result, TextEncoder,
+    HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, Result, TextEncoder,
 };
 
 use crate::metrics::register;
@@ -86,8 +86,40 @@
     "Streams that callers took up, by what their software version was known from, or why they were refused.",
 );
 
+/// Calls that wait for capacity.
+pub const WAITING: MetricSpec = spec(
+    "laburnumstall_gateway_waiting",
+    MetricKind::Gauge,
+    &["service", "priority"],
+    "Calls that wait for capacity.",
+);
+/// Time for which calls waited for capacity.
+pub const WAIT: MetricSpec = spec(
+    "laburnumstall_gateway_wait_seconds",
+    MetricKind::Histogram,
+    &["service", "priority"],
+    "Time for which calls waited for capacity, however the wait ended.",
+);
+/// Decisions of admission control that proved wrong.
+pub const ADMISSION_ERRORS: MetricSpec = spec(
+    "laburnumstall_gateway_admission_errors",
+    MetricKind::Gauge,
+    &["service", "error"],
+    "Refused calls that could have been served, and queued calls that were late, since the start.",
+);
+/// Use of services that are short of capacity by customer.
+pub const USE_OF_SHARE: MetricSpec = spec(
+    "laburnumstall_gateway_use_of_share_percent",
+    MetricKind::Gauge,
+    &["service", "customer"],
+    "Use of a service that is short of capacity by a customer, relative to its share; after 32 customers other.",
+);
+
+/// Customers of a service with a series of their own.
+const MAX_CUSTOMER_SERIES: usize = 32;
+
 /// All gateway metrics, in the order of the reference page.
-pub const ALL: [MetricSpec; 10] = [
+pub const ALL: [MetricSpec; 14] = [
     REQUESTS,
     REFUSALS,
     DURATION,
@@ -98,6 +130,10 @@
     CALLERS,
     CLOSES,
     RESUMPTIONS,
+    WAITING,
+    WAIT,
+    ADMISSION_ERRORS,
+    USE_OF_SHARE,
 ];
 
 /// Registry and metrics of one gateway.
@@ -114,6 +150,10 @@
     callers: IntGauge,
     closes: IntCounterVec,
     resumptions: IntCounterVec,
+    waiting: IntGaugeVec,
+    wait: HistogramVec,
+    admission_errors: IntGaugeVec,
+    use_of_share: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -135,6 +175,10 @@
             callers: register::gauge(&registry, &CALLERS)?,
             closes: register::counters(&registry, &CLOSES)?,
             resumptions: register::counters(&registry, &RESUMPTIONS)?,
+            waiting: register::gauges(&registry, &WAITING)?,
+            wait: register::histograms(&registry, &WAIT)?,
+            admission_errors: register::gauges(&registry, &ADMISSION_ERRORS)?,
+            use_of_share: register::gauges(&registry, &USE_OF_SHARE)?,
             registry,
         })
     }
@@ -175,6 +219,43 @@
             let outcome = [decision.reason.as_str()];
             self.resumptions.with_label_values(&outcome).inc();
         }
+        if decision.kind == DecisionKind::Wait {
+            let field = |name| decision.field(name).unwrap_or_default();
+            let waited_ms: f64 = field("waited_ms").parse().unwrap_or_default();
+            let labels = [field("service"), field("rank")];
+            let wait = self.wait.with_label_values(&labels);
+            wait.observe(waited_ms / 1_000.0);
+        }
+    }
+
+    /// Sets the lengths of the queues, the errors of admission control and the use of shares.
+    pub fn admission(&self, states: &[AdmissionState]) {
+        let value = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.use_of_share.reset();
+        for state in states {
+            let service = state.service.as_str();
+            for (rank, length) in &state.waiting {
+                let labels = [service, &rank.to_string()];
+                let gauge = self.waiting.with_label_values(&labels);
+                gauge.set(value(*length as u64));
+            }
+            let errors = [
+                ("refused-too-early", state.errors.refused_too_early),
+                ("queued-and-late", state.errors.queued_and_late),
+            ];
+            for (error, count) in errors {
+                let gauge = self.admission_errors.with_label_values(&[service, error]);
+                gauge.set(value(count));
+            }
+            for (index, (customer, used)) in state.use_of_share.iter().enumerate() {
+                let name = match index < MAX_CUSTOMER_SERIES {
+                    true => customer.as_str(),
+                    false => "other",
+                };
+                let gauge = self.use_of_share.with_label_values(&[service, name]);
+                gauge.set(gauge.get().max((used * 100.0) as i64));
+            }
+        }
     }
 
     /// Counts a read of the key-value store.
