--- a/crates/laburnumstall-core/tests/gateway/peer_messages.rs
+++ b/crates/laburnumstall-core/tests/gateway/peer_messages.rs
@@ -3,8 +3,8 @@
 use crate::stream_origins::{fleet, gossip, origin, start, two_versions, versioned};
 use crate::support::{at, daemon};
 use laburnumstall_core::gateway::{
-    AttemptDigest, EndpointRecord, GossipMessage, OriginAnswer, OriginGroup, OriginQuery,
-    OriginReply, PeerMessage, ViewBatch, ViewChange,
+    AttemptDigest, CustomerUse, EndpointRecord, GossipMessage, OriginAnswer, OriginGroup,
+    OriginQuery, OriginReply, PeerMessage, ServiceUse, ViewBatch, ViewChange,
 };
 use laburnumstall_core::prelude::*;
 
@@ -58,6 +58,14 @@
     let messages = [
         PeerMessage::VersionedGossip(message),
         PeerMessage::Origins(vec![group.clone()]),
+        PeerMessage::CustomerUse(vec![ServiceUse {
+            service: "model".parse().unwrap(),
+            customers: vec![CustomerUse {
+                customer: "archive".parse().unwrap(),
+                asked_us: u32::MAX,
+                used_us: 1,
+            }],
+        }]),
         PeerMessage::Lookup(OriginQuery {
             id: 7,
             attempt,
