Count as used only what admission control counts as asked for

Streams that callers take up and attempts of calls that may have run counted in the use of a customer and not in its demand, so that the sum of the use, which stands for the capacity, was too high for the shares.

--- a/crates/laburnumstall-core/src/gateway/admission.rs
+++ b/crates/laburnumstall-core/src/gateway/admission.rs
@@ -206,10 +206,11 @@
         match self.select_endpoint(now, call) {
             Ok(mut attempt) => {
                 let work = work(call);
-                self.admission.ledger.on_used(now, call, work);
                 let queue = self.admission.queue(&call.service);
                 queue.on_sent(now, work);
                 if let Some(expected) = expected {
+                    self.admission.ledger.on_used(now, call, work);
+                    let queue = self.admission.queue(&call.service);
                     let factor = queue.model.factor(now, call.rank);
                     attempt.ranked = Some(RankedStart {
                         rank: call.rank,
--- a/crates/laburnumstall-core/src/gateway/admission/measurement.rs
+++ b/crates/laburnumstall-core/src/gateway/admission/measurement.rs
@@ -60,7 +60,9 @@
         call: &AdmittedCall,
         attempt: &CallAttempt,
     ) {
-        self.admission.ledger.on_unused(now, call, work(call));
+        if attempt.ranked.is_some() {
+            self.admission.ledger.on_unused(now, call, work(call));
+        }
         if attempt.prefill().is_zero() && self.load_balancer.is_busy(attempt) {
             let queue = self.admission.queue(&attempt.service);
             queue.window.on_refused(now);
--- a/crates/laburnumstall-core/tests/gateway/admission_control.rs
+++ b/crates/laburnumstall-core/tests/gateway/admission_control.rs
@@ -145,8 +145,8 @@
     }
 }
 
-/// Calls held or refused while there is room. Load: five sixths of the capacity. Each call is sent
-/// at once, and to the endpoint that the earlier code selects.
+/// Calls held or refused while there is room. Load: five twelfths of the capacity. Each call ends
+/// as with the earlier code, at the same time.
 #[test]
 fn spare_capacity_as_before() {
     let play = |has_queue| {
