--- a/crates/laburnumstall-core/tests/gateway/admission_control.rs
+++ b/crates/laburnumstall-core/tests/gateway/admission_control.rs
@@ -241,8 +241,7 @@
     panic!("no call waits");
 }
 
-/// Places kept by callers that have left, quota kept by calls that never ran, and calls that wait
-/// through the end of a planned stop. Load: one engine and calls without an end.
+/// Places kept by callers that have left, and calls that wait through the end of a planned stop. Load: one engine and calls without an end.
 #[test]
 fn waits_end() {
     let mut rules = crate::support::rules(2);
