Learn the speeds of endpoints from the pauses between events, and count the time of answers

Of the long streams at the slow third of the endpoints one in three had a pause beyond the target, since the choice looked at the first event alone.

Where speeds differ, a sixth of the time that the answer takes counts as cost.

New: stream_pauses::pauses_tell_slow_engines.

--- a/crates/laburnumstall-core/src/gateway/call.rs
+++ b/crates/laburnumstall-core/src/gateway/call.rs
@@ -8,6 +8,7 @@
 use super::recovery::CallFailure;
 use super::rules::RouteRule;
 use super::stream_origin::{AttemptDigest, StreamOrigin};
+use crate::decision::Decision;
 use crate::hash::digest64;
 use crate::ids::{CustomerId, EndpointId, Fingerprint, ServiceName};
 use crate::units::Timestamp;
@@ -182,6 +183,15 @@
     pub longest_pause: Duration,
 }
 
+impl EventTimes {
+    /// Adds the times to the decision that ends a call received at `received_at`.
+    pub(super) fn record(self, decision: Decision, received_at: Timestamp) -> Decision {
+        decision
+            .with("first_ms", self.first_at.since(received_at).as_millis())
+            .with("pause_ms", self.longest_pause.as_millis())
+    }
+}
+
 impl AdmittedCall {
     /// Records an event that is sent to the caller.
     pub fn on_event(&mut self, now: Timestamp) {
--- a/crates/laburnumstall-core/src/gateway/endpoint_model/process_speed.rs
+++ b/crates/laburnumstall-core/src/gateway/endpoint_model/process_speed.rs
@@ -105,6 +105,19 @@
         self.unsent.merge(now, &sums);
     }
 
+    /// Adds the pauses between the events of a stream, which count as `calls` calls.
+    pub(in crate::gateway) fn on_pauses(
+        &mut self,
+        now: Timestamp,
+        expected: Duration,
+        measured: Duration,
+        calls: f64,
+    ) {
+        let sums = TimeSums::of_call(now, expected, measured, calls);
+        self.merge(now, &sums);
+        self.unsent.merge(now, &sums);
+    }
+
     /// Adds the calls of a peer.
     pub(in crate::gateway) fn on_peer_times(&mut self, now: Timestamp, times: &ProcessTimes) {
         let sums = TimeSums::from_message(now, times);
--- a/crates/laburnumstall-core/src/gateway/load_balancer.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer.rs
@@ -12,6 +12,7 @@
 mod destinations;
 mod endpoint_state;
 mod idle_connections;
+mod pace;
 mod room;
 mod score;
 mod speeds;
@@ -102,6 +103,10 @@
     sample: Sample,
     /// Tokens that the call needs in the KV cache.
     tokens: u64,
+    /// Maximum length of the answer in tokens.
+    answer_tokens: u32,
+    /// Number of events received, and when the newest one was.
+    events: (u32, Timestamp),
 }
 
 /// Selects endpoints, and tracks their load and health.
@@ -329,6 +334,8 @@
             prefill: best.prefill,
             sample: best.sample,
             tokens: best.tokens,
+            answer_tokens: query.prompt.map_or(0, |prompt| prompt.max_answer_tokens),
+            events: (0, now),
             first_output_at: None,
             kv_source: None,
             is_continued: false,
@@ -410,11 +417,7 @@
         attempt: CallAttempt,
         outcome: Option<CallOutcome>,
     ) -> bool {
-        if let Some(first) = attempt.first_output_at.filter(|_| attempt.tokens > 0)
-            && outcome == Some(CallOutcome::Good)
-        {
-            self.usage.on_ended(&attempt.service, now.since(first));
-        }
+        self.on_output_ended(now, &attempt, outcome);
         let Some(endpoint) = self.find(&attempt) else {
             return false;
         };
--- a/crates/laburnumstall-core/src/gateway/load_balancer/destinations.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/destinations.rs
@@ -98,6 +98,8 @@
             prefill: Duration::ZERO,
             sample: Sample::default(),
             tokens: 0,
+            answer_tokens: 0,
+            events: (0, now),
         })
     }
 
--- a/crates/laburnumstall-core/src/gateway/load_balancer/room.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/room.rs
@@ -18,6 +18,10 @@
     output_time: Option<Duration>,
     /// Mean number of tokens that a call needs in the KV cache.
     tokens: f64,
+    /// Mean seconds per token of the maximum answer, at an endpoint of the typical speed.
+    pace: Option<f64>,
+    /// Mean seconds between two events, at an endpoint of the typical speed.
+    pause: Option<f64>,
 }
 
 /// What calls take of the endpoints of services with an engine.
@@ -43,14 +47,45 @@
         usage.tokens += (tokens as f64 - usage.tokens) * newest;
     }
 
-    /// Records the time from a call's first output to its end.
-    pub(super) fn on_ended(&mut self, service: &ServiceName, output_time: Duration) {
+    /// Records the time from a call's first output to its end, at an endpoint that takes `time`
+    /// relative to the typical one.
+    pub(super) fn on_ended(
+        &mut self,
+        service: &ServiceName,
+        output_time: Duration,
+        answer_tokens: u32,
+        time: f64,
+    ) {
         let usage = self.services.entry(service.clone()).or_default();
+        if answer_tokens > 0 {
+            let newest = output_time.as_secs_f64() / f64::from(answer_tokens) / time;
+            let pace = usage.pace.unwrap_or(newest);
+            usage.pace = Some(pace * (1.0 - NEWEST_WEIGHT) + newest * NEWEST_WEIGHT);
+        }
         let mean = usage.output_time.unwrap_or(output_time);
         let kept = mean.mul_f64(1.0 - NEWEST_WEIGHT);
         usage.output_time = Some(kept + output_time.mul_f64(NEWEST_WEIGHT));
     }
 
+    /// Records the mean pause between the events of a stream, at an endpoint that takes `time` relative
+    /// to the typical one; returns the typical pause.
+    pub(super) fn on_pauses(&mut self, service: &ServiceName, pause: f64, time: f64) -> f64 {
+        let usage = self.services.entry(service.clone()).or_default();
+        let newest = pause / time;
+        let typical = usage.pause.unwrap_or(newest);
+        let typical = typical * (1.0 - NEWEST_WEIGHT) + newest * NEWEST_WEIGHT;
+        usage.pause = Some(typical);
+        typical
+    }
+
+    /// Returns the time that an answer takes at an endpoint that takes `time` relative to the
+    /// typical one; zero before any has ended.
+    pub(super) fn answer_time(&self, service: &ServiceName, tokens: u32, time: f64) -> Duration {
+        let usage = self.services.get(service);
+        let pace = usage.and_then(|usage| usage.pace).unwrap_or_default();
+        Duration::try_from_secs_f64(pace * f64::from(tokens) * time).unwrap_or_default()
+    }
+
     /// Returns the time until an endpoint has a slot and memory for a call, and whether the call
     /// would preempt others without that wait. Calls end evenly spread over their mean time.
     pub(super) fn wait(
--- a/crates/laburnumstall-core/src/gateway/load_balancer/score.rs
+++ b/crates/laburnumstall-core/src/gateway/load_balancer/score.rs
@@ -13,6 +13,10 @@
 use crate::gateway::prefill::prefill_time;
 use crate::units::Timestamp;
 
+/// Part of the time that an answer takes which counts as cost, where endpoints differ in speed. The
+/// longer a stream lasts, the more likely one of its pauses exceeds the target of its route.
+const ANSWER_COST_DIVISOR: u32 = 6;
+
 impl LoadBalancer {
     pub(super) fn score(
         &self,
@@ -84,6 +88,13 @@
                 prefill * PREFILL_WEIGHT,
             ),
         };
+        let answer_cost = match factor {
+            Some(_) => {
+                let (tokens, time) = (prompt.max_answer_tokens, endpoint.speed.owner_time());
+                self.usage.answer_time(query.service, tokens, time) / ANSWER_COST_DIVISOR
+            }
+            None => Duration::ZERO,
+        };
         // Other daemons may have sent the shared parts here as well.
         let is_cache_known = cached >= sum_tokens(prompt.shared().iter()).min(prompt.tokens);
         let sample = Sample {
@@ -98,7 +109,12 @@
             cached,
             prefill,
             expected: expected + slot_wait,
-            cost: expected + slot_wait + prefill_cost + preempted_prefill + fixed_cost,
+            cost: expected
+                + slot_wait
+                + prefill_cost
+                + preempted_prefill
+                + answer_cost
+                + fixed_cost,
             sample,
             tokens,
         }
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -487,12 +487,7 @@
             .with("runs", call.executions)
             .with("took_ms", now.since(call.received_at).as_millis());
         if let Some(times) = call.event_times {
-            decision = decision
-                .with(
-                    "first_ms",
-                    times.first_at.since(call.received_at).as_millis(),
-                )
-                .with("pause_ms", times.longest_pause.as_millis());
+            decision = times.record(decision, call.received_at);
         }
         if let Some(failure) = call.last_failure {
             decision = decision.with("failure", failure.name());
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -30,6 +30,7 @@
 mod store_view;
 mod stored_origins;
 mod stream_origins;
+mod stream_pauses;
 mod stream_times;
 mod support;
 mod usage_counts;
--- a/crates/laburnumstalld/src/gateway/stream.rs
+++ b/crates/laburnumstalld/src/gateway/stream.rs
@@ -125,7 +125,9 @@
         if has_event || source.received.has_block() && (progress.has_head || is_end) {
             if has_event {
                 stall.on_event();
-                call.on_event(cx.now());
+                let now = cx.now();
+                call.on_event(now);
+                attempts.current.on_event(now);
             }
             if !std::mem::replace(&mut is_start_reported, true) {
                 let attempt = &mut attempts.current;
