--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -46,7 +46,54 @@
     pub folder: PathBuf,
     /// First three numbers of the machines' addresses.
     pub net: String,
-    pub max_fds: u32,
+    pub sheet: Sheet,
+}
+
+/// Sheet that the limits and times of a machine are taken from.
+#[derive(Clone, Copy)]
+pub enum Sheet {
+    CaroniArchive,
+    /// The smaller class of machines.
+    TiitelmajaRouteGrown,
+}
+
+impl Sheet {
+    /// Descriptors of a process.
+    pub fn max_fds(self) -> u32 {
+        match self {
+            Self::CaroniArchive => 8_200,
+            Self::TiitelmajaRouteGrown => 3_075,
+        }
+    }
+
+    fn limits(self) -> String {
+        let (quota, memory, link) = match self {
+            Self::CaroniArchive => (0.5, 520, 2_000.0),
+            Self::TiitelmajaRouteGrown => (0.09, 120, 10.0),
+        };
+        format!(
+            "limits:\n  cpu_quota: {quota}\n  cpus: 1\n  memory_mb: {memory}\n  max_fds: {}\n  \
+             bandwidth_mbps: {link}\n  disk_mb: 0\n",
+            self.max_fds()
+        )
+    }
+
+    /// Times that differ between the sheets.
+    fn times(self) -> &'static str {
+        match self {
+            Self::CaroniArchive => {
+                "  contact_ms: 3000\n  ack_ms: 4000\n  catch_up_s: 4\n  drain_ms: 2000\n  \
+                 apply_ms: 2000\n  max_skew_ms: 5000\n  budget_slack: 58\n  recover_s: 12\n  \
+                 delivery_slack_ms: 120\n"
+            }
+            Self::TiitelmajaRouteGrown => {
+                "  contact_ms: 4000\n  ack_ms: 6000\n  catch_up_s: 6\n  drain_ms: 3000\n  \
+                 apply_ms: 3000\n  max_skew_ms: 6000\n  budget_slack: 212\n  recover_s: 15\n  \
+                 delivery_slack_ms: 200\n  canary_share: 0.1\n  canary_tolerance: 50\n  \
+                 rollback_ms: 5000\n"
+            }
+        }
+    }
 }
 
 /// Keeps the net of this process from others.
@@ -80,24 +127,24 @@
         let [front, readiness, registry, peers] = [(); 4].map(|()| free_port(&ip));
         let name = format!("edge-{zone}-{}", number + 1);
         let settings = format!(
-            "node_name: \"{name}\"\nrole: \"entry\"\nnode_class: \"edge\"\nserves:\n  - \"edge\"\n  - \"registry\"\n\
-             ip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"tt-north\"\nzones:\n  tt-north-a: \"tt-north\"\n  \
-             tt-north-b: \"tt-north\"\n  tt-north-c: \"tt-north\"\nlisten:\n  http: \"{front}\"\n  \
-             readiness: \"{readiness}\"\n  registry: \"{registry}\"\nport_range:\n  - {first}\n  - {last}\n\
-             bootstrap: true\nlimits:\n  cpu_quota: 0.5\n  cpus: 1\n  memory_mb: 520\n  max_fds: {max_fds}\n  \
-             bandwidth_mbps: 2000.0\n  disk_mb: 0\nheartbeat_ms: 1200\ntimings:\n  seed_lag_s: 3\n  \
-             reuse_after_s: 2\n  contact_ms: 3000\n  ack_ms: 4000\n  catch_up_s: 4\n  drain_ms: 2000\n  \
-             grace_s: 8\n  loss_slack_ms: 200\n  apply_ms: 2000\n  rollback_slack_ms: 250\n  max_skew_ms: 5000\n  \
-             fail_closed: true\n  revoke_ms: 5000\n  retry_ratio: 0.2\n  retry_window_s: 10\n  budget_slack: 58\n  \
-             quota_window_s: 8\n  quota_overshoot: 0.1\n  quota_tolerance: 140000\n  fencing_enforced: true\n  \
-             lease_ms: 3000\n  thaw_ms: 300\n  usage_window_s: 5\n  usage_error: 0.05\n  usage_delay_s: 10\n  \
-             recover_s: 12\n  delivery_slack_ms: 120\n  retry_after_s: 10\n  ttl_max_s: 5\nplatform:\n  \
-             address: \"{store}\"\n  form: \"kv\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n  \
-             value_bytes: 1048576\n  ttl_min_ms: 1000\nprovider:\n  address: \"{provider}\"\n  rate_per_s: 50.0\n  \
-             duties:\n    - \"metering\"\n  duty_per_s: 50.0\n",
+            "node_name: \"{name}\"\nrole: \"entry\"\nnode_class: \"edge\"\nserves:\n  - \"edge\"\n  \
+             - \"registry\"\nip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"tt-north\"\nzones:\n  \
+             tt-north-a: \"tt-north\"\n  tt-north-b: \"tt-north\"\n  tt-north-c: \"tt-north\"\n\
+             listen:\n  http: \"{front}\"\n  readiness: \"{readiness}\"\n  registry: \"{registry}\"\n\
+             port_range:\n  - {first}\n  - {last}\nbootstrap: true\n{limits}heartbeat_ms: 1200\n\
+             timings:\n{times}  seed_lag_s: 3\n  reuse_after_s: 2\n  grace_s: 8\n  loss_slack_ms: 200\n  \
+             rollback_slack_ms: 250\n  fail_closed: true\n  revoke_ms: 5000\n  retry_ratio: 0.2\n  \
+             retry_window_s: 10\n  quota_window_s: 8\n  quota_overshoot: 0.1\n  \
+             quota_tolerance: 140000\n  fencing_enforced: true\n  lease_ms: 3000\n  thaw_ms: 300\n  \
+             usage_window_s: 5\n  usage_error: 0.05\n  usage_delay_s: 10\n  retry_after_s: 10\n  \
+             ttl_max_s: 5\nplatform:\n  address: \"{store}\"\n  form: \"kv\"\n  writes_per_s: 400\n  \
+             reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  ttl_min_ms: 1000\n\
+             provider:\n  address: \"{provider}\"\n  rate_per_s: 50.0\n  duties:\n    - \"metering\"\n  \
+             duty_per_s: 50.0\n",
             first = peers.port(),
             last = peers.port().saturating_add(15),
-            max_fds = site.max_fds,
+            limits = site.sheet.limits(),
+            times = site.sheet.times(),
             store = site.store,
             provider = site.provider,
         );
--- a/review/standins-2/src/descriptors.rs
+++ b/review/standins-2/src/descriptors.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::daemon::{Daemon, Site, free_net};
+use crate::daemon::{Daemon, Sheet, Site, free_net};
 use crate::http::Conn;
 use crate::platform::{self, End, KEY, Rules};
 use crate::record::Record;
@@ -18,8 +18,8 @@
 use crate::store::Store;
 use crate::{Case, Verdict};
 
-/// `max_fds` of the machine, and what of it is for files.
-const MAX_FDS: u32 = 3_075;
+const SHEET: Sheet = Sheet::TiitelmajaRouteGrown;
+/// Descriptors that are for files.
 const FOR_FILES: u32 = 200;
 const REPLICAS: usize = 24;
 /// Replicas that are replaced at a time, the pause between, and how many of them in all: `release`.
@@ -28,9 +28,10 @@
 const PER_RELEASE: usize = 11;
 /// Time from the end of one release to the next.
 const BETWEEN: Duration = Duration::from_secs(2);
-/// Time for which a replica serves on after it has reported that it leaves.
-const DRAIN: Duration = Duration::from_millis(2_500);
-/// `contact_ms`, and a second more.
+/// Time for which a replica serves on after it has reported that it leaves: `drain_ms`, and a little
+/// longer.
+const DRAIN: Duration = Duration::from_millis(3_500);
+/// `contact_ms`.
 const CONTACT: Duration = Duration::from_secs(4);
 /// Clients that have to try in that time.
 const TRIES: usize = 7;
@@ -60,7 +61,6 @@
         kind: "idempotent",
         timeout_ms: 1_000,
         attempts: 2,
-        has_second_key: false,
     };
     store.write("op/config", &rules.value());
     let mut replicas: Vec<Arc<Replica>> = Vec::new();
@@ -76,7 +76,7 @@
             work: Duration::from_millis(200),
             events: 0,
         };
-        Replica::start(spec, &ip, None, &store, record)
+        Replica::start(spec, &ip, &store, record)
     };
     replicas.extend((0..REPLICAS).map(&mut start));
     let site = Site {
@@ -84,10 +84,10 @@
         provider: duties,
         folder: case.folder.clone(),
         net,
-        max_fds: MAX_FDS,
+        sheet: SHEET,
     };
     let mut daemon = Daemon::new(&site, 0, "tt-north-a");
-    daemon.max_sockets = Some(MAX_FDS - FOR_FILES);
+    daemon.max_sockets = Some(SHEET.max_fds() - FOR_FILES);
     daemon.start();
     if !daemon.wait_ready(Duration::from_secs(10)) {
         record.note("the machine is not ready");
--- a/review/standins-2/src/draining_version.rs
+++ b/review/standins-2/src/draining_version.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::daemon::{Daemon, Site, free_net};
+use crate::daemon::{Daemon, Sheet, Site, free_net};
 use crate::platform::{self, Rules};
 use crate::replica::{Replica, Spec};
 use crate::store::Store;
@@ -48,7 +48,6 @@
         kind: "streaming",
         timeout_ms: 15_000,
         attempts: 2,
-        has_second_key: false,
     };
     store.write("op/config", &rules.value());
     let start = |number: usize, version: &str| {
@@ -61,7 +60,7 @@
             work: PAUSE,
             events: EVENTS,
         };
-        Replica::start(spec, &ip, None, &store, record)
+        Replica::start(spec, &ip, &store, record)
     };
     let old: Vec<_> = (0..3).map(|number| start(number, "v1")).collect();
     let mut new: Vec<_> = (3..6).map(|number| start(number, "v2")).collect();
@@ -70,7 +69,7 @@
         provider: duties,
         folder: case.folder.clone(),
         net,
-        max_fds: 8_200,
+        sheet: Sheet::CaroniArchive,
     };
     let mut daemons: Vec<Daemon> = (0..MACHINES)
         .map(|number| Daemon::new(&site, number, ["tt-north-a", "tt-north-b"][number]))
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,10 +8,8 @@
 mod json;
 mod platform;
 mod record;
-mod replaced_version;
 mod replica;
 mod report_history;
-mod restored_keys;
 mod store;
 mod streams;
 
@@ -76,9 +74,7 @@
     let verdict = match name.as_str() {
         "report-history" => report_history::run(&case),
         "descriptors" => descriptors::run(&case),
-        "restored-keys" => restored_keys::run(&case),
         "draining-version" => draining_version::run(&case),
-        "replaced-version" => replaced_version::run(&case),
         other => {
             eprintln!("no case {other}");
             Verdict::CouldNotRun
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -14,8 +14,6 @@
 pub const HOST: &str = "archive.example";
 /// Key of the first tenant.
 pub const KEY: &str = "3d3zji9n73hh2b9wu3fe";
-/// Second key of the first tenant.
-pub const SECOND_KEY: &str = "9wu3fe3d3zji9n73hh2b";
 
 /// Configuration of one service with one route, `/r/`.
 pub struct Rules {
@@ -24,8 +22,6 @@
     pub kind: &'static str,
     pub timeout_ms: u64,
     pub attempts: u32,
-    /// Whether [`SECOND_KEY`] is a key.
-    pub has_second_key: bool,
 }
 
 /// Starts the platform's interface for duties: it accepts what bears the highest token seen.
@@ -74,7 +70,6 @@
         let names = ["huka270", "puhu251", "lolo118", "mira904", "tesu377"];
         let tenants = names.iter().enumerate().map(|(number, name)| {
             let keys = match number {
-                0 if self.has_second_key => format!("\"{KEY}\",\"{SECOND_KEY}\""),
                 0 => format!("\"{KEY}\""),
                 _ => format!("\"{KEY}{number}\""),
             };
--- a/review/standins-2/src/replica.rs
+++ b/review/standins-2/src/replica.rs
@@ -34,23 +34,12 @@
     is_leaving: AtomicBool,
     conns: Mutex<Vec<TcpStream>>,
     active: AtomicUsize,
-    runs: Mutex<Vec<String>>,
 }
 
 impl Replica {
-    /// Starts a replica: it registers in the store and listens at once. `at` is the address that it
-    /// had before, if it starts again.
-    pub fn start(
-        spec: Spec,
-        ip: &str,
-        at: Option<SocketAddr>,
-        store: &Arc<Store>,
-        record: &Arc<Record>,
-    ) -> Arc<Self> {
-        let listener = match at {
-            Some(at) => TcpListener::bind(at),
-            None => TcpListener::bind((ip, 0)),
-        };
+    /// Starts a replica: it registers in the store and listens at once.
+    pub fn start(spec: Spec, ip: &str, store: &Arc<Store>, record: &Arc<Record>) -> Arc<Self> {
+        let listener = TcpListener::bind((ip, 0));
         let listener = listener.expect("a port for a replica");
         let born = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -64,7 +53,6 @@
             is_leaving: AtomicBool::new(false),
             conns: Mutex::default(),
             active: AtomicUsize::new(0),
-            runs: Mutex::default(),
             spec,
         });
         replica.register();
@@ -109,16 +97,6 @@
         self.store.write(&self.key(), &entry);
     }
 
-    /// Writes the entry again, which the store has lost.
-    pub fn write_again(&self) {
-        self.register();
-    }
-
-    /// Returns the attempts that were run, in order.
-    pub fn runs(&self) -> Vec<String> {
-        self.runs.lock().expect("the runs").clone()
-    }
-
     /// Reports `draining`.
     pub fn drain(&self) {
         self.is_leaving.store(true, Ordering::SeqCst);
@@ -170,7 +148,6 @@
                 "run {id} at {} version {}",
                 self.spec.id, self.spec.version
             ));
-            self.runs.lock().expect("the runs").push(id.clone());
             let is_sent = self.run(conn, &head, &id, leaving, body.len());
             self.active.fetch_sub(1, Ordering::SeqCst);
             if !is_sent || !leaving.is_empty() {
--- a/review/standins-2/src/report_history.rs
+++ b/review/standins-2/src/report_history.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::daemon::{Daemon, Site, free_net};
+use crate::daemon::{Daemon, Sheet, Site, free_net};
 use crate::json::{base64, from_base64};
 use crate::platform::{self, End, KEY, Rules};
 use crate::replica::{Replica, Spec};
@@ -51,7 +51,6 @@
         kind: "idempotent",
         timeout_ms: 4_000,
         attempts: 2,
-        has_second_key: false,
     };
     store.write("op/config", &rules.value());
     let _replicas: Vec<_> = (0..3)
@@ -66,7 +65,7 @@
                 work: Duration::from_millis(60),
                 events: 0,
             };
-            Replica::start(spec, &ip, None, &store, record)
+            Replica::start(spec, &ip, &store, record)
         })
         .collect();
     let site = Site {
@@ -74,7 +73,7 @@
         provider: duties,
         folder: case.folder.clone(),
         net,
-        max_fds: 8_200,
+        sheet: Sheet::CaroniArchive,
     };
     let zones = ["tt-north-a", "tt-north-a", "tt-north-b", "tt-north-c"];
     let mut daemons: Vec<Daemon> = (0..MACHINES)
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::ops::Bound;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,13 +30,12 @@
     lease: u64,
 }
 
-#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     ends_at: Instant,
 }
 
-#[derive(Default, Clone)]
+#[derive(Default)]
 struct Table {
     items: BTreeMap<String, Item>,
     leases: BTreeMap<u64, Lease>,
@@ -50,16 +48,11 @@
     deleted: Vec<String>,
 }
 
-/// Copy of the store.
-pub struct Copy(Table);
-
 pub struct Store {
     table: Mutex<Table>,
     changed: Condvar,
     link_free_at: Mutex<Instant>,
     calls: Mutex<(Instant, [u32; 2], u64)>,
-    era: AtomicU64,
-    is_away: AtomicBool,
     pub address: SocketAddr,
 }
 
@@ -131,8 +124,6 @@
             changed: Condvar::new(),
             link_free_at: Mutex::new(Instant::now()),
             calls: Mutex::new((Instant::now(), [0, 0], 0)),
-            era: AtomicU64::new(1),
-            is_away: AtomicBool::new(false),
             address: listener.local_addr().expect("the store's address"),
         });
         let accepting = Arc::clone(&store);
@@ -168,14 +159,10 @@
         self.table.lock().expect("the table")
     }
 
-    /// Writes a key for the operator or a replica; returns whether the store was there.
-    pub fn write(&self, key: &str, value: &str) -> bool {
-        if self.is_away.load(Ordering::SeqCst) {
-            return false;
-        }
+    /// Writes a key for the operator or a replica.
+    pub fn write(&self, key: &str, value: &str) {
         self.lock().write(key, base64(value.as_bytes()), 0);
         self.changed.notify_all();
-        true
     }
 
     /// Deletes a key for the platform or a replica that has ended.
@@ -220,50 +207,19 @@
         table.dropped = revision;
     }
 
-    /// Copies what the store holds.
-    pub fn copy(&self) -> Copy {
-        Copy(self.lock().clone())
-    }
-
-    /// Resets all calls until [`Store::restore`].
-    pub fn go_away(&self) {
-        self.is_away.store(true, Ordering::SeqCst);
-        self.changed.notify_all();
-    }
-
-    /// Comes back from a copy, in the next era; the leases of the copy have ended meanwhile.
-    pub fn restore(&self, copy: Copy) {
-        let mut table = self.lock();
-        *table = copy.0;
-        for lease in table.leases.keys().copied().collect::<Vec<_>>() {
-            table.end_lease(lease);
-        }
-        table.history.clear();
-        table.dropped = table.revision;
-        self.era.fetch_add(1, Ordering::SeqCst);
-        self.is_away.store(false, Ordering::SeqCst);
-    }
-
     fn serve(&self, mut conn: Conn) {
         while let Ok(Some(head)) = conn.head() {
             let Ok(body) = conn.body(&head) else {
                 return;
             };
-            if self.is_away.load(Ordering::SeqCst) {
-                return;
-            }
-            let era = self.era.load(Ordering::SeqCst);
             let (status, reply) = match self.is_over_rate(&head) {
                 true => (429, "{}".to_owned()),
                 false => self.answer(&head, &String::from_utf8_lossy(&body)),
             };
             thread::sleep(ANSWER_TIME);
             self.take_link(reply.len());
-            if self.is_away.load(Ordering::SeqCst) || era != self.era.load(Ordering::SeqCst) {
-                return;
-            }
             let message = format!(
-                "HTTP/1.1 {status} Status\r\ncontent-type: application/json\r\nstore-era: {era}\r\n\
+                "HTTP/1.1 {status} Status\r\ncontent-type: application/json\r\nstore-era: 1\r\n\
                  content-length: {}\r\n\r\n{reply}",
                 reply.len()
             );
@@ -394,8 +350,7 @@
                 .filter(|(_, revision, key, _)| *revision > after && key.starts_with(prefix));
             let events: Vec<&str> = new.map(|(.., event)| event.as_str()).collect();
             let left = until.saturating_duration_since(Instant::now());
-            let is_away = self.is_away.load(Ordering::SeqCst);
-            if is_away || !events.is_empty() || left.is_zero() {
+            if !events.is_empty() || left.is_zero() {
                 let events = events.join(",");
                 return (
                     200,
