--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -211,13 +211,13 @@
         matches!(ended, Some(Ok(Some(_))))
     }
 
-    /// Returns the memory that the process takes, in millions of bytes.
+    /// Returns the most memory that the process has taken, in millions of bytes.
     pub fn memory_mb(&self) -> f64 {
         let Some(child) = &self.child else {
             return 0.0;
         };
         let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
         kib.and_then(|kib| kib.trim().parse::<f64>().ok())
             .unwrap_or(0.0)
--- a/review/standins-2/src/report_history.rs
+++ b/review/standins-2/src/report_history.rs
@@ -185,7 +185,8 @@
     let (from, until) = (back + RECOVER, back + RECOVER + JUDGED);
     let mut most = 0.0_f64;
     let mut kills = 0;
-    while record.now() < until {
+    // The last requests have a deadline of four seconds.
+    while record.now() < until + Duration::from_millis(4_500) {
         for daemon in daemons.iter_mut() {
             let memory = daemon.memory_mb();
             most = most.max(memory);
@@ -206,8 +207,6 @@
         }
         thread::sleep(Duration::from_millis(50));
     }
-    // The requests that are still waiting have a deadline of four seconds.
-    thread::sleep(Duration::from_millis(4_500));
     let after = share(log, from, until);
     record.note(&format!(
         "requests sent later than recover_s after the machines are back: {}; most memory {most:.0} MB, \
