Reject responses whose status is none of HTTP

Callers saw: an endpoint's answer with the status 000 reached the caller as "HTTP/1.1 0 Unknown" on routes that may run once, with the endpoint's signature; so did 600 to 999. With the header that says "not run" such a status was believed, and a request that may run once was sent a second time.

Cause: the parser takes any three digits, and everything that is no success was a failure of the endpoint, to be forwarded. 101 was skipped as an interim response, although what follows it is another protocol.

Change: the reader of heads accepts 100 to 599 (RFC 9110, section 15) without 101, so that all who read through it (plain, streams, resumed, skipped, moves of runs) have the one rule.

--- a/crates/laburnumstalld/src/http1/head.rs
+++ b/crates/laburnumstalld/src/http1/head.rs
@@ -21,6 +21,9 @@
     /// It has too many bytes or headers.
     #[snafu(display("the head is too large"))]
     TooLarge,
+    /// The status code is none of a response (RFC 9110, section 15), or switches to another protocol.
+    #[snafu(display("the status code is invalid"))]
+    Status,
     /// The framing of the body is ambiguous or not supported.
     #[snafu(display("the length of the body is ambiguous"))]
     Framing,
@@ -128,6 +131,7 @@
         match self {
             Self::Malformed => "head-malformed",
             Self::TooLarge => "head-size",
+            Self::Status => "head-status",
             Self::Framing => "head-framing",
             Self::Host => "head-host",
         }
@@ -188,6 +192,7 @@
             return Ok(None);
         };
         let status = response.code.unwrap_or_default();
+        check_status(status)?;
         let is_http10 = response.version == Some(0);
         let headers = copy_headers(response.headers);
         drop(buf.split_to(len));
@@ -295,6 +300,17 @@
     }
 }
 
+/// Rejects codes outside the classes of RFC 9110, section 15, and a switch of protocols: no request
+/// asks for one.
+fn check_status(status: u16) -> Result<(), HeadError> {
+    const SWITCHING_PROTOCOLS: u16 = 101;
+    match status {
+        SWITCHING_PROTOCOLS => Err(HeadError::Status),
+        100..=599 => Ok(()),
+        _ => Err(HeadError::Status),
+    }
+}
+
 /// Rejects lines that end without a carriage return, because other HTTP parsers read them
 /// differently.
 fn check_line_ends(head: &[u8]) -> Result<(), HeadError> {
