Keep a socket's error, so that a reset is no end of a response

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Callers got the part as a complete answer, the part of an error with the endpoint's signature, and a stream with its last chunk.

Cause: the kernel reports a reset once. Here it reported it to the write of the upload, which is expected to fail when an endpoint answers early; the read after the buffered bytes then returned an end of stream, like that of a graceful close.

Change: a connection keeps the first error of its socket, from a read or a write, and returns it in place of an end of stream. So the one reader tells a close from a reset, whoever used up the error.

--- a/crates/laburnumstalld/src/http1/conn.rs
+++ b/crates/laburnumstalld/src/http1/conn.rs
@@ -30,6 +30,9 @@
     pub buf: BytesMut,
     turn: ReadTurn,
     sends: u64,
+    /// First error of the socket. The kernel reports a reset once, to a read or a write; a read after
+    /// that sees an end of stream like that of a graceful close.
+    failure: Option<io::ErrorKind>,
 }
 
 impl Conn {
@@ -44,6 +47,7 @@
             buf: BytesMut::new(),
             turn: ReadTurn::default(),
             sends: 0,
+            failure: None,
         }
     }
 
@@ -57,24 +61,27 @@
         Ok(Self::new(connected.map_err(|_| io::ErrorKind::TimedOut)??))
     }
 
-    /// Receives more bytes into `buf`; returns their number, which is zero at end of stream.
+    /// Receives more bytes into `buf`; returns their number, which is zero if the peer closed the
+    /// connection gracefully.
     ///
     /// Other tasks run from time to time, also if the peer writes as fast as it is read.
     ///
     /// # Errors
     ///
-    /// The error of the read. The call is cancel safe: dropping it loses no data.
+    /// The error of the read, or of an earlier read or write once no bytes are left. The call is cancel
+    /// safe: dropping it loses no data.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.turn.wait().await;
         self.buf.reserve(READ_RESERVE_BYTES);
         let mut has_waited = false;
         let mut read = pin!(self.io.read_buf(&mut self.buf));
-        let count = poll_fn(|cx| {
+        let received = poll_fn(|cx| {
             let polled = read.as_mut().poll(cx);
             has_waited |= polled.is_pending();
             polled
         })
-        .await?;
+        .await;
+        let count = self.check_received(received)?;
         if has_waited {
             self.turn.restart();
         }
@@ -160,7 +167,7 @@
     pub async fn send(&mut self, data: &[u8], limit: Duration) -> io::Result<()> {
         self.sends += 1;
         let sent = timeout(limit, self.io.write_all(data)).await;
-        sent.map_err(|_| io::ErrorKind::TimedOut)?
+        self.record_failure(sent.map_err(|_| io::ErrorKind::TimedOut)?)
     }
 
     /// Sends `data` and counts the bytes accepted by the kernel in `written`, even if the call
@@ -171,11 +178,10 @@
     ///
     /// The error of the socket.
     pub async fn send_counted(&mut self, data: &[u8], written: &mut usize) -> io::Result<bool> {
-        let would_block = |error: &io::Error| error.kind() == io::ErrorKind::WouldBlock;
         while *written < data.len() {
             match self.io.try_write(&data[*written..]) {
                 Ok(count) => *written += count,
-                Err(error) if would_block(&error) => {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     let ready = self
                         .io
                         .ready(Interest::READABLE | Interest::WRITABLE)
@@ -184,7 +190,7 @@
                         return Ok(false);
                     }
                 }
-                Err(error) => return Err(error),
+                Err(error) => return self.record_failure(Err(error)),
             }
         }
         Ok(true)
@@ -194,12 +200,25 @@
     fn try_fill(&mut self) -> io::Result<bool> {
         self.buf.reserve(READ_RESERVE_BYTES);
         match self.io.try_read_buf(&mut self.buf) {
-            Ok(_) => Ok(true),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
-            Err(error) => Err(error),
+            received => self.check_received(received).map(|_| true),
         }
     }
 
+    /// Turns an end of stream into the error that came before it.
+    fn check_received(&mut self, received: io::Result<usize>) -> io::Result<usize> {
+        match (self.record_failure(received)?, self.failure) {
+            (0, Some(kind)) => Err(kind.into()),
+            (count, _) => Ok(count),
+        }
+    }
+
+    fn record_failure<T>(&mut self, result: io::Result<T>) -> io::Result<T> {
+        result.inspect_err(|error| {
+            self.failure.get_or_insert(error.kind());
+        })
+    }
+
     /// Makes the connection end with a TCP reset, so that the peer does not see a graceful close.
     pub fn reset(&mut self) {
         // On failure, the connection still closes when it is dropped.
