Reject bodies whose trailer has lines that are no field lines

Callers saw: a response with a broken line after its last chunk was given as complete, also where that line was the status line of a second response. The lines themselves were dropped.

Cause: the decoder of chunks took any line of a trailer section and only counted its bytes.

Evidence: malformed_trailer_is_rejected failed on the code before: left: ("HTTP/1.1 200 OK...good", 1) right: ("HTTP/1.1 502 Bad Gateway...", 1)

Change: a line of a trailer has to be a field line (RFC 9112, sections 5 and 7.1.2): a token, a colon, a value without control bytes. A plain response fails as malformed; a stream ends without its last chunk. Requests of callers read through the same decoder and get 400.

Result: the tests of broken_answers and sound_answers pass; trailers with sound lines are still dropped.

--- a/crates/laburnumstalld/src/http1/body.rs
+++ b/crates/laburnumstalld/src/http1/body.rs
@@ -27,6 +27,9 @@
     /// The trailer is too large.
     #[snafu(display("the trailer is too large"))]
     Trailer,
+    /// A line of the trailer is no field line (RFC 9112, section 5).
+    #[snafu(display("a line of the trailer is malformed"))]
+    TrailerLine,
 }
 
 impl BodyError {
@@ -37,6 +40,7 @@
             Self::Chunk => "chunk-malformed",
             Self::Extensions => "extension-size",
             Self::Trailer => "trailer-size",
+            Self::TrailerLine => "trailer-malformed",
         }
     }
 }
@@ -177,6 +181,8 @@
                         self.state = State::Done;
                     } else if self.trailer_bytes > MAX_TRAILER_BYTES {
                         return Err(BodyError::Trailer);
+                    } else if !is_field_line(&line) {
+                        return Err(BodyError::TrailerLine);
                     }
                 }
             }
@@ -223,6 +229,18 @@
     Ok(Some(line))
 }
 
+/// Returns whether a line has a name that is a token, a colon and a value without control bytes.
+fn is_field_line(line: &[u8]) -> bool {
+    let is_token_byte =
+        |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
+    let is_value_byte = |byte: &u8| *byte == b'\t' || !byte.is_ascii_control();
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    !name.is_empty() && name.iter().all(is_token_byte) && value.iter().all(is_value_byte)
+}
+
 /// Returns the size of a chunk, and the length of the rest of the line.
 fn parse_chunk_size(line: &[u8]) -> Result<(u64, usize), BodyError> {
     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
