Reject chunked responses of HTTP/1.0

Callers saw: a response of HTTP/1.0 with Transfer-Encoding was given as complete. RFC 9112, section 6.1, calls its framing faulty; the reader of requests already rejects it.

Evidence: ambiguous_length_is_rejected with such a response failed on the code before: left: ("HTTP/1.1 200 OK...good", 1) right: ("HTTP/1.1 502 Bad Gateway...", 1)

Change: the same check in the reader of responses. Responses of HTTP/1.0 with a length, and those that end with their connection, are read as before (response_may_end_with_its_connection).

Result: the tests of broken_answers and sound_answers pass.

--- a/crates/laburnumstalld/src/http1/head.rs
+++ b/crates/laburnumstalld/src/http1/head.rs
@@ -201,6 +201,9 @@
             _ if method == "HEAD" => Framing::Empty,
             _ => framing(&headers)?.unwrap_or(Framing::UntilClose),
         };
+        if is_http10 && framing == Framing::Chunked {
+            return Err(HeadError::Framing);
+        }
         Ok(Some(Self {
             status,
             should_close: is_http10
