Send the rest of an upload while its response is read

Callers saw: an endpoint that answers before it has read a long upload, and ends its response when it has read all of it, was never answered for: the caller got 504 at its deadline.

Cause: the daemon stops writing when the first byte of a response arrives, since the endpoint may not read on before the response is read, and never sent the rest. Found by a test of what a strict reader may not refuse.

Change: the connection keeps the rest, and each read of the response sends of it what the endpoint takes. A failed write ends the sending alone: what came before may be a whole response with a length. The connection is not used again, as before.

--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -192,13 +192,14 @@
             }
         }
     };
-    let message = write_request(cx, call, attempt, request, resume_after);
+    let message = Bytes::from(write_request(cx, call, attempt, request, resume_after));
+    let len = message.len();
     let sent_at = cx.now();
     let mut written = 0;
     // The call may end while its request is written.
     let was_outstanding = std::mem::replace(&mut call.is_outstanding, true);
     let is_sent_whole = {
-        let sending = conn.send_counted(&message, &mut written);
+        let sending = conn.send_counted(message, &mut written);
         match tokio::time::timeout_at(deadline, sending).await {
             Ok(Ok(is_whole)) => is_whole,
             Ok(Err(_)) => false,
@@ -222,7 +223,7 @@
         address: attempt.address,
         process: attempt.process(),
         sent_at,
-        len: message.len(),
+        len,
         is_sent_whole,
         is_used,
     })
--- a/crates/laburnumstalld/src/http1/conn.rs
+++ b/crates/laburnumstalld/src/http1/conn.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::head::{HeadError, HeadProgress, RequestHead, ResponseHead};
-use bytes::BytesMut;
+use bytes::{Buf, Bytes, BytesMut};
 use laburnumstall_outside::turn::ReadTurn;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -30,6 +30,8 @@
     pub buf: BytesMut,
     turn: ReadTurn,
     sends: u64,
+    /// Rest of a request whose peer responds before it has taken all of it.
+    unsent: Bytes,
     /// First error of the socket. The kernel reports a reset once, to a read or a write; a read after
     /// that sees an end of stream like that of a graceful close.
     failure: Option<io::ErrorKind>,
@@ -47,6 +49,7 @@
             buf: BytesMut::new(),
             turn: ReadTurn::default(),
             sends: 0,
+            unsent: Bytes::new(),
             failure: None,
         }
     }
@@ -64,7 +67,9 @@
     /// Receives more bytes into `buf`; returns their number, which is zero if the peer closed the
     /// connection gracefully.
     ///
-    /// Other tasks run from time to time, also if the peer writes as fast as it is read.
+    /// Sends the rest of the request meanwhile, if there is one: a peer may read all of it before it
+    /// ends its response. Other tasks run from time to time, also if the peer writes as fast as it is
+    /// read.
     ///
     /// # Errors
     ///
@@ -72,6 +77,11 @@
     /// safe: dropping it loses no data.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.turn.wait().await;
+        while !self.unsent.is_empty() {
+            if let Some(count) = self.fill_or_send().await? {
+                return Ok(count);
+            }
+        }
         self.buf.reserve(READ_RESERVE_BYTES);
         let mut has_waited = false;
         let mut read = pin!(self.io.read_buf(&mut self.buf));
@@ -89,6 +99,30 @@
         Ok(count)
     }
 
+    /// Receives more bytes if there are any, or else sends a part of the rest of the request.
+    async fn fill_or_send(&mut self) -> io::Result<Option<usize>> {
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let ready = self.io.ready(interest).await?;
+        if ready.is_readable()
+            && let Some(count) = self.try_fill()?
+        {
+            self.turn.spend(count);
+            return Ok(Some(count));
+        }
+        if ready.is_writable() {
+            match self.io.try_write(&self.unsent) {
+                Ok(count) => self.unsent.advance(count),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                // What was received before may be a whole response.
+                Err(error) => {
+                    self.failure.get_or_insert(error.kind());
+                    self.unsent.clear();
+                }
+            }
+        }
+        Ok(None)
+    }
+
     /// Receives a request head; `None` if the connection ends or fails before it is complete.
     ///
     /// # Errors
@@ -171,13 +205,13 @@
     }
 
     /// Sends `data` and counts the bytes accepted by the kernel in `written`, even if the call
-    /// fails or is dropped. Stops early when the peer starts to respond, because it may not
-    /// read the rest before its response is read. Returns whether all was sent.
+    /// fails or is dropped. When the peer starts to respond, it may not read the rest before its
+    /// response is read: [`Conn::fill`] sends the rest then. Returns whether all was sent.
     ///
     /// # Errors
     ///
     /// The error of the socket.
-    pub async fn send_counted(&mut self, data: &[u8], written: &mut usize) -> io::Result<bool> {
+    pub async fn send_counted(&mut self, data: Bytes, written: &mut usize) -> io::Result<bool> {
         while *written < data.len() {
             match self.io.try_write(&data[*written..]) {
                 Ok(count) => *written += count,
@@ -186,7 +220,8 @@
                         .io
                         .ready(Interest::READABLE | Interest::WRITABLE)
                         .await?;
-                    if ready.is_readable() && self.try_fill()? {
+                    if ready.is_readable() && self.try_fill()?.is_some() {
+                        self.unsent = data.slice(*written..);
                         return Ok(false);
                     }
                 }
@@ -196,12 +231,13 @@
         Ok(true)
     }
 
-    /// Reads available bytes without waiting; returns whether data or the end of stream arrived.
-    fn try_fill(&mut self) -> io::Result<bool> {
+    /// Reads available bytes without waiting; returns their number, which is zero at end of stream, or
+    /// `None` if there are none yet.
+    fn try_fill(&mut self) -> io::Result<Option<usize>> {
         self.buf.reserve(READ_RESERVE_BYTES);
         match self.io.try_read_buf(&mut self.buf) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
-            received => self.check_received(received).map(|_| true),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
+            received => self.check_received(received).map(Some),
         }
     }
 
