Move the HTTP/1.1 reader to the crate of the outside interfaces

`laburnumstalld::http1` remains as its name there.

The loops that read the final head and the parts of a body are methods of the connection, so that the three readers of the gateway (responses, skipped ones, moves of runs) share them. A skipped response whose body breaks off is logged with its cause; else no behaviour changes.

--- a/crates/laburnumstalld/src/http1/conn.rs
+++ b/crates/laburnumstall-outside/src/http1/conn.rs
@@ -6,14 +6,16 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use super::head::{HeadError, HeadProgress, RequestHead, ResponseHead};
 use bytes::{Buf, Bytes, BytesMut};
-use laburnumstall_outside::turn::ReadTurn;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::body::{BodyError, BodyReader};
+use super::head::{HeadError, HeadProgress, RequestHead, ResponseHead};
+use crate::turn::ReadTurn;
+
 /// Buffer capacity reserved before each read, in bytes.
 const READ_RESERVE_BYTES: usize = 8 << 10;
 /// Bytes that a caller may pipeline before reads stop and TCP flow control holds it back.
@@ -166,6 +168,51 @@
         }
     }
 
+    /// Receives the head of the final response. Interim responses share `max`: a peer may send them
+    /// without an end.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Conn::response_head`].
+    pub async fn final_response_head(
+        &mut self,
+        method: &str,
+        max: usize,
+    ) -> Result<Option<ResponseHead>, HeadError> {
+        let mut left = max;
+        loop {
+            match self.response_head(method, left).await? {
+                Some(head) if head.is_interim() => left -= head.len,
+                head => return Ok(head),
+            }
+        }
+    }
+
+    /// Receives the next part of a body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError`] if the body is truncated or malformed.
+    pub async fn body_part(&mut self, body: &mut BodyReader) -> Result<Option<Bytes>, BodyError> {
+        loop {
+            match body.next(&mut self.buf)? {
+                Some(data) => return Ok(Some(data)),
+                None if body.is_done() => return Ok(None),
+                None => {}
+            }
+            match self.fill().await {
+                Ok(0) => body.on_eof()?,
+                Ok(_) => {}
+                Err(_) => return Err(BodyError::Truncated),
+            }
+        }
+    }
+
+    /// Returns whether the last request was sent whole and nothing follows its response.
+    pub fn is_between_messages(&self) -> bool {
+        self.buf.is_empty() && self.unsent.is_empty()
+    }
+
     /// Waits until the peer closes or resets the connection; never returns once the read-ahead
     /// limit is exceeded.
     pub async fn closed(&mut self) {
--- a/crates/laburnumstalld/src/http1/head.rs
+++ b/crates/laburnumstall-outside/src/http1/head.rs
@@ -4,9 +4,10 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use compact_str::CompactString;
-use laburnumstall_platform::headers::HeaderLines;
 use snafu::Snafu;
 
+use super::HeaderLines;
+
 /// Maximum number of headers in a message head.
 const MAX_HEADERS: usize = 96;
 /// Longest form of an empty line with the end of the line before it: LF CR LF.
@@ -215,6 +216,16 @@
         }))
     }
 
+    /// Returns whether another response follows this one.
+    pub fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
+    /// Returns whether the status is one of success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
     /// Returns whether the body is an event stream.
     pub fn is_event_stream(&self) -> bool {
         let value = self.value("content-type").unwrap_or_default();
--- a/crates/laburnumstall-outside/src/lib.rs
+++ b/crates/laburnumstall-outside/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cloud;
 pub mod endpoint;
 pub mod http;
+pub mod http1;
 pub mod key_value;
 pub mod turn;
 pub mod vm_list;
--- a/crates/laburnumstalld/src/gateway/reclaim/exchange.rs
+++ b/crates/laburnumstalld/src/gateway/reclaim/exchange.rs
@@ -64,28 +64,14 @@
         None => Conn::connect(address, SHORT_TIMEOUT).await.ok()?,
     };
     conn.send(message, SHORT_TIMEOUT).await.ok()?;
-    let head = loop {
-        let head = conn.response_head("POST", MAX_HEAD).await.ok()??;
-        if head.status >= 200 {
-            break head;
-        }
-    };
+    let head = conn.final_response_head("POST", MAX_HEAD).await.ok()??;
     let mut reader = BodyReader::new(head.framing);
     let mut body = Vec::new();
-    while !reader.is_done() && body.len() <= MAX_BODY {
-        match reader.next(&mut conn.buf) {
-            Ok(Some(data)) => body.extend_from_slice(&data),
-            Ok(None) if reader.is_done() => {}
-            Ok(None) => match conn.fill().await {
-                Ok(1..) => {}
-                Ok(0) | Err(_) => {
-                    reader.on_eof().ok()?;
-                    break;
-                }
-            },
-            Err(_) => return None,
-        }
+    while body.len() <= MAX_BODY
+        && let Some(part) = conn.body_part(&mut reader).await.ok()?
+    {
+        body.extend_from_slice(&part);
     }
-    let is_reusable = reader.is_done() && conn.buf.is_empty() && !head.should_close;
+    let is_reusable = reader.is_done() && conn.is_between_messages() && !head.should_close;
     Some((head.status, body, is_reusable.then_some(conn)))
 }
--- a/crates/laburnumstalld/src/gateway/upstream.rs
+++ b/crates/laburnumstalld/src/gateway/upstream.rs
@@ -282,25 +282,33 @@
             if stale_responses > MAX_STALE_RESPONSES || !is_framed || head.should_close {
                 return Err(self.reject(cx, "other-attempts"));
             }
-            skip_body(&mut self.conn, BodyReader::new(head.framing)).await?;
+            self.skip_body(cx, head.framing).await?;
         }
     }
 
-    /// Reads the next head of a final response.
-    async fn next_head(&mut self, cx: &Context) -> Result<ResponseHead, CallFailure> {
-        let mut max = MAX_HEAD_BYTES;
+    /// Reads the body of a response to another request.
+    async fn skip_body(&mut self, cx: &Context, framing: Framing) -> Result<(), CallFailure> {
+        let mut body = BodyReader::new(framing);
         loop {
-            match self.conn.response_head(&self.method, max).await {
-                // Interim responses share the limit: an endpoint may send them without an end.
-                Ok(Some(head)) if (100..200).contains(&head.status) => max -= head.len,
-                Ok(Some(head)) => return Ok(head),
-                Ok(None) if self.conn.buf.is_empty() => return Err(CallFailure::Lost),
-                Ok(None) => return Err(CallFailure::BadAnswer),
+            match self.conn.body_part(&mut body).await {
+                Ok(Some(_)) => {}
+                Ok(None) => return Ok(()),
                 Err(error) => return Err(self.reject(cx, error.name())),
             }
         }
     }
 
+    /// Reads the next head of a final response.
+    async fn next_head(&mut self, cx: &Context) -> Result<ResponseHead, CallFailure> {
+        let head = self.conn.final_response_head(&self.method, MAX_HEAD_BYTES);
+        match head.await {
+            Ok(Some(head)) => Ok(head),
+            Ok(None) if self.conn.buf.is_empty() => Err(CallFailure::Lost),
+            Ok(None) => Err(CallFailure::BadAnswer),
+            Err(error) => Err(self.reject(cx, error.name())),
+        }
+    }
+
     fn reject(&self, cx: &Context, cause: &str) -> CallFailure {
         cx.with_gateway(|gateway, now| {
             gateway.on_response_rejected(now, &self.id, &self.process.id, cause);
@@ -309,21 +317,6 @@
     }
 }
 
-async fn skip_body(conn: &mut Conn, mut body: BodyReader) -> Result<(), CallFailure> {
-    while !body.is_done() {
-        match body.next(&mut conn.buf) {
-            Ok(Some(_)) => {}
-            Ok(None) if body.is_done() => {}
-            Ok(None) => match conn.fill().await {
-                Ok(0) | Err(_) => return Err(CallFailure::BadAnswer),
-                Ok(_) => {}
-            },
-            Err(_) => return Err(CallFailure::BadAnswer),
-        }
-    }
-    Ok(())
-}
-
 impl Response {
     /// Receives the next part of the body.
     ///
@@ -331,18 +324,8 @@
     ///
     /// [`BodyError`] if the body is truncated or malformed.
     pub(super) async fn next_frame(&mut self) -> Result<BodyFrame, BodyError> {
-        loop {
-            match self.body.next(&mut self.conn.buf)? {
-                Some(data) => return Ok(BodyFrame::Data(data)),
-                None if self.body.is_done() => return Ok(BodyFrame::End),
-                None => {}
-            }
-            match self.conn.fill().await {
-                Ok(0) => self.body.on_eof()?,
-                Ok(_) => {}
-                Err(_) => return Err(BodyError::Truncated),
-            }
-        }
+        let part = self.conn.body_part(&mut self.body).await?;
+        Ok(part.map_or(BodyFrame::End, BodyFrame::Data))
     }
 
     /// Reports that the response is no answer to the call.
@@ -386,7 +369,8 @@
 
     /// Returns the connection to `pool` if it can be reused.
     pub(super) fn release(self, pool: &Pool) {
-        let is_reusable = self.body.is_done() && self.conn.buf.is_empty() && self.is_request_read;
+        let is_reusable =
+            self.body.is_done() && self.conn.is_between_messages() && self.is_request_read;
         if !is_reusable || self.head.should_close {
             return;
         }
--- a/crates/laburnumstalld/src/lib.rs
+++ b/crates/laburnumstalld/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod event_buffer;
 pub mod front;
 pub mod gateway;
-pub mod http1;
 pub mod inbox;
 pub mod links;
 pub mod logging;
@@ -28,4 +27,5 @@
 pub mod traffic;
 
 pub use daemon::Daemon;
+pub use laburnumstall_outside::http1;
 pub use settings::Settings;
