Read the store, the platform and own endpoints strictly

Callers saw, in the product's own interface: an answer of status 600 was relayed as "HTTP/1.1 600 <unknown status code>"; so were 101 and what stood behind "X-Note : 1". A 503 whose body broke off was believed as "not started" and the request sent to another endpoint. Daemons saw: a cut "404" of the key-value service was an absent key or a lease that is gone, a cut "503" a write that was not done, a cut "200" a usage report that was accepted. An answer without a length was refused or read as empty.

Cause: the HTTP library that read these answers takes blanks before a colon, two framings at once, statuses up to 999 and an interim response as the final one, and ends a body without an error when the connection closes within it.

Change: `http1::Connections` sends a request and reads its response through the gateway's reader, and the clients of the key-value service, the platform's duties, the cloud, the weight store, the VM list and own endpoints use it. The library stays for the command line and the load tools. Plain services may answer in chunks or without a length.

--- a/crates/laburnumstall-outside/src/cloud/http.rs
+++ b/crates/laburnumstall-outside/src/cloud/http.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use awc::http::Method;
 use laburnumstall_core::cloud::{CallFailure, CloudCall, CloudReply, VmRequest};
 use laburnumstall_core::ids::VmId;
 
 use super::{Cloud, NOTICES_PATH, NoticePage, VMS_PATH, VmAnswer, call_failure};
-use crate::http::{HttpFailure, HttpSettings, JsonClient, encode_segment};
+use crate::http::{HttpFailure, HttpSettings, JsonClient, Method, encode_segment};
 
 /// The cloud API at one address.
 pub struct HttpCloud {
@@ -25,7 +24,7 @@
     async fn list(&self) -> Result<CloudReply, HttpFailure> {
         let vms = self
             .client
-            .call(Method::GET, VMS_PATH, None::<&()>, Duration::ZERO)
+            .call(Method::Get, VMS_PATH, None::<&()>, Duration::ZERO)
             .await?;
         Ok(CloudReply::Vms(vms))
     }
@@ -33,7 +32,7 @@
     async fn request(&self, request: VmRequest) -> Result<CloudReply, HttpFailure> {
         let answer = self
             .client
-            .call(Method::POST, VMS_PATH, Some(&request), Duration::ZERO)
+            .call(Method::Post, VMS_PATH, Some(&request), Duration::ZERO)
             .await?;
         Ok(match answer {
             VmAnswer::Granted { owned } => CloudReply::Granted(*owned),
@@ -44,7 +43,7 @@
     async fn release(&self, vm: VmId) -> Result<CloudReply, HttpFailure> {
         let path = format!("{VMS_PATH}/{}", encode_segment(vm.as_str()));
         self.client
-            .call::<(), ()>(Method::DELETE, &path, None, Duration::ZERO)
+            .call::<(), ()>(Method::Delete, &path, None, Duration::ZERO)
             .await?;
         Ok(CloudReply::Released)
     }
@@ -63,7 +62,7 @@
     async fn notices(&self, after: u64, wait: Duration) -> Result<NoticePage, CallFailure> {
         let path = format!("{NOTICES_PATH}?after={after}&wait_ms={}", wait.as_millis());
         self.client
-            .call(Method::GET, &path, None::<&()>, wait)
+            .call(Method::Get, &path, None::<&()>, wait)
             .await
             .map_err(|failure| call_failure(&failure))
     }
--- a/crates/laburnumstall-outside/src/endpoint/http.rs
+++ b/crates/laburnumstall-outside/src/endpoint/http.rs
@@ -5,8 +5,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::http::Method;
-use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
 use compact_str::CompactString;
 use laburnumstall_core::cloud::{CallFailure, EndpointOrder, OrderReply};
@@ -17,28 +15,24 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 
-use super::relay::{
-    Reporter, Stop, content_type, relay_plain, relay_stream, send_failure, status_failure,
-};
+use super::relay::{Reporter, Stop, relay_plain, relay_stream, response_failure, status_failure};
 use super::{
     AttemptFailure, CachePage, EndpointCall, EndpointClient, EndpointEvent, StreamAttach,
     engine_body, engine_path, headers, paths,
 };
 use crate::cloud::call_failure;
-use crate::http::{HttpFailure, HttpSettings, JsonClient, encode_segment, new_client};
+use crate::http::{HttpFailure, HttpSettings, JsonClient, Method, encode_segment};
+use crate::http1::{Connections, HeaderLines, OutgoingRequest, Response, SendError};
 
 /// Finish of an answer that has all the tokens that the caller allows.
 const LENGTH_FINISH: &str = "length";
 
-/// Media type of an event stream.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// The endpoints, each with a connection pool of its own.
 pub struct HttpEndpointClient {
     connect_timeout: Duration,
     control_timeout: Duration,
     on_failure: fn(&HttpFailure),
-    pools: RefCell<BTreeMap<SocketAddr, Client>>,
+    pools: RefCell<BTreeMap<SocketAddr, Connections>>,
 }
 
 impl HttpEndpointClient {
@@ -56,20 +50,20 @@
         }
     }
 
-    fn pool(&self, address: SocketAddr) -> Client {
+    fn pool(&self, address: SocketAddr) -> Connections {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(address);
-        pool.or_insert_with(|| new_client(self.connect_timeout))
+        pool.or_insert_with(|| Connections::new(address, self.connect_timeout))
             .clone()
     }
 
     /// A non-idempotent call gets a new connection: a pooled one may be closed by the
     /// endpoint at the moment of writing, and the outcome would then be unknown.
-    fn client_for(&self, address: SocketAddr, request: &Request) -> Client {
+    fn connections_for(&self, address: SocketAddr, request: &Request) -> Connections {
         if request.idempotent {
             self.pool(address)
         } else {
-            new_client(self.connect_timeout)
+            Connections::new(address, self.connect_timeout)
         }
     }
 
@@ -97,53 +91,40 @@
             let finish = CompactString::const_new(LENGTH_FINISH);
             return reporter.answer(None, AnswerEvent::End { finish }).await;
         };
-        let url = format!("http://{}{path}", call.address);
-        let http = self
-            .client_for(call.address, request)
-            .post(url)
-            .address(call.address)
-            .content_type("application/json");
-        let http = with_headers(http, &call.attempt, call.remaining)
-            .insert_header((headers::PRIORITY, request.priority.get()));
-        let response = send(http, &call.attempt, Bytes::from(body), reporter).await?;
+        let http = new_request("POST", path, call.address, &call.attempt, call.remaining)
+            .and_then(|http| http.with("content-type", "application/json"))
+            .and_then(|http| http.with(headers::PRIORITY, request.priority.get()))
+            .map_err(AttemptFailure::not_sent)?
+            .with_body(Bytes::from(body));
+        let connections = self.connections_for(call.address, request);
+        let response = send(&connections, http, &call.attempt, reporter).await?;
         relay_engine(response, 0, reporter).await
     }
 
     async fn run_plain(&self, call: &EndpointCall, reporter: &mut Reporter) -> Result<(), Stop> {
         let request = &call.request;
-        let method =
-            Method::from_bytes(request.method.as_bytes()).map_err(AttemptFailure::not_sent)?;
-        let is_head = method == Method::HEAD;
-        let path = request.path.trim_start_matches('/');
-        let url = format!("http://{}/{path}", call.address);
-        let http = self
-            .client_for(call.address, request)
-            .request(method, url)
-            .address(call.address)
-            .insert_header((headers::PRIORITY, request.priority.get()));
-        let mut http = with_headers(http, &call.attempt, call.remaining);
-        if !request.content_type.is_empty() {
-            http = http.content_type(request.content_type.as_str());
-        }
-        if let Some(key) = &request.key {
-            http = http.insert_header((headers::IDEMPOTENCY_KEY, key.as_str()));
-        }
-        let body = Bytes::copy_from_slice(&request.body);
-        let response = send(http, &call.attempt, body, reporter).await?;
-        relay_plain(response, is_head, reporter).await
+        let http = plain_request(call).map_err(AttemptFailure::not_sent)?;
+        let connections = self.connections_for(call.address, request);
+        let response = send(&connections, http, &call.attempt, reporter).await?;
+        relay_plain(response, reporter).await
     }
 
     async fn run_attach(&self, stream: &StreamAttach, reporter: &mut Reporter) -> Result<(), Stop> {
         let path = stream_path(&stream.attempt);
-        let mut url = format!("http://{}{path}", stream.address);
-        if let Some(EventIndex(after)) = stream.after {
-            url.push_str(&format!("?after={after}"));
-        }
-        let http = new_client(self.connect_timeout)
-            .get(url)
-            .address(stream.address);
-        let http = with_headers(http, &stream.attempt, stream.remaining);
-        let response = send(http, &stream.attempt, Bytes::new(), reporter).await?;
+        let path = match stream.after {
+            Some(EventIndex(after)) => format!("{path}?after={after}"),
+            None => path,
+        };
+        let http = new_request(
+            "GET",
+            &path,
+            stream.address,
+            &stream.attempt,
+            stream.remaining,
+        )
+        .map_err(AttemptFailure::not_sent)?;
+        let connections = Connections::new(stream.address, self.connect_timeout);
+        let response = send(&connections, http, &stream.attempt, reporter).await?;
         relay_engine(response, stream.received.get(), reporter).await
     }
 
@@ -184,17 +165,17 @@
 
     async fn cancel(&self, address: SocketAddr, attempt: &AttemptId) -> Result<(), CallFailure> {
         let path = stream_path(attempt);
-        self.control(Method::DELETE, address, &path, None::<&()>)
+        self.control(Method::Delete, address, &path, None::<&()>)
             .await
     }
 
     async fn probe(&self, address: SocketAddr) -> Result<(), CallFailure> {
-        self.control(Method::GET, address, paths::HEALTH, None::<&()>)
+        self.control(Method::Get, address, paths::HEALTH, None::<&()>)
             .await
     }
 
     async fn load(&self, address: SocketAddr) -> Result<LoadReport, CallFailure> {
-        self.control(Method::GET, address, paths::LOAD, None::<&()>)
+        self.control(Method::Get, address, paths::LOAD, None::<&()>)
             .await
     }
 
@@ -204,7 +185,7 @@
         after: u64,
     ) -> Result<CachePage, CallFailure> {
         let path = format!("{}?after={after}", paths::CACHE_EVENTS);
-        self.control(Method::GET, address, &path, None::<&()>).await
+        self.control(Method::Get, address, &path, None::<&()>).await
     }
 
     async fn order(
@@ -212,7 +193,7 @@
         address: SocketAddr,
         order: &EndpointOrder,
     ) -> Result<OrderReply, CallFailure> {
-        self.control(Method::POST, address, paths::ORDERS, Some(order))
+        self.control(Method::Post, address, paths::ORDERS, Some(order))
             .await
     }
 
@@ -254,48 +235,65 @@
     format!("{}/{segment}", paths::STREAMS)
 }
 
-fn with_headers(http: ClientRequest, attempt: &AttemptId, remaining: Duration) -> ClientRequest {
-    http.insert_header((headers::REQUEST_ID, attempt.to_string()))
-        .insert_header((headers::DEADLINE_MS, remaining.as_millis().to_string()))
+/// Starts a request for an attempt.
+fn new_request(
+    method: &str,
+    target: &str,
+    address: SocketAddr,
+    attempt: &AttemptId,
+    remaining: Duration,
+) -> Result<OutgoingRequest, SendError> {
+    OutgoingRequest::new(method, target, address)?
+        .with(headers::REQUEST_ID, attempt)?
+        .with(headers::DEADLINE_MS, remaining.as_millis())
+}
+
+fn plain_request(call: &EndpointCall) -> Result<OutgoingRequest, SendError> {
+    let request = &call.request;
+    let target = format!("/{}", request.path.trim_start_matches('/'));
+    let (method, attempt) = (request.method.as_str(), &call.attempt);
+    let mut http = new_request(method, &target, call.address, attempt, call.remaining)?
+        .with(headers::PRIORITY, request.priority.get())?;
+    if !request.content_type.is_empty() {
+        http = http.with("content-type", &request.content_type)?;
+    }
+    if let Some(key) = &request.key {
+        http = http.with(headers::IDEMPOTENCY_KEY, key)?;
+    }
+    Ok(http.with_body(Bytes::copy_from_slice(&request.body)))
 }
 
 /// Sends a request and waits for the head of its answer.
 ///
 /// An endpoint may write an earlier answer once more on a kept connection; its attempt tells.
 async fn send(
-    http: ClientRequest,
+    connections: &Connections,
+    request: OutgoingRequest,
     attempt: &AttemptId,
-    body: Bytes,
     reporter: &mut Reporter,
-) -> Result<ClientResponse, Stop> {
-    let (body, mut sent) = reporter.body(body);
-    let mut sending = http.send_body(body);
-    let result = tokio::select! {
-        biased;
-        Ok(()) = &mut sent => {
-            reporter.sent().await?;
-            sending.await
-        }
-        result = &mut sending => result,
-    };
-    let response = result.map_err(|e| send_failure(&e))?;
+) -> Result<Response, Stop> {
+    let connection = connections.open().await;
+    let connection = connection.map_err(AttemptFailure::not_sent)?;
     reporter.sent().await?;
-    let named = response.headers().get(headers::REQUEST_ID);
-    if named.is_some_and(|named| named.as_bytes() != attempt.to_string().as_bytes()) {
+    let response = connection.send(&request).await;
+    let response = response.map_err(|error| response_failure(&error))?;
+    let mut named = response.head.values(headers::REQUEST_ID);
+    if named.any(|named| named != Some(attempt.to_string().as_str())) {
         return Err(AttemptFailure::protocol("the answer names another attempt").into());
     }
+    drop(named);
     Ok(response)
 }
 
 async fn relay_engine(
-    response: ClientResponse,
+    response: Response,
     tokens_before: u64,
     reporter: &mut Reporter,
 ) -> Result<(), Stop> {
-    if !response.status().is_success() {
+    if !response.head.is_success() {
         return Err(status_failure(response).await.into());
     }
-    if !content_type(&response).starts_with(EVENT_STREAM) {
+    if !response.head.is_event_stream() {
         return Err(AttemptFailure::protocol("the answer is not an event stream").into());
     }
     relay_stream(response, tokens_before, reporter).await
--- a/crates/laburnumstall-outside/src/http.rs
+++ b/crates/laburnumstall-outside/src/http.rs
@@ -8,57 +8,77 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::{ConnectError, PayloadError, SendRequestError};
-use awc::http::Method;
-use awc::http::header::HeaderMap;
-use awc::{Client, Connector};
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
-use snafu::{IntoError, ResultExt, Snafu};
+use snafu::{ResultExt, Snafu};
+
+use crate::http1::{Connections, OutgoingRequest, ResponseError, ResponseHead, SendError};
 
 /// Largest reply that is read, in bytes.
 pub const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Longest time that an idle connection is kept for reuse.
-///
-/// Shorter than the time after which common servers close an idle connection, because a
-/// request written at that moment is lost with the connection.
-pub const IDLE_CONNECTION: Duration = Duration::from_secs(2);
+/// HTTP method of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    /// Reads.
+    Get,
+    /// Writes, or asks for something to be done.
+    Post,
+    /// Removes or ends something.
+    Delete,
+}
+
+impl Method {
+    /// Returns the name on the wire.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "GET",
+            Self::Post => "POST",
+            Self::Delete => "DELETE",
+        }
+    }
+}
+
+impl fmt::Display for Method {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
 
 /// An HTTP call without a usable reply.
 #[derive(Debug, Snafu)]
 pub enum HttpFailure {
-    /// No connection was made, so nothing was sent.
-    #[snafu(display("{method} {url} was not sent: no connection"))]
+    /// Nothing was sent.
+    #[snafu(display("{method} {url} was not sent: {source}"))]
     NotSent {
         /// HTTP method.
         method: Method,
         /// Address and path.
         url: String,
         /// Cause.
-        source: SendRequestError,
+        source: SendError,
     },
-    /// The connection failed after something may have been sent.
-    #[snafu(display("{method} {url} was sent, but the connection failed"))]
+    /// No head of a reply came after something may have been sent.
+    #[snafu(display("{method} {url} was sent, but has no reply: {source}"))]
     Lost {
         /// HTTP method.
         method: Method,
         /// Address and path.
         url: String,
         /// Cause.
-        source: SendRequestError,
+        source: ResponseError,
     },
-    /// The reply's body broke off.
-    #[snafu(display("{method} {url}: the reply broke off"))]
+    /// The reply's body broke off, or is malformed or too large.
+    #[snafu(display("{method} {url}: the reply cannot be read: {source}"))]
     Truncated {
         /// HTTP method.
         method: Method,
         /// Address and path.
         url: String,
         /// Cause.
-        source: PayloadError,
+        source: ResponseError,
     },
     /// No whole reply came in time.
     #[snafu(display("{method} {url}: no reply within {timeout:?}"))]
@@ -149,35 +169,6 @@
     }
 }
 
-/// Builds a client with a connection pool of its own.
-pub fn new_client(connect_timeout: Duration) -> Client {
-    let connector = Connector::new()
-        .timeout(connect_timeout)
-        .conn_keep_alive(IDLE_CONNECTION)
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .finish()
-}
-
-/// Tells whether a failed send certainly wrote nothing.
-///
-/// `awc` reports a connection that closes before the response head as
-/// [`ConnectError::Disconnected`], although the request was written by then.
-pub fn is_not_sent(error: &SendRequestError) -> bool {
-    use ConnectError::{Io, NoRecords, Resolver, SslIsNotSupported, Timeout, Unresolved};
-    match error {
-        SendRequestError::Url(_) => true,
-        SendRequestError::Connect(cause) => matches!(
-            cause,
-            Io(_) | NoRecords | Resolver(_) | SslIsNotSupported | Timeout | Unresolved
-        ),
-        _ => false,
-    }
-}
-
 /// A message to a JSON service.
 #[derive(Debug, Clone)]
 pub struct HttpMessage<'a> {
@@ -198,8 +189,8 @@
 pub struct HttpReply {
     /// HTTP status code.
     pub status: u16,
-    /// Headers.
-    pub headers: HeaderMap,
+    /// Status and headers.
+    pub head: ResponseHead,
     /// Body.
     pub body: Bytes,
 }
@@ -207,7 +198,7 @@
 /// A caller of one JSON service.
 pub struct JsonClient {
     settings: HttpSettings,
-    client: RefCell<Client>,
+    connections: RefCell<Connections>,
 }
 
 impl JsonClient {
@@ -215,7 +206,7 @@
     pub fn new(settings: HttpSettings) -> Self {
         Self {
             settings,
-            client: RefCell::new(new_client(settings.connect_timeout)),
+            connections: RefCell::new(new_connections(&settings)),
         }
     }
 
@@ -235,13 +226,10 @@
     ) -> Result<R, HttpFailure> {
         let url = format!("http://{}{path}", self.settings.address);
         let encoded = body.map(serde_json::to_vec).transpose();
-        let body = encoded.context(EncodeSnafu {
-            method: method.clone(),
-            url: &url,
-        })?;
+        let body = encoded.context(EncodeSnafu { method, url: &url })?;
         let reply = self
             .exchange(HttpMessage {
-                method: method.clone(),
+                method,
                 path,
                 headers: &[],
                 body,
@@ -268,11 +256,11 @@
     /// Returns [`HttpFailure`] if there is no list.
     pub async fn list<R: DeserializeOwned>(&self, path: &str) -> Result<Vec<R>, HttpFailure> {
         let entries: Vec<Box<RawValue>> = self
-            .call(Method::GET, path, None::<&()>, Duration::ZERO)
+            .call(Method::Get, path, None::<&()>, Duration::ZERO)
             .await?;
         let read = entries.iter().filter_map(|entry| {
             let read = serde_json::from_str(entry.get());
-            read.inspect_err(|fault| self.leave_out(Method::GET, path, fault))
+            read.inspect_err(|fault| self.leave_out(Method::Get, path, fault))
                 .ok()
         });
         Ok(read.collect())
@@ -295,7 +283,7 @@
     pub async fn exchange(&self, message: HttpMessage<'_>) -> Result<HttpReply, HttpFailure> {
         let url = format!("http://{}{}", self.settings.address, message.path);
         let timeout = self.settings.timeout + message.wait;
-        let method = message.method.clone();
+        let method = message.method;
         let result = match tokio::time::timeout(timeout, self.send(&url, message)).await {
             Ok(result) => result,
             Err(_) => {
@@ -313,46 +301,47 @@
 
     async fn send(&self, url: &str, message: HttpMessage<'_>) -> Result<HttpReply, HttpFailure> {
         let method = message.method;
-        let client = self.client.borrow().clone();
-        let mut request = client
-            .request(method.clone(), url)
-            .address(self.settings.address);
-        for (name, value) in message.headers {
-            request = request.insert_header((*name, value.as_str()));
-        }
-        let sending = match message.body {
-            Some(body) => request
-                .insert_header(("Content-Type", "application/json"))
-                .send_body(body),
-            None => request.send(),
-        };
-        let mut response = sending
-            .await
-            .map_err(|e| sort_send_error(method.clone(), url, e))?;
-        let status = response.status().as_u16();
-        let headers = response.headers().clone();
-        let body = response.body().limit(MAX_REPLY_BYTES).await;
-        let body = body.context(TruncatedSnafu { method, url })?;
+        let address = self.settings.address;
+        let request = build_request(message, address).context(NotSentSnafu { method, url })?;
+        let connections = self.connections.borrow().clone();
+        let connection = connections.open().await;
+        let connection = connection.context(NotSentSnafu { method, url })?;
+        let response = connection.send(&request).await;
+        let response = response.context(LostSnafu { method, url })?;
+        let head = response.head.clone();
+        let body = response.read_to_end(MAX_REPLY_BYTES).await;
         Ok(HttpReply {
-            status,
-            headers,
-            body,
+            status: head.status,
+            head,
+            body: body.context(TruncatedSnafu { method, url })?,
         })
     }
 
     /// Drops the idle connections, so that the next call opens a new one.
     pub fn replace_pool(&self) {
-        self.client
-            .replace(new_client(self.settings.connect_timeout));
+        self.connections.replace(new_connections(&self.settings));
     }
 }
 
-fn sort_send_error(method: Method, url: &str, error: SendRequestError) -> HttpFailure {
-    if is_not_sent(&error) {
-        NotSentSnafu { method, url }.into_error(error)
-    } else {
-        LostSnafu { method, url }.into_error(error)
+fn new_connections(settings: &HttpSettings) -> Connections {
+    Connections::new(settings.address, settings.connect_timeout)
+}
+
+fn build_request(
+    message: HttpMessage<'_>,
+    address: SocketAddr,
+) -> Result<OutgoingRequest, SendError> {
+    let mut request = OutgoingRequest::new(message.method.as_str(), message.path, address)?;
+    for (name, value) in message.headers {
+        request = request.with(name, value)?;
     }
+    Ok(match message.body {
+        Some(body) => request
+            .with("content-type", "application/json")?
+            .with_body(body.into()),
+        None if message.method == Method::Post => request.with_body(Bytes::new()),
+        None => request,
+    })
 }
 
 /// Writes `text` so that it can stand as one segment of a path or one value of a query.
--- a/crates/laburnumstall-outside/src/http1.rs
+++ b/crates/laburnumstall-outside/src/http1.rs
@@ -3,12 +3,17 @@
 //! Whether a request may be retried depends on how much of it was written. Whether a
 //! connection may be reused depends on whether its last response ended exactly where its
 //! framing says. `httparse` parses the heads; framing is strict to prevent request smuggling.
+//!
+//! All responses of endpoints, of the key-value service and of the platform are read here, so that
+//! one rule tells a response from bytes that are none: RFC 9110 and RFC 9112.
 
 mod body;
+mod client;
 mod conn;
 mod head;
 
 pub use body::{BodyError, BodyReader, write_chunk};
+pub use client::{Connections, OutgoingRequest, Response, ResponseError, SendError};
 pub use conn::Conn;
 pub use head::{
     Framing, HeadError, HeadProgress, Header, RequestHead, ResponseHead, is_hop_by_hop,
--- a/crates/laburnumstall-outside/src/key_value/http.rs
+++ b/crates/laburnumstall-outside/src/key_value/http.rs
@@ -1,11 +1,10 @@
 //! The key-value service over HTTP.
 
-use awc::http::Method;
 use laburnumstall_core::store::{StoreCall, StoreFailure, StoreOutcome};
 
 use super::KeyValue;
 use super::wire::{STORE_PATH, WireCall, WireReply};
-use crate::http::{HttpSettings, JsonClient};
+use crate::http::{HttpSettings, JsonClient, Method};
 
 /// The key-value service at one address.
 pub struct HttpKeyValue {
@@ -31,7 +30,7 @@
         let call = WireCall::from(call);
         let reply = self
             .client
-            .call::<_, WireReply>(Method::POST, STORE_PATH, Some(&call), call.wait())
+            .call::<_, WireReply>(Method::Post, STORE_PATH, Some(&call), call.wait())
             .await;
         let without_reply = match &reply {
             Err(failure) if failure.is_without_effect() => StoreFailure::Unavailable,
@@ -40,7 +39,7 @@
         };
         let leave_out = |key: &str| {
             let fault = format!("malformed key or value: {key:?}");
-            self.client.leave_out(Method::POST, STORE_PATH, &fault);
+            self.client.leave_out(Method::Post, STORE_PATH, &fault);
         };
         reply
             .ok()
--- a/crates/laburnumstall-outside/src/weight_store/http.rs
+++ b/crates/laburnumstall-outside/src/weight_store/http.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use awc::http::Method;
 use laburnumstall_core::cloud::CallFailure;
 
 use super::{RATE_PATH, RESERVATIONS_PATH, Reservation, ReservedLoad, WeightRate, WeightStore};
 use crate::cloud::call_failure;
-use crate::http::{HttpSettings, JsonClient};
+use crate::http::{HttpSettings, JsonClient, Method};
 
 /// The weight store at one address.
 pub struct HttpWeightStore {
@@ -26,7 +25,7 @@
 impl WeightStore for HttpWeightStore {
     async fn rate(&self) -> Result<WeightRate, CallFailure> {
         self.client
-            .call(Method::GET, RATE_PATH, None::<&()>, Duration::ZERO)
+            .call(Method::Get, RATE_PATH, None::<&()>, Duration::ZERO)
             .await
             .map_err(|failure| call_failure(&failure))
     }
@@ -34,7 +33,7 @@
     async fn reserve(&self, reservation: &Reservation) -> Result<ReservedLoad, CallFailure> {
         self.client
             .call(
-                Method::POST,
+                Method::Post,
                 RESERVATIONS_PATH,
                 Some(reservation),
                 Duration::ZERO,
--- a/crates/laburnumstall-standins/tests/broken_answers.rs
+++ b/crates/laburnumstall-standins/tests/broken_answers.rs
@@ -132,8 +132,8 @@
     (text.into_inner().unwrap(), has_end)
 }
 
-/// Fails when `relay_plain` in `endpoint/relay.rs` does not compare the body's length, or
-/// when `relay_stream` there takes the end of the body for the end of the answer.
+/// Fails when a body that is shorter than its length ends without an error, or
+/// when `relay_stream` in `endpoint/relay.rs` takes the end of the body for the end of the answer.
 #[actix_rt::test]
 async fn only_whole_answers_end() {
     let (address, answers) = raw_server();
--- a/crates/laburnumstall-standins/tests/plain_calls.rs
+++ b/crates/laburnumstall-standins/tests/plain_calls.rs
@@ -88,7 +88,7 @@
     service.close();
 }
 
-/// Fails when `is_not_sent` in `http.rs` counts `ConnectError::Disconnected` as not sent.
+/// Fails when `response_failure` in `endpoint/relay.rs` counts a closed connection as not sent.
 #[actix_rt::test]
 async fn reset_does_not_tell_whether_it_ran() {
     let service = PlainStandIn::start(false).unwrap();
@@ -132,7 +132,7 @@
     service.close();
 }
 
-/// Fails when `client_for` in `endpoint/http.rs` takes the pool in every case, or when
+/// Fails when `connections_for` in `endpoint/http.rs` takes the pool in every case, or when
 /// `drop_connections` does nothing.
 #[actix_rt::test]
 async fn connections_are_pooled_or_new() {
--- a/crates/laburnumstall/src/admin_client.rs
+++ b/crates/laburnumstall/src/admin_client.rs
@@ -6,10 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::{PayloadError, SendRequestError};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use laburnumstall_config::admin::AdminError;
-use laburnumstall_outside::http::is_not_sent;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, ensure};
@@ -237,3 +236,19 @@
         Ok(self)
     }
 }
+
+/// Tells whether a failed send certainly wrote nothing.
+///
+/// `awc` reports a connection that closes before the response head as
+/// [`ConnectError::Disconnected`], although the request was written by then.
+fn is_not_sent(error: &SendRequestError) -> bool {
+    use ConnectError::{Io, NoRecords, Resolver, SslIsNotSupported, Timeout, Unresolved};
+    match error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(cause) => matches!(
+            cause,
+            Io(_) | NoRecords | Resolver(_) | SslIsNotSupported | Timeout | Unresolved
+        ),
+        _ => false,
+    }
+}
