Read the daemons' answers to operators strictly

Operators saw: `drain` said that a VM takes no new work, although the daemon's answer broke off; nothing shows that the daemon acted. Other commands decode the whole answer and failed.

Evidence: broken_answer_confirms_nothing failed on: exit Success for a 200 with 4 of 9 bytes.

Change: the client of the admin interface reads through `http1::Connections`. A broken answer is no answer: the next address is asked, and the message says that the call may have acted.

Result: the new test, admin_calls, admin_on_site and command_output pass.

--- a/crates/laburnumstall/src/admin_client.rs
+++ b/crates/laburnumstall/src/admin_client.rs
@@ -6,12 +6,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::{Method, StatusCode};
+use bytes::Bytes;
 use laburnumstall_config::admin::AdminError;
+use laburnumstall_outside::http1::{Connections, OutgoingRequest, ResponseError, SendError};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, ensure};
+use tokio::time::timeout;
 
 use crate::error::{
     CommandError, FailedAttempt, NotGivenSnafu, RefusedSnafu, UnauthorizedSnafu, UnreachableSnafu,
@@ -24,7 +26,6 @@
 
 /// Client of the admin interface of several daemons.
 pub(crate) struct AdminClient {
-    client: awc::Client,
     addresses: Vec<SocketAddr>,
     key: OperatorKey,
     timeout: Duration,
@@ -59,17 +60,16 @@
 }
 
 impl SendFailure {
-    fn before_answer(error: SendRequestError) -> Self {
-        let is_not_sent = is_not_sent(&error);
+    fn before_sending(error: SendError) -> Self {
         Self {
             reason: error.to_string(),
-            was_sent: !is_not_sent,
+            was_sent: false,
         }
     }
 
-    fn in_answer(error: PayloadError) -> Self {
+    fn after_sending(reason: impl ToString) -> Self {
         Self {
-            reason: error.to_string(),
+            reason: reason.to_string(),
             was_sent: true,
         }
     }
@@ -121,7 +121,6 @@
             .fail();
         };
         Ok(Self {
-            client: awc::Client::default(),
             addresses,
             key,
             timeout: settings.timeout,
@@ -160,24 +159,35 @@
         call: &AdminCall,
         address: SocketAddr,
     ) -> Result<AdminAnswer, SendFailure> {
-        let url = format!("http://{address}{}", call.path);
-        let sending = self
-            .client
-            .request(call.method.clone(), url)
-            .timeout(self.timeout)
-            .bearer_auth(self.key.reveal())
-            .content_type("application/json")
-            .send_body(call.body.clone());
-        let mut answer = sending.await.map_err(SendFailure::before_answer)?;
-        let reading = answer.body().limit(MAX_ANSWER_BYTES);
-        let body = reading.await.map_err(SendFailure::in_answer)?;
+        let request = self.request(call, address);
+        let request = request.map_err(SendFailure::before_sending)?;
+        let connections = Connections::new(address, self.timeout);
+        let connection = connections.open().await;
+        let connection = connection.map_err(SendFailure::before_sending)?;
+        let exchange = async {
+            let response = connection.send(&request).await?;
+            let status = response.head.status;
+            let body = response.read_to_end(MAX_ANSWER_BYTES).await?;
+            Ok::<(u16, Bytes), ResponseError>((status, body))
+        };
+        let answer = timeout(self.timeout, exchange).await;
+        let answer = answer.map_err(|_| SendFailure::after_sending("no answer in time"))?;
+        let (status, body) = answer.map_err(SendFailure::after_sending)?;
         Ok(AdminAnswer {
             purpose: call.purpose,
             address,
-            status: answer.status(),
+            status: StatusCode::from_u16(status).map_err(SendFailure::after_sending)?,
             body: body.to_vec(),
         })
     }
+
+    fn request(&self, call: &AdminCall, address: SocketAddr) -> Result<OutgoingRequest, SendError> {
+        let key = format!("Bearer {}", self.key.reveal());
+        let request = OutgoingRequest::new(call.method.as_str(), &call.path, address)?
+            .with("authorization", key)?
+            .with("content-type", "application/json")?;
+        Ok(request.with_body(Bytes::copy_from_slice(&call.body)))
+    }
 }
 
 impl AdminAnswer {
@@ -236,19 +246,3 @@
         Ok(self)
     }
 }
-
-/// Tells whether a failed send certainly wrote nothing.
-///
-/// `awc` reports a connection that closes before the response head as
-/// [`ConnectError::Disconnected`], although the request was written by then.
-fn is_not_sent(error: &SendRequestError) -> bool {
-    use ConnectError::{Io, NoRecords, Resolver, SslIsNotSupported, Timeout, Unresolved};
-    match error {
-        SendRequestError::Url(_) => true,
-        SendRequestError::Connect(cause) => matches!(
-            cause,
-            Io(_) | NoRecords | Resolver(_) | SslIsNotSupported | Timeout | Unresolved
-        ),
-        _ => false,
-    }
-}
