--- a/crates/laburnumstall-outside/src/http1.rs
+++ b/crates/laburnumstall-outside/src/http1.rs
@@ -13,7 +13,7 @@
 mod head;
 
 pub use body::{BodyError, BodyReader, write_chunk};
-pub use client::{Connections, OutgoingRequest, Response, ResponseError, SendError};
+pub use client::{Connection, Connections, OutgoingRequest, Response, ResponseError, SendError};
 pub use conn::Conn;
 pub use head::{
     Framing, HeadError, HeadProgress, Header, RequestHead, ResponseHead, is_hop_by_hop,
