--- a/crates/laburnumstall-outside/src/endpoint/http.rs
+++ b/crates/laburnumstall-outside/src/endpoint/http.rs
@@ -277,14 +277,19 @@
     reporter.sent().await?;
     let response = connection.send(&request).await;
     let response = response.map_err(|error| response_failure(&error))?;
-    let mut named = response.head.values(headers::REQUEST_ID);
-    if named.any(|named| named != Some(attempt.to_string().as_str())) {
+    if !names_attempt(&response, attempt) {
         return Err(AttemptFailure::protocol("the answer names another attempt").into());
     }
-    drop(named);
     Ok(response)
 }
 
+/// Returns whether a response names no other attempt.
+fn names_attempt(response: &Response, attempt: &AttemptId) -> bool {
+    let name = attempt.to_string();
+    let mut names = response.head.values(headers::REQUEST_ID);
+    names.all(|named| named == Some(name.as_str()))
+}
+
 async fn relay_engine(
     response: Response,
     tokens_before: u64,
--- a/crates/laburnumstall-outside/src/http.rs
+++ b/crates/laburnumstall-outside/src/http.rs
@@ -189,7 +189,7 @@
 pub struct HttpReply {
     /// HTTP status code.
     pub status: u16,
-    /// Status and headers.
+    /// Head with the headers.
     pub head: ResponseHead,
     /// Body.
     pub body: Bytes,
