--- a/crates/laburnumstall-standins/tests/broken_heads.rs
+++ b/crates/laburnumstall-standins/tests/broken_heads.rs
@@ -243,3 +243,44 @@
     let address = server(plain("HTTP/1.1 200 OK\r\n", ABSENT), End::Open);
     assert_eq!(read_key(address).await, Ok(StoreReply::Value(None)));
 }
+
+/// Starts a service that answers each call at once with a part of an answer without a length, and
+/// closes the connection with the upload unread, which resets it.
+fn early_server() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut buf = [0; 1_024];
+            assert!(stream.read(&mut buf).unwrap() > 0);
+            // The client may have gone.
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\na part");
+        }
+    });
+    address
+}
+
+/// A reset beside an upload does not end an answer, whoever used up the error of the socket.
+#[actix_rt::test]
+async fn early_answer_that_is_reset_has_no_end() {
+    const CALLS: usize = 100;
+    let address = early_server();
+    let client = HttpEndpointClient::new(TIMEOUT, TIMEOUT, |_| {});
+    let body = "x".repeat(4 << 20);
+    let mut ends = 0;
+    for _ in 0..CALLS {
+        let request = Request {
+            idempotent: false,
+            ..sample::request(Dialect::Plain, &body)
+        };
+        let (tx, mut rx) = mpsc::channel(64);
+        client.run(sample::call(address, request), tx).await;
+        let mut events = Vec::new();
+        while let Some(event) = rx.recv().await {
+            events.push(event);
+        }
+        assert_eq!(events[0], EndpointEvent::Sent);
+        ends += usize::from(has_end(&events));
+    }
+    assert_eq!(ends, 0, "of {CALLS}");
+}
