--- a/review/standins-3/src/case11.rs
+++ b/review/standins-3/src/case11.rs
@@ -1,6 +1,8 @@
-//! Daemons restart beside a store that holds the usage reports of half a year.
+//! Machines are added in a second region.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -8,38 +10,67 @@
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
-use crate::fleet::{self, Addresses, Daemon, HOST, KEY, Record, ZONES};
-use crate::http;
-use crate::replica::{Replica, Spec, Work};
-use crate::store::{Past, Store};
+use crate::fleet::{self, Addresses, Daemon, HOST, KEY, Place, Record, ZONES};
+use crate::http::{self, Server};
+use crate::json::Json;
+use crate::replica::{Replica, Spec};
+use crate::store::Store;
 
-/// Days for which the system has run.
-const DAYS: u64 = 180;
-/// Length of a usage window in seconds, as the settings say.
-const WINDOW_S: u64 = 5;
-/// Time of traffic before the fault.
-const BEFORE: Duration = Duration::from_secs(18);
-/// Time for which killed daemons are down.
-const DOWN: Duration = Duration::from_millis(1_400);
-/// Time after which the daemons have to serve again: `recover_s`.
-const RECOVER: Duration = Duration::from_secs(12);
-/// Time of traffic that is judged.
-const JUDGED: Duration = Duration::from_secs(40);
-/// Clients, each with a request every 250 ms.
-const CLIENTS: usize = 12;
-const PAUSE: Duration = Duration::from_millis(250);
+/// Zones and regions of the machines that are there from the start.
+const FIRST: [Place; 4] = [
+    Place {
+        zone: "tt-north-a",
+        region: "tt-north",
+    },
+    Place {
+        zone: "tt-north-b",
+        region: "tt-north",
+    },
+    Place {
+        zone: "tt-north-a",
+        region: "tt-north",
+    },
+    Place {
+        zone: "tt-north-b",
+        region: "tt-north",
+    },
+];
+/// Zones and regions of the machines that are added.
+const ADDED: [Place; 2] = [
+    Place {
+        zone: "tt-south-a",
+        region: "tt-south",
+    },
+    Place {
+        zone: "tt-south-a",
+        region: "tt-south",
+    },
+];
+/// Time before the machines are added.
+const BEFORE: Duration = Duration::from_secs(20);
+/// Time after that.
+const AFTER: Duration = Duration::from_secs(40);
+/// Pause between two requests of a client.
+const PAUSE: Duration = Duration::from_millis(200);
 
-#[derive(Debug, Clone, Copy)]
-struct Sent {
+/// A report that the platform got.
+struct Report {
     at: Instant,
-    is_served: bool,
+    owner: String,
+    token: u64,
+    window: u64,
+    counts: String,
+    is_accepted: bool,
 }
 
+type Reports = Arc<Mutex<Vec<Report>>>;
+
 pub fn run(folder: &Path, temporary: &Path, has_trouble: bool) -> io::Result<Outcome> {
     let record = Record::create(&folder.join("record.txt"))?;
     let addresses = Addresses::new();
     let store = Arc::new(Store::start(addresses.at(1, 0))?);
-    let provider = fleet::start_provider(addresses.at(2, 0), Arc::clone(&record))?;
+    let reports: Reports = Arc::default();
+    let provider = start_provider(addresses.at(2, 0), &reports, &record)?;
     store.write("op/config", &configuration());
     let runs = Arc::new(AtomicU64::new(0));
     let mut replicas = Vec::new();
@@ -48,133 +79,96 @@
             id: format!("i-{index:08x}"),
             service: "wuno96b",
             zone,
-            version: "1",
             capacity: 6,
-            work: Work::Plain(Duration::from_millis(60)),
-            keep_alive: 5,
+            work: Duration::from_millis(60),
         };
         let address = addresses.at(100 + index as u8, 0);
-        replicas.push(Replica::start(spec, address, &store, &runs, None)?);
+        replicas.push(Replica::start(spec, address, &store, &runs, &record)?);
     }
-    let mut daemons = Vec::new();
-    for number in 1..=4 {
+    let prepare = |number: u8, place: Place| {
         let (store, provider) = (store.address, provider.address);
-        let mut daemon = Daemon::prepare(temporary, &addresses, number, store, provider)?;
+        Daemon::prepare_at(temporary, &addresses, number, place, store, provider)
+    };
+    let mut daemons = Vec::new();
+    for (number, place) in (1..).zip(FIRST) {
+        let mut daemon = prepare(number, place)?;
         daemon.start()?;
         daemons.push(daemon);
     }
     if !fleet::wait_ready(&daemons, Duration::from_secs(10)) {
         return Ok(Outcome::CannotRun("the daemons do not get ready".into()));
     }
-    record.print("four daemons are ready");
-
-    let directories: Vec<_> = daemons.iter().map(|daemon| daemon.directory).collect();
-    let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
+    record.print("four daemons in region tt-north are ready");
     let is_over = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let (directories, sent) = (directories.clone(), Arc::clone(&sent));
-            let (is_over, record) = (Arc::clone(&is_over), Arc::clone(&record));
-            http::spawn(move || run_client(client, &directories, &sent, &is_over, &record))
-        })
-        .collect();
-    thread::sleep(BEFORE);
-
-    let reports = store.keys("laburnumstall/usage/");
-    for (key, lease, value) in &reports {
-        record.note(&format!("in the store: {key}, lease {lease}, {value}"));
+    let mut clients = Vec::new();
+    for (number, daemon) in (1..).zip(&daemons) {
+        clients.push(start_client(number, daemon.front, &is_over, &record));
     }
-    let Some((first, _, _)) = reports.first() else {
-        return Ok(Outcome::CannotRun(
-            "the daemons stored no usage report".into(),
-        ));
-    };
-    let unbound = reports.iter().filter(|(_, lease, _)| *lease == 0).count();
-    record.print(&format!(
-        "the daemons have written {} usage reports, {unbound} of them without a lease",
-        reports.len()
-    ));
-    let first: u64 = first
-        .rsplit('/')
-        .next()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
-    let count = DAYS * 86_400 / WINDOW_S;
-    store.set_past(Past {
-        prefix: "laburnumstall/usage/".into(),
-        first: first - count,
-        count,
-        value: |window| format!("{{\"window\":{window},\"counts\":{{\"huka270\":251}}}}"),
-    });
-    record.print(&format!(
-        "the store holds the {count} reports of the {DAYS} days before, too"
-    ));
-
-    let pages_before = store.pages();
+    thread::sleep(BEFORE);
+    let added_at = Instant::now();
     if has_trouble {
-        for daemon in &mut daemons {
-            daemon.kill();
-        }
-        record.print("all daemons are killed");
-        thread::sleep(DOWN);
-        for daemon in &mut daemons {
+        for (number, place) in (1 + FIRST.len() as u8..).zip(ADDED) {
+            let mut daemon = prepare(number, place)?;
             daemon.start()?;
+            clients.push(start_client(
+                u32::from(number),
+                daemon.front,
+                &is_over,
+                &record,
+            ));
+            daemons.push(daemon);
         }
-        record.print("all daemons are started again");
-    } else {
-        thread::sleep(DOWN);
-    }
-    let back_at = Instant::now();
-    let judged_from = back_at + RECOVER;
-    while back_at.elapsed() < RECOVER + JUDGED {
-        thread::sleep(Duration::from_secs(4));
-        let ready = daemons.iter().filter(|daemon| daemon.is_ready()).count();
-        let running = daemons
-            .iter_mut()
-            .filter_map(|d| d.is_running().then_some(()))
-            .count();
-        record.print(&format!(
-            "{:.0} s later: {running} daemons run, {ready} are ready; {} pages of the store read; \
-             the first daemon's memory: {}",
-            back_at.elapsed().as_secs_f64(),
-            store.pages() - pages_before,
-            daemons[0].status("VmRSS")
-        ));
+        if !fleet::wait_ready(&daemons, Duration::from_secs(10)) {
+            return Ok(Outcome::CannotRun(
+                "the added daemons do not get ready".into(),
+            ));
+        }
+        record.print("two daemons in region tt-south are added, and ready");
     }
+    thread::sleep(AFTER);
     is_over.store(true, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
     }
-    let sent = sent.lock().unwrap();
-    let share = |from: Instant, to: Instant| {
-        let all: Vec<_> = sent
-            .iter()
-            .filter(|sent| sent.at >= from && sent.at < to)
-            .collect();
-        let served = all.iter().filter(|sent| sent.is_served).count();
-        (all.len(), served)
-    };
-    let start = sent.first().map_or(back_at, |sent| sent.at);
-    let (before, served_before) = share(start, start + BEFORE);
-    let (after, served_after) = share(judged_from, judged_from + JUDGED - Duration::from_secs(4));
-    record.print(&format!(
-        "before: {served_before} of {before} requests served"
-    ));
+    for (key, _, value) in store.keys("laburnumstall/placement/") {
+        record.note(&format!("in the store: {key}: {value}"));
+    }
+    let reports = reports.lock().unwrap();
+    let before = reports.iter().filter(|report| report.at < added_at).count();
+    let mut owners: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
+    for report in reports.iter() {
+        owners
+            .entry(report.token)
+            .or_default()
+            .insert(&report.owner);
+    }
+    let shared: Vec<String> = owners
+        .iter()
+        .filter(|(_, owners)| owners.len() > 1)
+        .map(|(token, owners)| format!("{token} by {owners:?}"))
+        .collect();
+    let mut accepted: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
+    for report in reports.iter().filter(|report| report.is_accepted) {
+        accepted
+            .entry(report.window)
+            .or_default()
+            .insert(&report.counts);
+    }
+    let differing = accepted.values().filter(|counts| counts.len() > 1).count();
     record.print(&format!(
-        "sent later than recover_s after the daemons were back: {served_after} of {after} served; \
-         the replicas ran {}",
+        "{} usage reports, {before} of them before; tokens that two holders sent: {shared:?}; \
+         windows accepted with different counts: {differing}; replicas ran {} requests",
+        reports.len(),
         runs.load(Ordering::SeqCst)
     ));
-    if served_before * 4 < before || before < 100 || after < 100 {
-        return Ok(Outcome::CannotRun(
-            "too few requests, or few served before".into(),
-        ));
+    if before == 0 || reports.len() <= before {
+        return Ok(Outcome::CannotRun("no usage reports came".into()));
     }
-    let is_broken = served_after * 4 < after;
+    let is_broken = !shared.is_empty() || differing > 0;
     record.print(if is_broken {
-        "RECOVER is broken"
+        "ONE is broken"
     } else {
-        "RECOVER holds"
+        "ONE holds"
     });
     Ok(if is_broken {
         Outcome::Broken
@@ -183,6 +177,84 @@
     })
 }
 
+/// Starts the platform's API, which refuses a fencing token below one that it has seen. All windows
+/// are one subject.
+fn start_provider(
+    address: SocketAddr,
+    reports: &Reports,
+    record: &Arc<Record>,
+) -> io::Result<Server> {
+    let (reports, record) = (Arc::clone(reports), Arc::clone(record));
+    let highest = Mutex::new(0);
+    Server::start(address, move |caller| {
+        while let Some(mut message) = http::read_head(&mut caller.reader)? {
+            http::read_body(&mut caller.reader, &mut message)?;
+            let owner = message
+                .header("x-duty-owner")
+                .unwrap_or_default()
+                .to_owned();
+            let token = message
+                .header("x-fencing-token")
+                .and_then(|text| text.parse().ok());
+            let token: u64 = token.unwrap_or_default();
+            let body = Json::parse(&message.body).unwrap_or(Json::Null);
+            let text = String::from_utf8_lossy(&message.body).into_owned();
+            let is_accepted = {
+                let mut highest = highest.lock().unwrap();
+                let is_accepted = token >= *highest;
+                *highest = token.max(*highest);
+                is_accepted
+            };
+            let status = if is_accepted { 200 } else { 409 };
+            record.note(&format!(
+                "{} by {owner}, token {token}: {text}: {status}",
+                message.line
+            ));
+            if message.path() == "/usage" {
+                let counts = text
+                    .split_once("\"counts\":")
+                    .map(|(_, counts)| counts.to_owned());
+                reports.lock().unwrap().push(Report {
+                    at: Instant::now(),
+                    owner,
+                    token,
+                    window: body.get("window_id").and_then(Json::number).unwrap_or(0),
+                    counts: counts.unwrap_or_default(),
+                    is_accepted,
+                });
+            }
+            caller.reply(status, "content-type: application/json\r\n", b"{}")?;
+        }
+        Ok(())
+    })
+}
+
+fn start_client(
+    client: u32,
+    front: SocketAddr,
+    is_over: &Arc<AtomicBool>,
+    record: &Arc<Record>,
+) -> thread::JoinHandle<()> {
+    let (is_over, record) = (Arc::clone(is_over), Arc::clone(record));
+    http::spawn(move || {
+        let (mut sent, mut served) = (0, 0);
+        while !is_over.load(Ordering::SeqCst) {
+            sent += 1;
+            let message = format!(
+                "GET /pule252/{sent} HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: \
+                 {client:04x}{sent:012x}\r\nx-deadline-ms: 4000\r\nauthorization: Bearer {KEY}\
+                 \r\n\r\n"
+            );
+            let reply = http::call(front, &message, Duration::from_secs(5));
+            served += u32::from(reply.is_ok_and(|reply| reply.status() == 200));
+            thread::sleep(PAUSE);
+        }
+        record.note(&format!(
+            "client of {front}: {sent} requests sent, {served} served"
+        ));
+    })
+}
+
 fn configuration() -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\
@@ -196,56 +268,3 @@
          \"tenants\":[{{\"name\":\"huka270\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}"
     )
 }
-
-/// Sends a request every 250 ms to one of the addresses that the directory names, on a new
-/// connection, and once more to another one if it fails.
-fn run_client(
-    client: usize,
-    directories: &[std::net::SocketAddr],
-    sent: &Mutex<Vec<Sent>>,
-    is_over: &AtomicBool,
-    record: &Record,
-) {
-    let mut known = Vec::new();
-    for number in 0_usize.. {
-        if is_over.load(Ordering::SeqCst) {
-            return;
-        }
-        let at = Instant::now();
-        if number.is_multiple_of(4) {
-            let first = (client + number / 4) % directories.len();
-            let mut order = directories.to_vec();
-            order.rotate_left(first);
-            order.truncate(3);
-            let addresses = fleet::resolve(&order);
-            if !addresses.is_empty() {
-                known = addresses;
-            }
-        }
-        let mut is_served = false;
-        for attempt in 0..2 {
-            let Some(address) = known.get((client + number + attempt) % known.len().max(1)) else {
-                break;
-            };
-            let id = format!("{client:04x}{number:010x}{attempt:02x}");
-            let message = format!(
-                "GET /pule252/2f HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {id}\r\n\
-                 x-deadline-ms: 4000\r\nauthorization: Bearer {KEY}\r\n\r\n"
-            );
-            let reply = http::call(*address, &message, Duration::from_secs(1));
-            let outcome = match &reply {
-                Ok(reply) => format!("{}", reply.status()),
-                Err(error) => format!("no answer: {error}"),
-            };
-            record.note(&format!("client {client}: {id} to {address}: {outcome}"));
-            let has_signature =
-                |reply: &http::Message| reply.header("x-replica-signature").is_some();
-            if reply.is_ok_and(|reply| reply.status() == 200 && has_signature(&reply)) {
-                is_served = true;
-                break;
-            }
-        }
-        sent.lock().unwrap().push(Sent { at, is_served });
-        thread::sleep(PAUSE.saturating_sub(at.elapsed()));
-    }
-}
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -17,6 +17,13 @@
 /// Key of the only tenant's client.
 pub const KEY: &str = "3d3zji9n73hh2b9wu3fe";
 
+/// Where a machine is.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    pub zone: &'static str,
+    pub region: &'static str,
+}
+
 /// What happened, for `record.txt`.
 pub struct Record {
     file: Mutex<File>,
@@ -80,14 +87,11 @@
 
 /// A daemon of the system.
 pub struct Daemon {
-    pub name: String,
     pub front: SocketAddr,
     pub readiness: SocketAddr,
-    pub directory: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     program: PathBuf,
-    max_descriptors: Option<u32>,
     child: Option<Child>,
 }
 
@@ -101,13 +105,30 @@
         provider: SocketAddr,
     ) -> io::Result<Self> {
         let zone = ZONES[usize::from(number) % ZONES.len()];
+        let place = Place {
+            zone,
+            region: "tt-north",
+        };
+        Self::prepare_at(folder, addresses, number, place, store, provider)
+    }
+
+    /// Prepares the daemon on a machine in `place`.
+    pub fn prepare_at(
+        folder: &Path,
+        addresses: &Addresses,
+        number: u8,
+        place: Place,
+        store: SocketAddr,
+        provider: SocketAddr,
+    ) -> io::Result<Self> {
+        let Place { zone, region } = place;
         let name = format!("edge-{zone}-{number}");
         let at = |port| addresses.at(10 + number, port);
         let (front, readiness, directory) = (at(8360), at(8365), at(8364));
         let text = format!(
             "node_name: \"{name}\"\nrole: \"entry\"\nnode_class: \"edge\"\n\
              serves:\n  - \"edge\"\n  - \"registry\"\nip: \"{}\"\nzone: \"{zone}\"\n\
-             region: \"tt-north\"\nlisten:\n  http: \"{front}\"\n  readiness: \"{readiness}\"\n  \
+             region: \"{region}\"\nlisten:\n  http: \"{front}\"\n  readiness: \"{readiness}\"\n  \
              registry: \"{directory}\"\nport_range:\n  - 7500\n  - 7515\nseed_nodes: []\n\
              bootstrap: true\nlimits:\n  cpu_quota: 0.5\n  cpus: 1\n  memory_mb: 520\n  \
              max_fds: 8200\n  bandwidth_mbps: 2000.0\n  disk_mb: 0\ndata_dir: null\n\
@@ -131,35 +152,18 @@
         let log = folder.join(format!("{name}.log"));
         let program = PathBuf::from("target/release/laburnumstalld");
         Ok(Self {
-            name,
             front,
             readiness,
-            directory,
             settings,
             log,
             program,
-            max_descriptors: None,
             child: None,
         })
     }
 
-    /// Limits the descriptors of the process, as the platform does.
-    pub fn set_max_descriptors(&mut self, max: u32) {
-        self.max_descriptors = Some(max);
-    }
-
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let mut command = match self.max_descriptors {
-            None => Command::new(&self.program),
-            Some(max) => {
-                let mut command = Command::new("bash");
-                command.args(["-c", &format!("ulimit -n {max} && exec \"$0\" \"$@\"")]);
-                command.arg(&self.program);
-                command
-            }
-        };
-        let child = command
+        let child = Command::new(&self.program)
             .arg("gateway")
             .env("LABURNUMSTALL_BOOT", &self.settings)
             .stdin(Stdio::null())
@@ -171,10 +175,6 @@
         Ok(())
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
     /// Kills the process by SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -184,32 +184,11 @@
         }
     }
 
-    /// Returns whether the process is still there.
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     pub fn is_ready(&self) -> bool {
         let message = "GET /api/ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
         let reply = http::call(self.readiness, message, Duration::from_millis(500));
         reply.is_ok_and(|reply| reply.status() == 200)
     }
-
-    /// Returns a line of `/proc/PID/status`.
-    pub fn status(&self, name: &str) -> String {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = text
-            .lines()
-            .find(|line| line.starts_with(name))
-            .unwrap_or_default();
-        line.split_whitespace().collect::<Vec<_>>().join(" ")
-    }
-
-    /// Returns the number of open descriptors.
-    pub fn descriptors(&self) -> usize {
-        fs::read_dir(format!("/proc/{}/fd", self.pid())).map_or(0, Iterator::count)
-    }
 }
 
 impl Drop for Daemon {
@@ -246,26 +225,3 @@
     }
     false
 }
-
-/// Asks the daemons, one after the other, for the addresses that clients may connect to.
-pub fn resolve(directories: &[SocketAddr]) -> Vec<SocketAddr> {
-    for directory in directories {
-        let message = format!(
-            "GET /api/resolve?name={HOST}&region=tt-north&zone=tt-north-a HTTP/1.1\r\n\
-             host: {directory}\r\nconnection: close\r\n\r\n"
-        );
-        let Ok(reply) = http::call(*directory, &message, Duration::from_secs(1)) else {
-            continue;
-        };
-        let body = crate::json::Json::parse(&reply.body);
-        let list = body
-            .map(|body| body.list("addresses").to_vec())
-            .unwrap_or_default();
-        let texts = list.iter().filter_map(crate::json::Json::text);
-        let addresses: Vec<SocketAddr> = texts.filter_map(|text| text.parse().ok()).collect();
-        if !addresses.is_empty() {
-            return addresses;
-        }
-    }
-    Vec::new()
-}
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -2,8 +2,7 @@
 
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -139,30 +138,11 @@
         message.extend_from_slice(body);
         self.send(&message)
     }
-
-    /// Returns whether the other side has closed the connection.
-    pub fn is_closed(&self) -> bool {
-        let io = self.reader.get_ref();
-        let _ = io.set_nonblocking(true);
-        let peeked = io.peek(&mut [0]);
-        let _ = io.set_nonblocking(false);
-        match peeked {
-            Ok(count) => count == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        }
-    }
 }
 
-/// A server until it is ended, which closes its listener and all connections.
+/// A server that serves until the process ends.
 pub struct Server {
     pub address: SocketAddr,
-    state: Arc<ServerState>,
-}
-
-#[derive(Default)]
-struct ServerState {
-    is_ended: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Server {
@@ -172,64 +152,34 @@
         serve: impl Fn(&mut Caller) -> io::Result<()> + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let state = Arc::new(ServerState::default());
-        let (known, serve) = (Arc::clone(&state), Arc::new(serve));
-        spawn(move || accept(&listener, &known, &serve));
-        Ok(Self { address, state })
-    }
-
-    /// Ends the server as the end of its process would.
-    pub fn end(&self) {
-        self.state.is_ended.store(true, Ordering::SeqCst);
-        // The listener is polled.
-        thread::sleep(Duration::from_millis(4));
-        for io in self.state.connections.lock().unwrap().drain(..) {
-            let _ = io.shutdown(Shutdown::Both);
-        }
+        let serve = Arc::new(serve);
+        spawn(move || accept(&listener, &serve));
+        Ok(Self { address })
     }
 }
 
-fn accept<F>(listener: &TcpListener, state: &Arc<ServerState>, serve: &Arc<F>)
+fn accept<F>(listener: &TcpListener, serve: &Arc<F>)
 where
     F: Fn(&mut Caller) -> io::Result<()> + Send + Sync + 'static,
 {
-    let mut accepted = 0_usize;
-    while !state.is_ended.load(Ordering::SeqCst) {
+    loop {
         let Ok((io, _)) = listener.accept() else {
             thread::sleep(Duration::from_millis(1));
             continue;
         };
-        let _ = io.set_nonblocking(false);
         let _ = io.set_nodelay(true);
-        let Ok(copy) = io.try_clone() else { continue };
-        accepted += 1;
-        let mut connections = state.connections.lock().unwrap();
-        if accepted.is_multiple_of(64) {
-            connections.retain(|io| !is_dead(io));
-        }
-        connections.push(copy);
-        drop(connections);
         let serve = Arc::clone(serve);
-        let known = Arc::clone(state);
         spawn(move || {
-            let reader = BufReader::new(io);
-            let mut caller = Caller { reader };
+            let mut caller = Caller {
+                reader: BufReader::new(io),
+            };
             let _ = serve(&mut caller);
-            let io = caller.reader.get_ref();
-            let _ = io.shutdown(Shutdown::Both);
-            let local = io.peer_addr().ok();
-            let mut connections = known.connections.lock().unwrap();
-            connections.retain(|io| io.peer_addr().ok() != local && io.peer_addr().is_ok());
+            let _ = caller.reader.get_ref().shutdown(Shutdown::Both);
         });
     }
 }
 
-fn is_dead(io: &TcpStream) -> bool {
-    io.peer_addr().is_err()
-}
-
 pub fn spawn(f: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
     let builder = thread::Builder::new().stack_size(STACK);
     builder.spawn(f).expect("a thread can be started")
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -2,8 +2,6 @@
 
 mod case11;
 mod case12;
-mod case13;
-mod case14;
 mod fleet;
 mod http;
 mod json;
@@ -38,8 +36,6 @@
     let run = match number.as_str() {
         "11" => case11::run,
         "12" => case12::run,
-        "13" => case13::run,
-        "14" => case14::run,
         _ => {
             eprintln!("no case {number:?}");
             return ExitCode::from(2);
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -43,16 +43,6 @@
     ends_at: Instant,
 }
 
-/// Keys that were written before the store was started.
-#[derive(Clone)]
-pub struct Past {
-    pub prefix: String,
-    pub first: u64,
-    pub count: u64,
-    /// Value of the key with a number.
-    pub value: fn(u64) -> String,
-}
-
 #[derive(Default)]
 struct Table {
     revision: u64,
@@ -62,8 +52,6 @@
     forgotten: u64,
     leases: HashMap<u64, Lease>,
     next_lease: u64,
-    past: Option<Past>,
-    pages: u64,
 }
 
 #[derive(Default)]
@@ -115,14 +103,6 @@
         }
     }
 
-    /// Removes a key for the operator or a replica.
-    pub fn remove(&self, key: &str) {
-        let mut table = self.shared.table.lock().unwrap();
-        table.remove(key);
-        drop(table);
-        self.shared.changed.notify_all();
-    }
-
     /// Returns the keys with a prefix, with their leases.
     pub fn keys(&self, prefix: &str) -> Vec<(String, u64, String)> {
         let table = self.shared.table.lock().unwrap();
@@ -135,16 +115,6 @@
             .map(|(key, item)| (key.clone(), item.lease, text(item)))
             .collect()
     }
-
-    /// Adds keys that were written before.
-    pub fn set_past(&self, past: Past) {
-        self.shared.table.lock().unwrap().past = Some(past);
-    }
-
-    /// Returns the pages that were read.
-    pub fn pages(&self) -> u64 {
-        self.shared.table.lock().unwrap().pages
-    }
 }
 
 impl Table {
@@ -196,65 +166,20 @@
         } else {
             Bound::Excluded(after)
         };
-        let mut real = self
-            .items
-            .range::<str, _>((from, Bound::Unbounded))
-            .peekable();
-        let mut number = self.past.as_ref().map_or(0, |past| past.first_after(after));
         let mut page = Vec::new();
         let mut bytes = 0;
-        loop {
-            let next = real.peek().filter(|(key, _)| key.starts_with(prefix));
-            let past = self
-                .past
-                .as_ref()
-                .filter(|past| past.prefix.starts_with(prefix));
-            let past = past.filter(|past| number < past.first + past.count);
-            let past_key = past.map(|past| format!("{}{number}", past.prefix));
-            let is_past = match (&next, &past_key) {
-                (None, None) => return (page, false),
-                (Some((key, _)), Some(past_key)) => past_key < key,
-                (next, _) => next.is_none(),
-            };
+        for (key, item) in self.items.range::<str, _>((from, Bound::Unbounded)) {
+            if !key.starts_with(prefix) {
+                break;
+            }
             if page.len() >= PAGE_ITEMS || bytes >= PAGE_BYTES {
                 return (page, true);
             }
-            let entry = match (is_past, past, next) {
-                (true, Some(past), _) => {
-                    let value = (past.value)(number).into_bytes();
-                    let revision = 1 + number - past.first;
-                    let item = Item {
-                        value,
-                        revision,
-                        created: revision,
-                        lease: 0,
-                    };
-                    number += 1;
-                    encode(&past_key.unwrap_or_default(), &item)
-                }
-                (_, _, Some((key, item))) => {
-                    let entry = encode(key, item);
-                    real.next();
-                    entry
-                }
-                _ => return (page, false),
-            };
+            let entry = encode(key, item);
             bytes += entry.len();
             page.push(entry);
         }
-    }
-}
-
-impl Past {
-    fn first_after(&self, after: &str) -> u64 {
-        let number = after
-            .strip_prefix(&self.prefix)
-            .and_then(|text| text.parse::<u64>().ok());
-        match number {
-            Some(number) => (number + 1).max(self.first),
-            None if after > self.prefix.as_str() => u64::MAX,
-            None => self.first,
-        }
+        (page, false)
     }
 }
 
@@ -314,8 +239,7 @@
                 item.map_or((404, "{}".into()), |item| (200, item))
             }
             ("GET", "/api/kv-range") => {
-                let mut table = self.table.lock().unwrap();
-                table.pages += 1;
+                let table = self.table.lock().unwrap();
                 let (entries, has_more) = table.page(&prefix, &after);
                 let (entries, at) = (entries.join(","), table.revision);
                 let body =
