Add stand-ins for streams, and for replicas that a request crashes

Two kinds of replicas are new, one that answers with event streams and one that a request crashes, and the programs of cases 13 and 14.

--- /dev/null
+++ b/review/standins-3/src/fragile.rs
@@ -0,0 +1,169 @@
+//! Stand-in for a replica that one request crashes; it is back some seconds later.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::fleet::{Record, unix_ms};
+use crate::http::{self, Caller, Message};
+use crate::store::Store;
+
+/// Time from a crash until the replica is back, as a new incarnation with a new id.
+const RETURN: Duration = Duration::from_millis(2_500);
+/// Time from a crash until the entry of the old one is removed: three heartbeat intervals.
+const REMOVAL: Duration = Duration::from_millis(3_600);
+/// Time for which a request runs.
+const WORK: Duration = Duration::from_millis(60);
+/// Time after which the request that crashes replicas does so.
+const CRASH: Duration = Duration::from_millis(20);
+
+/// What the replicas of a case share.
+pub struct Plan {
+    pub store: Arc<Store>,
+    pub record: Arc<Record>,
+    /// Path of the request that crashes replicas; `None` if it runs like others.
+    pub deadly: Option<&'static str>,
+    /// When it reached replicas.
+    pub reached: Mutex<Vec<Instant>>,
+    pub next_id: AtomicU64,
+}
+
+/// Service and place of a replica.
+#[derive(Debug, Clone, Copy)]
+pub struct Seat {
+    pub service: &'static str,
+    pub zone: &'static str,
+    pub address: SocketAddr,
+}
+
+struct Incarnation {
+    id: String,
+    seat: Seat,
+    plan: Arc<Plan>,
+    has_crashed: AtomicBool,
+    conns: Mutex<BTreeMap<u64, TcpStream>>,
+}
+
+/// Starts a replica, which registers itself.
+pub fn start(plan: &Arc<Plan>, seat: Seat) -> io::Result<()> {
+    let listener = TcpListener::bind(seat.address)?;
+    let number = plan.next_id.fetch_add(1, Ordering::SeqCst);
+    let replica = Arc::new(Incarnation {
+        id: format!("i-{number:08x}"),
+        seat,
+        plan: Arc::clone(plan),
+        has_crashed: AtomicBool::new(false),
+        conns: Mutex::default(),
+    });
+    let entry = format!(
+        "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"1\",\"capacity\":6,\
+         \"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{}}}",
+        seat.service,
+        listener.local_addr()?,
+        seat.zone,
+        unix_ms()
+    );
+    plan.store.write(&replica.key(), &entry);
+    http::spawn(move || replica.accept(&listener));
+    Ok(())
+}
+
+impl Incarnation {
+    fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    fn accept(self: Arc<Self>, listener: &TcpListener) {
+        for number in 0.. {
+            let Ok((io, _)) = listener.accept() else {
+                continue;
+            };
+            if self.has_crashed.load(Ordering::SeqCst) {
+                return;
+            }
+            let (Ok(clone), Ok(())) = (io.try_clone(), io.set_nodelay(true)) else {
+                continue;
+            };
+            self.conns.lock().unwrap().insert(number, clone);
+            let replica = Arc::clone(&self);
+            http::spawn(move || {
+                let mut caller = Caller::new(io);
+                let _ = replica.serve(&mut caller);
+                replica.conns.lock().unwrap().remove(&number);
+                caller.close();
+            });
+        }
+    }
+
+    fn serve(&self, caller: &mut Caller) -> io::Result<()> {
+        while let Some(mut message) = http::read_head(&mut caller.reader)? {
+            http::read_body(&mut caller.reader, &mut message)?;
+            self.serve_one(caller, &message)?;
+            if message.should_close() || self.has_crashed.load(Ordering::SeqCst) {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn serve_one(&self, caller: &mut Caller, message: &Message) -> io::Result<()> {
+        let own = self.id.as_str();
+        if message.path() == "/healthz" {
+            return caller.reply(200, &format!("x-replica-id: {own}\r\n"), b"");
+        }
+        let Some(id) = message.header("x-attempt-id").map(str::to_owned) else {
+            return caller.reply(400, "x-not-executed: 1\r\n", b"");
+        };
+        let expected = message.header("x-expected-replica");
+        if expected.is_some_and(|expected| expected != own) {
+            let headers = format!("x-attempt-id: {id}\r\nx-not-executed: 1\r\n");
+            return caller.reply(421, &headers, b"");
+        }
+        let service = self.seat.service;
+        if self.plan.deadly == Some(message.path()) {
+            self.plan.reached.lock().unwrap().push(Instant::now());
+            self.plan.record.note(&format!(
+                "replica {own} of {service} runs {id}, and crashes"
+            ));
+            thread::sleep(CRASH);
+            self.crash();
+            return Ok(());
+        }
+        thread::sleep(WORK);
+        if self.has_crashed.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        self.plan
+            .record
+            .note(&format!("replica {own} of {service} has run {id}"));
+        let headers = format!(
+            "x-attempt-id: {id}\r\nx-replica-signature: {own}.{id}\r\nkeep-alive: timeout=5\r\n"
+        );
+        caller.reply(200, &headers, &[b'a'; 800])
+    }
+
+    /// Ends the process: its port refuses connections, and those that it has are closed.
+    fn crash(&self) {
+        if self.has_crashed.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        // Wakes the listener, so that it closes.
+        let _ = TcpStream::connect(self.seat.address);
+        for conn in self.conns.lock().unwrap().values() {
+            let _ = conn.shutdown(Shutdown::Both);
+        }
+        let (plan, seat, key) = (Arc::clone(&self.plan), self.seat, self.key());
+        http::spawn(move || {
+            thread::sleep(RETURN);
+            if let Err(error) = start(&plan, seat) {
+                plan.record.note(&format!("a replica is not back: {error}"));
+            }
+            thread::sleep(REMOVAL - RETURN);
+            plan.store.delete(&key);
+        });
+    }
+}
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -125,6 +125,16 @@
 }
 
 impl Caller {
+    pub fn new(io: TcpStream) -> Self {
+        Self {
+            reader: BufReader::new(io),
+        }
+    }
+
+    pub fn close(self) {
+        let _ = self.reader.get_ref().shutdown(Shutdown::Both);
+    }
+
     pub fn send(&mut self, data: &[u8]) -> io::Result<()> {
         self.reader.get_mut().write_all(data)
     }
@@ -171,16 +181,14 @@
         let _ = io.set_nodelay(true);
         let serve = Arc::clone(serve);
         spawn(move || {
-            let mut caller = Caller {
-                reader: BufReader::new(io),
-            };
+            let mut caller = Caller::new(io);
             let _ = serve(&mut caller);
-            let _ = caller.reader.get_ref().shutdown(Shutdown::Both);
+            caller.close();
         });
     }
 }
 
-pub fn spawn(f: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
+pub fn spawn<T: Send + 'static>(f: impl FnOnce() -> T + Send + 'static) -> thread::JoinHandle<T> {
     let builder = thread::Builder::new().stack_size(STACK);
     builder.spawn(f).expect("a thread can be started")
 }
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -2,7 +2,11 @@
 
 mod case11;
 mod case12;
+mod case13;
+mod case14;
+mod engine;
 mod fleet;
+mod fragile;
 mod http;
 mod json;
 mod replica;
@@ -36,6 +40,8 @@
     let run = match number.as_str() {
         "11" => case11::run,
         "12" => case12::run,
+        "13" => case13::run,
+        "14" => case14::run,
         _ => {
             eprintln!("no case {number:?}");
             return ExitCode::from(2);
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::ops::Bound;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,6 +20,8 @@
 const PAGE_ITEMS: usize = 500;
 /// Most bytes of values in one page.
 const PAGE_BYTES: usize = 1 << 20;
+/// Interval at which leases are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Revision of the first change.
 const FIRST_REVISION: u64 = 100_000_000;
 
@@ -58,6 +61,8 @@
 struct Shared {
     table: Mutex<Table>,
     changed: Condvar,
+    /// Whether all calls are answered with 503, while leases pause.
+    is_away: AtomicBool,
 }
 
 /// A running store.
@@ -81,8 +86,11 @@
         let known = Arc::clone(&shared);
         http::spawn(move || {
             loop {
-                thread::sleep(Duration::from_millis(20));
-                known.expire();
+                thread::sleep(CHECK_INTERVAL);
+                match known.is_away.load(Ordering::SeqCst) {
+                    true => known.pause_leases(),
+                    false => known.expire(),
+                }
             }
         });
         Ok(Self {
@@ -103,6 +111,20 @@
         }
     }
 
+    /// Removes a key for a replica.
+    pub fn delete(&self, key: &str) {
+        self.shared.table.lock().unwrap().remove(key);
+        self.shared.changed.notify_all();
+    }
+
+    /// Sets whether the store is away for the daemons; watches that wait are cut.
+    pub fn set_away(&self, is_away: bool) {
+        let table = self.shared.table.lock().unwrap();
+        self.shared.is_away.store(is_away, Ordering::SeqCst);
+        drop(table);
+        self.shared.changed.notify_all();
+    }
+
     /// Returns the keys with a prefix, with their leases.
     pub fn keys(&self, prefix: &str) -> Vec<(String, u64, String)> {
         let table = self.shared.table.lock().unwrap();
@@ -195,6 +217,13 @@
 }
 
 impl Shared {
+    fn pause_leases(&self) {
+        let mut table = self.table.lock().unwrap();
+        for lease in table.leases.values_mut() {
+            lease.ends_at += CHECK_INTERVAL;
+        }
+    }
+
     fn expire(&self) {
         let mut table = self.table.lock().unwrap();
         let now = Instant::now();
@@ -224,6 +253,9 @@
     }
 
     fn answer(&self, message: &Message) -> (u16, String) {
+        if self.is_away.load(Ordering::SeqCst) {
+            return (503, "{}".into());
+        }
         let key = message.parameter("key").unwrap_or_default();
         let prefix = message.parameter("prefix").unwrap_or_default();
         let after = message.parameter("after").unwrap_or_default();
@@ -302,6 +334,9 @@
         let deadline = Instant::now() + wait;
         let mut table = self.table.lock().unwrap();
         loop {
+            if self.is_away.load(Ordering::SeqCst) {
+                return (503, "{}".into());
+            }
             if after < table.forgotten {
                 return (410, "{}".into());
             }
