--- a/review/standins-3/src/case14.rs
+++ b/review/standins-3/src/case14.rs
@@ -10,7 +10,7 @@
 
 use crate::Outcome;
 use crate::fleet::{self, Addresses, Daemon, HOST, KEY, Record, ZONES};
-use crate::fragile::{self, Plan, Seat};
+use crate::fragile::{self, Deadly, Plan, Seat};
 use crate::http;
 use crate::store::Store;
 
@@ -19,6 +19,8 @@
 const REPLICAS: u8 = 4;
 /// Path of the request that crashes replicas.
 const DEADLY: &str = "/pule252/deadly";
+/// Time until it begins to run.
+const START: Duration = Duration::from_millis(20);
 /// Time of sound requests alone.
 const BEFORE: Duration = Duration::from_secs(5);
 /// Pause between two copies of the request, and their number.
@@ -45,8 +47,12 @@
     let plan = Arc::new(Plan {
         store: Arc::clone(&store),
         record: Arc::clone(&record),
-        deadly: has_trouble.then_some(DEADLY),
+        deadly: has_trouble.then_some(Deadly {
+            matches: |message| message.path() == DEADLY,
+            after: START,
+        }),
         reached: Mutex::default(),
+        crashes: Mutex::default(),
         next_id: AtomicU64::new(0),
     });
     for (service, _) in SPLIT {
@@ -55,7 +61,7 @@
             let seat = Seat {
                 service,
                 zone: ZONES[usize::from(index) % ZONES.len()],
-                address: addresses.at(host, 9_100),
+                ip: addresses.at(host, 0).ip(),
             };
             fragile::start(&plan, seat)?;
         }
--- a/review/standins-3/src/fragile.rs
+++ b/review/standins-3/src/fragile.rs
@@ -1,8 +1,8 @@
-//! Stand-in for a replica that one request crashes; it is back some seconds later.
+//! Stand-in for a replica that some requests crash; it is back some seconds later.
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -16,33 +16,46 @@
 const RETURN: Duration = Duration::from_millis(2_500);
 /// Time from a crash until the entry of the old one is removed: three heartbeat intervals.
 const REMOVAL: Duration = Duration::from_millis(3_600);
-/// Time for which a request runs.
+/// Time for which a plain request runs.
 const WORK: Duration = Duration::from_millis(60);
-/// Time after which the request that crashes replicas does so.
-const CRASH: Duration = Duration::from_millis(20);
+/// Number of events of a stream, and the pause after each.
+const EVENTS: u32 = 20;
+const PAUSE: Duration = Duration::from_millis(20);
 
 /// What the replicas of a case share.
 pub struct Plan {
     pub store: Arc<Store>,
     pub record: Arc<Record>,
-    /// Path of the request that crashes replicas; `None` if it runs like others.
-    pub deadly: Option<&'static str>,
-    /// When it reached replicas.
+    /// What crashes replicas; `None` if nothing does.
+    pub deadly: Option<Deadly>,
+    /// When such requests reached replicas.
     pub reached: Mutex<Vec<Instant>>,
+    /// When replicas crashed.
+    pub crashes: Mutex<Vec<Instant>>,
     pub next_id: AtomicU64,
 }
 
+/// Requests that crash the replicas that run them.
+#[derive(Clone, Copy)]
+pub struct Deadly {
+    pub matches: fn(&Message) -> bool,
+    /// Time until one begins to run.
+    pub after: Duration,
+}
+
 /// Service and place of a replica.
 #[derive(Debug, Clone, Copy)]
 pub struct Seat {
     pub service: &'static str,
     pub zone: &'static str,
-    pub address: SocketAddr,
+    /// Each incarnation takes a free port.
+    pub ip: IpAddr,
 }
 
 struct Incarnation {
     id: String,
     seat: Seat,
+    address: SocketAddr,
     plan: Arc<Plan>,
     has_crashed: AtomicBool,
     conns: Mutex<BTreeMap<u64, TcpStream>>,
@@ -50,11 +63,13 @@
 
 /// Starts a replica, which registers itself.
 pub fn start(plan: &Arc<Plan>, seat: Seat) -> io::Result<()> {
-    let listener = TcpListener::bind(seat.address)?;
+    let listener = TcpListener::bind((seat.ip, 0))?;
+    let address = listener.local_addr()?;
     let number = plan.next_id.fetch_add(1, Ordering::SeqCst);
     let replica = Arc::new(Incarnation {
         id: format!("i-{number:08x}"),
         seat,
+        address,
         plan: Arc::clone(plan),
         has_crashed: AtomicBool::new(false),
         conns: Mutex::default(),
@@ -63,7 +78,7 @@
         "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"1\",\"capacity\":6,\
          \"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{}}}",
         seat.service,
-        listener.local_addr()?,
+        address,
         seat.zone,
         unix_ms()
     );
@@ -124,26 +139,30 @@
             return caller.reply(421, &headers, b"");
         }
         let service = self.seat.service;
-        if self.plan.deadly == Some(message.path()) {
+        let deadly = self.plan.deadly.filter(|deadly| (deadly.matches)(message));
+        if let Some(deadly) = deadly {
             self.plan.reached.lock().unwrap().push(Instant::now());
             self.plan.record.note(&format!(
-                "replica {own} of {service} runs {id}, and crashes"
+                "replica {own} of {service} has {id}, which crashes it"
             ));
-            thread::sleep(CRASH);
+            thread::sleep(deadly.after);
             self.crash();
             return Ok(());
         }
+        let headers = format!(
+            "x-attempt-id: {id}\r\nx-replica-signature: {own}.{id}\r\nkeep-alive: timeout=5\r\n"
+        );
         thread::sleep(WORK);
         if self.has_crashed.load(Ordering::SeqCst) {
             return Ok(());
         }
         self.plan
             .record
-            .note(&format!("replica {own} of {service} has run {id}"));
-        let headers = format!(
-            "x-attempt-id: {id}\r\nx-replica-signature: {own}.{id}\r\nkeep-alive: timeout=5\r\n"
-        );
-        caller.reply(200, &headers, &[b'a'; 800])
+            .note(&format!("replica {own} of {service} runs {id}"));
+        match message.header("x-prefix-hash") {
+            None => caller.reply(200, &headers, &[b'a'; 800]),
+            Some(_) => stream(caller, &headers),
+        }
     }
 
     /// Ends the process: its port refuses connections, and those that it has are closed.
@@ -151,8 +170,12 @@
         if self.has_crashed.swap(true, Ordering::SeqCst) {
             return;
         }
+        self.plan.crashes.lock().unwrap().push(Instant::now());
+        self.plan
+            .record
+            .note(&format!("replica {} crashes", self.id));
         // Wakes the listener, so that it closes.
-        let _ = TcpStream::connect(self.seat.address);
+        let _ = TcpStream::connect(self.address);
         for conn in self.conns.lock().unwrap().values() {
             let _ = conn.shutdown(Shutdown::Both);
         }
@@ -167,3 +190,17 @@
         });
     }
 }
+
+fn stream(caller: &mut Caller, headers: &str) -> io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    caller.send(head.as_bytes())?;
+    for number in 1..=EVENTS {
+        let event = format!("id: {number}\ndata: {number}\n\n");
+        caller.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        thread::sleep(PAUSE);
+    }
+    caller.send(b"0\r\n\r\n")
+}
