Show that a part of prompts crashes replicas again after a minute

Case 15 (BUDGET): a part of prompts crashes each replica, and requests with it come for 85 s. Its quarantine ends after a minute, and five requests reach replicas before the next one begins.

--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -4,6 +4,7 @@
 mod case12;
 mod case13;
 mod case14;
+mod case15;
 mod engine;
 mod fleet;
 mod fragile;
@@ -42,6 +43,7 @@
         "12" => case12::run,
         "13" => case13::run,
         "14" => case14::run,
+        "15" => case15::run,
         _ => {
             eprintln!("no case {number:?}");
             return ExitCode::from(2);
