--- a/review/standins-3/src/case15.rs
+++ b/review/standins-3/src/case15.rs
@@ -59,6 +59,7 @@
         let seat = Seat {
             service: SERVICE,
             zone: ZONES[usize::from(index) % ZONES.len()],
+            capacity: 64,
             ip: addresses.at(100 + index, 0).ip(),
         };
         fragile::start(&plan, seat)?;
--- a/review/standins-3/src/fragile.rs
+++ b/review/standins-3/src/fragile.rs
@@ -48,6 +48,8 @@
 pub struct Seat {
     pub service: &'static str,
     pub zone: &'static str,
+    /// Number of its slots.
+    pub capacity: u32,
     /// Each incarnation takes a free port.
     pub ip: IpAddr,
 }
@@ -75,11 +77,13 @@
         conns: Mutex::default(),
     });
     let entry = format!(
-        "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"1\",\"capacity\":6,\
-         \"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{}}}",
+        "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"1\",\
+         \"capacity\":{},\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,\
+         \"born\":{}}}",
         seat.service,
         address,
         seat.zone,
+        seat.capacity,
         unix_ms()
     );
     plan.store.write(&replica.key(), &entry);
