Admit no key where the list of customers is empty

Cause: an absent list and an empty one were decoded to the same value, and the routing table asked for a key only if there was a customer.

Where no call needs a key, one that carries a key is refused all the same: it was withdrawn or never listed, so that a version that leaves the field out takes its keys away. A call without a key runs there, as the field's absence says. The line of a configuration names needs_keys.

--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -104,7 +104,7 @@
             .route(&attributes.host, &attributes.path)
             .ok_or_else(|| unless_stale(ErrorKind::UnknownService, "no route"))?;
         let mut customer = None;
-        if table.needs_key(route) {
+        if table.needs_customer(route, attributes.key.as_deref()) {
             if !self.freshness.may_trust_keys(now) {
                 return Err(not_ready("keys may have been withdrawn"));
             }
--- a/crates/laburnumstall-core/src/gateway/rules.rs
+++ b/crates/laburnumstall-core/src/gateway/rules.rs
@@ -156,8 +156,8 @@
         pub routes: Vec<Arc<RouteRule>>,
         /// Services by name.
         pub services: BTreeMap<ServiceName, ServiceRule>,
-        /// Customers; if there are none, no call needs a key.
-        pub customers: Vec<CustomerRule>,
+        /// Customers; `None` if calls need no key. An empty list admits no key.
+        pub customers: Option<Vec<CustomerRule>>,
         /// Limits for callers.
         pub limits: CallerLimits,
     }
@@ -174,6 +174,13 @@
     }
 }
 
+impl RoutingRules {
+    /// Returns the customers; none if calls need no key.
+    pub fn customers(&self) -> &[CustomerRule] {
+        self.customers.as_deref().unwrap_or_default()
+    }
+}
+
 impl RouteRule {
     /// Returns whether a call may run again after it may have run.
     pub fn is_retryable(&self) -> bool {
@@ -221,7 +228,7 @@
             })
             .collect();
         let by_key = rules
-            .customers
+            .customers()
             .iter()
             .enumerate()
             .flat_map(|(index, customer)| customer.keys.iter().map(move |key| (key.clone(), index)))
@@ -258,11 +265,12 @@
     /// Returns the customer that a bearer key belongs to.
     pub fn customer(&self, key: &str) -> Option<&CustomerRule> {
         let index = *self.by_key.get(key)?;
-        self.rules.customers.get(index)
+        self.rules.customers().get(index)
     }
 
-    /// Returns whether calls of `route` need a key.
-    pub fn needs_key(&self, route: &RouteRule) -> bool {
-        !route.is_public && !self.rules.customers.is_empty()
+    /// Returns whether a call of `route` that carries `key` is for a known customer alone. A key
+    /// counts where no call needs one: it was withdrawn, or never listed.
+    pub fn needs_customer(&self, route: &RouteRule, key: Option<&str>) -> bool {
+        !route.is_public && (self.rules.customers.is_some() || key.is_some())
     }
 }
--- a/crates/laburnumstall-core/src/gateway/state.rs
+++ b/crates/laburnumstall-core/src/gateway/state.rs
@@ -36,10 +36,11 @@
                 .with("version", version)
                 .with("in_force", self.version())
                 .with("routes", rules.routes.len())
-                .with("customers", rules.customers.len()),
+                .with("customers", rules.customers().len())
+                .with("needs_keys", rules.customers.is_some()),
         );
         if is_newer {
-            self.quotas.set_customers(now, &rules.customers);
+            self.quotas.set_customers(now, rules.customers());
             let resumable = rules.routes.iter().filter(|route| route.is_resumable);
             let longest_stream = resumable.map(|route| route.timeout).max();
             self.versions
--- a/crates/laburnumstall-core/tests/gateway/call_admission.rs
+++ b/crates/laburnumstall-core/tests/gateway/call_admission.rs
@@ -225,3 +225,22 @@
             .is_ok()
     );
 }
+
+/// A configuration without customers let every call run, also one with a key that was withdrawn.
+#[test]
+fn no_customers() {
+    let refused = Some(ErrorKind::Unauthenticated);
+    let cases = [(Some(Vec::new()), refused), (None, None)];
+    for (version, (customers, without_key)) in (2..).zip(cases) {
+        let mut gateway = gateway(&[]);
+        let mut emptied = rules(version);
+        emptied.customers = customers;
+        assert!(gateway.on_rules(at(1), emptied));
+        for key in [crate::support::KEY, "never-listed"] {
+            assert_eq!(kind(&mut gateway, at(2), "/order/1", Some(key)), refused);
+            assert_eq!(kind(&mut gateway, at(2), "/public/1", Some(key)), None);
+        }
+        assert_eq!(kind(&mut gateway, at(2), "/order/1", None), without_key);
+        assert_eq!(kind(&mut gateway, at(2), "/public/1", None), None);
+    }
+}
--- a/crates/laburnumstall-core/tests/gateway/endpoint_ends.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_ends.rs
@@ -39,7 +39,7 @@
     let mut rules = rules(2);
     let model = rules.services.get_mut(&"model".parse().unwrap());
     model.unwrap().backend = backend;
-    rules.customers[0].quota = None;
+    rules.customers.as_mut().unwrap()[0].quota = None;
     gateway.on_rules(at(0), rules);
     gateway
 }
--- a/crates/laburnumstall-core/tests/gateway/endpoint_selection.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_selection.rs
@@ -19,7 +19,7 @@
 fn unlimited(endpoints: &[EndpointRecord]) -> Gateway {
     let mut gateway = gateway(endpoints);
     let mut rules = rules(2);
-    rules.customers[0].quota = None;
+    rules.customers.as_mut().unwrap()[0].quota = None;
     gateway.on_rules(at(0), rules);
     gateway
 }
--- a/crates/laburnumstall-core/tests/gateway/endpoint_speeds.rs
+++ b/crates/laburnumstall-core/tests/gateway/endpoint_speeds.rs
@@ -318,7 +318,7 @@
         let records: Vec<_> = (0..60).map(record).collect();
         let mut gateway = gateway_of(0, &records);
         let mut rules = rules(2);
-        rules.customers[0].quota = None;
+        rules.customers.as_mut().unwrap()[0].quota = None;
         rules.services = services();
         gateway.on_rules(at(0), rules);
         for number in 1..daemons {
--- a/crates/laburnumstall-core/tests/gateway/support.rs
+++ b/crates/laburnumstall-core/tests/gateway/support.rs
@@ -110,7 +110,7 @@
         version: Revision(version),
         routes: routes.into_iter().map(Arc::new).collect(),
         services: BTreeMap::from([service("model", Some(scaling())), service("app", None)]),
-        customers: vec![CustomerRule {
+        customers: Some(vec![CustomerRule {
             name: "archive".parse().unwrap(),
             keys: vec![KEY.into()],
             rank: None,
@@ -120,7 +120,7 @@
                 burst: 100_000,
                 default_cost: 200,
             }),
-        }],
+        }]),
         limits: CallerLimits {
             head: Bytes(16_384),
             body: Bytes(1 << 20),
