Take an empty text among keys for no key

Callers saw: where the operator lists an empty key, requests without a key ran as that customer.

Cause: a call without a key is looked up with an empty one. Found by looking for other places in which nothing means everything. A key that two customers list counts for the later one and works while any of them lists it, as before; it has a test now.

--- a/crates/laburnumstall-core/src/gateway/rules.rs
+++ b/crates/laburnumstall-core/src/gateway/rules.rs
@@ -232,6 +232,8 @@
             .iter()
             .enumerate()
             .flat_map(|(index, customer)| customer.keys.iter().map(move |key| (key.clone(), index)))
+            // A call without a key is looked up with an empty one.
+            .filter(|(key, _)| !key.is_empty())
             .collect();
         Self {
             rules,
--- a/crates/laburnumstall-core/tests/gateway/call_admission.rs
+++ b/crates/laburnumstall-core/tests/gateway/call_admission.rs
@@ -244,3 +244,25 @@
         assert_eq!(kind(&mut gateway, at(2), "/public/1", None), None);
     }
 }
+
+/// A key that two customers list counts for the later one, and works while any of them lists it.
+#[test]
+fn shared_key() {
+    let mut gateway = gateway(&[]);
+    let mut shared = rules(2);
+    let customers = shared.customers.as_mut().unwrap();
+    let mut second = customers[0].clone();
+    second.name = "museum".parse().unwrap();
+    customers.push(second);
+    let mut left = shared.clone();
+    left.version = Revision(3);
+    left.customers.as_mut().unwrap()[1].keys.clear();
+    let customer = |gateway: &mut Gateway| {
+        let call = gateway.admit(at(2), call_attributes("call-1", "/order/1"));
+        call.unwrap().customer.unwrap().to_string()
+    };
+    assert!(gateway.on_rules(at(1), shared));
+    assert_eq!(customer(&mut gateway), "museum");
+    assert!(gateway.on_rules(at(1), left));
+    assert_eq!(customer(&mut gateway), "archive");
+}
