Begin streams by stored tables of versions, and compute origins from them

Callers saw: while a service has several software versions, streams that they took up after a kill of all daemons were refused.

Cause: the version of a stream was a choice of the moment that its daemon remembered and stored after the first event. Whatever writes it later leaves a window, and an outage has no end to it.

Change: software/SERVICE holds tables that map 128 buckets of attempts to the versions, in proportion to their slots. A new stream begins at the version of its attempt; a daemon that has just started computes the same. Tables that streams may have begun by stay listed for the retention time, and a new one is listed for 2 s before its use; an attempt that they map to different versions is decided as before, by stored and peers' origins, or refused. Nothing is computed from an old view, a table of an earlier era, beside a daemon of an earlier build, during a rollout, or against a known origin that differs: then the tables are marked as incomplete.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -16,6 +16,7 @@
 mod endpoint_limiter;
 mod endpoint_model;
 mod endpoint_notice;
+mod endpoint_search;
 mod endpoint_table;
 mod freshness;
 mod gossip;
@@ -44,6 +45,7 @@
 mod stream_origin;
 mod usage;
 mod version_history;
+mod version_shares;
 mod view;
 
 use std::net::SocketAddr;
@@ -104,6 +106,7 @@
 };
 pub use usage::{UsageCount, UsageCounter, UsageReport};
 pub use version_history::VersionHistory;
+pub use version_shares::{VersionShares, VersionTable};
 pub use view::{EraChange, ViewBatch, ViewChange, ViewUpdate};
 
 /// Limits that the platform sets for all daemons together.
@@ -148,6 +151,8 @@
     origins: OriginTable,
     origin_store: stored_origins::OriginStore,
     versions: VersionHistory,
+    /// Services whose tables of versions contradict where a stream began.
+    share_contradictions: std::collections::BTreeSet<ServiceName>,
     send_budget: send_budget::SendBudget,
     has_origins_to_send: bool,
     quarantine: CrashTally,
@@ -194,6 +199,7 @@
             origins: OriginTable::default(),
             origin_store: stored_origins::OriginStore::default(),
             versions: VersionHistory::default(),
+            share_contradictions: std::collections::BTreeSet::new(),
             send_budget: send_budget::SendBudget::default(),
             has_origins_to_send: false,
             quarantine: CrashTally::default(),
--- a/crates/laburnumstall-core/src/gateway/peer_message.rs
+++ b/crates/laburnumstall-core/src/gateway/peer_message.rs
@@ -38,8 +38,10 @@
     /// Protocol that adds the evidence of roll-outs, the use of services by customers, and the
     /// measured speeds of endpoints.
     pub const SHARED_LOAD: Self = Self(3);
+    /// Protocol of builds at which streams begin by the stored tables of versions.
+    pub const VERSION_SHARES: Self = Self(4);
     /// Newest protocol of this build.
-    pub const NEWEST: Self = Self::SHARED_LOAD;
+    pub const NEWEST: Self = Self::VERSION_SHARES;
 }
 
 /// Sequence number in place of a gossip message's own, before any other message.
--- a/crates/laburnumstall-core/src/gateway/requests.rs
+++ b/crates/laburnumstall-core/src/gateway/requests.rs
@@ -5,16 +5,13 @@
 use super::Gateway;
 use super::call::{AdmittedCall, CallAttributes};
 use super::health::CallOutcome;
-use super::load_balancer::{CallAttempt, EndpointQuery};
-use super::recovery::{self, CallFailure, FailureAction, RETRY_AFTER};
+use super::load_balancer::CallAttempt;
+use super::recovery::{self, CallFailure, FailureAction};
 use super::rules::CallKind;
-use super::stored_versions::admitted_versions;
 use super::stream_origin::AttemptDigest;
 use crate::decision::{Decision, DecisionKind};
 use crate::error::{ErrorKind, Refusal};
-use crate::hash::digest64;
-use crate::ids::{EndpointId, ServiceName, SoftwareVersion};
-use crate::limits::bucket::MICRO;
+use crate::ids::{EndpointId, SoftwareVersion};
 use crate::units::Timestamp;
 
 /// Age of the view of the key-value store above which an unknown host, path or key may be a
@@ -246,65 +243,6 @@
         Ok(attempt)
     }
 
-    /// Returns the refusal of a call that did not run, with the time at which there is room if all
-    /// endpoints of the service asked for a pause, or their limits are used up. A daemon without a
-    /// share of the limits sends callers to another one.
-    fn no_endpoint(&mut self, now: Timestamp, service: &ServiceName, detail: &str) -> Refusal {
-        if let Some((ends_in, slots)) = self.load_balancer.pause_end(now, service) {
-            let schedule = self.return_schedules.entry(service.clone()).or_default();
-            let retry_after = schedule.next(now, ends_in, i64::from(slots) * MICRO);
-            let detail = "all endpoints asked for a pause";
-            return Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(retry_after);
-        }
-        let Some((room_in, rate)) = self.load_balancer.limited_room(now, service) else {
-            return Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(RETRY_AFTER);
-        };
-        let detail = "the limits that endpoints name are used up";
-        let retry_after = match room_in {
-            Some(room_in) => {
-                let schedule = self.return_schedules.entry(service.clone()).or_default();
-                schedule.next(now, room_in, rate)
-            }
-            None => RETRY_AFTER,
-        };
-        Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after(retry_after)
-    }
-
-    /// Finds an endpoint that the call has not tried, or else any one if it `may_repeat`.
-    pub(super) fn find_endpoint(
-        &mut self,
-        now: Timestamp,
-        call: &AdmittedCall,
-        may_repeat: bool,
-    ) -> Option<CallAttempt> {
-        let admitted = admitted_versions(&self.versions, call);
-        let bounds = self.bounds.rollout.as_ref();
-        let is_fresh = self.freshness.is_within(now, MAX_CERTAIN_AGE);
-        let gate = self.rollouts.gate(now, bounds, call, admitted, is_fresh);
-        let query = EndpointQuery {
-            service: &call.service,
-            prompt: call.prompt.as_ref(),
-            seed: digest64(&[call.id.as_bytes()]),
-            version: call.origin.as_ref().map(|origin| &origin.version),
-            admitted,
-            gate,
-            excluded: &call.tried,
-        };
-        let mut selected = self.load_balancer.select_gated(now, &query);
-        // With few endpoints, one that failed before is better than none.
-        if selected.is_none() && may_repeat {
-            let any_endpoint = EndpointQuery {
-                excluded: &[],
-                ..query
-            };
-            selected = self.load_balancer.select_gated(now, &any_endpoint);
-        }
-        if let Some(attempt) = &mut selected {
-            self.rollouts.on_selected(call, admitted, attempt);
-        }
-        selected
-    }
-
     /// Records that a call was written to its endpoint.
     pub fn on_sent(&mut self, call: &mut AdmittedCall) {
         call.sends += 1;
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -14,13 +14,11 @@
 use super::Gateway;
 use super::call::AdmittedCall;
 use super::gossip::{GossipMessage, Peer, daemon_hash, rank_peers};
-use super::load_balancer::CallAttempt;
 use super::peer_message::{PeerMessage, PeerProtocol};
 use super::recovery::RETRY_AFTER;
-use super::rules::CallKind;
 use super::send_budget::{FULL_RATE_DAEMONS, MESSAGE_BYTES};
 use super::stored_origins::kept_seconds;
-use super::stream_origin::{AttemptDigest, OriginGroup, OriginSource, RETURN_TIME, StreamOrigin};
+use super::stream_origin::{AttemptDigest, OriginGroup, OriginSource, StreamOrigin};
 use super::version_history::VersionHistory;
 use super::view::{ViewBatch, ViewChange};
 use crate::decision::{Decision, DecisionKind};
@@ -166,6 +164,15 @@
             let basis = ("peer", now.since(lookup.started_at));
             return self.pin(now, call, Arc::new(origin.clone()), basis, lookup);
         }
+        let computed = self.computed_origin(now, &lookup.service, lookup.attempt);
+        if let Some(version) = computed.filter(|own| lookup.soles().all(|sole| sole == *own)) {
+            let origin = StreamOrigin {
+                service: lookup.service.clone(),
+                version: version.clone(),
+            };
+            let basis = ("computed", self.freshness.age(now).unwrap_or_default());
+            return self.pin(now, call, Arc::new(origin), basis, lookup);
+        }
         let own = self.sole_version(now, &lookup.service).cloned();
         // A daemon that has lost the others may have missed that streams begin at a further version.
         let has_heard = |peer: &Peer| peer.last_gossip_at.is_some();
@@ -231,6 +238,9 @@
         (reason, age): Basis,
         lookup: &OriginLookup,
     ) {
+        let shares = self.versions.shares(&call.service);
+        let tables = shares.map_or(0, |shares| shares.tables.len());
+        let is_complete = shares.is_some_and(|shares| shares.is_complete);
         self.journal.record(
             Decision::new(now, DecisionKind::Resume, choice, reason)
                 .with("request", &call.id)
@@ -238,7 +248,9 @@
                 .with("asked", lookup.peers.len())
                 .with("answered", lookup.answers.len())
                 .with("age_ms", age.as_millis())
-                .with("took_ms", now.since(lookup.started_at).as_millis()),
+                .with("took_ms", now.since(lookup.started_at).as_millis())
+                .with("tables", tables)
+                .with("complete", is_complete),
         );
     }
 
@@ -255,32 +267,6 @@
         );
     }
 
-    /// Records the origin of a stream whose first event arrived.
-    pub(super) fn record_origin(
-        &mut self,
-        now: Timestamp,
-        call: &mut AdmittedCall,
-        attempt: &CallAttempt,
-    ) {
-        if call.route.kind != CallKind::Stream || !call.route.is_resumable {
-            return;
-        }
-        if call.origin.is_none() {
-            let Some(version) = attempt.version.clone() else {
-                return;
-            };
-            let service = attempt.service.clone();
-            call.origin = Some(Arc::new(StreamOrigin { service, version }));
-        }
-        let Some(origin) = &call.origin else {
-            return;
-        };
-        let expires_at = call.deadline.after(RETURN_TIME);
-        self.origins
-            .record_own(now, call.stream, origin, expires_at);
-        self.has_origins_to_send |= self.versions.is_mixed(now, &origin.service);
-    }
-
     /// Returns whether origins wait to be sent to peers.
     pub fn has_origins_to_send(&self) -> bool {
         self.has_origins_to_send
@@ -373,6 +359,7 @@
                 let expires_at = now.after(Duration::from_secs(seconds.into()));
                 self.origins
                     .record(now, attempt, &origin, source, expires_at);
+                self.check_shares(now, attempt, &origin);
                 if is_to_store {
                     self.origin_store.add(now, attempt, &origin, expires_at);
                 }
--- a/crates/laburnumstall-core/src/gateway/stored_origins.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_origins.rs
@@ -14,9 +14,12 @@
 use snafu::{Snafu, ensure};
 
 use super::Gateway;
+use super::call::AdmittedCall;
 use super::gossip::{Peer, daemon_hash, rank_peers};
+use super::load_balancer::CallAttempt;
 use super::peer_message::PeerProtocol;
-use super::stream_origin::{AttemptDigest, OriginGroup, OriginSource, StreamOrigin};
+use super::rules::CallKind;
+use super::stream_origin::{AttemptDigest, OriginGroup, OriginSource, RETURN_TIME, StreamOrigin};
 use crate::decision::{Decision, DecisionKind};
 use crate::domain;
 use crate::hash::{digest64, rendezvous_weight};
@@ -162,6 +165,34 @@
 }
 
 impl Gateway {
+    /// Records the origin of a stream whose first event arrived.
+    pub(super) fn record_origin(
+        &mut self,
+        now: Timestamp,
+        call: &mut AdmittedCall,
+        attempt: &CallAttempt,
+    ) {
+        if call.route.kind != CallKind::Stream || !call.route.is_resumable {
+            return;
+        }
+        if call.origin.is_none() {
+            let Some(version) = attempt.version.clone() else {
+                return;
+            };
+            let service = attempt.service.clone();
+            call.origin = Some(Arc::new(StreamOrigin { service, version }));
+        }
+        let Some(origin) = &call.origin else {
+            return;
+        };
+        let expires_at = call.deadline.after(RETURN_TIME);
+        self.origins
+            .record_own(now, call.stream, origin, expires_at);
+        self.has_origins_to_send |= self.versions.is_mixed(now, &origin.service);
+        let origin = Arc::clone(origin);
+        self.check_shares(now, call.stream, &origin);
+    }
+
     /// Returns whether origins wait to be stored.
     pub fn has_segment_to_store(&self) -> bool {
         self.origin_store.is_changed
--- a/crates/laburnumstall-core/src/gateway/stored_versions.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_versions.rs
@@ -7,6 +7,7 @@
 //! earlier streams.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::Gateway;
@@ -15,8 +16,12 @@
 use super::gossip::{Peer, daemon_hash};
 use super::peer_message::PeerProtocol;
 use super::requests::MAX_CERTAIN_AGE;
+use super::rollout::RolloutScope;
 use super::rules::CallKind;
+use super::stream_origin::{AttemptDigest, StreamOrigin};
 use super::version_history::VersionHistory;
+use super::version_shares::{VersionShares, VersionSlots};
+use crate::decision::{Decision, DecisionKind};
 use crate::domain;
 use crate::ids::{ServiceName, SoftwareVersion};
 use crate::store::{StoreEra, StoreVersion};
@@ -43,6 +48,9 @@
         pub versions: BTreeSet<SoftwareVersion>,
         /// Era of the store in which they were written.
         pub era: StoreEra,
+        /// Tables by which streams begin; `None` if they begin at any of the versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub shares: Option<VersionShares>,
     }
 
     /// Write of the versions of one service.
@@ -66,16 +74,54 @@
         service: ServiceName,
         stored: Option<(StoredVersions, StoreVersion)>,
     ) {
-        self.versions.on_stored(now, service, stored);
+        let era = self.store_era().unwrap_or_default();
+        let is_of_copy = stored.as_ref().is_none_or(|(read, _)| read.era < era);
+        let known = self.versions.stored(&service);
+        let known = known.filter(|(known, _)| known.era < era && is_of_copy);
+        let stored = match (known, stored) {
+            // What this daemon knew before the store came back is the later of the two.
+            (Some((known, _)), read) => Some((known.clone(), read.map(|(_, version)| version))),
+            (None, read) => read.map(|(mut read, version)| {
+                read.shares = read.shares.filter(VersionShares::is_whole);
+                (read, Some(version))
+            }),
+        };
+        let had_shares = self.versions.shares(&service).cloned();
+        self.versions.on_stored(now, service.clone(), stored);
+        if had_shares.as_ref() != self.versions.shares(&service) {
+            self.on_shares_changed(now, &service);
+        }
         self.queue_mixed_origins(now);
     }
 
     /// Returns the versions to write: those that differ from the stored ones, at the ready daemon
-    /// that ranks first.
+    /// that ranks first; and those whose tables contradict where streams began, at each daemon.
     pub fn versions_to_store(&self, now: Timestamp) -> Vec<VersionsWrite> {
+        let mut writes = self.due_versions(now);
+        for service in &self.share_contradictions {
+            let Some((current, version)) = self.versions.stored(service) else {
+                continue;
+            };
+            if writes.iter().all(|write| write.service != *service) {
+                let shares = current.shares.as_ref().map(VersionShares::restarted);
+                writes.push(VersionsWrite {
+                    service: service.clone(),
+                    stored: StoredVersions {
+                        shares,
+                        ..current.clone()
+                    },
+                    expected: *version,
+                });
+            }
+        }
+        writes
+    }
+
+    fn due_versions(&self, now: Timestamp) -> Vec<VersionsWrite> {
         let own = daemon_hash(&self.own);
+        // A daemon of an earlier build does not write tables.
         let ranks_before =
-            |peer: &Peer| follows_stored_versions(peer) && daemon_hash(&peer.member.id) < own;
+            |peer: &Peer| begins_by_shares(peer) && daemon_hash(&peer.member.id) < own;
         let is_settled = self
             .first_listed_at
             .is_some_and(|at| now.since(at) >= START_DELAY);
@@ -91,8 +137,10 @@
             services.extend(targets.map(|target| &target.service));
         }
         let writes = services.into_iter().filter_map(|service| {
+            let versions = self.versions_of(now, service);
             let stored = StoredVersions {
-                versions: self.versions_of(now, service),
+                shares: self.shares_of(now, service, &versions),
+                versions,
                 era: self.store_era().unwrap_or_default(),
             };
             let current = self.versions.stored(service);
@@ -101,7 +149,7 @@
             is_due.then(|| VersionsWrite {
                 service: service.clone(),
                 stored,
-                expected: current.map(|(_, version)| *version),
+                expected: current.and_then(|(_, version)| *version),
             })
         });
         writes.collect()
@@ -133,6 +181,149 @@
         versions
     }
 
+    /// Returns the tables to store of a service; `None` while streams may begin at any version.
+    fn shares_of(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        versions: &BTreeSet<SoftwareVersion>,
+    ) -> Option<VersionShares> {
+        let scope = self.rollout_scope(service);
+        let is_rolled_out = scope.is_some_and(|scope| scope.is_open);
+        if is_rolled_out || !self.peer_table.peers().all(begins_by_shares) {
+            return None;
+        }
+        let slots = self.version_slots(service, scope)?;
+        let Some((current, _)) = self.versions.stored(service) else {
+            // Nothing has begun yet, unless the store has lost what was there.
+            let is_new = self.versions.share_clock(service).is_none();
+            let is_complete = is_new && self.store_restored_at().is_none();
+            let admitted = slots.into_iter().filter(|(v, _)| versions.contains(v));
+            return VersionShares::first(&admitted.collect(), is_complete);
+        };
+        let era = self.store_era().unwrap_or_default();
+        let clock = self.versions.share_clock(service);
+        match (&current.shares, clock) {
+            (Some(shares), _)
+                if current.era != era || self.share_contradictions.contains(service) =>
+            {
+                Some(shares.restarted())
+            }
+            (Some(shares), Some(clock)) => {
+                Some(clock.next(now, shares, &slots, versions, self.versions.retention()))
+            }
+            _ => {
+                let admitted = slots.into_iter().filter(|(v, _)| versions.contains(v));
+                VersionShares::first(&admitted.collect(), false)
+            }
+        }
+    }
+
+    /// Returns the slots of a service's endpoints at which streams may begin, by version; `None`
+    /// if the version of one is unknown.
+    fn version_slots(
+        &self,
+        service: &ServiceName,
+        scope: Option<RolloutScope<'_>>,
+    ) -> Option<VersionSlots> {
+        let mut slots = VersionSlots::new();
+        let entries = self.endpoints.iter();
+        let entries = entries.filter(|entry| entry.record.service == *service);
+        for entry in entries.filter(|entry| !entry.is_leaving()) {
+            let version = entry.record.version.clone()?;
+            let is_in_scope =
+                |scope: RolloutScope<'_>| (*scope.version == version) == scope.is_in_use;
+            if scope.is_none_or(is_in_scope) {
+                *slots.entry(version).or_default() += u64::from(entry.record.slots.max(1));
+            }
+        }
+        Some(slots)
+    }
+
+    /// Returns the version at which a new stream has to begin; `None` if it may begin at any that is
+    /// admitted, or is none that callers can take up.
+    pub(super) fn begin_version(&self, call: &AdmittedCall) -> Option<SoftwareVersion> {
+        let is_new = call.route.kind == CallKind::Stream && call.origin.is_none();
+        if !is_new || !call.route.is_resumable {
+            return None;
+        }
+        let begins_at = |shares: &VersionShares| shares.begins_at(call.stream).cloned();
+        if let Some((stored, _)) = self.versions.stored(&call.service) {
+            return begins_at(stored.shares.as_ref()?);
+        }
+        // The first table is stored a moment after the first start, and is the same in most cases.
+        let is_open = |scope: RolloutScope<'_>| scope.is_open;
+        let scope = self.rollout_scope(&call.service);
+        if scope.is_some_and(is_open) || !self.peer_table.peers().all(begins_by_shares) {
+            return None;
+        }
+        let slots = self.version_slots(&call.service, scope)?;
+        begins_at(&VersionShares::first(&slots, false)?)
+    }
+
+    /// Returns the version at which a stream that a caller takes up began, computed from the stored
+    /// tables, if that is certain.
+    pub(super) fn computed_origin(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        attempt: AttemptDigest,
+    ) -> Option<&SoftwareVersion> {
+        let (stored, _) = self.versions.stored(service)?;
+        let is_valid = self.freshness.is_within(now, MAX_CERTAIN_AGE)
+            && Some(stored.era) == self.versions_era()
+            && self.peer_table.peers().all(begins_by_shares)
+            && !self.share_contradictions.contains(service);
+        let origin = stored.shares.as_ref()?.origin(attempt);
+        origin.filter(|_| is_valid)
+    }
+
+    /// Records that the tables of a service differ from where a stream began, if they do.
+    pub(super) fn check_shares(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptDigest,
+        origin: &StreamOrigin,
+    ) {
+        let shares = self.versions.shares(&origin.service);
+        let computed = shares.and_then(|shares| shares.origin(attempt));
+        if computed.is_none_or(|computed| *computed == origin.version)
+            || !self.share_contradictions.insert(origin.service.clone())
+        {
+            return;
+        }
+        self.journal.record(
+            Decision::new(now, DecisionKind::Connection, "shares", "contradicted")
+                .with("service", &origin.service)
+                .with("software", &origin.version)
+                .with("computed", SoftwareVersion::text(computed)),
+        );
+    }
+
+    fn on_shares_changed(&mut self, now: Timestamp, service: &ServiceName) {
+        self.share_contradictions.remove(service);
+        let Some(shares) = self.versions.shares(service) else {
+            return;
+        };
+        self.journal.record(
+            Decision::new(now, DecisionKind::Connection, "shares", "stored")
+                .with("service", service)
+                .with("table", shares.in_use)
+                .with("tables", shares.tables.len())
+                .with("complete", shares.is_complete)
+                .with("versions", shares.versions().count()),
+        );
+        let is_of_service = |origin: &StreamOrigin| origin.service == *service;
+        let contradiction = self.origins.iter().find(|(attempt, origin, _)| {
+            let computed = shares.origin(*attempt);
+            is_of_service(origin) && computed.is_some_and(|version| *version != origin.version)
+        });
+        if let Some((attempt, origin, _)) = contradiction {
+            let origin = Arc::clone(origin);
+            self.check_shares(now, attempt, &origin);
+        }
+    }
+
     /// Returns the time for which a further version is listed before it is stored: none if no endpoint
     /// of the stored versions is left.
     fn admit_delay(&self, service: &ServiceName, stored: &BTreeSet<SoftwareVersion>) -> Duration {
@@ -187,6 +378,10 @@
     (is_resumable && call.origin.is_none()).then_some(&stored.versions)
 }
 
+fn begins_by_shares(peer: &Peer) -> bool {
+    peer.protocol >= PeerProtocol::VERSION_SHARES
+}
+
 fn follows_stored_versions(peer: &Peer) -> bool {
     peer.protocol >= PeerProtocol::STORED_VERSIONS
 }
--- a/crates/laburnumstall-core/src/gateway/version_history.rs
+++ b/crates/laburnumstall-core/src/gateway/version_history.rs
@@ -12,6 +12,7 @@
 use super::endpoint_table::EndpointTable;
 use super::stored_versions::StoredVersions;
 use super::stream_origin::RETURN_TIME;
+use super::version_shares::{ShareClock, VersionShares};
 use crate::ids::{ServiceName, SoftwareVersion};
 use crate::store::{StoreEra, StoreVersion};
 use crate::units::Timestamp;
@@ -29,8 +30,10 @@
     services: BTreeMap<ServiceName, BTreeMap<SoftwareVersion, Sighting>>,
     /// Services that the key-value store marks as having several versions.
     marks: BTreeSet<ServiceName>,
-    /// Versions at which streams begin, as stored, with the version of the key.
-    stored: BTreeMap<ServiceName, (StoredVersions, StoreVersion)>,
+    /// Versions at which streams begin, as stored, with the version of the key; without one if the
+    /// store has lost it.
+    stored: BTreeMap<ServiceName, (StoredVersions, Option<StoreVersion>)>,
+    share_clocks: BTreeMap<ServiceName, ShareClock>,
     /// Time since which no version can have been missed.
     complete_since: Option<Timestamp>,
     retention: Duration,
@@ -42,6 +45,7 @@
             services: BTreeMap::new(),
             marks: BTreeSet::new(),
             stored: BTreeMap::new(),
+            share_clocks: BTreeMap::new(),
             complete_since: None,
             retention: RETURN_TIME,
         }
@@ -128,12 +132,15 @@
         &mut self,
         now: Timestamp,
         service: ServiceName,
-        stored: Option<(StoredVersions, StoreVersion)>,
+        stored: Option<(StoredVersions, Option<StoreVersion>)>,
     ) {
+        let clock = self.share_clocks.entry(service.clone()).or_default();
         let Some(stored) = stored else {
+            clock.on_stored(now, None);
             self.stored.remove(&service);
             return;
         };
+        clock.on_stored(now, stored.0.shares.as_ref());
         let sightings = self.services.entry(service.clone()).or_default();
         for version in &stored.0.versions {
             sightings.entry(version.clone()).or_insert(Sighting {
@@ -146,10 +153,21 @@
     }
 
     /// Returns the stored versions of a service, with the version of their key.
-    pub fn stored(&self, service: &ServiceName) -> Option<&(StoredVersions, StoreVersion)> {
+    pub fn stored(&self, service: &ServiceName) -> Option<&(StoredVersions, Option<StoreVersion>)> {
         self.stored.get(service)
     }
 
+    /// Returns the stored tables of a service by which its streams begin.
+    pub fn shares(&self, service: &ServiceName) -> Option<&VersionShares> {
+        self.stored.get(service)?.0.shares.as_ref()
+    }
+
+    /// Returns when the stored tables of a service were first seen; `None` if it has had no stored
+    /// versions.
+    pub(super) fn share_clock(&self, service: &ServiceName) -> Option<&ShareClock> {
+        self.share_clocks.get(service)
+    }
+
     /// Returns the services with stored versions.
     pub fn stored_services(&self) -> impl Iterator<Item = &ServiceName> {
         self.stored.keys()
--- a/crates/laburnumstall-core/tests/gateway/main.rs
+++ b/crates/laburnumstall-core/tests/gateway/main.rs
@@ -34,3 +34,4 @@
 mod stream_times;
 mod support;
 mod usage_counts;
+mod version_shares;
--- a/crates/laburnumstall-core/tests/gateway/rollout_states.rs
+++ b/crates/laburnumstall-core/tests/gateway/rollout_states.rs
@@ -249,6 +249,7 @@
         let stored = StoredVersions {
             versions: versions.collect(),
             era: StoreEra(1),
+            shares: None,
         };
         gateway.on_stored_versions(at(30), model.clone(), Some((stored, StoreVersion(5))));
         let attributes = call_attributes(expected, "/digest/1");
--- a/crates/laburnumstall-core/tests/gateway/stored_origins.rs
+++ b/crates/laburnumstall-core/tests/gateway/stored_origins.rs
@@ -17,6 +17,7 @@
     let versions = StoredVersions {
         versions: versions.collect(),
         era: StoreEra(era),
+        shares: None,
     };
     (versions, StoreVersion(7))
 }
@@ -42,10 +43,13 @@
     }
 }
 
+/// Returns the versions that a due write changes; it may change the tables alone.
 pub(crate) fn to_store(gateway: &mut Gateway, ms: u64) -> Option<BTreeSet<SoftwareVersion>> {
     gateway.on_store_confirmed(at(ms), at(ms));
-    let due = gateway.versions_to_store(at(ms));
-    due.into_iter().next().map(|write| write.stored.versions)
+    let write = gateway.versions_to_store(at(ms)).into_iter().next()?;
+    let current = gateway.version_history().stored(&write.service);
+    let is_changed = current.is_none_or(|(current, _)| current.versions != write.stored.versions);
+    is_changed.then_some(write.stored.versions)
 }
 
 pub(crate) fn set(versions: &[&str]) -> BTreeSet<SoftwareVersion> {
--- a/crates/laburnumstalld/src/gateway/stored_versions.rs
+++ b/crates/laburnumstalld/src/gateway/stored_versions.rs
@@ -46,11 +46,16 @@
                 Ok(version) => {
                     let versions: Vec<&str> =
                         due.stored.versions.iter().map(|v| v.as_str()).collect();
-                    cx.event(
-                        Event::new("versions-stored")
-                            .with("service", &due.service)
-                            .with("versions", versions.join(",")),
-                    );
+                    let mut event = Event::new("versions-stored")
+                        .with("service", &due.service)
+                        .with("versions", versions.join(","));
+                    if let Some(shares) = &due.stored.shares {
+                        event = event
+                            .with("table", shares.in_use)
+                            .with("tables", shares.tables.len())
+                            .with("complete", shares.is_complete);
+                    }
+                    cx.event(event);
                     let stored = Some((due.stored, version));
                     cx.with_gateway(|gateway, now| {
                         gateway.on_stored_versions(now, due.service, stored);
