Refuse streams of unknown origin until a restored store lists all versions

Callers saw: after a restore from a copy that lacks a version, and a kill of all daemons, streams of that version went on at the one that the copy lists.

Cause: a started daemon took the endpoints and marks of the copy for complete. Endpoints register again within 2 s, and the versions that are stored then hold what the copy had.

Change: for 2.5 s after a restore, or the start of a daemon in a later era than the first, the only listed version is no evidence, and for the retention time it is only while no other one is listed. Daemons that were up keep their tables, which the first of them stores again; those that read the copy mark them as incomplete. A further version is stored as admitted when its table is used, so that streams of the earlier one stay certain until then.

--- a/crates/laburnumstall-core/src/gateway.rs
+++ b/crates/laburnumstall-core/src/gateway.rs
@@ -151,6 +151,8 @@
     origins: OriginTable,
     origin_store: stored_origins::OriginStore,
     versions: VersionHistory,
+    /// Services whose stored versions are those of a copy that the store came back from.
+    copied_versions: std::collections::BTreeSet<ServiceName>,
     /// Services whose tables of versions contradict where a stream began.
     share_contradictions: std::collections::BTreeSet<ServiceName>,
     send_budget: send_budget::SendBudget,
@@ -199,6 +201,7 @@
             origins: OriginTable::default(),
             origin_store: stored_origins::OriginStore::default(),
             versions: VersionHistory::default(),
+            copied_versions: std::collections::BTreeSet::new(),
             share_contradictions: std::collections::BTreeSet::new(),
             send_budget: send_budget::SendBudget::default(),
             has_origins_to_send: false,
--- a/crates/laburnumstall-core/src/gateway/resumption.rs
+++ b/crates/laburnumstall-core/src/gateway/resumption.rs
@@ -202,7 +202,9 @@
         };
         self.record_resumption(now, call, "refuse", (reason, age), lookup);
         let refusal = Refusal::new(ErrorKind::NoEndpoint, "the stream's version is unknown");
-        let may_be_known_later = is_unconfirmed || lookup.answers.len() < lookup.peers.len();
+        let may_be_known_later = is_unconfirmed
+            || self.awaits_registrations(now)
+            || lookup.answers.len() < lookup.peers.len();
         Err(Refusal {
             retry_after: may_be_known_later.then_some(RETRY_AFTER),
             ..refusal
--- a/crates/laburnumstall-core/src/gateway/stored_versions.rs
+++ b/crates/laburnumstall-core/src/gateway/stored_versions.rs
@@ -12,7 +12,7 @@
 
 use super::Gateway;
 use super::call::AdmittedCall;
-use super::endpoint_table::EndpointEntry;
+use super::endpoint_table::{EndpointEntry, REREGISTER_TIME};
 use super::gossip::{Peer, daemon_hash};
 use super::peer_message::PeerProtocol;
 use super::requests::MAX_CERTAIN_AGE;
@@ -36,6 +36,8 @@
 const QUICK_ADMIT_DELAY: Duration = Duration::from_secs(1);
 /// Time after the start of a daemon in which it leaves the writes to those that it does not know yet.
 const START_DELAY: Duration = Duration::from_secs(1);
+/// Time within which a registration is read.
+const READ_DELAY: Duration = Duration::from_millis(500);
 /// Share of a service's endpoints, in percent, below which the stored versions are too few to
 /// wait for the long delay.
 const MIN_STORED_PERCENT: usize = 75;
@@ -78,6 +80,13 @@
         let is_of_copy = stored.as_ref().is_none_or(|(read, _)| read.era < era);
         let known = self.versions.stored(&service);
         let known = known.filter(|(known, _)| known.era < era && is_of_copy);
+        if known.is_none() {
+            let is_listed = stored.is_some() && is_of_copy;
+            match is_listed {
+                true => self.copied_versions.insert(service.clone()),
+                false => self.copied_versions.remove(&service),
+            };
+        }
         let stored = match (known, stored) {
             // What this daemon knew before the store came back is the later of the two.
             (Some((known, _)), read) => Some((known.clone(), read.map(|(_, version)| version))),
@@ -137,13 +146,19 @@
             services.extend(targets.map(|target| &target.service));
         }
         let writes = services.into_iter().filter_map(|service| {
-            let versions = self.versions_of(now, service);
+            let current = self.versions.stored(service);
+            let mut versions = self.versions_of(now, service);
+            let shares = self.shares_of(now, service, &versions);
+            if let (Some(shares), Some((current, _))) = (&shares, current) {
+                // A further version is admitted when streams begin there.
+                let is_used = |version: &SoftwareVersion| shares.versions().any(|v| v == version);
+                versions.retain(|version| current.versions.contains(version) || is_used(version));
+            }
             let stored = StoredVersions {
-                shares: self.shares_of(now, service, &versions),
+                shares,
                 versions,
                 era: self.store_era().unwrap_or_default(),
             };
-            let current = self.versions.stored(service);
             let is_due = !stored.versions.is_empty()
                 && current.is_none_or(|(current, _)| *current != stored);
             is_due.then(|| VersionsWrite {
@@ -205,10 +220,13 @@
         let clock = self.versions.share_clock(service);
         match (&current.shares, clock) {
             (Some(shares), _)
-                if current.era != era || self.share_contradictions.contains(service) =>
+                if self.copied_versions.contains(service)
+                    || self.share_contradictions.contains(service) =>
             {
                 Some(shares.restarted())
             }
+            // The tables that this daemon knew before the store came back.
+            (Some(shares), _) if current.era != era => Some(shares.clone()),
             (Some(shares), Some(clock)) => {
                 Some(clock.next(now, shares, &slots, versions, self.versions.retention()))
             }
@@ -350,7 +368,21 @@
     ) -> Option<&SoftwareVersion> {
         let is_fresh = self.freshness.is_within(now, MAX_CERTAIN_AGE);
         let sole = self.versions.sole(now, service, self.versions_era());
-        sole.filter(|_| is_fresh)
+        let is_mixed = self.is_restored_recently(now) && self.versions.is_mixed(now, service);
+        sole.filter(|_| is_fresh && !is_mixed && !self.awaits_registrations(now))
+    }
+
+    /// Returns whether the store came back from a copy so recently that streams which began at a
+    /// version that the copy lacks can be taken up.
+    fn is_restored_recently(&self, now: Timestamp) -> bool {
+        let restored_at = self.store_restored_at();
+        restored_at.is_some_and(|at| now.since(at) < self.versions.retention())
+    }
+
+    /// Returns whether endpoints that the copy lacks may not have registered again yet.
+    pub(super) fn awaits_registrations(&self, now: Timestamp) -> bool {
+        let restored_at = self.store_restored_at();
+        restored_at.is_some_and(|at| now.since(at) < REREGISTER_TIME + READ_DELAY)
     }
 
     /// Returns whether a service has one version only, also if another one was stored since the view
