--- a/crates/laburnumstall-core/tests/gateway/version_shares.rs
+++ b/crates/laburnumstall-core/tests/gateway/version_shares.rs
@@ -447,3 +447,27 @@
     assert!(!stored.shares().is_complete);
     assert_eq!(stored.shares().tables[0].versions, ["v2".parse().unwrap()]);
 }
+
+/// The stored value outgrew what a daemon of the largest fleet may read in a second.
+#[test]
+fn stored_size() {
+    let mut stored = Stored::new();
+    let mut gateway = stored.start(&endpoints(&[("v1", 6), ("v2", 6)]), 0);
+    stored.run(&mut gateway, 1_000, 2_000);
+    let size = |stored: &Stored| {
+        let (value, _) = stored.value.as_ref().unwrap();
+        serde_json::to_string(value).unwrap().len()
+    };
+    let first = size(&stored);
+    for (index, ms) in (0..10).zip((2_000..).step_by(3_000)) {
+        let counts = if index % 2 == 0 { (2, 10) } else { (10, 2) };
+        gateway.on_endpoints(at(ms), endpoints(&[("v1", counts.0), ("v2", counts.1)]));
+        stored.run(&mut gateway, ms, ms + 3_000);
+    }
+    println!(
+        "{first} bytes, at most {} with {} tables",
+        size(&stored),
+        stored.shares().tables.len()
+    );
+    assert!(size(&stored) < 4_096);
+}
